--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"dunlinring/internal/wire"
+	"otterturn/internal/wire"
 )
 
 func main() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"strings"
 
-	"dunlinring/rules"
+	"otterturn/rules"
 )
 
 // settings mirrors the keys of the first message that the scheduler has a use for.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"dunlinring/rules"
+	"otterturn/rules"
 )
 
 const facts = `{"balancers":1,"tickUs":1000,"unknown":[1],"classes":[{"aimUs":400000,"semantics":"retryable","group":"all"}],` +
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"dunlinring/rules"
+	"otterturn/rules"
 )
 
 // A caller's loop: events go in with the time, actions come out to be carried out.
