Serve the platform's protocol on real sockets

A core that owns the scheduler in one goroutine, the platform's messages, and the sockets: listener, own round tripper, discovery watch, probes. The settings parser moves from the adapter to internal/net/protocol and is shared.

http.Transport was ruled out from its source: it retries replayable requests on a kept connection by itself and reports the write of a request from another goroutine, so 'never fully written' can't be told exactly. The round tripper keeps a small pool.

--- /dev/null
+++ b/internal/net/protocol/config.go
@@ -0,0 +1,67 @@
+// Package protocol holds the platform's messages. Each is decoded once into a small typed value and encoded
+// once; nothing here touches a socket.
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strconv"
+)
+
+// Config is what a front on the platform is told at its start.
+type Config struct {
+	Listen    string
+	Discovery string
+	Seed      int64
+	MemoryMB  int
+	Sockets   int
+	Known     List
+	Settings  Settings
+}
+
+// ParseConfig reads the file that RELAY_CONFIG names. Its errors name the field.
+func ParseConfig(text []byte) (Config, error) {
+	var in struct {
+		Listen, Discovery, Seed string
+		Limits                  struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return Config{}, err
+	}
+	out := Config{Listen: in.Listen, Discovery: in.Discovery, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets}
+	if _, err := netip.ParseAddrPort(in.Listen); err != nil {
+		return Config{}, fmt.Errorf("listen: %w", err)
+	}
+	if _, err := netip.ParseAddrPort(in.Discovery); err != nil {
+		return Config{}, fmt.Errorf("discovery: %w", err)
+	}
+	if out.MemoryMB <= 0 || out.Sockets <= 0 {
+		return Config{}, fmt.Errorf("limits: memory_mb and sockets must be above 0")
+	}
+	seed, err := strconv.ParseUint(in.Seed, 16, 64)
+	if err != nil {
+		return Config{}, fmt.Errorf("seed: %w", err)
+	}
+	out.Seed = int64(seed)
+	if len(in.Settings) == 0 {
+		return Config{}, fmt.Errorf("settings: missing")
+	}
+	if out.Settings, err = ParseSettings(in.Settings); err != nil {
+		return Config{}, fmt.Errorf("settings: %w", err)
+	}
+	if out.Settings.ConnIdle <= 0 || out.Settings.Connect <= 0 || out.Settings.LongestWait <= 0 {
+		return Config{}, fmt.Errorf("settings: ceilings.connIdleUs, ceilings.connectTimeoutUs and classes[].giveUpUs must be above 0")
+	}
+	if len(in.Known) > 0 {
+		if out.Known, err = ParseList(in.Known, out.Settings.Zones); err != nil {
+			return Config{}, fmt.Errorf("known: %w", err)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/net/protocol/list.go
@@ -0,0 +1,60 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"otterturn/rules"
+)
+
+// List is discovery's list of nodes, or the entries of it that changed.
+type List struct {
+	Seq   int64
+	Whole bool
+	Hosts []Host
+}
+
+// Host is one node's entry: what the scheduler is told of it, and the address for sockets.
+type Host struct {
+	rules.Listing
+	Dial string
+}
+
+var healths = map[string]rules.NodeState{"up": rules.Running, "draining": rules.Draining, "removed": rules.Gone}
+
+// ParseList reads an answer of discovery. A list that is wrong anywhere is no list at all.
+func ParseList(text []byte, zones []string) (List, error) {
+	var in struct {
+		Seq   *int64
+		Whole bool
+		Hosts []struct {
+			Host, Dial, Site, Health string
+			Block                    int
+			BornMs                   int64 `json:"born_ms"`
+		}
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return List{}, err
+	}
+	if in.Seq == nil {
+		return List{}, fmt.Errorf("seq: missing")
+	}
+	out := List{Seq: *in.Seq, Whole: in.Whole}
+	for i, h := range in.Hosts {
+		state, ok := healths[h.Health]
+		_, err := netip.ParseAddrPort(h.Dial)
+		switch {
+		case h.Host == "":
+			return List{}, fmt.Errorf("hosts[%d].host: missing", i)
+		case !ok:
+			return List{}, fmt.Errorf("hosts[%d].health: %q is unknown", i, h.Health)
+		case err != nil && state != rules.Gone:
+			return List{}, fmt.Errorf("hosts[%d].dial: %w", i, err)
+		}
+		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Listing: rules.Listing{Node: h.Host,
+			Zone: slices.Index(zones, h.Site), Shard: h.Block, State: state, Since: rules.Micros(h.BornMs * 1000)}})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/net/protocol/settings.go
@@ -0,0 +1,116 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"otterturn/rules"
+)
+
+// settings mirrors the keys of the settings object that the program has a use for.
+type settings struct {
+	Balancers int
+	TickUs    int64
+	Ceilings  struct {
+		ConnIdleUs       int64
+		ConnectTimeoutUs int64
+		MaxOpen          int
+		TryLimit         int
+		Probing          bool
+		Cancel           bool
+		RetryAfter       bool
+		MaxRetryAfterUs  int64
+	}
+	Classes []struct {
+		Name      string
+		AimUs     int64
+		GiveUpUs  int64
+		Semantics string
+		Group     string
+		WindowUs  int64
+		ByArrival bool
+		Credit    float64
+	}
+	Contracts []struct {
+		Name                                       string
+		CeilingRate, FloorRate, LimitBurst, Shares float64
+	}
+	FamilyInfo struct {
+		ColdUnits, MeanUnits, MostUnits float64
+		SaysOthers                      bool
+	}
+	Report struct{ How string }
+	Zones  []string
+	Safety struct {
+		BudgetShare   float64
+		BudgetSpanUs  int64
+		ColdFrom      float64
+		FallMultiple  float64
+		FallUs        int64
+		RampTimeUs    int64
+		SpareAttempts float64
+		KeyRestUs     int64
+	}
+}
+
+var repeats = map[string]rules.Repeat{"retryable": rules.Safe, "dedup": rules.Keyed, "fragile": rules.Unsafe}
+var groups = map[string]rules.Group{"": rules.AllNodes, "all": rules.AllNodes, "zone": rules.SameZone,
+	"cell": rules.SameShard}
+
+// Settings are the deployment's figures: those of the scheduler, and those of the sockets.
+type Settings struct {
+	Rules       rules.Settings
+	Classes     []string // by the scheduler's index
+	Plans       []string
+	Zones       []string
+	LoadReports bool // probes are answered with a load report
+	MaxOpen     int  // requests open at once, 0 for no bound
+	ConnIdle    time.Duration
+	Connect     time.Duration
+	LongestWait time.Duration // the longest that a client waits
+	Retry       time.Duration // longest advice that clients heed
+}
+
+// ParseSettings reads a settings object. Unknown keys are ignored.
+func ParseSettings(text []byte) (Settings, error) {
+	var in settings
+	if err := json.Unmarshal(text, &in); err != nil {
+		return Settings{}, err
+	}
+	f, s := in.FamilyInfo, in.Safety
+	set := rules.Settings{
+		Hosts: in.Balancers, Tick: rules.Micros(in.TickUs),
+		MeanUnits: f.MeanUnits, MostUnits: f.MostUnits, Elsewhere: f.SaysOthers,
+		MaxTries: in.Ceilings.TryLimit, Probing: in.Ceilings.Probing,
+		Cancel: in.Ceilings.Cancel, RetryAfter: in.Ceilings.RetryAfter,
+		MaxRetryAfter: rules.Micros(in.Ceilings.MaxRetryAfterUs),
+		ColdFrom:      s.ColdFrom, Ramp: rules.Micros(s.RampTimeUs),
+		FallMultiple: s.FallMultiple, FallSpan: rules.Micros(s.FallUs), ColdUnits: f.ColdUnits,
+		KeyRest: rules.Micros(s.KeyRestUs), RetrySpan: rules.Micros(s.BudgetSpanUs),
+		RetrySpare: s.SpareAttempts, RetryShare: s.BudgetShare,
+	}
+	out := Settings{Zones: in.Zones, LoadReports: in.Report.How != "" && in.Report.How != "off",
+		MaxOpen: in.Ceilings.MaxOpen, ConnIdle: micros(in.Ceilings.ConnIdleUs),
+		Connect: micros(in.Ceilings.ConnectTimeoutUs), Retry: micros(in.Ceilings.MaxRetryAfterUs)}
+	for i, c := range in.Classes {
+		repeat, ok := repeats[c.Semantics]
+		group, known := groups[c.Group]
+		if !ok || !known {
+			return Settings{}, fmt.Errorf("classes[%d]: semantics %q, group %q", i, c.Semantics, c.Group)
+		}
+		out.Classes = append(out.Classes, c.Name)
+		out.LongestWait = max(out.LongestWait, micros(c.GiveUpUs))
+		set.Classes = append(set.Classes, rules.Class{Aim: rules.Micros(c.AimUs), Repeat: repeat, Group: group,
+			Window: rules.Micros(c.WindowUs), InOrder: c.ByArrival, Worth: c.Credit})
+	}
+	for _, p := range in.Contracts {
+		out.Plans = append(out.Plans, p.Name)
+		set.Plans = append(set.Plans, rules.Plan{Reservation: p.FloorRate, Weight: p.Shares,
+			Limit: p.CeilingRate, Burst: p.LimitBurst})
+	}
+	out.Rules = set
+	return out, nil
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/internal/net/routing/core.go
@@ -0,0 +1,304 @@
+// Package routing is the core of the program: requests, attempts and outcomes. It knows no wire. One goroutine
+// owns the scheduler of package rules; Do is the life of one request.
+package routing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"otterturn/rules"
+)
+
+// ErrFailed is the final answer that promises nothing about a request's effect.
+var ErrFailed = errors.New("the request failed")
+
+// ErrDuplicate tells that a request's id is that of one that is not over yet.
+var ErrDuplicate = errors.New("a request with this id is open")
+
+// ErrStopped tells that the core has ended.
+var ErrStopped = errors.New("the core has stopped")
+
+// errTakenBack ends an attempt that the scheduler cancelled.
+var errTakenBack = errors.New("the attempt was taken back")
+
+// Refused is the final answer that makes trying again harmless.
+type Refused struct {
+	RetryAfter time.Duration // the client should stay away so long
+}
+
+func (r *Refused) Error() string { return fmt.Sprintf("refused, come back in %v", r.RetryAfter) }
+
+// Clock tells Unix time in microseconds as of its start plus what has passed since, so a step of the system's
+// clock moves no deadline.
+type Clock struct{ start time.Time }
+
+// NewClock starts a clock.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is the present time.
+func (c Clock) Now() rules.Micros {
+	return rules.Micros(c.start.UnixMicro()) + rules.Micros(time.Since(c.start)/time.Microsecond)
+}
+
+// Tally counts requests by how they ended.
+type Tally struct{ Open, Served, Refused, Failed, Left int64 }
+
+// call is a request that is owed an answer. Its verdicts are closed when nothing more is owed.
+type call struct {
+	id       string
+	verdicts chan rules.Action
+}
+
+// verdictRoom holds all verdicts that can wait for one request: a send, its cancel, a final answer.
+const verdictRoom = 4
+
+// message is an event on its way to the scheduler; call is set for a new request.
+type message struct {
+	event rules.Event
+	call  *call
+}
+
+// Core owns the scheduler.
+type Core struct {
+	clock     Clock
+	scheduler *rules.Scheduler
+	probe     func(node string) rules.Probed
+	inbox     chan message
+	stopped   chan struct{}
+	calls     map[string]*call // of the loop alone
+
+	open, served, refused, failed, left atomic.Int64
+}
+
+// New returns a core. probe asks a node for its health and load, and returns within a bounded time; inbox is
+// how many events may wait for the scheduler.
+func New(set rules.Settings, seed int64, inbox int, probe func(node string) rules.Probed) (*Core, error) {
+	scheduler, err := rules.New(set, seed)
+	if err != nil {
+		return nil, fmt.Errorf("scheduler: %w", err)
+	}
+	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, inbox),
+		stopped: make(chan struct{}), calls: map[string]*call{}}, nil
+}
+
+// Tally tells how many requests are open and how the others ended.
+func (c *Core) Tally() Tally {
+	return Tally{Open: c.open.Load(), Served: c.served.Load(), Refused: c.refused.Load(),
+		Failed: c.failed.Load(), Left: c.left.Load()}
+}
+
+// Tell hands news of the node list to the scheduler, ahead of any request submitted later.
+func (c *Core) Tell(news rules.Nodes) { c.submit(message{event: news}) }
+
+func (c *Core) submit(m message) bool {
+	select {
+	case c.inbox <- m:
+		return true
+	case <-c.stopped:
+		return false
+	}
+}
+
+// Run lets the scheduler decide until ctx ends: events that wait go into one step together, its actions are
+// carried out in order.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.stopped)
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	var events []rules.Event
+	for {
+		events = events[:0]
+		var ended []string
+		take := func(m message) {
+			if e, over := c.admit(m); e != nil {
+				events = append(events, e)
+				if over != "" {
+					ended = append(ended, over)
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-alarm.C:
+			events = append(events, rules.Alarm{})
+		case m := <-c.inbox:
+			take(m)
+		}
+		for waiting := len(c.inbox); waiting > 0; waiting-- {
+			take(<-c.inbox)
+		}
+		if len(events) == 0 {
+			continue
+		}
+		now := c.clock.Now()
+		for _, a := range c.scheduler.Step(now, events) {
+			c.perform(a, now, alarm)
+		}
+		for _, id := range ended {
+			c.end(id)
+		}
+	}
+}
+
+// admit registers a new request. It returns the event for the scheduler, if there is one, and the id of the
+// request that the event ends.
+func (c *Core) admit(m message) (e rules.Event, over string) {
+	switch e := m.event.(type) {
+	case rules.Request:
+		// The scheduler keeps requests by id: a second one under an open id would take the first one's place.
+		if c.calls[e.ID] != nil {
+			close(m.call.verdicts)
+			return nil, ""
+		}
+		c.calls[e.ID] = m.call
+	case rules.Outcome:
+		if e.Final {
+			over = e.ID
+		}
+	case rules.Lapsed:
+		over = e.ID
+	}
+	return m.event, over
+}
+
+// end closes a request's verdicts: nothing more is owed for it.
+func (c *Core) end(id string) {
+	if call := c.calls[id]; call != nil {
+		delete(c.calls, id)
+		close(call.verdicts)
+	}
+}
+
+func (c *Core) perform(a rules.Action, now rules.Micros, alarm *time.Timer) {
+	switch a := a.(type) {
+	case rules.Send:
+		c.rule(a.ID, a)
+	case rules.Cancel:
+		c.rule(a.ID, a)
+	case rules.Refuse:
+		c.rule(a.ID, a)
+		c.end(a.ID)
+	case rules.Fail:
+		c.rule(a.ID, a)
+		c.end(a.ID)
+	case rules.Probe:
+		go func() { c.submit(message{event: c.probe(a.Node)}) }()
+	case rules.SetAlarm:
+		alarm.Reset(time.Duration(a.At-now) * time.Microsecond)
+	}
+}
+
+func (c *Core) rule(id string, a rules.Action) {
+	if call := c.calls[id]; call != nil {
+		call.verdicts <- a
+	}
+}
+
+// answer is what an attempt brought.
+type answer[T any] struct {
+	value  T
+	result rules.Result
+}
+
+// Do is the life of one request: it is submitted, then sent, refused or failed as the scheduler decides, and
+// each attempt's outcome is reported, until one final answer. An attempt ends when its context does, at the
+// request's deadline at the latest; it returns what it brought, the result and the units served elsewhere.
+// Where ctx ends first the client has left; an attempt that is out runs on to its outcome, since closing a
+// connection stops no work.
+func Do[T any](ctx context.Context, c *Core, r rules.Request,
+	attempt func(ctx context.Context, node string) (T, rules.Outcome)) (T, error) {
+	var none T
+	c.open.Add(1)
+	defer c.open.Add(-1)
+	deadline := time.Now().Add(time.Duration(r.Left) * time.Microsecond)
+	call := &call{id: r.ID, verdicts: make(chan rules.Action, verdictRoom)}
+	if !c.submit(message{event: r, call: call}) {
+		return none, ErrStopped
+	}
+	answers := make(chan answer[T], 1)
+	takeBack := context.CancelCauseFunc(func(error) {})
+	verdicts, tries := call.verdicts, 0
+	for {
+		select {
+		case v, owed := <-verdicts:
+			switch v := v.(type) {
+			case rules.Send:
+				own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+				o := rules.Outcome{ID: r.ID, Attempt: tries}
+				go func() {
+					defer cancel(nil)
+					value := try(own, deadline, v.Node, attempt, &o)
+					c.submit(message{event: o})
+					answers <- answer[T]{value, o.Result}
+				}()
+				takeBack = cancel
+				tries++
+			case rules.Cancel:
+				takeBack(errTakenBack)
+			case rules.Refuse:
+				c.refused.Add(1)
+				return none, &Refused{RetryAfter: time.Duration(v.RetryAfter) * time.Microsecond}
+			case rules.Fail:
+				c.failed.Add(1)
+				return none, ErrFailed
+			}
+			if !owed && tries == 0 {
+				return none, ErrDuplicate
+			}
+			if !owed {
+				verdicts = nil // served: the answer is on its way
+			}
+		case a := <-answers:
+			if a.result == rules.OK {
+				c.served.Add(1)
+				return a.value, nil
+			}
+		case <-ctx.Done():
+			c.left.Add(1)
+			c.lapse(call, tries)
+			return none, context.Cause(ctx)
+		case <-c.stopped:
+			return none, ErrStopped
+		}
+	}
+}
+
+// try carries out one attempt and fills in its outcome.
+func try[T any](own context.Context, deadline time.Time, node string,
+	attempt func(ctx context.Context, node string) (T, rules.Outcome), o *rules.Outcome) T {
+	limited, release := context.WithDeadline(own, deadline)
+	defer release()
+	began := time.Now()
+	value, got := attempt(limited, node)
+	o.Result, o.Elsewhere = got.Result, got.Elsewhere
+	if o.Result == rules.TimedOut && context.Cause(own) == errTakenBack {
+		o.Result = rules.Cancelled
+	}
+	o.Latency = rules.Micros(time.Since(began) / time.Microsecond)
+	o.Final = o.Result == rules.OK
+	return value
+}
+
+// lapse ends a request whose client has left. A send that was decided but not begun never will be.
+func (c *Core) lapse(call *call, tries int) {
+	if !c.submit(message{event: rules.Lapsed{ID: call.id}}) {
+		return
+	}
+	for {
+		select {
+		case v, owed := <-call.verdicts:
+			if _, send := v.(rules.Send); send {
+				c.submit(message{event: rules.Outcome{ID: call.id, Attempt: tries, Result: rules.Moot}})
+			}
+			if !owed {
+				return
+			}
+		case <-c.stopped:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/transport/discovery.go
@@ -0,0 +1,65 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/protocol"
+)
+
+// longestList bounds an answer of discovery.
+const longestList = 64 << 10
+
+// Watch follows discovery until ctx ends, from version seq on, and hands each list to apply. What can't be
+// read is logged, once for each text, and leaves things as they are.
+func Watch(ctx context.Context, addr string, seq int64, zones []string, l limits.Limits,
+	apply func(protocol.List), log func(format string, args ...any)) {
+	client := &http.Client{Timeout: l.WatchHold + l.WatchSilence, Transport: &http.Transport{
+		DisableCompression: true, MaxIdleConns: 1,
+		DialContext: (&net.Dialer{Timeout: l.Connect}).DialContext}}
+	said := ""
+	for ctx.Err() == nil {
+		list, err := fetch(ctx, client, addr, seq, zones, l)
+		if err == nil {
+			said, seq = "", list.Seq
+			apply(list)
+			continue
+		}
+		if text := err.Error(); text != said && ctx.Err() == nil {
+			said = text
+			log("discovery: %s", text)
+		}
+		// The next call is due within 200 ms of an answer, or changes in between would count as told.
+		select {
+		case <-ctx.Done():
+		case <-time.After(l.WatchAgain):
+		}
+	}
+}
+
+func fetch(ctx context.Context, client *http.Client, addr string, seq int64, zones []string,
+	l limits.Limits) (protocol.List, error) {
+	url := fmt.Sprintf("http://%s/v1/endpoints?from=%d&hold_ms=%d", addr, seq, l.WatchHold.Milliseconds())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return protocol.List{}, err
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return protocol.List{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, longestList+1))
+	switch {
+	case err != nil:
+		return protocol.List{}, err
+	case resp.StatusCode != http.StatusOK || len(text) > longestList:
+		return protocol.List{}, fmt.Errorf("status %d, %d bytes", resp.StatusCode, len(text))
+	}
+	return protocol.ParseList(text, zones)
+}
--- /dev/null
+++ b/internal/net/transport/exchange.go
@@ -0,0 +1,159 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/net/routing"
+	"otterturn/rules"
+)
+
+// errTooLong tells that a message's body passes its bound.
+var errTooLong = errors.New("the body is too long")
+
+// RoundTripper carries a client's request through the core to the nodes. http.Transport would send a GET or a
+// keyed request again by itself when a kept connection breaks: an attempt that nobody counted, and a second
+// copy beside one that may still run. So each attempt here is one exchange on one connection.
+type RoundTripper struct {
+	core  *routing.Core
+	nodes *Nodes
+}
+
+// NewRoundTripper returns a RoundTripper. Requests must carry a protocol.Request in their context.
+func NewRoundTripper(core *routing.Core, nodes *Nodes) *RoundTripper {
+	return &RoundTripper{core: core, nodes: nodes}
+}
+
+type messageKey struct{}
+
+// withMessage hands the decoded request to the RoundTripper.
+func withMessage(ctx context.Context, m protocol.Request) context.Context {
+	return context.WithValue(ctx, messageKey{}, m)
+}
+
+// RoundTrip returns a node's 200 answer, or the core's refusal or failure as an error.
+func (t *RoundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	m, ok := r.Context().Value(messageKey{}).(protocol.Request)
+	if !ok {
+		return nil, errors.New("round trip: no request in the context")
+	}
+	return routing.Do(r.Context(), t.core, m.Request,
+		func(ctx context.Context, node string) (*http.Response, rules.Outcome) {
+			out := r.Clone(ctx)
+			out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(m.Body)), int64(len(m.Body))
+			if len(m.Body) == 0 {
+				out.Body = http.NoBody
+			}
+			if deadline, ok := ctx.Deadline(); ok {
+				protocol.SetLeft(out.Header, time.Until(deadline))
+			}
+			return t.nodes.attempt(ctx, node, out)
+		})
+}
+
+// attempt sends a request to a node once and tells how that ended.
+func (s *Nodes) attempt(ctx context.Context, node string, r *http.Request) (*http.Response, rules.Outcome) {
+	c, err := s.acquire(ctx, node, func(state rules.NodeState) bool { return state == rules.Running })
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return nil, rules.Outcome{Result: rules.TimedOut}
+	case errors.Is(err, ErrNotTaking):
+		return nil, rules.Outcome{Result: rules.Full}
+	case err != nil:
+		return nil, rules.Outcome{Result: rules.Unreachable}
+	}
+	resp, written, err := s.exchange(ctx, c, r)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return nil, rules.Outcome{Result: rules.TimedOut}
+	case err != nil && !written:
+		return nil, rules.Outcome{Result: rules.Unreachable}
+	case err != nil:
+		return nil, rules.Outcome{Result: rules.Reset}
+	}
+	return resp, protocol.ParseOutcome(resp.StatusCode, resp.Header)
+}
+
+// exchange writes a request and reads the answer to its last byte; only then is it sure that there is one.
+// written tells whether the request's last byte left. The connection is given back, or closed if ctx ended.
+func (s *Nodes) exchange(ctx context.Context, c *conn, r *http.Request) (resp *http.Response, written bool, err error) {
+	clean := false
+	unhook := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer func() { s.release(c, unhook() && clean) }()
+	var message bytes.Buffer
+	if err := r.Write(&message); err != nil {
+		return nil, false, fmt.Errorf("encode: %w", err)
+	}
+	if _, err := c.Write(message.Bytes()); err != nil {
+		return nil, false, fmt.Errorf("write: %w", err)
+	}
+	if resp, err = http.ReadResponse(c.r, r); err != nil {
+		return nil, true, fmt.Errorf("read head: %w", err)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, s.limits.Body+1))
+	if err != nil {
+		return nil, true, fmt.Errorf("read body: %w", err)
+	}
+	if int64(len(body)) > s.limits.Body {
+		return nil, true, errTooLong
+	}
+	resp.Body, resp.ContentLength, resp.TransferEncoding = io.NopCloser(bytes.NewReader(body)), int64(len(body)), nil
+	clean = !resp.Close
+	return resp, true, nil
+}
+
+// Prober asks nodes for their health and load.
+type Prober struct {
+	nodes   *Nodes
+	path    string
+	reports bool
+	log     func(format string, args ...any)
+}
+
+// NewProber returns a Prober; reports tells whether nodes answer probes with a load report.
+func NewProber(nodes *Nodes, reports bool, log func(format string, args ...any)) *Prober {
+	p := &Prober{nodes: nodes, path: "/health", reports: reports, log: log}
+	if reports {
+		p.path = "/status/load"
+	}
+	return p
+}
+
+// Probe asks one node.
+func (p *Prober) Probe(node string) rules.Probed {
+	out := rules.Probed{Node: node, Queue: -1}
+	ctx, release := context.WithTimeout(context.Background(), p.nodes.limits.Probe)
+	defer release()
+	c, err := p.nodes.acquire(ctx, node, func(rules.NodeState) bool { return true })
+	if err != nil {
+		return out
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.node.Dial+p.path, nil)
+	if err != nil {
+		p.nodes.release(c, false)
+		return out
+	}
+	resp, _, err := p.nodes.exchange(ctx, c, r)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return out
+	}
+	out.OK = true
+	if !p.reports {
+		return out
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err == nil {
+		out.Queue, err = protocol.ParseLoad(string(text))
+	}
+	if err != nil {
+		out.Queue = -1
+		p.log("probe of %s: %v", node, err)
+	}
+	return out
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,93 +4,27 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strconv"
 	"strings"
 
+	"otterturn/internal/net/protocol"
 	"otterturn/rules"
 )
 
-// settings mirrors the keys of the first message that the scheduler has a use for.
-type settings struct {
-	Balancers int
-	TickUs    int64
-	Ceilings  struct {
-		TryLimit        int
-		Probing         bool
-		Cancel          bool
-		RetryAfter      bool
-		MaxRetryAfterUs int64
-	}
-	Classes []struct {
-		AimUs     int64
-		Semantics string
-		Group     string
-		WindowUs  int64
-		ByArrival bool
-		Credit    float64
-	}
-	Contracts []struct {
-		CeilingRate, FloorRate, LimitBurst, Shares float64
-	}
-	FamilyInfo struct {
-		ColdUnits, MeanUnits, MostUnits float64
-		SaysOthers                      bool
-	}
-	Safety struct {
-		BudgetShare   float64
-		BudgetSpanUs  int64
-		ColdFrom      float64
-		FallMultiple  float64
-		FallUs        int64
-		RampTimeUs    int64
-		SpareAttempts float64
-		KeyRestUs     int64
-	}
-}
-
-var repeats = map[string]rules.Repeat{"retryable": rules.Safe, "dedup": rules.Keyed, "fragile": rules.Unsafe}
-var groups = map[string]rules.Group{"": rules.AllNodes, "all": rules.AllNodes, "zone": rules.SameZone,
-	"cell": rules.SameShard}
 var states = map[string]rules.NodeState{"Running": rules.Running, "Stopping": rules.Draining,
 	"Deleted": rules.Gone}
 var results = map[string]rules.Result{"0": rules.OK, "13": rules.Errored, "8": rules.Full, "4": rules.TimedOut,
 	"14": rules.Unreachable, "10": rules.Reset, "1": rules.Cancelled, "9": rules.Moot}
 
-// ParseSettings reads the settings object of a LAUNCH. Unknown keys are ignored.
-func ParseSettings(text string) (rules.Settings, error) {
-	var in settings
-	if err := json.Unmarshal([]byte(text), &in); err != nil {
+// parseFacts reads the settings object of a LAUNCH.
+func parseFacts(text string) (rules.Settings, error) {
+	set, err := protocol.ParseSettings([]byte(text))
+	if err != nil {
 		return rules.Settings{}, fmt.Errorf("facts: %w", err)
 	}
-	f, s := in.FamilyInfo, in.Safety
-	out := rules.Settings{
-		Hosts: in.Balancers, Tick: rules.Micros(in.TickUs),
-		MeanUnits: f.MeanUnits, MostUnits: f.MostUnits, Elsewhere: f.SaysOthers,
-		MaxTries: in.Ceilings.TryLimit, Probing: in.Ceilings.Probing,
-		Cancel: in.Ceilings.Cancel, RetryAfter: in.Ceilings.RetryAfter,
-		MaxRetryAfter: rules.Micros(in.Ceilings.MaxRetryAfterUs),
-		ColdFrom:      s.ColdFrom, Ramp: rules.Micros(s.RampTimeUs),
-		FallMultiple: s.FallMultiple, FallSpan: rules.Micros(s.FallUs), ColdUnits: f.ColdUnits,
-		KeyRest: rules.Micros(s.KeyRestUs), RetrySpan: rules.Micros(s.BudgetSpanUs),
-		RetrySpare: s.SpareAttempts, RetryShare: s.BudgetShare,
-	}
-	for i, c := range in.Classes {
-		repeat, ok := repeats[c.Semantics]
-		group, known := groups[c.Group]
-		if !ok || !known {
-			return out, fmt.Errorf("facts: classes[%d]: semantics %q, group %q", i, c.Semantics, c.Group)
-		}
-		out.Classes = append(out.Classes, rules.Class{Aim: rules.Micros(c.AimUs), Repeat: repeat, Group: group,
-			Window: rules.Micros(c.WindowUs), InOrder: c.ByArrival, Worth: c.Credit})
-	}
-	for _, p := range in.Contracts {
-		out.Plans = append(out.Plans, rules.Plan{Reservation: p.FloorRate, Weight: p.Shares,
-			Limit: p.CeilingRate, Burst: p.LimitBurst})
-	}
-	return out, nil
+	return set.Rules, nil
 }
 
 // line is one message: its name and its fields.
@@ -277,7 +211,7 @@
 	}
 	switch l.name {
 	case "LAUNCH":
-		set, err := ParseSettings(l.text("facts"))
+		set, err := parseFacts(l.text("facts"))
 		var s *rules.Scheduler
 		if err == nil {
 			s, err = rules.New(set, l.integer("seed"))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -99,14 +99,14 @@
 }
 
 func TestSettings(t *testing.T) {
-	set, err := ParseSettings(`{"balancers":3,"classes":[{"semantics":"dedup","group":"cell","windowUs":4000000,"byArrival":true}],
+	set, err := parseFacts(`{"balancers":3,"classes":[{"semantics":"dedup","group":"cell","windowUs":4000000,"byArrival":true}],
 		"contracts":[{"ceilingRate":17,"limitBurst":48}],"safety":{"keyRestUs":200,"budgetSpanUs":5}}`)
 	c := set.Classes[0]
 	if err != nil || set.Hosts != 3 || c.Repeat != rules.Keyed || c.Group != rules.SameShard || !c.InOrder ||
 		set.Plans[0].Limit != 17 || set.KeyRest != 200 || set.RetrySpan != 5 {
 		t.Errorf("%+v, %v", set, err)
 	}
-	if _, err := ParseSettings(`{"classes":[{"semantics":"odd"}]}`); err == nil {
+	if _, err := parseFacts(`{"classes":[{"semantics":"odd"}]}`); err == nil {
 		t.Error("no error for unknown semantics")
 	}
 }
