--- a/rules/rules.go
+++ b/rules/rules.go
@@ -524,7 +524,8 @@
 }
 
 // giveUp answers at once what won't be sent again, or can't be answered before its client leaves whatever is
-// done. What may still earn, late too, goes on waiting, but not past the last step sure to come in time.
+// done. What may still earn, late too, goes on waiting, but not past the last step sure to come in time; what
+// was never sent not past half of its time either: its client is told while it can still come again.
 func (s *Scheduler) giveUp() {
 	spare := wakeTicks*s.set.Tick + s.margin()
 	for _, sh := range s.order {
@@ -533,7 +534,8 @@
 		}
 		for _, f := range sh.flows {
 			for _, r := range slices.Clone(f.held) {
-				if at := s.answerAt(sh, r); at >= r.deadline-spare || !s.mayRepeat(r) {
+				at, half := s.answerAt(sh, r), r.deadline-r.Left/2
+				if at >= r.deadline-spare || !s.mayRepeat(r) || len(r.sends) == 0 && s.now >= half-spare {
 					s.finish(r, at-s.now)
 				}
 			}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -149,6 +149,21 @@
 	}
 }
 
+// Requests that no node was ever sent were held until near their deadline, and refused with no time left to come
+// again: on the sockets' calm day that cost 0.04 of the result.
+func TestRequestNeverSentIsRefusedByHalfOfItsTime(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.step(req("full", nil))
+	h.step(h.end("full", Full, ms)) // the node is left alone for two aims, 800 ms
+	h.step(req("held", func(r *Request) { r.Left = 1000 * ms }))
+	if refused, _ := finals(h.idle(450 * ms)); len(refused) > 0 {
+		t.Fatalf("refused %v though half of the time is left", refused)
+	}
+	if refused, _ := finals(h.idle(50 * ms)); !slices.Equal(refused, []string{"held"}) {
+		t.Fatalf("refused %v by half of the time, want held", refused)
+	}
+}
+
 // What can't be answered before its client leaves is not kept until then: the client is told at once, and when
 // to come back.
 func TestWhatCantBeServedIsAnsweredAtOnce(t *testing.T) {
