Share the pool of node connections between the fronts, begin the SFTP front

The pool moves to its own package and takes what a front keeps on a connection as a type parameter: a buffered reader for HTTP, a session for SFTP.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -26,6 +26,12 @@
 	StopAccept   time.Duration // after SIGTERM clients are accepted for so long
 	StopQuiet    time.Duration // and the front ends once no request came for so long
 	StopAtMost   time.Duration // or this after SIGTERM
+
+	FileConns   int           // SFTP clients at a time
+	FileHandles int           // files and folders that each may have open
+	FilePacket  int           // bytes of a packet from a client
+	FileAnswer  int64         // bytes that a node may answer to a command
+	FileIdle    time.Duration // a client may be silent, between packets and within one
 }
 
 // Site are the figures of a deployment that the limits follow from.
@@ -59,5 +65,7 @@
 		WatchAgain: 50 * time.Millisecond,
 		StopAccept: 700 * time.Millisecond, StopQuiet: 400 * time.Millisecond,
 		StopAtMost: max(s.Deadline, 3*time.Second) + 500*time.Millisecond,
+		FileConns:  min(each, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileAnswer: 2 << 20,
+		FileIdle: 5 * time.Minute,
 	}
 }
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -1,16 +1,23 @@
+// Package transport holds the platform's sockets: the listener for clients, the exchanges with nodes, the watch
+// on discovery and the probes.
 package transport
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
+	"otterturn/internal/net/transport/nodes"
 	"otterturn/rules"
 )
 
@@ -30,6 +37,39 @@
 	return &RoundTripper{core: core, nodes: nodes}
 }
 
+// Nodes are the nodes with HTTP connections to each.
+type Nodes struct {
+	*nodes.Nodes[*bufio.Reader]
+	limits limits.Limits
+}
+
+// NewNodes returns an empty list.
+func NewNodes(l limits.Limits) *Nodes {
+	return &Nodes{limits: l, Nodes: nodes.New(l, nodes.Session[*bufio.Reader]{
+		Open:  func(c net.Conn) (*bufio.Reader, error) { return bufio.NewReader(c), nil },
+		Alive: func(c net.Conn, r *bufio.Reader) bool { return r.Buffered() == 0 && quiet(c) },
+	})}
+}
+
+// quiet tells whether a connection is open with nothing to read. An idle one that ended, or on which something
+// came unasked, must not carry a request.
+func quiet(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var got error
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, got = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && got == syscall.EAGAIN
+}
+
 type messageKey struct{}
 
 // withMessage hands the decoded request to the RoundTripper.
@@ -59,11 +99,11 @@
 
 // attempt sends a request to a node once and tells how that ended.
 func (s *Nodes) attempt(ctx context.Context, node string, r *http.Request) (*http.Response, rules.Outcome) {
-	c, err := s.acquire(ctx, node, func(state rules.NodeState) bool { return state == rules.Running })
+	c, err := s.Acquire(ctx, node, nodes.Running)
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return nil, rules.Outcome{Result: rules.TimedOut}
-	case errors.Is(err, ErrNotTaking):
+	case errors.Is(err, nodes.ErrNotTaking):
 		return nil, rules.Outcome{Result: rules.Full}
 	case err != nil:
 		return nil, rules.Outcome{Result: rules.Unreachable}
@@ -82,10 +122,10 @@
 
 // exchange writes a request and reads the answer to its last byte; only then is it sure that there is one.
 // written tells whether the request's last byte left. The connection is given back, or closed if ctx ended.
-func (s *Nodes) exchange(ctx context.Context, c *conn, r *http.Request) (resp *http.Response, written bool, err error) {
+func (s *Nodes) exchange(ctx context.Context, c *nodes.Conn[*bufio.Reader], r *http.Request) (resp *http.Response, written bool, err error) {
 	clean := false
 	unhook := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer func() { s.release(c, unhook() && clean) }()
+	defer func() { s.Release(c, unhook() && clean) }()
 	var message bytes.Buffer
 	if err := r.Write(&message); err != nil {
 		return nil, false, fmt.Errorf("encode: %w", err)
@@ -93,7 +133,7 @@
 	if _, err := c.Write(message.Bytes()); err != nil {
 		return nil, false, fmt.Errorf("write: %w", err)
 	}
-	if resp, err = http.ReadResponse(c.r, r); err != nil {
+	if resp, err = http.ReadResponse(c.Session, r); err != nil {
 		return nil, true, fmt.Errorf("read head: %w", err)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.limits.Body+1))
@@ -130,13 +170,13 @@
 	out := rules.Probed{Node: node, Queue: -1}
 	ctx, release := context.WithTimeout(context.Background(), p.nodes.limits.Probe)
 	defer release()
-	c, err := p.nodes.acquire(ctx, node, func(rules.NodeState) bool { return true })
+	c, err := p.nodes.Acquire(ctx, node, nodes.AnyState)
 	if err != nil {
 		return out
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.node.Dial+p.path, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.RemoteAddr().String()+p.path, nil)
 	if err != nil {
-		p.nodes.release(c, false)
+		p.nodes.Release(c, false)
 		return out
 	}
 	resp, _, err := p.nodes.exchange(ctx, c, r)
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -1,15 +1,15 @@
-// Package transport holds the platform's sockets: the listener for clients, the connections to nodes, the watch
-// on discovery and the probes.
-package transport
+// Package nodes keeps the list of nodes and a small pool of connections to each. Both fronts use it; what runs
+// on a connection is theirs.
+package nodes
 
 import (
-	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"otterturn/internal/limits"
@@ -20,33 +20,48 @@
 // ErrNotTaking tells that nothing may be sent to a node: it is not in the list, drains, or no socket is left.
 var ErrNotTaking = errors.New("the node takes nothing")
 
+// Session opens what a front keeps on a connection, and tells whether one that stood idle is still good.
+type Session[T any] struct {
+	Open  func(net.Conn) (T, error)
+	Alive func(net.Conn, T) bool
+}
+
 // Nodes is the list of nodes as discovery told it, with the connections kept to each.
-type Nodes struct {
-	limits limits.Limits
-	mu     sync.Mutex
-	byName map[string]*node
-	open   int // connections, idle ones included
+type Nodes[T any] struct {
+	limits  limits.Limits
+	session Session[T]
+	mu      sync.Mutex
+	byName  map[string]*node[T]
+	open    int // connections, idle ones included
 }
 
 // node is one start of a node; a restarted one has a new entry, so that what was kept to the old one is dropped.
-type node struct {
+type node[T any] struct {
 	protocol.Host
-	idle []*conn // the one used last comes last
+	idle []*Conn[T] // the one used last comes last
 }
 
-// conn is a connection that carries one exchange at a time.
-type conn struct {
+// Conn is a connection that carries one exchange at a time.
+type Conn[T any] struct {
 	net.Conn
-	node *node
-	r    *bufio.Reader
-	idle time.Time // since then
+	Session T
+	node    *node[T]
+	idle    time.Time // since then
+}
+
+// State is a node as the operator sees it.
+type State struct {
+	protocol.Host
+	Idle int // connections kept to it
 }
 
-// NewNodes returns an empty list.
-func NewNodes(l limits.Limits) *Nodes { return &Nodes{limits: l, byName: map[string]*node{}} }
+// New returns an empty list.
+func New[T any](l limits.Limits, s Session[T]) *Nodes[T] {
+	return &Nodes[T]{limits: l, session: s, byName: map[string]*node[T]{}}
+}
 
 // Apply takes over a list, or changes of one, and returns the same news for the scheduler.
-func (s *Nodes) Apply(list protocol.List) rules.Nodes {
+func (s *Nodes[T]) Apply(list protocol.List) rules.Nodes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	news := rules.Nodes{Full: list.Whole}
@@ -60,7 +75,7 @@
 			continue
 		}
 		s.drop(old)
-		s.byName[h.Node] = &node{Host: h}
+		s.byName[h.Node] = &node[T]{Host: h}
 		if h.State == rules.Gone {
 			delete(s.byName, h.Node)
 		}
@@ -75,7 +90,7 @@
 }
 
 // drop closes a node's idle connections. The lock is held.
-func (s *Nodes) drop(n *node) {
+func (s *Nodes[T]) drop(n *node[T]) {
 	if n == nil {
 		return
 	}
@@ -86,27 +101,30 @@
 }
 
 // shut closes a connection. The lock is held.
-func (s *Nodes) shut(c *conn) {
+func (s *Nodes[T]) shut(c *Conn[T]) {
 	c.Close()
 	s.open--
 }
 
-// acquire returns a connection to a node, an idle one where there is one. wanted tells whether the node may
+// Acquire returns a connection to a node, an idle one where there is one. wanted tells whether the node may
 // still be used in the state it is in now that the connection is up.
-func (s *Nodes) acquire(ctx context.Context, name string, wanted func(rules.NodeState) bool) (*conn, error) {
+func (s *Nodes[T]) Acquire(ctx context.Context, name string, wanted func(rules.NodeState) bool) (*Conn[T], error) {
 	n, c, err := s.reserve(name, wanted)
 	if err != nil || c != nil {
 		return c, err
 	}
 	dialer := net.Dialer{Timeout: s.limits.Connect}
 	raw, err := dialer.DialContext(ctx, "tcp", n.Dial)
+	if err == nil {
+		c, err = s.start(ctx, raw)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
 		s.open--
 		return nil, fmt.Errorf("connect to %s: %w", name, err)
 	}
-	c = &conn{Conn: raw, node: n, r: bufio.NewReader(raw)}
+	c.node = n
 	// Coming up took time: a drain told meanwhile counts from when it was told, not from the next send.
 	if s.byName[name] != n || !wanted(n.State) {
 		s.shut(c)
@@ -115,8 +133,26 @@
 	return c, nil
 }
 
+// start opens the session on a new connection, within the time for connecting.
+func (s *Nodes[T]) start(ctx context.Context, raw net.Conn) (*Conn[T], error) {
+	raw.SetDeadline(time.Now().Add(s.limits.Connect))
+	unhook := context.AfterFunc(ctx, func() { raw.Close() })
+	session, err := s.session.Open(raw)
+	if !unhook() && err == nil {
+		err = ctx.Err()
+	}
+	if err == nil {
+		err = raw.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return &Conn[T]{Conn: raw, Session: session}, nil
+}
+
 // reserve takes an idle connection that is still good, or the room for a new one.
-func (s *Nodes) reserve(name string, wanted func(rules.NodeState) bool) (*node, *conn, error) {
+func (s *Nodes[T]) reserve(name string, wanted func(rules.NodeState) bool) (*node[T], *Conn[T], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.byName[name]
@@ -127,7 +163,7 @@
 		c := n.idle[len(n.idle)-1]
 		n.idle = n.idle[:len(n.idle)-1]
 		// A request on a connection that the node has closed would end as a reset that may have run.
-		if time.Since(c.idle) < s.limits.NodeIdle && alive(c.Conn) {
+		if time.Since(c.idle) < s.limits.NodeIdle && s.session.Alive(c.Conn, c.Session) {
 			return n, c, nil
 		}
 		s.shut(c)
@@ -139,11 +175,11 @@
 	return n, nil, nil
 }
 
-// release gives a connection back, to be kept where its last exchange ended cleanly.
-func (s *Nodes) release(c *conn, clean bool) {
+// Release gives a connection back, to be kept where its last exchange ended cleanly.
+func (s *Nodes[T]) Release(c *Conn[T], clean bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !clean || c.r.Buffered() > 0 || s.byName[c.node.Node] != c.node || c.SetDeadline(time.Time{}) != nil {
+	if !clean || s.byName[c.node.Node] != c.node || c.SetDeadline(time.Time{}) != nil {
 		s.shut(c)
 		return
 	}
@@ -152,7 +188,7 @@
 }
 
 // Run drops connections that stood idle for long, until ctx ends.
-func (s *Nodes) Run(ctx context.Context) {
+func (s *Nodes[T]) Run(ctx context.Context) {
 	tick := time.NewTicker(s.limits.NodeIdle/4 + time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -165,7 +201,7 @@
 	}
 }
 
-func (s *Nodes) expire(before time.Time) {
+func (s *Nodes[T]) expire(before time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, n := range s.byName {
@@ -176,21 +212,20 @@
 	}
 }
 
-// alive tells whether a connection is open with nothing to read. An idle one that ended, or on which something
-// came unasked, must not carry a request.
-func alive(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
+// States lists the nodes by name.
+func (s *Nodes[T]) States() []State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []State
+	for _, n := range s.byName {
+		out = append(out, State{Host: n.Host, Idle: len(n.idle)})
 	}
-	var got error
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, got = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && got == syscall.EAGAIN
+	slices.SortFunc(out, func(a, b State) int { return cmp.Compare(a.Node, b.Node) })
+	return out
 }
+
+// Running is the condition under which a node gets new work.
+func Running(state rules.NodeState) bool { return state == rules.Running }
+
+// AnyState is the condition for probes.
+func AnyState(rules.NodeState) bool { return true }
--- /dev/null
+++ b/internal/net/transport/sftp/client.go
@@ -0,0 +1,210 @@
+// Package sftp holds the sockets of the second front: SFTP version 3 over plain TCP, from clients and to nodes.
+package sftp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/sftp"
+
+	"otterturn/internal/limits"
+	files "otterturn/internal/net/protocol/sftp"
+	"otterturn/internal/net/transport/nodes"
+	"otterturn/rules"
+)
+
+// errAnswer tells that a node's answer passes its bound.
+var errAnswer = errors.New("the node's answer is too long")
+
+// Client carries commands to nodes, one at a time on a connection.
+type Client struct {
+	*nodes.Nodes[*session]
+	log func(format string, args ...any)
+}
+
+// session is an SFTP session with a node.
+type session struct {
+	*sftp.Client
+	wire *wire
+	dead atomic.Bool
+}
+
+// wire counts what an exchange moves over a connection.
+type wire struct {
+	net.Conn
+	bound   int64
+	written atomic.Int64 // bytes since the exchange began
+	read    atomic.Int64
+}
+
+func (w *wire) Write(b []byte) (int, error) {
+	n, err := w.Conn.Write(b)
+	w.written.Add(int64(n))
+	return n, err
+}
+
+func (w *wire) Read(b []byte) (int, error) {
+	n, err := w.Conn.Read(b)
+	if w.read.Add(int64(n)) > w.bound {
+		return 0, errAnswer // an endless listing must not fill the memory
+	}
+	return n, err
+}
+
+// NewClient returns a client without nodes.
+func NewClient(l limits.Limits, log func(format string, args ...any)) *Client {
+	return &Client{log: log, Nodes: nodes.New(l, nodes.Session[*session]{
+		Open: func(c net.Conn) (*session, error) {
+			w := &wire{Conn: c, bound: l.FileAnswer}
+			client, err := sftp.NewClientPipe(w, w)
+			if err != nil {
+				return nil, fmt.Errorf("start of the session: %w", err)
+			}
+			s := &session{Client: client, wire: w}
+			go func() {
+				client.Wait()
+				s.dead.Store(true)
+			}()
+			return s, nil
+		},
+		Alive: func(_ net.Conn, s *session) bool { return !s.dead.Load() },
+	})}
+}
+
+// Attempt carries out a command at a node once and tells how that ended.
+func (c *Client) Attempt(ctx context.Context, node string, cmd files.Command) (files.Reply, rules.Outcome) {
+	conn, err := c.Acquire(ctx, node, nodes.Running)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return files.Reply{}, rules.Outcome{Result: rules.TimedOut}
+	case errors.Is(err, nodes.ErrNotTaking):
+		return files.Reply{}, rules.Outcome{Result: rules.Full}
+	case err != nil:
+		return files.Reply{}, rules.Outcome{Result: rules.Unreachable}
+	}
+	w := conn.Session.wire
+	w.written.Store(0)
+	w.read.Store(0)
+	unhook := context.AfterFunc(ctx, func() { conn.Close() }) // SFTP can't take a command back
+	reply, err := c.carryOut(node, conn.Session.Client, cmd)
+	said, broken := files.NodeStatus(err)
+	intact := unhook()
+	c.Release(conn, intact && !broken)
+	switch {
+	case !broken:
+		reply.Err = said
+		return reply, rules.Outcome{Result: rules.OK}
+	case ctx.Err() != nil:
+		return files.Reply{}, rules.Outcome{Result: rules.TimedOut}
+	case w.written.Load() == 0:
+		return files.Reply{}, rules.Outcome{Result: rules.Unreachable}
+	}
+	return files.Reply{}, rules.Outcome{Result: rules.Reset}
+}
+
+// carryOut runs a command on a session. The library panics on some answers that are no proper packets.
+func (c *Client) carryOut(node string, s *sftp.Client, cmd files.Command) (reply files.Reply, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log("%s: answer is no proper packet: %v", node, p)
+			err = fmt.Errorf("improper answer: %v", p)
+		}
+	}()
+	switch cmd.Op {
+	case files.Stat:
+		return one(s.Stat(cmd.Path))
+	case files.Lstat:
+		return one(s.Lstat(cmd.Path))
+	case files.Readlink:
+		reply.Text, err = s.ReadLink(cmd.Path)
+	case files.List:
+		reply.Infos, err = s.ReadDir(cmd.Path)
+	case files.Read:
+		return read(s, cmd)
+	case files.Create:
+		var f *sftp.File
+		if f, err = s.OpenFile(cmd.Path, cmd.Flags); err == nil {
+			err = f.Close()
+		}
+	case files.Write:
+		var f *sftp.File
+		if f, err = s.OpenFile(cmd.Path, os.O_WRONLY); err == nil {
+			_, err = f.WriteAt(cmd.Data, cmd.Offset)
+			err = errors.Join(err, f.Close())
+		}
+	case files.SetAttr:
+		err = setAttr(s, cmd)
+	case files.Remove:
+		err = s.Remove(cmd.Path)
+	case files.Rmdir:
+		err = s.RemoveDirectory(cmd.Path)
+	case files.Mkdir:
+		err = s.Mkdir(cmd.Path)
+	case files.Rename:
+		err = s.Rename(cmd.Path, cmd.Target)
+	case files.PosixRename:
+		err = s.PosixRename(cmd.Path, cmd.Target)
+	}
+	return reply, err
+}
+
+func one(info os.FileInfo, err error) (files.Reply, error) {
+	return files.Reply{Infos: []os.FileInfo{info}}, err
+}
+
+func read(s *sftp.Client, cmd files.Command) (files.Reply, error) {
+	f, err := s.Open(cmd.Path)
+	if err != nil {
+		return files.Reply{}, err
+	}
+	data := make([]byte, cmd.Length)
+	n, err := f.ReadAt(data, cmd.Offset)
+	reply := files.Reply{Data: data[:n], EOF: errors.Is(err, io.EOF)}
+	if reply.EOF {
+		err = nil
+	}
+	return reply, errors.Join(err, f.Close())
+}
+
+func setAttr(s *sftp.Client, cmd files.Command) error {
+	set, to := cmd.Set, cmd.Attrs
+	var err error
+	if set.Size {
+		err = s.Truncate(cmd.Path, int64(to.Size))
+	}
+	if set.Permissions && err == nil {
+		err = s.Chmod(cmd.Path, os.FileMode(to.Mode).Perm())
+	}
+	if set.Acmodtime && err == nil {
+		err = s.Chtimes(cmd.Path, time.Unix(int64(to.Atime), 0), time.Unix(int64(to.Mtime), 0))
+	}
+	if set.UidGid && err == nil {
+		err = s.Chown(cmd.Path, int(to.UID), int(to.GID))
+	}
+	return err
+}
+
+// Probe asks a node whether it answers at all; SFTP has no word for load.
+func (c *Client) Probe(l limits.Limits) func(node string) rules.Probed {
+	return func(node string) rules.Probed {
+		out := rules.Probed{Node: node, Queue: -1}
+		ctx, release := context.WithTimeout(context.Background(), l.Probe)
+		defer release()
+		conn, err := c.Acquire(ctx, node, nodes.AnyState)
+		if err != nil {
+			return out
+		}
+		unhook := context.AfterFunc(ctx, func() { conn.Close() })
+		_, err = conn.Session.RealPath("/")
+		_, broken := files.NodeStatus(err)
+		out.OK = !broken
+		c.Release(conn, unhook() && !broken)
+		return out
+	}
+}
