--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -52,7 +54,17 @@
 
 // Serve accepts clients until Stop.
 func (f *Front) Serve(l net.Listener) error {
-	err := f.server.Serve(newListener(l, f.limits.ClientConns, f.limits.SpareConns))
+	return f.serve(newListener(l, f.limits.ClientConns, f.limits.SpareConns))
+}
+
+// ServeTLS accepts clients over TLS until Stop.
+func (f *Front) ServeTLS(l net.Listener, config *tls.Config) error {
+	config.NextProtos = slices.DeleteFunc(config.NextProtos, func(p string) bool { return p == "h2" })
+	return f.serve(tls.NewListener(newListener(l, f.limits.ClientConns, f.limits.SpareConns), config))
+}
+
+func (f *Front) serve(l net.Listener) error {
+	err := f.server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 )
@@ -43,6 +44,9 @@
 type spareKey struct{}
 
 func markSpare(ctx context.Context, c net.Conn) context.Context {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
 	cc, ok := c.(*clientConn)
 	return context.WithValue(ctx, spareKey{}, ok && cc.spare)
 }
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -38,7 +38,8 @@
 	limits  limits.Limits
 	core    *routing.Core
 	attempt Attempter
-	open    atomic.Int64 // commands taken and not answered
+	tallies map[string]*tally // by project
+	open    atomic.Int64      // commands taken and not answered
 	ids     atomic.Int64
 	mu      sync.Mutex
 	conns   map[*visitor]struct{}
@@ -47,7 +48,39 @@
 
 // NewFront returns a front.
 func NewFront(site Site, l limits.Limits, core *routing.Core, attempt Attempter) *Front {
-	return &Front{site: site, limits: l, core: core, attempt: attempt, conns: map[*visitor]struct{}{}}
+	f := &Front{site: site, limits: l, core: core, attempt: attempt, conns: map[*visitor]struct{}{},
+		tallies: map[string]*tally{}}
+	for _, p := range site.Projects {
+		f.tallies[p.Name] = &tally{}
+	}
+	return f
+}
+
+// tally counts a project's commands by how they ended.
+type tally struct{ served, refused, failed atomic.Int64 }
+
+// Count is a project's tally at one moment.
+type Count struct{ Served, Refused, Failed int64 }
+
+// Count tells how a project's commands ended.
+func (f *Front) Count(project string) Count {
+	t := f.tallies[project]
+	if t == nil {
+		return Count{}
+	}
+	return Count{t.served.Load(), t.refused.Load(), t.failed.Load()}
+}
+
+func (t *tally) add(err error) {
+	var refused *routing.Refused
+	switch {
+	case err == nil:
+		t.served.Add(1)
+	case errors.As(err, &refused):
+		t.refused.Add(1)
+	default:
+		t.failed.Add(1)
+	}
 }
 
 // visitor is one client's connection and what it has open. It implements the handlers of the SFTP library: one
@@ -135,7 +168,9 @@
 	}
 	defer f.open.Add(-1)
 	if f.open.Add(1) > int64(f.limits.Open) {
-		return files.Reply{}, files.Status(&routing.Refused{RetryAfter: f.site.Retry})
+		full := &routing.Refused{RetryAfter: f.site.Retry}
+		f.tallies[project.Name].add(full)
+		return files.Reply{}, files.Status(full)
 	}
 	role := cmd.Role(f.site.Sizes)
 	reply, err := routing.Do(v.ctx, f.core, rules.Request{
@@ -143,6 +178,7 @@
 		Volume: project.Name, Key: cmd.Path, Units: cmd.Units(f.site.Sizes), Shard: project.Shard, Hosts: 1,
 		Left: rules.Micros(f.site.Wait[role] / time.Microsecond),
 	}, func(ctx context.Context, node string) (files.Reply, rules.Outcome) { return f.attempt(ctx, node, cmd) })
+	f.tallies[project.Name].add(err)
 	if err != nil {
 		return files.Reply{}, files.Status(err)
 	}
--- /dev/null
+++ b/internal/program/operator.go
@@ -0,0 +1,236 @@
+package program
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/protocol"
+	files "otterturn/internal/net/protocol/sftp"
+	"otterturn/internal/net/transport/sftp"
+	"otterturn/rules"
+)
+
+// Operator is the operator's file: an appliance's nodes, projects, fronts and limits.
+type Operator struct {
+	Limits struct {
+		MemoryMB   int `toml:"memory_mb"`
+		Sockets    int
+		Open       int
+		Tries      int
+		Connect    time.Duration
+		NodeIdle   time.Duration `toml:"node_idle"`
+		RetryAfter time.Duration `toml:"retry_after"`
+	}
+	SFTP struct {
+		Listen    string
+		UnitBytes int `toml:"unit_bytes"`
+		BulkBytes int `toml:"bulk_bytes"`
+	}
+	HTTP    struct{ Listen string }
+	ACME    ACME
+	Console struct{ Socket string }
+	Classes map[string]struct {
+		Within time.Duration
+		Wait   time.Duration
+		Worth  float64
+		Repeat string
+		Window time.Duration
+	}
+	Plans []struct {
+		Name        string
+		Reservation float64
+		Weight      float64
+		Limit       float64
+		Burst       float64
+	}
+	Nodes []struct {
+		Name  string
+		SFTP  string
+		HTTP  string
+		Shard int
+	}
+	Projects []Project
+}
+
+// Project is a customer's tree of files.
+type Project struct {
+	Name   string
+	Prefix string
+	Plan   string
+	Shard  int
+}
+
+// ACME is what the operator says of certificates.
+type ACME struct {
+	Directory   string        // the authority's directory
+	Roots       string        // file of the authority's own root certificates, if the system has none for it
+	Domains     []string      // names to certify
+	Email       string        // where the authority may write
+	Cache       string        // folder for keys and certificates
+	Challenge   string        // address of the HTTP-01 answers
+	RenewBefore time.Duration `toml:"renew_before"`
+}
+
+// mostUnits is the most that a file command counts.
+const mostUnits = 8
+
+// classNames are the operator's classes in the order of their roles; a write that must not be repeated follows
+// the figures of write.
+var classNames = []string{files.RoleRead: "read", files.RoleBulkRead: "bulk-read", files.RoleWrite: "write"}
+
+// LoadOperator reads and checks the operator's file. Its errors name the field.
+func LoadOperator(path string) (Operator, error) {
+	var o Operator
+	meta, err := toml.DecodeFile(path, &o)
+	if err != nil {
+		return Operator{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if odd := meta.Undecoded(); len(odd) > 0 {
+		return Operator{}, fmt.Errorf("%s: %s: unknown", path, odd[0])
+	}
+	if err := o.check(); err != nil {
+		return Operator{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
+
+func address(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+// check tells the first field that is wrong.
+func (o *Operator) check() error {
+	l := o.Limits
+	bad := ""
+	must := func(ok bool, format string, args ...any) {
+		if !ok && bad == "" {
+			bad = fmt.Sprintf(format, args...)
+		}
+	}
+	must(l.MemoryMB > 0 && l.Sockets > 0 && l.Open > 0 && l.Tries > 0,
+		"limits: memory_mb, sockets, open and tries must be above 0")
+	must(l.Connect > 0 && l.NodeIdle > 0 && l.RetryAfter > 0,
+		"limits: connect, node_idle and retry_after must be times above 0")
+	must(o.SFTP.Listen != "" || o.HTTP.Listen != "", "sftp.listen, http.listen: one of them must be set")
+	must(o.SFTP.Listen == "" || address(o.SFTP.Listen), "sftp.listen: %q is no address with a port", o.SFTP.Listen)
+	must(o.SFTP.Listen == "" || o.SFTP.UnitBytes > 0 && o.SFTP.BulkBytes > 0,
+		"sftp: unit_bytes and bulk_bytes must be above 0")
+	must(o.HTTP.Listen == "" || address(o.HTTP.Listen), "http.listen: %q is no address with a port", o.HTTP.Listen)
+	if a := o.ACME; a.Directory != "" {
+		must(len(a.Domains) > 0, "acme.domains: missing")
+		must(a.Cache != "", "acme.cache: missing")
+		must(address(a.Challenge), "acme.challenge: %q is no address with a port", a.Challenge)
+		must(o.HTTP.Listen != "", "acme: there is no http.listen to certify")
+	}
+	for _, name := range classNames {
+		c, ok := o.Classes[name]
+		must(ok, "classes.%s: missing", name)
+		must(c.Within > 0 && c.Wait >= c.Within && c.Worth > 0,
+			"classes.%s: within and worth must be above 0, wait at least within", name)
+		if name == "write" {
+			must(c.Repeat == "keyed" && c.Window > 0 || c.Repeat == "never",
+				"classes.write.repeat: must be \"keyed\", with a window above 0, or \"never\"")
+		}
+	}
+	must(len(o.Classes) == len(classNames), "classes: must be %q", classNames)
+	must(len(o.Plans) > 0, "plans: missing")
+	for i, p := range o.Plans {
+		must(p.Name != "" && p.Weight > 0, "plans[%d]: name must be set, weight above 0", i)
+		must(p.Limit == 0 || p.Burst >= mostUnits, "plans[%d].burst: must be %d at least", i, mostUnits)
+	}
+	must(len(o.Nodes) > 0, "nodes: missing")
+	shards, names := map[int]bool{}, map[string]bool{}
+	for i, n := range o.Nodes {
+		must(n.Name != "" && !names[n.Name], "nodes[%d].name: missing or taken", i)
+		must(n.Shard >= 0, "nodes[%d].shard: must not be below 0", i)
+		must(o.SFTP.Listen == "" || address(n.SFTP), "nodes[%d].sftp: %q is no address with a port", i, n.SFTP)
+		must(o.HTTP.Listen == "" || address(n.HTTP), "nodes[%d].http: %q is no address with a port", i, n.HTTP)
+		shards[n.Shard], names[n.Name] = true, true
+	}
+	for i, p := range o.Projects {
+		must(p.Name != "", "projects[%d].name: missing", i)
+		must(p.Prefix != "" && p.Prefix == files.Clean(p.Prefix), "projects[%d].prefix: %q is no plain absolute path", i, p.Prefix)
+		must(o.plan(p.Plan) >= 0, "projects[%d].plan: %q is no plan", i, p.Plan)
+		must(shards[p.Shard], "projects[%d].shard: no node holds shard %d", i, p.Shard)
+		taken := func(q Project) bool { return q.Name == p.Name || q.Prefix == p.Prefix }
+		must(!slices.ContainsFunc(o.Projects[:i], taken), "projects[%d]: name or prefix is taken", i)
+	}
+	if bad != "" {
+		return fmt.Errorf("%s", bad)
+	}
+	return nil
+}
+
+func (o *Operator) plan(name string) int {
+	for i, p := range o.Plans {
+		if p.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// limits fills the limits of the appliance.
+func (o *Operator) limits() limits.Limits {
+	longest := time.Duration(0)
+	for _, c := range o.Classes {
+		longest = max(longest, c.Wait)
+	}
+	return limits.For(limits.Site{MemoryMB: o.Limits.MemoryMB, Sockets: o.Limits.Sockets, Open: o.Limits.Open,
+		ConnIdle: o.Limits.NodeIdle, Connect: o.Limits.Connect, Deadline: longest})
+}
+
+// settings are the figures of the scheduler and of the HTTP front.
+func (o *Operator) settings() protocol.Settings {
+	out := protocol.Settings{Classes: classNames, MaxOpen: o.Limits.Open, ConnIdle: o.Limits.NodeIdle,
+		Connect: o.Limits.Connect, Retry: o.Limits.RetryAfter, Rules: rules.Settings{
+			Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: mostUnits, MaxTries: o.Limits.Tries, Probing: true,
+			RetryAfter: true, MaxRetryAfter: rules.Micros(o.Limits.RetryAfter / time.Microsecond)}}
+	write := rules.Keyed
+	if o.Classes["write"].Repeat == "never" {
+		write = rules.Unsafe
+	}
+	for role, repeat := range files.Repeats(write) {
+		c := o.Classes[classNames[min(role, int(files.RoleWrite))]]
+		out.LongestWait = max(out.LongestWait, c.Wait)
+		out.Rules.Classes = append(out.Rules.Classes, rules.Class{Aim: rules.Micros(c.Within / time.Microsecond),
+			Repeat: repeat, Group: rules.SameShard, Window: rules.Micros(c.Window / time.Microsecond), Worth: c.Worth})
+	}
+	for _, p := range o.Plans {
+		out.Plans = append(out.Plans, p.Name)
+		out.Rules.Plans = append(out.Rules.Plans, rules.Plan{Reservation: p.Reservation, Weight: p.Weight,
+			Limit: p.Limit, Burst: p.Burst})
+	}
+	return out
+}
+
+// site is what the SFTP front is told.
+func (o *Operator) site() sftp.Site {
+	out := sftp.Site{Retry: o.Limits.RetryAfter,
+		Sizes: files.Sizes{UnitBytes: o.SFTP.UnitBytes, BulkBytes: o.SFTP.BulkBytes, MostUnits: mostUnits}}
+	for role := range out.Classes {
+		out.Classes[role] = role
+		out.Wait[role] = o.Classes[classNames[min(role, int(files.RoleWrite))]].Wait
+	}
+	for _, p := range o.Projects {
+		out.Projects = append(out.Projects, files.Project{Name: p.Name, Prefix: p.Prefix, Plan: o.plan(p.Plan),
+			Shard: p.Shard})
+	}
+	return out
+}
+
+// list is the node list with the addresses of one front.
+func (o *Operator) list(dial func(sftp, http string) string) protocol.List {
+	out := protocol.List{Whole: true}
+	for _, n := range o.Nodes {
+		out.Hosts = append(out.Hosts, protocol.Host{Dial: dial(n.SFTP, n.HTTP),
+			Listing: rules.Listing{Node: n.Name, Shard: n.Shard}})
+	}
+	return out
+}
