Test both fronts over loopback against scripted peers

Seen on the way: the SFTP library's Remove goes on to remove a folder of that name, which the command does not mean; a node client now looks first.

--- a/internal/net/protocol/sftp/command.go
+++ b/internal/net/protocol/sftp/command.go
@@ -182,6 +182,9 @@
 // Unsupported is the status of a command that the front does not offer.
 func Unsupported(text string) error { return &status{sftp.ErrSSHFxOpUnsupported, text} }
 
+// Failure is the status of a command that was not carried out for the reason given.
+func Failure(text string) error { return &status{sftp.ErrSSHFxFailure, text} }
+
 // NoSuchFile is the status of a path that is in no project.
 func NoSuchFile(name string) error { return &status{sftp.ErrSSHFxNoSuchFile, name + ": no such file"} }
 
--- /dev/null
+++ b/internal/net/transport/front_test.go
@@ -0,0 +1,250 @@
+package transport
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/net/routing"
+	"otterturn/internal/standin"
+)
+
+// newFront serves clients before the nodes given.
+func newFront(t *testing.T, edit func(*limits.Limits), addrs ...string) (f *Front, core *routing.Core, addr string) {
+	t.Helper()
+	l := standin.Limits()
+	if edit != nil {
+		edit(&l)
+	}
+	nodes := NewNodes(l)
+	core = standin.Core(t, standin.Settings(), nil)
+	core.Tell(nodes.Apply(list(addrs...)))
+	f = NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"},
+		LongestWait: 5 * time.Second, Retry: time.Second}, l, NewRoundTripper(core, nodes))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(listener) }()
+	t.Cleanup(func() {
+		f.server.Close()
+		if err := standin.Await(t, "the end of the front", done); err != nil {
+			t.Error(err)
+		}
+	})
+	return f, core, listener.Addr().String()
+}
+
+const head = "GET /read/00000000000000aa/00000000000000bb?x=%%zz HTTP/1.1\r\nHost: backend.local\r\n" +
+	"X-Correlation-Id: %s\r\nX-Service-Class: read\r\nX-Plan: gold\r\nX-Time-Left: 4000m\r\nX-IO: units=2,shard=0,hosts=1\r\n"
+
+// client is a connection on which requests are written by hand.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(standin.Patience))
+	return &client{c, bufio.NewReader(c)}
+}
+
+// ask writes a request and reads the answer to its end.
+func (c *client) ask(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatalf("answer to %q: %v", text, err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, string(body)
+}
+
+func TestRequestPassesUnchangedAndItsAnswerToo(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	addr, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
+		seen <- r
+		io.WriteString(c, served)
+	})
+	_, _, front := newFront(t, nil, addr)
+	r, body := dial(t, front).ask(t, fmt.Sprintf(head, "id-1")+"Idempotency-Key: k1\r\n\r\n")
+	if r.StatusCode != 200 || body != "data" || r.Header.Get("X-Served-Elsewhere") != "" {
+		t.Errorf("answer %d %q %v", r.StatusCode, body, r.Header)
+	}
+	got := standin.Await(t, "the request", seen)
+	if got.Method != "GET" || got.RequestURI != "/read/00000000000000aa/00000000000000bb?x=%zz" ||
+		got.Header.Get("X-Correlation-Id") != "id-1" || got.Header.Get("Idempotency-Key") != "k1" {
+		t.Errorf("the node got %s %s %v", got.Method, got.RequestURI, got.Header)
+	}
+	if left := got.Header.Get("X-Time-Left"); !strings.HasSuffix(left, "u") || left >= "4000000u" && len(left) == 8 {
+		t.Errorf("time left %q", left)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	addr, count := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
+	_, _, front := newFront(t, nil, addr)
+	good := fmt.Sprintf(head, "id")
+	for _, c := range []struct {
+		old, with string
+		want      int
+	}{
+		{"/read/", "/other/", 404},
+		{"/00000000000000bb", "", 404},
+		{"/00000000000000bb", "/bb/cc", 404},
+		{"GET", "DELETE", 400},
+		{"X-Correlation-Id: id", "X-Correlation-Id: " + strings.Repeat("i", 129), 400},
+		{"X-Correlation-Id: id\r\n", "", 400},
+		{"X-Service-Class: read", "X-Service-Class: write", 400},
+		{"gold", "lead", 400},
+		{"4000m", "4000", 400},
+		{"4000m", "-1m", 400},
+		{"4000m", "NaNm", 400},
+		{"units=2", "units=two", 400},
+		{"units=2", "units=1e300", 400},
+		{"X-IO", "Content-Length: 65537\r\nX-IO", 413},
+	} {
+		text := strings.Replace(good, c.old, c.with, 1) + "\r\n"
+		if c.want == 413 {
+			text += strings.Repeat("x", 65537)
+		}
+		if r, _ := dial(t, front).ask(t, text); r.StatusCode != c.want {
+			t.Errorf("%q: status %d, want %d", c.with, r.StatusCode, c.want)
+		}
+	}
+	if n := count.Load(); n != 0 {
+		t.Errorf("%d bad requests reached the node", n)
+	}
+}
+
+// What the module gives up on is answered at once with the time to come back, never held back.
+func TestRefusalComesAtOnceWithRetryAfter(t *testing.T) {
+	_, core, front := newFront(t, nil) // without nodes
+	began := time.Now()
+	r, _ := dial(t, front).ask(t, fmt.Sprintf(head, "id")+"\r\n")
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("answer %d %v", r.StatusCode, r.Header)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("answered after %v of 4 s", took)
+	}
+	if got := core.Tally(); got.Refused != 1 || got.Open != 0 {
+		t.Errorf("tally %+v", got)
+	}
+}
+
+// Closing a connection stops no work, so the attempt of a client that has left runs on to its outcome, and its
+// connection is kept.
+func TestClientThatLeaves(t *testing.T) {
+	begun, goOn, conns := make(chan struct{}), make(chan struct{}), make(chan string, 2)
+	addr, count := newNode(t, func(n int64, c net.Conn, _ *http.Request) {
+		conns <- c.RemoteAddr().String()
+		if n == 1 {
+			close(begun)
+			<-goOn
+		}
+		io.WriteString(c, served)
+	})
+	_, core, front := newFront(t, nil, addr)
+	c := dial(t, front)
+	io.WriteString(c, fmt.Sprintf(head, "id")+"\r\n")
+	standin.Await(t, "the attempt", begun)
+	c.Close()
+	standin.Until(t, "the end of the request", func() bool { return core.Tally().Left == 1 })
+	close(goOn)
+	standin.Until(t, "an attempt on the kept connection", func() bool {
+		r, _ := dial(t, front).ask(t, fmt.Sprintf(head, "next")+"\r\n")
+		return r.StatusCode == 200
+	})
+	if first, second := <-conns, <-conns; first != second || count.Load() != 2 {
+		t.Errorf("connections %s, %s; %d requests", first, second, count.Load())
+	}
+}
+
+func TestBoundsAreAnsweredAtOnce(t *testing.T) {
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	addr, _ := newNode(t, func(n int64, c net.Conn, _ *http.Request) {
+		if n == 1 {
+			close(begun)
+			<-goOn
+		}
+		io.WriteString(c, served)
+	})
+	_, _, front := newFront(t, func(l *limits.Limits) { l.Open, l.ClientConns = 1, 2 }, addr)
+	first, second, third := dial(t, front), dial(t, front), dial(t, front)
+	io.WriteString(first, fmt.Sprintf(head, "one")+"\r\n")
+	standin.Await(t, "the attempt", begun)
+	if r, _ := second.ask(t, fmt.Sprintf(head, "two")+"\r\n"); r.StatusCode != 503 || r.Header.Get("Retry-After") != "1" {
+		t.Errorf("past the open requests: %d %v", r.StatusCode, r.Header)
+	}
+	close(goOn)
+	if r, _ := first.ask(t, ""); r.StatusCode != 200 {
+		t.Errorf("within the bound: %d", r.StatusCode)
+	}
+	if r, _ := third.ask(t, fmt.Sprintf(head, "three")+"\r\n"); r.StatusCode != 503 || !r.Close {
+		t.Errorf("past the connections: %d, closes %v", r.StatusCode, r.Close)
+	}
+}
+
+// Two open requests with one id would take each other's place in the scheduler.
+func TestSecondRequestUnderAnOpenId(t *testing.T) {
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
+		close(begun)
+		<-goOn
+		io.WriteString(c, served)
+	})
+	_, _, front := newFront(t, nil, addr)
+	first := dial(t, front)
+	io.WriteString(first, fmt.Sprintf(head, "same")+"\r\n")
+	standin.Await(t, "the attempt", begun)
+	if r, _ := dial(t, front).ask(t, fmt.Sprintf(head, "same")+"\r\n"); r.StatusCode != 400 {
+		t.Errorf("the second: %d", r.StatusCode)
+	}
+	close(goOn)
+	if r, _ := first.ask(t, ""); r.StatusCode != 200 {
+		t.Errorf("the first: %d", r.StatusCode)
+	}
+}
+
+// After SIGTERM clients still come for a while, and use the connections that they have: all are answered, with
+// word that the connection ends.
+func TestStopLosesNothing(t *testing.T) {
+	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
+	f, _, front := newFront(t, nil, addr)
+	kept := dial(t, front)
+	if r, _ := kept.ask(t, fmt.Sprintf(head, "before")+"\r\n"); r.StatusCode != 200 || r.Close {
+		t.Errorf("before: %d, closes %v", r.StatusCode, r.Close)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Stop() }()
+	standin.Until(t, "the stop", f.stopping.Load)
+	for i, c := range []*client{kept, dial(t, front)} {
+		if r, _ := c.ask(t, fmt.Sprintf(head, fmt.Sprint("after-", i))+"\r\n"); r.StatusCode != 200 || !r.Close {
+			t.Errorf("after: %d, closes %v", r.StatusCode, r.Close)
+		}
+	}
+	if err := standin.Await(t, "the end", stopped); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -2,6 +2,7 @@
 package sftp
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -98,7 +99,7 @@
 	c.Release(conn, intact && !broken)
 	switch {
 	case !broken:
-		reply.Err = said
+		reply.Err = cmp.Or(reply.Err, said)
 		return reply, rules.Outcome{Result: rules.OK}
 	case ctx.Err() != nil:
 		return files.Reply{}, rules.Outcome{Result: rules.TimedOut}
@@ -141,7 +142,13 @@
 	case files.SetAttr:
 		err = setAttr(s, cmd)
 	case files.Remove:
-		err = s.Remove(cmd.Path)
+		// The library removes a folder where it finds no file of that name; the command means files alone.
+		var info os.FileInfo
+		if info, err = s.Lstat(cmd.Path); err == nil && info.IsDir() {
+			reply.Err = files.Failure(cmd.Path + " is a folder")
+		} else if err == nil {
+			err = s.Remove(cmd.Path)
+		}
 	case files.Rmdir:
 		err = s.RemoveDirectory(cmd.Path)
 	case files.Mkdir:
--- /dev/null
+++ b/internal/net/transport/sftp/front_test.go
@@ -0,0 +1,472 @@
+package sftp
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/sftp"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/protocol"
+	files "otterturn/internal/net/protocol/sftp"
+	"otterturn/internal/net/routing"
+	"otterturn/internal/standin"
+	"otterturn/rules"
+)
+
+// bench is a front before nodes on loopback. Projects /a and /b lie on shards 0 and 1.
+type bench struct {
+	t      *testing.T
+	core   *routing.Core
+	client *Client
+	front  *Front
+	addr   string
+}
+
+func newBench(t *testing.T, wait time.Duration, edit func(*limits.Limits), nodes ...string) *bench {
+	t.Helper()
+	l := standin.Limits()
+	if edit != nil {
+		edit(&l)
+	}
+	b := &bench{t: t, client: NewClient(l, t.Logf)}
+	set := standin.Settings()
+	set.Probing = true
+	b.core = standin.Core(t, set, b.client.Probe(l))
+	list := protocol.List{Whole: true}
+	for i, addr := range nodes {
+		list.Hosts = append(list.Hosts, host(i, addr, rules.Running))
+	}
+	b.tell(list)
+	b.front = NewFront(Site{
+		Projects: []files.Project{{Name: "a", Prefix: "/a", Shard: 0}, {Name: "b", Prefix: "/b", Shard: 1}},
+		Sizes:    files.Sizes{UnitBytes: 16384, BulkBytes: 32768, MostUnits: 8},
+		Classes:  [files.Roles]int{files.RoleWrite: 1, files.RoleWriteOnce: 2},
+		Wait:     [files.Roles]time.Duration{wait, wait, wait, wait},
+		Retry:    time.Second,
+	}, l, b.core, b.client.Attempt)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.addr = listener.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- b.front.Serve(listener) }()
+	t.Cleanup(func() {
+		b.front.Stop(listener)
+		if err := standin.Await(t, "the end of the front", served); err != nil {
+			t.Error(err)
+		}
+	})
+	return b
+}
+
+func host(shard int, addr string, state rules.NodeState) protocol.Host {
+	return protocol.Host{Dial: addr, Listing: rules.Listing{Node: "node-" + string(rune('a'+shard)), Shard: shard,
+		State: state}}
+}
+
+func (b *bench) tell(list protocol.List) { b.core.Tell(b.client.Apply(list)) }
+
+func (b *bench) dial() *sftp.Client {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	s, err := sftp.NewClientPipe(c, c)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func TestFilesPassThroughTheCore(t *testing.T) {
+	one, two := standin.NewFileServer(t), standin.NewFileServer(t)
+	b := newBench(t, 5*time.Second, nil, one.Addr, two.Addr)
+	c := b.dial()
+	for _, root := range []string{"/a", "/b"} {
+		if err := c.Mkdir(root); err != nil {
+			t.Fatal(err)
+		}
+	}
+	content := bytes.Repeat([]byte("index segment\n"), 10_000)
+	f, err := c.Create("/a/snapshot")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Write(content); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Rename("/a/snapshot", "/a/current"); err != nil {
+		t.Fatal(err)
+	}
+	if f, err = c.Open("/a/current"); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(f); err != nil || !bytes.Equal(got, content) {
+		t.Fatalf("read %d bytes, %v", len(got), err)
+	}
+	for dir, want := range map[string]string{"/": "a,b", "/a": "current", "/b": ""} {
+		var names []string
+		list, err := c.ReadDir(dir)
+		for _, e := range list {
+			names = append(names, e.Name())
+		}
+		if got := strings.Join(names, ","); err != nil || got != want {
+			t.Errorf("%s lists %q, %v; want %q", dir, got, err, want)
+		}
+	}
+	if err := c.Truncate("/a/current", 5); err != nil {
+		t.Error(err)
+	}
+	if info, err := c.Stat("/a/current"); err != nil || info.Size() != 5 {
+		t.Errorf("stat: %v, %v", info, err)
+	}
+	if err := c.Mkdir("/a/folder"); err != nil {
+		t.Error(err)
+	}
+	raw := b.raw()
+	raw.send(13, "/a/folder") // remove, which means files alone
+	if kind, body := raw.reply(); kind != 101 || binary.BigEndian.Uint32(body[4:]) != 4 {
+		t.Errorf("remove of a folder: kind %d, %q", kind, body)
+	}
+	if err := c.RemoveDirectory("/a/folder"); err != nil {
+		t.Error(err)
+	}
+	if err := c.Remove("/a/current"); err != nil {
+		t.Error(err)
+	}
+	for path, want := range map[string]error{"/a/current": os.ErrNotExist, "/elsewhere": os.ErrNotExist} {
+		if _, err := c.Open(path); !errors.Is(err, want) {
+			t.Errorf("open %s: %v", path, err)
+		}
+	}
+	if err := c.Rename("/a", "/b/x"); err == nil || !strings.Contains(err.Error(), "between projects") {
+		t.Errorf("rename between projects: %v", err)
+	}
+	if got := b.front.Count("a"); got.Served == 0 || got.Failed != 0 {
+		t.Errorf("counted %+v", got)
+	}
+}
+
+// A node cut the connection after it had carried out a command: nobody can tell whether it ran. Only what the
+// write class lets run twice may be sent again, and the client gets one answer.
+func TestCutOffCommandIsRepeatedOnlyAsItsClassPermits(t *testing.T) {
+	node := standin.NewFileServer(t)
+	var armed atomic.Value
+	armed.Store("")
+	node.After = func(op, _ string) bool { return armed.CompareAndSwap(op, "") }
+	b := newBench(t, 5*time.Second, nil, node.Addr)
+	c := b.dial()
+	if err := c.Mkdir("/a"); err != nil {
+		t.Fatal(err)
+	}
+	f, err := c.Create("/a/upload")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Write([]byte("first half, ")); err != nil {
+		t.Fatal(err)
+	}
+	armed.Store("Write")
+	if _, err := f.Write([]byte("second half")); err != nil {
+		t.Errorf("a write at an offset may be repeated: %v", err)
+	}
+	if n := node.Count("Write", "/a/upload"); n != 3 {
+		t.Errorf("%d writes reached the node, want 2 and one repeat", n)
+	}
+	for _, once := range []struct {
+		op, path string
+		do       func() error
+	}{
+		{"Mkdir", "/a/new", func() error { return c.Mkdir("/a/new") }},
+		{"Remove", "/a/upload", func() error { return c.Remove("/a/upload") }},
+		{"Create", "/a/trunc", func() error { _, err := c.Create("/a/trunc"); return err }},
+	} {
+		armed.Store(once.op)
+		err := once.do()
+		if err == nil || once.op != "Remove" && !strings.Contains(err.Error(), "may or may not") {
+			t.Errorf("%s: %v", once.op, err) // the test's client goes on to try Rmdir after a failed Remove
+		}
+		if n := node.Count(once.op, once.path); n != 1 {
+			t.Errorf("%s reached the node %d times, want 1", once.op, n)
+		}
+	}
+}
+
+// A client's connection broke inside a packet of an upload: what did not come whole must not reach a node, and
+// what was out for the client must not stay open.
+func TestClientThatLeavesMidwayLeavesNothingBehind(t *testing.T) {
+	node := standin.NewFileServer(t)
+	begun, go_on := make(chan struct{}, 1), make(chan struct{})
+	node.Before = func(op, _ string) bool {
+		if op == "Write" {
+			begun <- struct{}{}
+			<-go_on
+		}
+		return false
+	}
+	b := newBench(t, 5*time.Second, nil, node.Addr)
+	setUp := b.dial()
+	if err := setUp.Mkdir("/a"); err != nil {
+		t.Fatal(err)
+	}
+	raw := b.raw()
+	raw.send(3, "/a/cut", uint32(0x1a), uint32(0)) // open to write, create, truncate
+	_, reply := raw.reply()
+	handle := string(reply[8:])
+	raw.send(6, handle, uint64(0), "whole")
+	standin.Await(t, "the whole write", begun)
+	half := packet(6, 9, handle, uint64(5), "cut off")
+	raw.Write(half[:len(half)-3])
+	raw.Close()
+	standin.Until(t, "the end of the client's requests", func() bool { return b.core.Tally().Open == 0 })
+	close(go_on)
+	if n := node.Count("Write", "/a/cut"); n != 1 {
+		t.Errorf("%d writes reached the node, want the whole one alone", n)
+	}
+	if got := b.core.Tally(); got.Left != 1 {
+		t.Errorf("tally %+v, want one client left", got)
+	}
+}
+
+func TestListingWhileItsNodeDrains(t *testing.T) {
+	node := standin.NewFileServer(t)
+	begun, go_on := make(chan struct{}, 1), make(chan struct{})
+	node.Before = func(op, _ string) bool {
+		if op == "List" {
+			begun <- struct{}{}
+			<-go_on
+		}
+		return false
+	}
+	wait := 2 * time.Second
+	b := newBench(t, wait, nil, node.Addr)
+	c := b.dial()
+	if err := c.Mkdir("/a"); err != nil {
+		t.Fatal(err)
+	}
+	out := make(chan error, 1)
+	go func() {
+		_, err := b.dial().ReadDir("/a")
+		out <- err
+	}()
+	standin.Await(t, "the listing at the node", begun)
+	b.tell(protocol.List{Hosts: []protocol.Host{host(0, node.Addr, rules.Draining)}})
+	began := time.Now()
+	_, err := c.ReadDir("/a")
+	if err == nil || !strings.Contains(err.Error(), "try again in") {
+		t.Errorf("a listing issued while the node drains: %v, want a refusal", err)
+	}
+	if took := time.Since(began); took >= wait {
+		t.Errorf("answered after %v, at its deadline", took)
+	}
+	close(go_on)
+	if err := standin.Await(t, "the listing that was out", out); err != nil {
+		t.Errorf("the listing that was out when the drain was told: %v", err)
+	}
+	if n := node.Count("List", "/a"); n != 1 {
+		t.Errorf("%d listings reached the node, want 1", n)
+	}
+}
+
+// The node vanished without a word: the command must be answered by its deadline, by the front.
+func TestSilentNodeIsAnsweredForByTheDeadline(t *testing.T) {
+	silent := standin.Peer(t, func(_ int, c net.Conn) { io.Copy(io.Discard, c) })
+	b := newBench(t, 300*time.Millisecond, func(l *limits.Limits) { l.Connect = 100 * time.Millisecond }, silent)
+	if _, err := b.dial().Stat("/a/x"); err == nil || errors.Is(err, os.ErrNotExist) {
+		t.Errorf("stat: %v", err)
+	}
+	standin.Until(t, "the end of the request", func() bool { return b.core.Tally().Open == 0 })
+}
+
+// The SFTP library panics on a status that ends before its code: a broken node must not take the front along.
+func TestNodeThatAnswersImproperly(t *testing.T) {
+	broken := standin.Peer(t, func(_ int, c net.Conn) {
+		r := &rawConn{Conn: c}
+		for {
+			kind, body := r.reply()
+			switch kind {
+			case 0:
+				return
+			case 1:
+				c.Write([]byte{0, 0, 0, 5, 2, 0, 0, 0, 3})
+			default:
+				c.Write(append([]byte{0, 0, 0, 5, 101}, body[:4]...))
+			}
+		}
+	})
+	b := newBench(t, 300*time.Millisecond, nil, broken)
+	for range 3 {
+		if _, err := b.dial().Stat("/a/x"); err == nil {
+			t.Error("a stat was served by a node that knows no format")
+		}
+	}
+}
+
+// Packets that are none: the connection ends, and the front serves on.
+func TestBadPacketsEndTheirConnectionAlone(t *testing.T) {
+	node := standin.NewFileServer(t)
+	b := newBench(t, 5*time.Second, nil, node.Addr)
+	for name, bad := range map[string][]byte{
+		"unknown kind":    {0, 0, 0, 5, 99, 0, 0, 0, 1},
+		"empty":           {0, 0, 0, 0},
+		"far too long":    {0x7f, 0xff, 0xff, 0xff, 3},
+		"string too long": {0, 0, 0, 9, 17, 0, 0, 0, 1, 0xff, 0xff, 0xff, 0xff},
+		"setstat cut":     packet(9, 1, "/a", uint32(0xf)),
+	} {
+		raw := b.raw()
+		raw.Write(bad)
+		raw.Conn.(*net.TCPConn).CloseWrite()
+		if _, err := io.Copy(io.Discard, raw); err != nil && !errors.Is(err, net.ErrClosed) &&
+			!strings.Contains(err.Error(), "reset") {
+			t.Errorf("%s: %v", name, err)
+		}
+		if err := b.dial().Mkdir("/a/" + strings.ReplaceAll(name, " ", "-")); err != nil && node.Count("Mkdir", "/a") > 0 {
+			t.Errorf("after %s: %v", name, err)
+		}
+	}
+	if _, err := b.dial().ReadDir("/"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Commands of many kinds come at once while the node cuts every third operation: each has one final answer.
+func TestEveryAcceptedCommandHasOneAnswer(t *testing.T) {
+	node := standin.NewFileServer(t)
+	var ops atomic.Int64
+	cut := func(_, _ string) bool { return ops.Add(1)%3 == 0 }
+	b := newBench(t, 2*time.Second, nil, node.Addr)
+	if err := b.dial().Mkdir("/a"); err != nil {
+		t.Fatal(err)
+	}
+	node.Before, node.After = cut, cut
+	raw := b.raw()
+	kinds := []byte{17, 7, 11, 14, 13, 3, 18, 9, 200} // stat, lstat, opendir, mkdir, remove, open, rename, setstat, extended
+	const n = 90
+	go func() {
+		for i := range uint32(n) {
+			kind, path := kinds[int(i)%len(kinds)], "/a/"+string(rune('a'+i%7))
+			switch kind {
+			case 3:
+				raw.Write(packet(kind, i, path, uint32(0x0a), uint32(0)))
+			case 14, 9:
+				raw.Write(packet(kind, i, path, uint32(0)))
+			case 18:
+				raw.Write(packet(kind, i, path, path+"x"))
+			case 200:
+				raw.Write(packet(kind, i, "unknown@otterturn", uint32(0)))
+			default:
+				raw.Write(packet(kind, i, path))
+			}
+		}
+	}()
+	seen := map[uint32]int{}
+	for range n {
+		kind, body := raw.reply()
+		if kind == 0 {
+			t.Fatalf("the connection ended after %d answers", len(seen))
+		}
+		seen[binary.BigEndian.Uint32(body)]++
+	}
+	raw.send(16, "/") // its answer comes next, so there was none in excess
+	if kind, body := raw.reply(); len(seen) != n || kind != 104 || binary.BigEndian.Uint32(body) != 0 {
+		t.Errorf("%d of %d commands answered, then a packet of kind %d", len(seen), n, kind)
+	}
+}
+
+func TestBoundsOfAClient(t *testing.T) {
+	node := standin.NewFileServer(t)
+	b := newBench(t, 2*time.Second, func(l *limits.Limits) { l.FileHandles, l.FileConns = 2, 2 }, node.Addr)
+	c := b.dial()
+	if err := c.Mkdir("/a"); err != nil {
+		t.Fatal(err)
+	}
+	var open []*sftp.File
+	for range 2 {
+		f, err := c.Create("/a/f")
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, f)
+	}
+	if _, err := c.Create("/a/f"); err == nil || !strings.Contains(err.Error(), "try again in") {
+		t.Errorf("a third handle: %v", err)
+	}
+	open[0].Close()
+	if _, err := c.Create("/a/f"); err != nil {
+		t.Errorf("a handle after one was closed: %v", err)
+	}
+	b.dial()
+	third, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer third.Close()
+	if _, err := sftp.NewClientPipe(third, third); err == nil {
+		t.Error("a third client was served")
+	}
+}
+
+// rawConn speaks packets by hand.
+type rawConn struct{ net.Conn }
+
+func (b *bench) raw() *rawConn {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(standin.Patience))
+	c.Write([]byte{0, 0, 0, 5, 1, 0, 0, 0, 3})
+	r := &rawConn{c}
+	if kind, _ := r.reply(); kind != 2 {
+		b.t.Fatalf("a packet of kind %d in place of the version", kind)
+	}
+	return r
+}
+
+// packet encodes a command: its kind, its id, then texts and numbers.
+func packet(kind byte, id uint32, fields ...any) []byte {
+	body := binary.BigEndian.AppendUint32([]byte{kind}, id)
+	for _, f := range fields {
+		switch f := f.(type) {
+		case string:
+			body = append(binary.BigEndian.AppendUint32(body, uint32(len(f))), f...)
+		case uint32:
+			body = binary.BigEndian.AppendUint32(body, f)
+		case uint64:
+			body = binary.BigEndian.AppendUint64(body, f)
+		}
+	}
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+}
+
+func (r *rawConn) send(kind byte, fields ...any) { r.Write(packet(kind, 0, fields...)) }
+
+// reply reads a packet; its kind is 0 where there is none.
+func (r *rawConn) reply() (kind byte, body []byte) {
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return 0, nil
+	}
+	body = make([]byte, binary.BigEndian.Uint32(head)-1)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return 0, nil
+	}
+	return head[4], body
+}
--- /dev/null
+++ b/internal/standin/fileserver.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/pkg/sftp"
+)
+
+// FileServer is a storage node that speaks SFTP and keeps files in memory. Before hears of each operation ahead
+// of it, After once it was carried out; where either returns true the connection is cut.
+type FileServer struct {
+	Addr          string
+	Before, After func(op, path string) (cut bool)
+	files         sftp.Handlers
+	mu            sync.Mutex
+	counts        map[string]int
+}
+
+// NewFileServer starts one that ends with the test.
+func NewFileServer(t *testing.T) *FileServer {
+	s := &FileServer{files: sftp.InMemHandler(), counts: map[string]int{}}
+	s.Addr = Peer(t, func(_ int, c net.Conn) {
+		h := &served{FileServer: s, conn: c}
+		sftp.NewRequestServer(c, sftp.Handlers{FileGet: h, FilePut: h, FileCmd: h, FileList: h}).Serve()
+	})
+	return s
+}
+
+// Count tells how often an operation on a path was begun.
+func (s *FileServer) Count(op, path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[op+" "+path]
+}
+
+type served struct {
+	*FileServer
+	conn net.Conn
+}
+
+// run carries out one operation between the two hooks.
+func (s *served) run(op, path string, do func() error) error {
+	s.mu.Lock()
+	s.counts[op+" "+path]++
+	s.mu.Unlock()
+	if s.Before != nil && s.Before(op, path) {
+		s.conn.Close()
+		return io.ErrUnexpectedEOF
+	}
+	err := do()
+	if s.After != nil && s.After(op, path) {
+		s.conn.Close()
+	}
+	return err
+}
+
+func (s *served) Fileread(r *sftp.Request) (file io.ReaderAt, err error) {
+	err = s.run("Open", r.Filepath, func() (err error) {
+		file, err = s.files.FileGet.Fileread(r)
+		return err
+	})
+	return file, err
+}
+
+func (s *served) Filewrite(r *sftp.Request) (io.WriterAt, error) {
+	w := &writer{served: s, path: r.Filepath}
+	err := s.run("Create", r.Filepath, func() (err error) {
+		w.WriterAt, err = s.files.FilePut.Filewrite(r)
+		return err
+	})
+	return w, err
+}
+
+type writer struct {
+	*served
+	io.WriterAt
+	path string
+}
+
+func (w *writer) WriteAt(p []byte, offset int64) (n int, err error) {
+	err = w.run("Write", w.path, func() (err error) {
+		n, err = w.WriterAt.WriteAt(p, offset)
+		return err
+	})
+	return n, err
+}
+
+func (s *served) Filecmd(r *sftp.Request) error {
+	return s.run(r.Method, r.Filepath, func() error { return s.files.FileCmd.Filecmd(r) })
+}
+
+func (s *served) Filelist(r *sftp.Request) (list sftp.ListerAt, err error) {
+	err = s.run(r.Method, r.Filepath, func() (err error) {
+		list, err = s.files.FileList.Filelist(r)
+		return err
+	})
+	return list, err
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,110 @@
+// Package standin holds what the tests share: scripted peers on loopback sockets, a small file server and a
+// small certificate authority in the place of real ones.
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/routing"
+	"otterturn/rules"
+)
+
+// Patience is how long a test waits for what must come.
+const Patience = 20 * time.Second
+
+// Limits are wide enough for any test machine.
+func Limits() limits.Limits {
+	return limits.For(limits.Site{MemoryMB: 192, Sockets: 1024, Connect: 2 * time.Second, ConnIdle: time.Minute,
+		Deadline: 5 * time.Second})
+}
+
+// Settings have three classes: safe, keyed within the shard, and not to be repeated.
+func Settings() rules.Settings {
+	aim := rules.Micros(300_000)
+	return rules.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 4,
+		RetryAfter: true, MaxRetryAfter: 2_000_000,
+		Classes: []rules.Class{
+			{Aim: aim, Repeat: rules.Safe, Worth: 1},
+			{Aim: aim, Repeat: rules.Keyed, Group: rules.SameShard, Window: 60_000_000, Worth: 1},
+			{Aim: aim, Repeat: rules.Unsafe, Worth: 1},
+		},
+		Plans: []rules.Plan{{Weight: 1}}}
+}
+
+// Core starts a core that ends with the test.
+func Core(t *testing.T, set rules.Settings, probe func(string) rules.Probed) *routing.Core {
+	t.Helper()
+	if probe == nil {
+		probe = func(node string) rules.Probed { return rules.Probed{Node: node, OK: true, Queue: -1} }
+	}
+	core, err := routing.New(set, 1, 64, probe)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(end)
+	go core.Run(ctx)
+	return core
+}
+
+// Peer listens on loopback and hands each connection, numbered from 0, to the script. Both end with the test.
+func Peer(t *testing.T, script func(n int, c net.Conn)) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var open []net.Conn
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range open {
+			c.Close()
+		}
+	})
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			go func() {
+				defer c.Close()
+				script(n, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Await receives what must come.
+func Await[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(Patience):
+		t.Fatalf("%s did not come", what)
+		panic("unreachable")
+	}
+}
+
+// Until waits for a condition that nothing announces.
+func Until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not come about", what)
+		}
+	}
+}
