Guard the SFTP front against nodes that answer 'ok' where data is due

Seen in the library's source and with a scripted node: OpenFile and Stat return nothing and no error on such an answer, and the next look at the result ends the program.

--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -23,10 +23,12 @@
 // errAnswer tells that a node's answer passes its bound.
 var errAnswer = errors.New("the node's answer is too long")
 
+// errImproper tells that a node's answer is none to the command.
+var errImproper = errors.New("the node's answer is none to the command")
+
 // Client carries commands to nodes, one at a time on a connection.
 type Client struct {
 	*nodes.Nodes[*session]
-	log func(format string, args ...any)
 }
 
 // session is an SFTP session with a node.
@@ -59,8 +61,8 @@
 }
 
 // NewClient returns a client without nodes.
-func NewClient(l limits.Limits, log func(format string, args ...any)) *Client {
-	return &Client{log: log, Nodes: nodes.New(l, nodes.Session[*session]{
+func NewClient(l limits.Limits) *Client {
+	return &Client{Nodes: nodes.New(l, nodes.Session[*session]{
 		Open: func(c net.Conn) (*session, error) {
 			w := &wire{Conn: c, bound: l.FileAnswer}
 			client, err := sftp.NewClientPipe(w, w)
@@ -93,7 +95,7 @@
 	w.written.Store(0)
 	w.read.Store(0)
 	unhook := context.AfterFunc(ctx, func() { conn.Close() }) // SFTP can't take a command back
-	reply, err := c.carryOut(node, conn.Session.Client, cmd)
+	reply, err := carryOut(conn.Session.Client, cmd)
 	said, broken := files.NodeStatus(err)
 	intact := unhook()
 	c.Release(conn, intact && !broken)
@@ -109,14 +111,8 @@
 	return files.Reply{}, rules.Outcome{Result: rules.Reset}
 }
 
-// carryOut runs a command on a session. The library panics on some answers that are no proper packets.
-func (c *Client) carryOut(node string, s *sftp.Client, cmd files.Command) (reply files.Reply, err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			c.log("%s: answer is no proper packet: %v", node, p)
-			err = fmt.Errorf("improper answer: %v", p)
-		}
-	}()
+// carryOut runs a command on a session.
+func carryOut(s *sftp.Client, cmd files.Command) (reply files.Reply, err error) {
 	switch cmd.Op {
 	case files.Stat:
 		return one(s.Stat(cmd.Path))
@@ -130,12 +126,12 @@
 		return read(s, cmd)
 	case files.Create:
 		var f *sftp.File
-		if f, err = s.OpenFile(cmd.Path, cmd.Flags); err == nil {
+		if f, err = open(s, cmd.Path, cmd.Flags); err == nil {
 			err = f.Close()
 		}
 	case files.Write:
 		var f *sftp.File
-		if f, err = s.OpenFile(cmd.Path, os.O_WRONLY); err == nil {
+		if f, err = open(s, cmd.Path, os.O_WRONLY); err == nil {
 			_, err = f.WriteAt(cmd.Data, cmd.Offset)
 			err = errors.Join(err, f.Close())
 		}
@@ -161,12 +157,29 @@
 	return reply, err
 }
 
+// open opens a file. A node that answers 'ok' where a handle is due leaves the library without a file.
+func open(s *sftp.Client, path string, flags int) (*sftp.File, error) {
+	f, err := s.OpenFile(path, flags)
+	if f == nil && err == nil {
+		err = errImproper
+	}
+	return f, err
+}
+
+// one is the answer about a single file. A node that answers 'ok' where attributes are due leaves the library
+// with an empty pointer, which would end the program once it is looked at.
 func one(info os.FileInfo, err error) (files.Reply, error) {
-	return files.Reply{Infos: []os.FileInfo{info}}, err
+	if err != nil {
+		return files.Reply{}, err
+	}
+	if about, ok := info.Sys().(*sftp.FileStat); !ok || about == nil {
+		return files.Reply{}, errImproper
+	}
+	return files.Reply{Infos: []os.FileInfo{info}}, nil
 }
 
 func read(s *sftp.Client, cmd files.Command) (files.Reply, error) {
-	f, err := s.Open(cmd.Path)
+	f, err := open(s, cmd.Path, os.O_RDONLY)
 	if err != nil {
 		return files.Reply{}, err
 	}
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -37,7 +37,7 @@
 	if edit != nil {
 		edit(&l)
 	}
-	b := &bench{t: t, client: NewClient(l, t.Logf)}
+	b := &bench{t: t, client: NewClient(l)}
 	set := standin.Settings()
 	set.Probing = true
 	b.core = standin.Core(t, set, b.client.Probe(l))
@@ -293,26 +293,30 @@
 	standin.Until(t, "the end of the request", func() bool { return b.core.Tally().Open == 0 })
 }
 
-// The SFTP library panics on a status that ends before its code: a broken node must not take the front along.
+// A node that answers 'ok' to everything leaves the SFTP library without the file or the attributes that it is
+// asked for: it must not take the front along. Nor must one whose packets end too soon.
 func TestNodeThatAnswersImproperly(t *testing.T) {
-	broken := standin.Peer(t, func(_ int, c net.Conn) {
-		r := &rawConn{Conn: c}
-		for {
-			kind, body := r.reply()
-			switch kind {
-			case 0:
-				return
-			case 1:
-				c.Write([]byte{0, 0, 0, 5, 2, 0, 0, 0, 3})
-			default:
-				c.Write(append([]byte{0, 0, 0, 5, 101}, body[:4]...))
+	for name, status := range map[string][]byte{"ok": {0, 0, 0, 0}, "cut": nil} {
+		broken := standin.Peer(t, func(_ int, c net.Conn) {
+			for r := (&rawConn{c}); ; {
+				kind, body := r.reply()
+				if kind == 0 {
+					return
+				} else if kind == 1 {
+					c.Write([]byte{0, 0, 0, 5, 2, 0, 0, 0, 3})
+					continue
+				}
+				body = append(body[:4:4], status...)
+				c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(body)+1)), append([]byte{101}, body...)...))
 			}
+		})
+		b := newBench(t, 300*time.Millisecond, nil, broken)
+		c := b.dial()
+		if _, err := c.Stat("/a/x"); err == nil {
+			t.Errorf("%s: a stat was served", name)
 		}
-	})
-	b := newBench(t, 300*time.Millisecond, nil, broken)
-	for range 3 {
-		if _, err := b.dial().Stat("/a/x"); err == nil {
-			t.Error("a stat was served by a node that knows no format")
+		if _, err := c.Create("/a/x"); err == nil {
+			t.Errorf("%s: a file was opened", name)
 		}
 	}
 }
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -47,7 +47,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 
-	a := &Appliance{operator: o, drained: map[string]bool{}, client: sftp.NewClient(l, log.Printf),
+	a := &Appliance{operator: o, drained: map[string]bool{}, client: sftp.NewClient(l),
 		nodes: transport.NewNodes(l)}
 	probe := a.client.Probe(l)
 	if o.SFTP.Listen == "" {
