Start the program in tests: platform, appliance, certificates, console, bad input

Integration tests drive the program as a process: a request over the platform's wire and the answers after SIGTERM; an appliance that obtains and renews its certificate from a stand-in authority, serves files and TLS and takes console commands; configurations that are wrong in one field.

--- /dev/null
+++ b/cmd/otterturn/main_test.go
@@ -0,0 +1,341 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/sftp"
+
+	"otterturn/internal/standin"
+)
+
+// TestMain lets the test's own binary stand for the program, so that the tests start it as it is.
+func TestMain(m *testing.M) {
+	if os.Getenv("OTTERTURN_TEST_RUN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// process is a started otterturn.
+type process struct {
+	*exec.Cmd
+	done   chan error
+	output *bytes.Buffer // whole once it has ended
+}
+
+func start(t *testing.T, env []string, args ...string) *process {
+	t.Helper()
+	ctx, end := context.WithTimeout(context.Background(), 3*standin.Patience)
+	t.Cleanup(end)
+	p := &process{Cmd: exec.CommandContext(ctx, os.Args[0], args...), done: make(chan error, 1), output: &bytes.Buffer{}}
+	p.Env = append(append(os.Environ(), "OTTERTURN_TEST_RUN=1"), env...)
+	p.Stdout, p.Stderr = p.output, p.output
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.done <- p.Wait() }()
+	return p
+}
+
+// stop sends SIGTERM and wants a clean end.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := standin.Await(t, "the end of the program", p.done); err != nil {
+		t.Errorf("ended with %v:\n%s", err, p.output)
+	}
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func write(t *testing.T, name, text string) (path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// httpPeer answers requests with what the function returns, an empty text for silence.
+func httpPeer(t *testing.T, answer func(r *http.Request) string) string {
+	return standin.Peer(t, func(_ int, c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			if text := answer(r); text != "" {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			}
+		}
+	})
+}
+
+const platformConfig = `{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peers":[],
+"known":{"seq":41,"whole":true,"hosts":[]},
+"settings":{"balancers":1,"tickUs":2000,"zones":["a"],
+ "ceilings":{"connIdleUs":15000000,"connectTimeoutUs":250000,"maxOpen":100,"tryLimit":4,"probing":true,"retryAfter":true,"maxRetryAfterUs":500000},
+ "classes":[{"name":"read","aimUs":300000,"giveUpUs":5000000,"semantics":"retryable","credit":1}],
+ "contracts":[{"name":"gold","shares":1}],"familyInfo":{"meanUnits":2,"mostUnits":6},"report":{"how":"on_probe"}}}`
+
+func TestPlatformFront(t *testing.T) {
+	node := httpPeer(t, func(*http.Request) string { return "index data" })
+	list := fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[{"host":"s","dial":%q,"site":"a","block":0,"health":"up","born_ms":0}]}`, node)
+	discovery := httpPeer(t, func(r *http.Request) string {
+		if r.URL.Query().Get("from") == "41" {
+			return list
+		}
+		return ""
+	})
+	addr := freeAddr(t)
+	p := start(t, []string{"RELAY_CONFIG=" + write(t, "config.json", fmt.Sprintf(platformConfig, addr, discovery))})
+	client := &http.Client{Timeout: standin.Patience, Transport: &http.Transport{}}
+	get := func(path, id string) (int, string, bool) {
+		r, err := http.NewRequest(http.MethodGet, "http://"+addr+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for k, v := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": "read", "X-Plan": "gold",
+			"X-Time-Left": "4000m", "X-IO": "units=1,shard=0,hosts=1"} {
+			r.Header.Set(k, v)
+		}
+		resp, err := client.Do(r)
+		if err != nil {
+			return 0, err.Error(), false
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		return resp.StatusCode, string(body), resp.Close
+	}
+	standin.Until(t, "readiness", func() bool { status, _, _ := get("/ready", ""); return status == 200 })
+	standin.Until(t, "a served request", func() bool {
+		status, body, _ := get("/read/aa/bb", fmt.Sprint("id-", time.Now().UnixNano()))
+		return status == 200 && body == "index data"
+	})
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	standin.Until(t, "an answer that ends its connection", func() bool {
+		status, _, ends := get("/read/aa/bb", fmt.Sprint("id-", time.Now().UnixNano()))
+		return status == 200 && ends
+	})
+	if err := standin.Await(t, "the end of the program", p.done); err != nil {
+		t.Errorf("ended with %v:\n%s", err, p.output)
+	}
+}
+
+const operatorFile = `
+[limits]
+memory_mb = 192
+sockets = 1024
+open = 64
+tries = 4
+connect = "2s"
+node_idle = "15s"
+retry_after = "2s"
+[sftp]
+listen = %[1]q
+unit_bytes = 16384
+bulk_bytes = 32768
+[http]
+listen = %[2]q
+[acme]
+directory = %[3]q
+roots = %[4]q
+domains = ["files.example"]
+cache = %[5]q
+challenge = %[6]q
+renew_before = "1h"
+[console]
+socket = %[7]q
+[classes.read]
+within = "300ms"
+wait = "5s"
+worth = 2.0
+[classes.write]
+within = "400ms"
+wait = "5s"
+worth = 2.0
+repeat = "keyed"
+window = "3s"
+[classes.bulk-read]
+within = "2s"
+wait = "6s"
+worth = 1.0
+[[plans]]
+name = "gold"
+weight = 1.0
+[[nodes]]
+name = "node-a"
+sftp = %[8]q
+http = %[9]q
+shard = 0
+[[projects]]
+name = "riverside"
+prefix = "/riverside"
+plan = "gold"
+shard = 0
+`
+
+// An appliance from its start to its end: certificate and renewal, files, HTTP over TLS, console, stop.
+func TestAppliance(t *testing.T) {
+	authority := standin.NewAuthority(t)
+	authority.Lifetimes = []time.Duration{30 * time.Minute, 90 * 24 * time.Hour} // the first one is due at once
+	files := standin.NewFileServer(t)
+	node := httpPeer(t, func(*http.Request) string { return "index data" })
+	dir := t.TempDir()
+	sftpAddr, httpAddr := freeAddr(t), freeAddr(t)
+	authority.Challenge = freeAddr(t)
+	config := write(t, "appliance.toml", fmt.Sprintf(operatorFile, sftpAddr, httpAddr, authority.Server.URL+"/directory",
+		write(t, "roots.pem", string(authority.RootsPEM())), filepath.Join(dir, "acme"), authority.Challenge,
+		filepath.Join(dir, "console.sock"), files.Addr, node))
+	p := start(t, nil, "serve", "-config", config)
+	console := func(command ...string) (string, error) {
+		c := start(t, nil, append([]string{"console", "-config", config}, command...)...)
+		err := standin.Await(t, "the end of the console", c.done)
+		return c.output.String(), err
+	}
+	standin.Until(t, "the console", func() bool { _, err := console("status"); return err == nil })
+
+	standin.Until(t, "the renewed certificate", func() bool {
+		text, err := console("certificate")
+		return err == nil && strings.Contains(text, "files.example serial 66 ")
+	})
+	if n := authority.Issued(); n != 2 {
+		t.Errorf("%d certificates issued, want the first and its renewal", n)
+	}
+	client := &http.Client{Timeout: standin.Patience, Transport: &http.Transport{TLSClientConfig: &tls.Config{
+		RootCAs: authority.Roots, ServerName: "files.example"}}}
+	r, err := http.NewRequest(http.MethodGet, "https://"+httpAddr+"/read/aa/bb", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Correlation-Id": "id", "X-Service-Class": "read", "X-Plan": "gold",
+		"X-Time-Left": "4000m", "X-IO": "units=1,shard=0,hosts=1"} {
+		r.Header.Set(k, v)
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if err != nil || string(body) != "index data" {
+		t.Errorf("over TLS: %d %q %v", resp.StatusCode, body, err)
+	}
+
+	conn, err := net.Dial("tcp", sftpAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	session, err := sftp.NewClientPipe(conn, conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := session.Mkdir("/riverside"); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		command []string
+		want    string
+		fails   bool
+	}{
+		{[]string{"help"}, "undrain NODE", false},
+		{[]string{"nodes"}, "node-a shard 0 running", false},
+		{[]string{"projects"}, "riverside /riverside plan gold shard 0 served 1 refused 0 failed 0", false},
+		{[]string{"drain", "node-a"}, "", false},
+		{[]string{"nodes"}, "node-a shard 0 draining", false},
+		{[]string{"drain", "node-z"}, `error: no node "node-z"`, true},
+		{[]string{"drain"}, "drain NODE", true},
+		{[]string{"reboot"}, `error: unknown command "reboot"`, true},
+	} {
+		text, err := console(c.command...)
+		if !strings.Contains(text, c.want) || (err != nil) != c.fails {
+			t.Errorf("console %v: %q, %v", c.command, text, err)
+		}
+	}
+	if _, err := session.ReadDir("/riverside"); err == nil || !strings.Contains(err.Error(), "try again in") {
+		t.Errorf("a listing while the node drains: %v", err)
+	}
+	if text, err := console("undrain", "node-a"); err != nil {
+		t.Errorf("undrain: %q, %v", text, err)
+	}
+	if _, err := session.ReadDir("/riverside"); err != nil {
+		t.Errorf("a listing after the drain: %v", err)
+	}
+	p.stop(t)
+}
+
+func TestBadConfigurationIsOneLineThatNamesTheField(t *testing.T) {
+	good := fmt.Sprintf(operatorFile, "127.0.0.1:1", "127.0.0.1:2", "https://127.0.0.1:3/directory", "", "/nowhere",
+		"127.0.0.1:4", "/nowhere.sock", "127.0.0.1:5", "127.0.0.1:6")
+	platform := fmt.Sprintf(platformConfig, "127.0.0.1:1", "127.0.0.1:2")
+	for _, c := range []struct{ kind, old, with, field string }{
+		{"serve", `open = 64`, `open = 0`, "limits"},
+		{"serve", `open = 64`, `opened = 64`, "limits.opened"},
+		{"serve", `"127.0.0.1:1"`, `"somewhere"`, "sftp.listen"},
+		{"serve", `"2s"`, `"two"`, "connect"},
+		{"serve", `"keyed"`, `"often"`, "classes.write.repeat"},
+		{"serve", `worth = 1.0`, `worth = 0.0`, "classes.bulk-read"},
+		{"serve", `plan = "gold"`, `plan = "lead"`, "projects[0].plan"},
+		{"serve", "prefix = \"/riverside\"\n", "prefix = \"riverside/\"\n", "projects[0].prefix"},
+		{"serve", `"127.0.0.1:5"`, `""`, "nodes[0].sftp"},
+		{"serve", `domains = ["files.example"]`, `domains = []`, "acme.domains"},
+		{"platform", `"127.0.0.1:1"`, `"x"`, "listen"},
+		{"platform", `8c1f`, `zz`, "seed"},
+		{"platform", `"memory_mb":192`, `"memory_mb":0`, "memory_mb"},
+		{"platform", `"retryable"`, `"odd"`, "classes[0]"},
+		{"platform", `"tickUs":2000`, `"tickUs":0`, "Tick"},
+		{"platform", `"seq":41,`, ``, "known: seq"},
+		{"platform", `{"name"`, `"name"`, "config"},
+	} {
+		var p *process
+		if c.kind == "serve" {
+			p = start(t, nil, "serve", "-config", write(t, "operator.toml", strings.Replace(good, c.old, c.with, 1)))
+		} else {
+			p = start(t, []string{"RELAY_CONFIG=" + write(t, "config.json", strings.Replace(platform, c.old, c.with, 1))})
+		}
+		err := standin.Await(t, "the end", p.done)
+		text := p.output.String()
+		if exit := new(exec.ExitError); !errors.As(err, &exit) || strings.Count(text, "\n") != 1 || !strings.Contains(text, c.field) {
+			t.Errorf("%s for %s: %v, %q", c.with, c.old, err, text)
+		}
+	}
+	p := start(t, nil, "serve", "-config", "../../deploy/missing.toml")
+	if err := standin.Await(t, "the end", p.done); err == nil {
+		t.Error("a missing file was accepted")
+	}
+}
