Bound what clients and peers can make the front hold or repeat

Found by reading: an attempt whose client left during a further attempt waited without end to hand over its answer; a shard beyond the deployment's stays in the scheduler for good; an agent that does not hold empty answers would be polled without pause; one failed accept ended the SFTP front; Stop reported a time-out where a client had connected and sent nothing. Each is fixed; the first two have tests.

--- a/cmd/otterturn/main_test.go
+++ b/cmd/otterturn/main_test.go
@@ -105,7 +105,7 @@
 "settings":{"balancers":1,"tickUs":2000,"zones":["a"],
  "ceilings":{"connIdleUs":15000000,"connectTimeoutUs":250000,"maxOpen":100,"tryLimit":4,"probing":true,"retryAfter":true,"maxRetryAfterUs":500000},
  "classes":[{"name":"read","aimUs":300000,"giveUpUs":5000000,"semantics":"retryable","credit":1}],
- "contracts":[{"name":"gold","shares":1}],"familyInfo":{"meanUnits":2,"mostUnits":6},"report":{"how":"on_probe"}}}`
+ "contracts":[{"name":"gold","shares":1}],"familyInfo":{"meanUnits":2,"mostUnits":6,"shards":1},"report":{"how":"on_probe"}}}`
 
 func TestPlatformFront(t *testing.T) {
 	node := httpPeer(t, func(*http.Request) string { return "index data" })
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -23,6 +23,7 @@
 	WatchHold    time.Duration // discovery may hold a watch
 	WatchSilence time.Duration // and answers within this after it
 	WatchAgain   time.Duration // pause before the next watch after one that failed
+	AcceptAgain  time.Duration // pause after a client could not be accepted
 	StopAccept   time.Duration // after SIGTERM clients are accepted for so long
 	StopQuiet    time.Duration // and the front ends once no request came for so long
 	StopAtMost   time.Duration // or this after SIGTERM
@@ -62,9 +63,9 @@
 		ReadRequest: 2*s.Deadline + 10*time.Second, WriteAnswer: 2*s.Deadline + 15*time.Second,
 		ClientIdle: 2 * time.Minute, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10,
 		Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
-		WatchAgain: 50 * time.Millisecond,
+		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
 		StopAccept: 700 * time.Millisecond, StopQuiet: 400 * time.Millisecond,
-		StopAtMost: max(s.Deadline, 3*time.Second) + 500*time.Millisecond,
+		StopAtMost: max(s.Deadline, 3*time.Second) + 600*time.Millisecond,
 		FileConns:  min(each, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileAnswer: 2 << 20,
 		FileIdle: 5 * time.Minute,
 	}
--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -60,7 +60,13 @@
 		return Request{}, fmt.Errorf("%s: %w", headerLeft, err)
 	}
 	out.Left = min(left, rules.Micros(set.LongestWait/time.Microsecond))
-	return out, parseIO(r.Header.Get(headerIO), &out)
+	if err := parseIO(r.Header.Get(headerIO), &out); err != nil {
+		return Request{}, err
+	}
+	if out.Shard >= set.Shards { // the scheduler keeps what it has once heard of
+		return Request{}, fmt.Errorf("%s: there are %d shards", headerIO, set.Shards)
+	}
+	return out, nil
 }
 
 // parseLeft reads a time with its unit: m for milliseconds, u for microseconds.
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -39,6 +39,7 @@
 	FamilyInfo struct {
 		ColdUnits, MeanUnits, MostUnits float64
 		SaysOthers                      bool
+		Shards                          int
 	}
 	Report struct{ How string }
 	Zones  []string
@@ -64,6 +65,7 @@
 	Classes     []string // by the scheduler's index
 	Plans       []string
 	Zones       []string
+	Shards      int  // shards are numbered from 0 to below this
 	LoadReports bool // probes are answered with a load report
 	MaxOpen     int  // requests open at once, 0 for no bound
 	ConnIdle    time.Duration
@@ -91,7 +93,7 @@
 		RetrySpare: s.SpareAttempts, RetryShare: s.BudgetShare,
 	}
 	out := Settings{Zones: in.Zones, LoadReports: in.Report.How != "" && in.Report.How != "off",
-		MaxOpen: in.Ceilings.MaxOpen, ConnIdle: micros(in.Ceilings.ConnIdleUs),
+		Shards: in.FamilyInfo.Shards, MaxOpen: in.Ceilings.MaxOpen, ConnIdle: micros(in.Ceilings.ConnIdleUs),
 		Connect: micros(in.Ceilings.ConnectTimeoutUs), Retry: micros(in.Ceilings.MaxRetryAfterUs)}
 	for i, c := range in.Classes {
 		repeat, ok := repeats[c.Semantics]
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -198,12 +198,6 @@
 	}
 }
 
-// answer is what an attempt brought.
-type answer[T any] struct {
-	value  T
-	result rules.Result
-}
-
 // Do is the life of one request: it is submitted, then sent, refused or failed as the scheduler decides, and
 // each attempt's outcome is reported, until one final answer. An attempt ends when its context does, at the
 // request's deadline at the latest; it returns what it brought, the result and the units served elsewhere.
@@ -219,7 +213,7 @@
 	if !c.submit(message{event: r, call: call}) {
 		return none, ErrStopped
 	}
-	answers := make(chan answer[T], 1)
+	answers := make(chan T, 1) // at most one attempt is answered, so nobody waits here
 	takeBack := context.CancelCauseFunc(func(error) {})
 	verdicts, tries := call.verdicts, 0
 	for {
@@ -233,7 +227,9 @@
 					defer cancel(nil)
 					value := try(own, deadline, v.Node, attempt, &o)
 					c.submit(message{event: o})
-					answers <- answer[T]{value, o.Result}
+					if o.Result == rules.OK {
+						answers <- value
+					}
 				}()
 				takeBack = cancel
 				tries++
@@ -252,11 +248,9 @@
 			if !owed {
 				verdicts = nil // served: the answer is on its way
 			}
-		case a := <-answers:
-			if a.result == rules.OK {
-				c.served.Add(1)
-				return a.value, nil
-			}
+		case value := <-answers:
+			c.served.Add(1)
+			return value, nil
 		case <-ctx.Done():
 			c.left.Add(1)
 			c.lapse(call, tries)
--- /dev/null
+++ b/internal/net/routing/core_test.go
@@ -0,0 +1,114 @@
+package routing_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"otterturn/internal/net/routing"
+	"otterturn/internal/standin"
+	"otterturn/rules"
+)
+
+func request(id string) rules.Request {
+	return rules.Request{ID: id, Volume: "v", Units: 1, Hosts: 1, Left: 5_000_000}
+}
+
+func newCore(t *testing.T) *routing.Core {
+	core := standin.Core(t, standin.Settings(), nil)
+	core.Tell(rules.Nodes{Full: true, List: []rules.Listing{{Node: "a"}}})
+	return core
+}
+
+func TestAttemptsUntilTheAnswer(t *testing.T) {
+	core, results := newCore(t), []rules.Result{rules.Errored, rules.TimedOut, rules.OK}
+	tries := 0
+	got, err := routing.Do(t.Context(), core, request("x"),
+		func(ctx context.Context, node string) (string, rules.Outcome) {
+			tries++
+			if _, ok := ctx.Deadline(); !ok || node != "a" {
+				t.Errorf("attempt %d at %q without a deadline", tries, node)
+			}
+			return fmt.Sprint("answer ", tries), rules.Outcome{Result: results[tries-1]}
+		})
+	if err != nil || got != "answer 3" || tries != 3 {
+		t.Errorf("%q, %v after %d attempts", got, err, tries)
+	}
+}
+
+func TestFinalAnswers(t *testing.T) {
+	core := newCore(t)
+	once := request("once")
+	once.Class = 2 // must not run twice
+	_, err := routing.Do(t.Context(), core, once, func(context.Context, string) (int, rules.Outcome) {
+		return 0, rules.Outcome{Result: rules.Errored}
+	})
+	if !errors.Is(err, routing.ErrFailed) {
+		t.Errorf("an attempt that may have run, once: %v", err)
+	}
+	elsewhere := request("elsewhere")
+	elsewhere.Shard = 1 // no node holds it
+	_, err = routing.Do(t.Context(), core, elsewhere, func(context.Context, string) (int, rules.Outcome) {
+		t.Error("sent")
+		return 0, rules.Outcome{}
+	})
+	if refused := new(routing.Refused); !errors.As(err, &refused) {
+		t.Errorf("no node: %v", err)
+	}
+	if got, want := core.Tally(), (routing.Tally{Failed: 1, Refused: 1}); got != want {
+		t.Errorf("tally %+v, want %+v", got, want)
+	}
+}
+
+// A client leaves while a further attempt is out: the attempt runs on to its outcome and nothing of it stays
+// behind. The goroutine of such an attempt once waited without end to hand over what it brought.
+func TestAttemptOfAClientThatLeftEnds(t *testing.T) {
+	core := newCore(t)
+	for i := range 20 {
+		ctx, leave := context.WithCancel(t.Context())
+		out, goOn, tries := make(chan context.Context, 1), make(chan struct{}), 0
+		done := make(chan error, 1)
+		go func() {
+			_, err := routing.Do(ctx, core, request(fmt.Sprint("left-", i)),
+				func(own context.Context, _ string) (int, rules.Outcome) {
+					if tries++; tries == 1 {
+						return 0, rules.Outcome{Result: rules.Errored}
+					}
+					out <- own
+					<-goOn
+					return 0, rules.Outcome{Result: rules.OK}
+				})
+			done <- err
+		}()
+		own := standin.Await(t, "the second attempt", out)
+		leave()
+		if err := standin.Await(t, "the end of the request", done); !errors.Is(err, context.Canceled) {
+			t.Fatal(err)
+		}
+		if own.Err() != nil {
+			t.Fatal("the attempt was ended with its client")
+		}
+		close(goOn)
+		standin.Await(t, "the end of the attempt", own.Done())
+	}
+}
+
+// Clients leave at any moment, also between the decision to send and the send. The scheduler must hear of each
+// attempt's end, or it would count it as out for good and send the node nothing more.
+func TestClientsThatLeaveAtAnyMoment(t *testing.T) {
+	core := newCore(t)
+	serve := func(context.Context, string) (int, rules.Outcome) { return 0, rules.Outcome{Result: rules.OK} }
+	for i := range 500 {
+		ctx, leave := context.WithTimeout(t.Context(), time.Duration(i)*time.Microsecond)
+		routing.Do(ctx, core, request(fmt.Sprint("gone-", i)), serve)
+		leave()
+	}
+	if _, err := routing.Do(t.Context(), core, request("last"), serve); err != nil {
+		t.Error(err)
+	}
+	if got := core.Tally(); got.Open != 0 || got.Served+got.Left != 501 {
+		t.Errorf("tally %+v", got)
+	}
+}
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -24,13 +24,16 @@
 		DialContext: (&net.Dialer{Timeout: l.Connect}).DialContext}}
 	said := ""
 	for ctx.Err() == nil {
+		began := time.Now()
 		list, err := fetch(ctx, client, addr, seq, zones, l)
 		if err == nil {
 			said, seq = "", list.Seq
 			apply(list)
-			continue
-		}
-		if text := err.Error(); text != said && ctx.Err() == nil {
+			if len(list.Hosts) > 0 || time.Since(began) > l.WatchAgain {
+				continue
+			}
+			// An agent that does not hold an empty answer would be asked without end.
+		} else if text := err.Error(); text != said && ctx.Err() == nil {
 			said = text
 			log("discovery: %s", text)
 		}
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"io"
@@ -83,6 +82,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" && r.Method == http.MethodGet {
+		if f.stopping.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	m, err := protocol.ParseRequest(r, f.settings)
@@ -139,7 +141,5 @@
 			break
 		}
 	}
-	ctx, release := context.WithTimeout(context.Background(), f.limits.StopQuiet)
-	defer release()
-	return f.server.Shutdown(ctx)
+	return f.server.Close()
 }
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -26,7 +26,7 @@
 	nodes := NewNodes(l)
 	core = standin.Core(t, standin.Settings(), nil)
 	core.Tell(nodes.Apply(list(addrs...)))
-	f = NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"},
+	f = NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 2,
 		LongestWait: 5 * time.Second, Retry: time.Second}, l, NewRoundTripper(core, nodes))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -122,6 +122,7 @@
 		{"4000m", "NaNm", 400},
 		{"units=2", "units=two", 400},
 		{"units=2", "units=1e300", 400},
+		{"shard=0", "shard=2", 400},
 		{"X-IO", "Content-Length: 65537\r\nX-IO", 413},
 	} {
 		text := strings.Replace(good, c.old, c.with, 1) + "\r\n"
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -99,8 +98,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil {
-			return fmt.Errorf("sftp: %w", err)
+		if err != nil { // no descriptor is left, or the client has gone again
+			time.Sleep(f.limits.AcceptAgain)
+			continue
 		}
 		ctx, left := context.WithCancelCause(context.Background())
 		v := &visitor{front: f, ctx: ctx, guard: &guard{Conn: c, limits: f.limits, left: left}}
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -14,6 +14,7 @@
 	"sync"
 	"syscall"
 
+	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
@@ -24,6 +25,7 @@
 // Appliance is one site's front as the operator's file sets it up.
 type Appliance struct {
 	operator Operator
+	limits   limits.Limits
 	core     *routing.Core
 	files    *sftp.Front
 	http     *transport.Front
@@ -47,7 +49,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 
-	a := &Appliance{operator: o, drained: map[string]bool{}, client: sftp.NewClient(l),
+	a := &Appliance{operator: o, limits: l, drained: map[string]bool{}, client: sftp.NewClient(l),
 		nodes: transport.NewNodes(l)}
 	probe := a.client.Probe(l)
 	if o.SFTP.Listen == "" {
--- a/internal/program/console.go
+++ b/internal/program/console.go
@@ -49,8 +49,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil {
-			return err
+		if err != nil { // no descriptor is left
+			time.Sleep(c.appliance.limits.AcceptAgain)
+			continue
 		}
 		select {
 		case c.room <- struct{}{}:
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -202,6 +202,9 @@
 		out.Rules.Classes = append(out.Rules.Classes, rules.Class{Aim: rules.Micros(c.Within / time.Microsecond),
 			Repeat: repeat, Group: rules.SameShard, Window: rules.Micros(c.Window / time.Microsecond), Worth: c.Worth})
 	}
+	for _, n := range o.Nodes {
+		out.Shards = max(out.Shards, n.Shard+1)
+	}
 	for _, p := range o.Plans {
 		out.Plans = append(out.Plans, p.Name)
 		out.Rules.Plans = append(out.Rules.Plans, rules.Plan{Reservation: p.Reservation, Weight: p.Weight,
