--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -100,15 +100,15 @@
 func TestClientsThatLeaveAtAnyMoment(t *testing.T) {
 	core := newCore(t)
 	serve := func(context.Context, string) (int, rules.Outcome) { return 0, rules.Outcome{Result: rules.OK} }
-	for i := range 500 {
-		ctx, leave := context.WithTimeout(t.Context(), time.Duration(i)*time.Microsecond)
+	for i := range 5000 {
+		ctx, leave := context.WithTimeout(t.Context(), time.Duration(i%50)*time.Microsecond)
 		routing.Do(ctx, core, request(fmt.Sprint("gone-", i)), serve)
 		leave()
 	}
 	if _, err := routing.Do(t.Context(), core, request("last"), serve); err != nil {
 		t.Error(err)
 	}
-	if got := core.Tally(); got.Open != 0 || got.Served+got.Left != 501 {
+	if got := core.Tally(); got.Open != 0 || got.Served+got.Left != 5001 {
 		t.Errorf("tally %+v", got)
 	}
 }
