--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -360,6 +360,6 @@
 func (f folder) Name() string     { return string(f) }
 func (folder) Size() int64        { return 0 }
 func (folder) Mode() os.FileMode  { return os.ModeDir | 0o555 }
-func (folder) ModTime() time.Time { return time.Time{} }
+func (folder) ModTime() time.Time { return time.Unix(0, 0) }
 func (folder) IsDir() bool        { return true }
 func (folder) Sys() any           { return nil }
