--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -42,22 +42,25 @@
 	Deadline                time.Duration // the longest of any request
 }
 
-// Share of the sockets: clients and nodes get most, the rest serves listeners, discovery and the run time.
+// Share of the sockets: clients keep a connection each while their requests are held, nodes get few at a time.
 const (
-	reserved   = 64 // sockets for all else
+	reserved   = 64 // sockets for listeners, discovery, the console and the run time
 	spareConns = 64 // see Limits.SpareConns
+	toNodes    = 4  // one in so many of the others leads to a node
 )
 
 // For fills the limits of a deployment.
 func For(s Site) Limits {
-	each := max(s.Sockets-reserved-spareConns, 16) / 2
-	open := each
+	rest := max(s.Sockets-reserved-spareConns, 16)
+	nodes := rest / toNodes
+	clients := rest - nodes
+	open := clients
 	if s.Open > 0 {
 		open = min(open, s.Open)
 	}
 	return Limits{
 		Memory: int64(s.MemoryMB) << 20 * 6 / 10,
-		Inbox:  4 * each, Open: open, ClientConns: each, SpareConns: spareConns, NodeConns: each,
+		Inbox:  4 * clients, Open: open, ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
 		Body: 64 << 10, Header: 16 << 10,
 		// net/http takes the end of the read time for the client's leaving, so it must outlast any deadline.
 		ReadRequest: 2*s.Deadline + 10*time.Second, WriteAnswer: 2*s.Deadline + 15*time.Second,
@@ -66,7 +69,7 @@
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
 		StopAccept: 700 * time.Millisecond, StopQuiet: 400 * time.Millisecond,
 		StopAtMost: max(s.Deadline, 3*time.Second) + 600*time.Millisecond,
-		FileConns:  min(each, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileAnswer: 2 << 20,
+		FileConns:  min(clients, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileAnswer: 2 << 20,
 		FileIdle: 5 * time.Minute,
 	}
 }
