--- /dev/null
+++ b/internal/net/protocol/sftp/command_test.go
@@ -0,0 +1,51 @@
+package sftp
+
+import (
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/pkg/sftp"
+)
+
+// What is called a plain write may be sent again after it may have run; what could do harm then must not be.
+func TestRolesAndUnits(t *testing.T) {
+	sizes := Sizes{UnitBytes: 100, BulkBytes: 1000, MostUnits: 4}
+	for _, c := range []struct {
+		cmd   Command
+		role  Role
+		units float64
+	}{
+		{Command{Op: Stat}, RoleRead, 1},
+		{Command{Op: Read, Length: 250}, RoleRead, 3},
+		{Command{Op: Read, Length: 1000}, RoleBulkRead, 4},
+		{Command{Op: List}, RoleBulkRead, 2},
+		{Command{Op: Write, Data: make([]byte, 100)}, RoleWrite, 2},
+		{Command{Op: Create, Flags: os.O_WRONLY | os.O_CREATE}, RoleWrite, 1},
+		{Command{Op: Create, Flags: os.O_WRONLY | os.O_CREATE | os.O_TRUNC}, RoleWriteOnce, 1},
+		{Command{Op: Create, Flags: os.O_WRONLY | os.O_CREATE | os.O_EXCL}, RoleWriteOnce, 1},
+		{Command{Op: SetAttr, Set: sftp.FileAttrFlags{Permissions: true}}, RoleWrite, 1},
+		{Command{Op: SetAttr, Set: sftp.FileAttrFlags{Size: true}}, RoleWriteOnce, 1},
+		{Command{Op: Remove}, RoleWriteOnce, 1},
+		{Command{Op: PosixRename}, RoleWriteOnce, 1},
+	} {
+		if role, units := c.cmd.Role(sizes), c.cmd.Units(sizes); role != c.role || units != c.units {
+			t.Errorf("%+v: role %v, %v units; want %v, %v", c.cmd, role, units, c.role, c.units)
+		}
+	}
+}
+
+func TestProjectsByPrefix(t *testing.T) {
+	projects := []Project{{Name: "a", Prefix: "/x/a"}, {Name: "deep", Prefix: "/x/a/deep"}, {Name: "b", Prefix: "/x/b"}}
+	for path, want := range map[string]string{"/x/a": "a", "/x/a/f": "a", "/x/ab": "", "/x": "", "/x/a/deep/f": "deep",
+		"/x/a/deeper": "a", Clean("/x/a/../../x/b/f"): "b", Clean("../../x/a"): "a"} {
+		if got, _ := Find(projects, path); got.Name != want {
+			t.Errorf("%s is in %q, want %q", path, got.Name, want)
+		}
+	}
+	for path, want := range map[string][]string{"/": {"x"}, "/x": {"a", "b"}, "/y": nil} {
+		if got := Above(projects, path); !slices.Equal(got, want) {
+			t.Errorf("below %s: %v, want %v", path, got, want)
+		}
+	}
+}
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -77,6 +77,7 @@
 		t.served.Add(1)
 	case errors.As(err, &refused):
 		t.refused.Add(1)
+	case errors.Is(err, errLeft): // nobody was told that it failed
 	default:
 		t.failed.Add(1)
 	}
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -274,6 +274,13 @@
 	if took := time.Since(began); took >= wait {
 		t.Errorf("answered after %v, at its deadline", took)
 	}
+	successor := standin.NewFileServer(t)
+	next := host(0, successor.Addr, rules.Running)
+	next.Node = "node-a2" // holds the same shard
+	b.tell(protocol.List{Hosts: []protocol.Host{next}})
+	if _, err := c.ReadDir("/a"); !errors.Is(err, os.ErrNotExist) || successor.Count("List", "/a") != 1 {
+		t.Errorf("a listing at the node's successor, which is empty: %v", err)
+	}
 	close(go_on)
 	if err := standin.Await(t, "the listing that was out", out); err != nil {
 		t.Errorf("the listing that was out when the drain was told: %v", err)
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,10 +26,11 @@
 	operator Operator
 	limits   limits.Limits
 	core     *routing.Core
-	files    *sftp.Front
-	http     *transport.Front
+	files    *sftp.Front // nil where it is off
 	client   *sftp.Client
 	nodes    *transport.Nodes
+	failed   chan error
+	stops    []func()
 
 	mu      sync.Mutex
 	drained map[string]bool // nodes that the operator drains
@@ -42,91 +42,107 @@
 	if err != nil {
 		return err
 	}
-	l := o.limits()
-	bound(l)
 	stopped, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer unhook()
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-
-	a := &Appliance{operator: o, limits: l, drained: map[string]bool{}, client: sftp.NewClient(l),
-		nodes: transport.NewNodes(l)}
-	probe := a.client.Probe(l)
-	if o.SFTP.Listen == "" {
-		probe = transport.NewProber(a.nodes, false, log.Printf).Probe
-	}
-	var seed [8]byte
-	rand.Read(seed[:])
-	a.core, err = routing.New(o.settings().Rules, int64(binary.LittleEndian.Uint64(seed[:])), l.Inbox, probe)
+	a, err := newAppliance(o)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
+	bound(a.limits)
 	go a.core.Run(ctx)
 	go a.client.Run(ctx)
 	go a.nodes.Run(ctx)
 	a.tellNodes()
+	for _, start := range []func(context.Context) error{a.startFiles, a.startHTTP, a.startConsole} {
+		if err := start(ctx); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	log.Printf("serving: sftp %q, http %q, console %q", o.SFTP.Listen, o.HTTP.Listen, o.Console.Socket)
+	select {
+	case err = <-a.failed:
+	case <-stopped.Done():
+	}
+	var wait sync.WaitGroup
+	for _, stop := range a.stops {
+		wait.Go(stop)
+	}
+	wait.Wait()
+	return err
+}
 
-	failed := make(chan error, 4)
-	var stops []func()
-	serve := func(name, addr string, run func(net.Listener) error, stop func(net.Listener)) error {
-		listener, err := listen(addr)
-		if err != nil {
-			return fmt.Errorf("%s: %w", name, err)
+func newAppliance(o Operator) (*Appliance, error) {
+	l := o.limits()
+	a := &Appliance{operator: o, limits: l, client: sftp.NewClient(l), nodes: transport.NewNodes(l),
+		failed: make(chan error, 4), drained: map[string]bool{}}
+	probe := a.client.Probe(l)
+	if o.SFTP.Listen == "" {
+		probe = transport.NewProber(a.nodes, false, log.Printf).Probe
+	}
+	var err error
+	a.core, err = routing.New(o.settings().Rules, rand.Int64(), l.Inbox, probe)
+	return a, err
+}
+
+// serve runs a server on a listener of its own. An error that ends it ends the appliance.
+func (a *Appliance) serve(field, addr string, run func(net.Listener) error, stop func(net.Listener)) error {
+	l, err := listen(addr)
+	if err != nil {
+		return fmt.Errorf("%s: %w", field, err)
+	}
+	go func() {
+		if err := run(l); err != nil {
+			a.failed <- fmt.Errorf("%s: %w", field, err)
 		}
-		go func() {
-			if err := run(listener); err != nil {
-				failed <- fmt.Errorf("%s: %w", name, err)
-			}
-		}()
-		stops = append(stops, func() { stop(listener) })
+	}()
+	a.stops = append(a.stops, func() { stop(l) })
+	return nil
+}
+
+func (a *Appliance) startFiles(context.Context) error {
+	if a.operator.SFTP.Listen == "" {
+		return nil
+	}
+	a.files = sftp.NewFront(a.operator.site(), a.limits, a.core, a.client.Attempt)
+	return a.serve("sftp.listen", a.operator.SFTP.Listen, a.files.Serve, a.files.Stop)
+}
+
+// startHTTP starts the HTTP front, over TLS where there is an authority for its certificates.
+func (a *Appliance) startHTTP(ctx context.Context) error {
+	o := a.operator
+	if o.HTTP.Listen == "" {
 		return nil
 	}
-	if o.SFTP.Listen != "" {
-		a.files = sftp.NewFront(o.site(), l, a.core, a.client.Attempt)
-		if err := serve("sftp.listen", o.SFTP.Listen, a.files.Serve, a.files.Stop); err != nil {
+	front := transport.NewFront(o.settings(), a.limits, transport.NewRoundTripper(a.core, a.nodes))
+	run := front.Serve
+	if o.ACME.Directory != "" {
+		certs, err := newCertificates(o.ACME)
+		if err != nil {
 			return err
 		}
-	}
-	if o.HTTP.Listen != "" {
-		a.http = transport.NewFront(o.settings(), l, transport.NewRoundTripper(a.core, a.nodes))
-		run := a.http.Serve
-		if o.ACME.Directory != "" {
-			certs, err := newCertificates(o.ACME)
-			if err != nil {
+		answers := &http.Server{Handler: certs.HTTPHandler(http.NotFoundHandler()), ReadTimeout: a.limits.ReadRequest,
+			WriteTimeout: a.limits.WriteAnswer, IdleTimeout: a.limits.ClientIdle, MaxHeaderBytes: a.limits.Header}
+		if err := a.serve("acme.challenge", o.ACME.Challenge, func(l net.Listener) error {
+			if err := answers.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
-			answers := &http.Server{Handler: certs.HTTPHandler(http.NotFoundHandler()), ReadTimeout: l.ReadRequest,
-				WriteTimeout: l.WriteAnswer, IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header}
-			err = serve("acme.challenge", o.ACME.Challenge, ignoreClosed(answers.Serve),
-				func(net.Listener) { answers.Close() })
-			if err != nil {
-				return err
-			}
-			go obtain(ctx, certs, o.ACME.Domains, log.Printf)
-			run = func(plain net.Listener) error { return a.http.ServeTLS(plain, certs.TLSConfig()) }
-		}
-		stop := func(net.Listener) { a.http.Stop() }
-		if err := serve("http.listen", o.HTTP.Listen, run, stop); err != nil {
+			return nil
+		}, func(net.Listener) { answers.Close() }); err != nil {
 			return err
 		}
+		go obtain(ctx, certs, o.ACME.Domains, log.Printf)
+		run = func(l net.Listener) error { return front.ServeTLS(l, certs.TLSConfig()) }
 	}
-	if o.Console.Socket != "" {
-		console := newConsole(a)
-		if err := serve("console.socket", o.Console.Socket, console.serve, func(l net.Listener) { l.Close() }); err != nil {
-			return err
-		}
-	}
-	log.Printf("serving: sftp %q, http %q, console %q", o.SFTP.Listen, o.HTTP.Listen, o.Console.Socket)
-	select {
-	case err = <-failed:
-	case <-stopped.Done():
-	}
-	var wait sync.WaitGroup
-	for _, stop := range stops {
-		wait.Go(stop)
+	return a.serve("http.listen", o.HTTP.Listen, run, func(net.Listener) { front.Stop() })
+}
+
+func (a *Appliance) startConsole(context.Context) error {
+	if a.operator.Console.Socket == "" {
+		return nil
 	}
-	wait.Wait()
-	return err
+	return a.serve("console.socket", a.operator.Console.Socket, newConsole(a).serve, func(l net.Listener) { l.Close() })
 }
 
 // listen opens an address with a port, or a socket in the file system that the operator's user alone may use.
@@ -146,15 +162,6 @@
 	return net.Listen("unix", addr)
 }
 
-func ignoreClosed(serve func(net.Listener) error) func(net.Listener) error {
-	return func(l net.Listener) error {
-		if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}
-}
-
 // drain tells the scheduler that a node gets nothing new, or takes that back.
 func (a *Appliance) drain(node string, on bool) error {
 	known := false
