Close idle client connections at a stop, and never a request's

Read in PROTOCOL: SIGKILL may follow SIGTERM after 3.7 s here, clients use kept connections as long as these are open, and what came more than 0.7 s after SIGTERM and is unanswered then is lost. At fault: Front.Stop, which waited for 0.4 s of quiet and left idle connections open until then, and ended by itself 0.6 s after the longest deadline. Now the front closes idle connections from 0.5 s on, unless something was read from one or waits in the kernel, and ends once none is left and all is answered.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -24,9 +24,9 @@
 	WatchSilence time.Duration // and answers within this after it
 	WatchAgain   time.Duration // pause before the next watch after one that failed
 	AcceptAgain  time.Duration // pause after a client could not be accepted
-	StopAccept   time.Duration // after SIGTERM clients are accepted for so long
-	StopQuiet    time.Duration // and the front ends once no request came for so long
-	StopAtMost   time.Duration // or this after SIGTERM
+	StopAccept   time.Duration // after SIGTERM clients use the front as before for so long
+	StopCheck    time.Duration // then idle connections are closed, looked for this often
+	StopAtMost   time.Duration // and the front ends at the latest after this
 
 	FileConns   int           // SFTP clients at a time
 	FileHandles int           // files and folders that each may have open
@@ -67,8 +67,8 @@
 		ClientIdle: 2 * time.Minute, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10,
 		Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
-		StopAccept: 700 * time.Millisecond, StopQuiet: 400 * time.Millisecond,
-		StopAtMost: max(s.Deadline, 3*time.Second) + 600*time.Millisecond,
+		StopAccept: 500 * time.Millisecond, StopCheck: 50 * time.Millisecond,
+		StopAtMost: s.Deadline + 2*time.Second,
 		FileConns:  min(clients, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileAnswer: 2 << 20,
 		FileIdle: 5 * time.Minute,
 	}
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -62,12 +62,9 @@
 	if err != nil {
 		return false
 	}
-	var got error
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, got = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && got == syscall.EAGAIN
+	open := false
+	err = raw.Control(func(fd uintptr) { open = empty(fd) })
+	return err == nil && open
 }
 
 type messageKey struct{}
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -23,15 +23,15 @@
 	limits   limits.Limits
 	proxy    *httputil.ReverseProxy
 	server   *http.Server
+	clients  clients
 	open     atomic.Int64 // requests taken and not answered
-	last     atomic.Int64 // Unix nanoseconds when the last request came or was answered
 	stopping atomic.Bool
 }
 
 // NewFront returns a front that answers clients with what the round tripper brings.
 func NewFront(set protocol.Settings, l limits.Limits, next http.RoundTripper) *Front {
 	quiet := log.New(io.Discard, "", 0) // a client that leaves is no news, and a line each would be a flood
-	f := &Front{settings: set, limits: l}
+	f := &Front{settings: set, limits: l, clients: clients{idle: map[net.Conn]time.Time{}}}
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite:      func(p *httputil.ProxyRequest) { p.Out.URL.RawQuery = p.In.URL.RawQuery },
 		Transport:    next,
@@ -47,7 +47,8 @@
 		},
 	}
 	f.server = &http.Server{Handler: f, ReadTimeout: l.ReadRequest, WriteTimeout: l.WriteAnswer,
-		IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header, ErrorLog: quiet, ConnContext: markSpare}
+		IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header, ErrorLog: quiet, ConnContext: markSpare,
+		ConnState: f.clients.track}
 	return f
 }
 
@@ -72,12 +73,8 @@
 
 // ServeHTTP reads a request whole, has it answered and passes the answer on.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer func() {
-		f.last.Store(time.Now().UnixNano())
-		f.open.Add(-1)
-	}()
+	defer f.open.Add(-1)
 	open := f.open.Add(1)
-	f.last.Store(time.Now().UnixNano())
 	if f.stopping.Load() || isSpare(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
@@ -127,17 +124,19 @@
 	}
 }
 
-// Stop ends the front without losing a request: it goes on accepting for a while, since clients learn late
-// that it stops, answers what it takes with 'Connection: close', and ends once it has been quiet. It closes
-// no connection before, as a request may be crossing.
+// Stop ends the front without losing a request. Clients learn late that it stops: it goes on accepting, and
+// answers what it takes with 'Connection: close'. After a while it closes the connections that stand idle, or
+// their clients would go on to use them until the process is killed, and ends once none is left.
 func (f *Front) Stop() error {
 	f.stopping.Store(true)
 	began := time.Now()
-	tick := time.NewTicker(f.limits.StopQuiet / 8)
+	tick := time.NewTicker(f.limits.StopCheck)
 	defer tick.Stop()
 	for now := range tick.C {
-		quiet := now.Sub(time.Unix(0, f.last.Load())) > f.limits.StopQuiet && f.open.Load() == 0
-		if now.Sub(began) > f.limits.StopAccept && quiet || now.Sub(began) > f.limits.StopAtMost {
+		if now.Sub(began) < f.limits.StopAccept {
+			continue
+		}
+		if f.clients.closeIdle(now.Add(-f.limits.StopCheck)) == 0 && f.open.Load() == 0 || now.Sub(began) > f.limits.StopAtMost {
 			break
 		}
 	}
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -229,11 +229,22 @@
 }
 
 // After SIGTERM clients still come for a while, and use the connections that they have: all are answered, with
-// word that the connection ends.
+// word that the connection ends. The front once waited for quiet, which idle connections that are used now and
+// then don't bring before SIGKILL: they are closed, but none that carries a request.
 func TestStopLosesNothing(t *testing.T) {
-	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
-	f, _, front := newFront(t, nil, addr)
-	kept := dial(t, front)
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	addr, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
+		if r.Header.Get("X-Correlation-Id") == "slow" {
+			close(begun)
+			<-goOn
+		}
+		io.WriteString(c, served)
+	})
+	f, _, front := newFront(t, func(l *limits.Limits) { l.StopAccept = 2 * time.Second }, addr)
+	kept, idle, slow := dial(t, front), dial(t, front), dial(t, front)
+	idle.ask(t, fmt.Sprintf(head, "idle")+"\r\n")
+	io.WriteString(slow, fmt.Sprintf(head, "slow")+"\r\n")
+	standin.Await(t, "the slow attempt", begun)
 	if r, _ := kept.ask(t, fmt.Sprintf(head, "before")+"\r\n"); r.StatusCode != 200 || r.Close {
 		t.Errorf("before: %d, closes %v", r.StatusCode, r.Close)
 	}
@@ -245,6 +256,18 @@
 			t.Errorf("after: %d, closes %v", r.StatusCode, r.Close)
 		}
 	}
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v, want its end", err)
+	}
+	select {
+	case <-stopped:
+		t.Error("the front ended with a request open")
+	default:
+	}
+	close(goOn)
+	if r, _ := slow.ask(t, ""); r.StatusCode != 200 {
+		t.Errorf("the slow request: %d", r.StatusCode)
+	}
 	if err := standin.Await(t, "the end", stopped); err != nil {
 		t.Error(err)
 	}
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -143,7 +143,7 @@
 	f.mu.Lock()
 	f.closing = true
 	f.mu.Unlock()
-	tick := time.NewTicker(f.limits.StopQuiet / 8)
+	tick := time.NewTicker(f.limits.StopCheck)
 	defer tick.Stop()
 	for began := time.Now(); f.open.Load() > 0 && time.Since(began) < f.limits.StopAtMost; {
 		<-tick.C
