Answer every SFTP command that came whole before a stop closes its connection

At fault: the SFTP library's packet manager, which ends by a signal beside the channel of answers that wait to be written; and Stop, which closed connections as soon as no command was open, before the last answer had left. Now the guard counts packets in and out, takes no further command once the front stops, reports the end of the input only when none is owed, and lets the client read the rest.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -26,6 +26,7 @@
 	AcceptAgain  time.Duration // pause after a client could not be accepted
 	StopAccept   time.Duration // after SIGTERM clients use the front as before for so long
 	StopCheck    time.Duration // then idle connections are closed, looked for this often
+	StopLinger   time.Duration // a client may take so long to read the last answer
 	StopAtMost   time.Duration // and the front ends at the latest after this
 
 	FileConns   int           // SFTP clients at a time
@@ -67,7 +68,7 @@
 		ClientIdle: 2 * time.Minute, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10,
 		Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
-		StopAccept: 500 * time.Millisecond, StopCheck: 50 * time.Millisecond,
+		StopAccept: 500 * time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
 		StopAtMost: s.Deadline + 2*time.Second,
 		FileConns:  min(clients, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileAnswer: 2 << 20,
 		FileIdle: 5 * time.Minute,
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -43,6 +43,7 @@
 	mu      sync.Mutex
 	conns   map[*visitor]struct{}
 	closing bool
+	hosts   sync.WaitGroup
 }
 
 // NewFront returns a front.
@@ -104,12 +105,10 @@
 			continue
 		}
 		ctx, left := context.WithCancelCause(context.Background())
-		v := &visitor{front: f, ctx: ctx, guard: &guard{Conn: c, limits: f.limits, left: left}}
+		v := &visitor{front: f, ctx: ctx, guard: newGuard(c, f.limits, left)}
 		if !f.enter(v) {
 			c.Close() // SFTP has no word for 'full' ahead of a session
-			continue
 		}
-		go f.host(v)
 	}
 }
 
@@ -120,6 +119,7 @@
 	s.Serve() // its error tells how the client left
 }
 
+// enter starts to serve a client, if there is room.
 func (f *Front) enter(v *visitor) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,6 +127,7 @@
 		return false
 	}
 	f.conns[v] = struct{}{}
+	f.hosts.Go(func() { f.host(v) })
 	return true
 }
 
@@ -137,22 +138,16 @@
 	delete(f.conns, v)
 }
 
-// Stop takes no more clients, lets what is open be answered, and then closes the connections.
+// Stop takes no more clients and commands, lets what it took be answered, and then closes the connections.
 func (f *Front) Stop(l net.Listener) {
 	l.Close()
 	f.mu.Lock()
 	f.closing = true
-	f.mu.Unlock()
-	tick := time.NewTicker(f.limits.StopCheck)
-	defer tick.Stop()
-	for began := time.Now(); f.open.Load() > 0 && time.Since(began) < f.limits.StopAtMost; {
-		<-tick.C
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	for v := range f.conns {
-		v.Close()
+		v.stop()
 	}
+	f.mu.Unlock()
+	f.hosts.Wait() // each ends by the limits of its guard
 }
 
 // do has one command answered: by the front where no node is needed, else as one request of the core.
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -25,6 +25,7 @@
 // bench is a front before nodes on loopback. Projects /a and /b lie on shards 0 and 1.
 type bench struct {
 	t      *testing.T
+	listen net.Listener
 	core   *routing.Core
 	client *Client
 	front  *Front
@@ -57,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.addr = listener.Addr().String()
+	b.listen, b.addr = listener, listener.Addr().String()
 	served := make(chan error, 1)
 	go func() { served <- b.front.Serve(listener) }()
 	t.Cleanup(func() {
@@ -399,6 +400,60 @@
 	}
 }
 
+// A stop while commands are out: each that came whole is answered, the library's own end drops answers.
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	node := standin.NewFileServer(t)
+	begun, goOn := make(chan struct{}, 1), make(chan struct{})
+	node.Before = func(op, _ string) bool {
+		if op == "Mkdir" {
+			begun <- struct{}{}
+			<-goOn
+		}
+		return false
+	}
+	b := newBench(t, 5*time.Second, nil, node.Addr)
+	raw := b.raw()
+	const n = 6
+	var all []byte
+	for i := range uint32(n) {
+		all = append(all, packet(14, i, "/a", uint32(0))...)
+	}
+	raw.Write(append(all, packet(14, n, "/a/late", uint32(0))[:9]...)) // and one that never comes whole
+	standin.Await(t, "the first command at the node", begun)
+	standin.Until(t, "the last command at the front", func() bool {
+		b.front.mu.Lock()
+		defer b.front.mu.Unlock()
+		for v := range b.front.conns {
+			return v.owed.Load() == n
+		}
+		return false
+	})
+	stopped := make(chan struct{})
+	go func() {
+		b.front.Stop(b.listen)
+		close(stopped)
+	}()
+	standin.Until(t, "the stop", func() bool {
+		b.front.mu.Lock()
+		defer b.front.mu.Unlock()
+		return b.front.closing
+	})
+	close(goOn)
+	for i := range uint32(n) {
+		if i > 0 {
+			standin.Await(t, "the next command at the node", begun)
+		}
+		if kind, body := raw.reply(); kind != 101 || binary.BigEndian.Uint32(body) != i {
+			t.Errorf("answer %d: kind %d, %q", i, kind, body)
+		}
+	}
+	if kind, _ := raw.reply(); kind != 0 {
+		t.Errorf("a packet of kind %d after the last answer", kind)
+	}
+	raw.Close()
+	standin.Await(t, "the end", stopped)
+}
+
 func TestBoundsOfAClient(t *testing.T) {
 	node := standin.NewFileServer(t)
 	b := newBench(t, 2*time.Second, func(l *limits.Limits) { l.FileHandles, l.FileConns = 2, 2 }, node.Addr)
