Read a node's address under the pool's lock, tell unnamed zones apart

Found by reading: Apply rewrites a node's entry while Acquire reads its address outside the lock; all zones that the settings do not name counted as one.

--- a/internal/net/protocol/list.go
+++ b/internal/net/protocol/list.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"net/netip"
 	"slices"
 
@@ -24,6 +25,14 @@
 
 var healths = map[string]rules.NodeState{"up": rules.Running, "draining": rules.Draining, "removed": rules.Gone}
 
+// zone numbers a zone. One that the settings do not name still differs from the others.
+func zone(zones []string, name string) int {
+	if i := slices.Index(zones, name); i >= 0 {
+		return i
+	}
+	return -1 - int(crc32.ChecksumIEEE([]byte(name)))
+}
+
 // ParseList reads an answer of discovery. A list that is wrong anywhere is no list at all.
 func ParseList(text []byte, zones []string) (List, error) {
 	var in struct {
@@ -54,7 +63,7 @@
 			return List{}, fmt.Errorf("hosts[%d].dial: %w", i, err)
 		}
 		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Listing: rules.Listing{Node: h.Host,
-			Zone: slices.Index(zones, h.Site), Shard: h.Block, State: state, Since: rules.Micros(h.BornMs * 1000)}})
+			Zone: zone(zones, h.Site), Shard: h.Block, State: state, Since: rules.Micros(h.BornMs * 1000)}})
 	}
 	return out, nil
 }
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -109,12 +109,12 @@
 // Acquire returns a connection to a node, an idle one where there is one. wanted tells whether the node may
 // still be used in the state it is in now that the connection is up.
 func (s *Nodes[T]) Acquire(ctx context.Context, name string, wanted func(rules.NodeState) bool) (*Conn[T], error) {
-	n, c, err := s.reserve(name, wanted)
+	n, dial, c, err := s.reserve(name, wanted)
 	if err != nil || c != nil {
 		return c, err
 	}
 	dialer := net.Dialer{Timeout: s.limits.Connect}
-	raw, err := dialer.DialContext(ctx, "tcp", n.Dial)
+	raw, err := dialer.DialContext(ctx, "tcp", dial)
 	if err == nil {
 		c, err = s.start(ctx, raw)
 	}
@@ -151,28 +151,28 @@
 	return &Conn[T]{Conn: raw, Session: session}, nil
 }
 
-// reserve takes an idle connection that is still good, or the room for a new one.
-func (s *Nodes[T]) reserve(name string, wanted func(rules.NodeState) bool) (*node[T], *Conn[T], error) {
+// reserve takes an idle connection that is still good, or else the room for a new one and the address for it.
+func (s *Nodes[T]) reserve(name string, wanted func(rules.NodeState) bool) (n *node[T], dial string, c *Conn[T], err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := s.byName[name]
+	n = s.byName[name]
 	if n == nil || !wanted(n.State) {
-		return nil, nil, ErrNotTaking
+		return nil, "", nil, ErrNotTaking
 	}
 	for len(n.idle) > 0 {
-		c := n.idle[len(n.idle)-1]
+		c = n.idle[len(n.idle)-1]
 		n.idle = n.idle[:len(n.idle)-1]
 		// A request on a connection that the node has closed would end as a reset that may have run.
 		if time.Since(c.idle) < s.limits.NodeIdle && s.session.Alive(c.Conn, c.Session) {
-			return n, c, nil
+			return n, "", c, nil
 		}
 		s.shut(c)
 	}
 	if s.open >= s.limits.NodeConns {
-		return nil, nil, fmt.Errorf("%w: all %d connections are in use", ErrNotTaking, s.open)
+		return nil, "", nil, fmt.Errorf("%w: all %d connections are in use", ErrNotTaking, s.open)
 	}
 	s.open++
-	return n, nil, nil
+	return n, n.Dial, nil, nil
 }
 
 // Release gives a connection back, to be kept where its last exchange ended cleanly.
