--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -136,22 +136,23 @@
 	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 }
 
-// ParseLoad reads the queue from a load report such as "TEXT inflight=7, queue=2, util=0.61".
-func ParseLoad(text string) (queue float64, err error) {
+// ParseLoad reads the queue from a load report such as "TEXT inflight=7, queue=2, util=0.61". Its fields have the
+// names that the settings give them.
+func ParseLoad(text, field string) (queue float64, err error) {
 	fields, ok := strings.CutPrefix(strings.TrimSpace(text), "TEXT ")
 	if !ok {
 		return 0, fmt.Errorf("load report: no TEXT form")
 	}
 	for pair := range strings.SplitSeq(fields, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if name != "queue" {
+		if name != field {
 			continue
 		}
 		n, err := strconv.ParseFloat(value, 64)
 		if err != nil || !(n >= 0) {
-			return 0, fmt.Errorf("load report: queue %q is no number", value)
+			return 0, fmt.Errorf("load report: %s %q is no number", field, value)
 		}
 		return n, nil
 	}
-	return 0, fmt.Errorf("load report: no queue")
+	return 0, fmt.Errorf("load report: no %s in %q", field, text)
 }
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -41,7 +41,10 @@
 		SaysOthers                      bool
 		Shards                          int
 	}
-	Report struct{ How string }
+	Report struct {
+		How    string
+		Fields []string
+	}
 	Zones  []string
 	Safety struct {
 		BudgetShare   float64
@@ -59,15 +62,19 @@
 var groups = map[string]rules.Group{"": rules.AllNodes, "all": rules.AllNodes, "zone": rules.SameZone,
 	"cell": rules.SameShard}
 
+// queueFields are the names under which a load report may tell the requests waiting.
+var queueFields = map[string]bool{"queue": true, "backlog": true}
+
 // Settings are the deployment's figures: those of the scheduler, and those of the sockets.
 type Settings struct {
 	Rules       rules.Settings
 	Classes     []string // by the scheduler's index
 	Plans       []string
 	Zones       []string
-	Shards      int  // shards are numbered from 0 to below this
-	LoadReports bool // probes are answered with a load report
-	MaxOpen     int  // requests open at once, 0 for no bound
+	Shards      int    // shards are numbered from 0 to below this
+	LoadReports bool   // probes are answered with a load report
+	LoadQueue   string // its field that tells the requests waiting, "" where it has none
+	MaxOpen     int    // requests open at once, 0 for no bound
 	ConnIdle    time.Duration
 	Connect     time.Duration
 	LongestWait time.Duration // the longest that a client waits
@@ -95,6 +102,11 @@
 	out := Settings{Zones: in.Zones, LoadReports: in.Report.How != "" && in.Report.How != "off",
 		Shards: in.FamilyInfo.Shards, MaxOpen: in.Ceilings.MaxOpen, ConnIdle: micros(in.Ceilings.ConnIdleUs),
 		Connect: micros(in.Ceilings.ConnectTimeoutUs), Retry: micros(in.Ceilings.MaxRetryAfterUs)}
+	for _, field := range in.Report.Fields {
+		if queueFields[field] {
+			out.LoadQueue = field
+		}
+	}
 	for i, c := range in.Classes {
 		repeat, ok := repeats[c.Semantics]
 		group, known := groups[c.Group]
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -147,16 +148,17 @@
 
 // Prober asks nodes for their health and load.
 type Prober struct {
-	nodes   *Nodes
-	path    string
-	reports bool
-	log     func(format string, args ...any)
+	nodes *Nodes
+	path  string
+	queue string      // field of the load report, "" for none
+	odd   atomic.Bool // the last report could not be read, which was logged
+	log   func(format string, args ...any)
 }
 
-// NewProber returns a Prober; reports tells whether nodes answer probes with a load report.
-func NewProber(nodes *Nodes, reports bool, log func(format string, args ...any)) *Prober {
-	p := &Prober{nodes: nodes, path: "/health", reports: reports, log: log}
-	if reports {
+// NewProber returns a Prober that asks for load reports where nodes have them.
+func NewProber(nodes *Nodes, set protocol.Settings, log func(format string, args ...any)) *Prober {
+	p := &Prober{nodes: nodes, path: "/health", queue: set.LoadQueue, log: log}
+	if set.LoadReports {
 		p.path = "/status/load"
 	}
 	return p
@@ -181,15 +183,17 @@
 		return out
 	}
 	out.OK = true
-	if !p.reports {
+	if p.queue == "" {
 		return out
 	}
 	text, err := io.ReadAll(resp.Body)
 	if err == nil {
-		out.Queue, err = protocol.ParseLoad(string(text))
+		out.Queue, err = protocol.ParseLoad(string(text), p.queue)
 	}
 	if err != nil {
 		out.Queue = -1
+	}
+	if was := p.odd.Swap(err != nil); err != nil && !was { // a line each would be a flood
 		p.log("probe of %s: %v", node, err)
 	}
 	return out
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -176,11 +176,18 @@
 	}
 }
 
+// Load reports name their fields as the settings do. Read under the name of the protocol's example alone, no
+// queue was ever heard of at this deployment.
 func TestProbe(t *testing.T) {
+	set, err := protocol.ParseSettings([]byte(`{"report":{"how":"on_probe","fields":["backlog","outstanding"]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
 	for text, want := range map[string]rules.Probed{
-		"TEXT inflight=7, queue=2, util=0.61": {Node: "node-0", OK: true, Queue: 2},
-		"TEXT inflight=7":                     {Node: "node-0", OK: true, Queue: -1},
-		"JSON {}":                             {Node: "node-0", OK: true, Queue: -1},
+		"TEXT backlog=2.5, outstanding=7": {Node: "node-0", OK: true, Queue: 2.5},
+		"TEXT outstanding=7":              {Node: "node-0", OK: true, Queue: -1},
+		"TEXT backlog=NaN":                {Node: "node-0", OK: true, Queue: -1},
+		"JSON {}":                         {Node: "node-0", OK: true, Queue: -1},
 	} {
 		addr, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
 			if r.URL.Path != "/status/load" {
@@ -188,14 +195,14 @@
 			}
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 		})
-		if got := NewProber(newNodes(nil, addr), true, t.Logf).Probe("node-0"); got != want {
+		if got := NewProber(newNodes(nil, addr), set, t.Logf).Probe("node-0"); got != want {
 			t.Errorf("%q: %+v", text, got)
 		}
 	}
 	unhealthy, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
 		io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
 	})
-	if got := NewProber(newNodes(nil, unhealthy), false, t.Logf).Probe("node-0"); got.OK {
+	if got := NewProber(newNodes(nil, unhealthy), protocol.Settings{}, t.Logf).Probe("node-0"); got.OK {
 		t.Errorf("unhealthy node: %+v", got)
 	}
 }
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -79,7 +79,7 @@
 		failed: make(chan error, 4), drained: map[string]bool{}}
 	probe := a.client.Probe(l)
 	if o.SFTP.Listen == "" {
-		probe = transport.NewProber(a.nodes, false, log.Printf).Probe
+		probe = transport.NewProber(a.nodes, protocol.Settings{}, log.Printf).Probe
 	}
 	var err error
 	a.core, err = routing.New(o.settings().Rules, rand.Int64(), l.Inbox, probe)
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -40,7 +40,7 @@
 	defer unhook()
 
 	nodes := transport.NewNodes(l)
-	prober := transport.NewProber(nodes, set.LoadReports, log.Printf)
+	prober := transport.NewProber(nodes, set, log.Printf)
 	core, err := routing.New(set.Rules, config.Seed, l.Inbox, prober.Probe)
 	if err != nil {
 		return err
