Read past informational answers of a node, and ask for none

Found by reading: a client's 'Expect: 100-continue' passed on to the node, whose '100 Continue' was taken for the answer; the answer itself stayed on the connection. Both ends are closed now; the test fails without the loop in exchange.

--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -131,8 +131,12 @@
 	if _, err := c.Write(message.Bytes()); err != nil {
 		return nil, false, fmt.Errorf("write: %w", err)
 	}
-	if resp, err = http.ReadResponse(c.Session, r); err != nil {
-		return nil, true, fmt.Errorf("read head: %w", err)
+	// What comes ahead of the answer, such as '100 Continue', must not be taken for it: the answer would then be
+	// read as that to the next request.
+	for resp == nil || resp.StatusCode < http.StatusOK {
+		if resp, err = http.ReadResponse(c.Session, r); err != nil {
+			return nil, true, fmt.Errorf("read head: %w", err)
+		}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.limits.Body+1))
 	if err != nil {
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -79,6 +79,8 @@
 		want       rules.Result
 	}{
 		{"served", served, rules.OK},
+		{"word ahead of the answer", "HTTP/1.1 100 Continue\r\n\r\n" + served, rules.OK},
+		{"word ahead of a break", "HTTP/1.1 100 Continue\r\n\r\n", rules.Reset},
 		{"breaks before the answer", "", rules.Reset},
 		{"breaks within the head", "HTTP/1.1 200 OK\r\nContent-", rules.Reset},
 		{"breaks within the body", served[:len(served)-1], rules.Reset},
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -33,7 +33,10 @@
 	quiet := log.New(io.Discard, "", 0) // a client that leaves is no news, and a line each would be a flood
 	f := &Front{settings: set, limits: l, clients: clients{idle: map[net.Conn]time.Time{}}}
 	f.proxy = &httputil.ReverseProxy{
-		Rewrite:      func(p *httputil.ProxyRequest) { p.Out.URL.RawQuery = p.In.URL.RawQuery },
+		Rewrite: func(p *httputil.ProxyRequest) {
+			p.Out.URL.RawQuery = p.In.URL.RawQuery
+			p.Out.Header.Del("Expect") // the body is here already
+		},
 		Transport:    next,
 		ErrorHandler: answerError,
 		ErrorLog:     quiet,
