Keep a request's id taken until its last attempt has ended

Found by reading Do beside the scheduler: a request turned away for its id, whose client then left, ended the first request under that id; and an id used again while an attempt of a lapsed request was out took that attempt's outcome for its own, which left the second client without an answer. At fault: the table of calls, which knew ids alone. It now knows the call, and the sends without an outcome. The test fails on the old table. Also drops an unused field of the adapter and a deprecated use of keys in the stand-in.

--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -46,16 +46,19 @@
 // Tally counts requests by how they ended.
 type Tally struct{ Open, Served, Refused, Failed, Left int64 }
 
-// call is a request that is owed an answer. Its verdicts are closed when nothing more is owed.
+// call is a request that is owed an answer, or one that is over with an attempt still out. Its verdicts are
+// closed when nothing more is owed. The rest is the loop's.
 type call struct {
 	id       string
 	verdicts chan rules.Action
+	over     bool
+	out      int // sends without an outcome
 }
 
 // verdictRoom holds all verdicts that can wait for one request: a send, its cancel, a final answer.
 const verdictRoom = 4
 
-// message is an event on its way to the scheduler; call is set for a new request.
+// message is an event on its way to the scheduler; call is set for a new request and for one that lapses.
 type message struct {
 	event rules.Event
 	call  *call
@@ -109,17 +112,13 @@
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	var events []rules.Event
+	take := func(m message) {
+		if c.admit(m) {
+			events = append(events, m.event)
+		}
+	}
 	for {
 		events = events[:0]
-		var ended []string
-		take := func(m message) {
-			if e, over := c.admit(m); e != nil {
-				events = append(events, e)
-				if over != "" {
-					ended = append(ended, over)
-				}
-			}
-		}
 		select {
 		case <-ctx.Done():
 			return
@@ -138,53 +137,59 @@
 		for _, a := range c.scheduler.Step(now, events) {
 			c.perform(a, now, alarm)
 		}
-		for _, id := range ended {
-			c.end(id)
-		}
 	}
 }
 
-// admit registers a new request. It returns the event for the scheduler, if there is one, and the id of the
-// request that the event ends.
-func (c *Core) admit(m message) (e rules.Event, over string) {
+// admit keeps the table of calls in step with an event, and tells whether the scheduler is to hear of it.
+func (c *Core) admit(m message) bool {
 	switch e := m.event.(type) {
 	case rules.Request:
-		// The scheduler keeps requests by id: a second one under an open id would take the first one's place.
+		// The scheduler keeps requests by id: a second one under an id that is in use would take the first one's
+		// place, or be ended by the outcome of an attempt that is still out for it.
 		if c.calls[e.ID] != nil {
 			close(m.call.verdicts)
-			return nil, ""
+			return false
 		}
 		c.calls[e.ID] = m.call
 	case rules.Outcome:
-		if e.Final {
-			over = e.ID
+		call := c.calls[e.ID]
+		if call == nil {
+			return false
+		}
+		call.out--
+		if e.Final || call.over {
+			c.end(call)
 		}
 	case rules.Lapsed:
-		over = e.ID
+		if c.calls[e.ID] != m.call { // never admitted, or over
+			return false
+		}
+		c.end(m.call)
 	}
-	return m.event, over
+	return true
 }
 
-// end closes a request's verdicts: nothing more is owed for it.
-func (c *Core) end(id string) {
-	if call := c.calls[id]; call != nil {
-		delete(c.calls, id)
+// end closes a request's verdicts: nothing more is owed for it. Its id stays taken while an attempt is out.
+func (c *Core) end(call *call) {
+	if !call.over {
+		call.over = true
 		close(call.verdicts)
 	}
+	if call.out == 0 {
+		delete(c.calls, call.id)
+	}
 }
 
 func (c *Core) perform(a rules.Action, now rules.Micros, alarm *time.Timer) {
 	switch a := a.(type) {
 	case rules.Send:
-		c.rule(a.ID, a)
+		c.rule(a.ID, a, false)
 	case rules.Cancel:
-		c.rule(a.ID, a)
+		c.rule(a.ID, a, false)
 	case rules.Refuse:
-		c.rule(a.ID, a)
-		c.end(a.ID)
+		c.rule(a.ID, a, true)
 	case rules.Fail:
-		c.rule(a.ID, a)
-		c.end(a.ID)
+		c.rule(a.ID, a, true)
 	case rules.Probe:
 		go func() { c.submit(message{event: c.probe(a.Node)}) }()
 	case rules.SetAlarm:
@@ -192,9 +197,18 @@
 	}
 }
 
-func (c *Core) rule(id string, a rules.Action) {
-	if call := c.calls[id]; call != nil {
-		call.verdicts <- a
+// rule hands a verdict to the request that it is about; a final one ends it.
+func (c *Core) rule(id string, verdict rules.Action, final bool) {
+	call := c.calls[id]
+	if call == nil || call.over {
+		return
+	}
+	if _, send := verdict.(rules.Send); send {
+		call.out++
+	}
+	call.verdicts <- verdict
+	if final {
+		c.end(call)
 	}
 }
 
@@ -279,7 +293,7 @@
 
 // lapse ends a request whose client has left. A send that was decided but not begun never will be.
 func (c *Core) lapse(call *call, tries int) {
-	if !c.submit(message{event: rules.Lapsed{ID: call.id}}) {
+	if !c.submit(message{event: rules.Lapsed{ID: call.id}, call: call}) {
 		return
 	}
 	for {
--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -95,6 +95,50 @@
 	}
 }
 
+// An id is in use until the last attempt under it has ended: a second request under it would be ended by the
+// first one's outcome, and one that is turned away for it must not end the first as its client leaves.
+func TestIdInUse(t *testing.T) {
+	core := newCore(t)
+	out, goOn := make(chan context.Context, 1), make(chan struct{})
+	wait := func(own context.Context, _ string) (int, rules.Outcome) {
+		out <- own
+		<-goOn
+		return 1, rules.Outcome{Result: rules.OK}
+	}
+	refuse := func(context.Context, string) (int, rules.Outcome) {
+		t.Error("a second request under the id was sent")
+		return 0, rules.Outcome{}
+	}
+	first, leave := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := routing.Do(first, core, request("same"), wait)
+		done <- err
+	}()
+	own := standin.Await(t, "the attempt", out)
+	gone, end := context.WithCancel(t.Context())
+	end()
+	for range 100 {
+		routing.Do(gone, core, request("same"), refuse)
+	}
+	select {
+	case err := <-done:
+		t.Fatalf("the first request ended with another's client: %v", err)
+	default:
+	}
+	leave()
+	standin.Await(t, "the end of the first request", done)
+	if _, err := routing.Do(t.Context(), core, request("same"), refuse); !errors.Is(err, routing.ErrDuplicate) {
+		t.Errorf("while the first one's attempt is out: %v", err)
+	}
+	close(goOn)
+	standin.Await(t, "the end of the attempt", own.Done())
+	serve := func(context.Context, string) (int, rules.Outcome) { return 2, rules.Outcome{Result: rules.OK} }
+	if got, err := routing.Do(t.Context(), core, request("same"), serve); got != 2 || err != nil {
+		t.Errorf("after it: %d, %v", got, err)
+	}
+}
+
 // Clients leave at any moment, also between the decision to send and the send. The scheduler must hear of each
 // attempt's end, or it would count it as out for good and send the node nothing more.
 func TestClientsThatLeaveAtAnyMoment(t *testing.T) {
--- a/internal/standin/authority.go
+++ b/internal/standin/authority.go
@@ -18,6 +18,7 @@
 	"math/big"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -161,8 +162,12 @@
 	}
 	delete(a.nonces, head.Nonce)
 	if head.JWK != nil {
-		x, y := number(head.JWK.X), number(head.JWK.Y)
-		a.account = &ecdsa.PublicKey{Curve: elliptic.P256(), X: x, Y: y}
+		x, badX := base64.RawURLEncoding.DecodeString(head.JWK.X)
+		y, badY := base64.RawURLEncoding.DecodeString(head.JWK.Y)
+		point := slices.Concat([]byte{4}, x, y)
+		if a.account, err = ecdsa.ParseUncompressedPublicKey(elliptic.P256(), point); errors.Join(badX, badY, err) != nil {
+			return nil, errors.New("the key is none")
+		}
 	}
 	signature, err := base64.RawURLEncoding.DecodeString(message.Signature)
 	sum := sha256.Sum256([]byte(message.Protected + "." + message.Payload))
@@ -173,11 +178,6 @@
 	return base64.RawURLEncoding.DecodeString(message.Payload)
 }
 
-func number(text string) *big.Int {
-	b, _ := base64.RawURLEncoding.DecodeString(text)
-	return new(big.Int).SetBytes(b)
-}
-
 func (a *Authority) newAccount(w http.ResponseWriter, _ []byte) error {
 	a.reply(w, 201, map[string]any{"status": "valid"})
 	return nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -136,7 +136,6 @@
 	instances map[string]*rules.Scheduler
 	pending   map[string][]rules.Event
 	order     []string // instances with an event, in the order of their first
-	errors    []string
 	log       io.Writer
 }
 
