Move the watch to the discovery of the new configuration at SIGHUP

Checked: no handler for SIGHUP anywhere (program/platform.go asked for SIGTERM and an interrupt alone); the signal's default ends the program. Changed: the file is read again whole, a bad one is one log line and changes nothing; the old watch is ended before the new one begins with the whole list, as versions may not carry over. The appliance takes over its nodes in the same way. SIGHUP stays handled while the front stops. The test fails with the handler removed. Open: a quarter of the requests fail while fronts restart.

--- a/cmd/otterturn/main_test.go
+++ b/cmd/otterturn/main_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -36,14 +37,32 @@
 type process struct {
 	*exec.Cmd
 	done   chan error
-	output *bytes.Buffer // whole once it has ended
+	output *output // whole once it has ended
+}
+
+// output is what a process has written so far.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
 }
 
 func start(t *testing.T, env []string, args ...string) *process {
 	t.Helper()
 	ctx, end := context.WithTimeout(context.Background(), 3*standin.Patience)
 	t.Cleanup(end)
-	p := &process{Cmd: exec.CommandContext(ctx, os.Args[0], args...), done: make(chan error, 1), output: &bytes.Buffer{}}
+	p := &process{Cmd: exec.CommandContext(ctx, os.Args[0], args...), done: make(chan error, 1), output: &output{}}
 	p.Env = append(append(os.Environ(), "OTTERTURN_TEST_RUN=1"), env...)
 	p.Stdout, p.Stderr = p.output, p.output
 	if err := p.Start(); err != nil {
@@ -107,19 +126,10 @@
  "classes":[{"name":"read","aimUs":300000,"giveUpUs":5000000,"semantics":"retryable","credit":1}],
  "contracts":[{"name":"gold","shares":1}],"familyInfo":{"meanUnits":2,"mostUnits":6,"shards":1},"report":{"how":"on_probe"}}}`
 
-func TestPlatformFront(t *testing.T) {
-	node := httpPeer(t, func(*http.Request) string { return "index data" })
-	list := fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[{"host":"s","dial":%q,"site":"a","block":0,"health":"up","born_ms":0}]}`, node)
-	discovery := httpPeer(t, func(r *http.Request) string {
-		if r.URL.Query().Get("from") == "41" {
-			return list
-		}
-		return ""
-	})
-	addr := freeAddr(t)
-	p := start(t, []string{"RELAY_CONFIG=" + write(t, "config.json", fmt.Sprintf(platformConfig, addr, discovery))})
+// newGet returns a client of the front: it tells an answer's status and body and whether it ends the connection.
+func newGet(t *testing.T, addr string) func(path, id string) (int, string, bool) {
 	client := &http.Client{Timeout: standin.Patience, Transport: &http.Transport{}}
-	get := func(path, id string) (int, string, bool) {
+	return func(path, id string) (int, string, bool) {
 		r, err := http.NewRequest(http.MethodGet, "http://"+addr+path, nil)
 		if err != nil {
 			t.Fatal(err)
@@ -139,6 +149,20 @@
 		}
 		return resp.StatusCode, string(body), resp.Close
 	}
+}
+
+func TestPlatformFront(t *testing.T) {
+	node := httpPeer(t, func(*http.Request) string { return "index data" })
+	list := fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[{"host":"s","dial":%q,"site":"a","block":0,"health":"up","born_ms":0}]}`, node)
+	discovery := httpPeer(t, func(r *http.Request) string {
+		if r.URL.Query().Get("from") == "41" {
+			return list
+		}
+		return ""
+	})
+	addr := freeAddr(t)
+	p := start(t, []string{"RELAY_CONFIG=" + write(t, "config.json", fmt.Sprintf(platformConfig, addr, discovery))})
+	get := newGet(t, addr)
 	standin.Until(t, "readiness", func() bool { status, _, _ := get("/ready", ""); return status == 200 })
 	standin.Until(t, "a served request", func() bool {
 		status, body, _ := get("/read/aa/bb", fmt.Sprint("id-", time.Now().UnixNano()))
@@ -156,6 +180,62 @@
 	}
 }
 
+// SIGHUP once ended the program. It moves the watch to the discovery that the file names then, whose versions
+// begin anew; a file that is bad changes nothing, and a stop right behind it still is a clean one.
+func TestReload(t *testing.T) {
+	list := `{"seq":%d,"whole":true,"hosts":[{"host":%q,"dial":%q,"site":"a","block":0,"health":"up","born_ms":0}]}`
+	discovery := func(seq int, host string) (addr string, calls chan string) {
+		node := httpPeer(t, func(*http.Request) string { return host })
+		calls = make(chan string, 1000)
+		return httpPeer(t, func(r *http.Request) string {
+			calls <- r.URL.RawQuery
+			if r.URL.Query().Get("from") == fmt.Sprint(seq) {
+				return "" // holds the watch
+			}
+			return fmt.Sprintf(list, seq, host, node)
+		}), calls
+	}
+	first, _ := discovery(42, "old")
+	second, calls := discovery(7, "new")
+	addr := freeAddr(t)
+	config := write(t, "config.json", fmt.Sprintf(platformConfig, addr, first))
+	p := start(t, []string{"RELAY_CONFIG=" + config})
+	get := newGet(t, addr)
+	served := func(by string) {
+		t.Helper()
+		standin.Until(t, "an answer of the "+by+" node", func() bool {
+			status, body, _ := get("/read/aa/bb", fmt.Sprint("id-", time.Now().UnixNano()))
+			return status == 200 && body == by
+		})
+	}
+	reload := func(text string) {
+		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	served("old")
+	reload(`{"listen"`)
+	standin.Until(t, "the log of the bad file", func() bool { return strings.Contains(p.output.String(), "reload: ") })
+	served("old")
+	reload(fmt.Sprintf(platformConfig, addr, second))
+	if query := standin.Await(t, "a call to the new discovery", calls); query != "" {
+		t.Errorf("the new watch began with %q, not with the whole list", query)
+	}
+	served("new")
+	for _, sig := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		p.Process.Signal(sig)
+	}
+	if err := standin.Await(t, "the end of the program", p.done); err != nil {
+		t.Errorf("ended with %v:\n%s", err, p.output)
+	}
+	if n := strings.Count(p.output.String(), "reload: "); n != 1 {
+		t.Errorf("%d lines of the bad file:\n%s", n, p.output)
+	}
+}
+
 const operatorFile = `
 [limits]
 memory_mb = 192
@@ -296,6 +376,23 @@
 	if _, err := session.ReadDir("/riverside"); err != nil {
 		t.Errorf("a listing after the drain: %v", err)
 	}
+
+	text, err := os.ReadFile(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text = append(text, fmt.Sprintf("[[nodes]]\nname = \"node-b\"\nsftp = %q\nhttp = %q\nshard = 1\n", files.Addr, node)...)
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.Process.Signal(syscall.SIGHUP)
+	standin.Until(t, "the node of the new file", func() bool {
+		text, err := console("drain", "node-b")
+		return err == nil && text == ""
+	})
+	if _, err := session.ReadDir("/riverside"); err != nil {
+		t.Errorf("a listing after the reload: %v", err)
+	}
 	p.stop(t)
 }
 
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -15,17 +15,24 @@
 // longestList bounds an answer of discovery.
 const longestList = 64 << 10
 
-// Watch follows discovery until ctx ends, from version seq on, and hands each list to apply. What can't be
-// read is logged, once for each text, and leaves things as they are.
+// WholeList in the place of a version has a watch begin with the whole list.
+const WholeList = -1
+
+// Watch follows discovery until ctx ends, from version seq on, and hands each list to apply, none once ctx has
+// ended. What can't be read is logged, once for each text, and leaves things as they are.
 func Watch(ctx context.Context, addr string, seq int64, zones []string, l limits.Limits,
 	apply func(protocol.List), log func(format string, args ...any)) {
 	client := &http.Client{Timeout: l.WatchHold + l.WatchSilence, Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConns: 1,
 		DialContext: (&net.Dialer{Timeout: l.Connect}).DialContext}}
+	defer client.CloseIdleConnections()
 	said := ""
 	for ctx.Err() == nil {
 		began := time.Now()
 		list, err := fetch(ctx, client, addr, seq, zones, l)
+		if ctx.Err() != nil {
+			return // another watch may have begun: a late answer must not take back what that one tells
+		}
 		if err == nil {
 			said, seq = "", list.Seq
 			apply(list)
@@ -33,7 +40,7 @@
 				continue
 			}
 			// An agent that does not hold an empty answer would be asked without end.
-		} else if text := err.Error(); text != said && ctx.Err() == nil {
+		} else if text := err.Error(); text != said {
 			said = text
 			log("discovery: %s", text)
 		}
@@ -47,7 +54,10 @@
 
 func fetch(ctx context.Context, client *http.Client, addr string, seq int64, zones []string,
 	l limits.Limits) (protocol.List, error) {
-	url := fmt.Sprintf("http://%s/v1/endpoints?from=%d&hold_ms=%d", addr, seq, l.WatchHold.Milliseconds())
+	url := fmt.Sprintf("http://%s/v1/endpoints", addr)
+	if seq != WholeList {
+		url += fmt.Sprintf("?from=%d&hold_ms=%d", seq, l.WatchHold.Milliseconds())
+	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return protocol.List{}, err
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -33,11 +34,13 @@
 	stops    []func()
 
 	mu      sync.Mutex
+	listed  Operator        // the file as last read, for its nodes
 	drained map[string]bool // nodes that the operator drains
 }
 
-// Serve runs the appliance until SIGTERM or an interrupt.
+// Serve runs the appliance until SIGTERM or an interrupt. At SIGHUP it reads the operator's file again.
 func Serve(path string) error {
+	hangups := hangups()
 	o, err := LoadOperator(path)
 	if err != nil {
 		return err
@@ -55,6 +58,7 @@
 	go a.client.Run(ctx)
 	go a.nodes.Run(ctx)
 	a.tellNodes()
+	go a.follow(ctx, hangups, path)
 	for _, start := range []func(context.Context) error{a.startFiles, a.startHTTP, a.startConsole} {
 		if err := start(ctx); err != nil {
 			return fmt.Errorf("%s: %w", path, err)
@@ -75,7 +79,7 @@
 
 func newAppliance(o Operator) (*Appliance, error) {
 	l := o.limits()
-	a := &Appliance{operator: o, limits: l, client: sftp.NewClient(l), nodes: transport.NewNodes(l),
+	a := &Appliance{operator: o, listed: o, limits: l, client: sftp.NewClient(l), nodes: transport.NewNodes(l),
 		failed: make(chan error, 4), drained: map[string]bool{}}
 	probe := a.client.Probe(l)
 	if o.SFTP.Listen == "" {
@@ -162,22 +166,37 @@
 	return net.Listen("unix", addr)
 }
 
+func noAddress(_, _ string) string { return "" }
+
 // drain tells the scheduler that a node gets nothing new, or takes that back.
 func (a *Appliance) drain(node string, on bool) error {
-	known := false
-	for _, n := range a.operator.Nodes {
-		known = known || n.Name == node
+	a.mu.Lock()
+	known := slices.ContainsFunc(a.listed.list(noAddress).Hosts, func(h protocol.Host) bool { return h.Node == node })
+	if known {
+		a.drained[node] = on
 	}
+	a.mu.Unlock()
 	if !known {
 		return fmt.Errorf("no node %q", node)
 	}
-	a.mu.Lock()
-	a.drained[node] = on
-	a.mu.Unlock()
 	a.tellNodes()
 	return nil
 }
 
+// follow takes over the nodes of the operator's file at each hangup; all else in it holds from the next start on.
+func (a *Appliance) follow(ctx context.Context, hangups <-chan os.Signal, path string) {
+	for {
+		o, ok := reread(ctx, hangups, LoadOperator, path)
+		if !ok {
+			return
+		}
+		a.mu.Lock()
+		a.listed = o
+		a.mu.Unlock()
+		a.tellNodes()
+	}
+}
+
 // tellNodes hands the node list, with what the operator drains, to the pools and the scheduler.
 func (a *Appliance) tellNodes() {
 	a.mu.Lock()
@@ -190,6 +209,6 @@
 		}
 		return list
 	}
-	a.nodes.Apply(set(a.operator.list(func(_, http string) string { return http })))
-	a.core.Tell(a.client.Apply(set(a.operator.list(func(sftp, _ string) string { return sftp }))))
+	a.nodes.Apply(set(a.listed.list(func(_, http string) string { return http })))
+	a.core.Tell(a.client.Apply(set(a.listed.list(func(sftp, _ string) string { return sftp }))))
 }
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -18,19 +18,17 @@
 	"otterturn/internal/net/transport"
 )
 
-// Platform runs the platform's front, as the RELAY_ variables tell, until SIGTERM or an interrupt.
+// Platform runs the platform's front, as the RELAY_ variables tell, until SIGTERM or an interrupt. At SIGHUP it
+// reads the configuration again and follows the discovery that it names then.
 func Platform() error {
 	path := os.Getenv("RELAY_CONFIG")
 	if path == "" {
 		return fmt.Errorf("RELAY_CONFIG: not set")
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return fmt.Errorf("RELAY_CONFIG: %w", err)
-	}
-	config, err := protocol.ParseConfig(text)
+	hangups := hangups()
+	config, err := readConfig(path)
 	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+		return err
 	}
 	set := config.Settings
 	l := limits.For(limits.Site{MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
@@ -51,7 +49,9 @@
 	go nodes.Run(ctx)
 	apply := func(list protocol.List) { core.Tell(nodes.Apply(list)) }
 	apply(config.Known)
-	go transport.Watch(ctx, config.Discovery, config.Known.Seq, set.Zones, l, apply, log.Printf)
+	go follow(ctx, config, hangups, path, func(ctx context.Context, addr string, seq int64) {
+		transport.Watch(ctx, addr, seq, set.Zones, l, apply, log.Printf)
+	})
 
 	listener, err := net.Listen("tcp", config.Listen)
 	if err != nil {
@@ -68,6 +68,63 @@
 	}
 }
 
+// hangups delivers SIGHUP, which would end the program, from here to its end: one may come while it stops.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+func readConfig(path string) (protocol.Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return protocol.Config{}, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	config, err := protocol.ParseConfig(text)
+	if err != nil {
+		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return config, nil
+}
+
+// follow keeps a watch on discovery until ctx ends. At each hangup the file is read again whole: one that is bad
+// leaves things as they are, and a good one moves the watch. The new watch begins once the old one has ended,
+// with the whole list, as versions may not carry over. Limits and settings hold until the program is started anew.
+func follow(ctx context.Context, config protocol.Config, hangups <-chan os.Signal, path string,
+	watch func(ctx context.Context, addr string, seq int64)) {
+	for seq := config.Known.Seq; ; seq = transport.WholeList {
+		own, end := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			watch(own, config.Discovery, seq)
+		}()
+		anew, ok := reread(ctx, hangups, readConfig, path)
+		end()
+		<-ended
+		if !ok {
+			return
+		}
+		config = anew
+	}
+}
+
+// reread waits for a hangup at which read brings a configuration, or for the end of ctx.
+func reread[T any](ctx context.Context, hangups <-chan os.Signal, read func(path string) (T, error), path string) (T, bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return *new(T), false
+		case <-hangups:
+		}
+		config, err := read(path)
+		if err == nil {
+			return config, true
+		}
+		log.Printf("reload: %v; the old configuration stays", err)
+	}
+}
+
 // bound keeps the run time within the machine: one core, and collections before the memory limit is near.
 func bound(l limits.Limits) {
 	runtime.GOMAXPROCS(1)
