Let idle clients make room, bound heads and bodies, turn two framings away

Checked: descriptors stood flat at 118 to 139 of 256, memory at 8 of 48 MB, 2,524 connections had asked once and stayed: ClientConns (96) was full of idle ones, kept for two minutes (limits.go, ClientIdle), and those past it got 503 by listener.go's mark at accept. Ruled out: nodes' queues (no attempt was turned away full), CPU (0.16 of a second). net/http drops Content-Length beside Transfer-Encoding and, on HTTP/1.0, the other way round. Changed: the connection longest without a request is closed when slots run short; head 1.5 s and whole request 2.5 s; the read deadline is cleared once the body is in; both framings are looked for in the head as it came; ids, paths, repeated headers and figures that no node can use end in 400 and a close; a third of the sockets leads to nodes; 32 sockets are reserved, not 64.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -8,15 +8,17 @@
 	Memory      int64 // bytes that the run time aims to stay under
 	Inbox       int   // events that may wait for the scheduler
 	Open        int   // requests open at once; more are refused
-	ClientConns int   // client connections that are served; those past it are told 503
-	SpareConns  int   // connections past ClientConns, held just long enough to be told so
+	ClientConns int   // client connections; past it, those without a request make room
+	SpareConns  int   // connections past ClientConns where none does; more wait
 	NodeConns   int   // connections to storage nodes, idle ones included
 	Body        int64 // bytes of a message's body
 	Header      int   // bytes of a message's head
 
-	ReadRequest  time.Duration // a whole request must have come
+	ReadHead     time.Duration // a request's head must have come, counted from its first byte or the connection's start
+	ReadRequest  time.Duration // and the whole request
 	WriteAnswer  time.Duration // an answer must be written, counted from the request's head
 	ClientIdle   time.Duration // a client's connection may stand idle
+	ClientSettle time.Duration // and so long in any case, for a request that is under way
 	Connect      time.Duration // a connection to a node must be up
 	NodeIdle     time.Duration // a node's connection is dropped once idle for so long
 	Probe        time.Duration // a probe must be answered
@@ -43,29 +45,42 @@
 	Deadline                time.Duration // the longest of any request
 }
 
-// Share of the sockets: clients keep a connection each while their requests are held, nodes get few at a time.
+// Share of the sockets: clients keep a connection each while their requests are held, and may hold a third of all
+// with requests. Nodes get few at a time, but all of a front's requests may go to few nodes or to many.
 const (
-	reserved   = 64 // sockets for listeners, discovery, the console and the run time
-	spareConns = 64 // see Limits.SpareConns
-	toNodes    = 4  // one in so many of the others leads to a node
+	reserved   = 32 // sockets for listeners, discovery, the console and the run time
+	spareConns = 24 // see Limits.SpareConns
+	toNodes    = 3  // one in so many of the others leads to a node
 )
 
+// Memory that a connection takes at most, beside a body: its buffers and the stacks of those who work on it.
+const perConn = 32 << 10
+
+// body is the longest of a message on the platform.
+const body = 64 << 10
+
 // For fills the limits of a deployment.
 func For(s Site) Limits {
 	rest := max(s.Sockets-reserved-spareConns, 16)
 	nodes := rest / toNodes
 	clients := rest - nodes
+	memory := int64(s.MemoryMB) << 20 * 6 / 10
+	// Every client may send a longest body, and every node answer with one.
+	if most := int(memory / (perConn + body)); clients+nodes > most {
+		clients, nodes = most-most/toNodes, most/toNodes
+	}
 	open := clients
 	if s.Open > 0 {
 		open = min(open, s.Open)
 	}
 	return Limits{
-		Memory: int64(s.MemoryMB) << 20 * 6 / 10,
+		Memory: memory,
 		Inbox:  4 * clients, Open: open, ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
-		Body: 64 << 10, Header: 16 << 10,
-		// net/http takes the end of the read time for the client's leaving, so it must outlast any deadline.
-		ReadRequest: 2*s.Deadline + 10*time.Second, WriteAnswer: 2*s.Deadline + 15*time.Second,
-		ClientIdle: 2 * time.Minute, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10,
+		Body: body, Header: 16 << 10,
+		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
+		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
+		WriteAnswer: 2*s.Deadline + 5*time.Second,
+		ClientIdle:  5 * time.Second, ClientSettle: 20 * time.Millisecond, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10,
 		Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
 		StopAccept: 500 * time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -40,6 +40,7 @@
 		ColdUnits, MeanUnits, MostUnits float64
 		SaysOthers                      bool
 		Shards                          int
+		ClassWrites                     []bool
 	}
 	Report struct {
 		How    string
@@ -69,6 +70,7 @@
 type Settings struct {
 	Rules       rules.Settings
 	Classes     []string // by the scheduler's index
+	Writes      []bool   // which classes write; none where that is not told
 	Plans       []string
 	Zones       []string
 	Shards      int    // shards are numbered from 0 to below this
@@ -99,7 +101,7 @@
 		KeyRest: rules.Micros(s.KeyRestUs), RetrySpan: rules.Micros(s.BudgetSpanUs),
 		RetrySpare: s.SpareAttempts, RetryShare: s.BudgetShare,
 	}
-	out := Settings{Zones: in.Zones, LoadReports: in.Report.How != "" && in.Report.How != "off",
+	out := Settings{Zones: in.Zones, Writes: in.FamilyInfo.ClassWrites, LoadReports: in.Report.How != "" && in.Report.How != "off",
 		Shards: in.FamilyInfo.Shards, MaxOpen: in.Ceilings.MaxOpen, ConnIdle: micros(in.Ceilings.ConnIdleUs),
 		Connect: micros(in.Ceilings.ConnectTimeoutUs), Retry: micros(in.Ceilings.MaxRetryAfterUs)}
 	for _, field := range in.Report.Fields {
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,7 @@
 	limits   limits.Limits
 	proxy    *httputil.ReverseProxy
 	server   *http.Server
-	clients  clients
+	clients  *clients
 	open     atomic.Int64 // requests taken and not answered
 	stopping atomic.Bool
 }
@@ -31,11 +32,11 @@
 // NewFront returns a front that answers clients with what the round tripper brings.
 func NewFront(set protocol.Settings, l limits.Limits, next http.RoundTripper) *Front {
 	quiet := log.New(io.Discard, "", 0) // a client that leaves is no news, and a line each would be a flood
-	f := &Front{settings: set, limits: l, clients: clients{idle: map[net.Conn]time.Time{}}}
+	f := &Front{settings: set, limits: l, clients: newClients(l)}
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite: func(p *httputil.ProxyRequest) {
 			p.Out.URL.RawQuery = p.In.URL.RawQuery
-			p.Out.Header.Del("Expect") // the body is here already
+			p.Out.Header = protocol.Forwarded(p.In.Header) // no Upgrade above all, nor Expect: the body is here
 		},
 		Transport:    next,
 		ErrorHandler: answerError,
@@ -49,25 +50,25 @@
 			return nil
 		},
 	}
-	f.server = &http.Server{Handler: f, ReadTimeout: l.ReadRequest, WriteTimeout: l.WriteAnswer,
-		IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header, ErrorLog: quiet, ConnContext: markSpare,
+	// A read deadline that ran on would end net/http's wait for the client's leaving, and count as that. So the
+	// head alone has one here, and the body sets and clears its own.
+	f.server = &http.Server{Handler: f, ReadHeaderTimeout: l.ReadHead, WriteTimeout: l.WriteAnswer,
+		IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header, ErrorLog: quiet, ConnContext: withConn,
 		ConnState: f.clients.track}
 	return f
 }
 
 // Serve accepts clients until Stop.
-func (f *Front) Serve(l net.Listener) error {
-	return f.serve(newListener(l, f.limits.ClientConns, f.limits.SpareConns))
-}
+func (f *Front) Serve(l net.Listener) error { return f.serve(l, nil) }
 
 // ServeTLS accepts clients over TLS until Stop.
 func (f *Front) ServeTLS(l net.Listener, config *tls.Config) error {
 	config.NextProtos = slices.DeleteFunc(config.NextProtos, func(p string) bool { return p == "h2" })
-	return f.serve(tls.NewListener(newListener(l, f.limits.ClientConns, f.limits.SpareConns), config))
+	return f.serve(l, config)
 }
 
-func (f *Front) serve(l net.Listener) error {
-	err := f.server.Serve(l)
+func (f *Front) serve(l net.Listener, secure *tls.Config) error {
+	err := f.server.Serve(&listener{Listener: l, secure: secure, clients: f.clients})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -78,7 +79,8 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer f.open.Add(-1)
 	open := f.open.Add(1)
-	if f.stopping.Load() || isSpare(r.Context()) {
+	full := open > int64(f.limits.Open)
+	if f.stopping.Load() || full {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" && r.Method == http.MethodGet {
@@ -87,30 +89,61 @@
 		}
 		return
 	}
+	m, status, err := f.read(w, r)
+	switch {
+	case err != nil: // who sends what can't be used gets no further use of the connection
+		w.Header().Set("Connection", "close")
+		http.Error(w, err.Error(), status)
+		return
+	case full:
+		answerError(w, r, &routing.Refused{RetryAfter: f.settings.Retry})
+		return
+	}
+	f.clients.take(connOf(r.Context()))
+	r = r.WithContext(withMessage(r.Context(), m))
+	r.Body, r.ContentLength, r.TransferEncoding, r.Trailer = http.NoBody, 0, nil, nil
+	f.proxy.ServeHTTP(w, r)
+}
+
+// read reads a request whole, or tells with which status it is turned away.
+func (f *Front) read(w http.ResponseWriter, r *http.Request) (protocol.Request, int, error) {
+	conn := connOf(r.Context())
+	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+		if conn.framing.clashes() {
+			return protocol.Request{}, http.StatusBadRequest, errors.New("the request may be framed in two ways")
+		}
+		w.Header().Set("Connection", "close") // what stands behind it could not be told from its body
+	}
 	m, err := protocol.ParseRequest(r, f.settings)
 	if errors.Is(err, protocol.ErrNoPath) {
-		http.Error(w, err.Error(), http.StatusNotFound)
-		return
+		return m, http.StatusNotFound, err
 	} else if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+		return m, http.StatusBadRequest, err
+	}
+	if r.ContentLength > f.limits.Body {
+		return m, http.StatusRequestEntityTooLarge, errTooLong
+	}
+	if r.ContentLength == 0 {
+		return m, 0, nil
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(f.clients.due(conn)); err != nil {
+		return m, http.StatusInternalServerError, err
 	}
 	// net/http notices that a client leaves only once the body has been read.
 	m.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, f.limits.Body))
-	if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	} else if err != nil {
-		http.Error(w, "the body did not come whole", http.StatusBadRequest)
-		return
+	switch tooLong := new(http.MaxBytesError); {
+	case errors.As(err, &tooLong):
+		return m, http.StatusRequestEntityTooLarge, err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return m, http.StatusRequestTimeout, errors.New("the body did not come in time")
+	case err != nil:
+		return m, http.StatusBadRequest, errors.New("the body did not come whole")
 	}
-	if open > int64(f.limits.Open) || isSpare(r.Context()) {
-		answerError(w, r, &routing.Refused{RetryAfter: f.settings.Retry})
-		return
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return m, http.StatusInternalServerError, err
 	}
-	r = r.WithContext(withMessage(r.Context(), m))
-	r.Body, r.ContentLength = http.NoBody, 0
-	f.proxy.ServeHTTP(w, r)
+	return m, 0, nil
 }
 
 // answerError writes the final answer to a request that was not served.
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -5,60 +5,77 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"otterturn/internal/limits"
 )
 
-// listener bounds the connections that are open. Those past the bound for service are marked, so that they are
-// told 503 at once; past the spare ones too, new ones wait in the kernel's queue.
+// listener hands accepted connections to net/http, within the bound on all that are open.
 type listener struct {
 	net.Listener
-	all    chan struct{} // a token for each open connection
-	served int
-}
-
-func newListener(l net.Listener, served, spare int) *listener {
-	return &listener{Listener: l, all: make(chan struct{}, served+spare), served: served}
+	secure  *tls.Config // nil for plain TCP
+	clients *clients
 }
 
+// Accept takes a connection and makes room for it. What finds none waits here, and those behind it in the
+// kernel's queue.
 func (l *listener) Accept() (net.Conn, error) {
-	l.all <- struct{}{}
-	c, err := l.Listener.Accept()
+	raw, err := l.Listener.Accept()
 	if err != nil {
-		<-l.all
 		return nil, err
 	}
-	return &clientConn{Conn: c, spare: len(l.all) > l.served, all: l.all}, nil
+	c := &clientConn{Conn: raw, raw: raw, clients: l.clients}
+	if l.secure != nil {
+		c.Conn = tls.Server(raw, l.secure)
+	}
+	l.clients.enter(c)
+	return c, nil
 }
 
-// clientConn is a client's connection.
+// clientConn is a client's connection. What stands after clients is guarded by that one's lock.
 type clientConn struct {
 	net.Conn
-	spare bool
-	once  sync.Once
-	all   chan struct{}
-	came  atomic.Bool // something was read since it last stood idle
+	raw     net.Conn    // under TLS, if that is spoken
+	came    atomic.Bool // something was read since it last stood idle
+	framing framing     // of the goroutine that reads
+	clients *clients
+	stage   stage
+	since   time.Time // in its stage; while the first request comes, since the connection was accepted
+	served  bool      // a request is over
 }
 
+// stage is what a connection is about.
+type stage int
+
+const (
+	idle    stage = iota // no request has begun
+	reading              // one has, and has not come whole
+	busy                 // one is owed an answer
+)
+
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.came.Store(true)
+		c.framing.take(p[:n])
 	}
 	return n, err
 }
 
 func (c *clientConn) Close() error {
-	c.once.Do(func() { <-c.all })
+	c.clients.leave(c)
 	return c.Conn.Close()
 }
 
 // crossed tells whether something has come that may be a request: read, or still in the kernel. net/http waits
 // in a read of its own, so the descriptor is looked at beside it.
 func (c *clientConn) crossed() bool {
-	s, ok := c.Conn.(syscall.Conn)
+	s, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -77,62 +94,196 @@
 	return err == syscall.EAGAIN
 }
 
-// plain is the connection under TLS, if that is spoken.
-func plain(c net.Conn) *clientConn {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
+// framing looks at a request's head as it came. net/http drops Content-Length where Transfer-Encoding stands beside
+// it, and ignores the latter on HTTP/1.0, so a handler can't see that a request was framed in two ways: a body
+// that ends elsewhere for another reader may hide a request.
+type framing struct {
+	mu               sync.Mutex
+	line             []byte // the beginning of the line that comes
+	began, over      bool
+	length, transfer bool
+	rest             int64 // bytes of the body still to come
+	ahead            bool  // more came than the request: the next head may have begun unseen
+}
+
+const (
+	lengthName   = "content-length:"
+	transferName = "transfer-encoding:"
+	longestLine  = 64 // of which names and lengths are read
+)
+
+func (h *framing) take(p []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, b := range p {
+		switch {
+		case h.over:
+			h.rest -= int64(len(p) - i)
+			h.ahead = h.ahead || h.rest < 0 && !h.transfer // chunks tell their end themselves, and end the connection
+			return
+		case b != '\n':
+			if len(h.line) < longestLine {
+				h.line = append(h.line, b)
+			}
+			continue
+		}
+		line := strings.ToLower(strings.TrimRight(string(h.line), "\r"))
+		if value, ok := strings.CutPrefix(line, lengthName); ok {
+			n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+			h.length, h.rest, h.ahead = true, n, h.ahead || err != nil
+		}
+		h.transfer = h.transfer || strings.HasPrefix(line, transferName)
+		h.over = h.began && line == "" // empty lines ahead of a request are passed over
+		h.began, h.line = h.began || line != "", h.line[:0]
 	}
-	cc, _ := c.(*clientConn)
-	return cc
 }
 
-// clients are the connections that are open, with the time since when each carries no request.
+// clashes tells whether the head names two framings, or may do so unseen.
+func (h *framing) clashes() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.over || h.ahead || h.length && h.transfer
+}
+
+// next forgets a head whose request is over.
+func (h *framing) next() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.line, h.began, h.over, h.length, h.transfer, h.rest = h.line[:0], false, false, false, false, 0
+}
+
+// clients are the connections that are open.
 type clients struct {
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time // the zero time for one that carries a request
+	limits  limits.Limits
+	mu      sync.Mutex
+	conns   map[*clientConn]struct{}
+	changed chan struct{} // holds one: a connection has ended or stands idle
+}
+
+func newClients(l limits.Limits) *clients {
+	return &clients{limits: l, conns: map[*clientConn]struct{}{}, changed: make(chan struct{}, 1)}
+}
+
+// enter takes a connection in. Where slots run short, the one that has stood longest without a request is closed
+// for it: clients that ask once and stay, or connect and say nothing, would keep those out that ask. Past the
+// spare slots too it waits.
+func (s *clients) enter(c *clientConn) {
+	for !s.fits(c) {
+		select {
+		case <-s.changed:
+		case <-time.After(s.limits.ClientSettle):
+		}
+	}
+}
+
+func (s *clients) fits(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.limits.ClientConns {
+		s.closeLongest(time.Now())
+	}
+	if len(s.conns) >= s.limits.ClientConns+s.limits.SpareConns {
+		return false
+	}
+	c.since = time.Now()
+	s.conns[c] = struct{}{}
+	return true
+}
+
+// closeLongest closes the connection that has been longest without a whole request, if it has had time to send
+// one. The lock is held.
+func (s *clients) closeLongest(now time.Time) {
+	var longest *clientConn
+	for c := range s.conns {
+		wait := s.limits.ClientSettle
+		if c.stage == reading {
+			wait = s.limits.ReadHead / 2
+		}
+		if c.stage != busy && now.Sub(c.since) >= wait && (longest == nil || c.since.Before(longest.since)) &&
+			(c.stage == reading || !c.crossed()) {
+			longest = c
+		}
+	}
+	if longest != nil {
+		s.shut(longest)
+	}
+}
+
+// shut closes a connection. The lock is held. net/http then finds it closed.
+func (s *clients) shut(c *clientConn) {
+	delete(s.conns, c)
+	c.raw.Close()
+}
+
+func (s *clients) leave(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.note()
+}
+
+func (s *clients) note() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
 }
 
 // track follows net/http's word on a connection.
-func (s *clients) track(c net.Conn, state http.ConnState) {
+func (s *clients) track(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
-	case http.StateNew:
-		s.idle[c] = time.Now()
 	case http.StateActive:
-		s.idle[c] = time.Time{}
-	case http.StateIdle:
-		if cc := plain(c); cc != nil {
-			cc.came.Store(false)
+		if c.stage = reading; c.served {
+			c.since = time.Now()
 		}
-		s.idle[c] = time.Now()
-	default:
-		delete(s.idle, c)
+	case http.StateIdle:
+		c.came.Store(false)
+		c.framing.next()
+		c.stage, c.since, c.served = idle, time.Now(), true
+		s.note()
 	}
 }
 
+// due is when the request that comes on a connection must be whole.
+func (s *clients) due(c *clientConn) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.since.Add(s.limits.ReadRequest)
+}
+
+// take marks that a request has come whole: its connection is left alone until it is answered.
+func (s *clients) take(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.stage = busy
+}
+
 // closeIdle closes what has carried no request for a while, and tells how many connections stay. One that a
 // request is crossing is left alone; a client that finds a connection closed between requests opens another.
 func (s *clients) closeIdle(since time.Time) (left int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, at := range s.idle {
-		if cc := plain(c); !at.IsZero() && at.Before(since) && cc != nil && !cc.crossed() {
-			cc.Close() // net/http then says that it is closed
-			delete(s.idle, c)
+	for c := range s.conns {
+		if c.stage == idle && c.since.Before(since) && !c.crossed() {
+			s.shut(c)
 		}
 	}
-	return len(s.idle)
+	return len(s.conns)
 }
 
-type spareKey struct{}
+type connKey struct{}
 
-func markSpare(ctx context.Context, c net.Conn) context.Context {
-	cc := plain(c)
-	return context.WithValue(ctx, spareKey{}, cc != nil && cc.spare)
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
 }
 
-func isSpare(ctx context.Context) bool {
-	spare, _ := ctx.Value(spareKey{}).(bool)
-	return spare
+func connOf(ctx context.Context) *clientConn {
+	c, _ := ctx.Value(connKey{}).(*clientConn)
+	return c
 }
