--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -14,6 +14,9 @@
 	Body        int64 // bytes of a message's body
 	Header      int   // bytes of a message's head
 
+	Informational int // heads of a node's answer, informational ones and its own
+	ProbeTries    int // a probe is sent so often while its answers can't be read
+
 	ReadHead     time.Duration // a request's head must have come, counted from its first byte or the connection's start
 	ReadRequest  time.Duration // and the whole request
 	WriteAnswer  time.Duration // an answer must be written, counted from the request's head
@@ -21,6 +24,8 @@
 	ClientSettle time.Duration // and so long in any case, for a request that is under way
 	Connect      time.Duration // a connection to a node must be up
 	NodeIdle     time.Duration // a node's connection is dropped once idle for so long
+	AnswerRest   time.Duration // a node's answer must come to its end, counted from its first byte
+	NodeSettle   time.Duration // a node's connection is not used again so soon
 	Probe        time.Duration // a probe must be answered
 	WatchHold    time.Duration // discovery may hold a watch
 	WatchSilence time.Duration // and answers within this after it
@@ -76,12 +81,12 @@
 	return Limits{
 		Memory: memory,
 		Inbox:  4 * clients, Open: open, ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
-		Body: body, Header: 16 << 10,
+		Body: body, Header: 16 << 10, Informational: 8, ProbeTries: 3,
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
 		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
 		WriteAnswer: 2*s.Deadline + 5*time.Second,
-		ClientIdle:  5 * time.Second, ClientSettle: 20 * time.Millisecond, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10,
-		Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
+		ClientIdle:  5 * time.Second, ClientSettle: 20 * time.Millisecond, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10, NodeSettle: time.Millisecond,
+		AnswerRest: max(s.Connect, 250*time.Millisecond), Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
 		StopAccept: 500 * time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
 		StopAtMost: s.Deadline + 2*time.Second,
--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -204,7 +204,7 @@
 			continue
 		}
 		n, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(n >= 0) {
+		if err != nil || !(n >= 0 && n < 1e6) {
 			return 0, fmt.Errorf("load report: %s %q is no number", field, value)
 		}
 		return n, nil
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -286,7 +287,7 @@
 	if o.Result == rules.TimedOut && context.Cause(own) == errTakenBack {
 		o.Result = rules.Cancelled
 	}
-	o.Latency = rules.Micros(time.Since(began) / time.Microsecond)
+	o.Latency = cmp.Or(got.Latency, rules.Micros(time.Since(began)/time.Microsecond))
 	o.Final = o.Result == rules.OK
 	return value
 }
