Refuse what earns least once the clients' connections run short in a flood

Checked: clients use a third of the descriptors (85 of 256) and each held request takes one for up to half of its time, so a front took in some 70 requests a second. Ruled out: the front's own bound, as it held 175 of 256 descriptors, and CPU (0.12 of a second). Changed: the module gets MaxOpen, a quarter of the sockets. Past it those are refused, at once and with the time to come back, that would be late, then those beyond their reservation with the longest backlog for their weight. The test fails without the call.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -8,6 +8,7 @@
 	Memory      int64 // bytes that the run time aims to stay under
 	Inbox       int   // events that may wait for the scheduler
 	Open        int   // requests open at once; more are refused
+	Hold        int   // requests open at once, past which the scheduler refuses those that earn least
 	ClientConns int   // client connections; past it, those without a request make room
 	SpareConns  int   // connections past ClientConns where none does; more wait
 	NodeConns   int   // connections to storage nodes, idle ones included
@@ -56,6 +57,7 @@
 	reserved   = 32 // sockets for listeners, discovery, the console and the run time
 	spareConns = 24 // see Limits.SpareConns
 	toNodes    = 3  // one in so many of the others leads to a node
+	toHold     = 4  // one in so many of all may stand for a request that is open: clients use a third at most
 )
 
 // Memory that a connection takes at most, beside a body: its buffers and the stacks of those who work on it.
@@ -80,7 +82,7 @@
 	}
 	return Limits{
 		Memory: memory,
-		Inbox:  4 * clients, Open: open, ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
+		Inbox:  4 * clients, Open: open, Hold: min(open, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
 		Body: body, Header: 16 << 10, Informational: 8, ProbeTries: 3,
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
 		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -86,7 +86,9 @@
 		probe = transport.NewProber(a.nodes, protocol.Settings{}, log.Printf).Probe
 	}
 	var err error
-	a.core, err = routing.New(o.settings().Rules, rand.Int64(), l.Inbox, probe)
+	set := o.settings().Rules
+	set.MaxOpen = l.Hold
+	a.core, err = routing.New(set, rand.Int64(), l.Inbox, probe)
 	return a, err
 }
 
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -39,6 +39,7 @@
 
 	nodes := transport.NewNodes(l)
 	prober := transport.NewProber(nodes, set, log.Printf)
+	set.Rules.MaxOpen = l.Hold
 	core, err := routing.New(set.Rules, config.Seed, l.Inbox, prober.Probe)
 	if err != nil {
 		return err
--- a/rules/api.go
+++ b/rules/api.go
@@ -59,6 +59,7 @@
 	MostUnits float64 // largest size of a request
 	Elsewhere bool    // outcomes tell what a node served through other hosts
 
+	MaxOpen  int  // requests open at once, past which those that earn least are refused, 0 for no bound
 	MaxTries int  // attempts that a request may have, 0 for no bound
 	Probing  bool // probes are allowed
 	Cancel   bool // attempts may be cancelled
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -188,6 +188,7 @@
 	s.slowLoop(s.pool)
 	s.dispatch()
 	s.giveUp()
+	s.shed()
 	if s.held > 0 && !s.wakeSet {
 		s.wakeSet = true
 		s.out = append(s.out, SetAlarm{At: now + wakeTicks*s.set.Tick})
@@ -543,6 +544,57 @@
 	}
 }
 
+// shed refuses what earns least while more is open than there is room for. Clients have only so many connections,
+// and each request that is held takes one: held for little, it keeps out what a node could serve at once. Covers
+// floods; could hurt where one ends just as its requests are refused.
+func (s *Scheduler) shed() {
+	if s.set.MaxOpen <= 0 || len(s.reqs) <= s.set.MaxOpen {
+		return
+	}
+	open := 0
+	for _, r := range s.reqs {
+		if !r.done {
+			open++
+		}
+	}
+	for ; open > s.set.MaxOpen; open-- {
+		sh, r := s.least()
+		if r == nil {
+			return
+		}
+		s.finish(r, s.answerAt(sh, r)-s.now)
+	}
+}
+
+// least is the request never sent that earns least: one that will be late, then one beyond its volume's
+// reservation, each time from the flow with the longest backlog for its weight.
+func (s *Scheduler) least() (where *shard, worst *request) {
+	rank, backlog := 0, 0.0
+	for _, sh := range s.order {
+		for _, f := range sh.flows {
+			units := 0.0
+			for _, r := range f.held {
+				units += r.Units
+			}
+			tag := max(0, f.weight-sh.virtual) + units/max(f.vol.plan.Weight, 1e-9)
+			rate := s.reservation(f.vol)
+			for _, r := range f.held {
+				k := rankReserved
+				if s.answerAt(sh, r) > r.aimAt {
+					k = rankLate
+				} else if rate == 0 || f.vol.reserve+units/rate > float64(s.now+s.aim) {
+					k = rankWeight
+				}
+				worse := worst == nil || k > rank || k == rank && (tag > backlog || tag == backlog && before(worst, r))
+				if len(r.sends) == 0 && worse {
+					where, worst, rank, backlog = sh, r, k, tag
+				}
+			}
+		}
+	}
+	return where, worst
+}
+
 // answerAt is the earliest that a held request may be answered, as far as this host can tell. A node that is
 // gone or does not answer is expected to stay so for as long again. What it held when last heard of is served
 // first; a late request waits for all others; a limit's bucket has to fill.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1145,3 +1145,22 @@
 		t.Errorf("%d lines that are not blank", lines)
 	}
 }
+
+// In a flood the requests that were held took all of the clients' connections, and what a node could have served
+// at once found none. Past MaxOpen those that earn least are refused at once, what is reserved last.
+func TestFloodRefusesWhatEarnsLeast(t *testing.T) {
+	set := testSettings()
+	set.MaxOpen = 4
+	h := newHost(t, set)
+	volume := func(name string, plan int) func(*Request) {
+		return func(r *Request) { r.Volume, r.Plan, r.Shard, r.Left = name, plan, 9, 20000*ms } // no node holds it
+	}
+	var actions []Action
+	for i := range 3 {
+		actions = append(actions, h.step(req(fmt.Sprint("reserved-", i), volume("r", 2)))...)
+		actions = append(actions, h.step(req(fmt.Sprint("other-", i), volume("o", 0)))...)
+	}
+	if refused, _ := finals(actions); len(refused) != 2 || !strings.HasPrefix(refused[0], "other-") || !strings.HasPrefix(refused[1], "other-") {
+		t.Errorf("refused %v, want two of the others", refused)
+	}
+}
