--- a/rules/rules.go
+++ b/rules/rules.go
@@ -544,9 +544,9 @@
 	}
 }
 
-// shed refuses what earns least while more is open than there is room for. Clients have only so many connections,
-// and each request that is held takes one: held for little, it keeps out what a node could serve at once. Covers
-// floods; could hurt where one ends just as its requests are refused.
+// shed refuses what earns least while more is open than there is room for. Clients have only so many
+// connections, and each request that is held takes one: held for little, it keeps out what a node could serve
+// at once. Covers floods; could hurt where one ends just as its requests are refused.
 func (s *Scheduler) shed() {
 	if s.set.MaxOpen <= 0 || len(s.reqs) <= s.set.MaxOpen {
 		return
@@ -569,7 +569,7 @@
 // least is the request never sent that earns least: one that will be late, then one beyond its volume's
 // reservation, each time from the flow with the longest backlog for its weight.
 func (s *Scheduler) least() (where *shard, worst *request) {
-	rank, backlog := 0, 0.0
+	rank, backlog := rankReserved, 0.0
 	for _, sh := range s.order {
 		for _, f := range sh.flows {
 			units := 0.0
@@ -585,10 +585,11 @@
 				} else if rate == 0 || f.vol.reserve+units/rate > float64(s.now+s.aim) {
 					k = rankWeight
 				}
-				worse := worst == nil || k > rank || k == rank && (tag > backlog || tag == backlog && before(worst, r))
-				if len(r.sends) == 0 && worse {
-					where, worst, rank, backlog = sh, r, k, tag
+				order := cmp.Or(cmp.Compare(k, rank), cmp.Compare(tag, backlog))
+				if len(r.sends) > 0 || worst != nil && (order < 0 || order == 0 && before(r, worst)) {
+					continue
 				}
+				where, worst, rank, backlog = sh, r, k, tag
 			}
 		}
 	}
