Serve clients for nearly as long as a stop may take, and log starts and stops

Checked, by log lines with times: a front ended 1.0 to 1.5 s after SIGTERM and was started again 4 s after it whatever it did; it had answered with 'Connection: close' and closed idle connections from 0.5 s on (front.go, Stop), so its clients had no way for 2.5 to 3 s. Ruled out: the time to start (0.0 s). Changed: clients keep their connections until 0.5 s before a kill may come; what comes meanwhile has its time cut to 0.1 s before it; the front still ends as soon as no connection is left.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,8 +32,10 @@
 	WatchSilence time.Duration // and answers within this after it
 	WatchAgain   time.Duration // pause before the next watch after one that failed
 	AcceptAgain  time.Duration // pause after a client could not be accepted
-	StopAccept   time.Duration // after SIGTERM clients use the front as before for so long
-	StopCheck    time.Duration // then idle connections are closed, looked for this often
+	StopAccept   time.Duration // after SIGTERM clients may still come for so long
+	StopServe    time.Duration // and use their connections for so long; then idle ones are closed
+	StopAnswer   time.Duration // what comes meanwhile is answered within this
+	StopCheck    time.Duration // a stop looks so often how far it is
 	StopLinger   time.Duration // a client may take so long to read the last answer
 	StopAtMost   time.Duration // and the front ends at the latest after this
 
@@ -63,6 +65,12 @@
 // Memory that a connection takes at most, beside a body: its buffers and the stacks of those who work on it.
 const perConn = 32 << 10
 
+// How long after SIGTERM the process is killed at the earliest: see For.
+const (
+	stopDeadline = 3 * time.Second
+	stopMore     = 700 * time.Millisecond
+)
+
 // body is the longest of a message on the platform.
 const body = 64 << 10
 
@@ -80,6 +88,8 @@
 	if s.Open > 0 {
 		open = min(open, s.Open)
 	}
+	// A stop may take the longest deadline, counted as stopDeadline where it is longer, and stopMore.
+	grace := min(s.Deadline, stopDeadline) + stopMore
 	return Limits{
 		Memory: memory,
 		Inbox:  4 * clients, Open: open, Hold: min(open, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
@@ -90,7 +100,8 @@
 		ClientIdle:  5 * time.Second, ClientSettle: 20 * time.Millisecond, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10, NodeSettle: time.Millisecond,
 		AnswerRest: max(s.Connect, 250*time.Millisecond), Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
-		StopAccept: 500 * time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
+		StopAccept: 500 * time.Millisecond, StopServe: grace - 500*time.Millisecond,
+		StopAnswer: grace - 100*time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
 		StopAtMost: s.Deadline + 2*time.Second,
 		FileConns:  min(clients, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileAnswer: 2 << 20,
 		FileIdle: 5 * time.Minute,
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -25,8 +25,8 @@
 	proxy    *httputil.ReverseProxy
 	server   *http.Server
 	clients  *clients
-	open     atomic.Int64 // requests taken and not answered
-	stopping atomic.Bool
+	open     atomic.Int64              // requests taken and not answered
+	stopping atomic.Pointer[time.Time] // when the stop began, nil before
 }
 
 // NewFront returns a front that answers clients with what the round tripper brings.
@@ -80,11 +80,12 @@
 	defer f.open.Add(-1)
 	open := f.open.Add(1)
 	full := open > int64(f.limits.Open)
-	if f.stopping.Load() || full {
+	since, stopping := f.stopped()
+	if stopping && since >= f.limits.StopServe || full {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" && r.Method == http.MethodGet {
-		if f.stopping.Load() {
+		if stopping {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -99,6 +100,9 @@
 		answerError(w, r, &routing.Refused{RetryAfter: f.settings.Retry})
 		return
 	}
+	if stopping { // what comes now must be over when the process may be killed
+		m.Left = min(m.Left, micros(f.limits.StopAnswer-since))
+	}
 	f.clients.take(connOf(r.Context()))
 	r = r.WithContext(withMessage(r.Context(), m))
 	r.Body, r.ContentLength, r.TransferEncoding, r.Trailer = http.NoBody, 0, nil, nil
@@ -160,19 +164,34 @@
 	}
 }
 
-// Stop ends the front without losing a request. Clients learn late that it stops: it goes on accepting, and
-// answers what it takes with 'Connection: close'. After a while it closes the connections that stand idle, or
-// their clients would go on to use them until the process is killed, and ends once none is left.
+// stopped tells for how long the front has been stopping, if it is.
+func (f *Front) stopped() (since time.Duration, stopping bool) {
+	began := f.stopping.Load()
+	if began == nil {
+		return 0, false
+	}
+	return time.Since(*began), true
+}
+
+// Stop ends the front without losing a request. Its clients have no other way until it is started again, and
+// learn late that it stops: so it serves them for nearly as long as a stop may take. Then it closes the
+// connections that stand idle, answers the others with 'Connection: close', and ends once none is left.
 func (f *Front) Stop() error {
-	f.stopping.Store(true)
 	began := time.Now()
+	f.stopping.Store(&began)
 	tick := time.NewTicker(f.limits.StopCheck)
 	defer tick.Stop()
 	for now := range tick.C {
-		if now.Sub(began) < f.limits.StopAccept {
+		since, left := now.Sub(began), 0
+		switch {
+		case since < f.limits.StopAccept:
 			continue
+		case since < f.limits.StopServe:
+			left = f.clients.count()
+		default:
+			left = f.clients.closeIdle(now.Add(-f.limits.StopCheck))
 		}
-		if f.clients.closeIdle(now.Add(-f.limits.StopCheck)) == 0 && f.open.Load() == 0 || now.Sub(began) > f.limits.StopAtMost {
+		if left == 0 && f.open.Load() == 0 || since > f.limits.StopAtMost {
 			break
 		}
 	}
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -264,6 +264,13 @@
 	c.stage = busy
 }
 
+// count tells how many connections are open.
+func (s *clients) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // closeIdle closes what has carried no request for a while, and tells how many connections stay. One that a
 // request is crossing is left alone; a client that finds a connection closed between requests opens another.
 func (s *clients) closeIdle(since time.Time) (left int) {
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -59,12 +59,16 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	front := transport.NewFront(set, l, transport.NewRoundTripper(core, nodes))
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
+	log.Printf("serving on %s", config.Listen)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(listener) }()
 	select {
 	case err := <-served:
 		return err
 	case <-stopped.Done():
+		log.Print("stopping")
+		defer log.Print("stopped")
 		return front.Stop()
 	}
 }
