Forget idle volumes and flows, keep a cold node's room while it counts

Seen: the scheduler kept every volume it had heard of, with a flow in each shard, and threw a node's cold budget away as soon as it left the list. Checked, by a test: 101 volumes and 101 flows stood after 40 idle seconds; a cold node that left the list and came back had its room anew (rules.go, volume and hold have no end; learn). Changed: every slow interval, volumes that would come back as they are (store full, reservation tag as far behind as it may be, nothing open) and flows idle for longer than the curves remember are forgotten.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -57,6 +57,7 @@
 	refused              map[Request]*request // what clients may bring again, until their time is up
 	held                 int
 	wakeSet              bool
+	sweepAt              Micros
 	taken                []Micros // times of requests taken within the retry span
 	furthered            []Micros // and of further attempts
 }
@@ -103,6 +104,7 @@
 	reserve float64 // reservation tag: due once it is not after now
 	tokens  float64
 	filled  Micros
+	open    int // requests that are not over
 }
 
 // flow is what is held of one volume for one shard.
@@ -110,6 +112,7 @@
 	vol    *volume
 	held   []*request
 	weight float64 // weight tag
+	last   Micros  // last send
 }
 
 type shard struct {
@@ -191,6 +194,7 @@
 	s.dispatch()
 	s.giveUp()
 	s.shed()
+	s.sweep()
 	if s.held > 0 && !s.wakeSet {
 		s.wakeSet = true
 		s.out = append(s.out, SetAlarm{At: now + wakeTicks*s.set.Tick})
@@ -247,7 +251,8 @@
 		}
 	}
 	s.nodes = slices.DeleteFunc(s.nodes, func(n *node) bool {
-		gone := n.State == Gone && len(n.pending) == 0
+		// What a cold node was sent counts until it is warm, also where it leaves the list and comes back.
+		gone := n.State == Gone && len(n.pending) == 0 && !s.isCold(n)
 		if gone {
 			delete(s.byName, n.Node)
 		}
@@ -278,6 +283,7 @@
 		r.aimAt = min(r.aimAt, p.aimAt)
 	}
 	s.reqs[e.ID] = r
+	r.vol.open++
 	if c.InOrder && e.Key != "" {
 		if s.keys[e.Key] == nil {
 			s.keys[e.Key] = &turn{}
@@ -565,16 +571,7 @@
 // connections, and each request that is held takes one: held for little, it keeps out what a node could serve
 // at once. Covers floods; could hurt where one ends just as its requests are refused.
 func (s *Scheduler) shed() {
-	if s.set.MaxOpen <= 0 || len(s.reqs) <= s.set.MaxOpen {
-		return
-	}
-	open := 0
-	for _, r := range s.reqs {
-		if !r.done {
-			open++
-		}
-	}
-	for ; open > s.set.MaxOpen; open-- {
+	for s.set.MaxOpen > 0 && len(s.reqs) > s.set.MaxOpen {
 		sh, r := s.least()
 		if r == nil {
 			return
@@ -660,6 +657,7 @@
 		return
 	}
 	delete(s.reqs, r.ID)
+	r.vol.open--
 	if t := s.keys[r.Key]; t != nil && r.class.InOrder {
 		t.queue = slices.DeleteFunc(t.queue, func(q *request) bool { return q == r })
 	}
@@ -668,6 +666,29 @@
 	}
 }
 
+// sweep forgets volumes that are idle and would come back as they are: with the limit's store full, and the
+// reservation tag as far behind as it may be. A flow's weight tag counts for as long as the curves remember.
+func (s *Scheduler) sweep() {
+	if s.now < s.sweepAt {
+		return
+	}
+	s.sweepAt = s.now + slowInterval
+	for _, sh := range s.order {
+		sh.flows = slices.DeleteFunc(sh.flows, func(f *flow) bool {
+			idle := len(f.held) == 0 && s.now > f.last+curvePoints*slowInterval
+			if idle {
+				delete(sh.byVol, f.vol)
+			}
+			return idle
+		})
+	}
+	maps.DeleteFunc(s.volumes, func(_ string, v *volume) bool {
+		s.fill(v)
+		full, rate := v.plan.Limit <= 0 || v.tokens >= v.plan.Burst/v.hosts, s.reservation(v)
+		return v.open == 0 && full && (rate == 0 || v.reserve <= float64(s.now-second)-s.set.MostUnits/rate)
+	})
+}
+
 // fastLoop is Queuing Budget Adjusting CoDel.
 func (s *Scheduler) fastLoop(n *node) {
 	if s.now < n.fastEnd {
@@ -1025,7 +1046,7 @@
 		v.reserve = tag
 	}
 	sh.virtual = max(sh.virtual, f.weight)
-	f.weight += r.Units / max(v.plan.Weight, 1e-9)
+	f.weight, f.last = f.weight+r.Units/max(v.plan.Weight, 1e-9), s.now
 	if len(r.sends) > 0 && s.set.RetrySpan > 0 {
 		s.furthered = append(s.furthered, s.now)
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1190,3 +1190,44 @@
 		t.Errorf("%d and %d sends, want one trial", h.tries["trial"], h.tries["behind"])
 	}
 }
+
+// Ever new volumes were all kept for good. What is idle goes, but a limit's store not before it is full again: its
+// volume would come back with more than is left.
+func TestIdleVolumesAreForgotten(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.idle(5 * second) // the stores of the limit, 10 units a second up to 20, are full
+	for i := range 100 {
+		id := fmt.Sprint(i)
+		h.step(req(id, func(r *Request) { r.Plan = i % 3 }))
+		h.step(h.end(id, OK, ms))
+	}
+	limited := func(r *Request) { r.Volume, r.Plan, r.Units = "limited", 3, 8 }
+	for _, id := range []string{"x", "y"} {
+		h.after(ms, req(id, limited))
+		h.step(h.end(id, OK, ms))
+	}
+	h.wantSends(h.idle(slowInterval))
+	if v := h.s.volumes["limited"]; v == nil || v.tokens >= 20 {
+		t.Errorf("the store that is not full: %+v", v)
+	}
+	h.idle(40 * second)
+	if n, flows := len(h.s.volumes), len(h.s.shard(0).flows); n+flows > 0 {
+		t.Errorf("%d volumes and %d flows stay", n, flows)
+	}
+}
+
+// A cold node that leaves the list and comes back has not got its room anew.
+func TestColdNodeThatComesBackToTheList(t *testing.T) {
+	h := newHost(t, testSettings())
+	cold := running("c", 2)
+	cold.Since = h.now
+	h.step(Nodes{List: []Listing{cold}})
+	h.wantSends(h.step(req("x", func(r *Request) { r.Shard = 2 })), "x")
+	h.step(h.end("x", Moot, 0), Lapsed{ID: "x"})
+	gone := cold
+	gone.State = Gone
+	h.step(Nodes{List: []Listing{gone}}, Nodes{List: []Listing{cold}})
+	if room, part := h.s.coldPart(h.s.byName["c"]); room >= part {
+		t.Errorf("room for %v of %v units, though one request was sent", room, part)
+	}
+}
