Ask a node for a new connection after a reset, and pass on long answers

Ruled out: CPU (0.2 of a second), sockets, the clients' bound, the nodes' queues. Changed: after a reset the pool opens a connection to the node; where it is taken the module counts the attempt as one that may have run and no more. A probe whose connection breaks is sent again; one sent up to a fast interval after the break clears the suspicion. Answers may have 1 MiB, or a 32nd of the memory, eight long ones at a time. SFTP goes by the same pool.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -12,10 +12,13 @@
 	ClientConns int   // client connections; past it, those without a request make room
 	SpareConns  int   // connections past ClientConns where none does; more wait
 	NodeConns   int   // connections to storage nodes, idle ones included
-	Body        int64 // bytes of a message's body
+	Body        int64 // bytes of a request's body
+	Answer      int64 // bytes of an answer's body
+	LongAnswers int   // answers longer than Body that are read at a time
 	Header      int   // bytes of a message's head
 
 	Informational int // heads of a node's answer, informational ones and its own
+	WriteTries    int // connections that a request is written to, while it was not written whole
 	ProbeTries    int // a probe is sent so often while its answers can't be read
 
 	ReadHead     time.Duration // a request's head must have come, counted from its first byte or the connection's start
@@ -71,8 +74,11 @@
 	stopMore     = 700 * time.Millisecond
 )
 
-// body is the longest of a message on the platform.
-const body = 64 << 10
+// The longest bodies on the platform. Nodes answer with more than the protocol's 64 KiB, in one of twenty cases.
+const (
+	body   = 64 << 10
+	answer = 1 << 20
+)
 
 // For fills the limits of a deployment.
 func For(s Site) Limits {
@@ -93,7 +99,7 @@
 	return Limits{
 		Memory: memory,
 		Inbox:  4 * clients, Open: open, Hold: min(open, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
-		Body: body, Header: 16 << 10, Informational: 8, ProbeTries: 3,
+		Body: body, Answer: min(answer, memory/32), LongAnswers: 8, Header: 16 << 10, Informational: 8, WriteTries: 3, ProbeTries: 3,
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
 		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
 		WriteAnswer: 2*s.Deadline + 5*time.Second,
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -283,7 +283,7 @@
 	defer release()
 	began := time.Now()
 	value, got := attempt(limited, node)
-	o.Result, o.Elsewhere = got.Result, got.Elsewhere
+	o.Result, o.Elsewhere, o.Alive = got.Result, got.Elsewhere, got.Alive
 	if o.Result == rules.TimedOut && context.Cause(own) == errTakenBack {
 		o.Result = rules.Cancelled
 	}
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -132,12 +132,38 @@
 			return nil, ctx.Err()
 		}
 	}
-	n, c := got.node, got.conn
-	if err != nil || c != nil {
-		return c, err
+	if err != nil || got.conn != nil {
+		return got.conn, err
 	}
+	return s.connect(ctx, name, got, wanted)
+}
+
+// Renew opens a connection to a node on which another just broke, and keeps it. It tells whether the node took it:
+// a process that died takes none, and one that lives may close connections for reasons of its own.
+func (s *Nodes[T]) Renew(name string) bool {
+	ctx, release := context.WithTimeout(context.Background(), s.limits.Connect)
+	defer release()
+	s.mu.Lock()
+	n := s.byName[name]
+	if n == nil || s.open >= s.limits.NodeConns && !s.closeLongest() {
+		s.mu.Unlock()
+		return false
+	}
+	s.open++
+	got := reserved[T]{node: n, dial: n.Dial}
+	s.mu.Unlock()
+	c, err := s.connect(ctx, name, got, AnyState)
+	if err != nil {
+		return false
+	}
+	s.Release(c, true)
+	return true
+}
+
+// connect opens the connection that room was reserved for.
+func (s *Nodes[T]) connect(ctx context.Context, name string, to reserved[T], wanted func(rules.NodeState) bool) (c *Conn[T], err error) {
 	dialer := net.Dialer{Timeout: s.limits.Connect}
-	raw, err := dialer.DialContext(ctx, "tcp", got.dial)
+	raw, err := dialer.DialContext(ctx, "tcp", to.dial)
 	if err == nil {
 		c, err = s.start(ctx, raw)
 	}
@@ -147,9 +173,9 @@
 		s.left()
 		return nil, fmt.Errorf("connect to %s: %w", name, err)
 	}
-	c.node = n
+	c.node = to.node
 	// Coming up took time: a drain told meanwhile counts from when it was told, not from the next send.
-	if s.byName[name] != n || !wanted(n.State) {
+	if s.byName[name] != to.node || !wanted(to.node.State) {
 		s.shut(c)
 		return nil, ErrNotTaking
 	}
--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -108,7 +108,7 @@
 	case w.written.Load() == 0:
 		return files.Reply{}, rules.Outcome{Result: rules.Unreachable}
 	}
-	return files.Reply{}, rules.Outcome{Result: rules.Reset}
+	return files.Reply{}, rules.Outcome{Result: rules.Reset, Alive: c.Renew(node)}
 }
 
 // carryOut runs a command on a session.
--- a/rules/api.go
+++ b/rules/api.go
@@ -167,6 +167,7 @@
 	Result    Result
 	Latency   Micros  // since the send
 	Final     bool    // nothing more is owed for the request
+	Alive     bool    // after a Reset: the node was found running right behind it
 	Elsewhere float64 // units that the node served the volume through other hosts since its last answer
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -479,6 +479,9 @@
 	case Unreachable, Reset:
 		// The process died or is about to be replaced: what answers next may be cold before the list says so.
 		// But an answer may be lost, or a connection break, without that: a probe sent at once will tell.
+		if e.Alive {
+			return
+		}
 		if e.Result == Unreachable {
 			n.broke = 0
 		} else if n.broke == 0 {
@@ -822,7 +825,7 @@
 		return
 	}
 	// A dead process can't answer what was sent as it broke. Could hurt if one restarts as fast.
-	if e.OK && n.broke > 0 && n.probed <= n.suspect+s.margin() && s.now < n.probed+s.aim {
+	if e.OK && n.broke > 0 && n.probed <= n.suspect+fastInterval && s.now < n.probed+s.aim {
 		n.suspect = n.former
 	}
 	n.broke = 0
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1231,3 +1231,18 @@
 		t.Errorf("room for %v of %v units, though one request was sent", room, part)
 	}
 }
+
+// Nodes close connections under requests for reasons of their own. Each such reset had the node taken for one that
+// had died and came back cold, for the whole time of the ramp.
+func TestResetOfANodeThatLives(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		h := newHost(t, testSettings())
+		h.wantSends(h.step(req("x", nil)), "x")
+		broke := h.end("x", Reset, ms)
+		broke.Alive = alive
+		sent := slices.Contains(sends(h.step(broke)), "x")
+		if cold := h.s.isCold(h.s.byName["a"]); sent != alive || cold == alive {
+			t.Errorf("alive %v: sent again %v, cold %v", alive, sent, cold)
+		}
+	}
+}
