--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -85,6 +85,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" && r.Method == http.MethodGet {
+		w.Header().Set("Connection", "close") // who asks this alone has no use for the slot
 		if stopping {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -47,6 +47,7 @@
 	stage   stage
 	since   time.Time // in its stage; while the first request comes, since the connection was accepted
 	served  bool      // a request is over
+	used    bool      // one for the core has come
 }
 
 // stage is what a connection is about.
@@ -191,7 +192,8 @@
 }
 
 // closeLongest closes the connection that has been longest without a whole request, if it has had time to send
-// one. The lock is held.
+// one. Those that never brought one for the core go first: in a flood of others, clients would lose the connections
+// that they use now and then. The lock is held.
 func (s *clients) closeLongest(now time.Time) {
 	var longest *clientConn
 	for c := range s.conns {
@@ -199,8 +201,10 @@
 		if c.stage == reading {
 			wait = s.limits.ReadHead / 2
 		}
-		if c.stage != busy && now.Sub(c.since) >= wait && (longest == nil || c.since.Before(longest.since)) &&
-			(c.stage == reading || !c.crossed()) {
+		if c.stage == busy || now.Sub(c.since) < wait || longest != nil && !c.goesBefore(longest) {
+			continue
+		}
+		if c.stage == reading || !c.crossed() {
 			longest = c
 		}
 	}
@@ -209,6 +213,13 @@
 	}
 }
 
+func (c *clientConn) goesBefore(other *clientConn) bool {
+	if c.used != other.used {
+		return other.used
+	}
+	return c.since.Before(other.since)
+}
+
 // shut closes a connection. The lock is held. net/http then finds it closed.
 func (s *clients) shut(c *clientConn) {
 	delete(s.conns, c)
@@ -261,7 +272,7 @@
 func (s *clients) take(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.stage = busy
+	c.stage, c.used = busy, true
 }
 
 // count tells how many connections are open.
