Let idle clients make room from a quarter of the sockets on, as clients have a third

Checked, by counts of requests by status and of connections by how they end: half of the requests never reached the front, nearly all that did came first on a connection of their own, 2 in 100 were answered 503, no connection was refused or waited for a slot, and what came without a request was silent clients alone. Conclusion: clients may have a third of the descriptors, 128 of 384; where they don't use a connection again, idle ones used that up long before the front's own bound (219), where limits.go began to make room. Changed: room is made from a quarter of the sockets on (ClientKeep).

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -9,7 +9,8 @@
 	Inbox       int   // events that may wait for the scheduler
 	Open        int   // requests open at once; more are refused
 	Hold        int   // requests open at once, past which the scheduler refuses those that earn least
-	ClientConns int   // client connections; past it, those without a request make room
+	ClientKeep  int   // client connections past which those without a request make room for others
+	ClientConns int   // client connections
 	SpareConns  int   // connections past ClientConns where none does; more wait
 	NodeConns   int   // connections to storage nodes, idle ones included
 	Body        int64 // bytes of a request's body
@@ -62,7 +63,7 @@
 	reserved   = 32 // sockets for listeners, discovery, the console and the run time
 	spareConns = 24 // see Limits.SpareConns
 	toNodes    = 3  // one in so many of the others leads to a node
-	toHold     = 4  // one in so many of all may stand for a request that is open: clients use a third at most
+	toHold     = 4  // one in so many of all is for requests that are open: clients have a third at most
 )
 
 // Memory that a connection takes at most, beside a body: its buffers and the stacks of those who work on it.
@@ -98,7 +99,7 @@
 	grace := min(s.Deadline, stopDeadline) + stopMore
 	return Limits{
 		Memory: memory,
-		Inbox:  4 * clients, Open: open, Hold: min(open, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
+		Inbox:  4 * clients, Open: open, Hold: min(open, s.Sockets/toHold), ClientKeep: min(clients, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
 		Body: body, Answer: min(answer, memory/32), LongAnswers: 8, Header: 16 << 10, Informational: 8, WriteTries: 3, ProbeTries: 3,
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
 		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -228,7 +228,7 @@
 		io.WriteString(c, served)
 	})
 	_, _, front := newFront(t, func(l *limits.Limits) {
-		l.ClientConns, l.SpareConns, l.ReadHead, l.ClientIdle = 3, 0, time.Hour, time.Hour
+		l.ClientKeep, l.ClientSettle, l.ReadHead, l.ClientIdle = 3, 0, time.Hour, time.Hour
 	}, addr, stuck)
 	slow := dial(t, front)
 	io.WriteString(slow, strings.Replace(fmt.Sprintf(request, "slow"), "shard=0", "shard=1", 1)+"\r\n")
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -165,9 +165,9 @@
 	return &clients{limits: l, conns: map[*clientConn]struct{}{}, changed: make(chan struct{}, 1)}
 }
 
-// enter takes a connection in. Where slots run short, the one that has stood longest without a request is closed
-// for it: clients that ask once and stay, or connect and say nothing, would keep those out that ask. Past the
-// spare slots too it waits.
+// enter takes a connection in. Past ClientKeep, the one that has stood longest without a request is closed
+// for it: clients that ask once and stay, or connect and say nothing, would keep those out that ask, and clients
+// that may have only so many connections would find them all used up. Past ClientConns and the spare ones it waits.
 func (s *clients) enter(c *clientConn) {
 	for !s.fits(c) {
 		select {
@@ -180,7 +180,7 @@
 func (s *clients) fits(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.limits.ClientConns {
+	if len(s.conns) >= s.limits.ClientKeep {
 		s.closeLongest(time.Now())
 	}
 	if len(s.conns) >= s.limits.ClientConns+s.limits.SpareConns {
