End an attempt's context only after its outcome is with the scheduler

Seen: the checks failed once on TestIdInUse, 'a request with this id is open' after the first one's attempt was over. Checked: try released the deadline's context, the one an attempt sees, before Do submitted the outcome, so the id was still taken when that context was done. Ruled out: an outcome that is lost; the next request under the id was always admitted a moment later. At fault: 'defer release()' in try (core.go). Both contexts now end in Do's goroutine, after the submit.

--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -239,8 +239,12 @@
 				own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 				o := rules.Outcome{ID: r.ID, Attempt: tries}
 				go func() {
+					// Both end only after the outcome is submitted: who sees the attempt's context end may use its
+					// id again.
 					defer cancel(nil)
-					value := try(own, deadline, v.Node, attempt, &o)
+					limited, release := context.WithDeadline(own, deadline)
+					defer release()
+					value := try(limited, v.Node, attempt, &o)
 					c.submit(message{event: o})
 					if o.Result == rules.OK {
 						answers <- value
@@ -277,14 +281,12 @@
 }
 
 // try carries out one attempt and fills in its outcome.
-func try[T any](own context.Context, deadline time.Time, node string,
+func try[T any](ctx context.Context, node string,
 	attempt func(ctx context.Context, node string) (T, rules.Outcome), o *rules.Outcome) T {
-	limited, release := context.WithDeadline(own, deadline)
-	defer release()
 	began := time.Now()
-	value, got := attempt(limited, node)
+	value, got := attempt(ctx, node)
 	o.Result, o.Elsewhere, o.Alive = got.Result, got.Elsewhere, got.Alive
-	if o.Result == rules.TimedOut && context.Cause(own) == errTakenBack {
+	if o.Result == rules.TimedOut && context.Cause(ctx) == errTakenBack {
 		o.Result = rules.Cancelled
 	}
 	o.Latency = cmp.Or(got.Latency, rules.Micros(time.Since(began)/time.Microsecond))
