Wait in the test of idle clients until the front has them as idle

Seen: in 3 times 3 runs of each package on four cores at once, TestIdleClientsMakeRoom failed once: before client 3 nobody was closed. Checked: net/http writes an answer first and reports the connection idle after it, so a starved server goroutine can be behind a client that has its answer; the listener then rightly takes it as busy. Ruled out: the choice itself, the later failures are the read deadline of the first. The test now waits for the state. After: 16 times 150 runs beside each other on four cores, all passed.

--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -227,22 +227,22 @@
 		<-goOn
 		io.WriteString(c, served)
 	})
-	_, _, front := newFront(t, func(l *limits.Limits) {
+	f, _, front := newFront(t, func(l *limits.Limits) {
 		l.ClientKeep, l.ClientSettle, l.ReadHead, l.ClientIdle = 3, 0, time.Hour, time.Hour
 	}, addr, stuck)
 	slow := dial(t, front)
 	io.WriteString(slow, strings.Replace(fmt.Sprintf(request, "slow"), "shard=0", "shard=1", 1)+"\r\n")
 	standin.Await(t, "the slow attempt", begun)
-	var idle []*client
+	var waiting []*client
 	for i := range 6 {
 		c := dial(t, front)
-		idle = append(idle, c)
-		if len(idle) > 2 { // with the slow one, one too many: a silent one goes first
+		waiting = append(waiting, c)
+		if len(waiting) > 2 { // with the slow one, one too many: a silent one goes first
 			gone := 1 - i%2 // before an even one, a usual and a silent one are idle, in this order; else two usual ones
-			if _, err := idle[gone].in.ReadByte(); err != io.EOF {
+			if _, err := waiting[gone].in.ReadByte(); err != io.EOF {
 				t.Errorf("before client %d: %v, want an end", i, err)
 			}
-			idle = slices.Delete(idle, gone, gone+1)
+			waiting = slices.Delete(waiting, gone, gone+1)
 		}
 		if i%2 == 1 {
 			continue // says nothing
@@ -250,6 +250,16 @@
 		if r, _ := c.ask(t, fmt.Sprintf(request, fmt.Sprint("usual-", i))+"\r\n"); r.StatusCode != 200 {
 			t.Errorf("usual client %d: %d", i, r.StatusCode)
 		}
+		standin.Until(t, "the usual clients stand idle", func() bool { // net/http says so after the answer
+			f.clients.mu.Lock()
+			defer f.clients.mu.Unlock()
+			for c := range f.clients.conns {
+				if c.used && c.stage != idle && c.RemoteAddr().String() != slow.LocalAddr().String() {
+					return false
+				}
+			}
+			return true
+		})
 	}
 	close(goOn)
 	if r, _ := slow.ask(t, ""); r.StatusCode != 200 {
