Give each test process a loopback address of its own, and wait for the pool where it counts

Seen: four copies of each test package beside each other on four cores, three times: TestPlatformFront and TestAppliance found their port taken (4 of 12), TestHowAnAttemptEnds heard two requests too many (1 of 12), TestClientThatLeaves saw a second connection (1 of 12). Checked: freeAddr and the tests of dead nodes give a port back and count on nobody taking it; packages are tested beside each other, so others' listeners take it. In TestClientThatLeaves the next request could come before the first attempt's connection was back in the pool; with one connection allowed it waits for that. Ruled out: the program; each failure was of a port or of the test's order.

--- a/cmd/otterturn/main_test.go
+++ b/cmd/otterturn/main_test.go
@@ -85,10 +85,7 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := standin.Listen(t)
 	defer l.Close()
 	return l.Addr().String()
 }
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -59,10 +59,7 @@
 	}
 	standin.Await(t, "the first connection", conns)
 	standin.Await(t, "the connection that tells", conns)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := standin.Listen(t)
 	go func() {
 		if c, err := l.Accept(); err == nil {
 			l.Close()
@@ -173,10 +170,7 @@
 }
 
 func TestNodeThatIsNotThere(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := standin.Listen(t)
 	l.Close()
 	if got := send(t, newNodes(nil, l.Addr().String()), standin.Patience); got.Result != rules.Unreachable {
 		t.Errorf("refused connection: %v", got.Result)
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -29,10 +29,7 @@
 	core.Tell(nodes.Apply(list(addrs...)))
 	f = NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 2,
 		LongestWait: 5 * time.Second, Retry: time.Second}, l, NewRoundTripper(core, nodes))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := standin.Listen(t)
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(listener) }()
 	t.Cleanup(func() {
@@ -179,7 +176,7 @@
 		}
 		io.WriteString(c, served)
 	})
-	_, core, front := newFront(t, func(l *limits.Limits) { l.NodeSettle = 0 }, addr)
+	_, core, front := newFront(t, func(l *limits.Limits) { l.NodeSettle, l.NodeConns = 0, 1 }, addr) // the next one waits for it
 	c := dial(t, front)
 	io.WriteString(c, fmt.Sprintf(request, "id")+"\r\n")
 	standin.Await(t, "the attempt", begun)
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -54,10 +54,7 @@
 		Wait:     [files.Roles]time.Duration{wait, wait, wait, wait},
 		Retry:    time.Second,
 	}, l, b.core, b.client.Attempt)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	listener := standin.Listen(t)
 	b.listen, b.addr = listener, listener.Addr().String()
 	served := make(chan error, 1)
 	go func() { served <- b.front.Serve(listener) }()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -52,13 +54,22 @@
 	return core
 }
 
-// Peer listens on loopback and hands each connection, numbered from 0, to the script. Both end with the test.
-func Peer(t *testing.T, script func(n int, c net.Conn)) (addr string) {
+// Listen opens a port of an address that this process alone uses. On a shared one, a port that a test gave back
+// for good, to be refused there or for a program to open, was taken by the tests of another package.
+func Listen(t *testing.T) net.Listener {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+// Peer listens on loopback and hands each connection, numbered from 0, to the script. Both end with the test.
+func Peer(t *testing.T, script func(n int, c net.Conn)) (addr string) {
+	t.Helper()
+	l := Listen(t)
 	var mu sync.Mutex
 	var open []net.Conn
 	t.Cleanup(func() {
