Keep no more requests open than half of the connections while a front stops

Checked: printed every 50 ms of a stop the connections, the open requests and what came. No new connection ever came after SIGTERM. Two of four fronts got nothing more from 0.4 s and from 1.2 s on, with 15 and 37 connections open and idle; in the 0.1 s before, all of these had been in use at once, in the other two never. So a client that finds all taken, and gets no other, stays away. At fault: held requests, which took connections for as long as at any other time. Stop now tells the scheduler of the room there is (rules.Room, by core.Room), and shed refuses what earns least at once.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,6 +38,7 @@
 	AcceptAgain  time.Duration // pause after a client could not be accepted
 	StopAccept   time.Duration // after SIGTERM clients may still come for so long
 	StopServe    time.Duration // and use their connections for so long; then idle ones are closed
+	StopShare    int           // meanwhile one request may be open for so many connections
 	StopAnswer   time.Duration // what comes meanwhile is answered within this
 	StopCheck    time.Duration // a stop looks so often how far it is
 	StopLinger   time.Duration // a client may take so long to read the last answer
@@ -108,7 +109,7 @@
 		AnswerRest: max(s.Connect, 250*time.Millisecond), Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
 		StopAccept: 500 * time.Millisecond, StopServe: grace - 350*time.Millisecond,
-		StopAnswer: grace - 100*time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
+		StopShare: 2, StopAnswer: grace - 100*time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
 		StopAtMost: s.Deadline + 2*time.Second,
 		FileConns:  min(clients, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileAnswer: 2 << 20,
 		FileIdle: 5 * time.Minute,
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -97,6 +97,9 @@
 // Tell hands news of the node list to the scheduler, ahead of any request submitted later.
 func (c *Core) Tell(news rules.Nodes) { c.submit(message{event: news}) }
 
+// Room tells the scheduler for how many open requests there is room from now on.
+func (c *Core) Room(open int) { c.submit(message{event: rules.Room{Open: open}}) }
+
 func (c *Core) submit(m message) bool {
 	select {
 	case c.inbox <- m:
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -177,19 +177,23 @@
 // Stop ends the front without losing a request. Its clients have no other way until it is started again, and
 // learn late that it stops: so it serves them for nearly as long as a stop may take. Then it closes the
 // connections that stand idle, answers the others with 'Connection: close', and ends once none is left.
-func (f *Front) Stop() error {
+//
+// Clients get no further connections, and one that finds all of its own taken once sent nothing more until the
+// next start. So room, where it is given, hears how many requests may be open: a part of the connections that are.
+func (f *Front) Stop(room func(open int)) error {
 	began := time.Now()
 	f.stopping.Store(&began)
 	tick := time.NewTicker(f.limits.StopCheck)
 	defer tick.Stop()
 	for now := range tick.C {
-		since, left := now.Sub(began), 0
-		switch {
-		case since < f.limits.StopAccept:
+		since, left := now.Sub(began), f.clients.count()
+		if room != nil && left > 0 {
+			room(max(1, left/f.limits.StopShare))
+		}
+		if since < f.limits.StopAccept {
 			continue
-		case since < f.limits.StopServe:
-			left = f.clients.count()
-		default:
+		}
+		if since >= f.limits.StopServe {
 			left = f.clients.closeIdle(now.Add(-f.limits.StopCheck))
 		}
 		if left == 0 && f.open.Load() == 0 || since > f.limits.StopAtMost {
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -363,7 +363,7 @@
 		}
 		io.WriteString(c, served)
 	})
-	f, _, front := newFront(t, func(l *limits.Limits) { l.StopServe, l.StopAnswer = 2*time.Second, 3*time.Second }, addr)
+	f, core, front := newFront(t, func(l *limits.Limits) { l.StopServe, l.StopAnswer = 2*time.Second, 3*time.Second }, addr)
 	kept, idle, slow := dial(t, front), dial(t, front), dial(t, front)
 	idle.ask(t, fmt.Sprintf(request, "idle")+"\r\n")
 	io.WriteString(slow, fmt.Sprintf(request, "slow")+"\r\n")
@@ -372,8 +372,21 @@
 		t.Errorf("before: %d, closes %v", r.StatusCode, r.Close)
 	}
 	stopped := make(chan error, 1)
-	go func() { stopped <- f.Stop() }()
+	rooms := make(chan int, 1)
+	go func() {
+		stopped <- f.Stop(func(open int) {
+			core.Room(open)
+			select {
+			case rooms <- open:
+			default:
+			}
+		})
+	}()
 	standin.Until(t, "the stop", func() bool { _, stopping := f.stopped(); return stopping })
+	// A client that found all of its connections taken by what was held, and could get no other, stayed away.
+	if open := standin.Await(t, "the room while it stops", rooms); open != 3/2 {
+		t.Errorf("room for %d requests on 3 connections", open)
+	}
 	for i, c := range []*client{kept, dial(t, front), kept} {
 		r, _ := c.ask(t, fmt.Sprintf(request, fmt.Sprint("after-", i))+"\r\n")
 		if since, _ := f.stopped(); r.StatusCode != 200 || r.Close && since < f.limits.StopServe {
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -141,7 +141,7 @@
 		go obtain(ctx, certs, o.ACME.Domains, log.Printf)
 		run = func(l net.Listener) error { return front.ServeTLS(l, certs.TLSConfig()) }
 	}
-	return a.serve("http.listen", o.HTTP.Listen, run, func(net.Listener) { front.Stop() })
+	return a.serve("http.listen", o.HTTP.Listen, run, func(net.Listener) { front.Stop(nil) })
 }
 
 func (a *Appliance) startConsole(context.Context) error {
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -69,7 +69,7 @@
 	case <-stopped.Done():
 		log.Print("stopping")
 		defer log.Print("stopped")
-		return front.Stop()
+		return front.Stop(core.Room)
 	}
 }
 
--- a/rules/api.go
+++ b/rules/api.go
@@ -174,6 +174,9 @@
 // Lapsed tells that the client has gone; nothing more is owed for the request.
 type Lapsed struct{ ID string }
 
+// Room tells that MaxOpen has changed.
+type Room struct{ Open int }
+
 // Probed is the result of a Probe.
 type Probed struct {
 	Node  string
@@ -188,6 +191,7 @@
 func (Request) event() {}
 func (Outcome) event() {}
 func (Lapsed) event()  {}
+func (Room) event()    {}
 func (Probed) event()  {}
 func (Alarm) event()   {}
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -216,6 +216,8 @@
 		}
 	case Probed:
 		s.probed(e)
+	case Room:
+		s.set.MaxOpen = e.Open
 	case Alarm:
 		s.wakeSet = false
 	}
@@ -640,8 +642,7 @@
 
 // finish gives the final answer: a refusal only where it is harmless, with the time until it may be served.
 func (s *Scheduler) finish(r *request, wait Micros) {
-	var a Action = Fail{ID: r.ID}
-	c := r.class
+	c, a := r.class, Action(Fail{ID: r.ID})
 	if c.Repeat == Safe || r.ran == nil && r.out == 0 || c.Repeat == Keyed && c.Group == AllNodes {
 		a = Refuse{ID: r.ID, RetryAfter: min(max(0, wait), s.set.MaxRetryAfter)}
 	}
@@ -794,8 +795,7 @@
 // connections too, and could hurt, by work done twice, where a node is slower for some requests.
 func (s *Scheduler) watch(n *node) {
 	_, _, silent := s.live(n)
-	wanted := n.State == Running && (n.mute > 0 || silent)
-	if s.set.Probing && wanted && s.now >= n.probeAt {
+	if s.set.Probing && n.State == Running && (n.mute > 0 || silent) && s.now >= n.probeAt {
 		s.probe(n)
 	}
 	for _, r := range n.pending {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1188,6 +1188,9 @@
 	if refused, _ := finals(actions); len(refused) != 2 || !strings.HasPrefix(refused[0], "other-") || !strings.HasPrefix(refused[1], "other-") {
 		t.Errorf("refused %v, want two of the others", refused)
 	}
+	if refused, _ := finals(h.step(Room{Open: 2})); len(refused) != 2 || !strings.HasPrefix(refused[0], "other-") {
+		t.Errorf("with less room: refused %v, want the last of the others first, two in all", refused)
+	}
 }
 
 // A node that answered nothing but errors did so in 3 ms, which counted as its latency: it looked quicker than all
