Open a connection again that was reset as it came up, before its node counts as dead

Checked: printed what made nodes suspect. 24 of 25 'unreachable' were 'connect: connection reset by peer', each answered by a probe within 0.4 to 5 ms; such a node stayed cold for the ramp, as only a break is taken back by a probe. At fault: connect in nodes.go took any failure as the node's end. A dead process refuses; a connection that is reset as it comes up is now opened again, 3 times at most, for attempts and probes of both fronts.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -20,6 +20,7 @@
 
 	Informational int // heads of a node's answer, informational ones and its own
 	WriteTries    int // connections that a request is written to, while it was not written whole
+	ConnectTries  int // as often a connection is opened that is reset as it comes up
 	ProbeTries    int // a probe is sent so often while its answers can't be read
 
 	ReadHead     time.Duration // a request's head must have come, counted from its first byte or the connection's start
@@ -101,7 +102,7 @@
 	return Limits{
 		Memory: memory,
 		Inbox:  4 * clients, Open: open, Hold: min(open, s.Sockets/toHold), ClientKeep: min(clients, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
-		Body: body, Answer: min(answer, memory/32), LongAnswers: 8, Header: 16 << 10, Informational: 8, WriteTries: 3, ProbeTries: 3,
+		Body: body, Answer: min(answer, memory/32), LongAnswers: 8, Header: 16 << 10, Informational: 8, WriteTries: 3, ConnectTries: 3, ProbeTries: 3,
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
 		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
 		WriteAnswer: 2*s.Deadline + 5*time.Second,
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -181,6 +181,25 @@
 	}
 }
 
+// A connection that is reset as it comes up, or before anything is written, tells nothing of the node, and an
+// attempt that never left goes on another. Which of the two the client sees depends on how quick the node is.
+func TestConnectionResetAsItComesUp(t *testing.T) {
+	addr := standin.Peer(t, func(n int, c net.Conn) {
+		if n%2 == 0 {
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.WriteString(c, served)
+		}
+	})
+	for range 2000 {
+		if got := send(t, newNodes(nil, addr), standin.Patience); got.Result != rules.OK && !got.Alive {
+			t.Fatalf("%+v", got)
+		}
+	}
+}
+
 // All sockets in use is no news of a node: told as the node's 'full', it kept requests from a node that had room.
 // An idle connection to another node makes room, and where there is none the attempt waits for one.
 func TestSocketsInUseAreNoNewsOfANode(t *testing.T) {
