Let one front at a time deal out what a cold node bears, in the place of each front's chance

The lines at fault: rules/nodes.go, bears: part/usual goes by this host's own short demand, which is near nothing behind a restart, so the chance is 0.06 to 0.6 where 0.003 was meant. And order.go, send: a lone request counted no more than the room there was, while its answer counted in full, so each made room for a second one.

Ruled out: an even part for each host, as no request is so small; turns by number, as of 300 hosts some 40 have work for a node; guessed starts (suspect was 0 in all of these sends).

Now package rules/cold decides. Messages go over the peers' datagrams, and over the simulator's wire. The same commit has units drawn from a limit take up room in its bucket until a node can have counted them: behind a cut the bucket filled again while requests that had drawn waited for another attempt.

--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -39,6 +39,8 @@
 	Alarm   *rules.Alarm    `cbor:"6,keyasint,omitempty"`
 	Room    *rules.Room     `cbor:"7,keyasint,omitempty"`
 	Written *rules.Recorded `cbor:"8,keyasint,omitempty"`
+	Asked   *rules.Asked    `cbor:"9,keyasint,omitempty"`
+	Granted *rules.Granted  `cbor:"10,keyasint,omitempty"`
 }
 
 func wrap(e rules.Event) (out Event) {
@@ -59,6 +61,10 @@
 		out.Room = &e
 	case rules.Recorded:
 		out.Written = &e
+	case rules.Asked:
+		out.Asked = &e
+	case rules.Granted:
+		out.Granted = &e
 	}
 	return out
 }
@@ -79,6 +85,10 @@
 		return *e.Room
 	case e.Written != nil:
 		return *e.Written
+	case e.Asked != nil:
+		return *e.Asked
+	case e.Granted != nil:
+		return *e.Granted
 	}
 	return rules.Alarm{}
 }
--- a/internal/lab/record/streams.go
+++ b/internal/lab/record/streams.go
@@ -22,6 +22,7 @@
 	d.edit(&s, &set)
 	var r Recorder
 	_, err = s.PlayWith(1, set, scenario.Variant{Name: name, Make: func(front int, set rules.Settings, seed int64) (world.Decider, error) {
+		set.Number = front
 		made, err := rules.New(set, seed)
 		if front > 0 || err != nil {
 			return made, err
--- a/internal/lab/world/front.go
+++ b/internal/lab/world/front.go
@@ -106,11 +106,27 @@
 			p := w.Probe(n)
 			w.plan(w.Now+w.delay, func() { f.tell(p) })
 		})
+	case rules.Ask:
+		w.note(f, a.To, rules.Asked{From: f.place, Node: a.Node, Wish: a.Wish})
+	case rules.Grant:
+		w.note(f, a.To, rules.Granted{From: f.place, Node: a.Node, Units: a.Units, Until: a.Until})
 	case rules.SetAlarm:
 		w.plan(a.At, func() { f.tell(rules.Alarm{}) })
 	}
 }
 
+// note carries a message from one front to another. Where one is cut off, or no simulated front, it is lost.
+func (w *World) note(from *Simulated, to int, e rules.Event) {
+	if to < 0 || to >= len(w.Fronts) || w.Cut != nil && w.Cut(from.place, to) {
+		return
+	}
+	w.plan(w.Now+w.delay, func() {
+		if f, ok := w.Fronts[to].(*Simulated); ok && f.d != nil {
+			f.tell(e)
+		}
+	})
+}
+
 // outcomes are what a front makes of a node's reply.
 var outcomes = map[Reply]rules.Outcome{Answer: {Result: rules.OK, Final: true}, TurnedAway: {Result: rules.Full},
 	Unreachable: {Result: rules.Unreachable}, Broken: {Result: rules.Reset}, Garbled: {Result: rules.Reset, Alive: true}}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -23,8 +23,9 @@
 	Nodes   []*Node
 	Fronts  []Front
 	Audit   *Audit
-	Rand    *rand.Rand  // of what happens to the world
-	Changed func(*Node) // hears of nodes that are added, die or begin anew, before any front does
+	Rand    *rand.Rand              // of what happens to the world
+	Changed func(*Node)             // hears of nodes that are added, die or begin anew, before any front does
+	Cut     func(from, to int) bool // messages between these fronts are lost; nil for none
 	begin   rules.Micros
 	delay   rules.Micros
 	queue   events
--- a/internal/net/protocol/config.go
+++ b/internal/net/protocol/config.go
@@ -18,6 +18,9 @@
 	Sockets   int
 	Known     List
 	Settings  Settings
+
+	PeerListen string           // where messages of other fronts come, "" for none
+	Peers      []netip.AddrPort // the fronts by their numbers, this one included; none where they don't talk
 }
 
 // ParseConfig reads the file that RELAY_CONFIG names. Its errors name the field.
@@ -28,8 +31,10 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
-		Known    json.RawMessage
-		Settings json.RawMessage
+		Known      json.RawMessage
+		Settings   json.RawMessage
+		PeerListen string `json:"peer_listen"`
+		Peers      []string
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
 		return Config{}, err
@@ -58,6 +63,24 @@
 	if out.Settings.ConnIdle <= 0 || out.Settings.Connect <= 0 || out.Settings.LongestWait <= 0 {
 		return Config{}, fmt.Errorf("settings: ceilings.connIdleUs, ceilings.connectTimeoutUs and classes[].giveUpUs must be above 0")
 	}
+	if set := &out.Settings.Rules; in.PeerListen == "" || len(in.Peers) == 0 {
+		set.Peers = false
+	} else if set.Peers {
+		out.PeerListen = in.PeerListen
+		if _, err := netip.ParseAddrPort(in.PeerListen); err != nil {
+			return Config{}, fmt.Errorf("peer_listen: %w", err)
+		}
+		if len(in.Peers) != set.Hosts {
+			return Config{}, fmt.Errorf("peers: %d, but settings.balancers is %d", len(in.Peers), set.Hosts)
+		}
+		for i, text := range in.Peers {
+			addr, err := netip.ParseAddrPort(text)
+			if err != nil {
+				return Config{}, fmt.Errorf("peers[%d]: %w", i, err)
+			}
+			out.Peers = append(out.Peers, addr)
+		}
+	}
 	if len(in.Known) > 0 {
 		if out.Known, err = ParseList(in.Known, out.Settings.Zones); err != nil {
 			return Config{}, fmt.Errorf("known: %w", err)
--- /dev/null
+++ b/internal/net/protocol/note.go
@@ -0,0 +1,73 @@
+package protocol
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"otterturn/rules"
+)
+
+// LongestNote is the longest message between fronts, in bytes.
+const LongestNote = 256
+
+// Notes between fronts are words set apart by single blanks, the first of which is their kind.
+const (
+	noteAsk   = "ask"   // units of the next and of the smallest request, units answered of late, speed, node
+	noteGrant = "grant" // units, Unix time in microseconds, node
+)
+
+// FormatNote writes what the scheduler has for another front, nil for what is not for one or too long.
+func FormatNote(a rules.Action) []byte {
+	var text []byte
+	switch a := a.(type) {
+	case rules.Ask:
+		text = fmt.Appendf(nil, "%s %s %s %s %s %s", noteAsk, formatUnits(a.Units), formatUnits(a.Least),
+			formatUnits(a.Served), formatUnits(a.Speed), a.Node)
+	case rules.Grant:
+		text = fmt.Appendf(nil, "%s %s %d %s", noteGrant, formatUnits(a.Units), a.Until, a.Node)
+	}
+	if len(text) > LongestNote {
+		return nil
+	}
+	return text
+}
+
+// ParseNote reads a message from the front of a number. One that is wrong anywhere is none at all.
+func ParseNote(from int, text []byte) (rules.Event, error) {
+	words := strings.Split(string(text), " ")
+	switch {
+	case words[0] == noteAsk && len(words) == 6:
+		e := rules.Asked{From: from, Node: words[5]}
+		for i, to := range []*float64{&e.Units, &e.Least, &e.Served, &e.Speed} {
+			units, err := parseUnits(words[i+1])
+			if err != nil {
+				return nil, fmt.Errorf("note: ask: %w", err)
+			}
+			*to = units
+		}
+		return e, nil
+	case words[0] == noteGrant && len(words) == 4:
+		units, err := parseUnits(words[1])
+		if err != nil {
+			return nil, fmt.Errorf("note: grant: %w", err)
+		}
+		until, err := strconv.ParseInt(words[2], 10, 64)
+		if err != nil || until <= 0 {
+			return nil, fmt.Errorf("note: grant: until: %.40q is no time", words[2])
+		}
+		return rules.Granted{From: from, Node: words[3], Units: units, Until: rules.Micros(until)}, nil
+	}
+	return nil, fmt.Errorf("note: %.40q is of no kind", text)
+}
+
+// formatUnits writes units, to a thousandth.
+func formatUnits(units float64) string { return strconv.FormatFloat(units, 'f', 3, 64) }
+
+func parseUnits(text string) (float64, error) {
+	units, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(units >= 0 && units < 1e6) {
+		return 0, fmt.Errorf("units: %.40q is out of range", text)
+	}
+	return units, nil
+}
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -12,8 +12,10 @@
 // settings mirrors the keys of the settings object that the program has a use for.
 type settings struct {
 	Balancers int
+	SlotNo    int
 	TickUs    int64
 	Ceilings  struct {
+		Peers            bool
 		ConnIdleUs       int64
 		ConnectTimeoutUs int64
 		MaxOpen          int
@@ -96,7 +98,7 @@
 	}
 	f, s := in.FamilyInfo, in.Safety
 	set := rules.Settings{
-		Hosts: in.Balancers, Tick: rules.Micros(in.TickUs),
+		Hosts: in.Balancers, Number: in.SlotNo, Peers: in.Ceilings.Peers, Tick: rules.Micros(in.TickUs),
 		MeanUnits: f.MeanUnits, MostUnits: f.MostUnits, Elsewhere: f.SaysOthers,
 		MaxTries: in.Ceilings.TryLimit, Probing: in.Ceilings.Probing,
 		Cancel: in.Ceilings.Cancel, RetryAfter: in.Ceilings.RetryAfter,
@@ -139,8 +141,9 @@
 // FormatSettings writes the scheduler's settings so that ParseSettings reads them back: classes and plans by number.
 func FormatSettings(set rules.Settings) any {
 	var out settings
-	out.Balancers, out.TickUs = set.Hosts, int64(set.Tick)
+	out.Balancers, out.SlotNo, out.TickUs = set.Hosts, set.Number, int64(set.Tick)
 	c := &out.Ceilings
+	c.Peers = set.Peers
 	c.TryLimit, c.Probing, c.Cancel, c.RetryAfter, c.MaxRetryAfterUs = set.MaxTries, set.Probing, set.Cancel, set.RetryAfter, int64(set.MaxRetryAfter)
 	f := &out.FamilyInfo
 	f.ColdUnits, f.MeanUnits, f.MostUnits, f.SaysOthers = set.ColdUnits, set.MeanUnits, set.MostUnits, set.Elsewhere
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -82,6 +82,8 @@
 	waiting   []message        // requests that wait for room, the oldest first
 	writeDown chan struct{}    // holds one while a record of what is learned is wanted
 
+	Note func(to int, a rules.Action) // sends a message to another front; set before Run, none is sent without
+
 	Log *slog.Logger // each request's way at level debug; set before Run, nothing is logged without
 
 	open, served, refused, failed, left atomic.Int64
@@ -95,7 +97,7 @@
 		return nil, fmt.Errorf("scheduler: %w", err)
 	}
 	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, inbox),
-		stopped: make(chan struct{}), calls: map[string]*call{}, writeDown: make(chan struct{}, 1), Log: slog.New(slog.DiscardHandler)}, nil
+		stopped: make(chan struct{}), calls: map[string]*call{}, writeDown: make(chan struct{}, 1), Note: func(int, rules.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
 }
 
 // Tally tells how many requests are open and how the others ended.
@@ -107,6 +109,9 @@
 // Tell hands news of the node list to the scheduler, ahead of any request submitted later.
 func (c *Core) Tell(news rules.Nodes) { c.submit(message{event: news}) }
 
+// Hear hands a message of another front to the scheduler.
+func (c *Core) Hear(e rules.Event) { c.submit(message{event: e}) }
+
 // Room tells the scheduler for how many open requests there is room from now on.
 func (c *Core) Room(open int) { c.submit(message{event: rules.Room{Open: open}}) }
 
@@ -244,6 +249,10 @@
 		c.rule(a.ID, a, true)
 	case rules.Probe:
 		go func() { c.submit(message{event: c.probe(a.Node)}) }()
+	case rules.Ask:
+		c.Note(a.To, a)
+	case rules.Grant:
+		c.Note(a.To, a)
 	case rules.WriteDown:
 		select {
 		case c.writeDown <- struct{}{}:
--- /dev/null
+++ b/internal/net/transport/peers.go
@@ -0,0 +1,68 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/rules"
+)
+
+// Peers carries short messages between fronts. They may be lost, so nothing waits for one, and what can't be read is
+// passed over.
+type Peers struct {
+	conn    *net.UDPConn
+	addrs   []netip.AddrPort       // by number
+	numbers map[netip.AddrPort]int // whose address it is
+	log     *slog.Logger
+}
+
+// ListenPeers opens the socket for messages of other fronts.
+func ListenPeers(listen string, addrs []netip.AddrPort, log *slog.Logger) (*Peers, error) {
+	at, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	p := &Peers{conn: conn, addrs: addrs, numbers: make(map[netip.AddrPort]int, len(addrs)), log: log}
+	for i, a := range addrs {
+		p.numbers[a] = i
+	}
+	return p, nil
+}
+
+// Send sends what the scheduler has for the front of a number.
+func (p *Peers) Send(to int, a rules.Action) {
+	if text := protocol.FormatNote(a); text != nil && to >= 0 && to < len(p.addrs) {
+		p.conn.WriteToUDPAddrPort(text, p.addrs[to]) // one that can't be sent is one that was lost
+	}
+}
+
+// Run hands what comes to hear until ctx ends.
+func (p *Peers) Run(ctx context.Context, hear func(rules.Event)) {
+	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
+	buffer := make([]byte, protocol.LongestNote+1)
+	for ctx.Err() == nil {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		number, known := p.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if err != nil || !known || n > protocol.LongestNote {
+			continue // of a peer that is gone, as the next send hears; or from elsewhere
+		}
+		e, err := protocol.ParseNote(number, buffer[:n])
+		if err != nil {
+			p.log.Warn("a peer's message can't be read", "peer", from.String(), "error", err)
+			continue
+		}
+		hear(e)
+	}
+}
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -49,6 +49,14 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
+	if len(config.Peers) > 0 {
+		peers, err := transport.ListenPeers(config.PeerListen, config.Peers, log)
+		if err != nil {
+			return err
+		}
+		core.Note = peers.Send
+		go peers.Run(ctx, core.Hear)
+	}
 	go core.Run(ctx)
 	go nodes.Run(ctx)
 	apply := func(list protocol.List) { core.Tell(nodes.Apply(list)) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"strconv"
@@ -266,7 +267,16 @@
 		return l.probed(), true
 	case "REMINDER":
 		return rules.Alarm{}, true
-	case "BEGUN", "NOTE_FROM":
+	case "NOTE_FROM":
+		text, err := base64.StdEncoding.DecodeString(l.text("octets"))
+		if err == nil {
+			e, err = protocol.ParseNote(int(l.integer("originPeer")), text)
+		}
+		if err != nil {
+			l.fail(err.Error())
+		}
+		return e, true
+	case "BEGUN":
 		return nil, false
 	}
 	l.fail("unknown message")
@@ -300,7 +310,15 @@
 		fmt.Fprintf(w, "CANCEL\ti=%s\trequestId=%s\tseqNo=%d\n", inst, a.ID, a.Attempt)
 	case rules.Probe:
 		fmt.Fprintf(w, "TEST\ti=%s\ttarget=%s\n", inst, a.Node)
+	case rules.Ask:
+		writeNote(w, inst, a.To, a)
+	case rules.Grant:
+		writeNote(w, inst, a.To, a)
 	case rules.SetAlarm:
 		fmt.Fprintf(w, "TIMER\ti=%s\tatUs=%d\tctx=0\n", inst, a.At)
 	}
 }
+
+func writeNote(w io.Writer, inst string, to int, a rules.Action) {
+	fmt.Fprintf(w, "SHARE\ti=%s\trecipient=%d\toctets=%s\n", inst, to, base64.StdEncoding.EncodeToString(protocol.FormatNote(a)))
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"otterturn/rules/bucket"
+	"otterturn/rules/cold"
 	"otterturn/rules/curve"
 )
 
@@ -54,6 +55,8 @@
 // Settings are the figures that a Scheduler gets at its start.
 type Settings struct {
 	Hosts   int    // initiators in all
+	Number  int    // of this one among them, from 0
+	Peers   bool   // hosts may send each other messages, which may be lost
 	Tick    Micros // shortest time between two steps
 	Classes []Class
 	Plans   []Plan
@@ -249,6 +252,21 @@
 	Sure  bool // and no earlier one may
 }
 
+// Asked tells that another host, by its number, asks to be granted units at a cold node.
+type Asked struct {
+	From int
+	Node string
+	cold.Wish
+}
+
+// Granted tells that units may be sent to a cold node until a time, on top of what it answers.
+type Granted struct {
+	From  int
+	Node  string
+	Units float64
+	Until Micros
+}
+
 // Alarm is the timer of the last SetAlarm, now due.
 type Alarm struct{}
 
@@ -260,6 +278,8 @@
 func (Probed) event()   {}
 func (Alarm) event()    {}
 func (Recorded) event() {}
+func (Asked) event()    {}
+func (Granted) event()  {}
 
 // Action is something that the scheduler wants done, in the order given.
 type Action interface{ action() }
@@ -306,6 +326,21 @@
 // WriteDown asks for a record of what is learned, as a volume's lease runs low.
 type WriteDown struct{}
 
+// Ask is Asked, on its way to the host of a number.
+type Ask struct {
+	To   int
+	Node string
+	cold.Wish
+}
+
+// Grant is Granted, on its way to the host of a number.
+type Grant struct {
+	To    int
+	Node  string
+	Units float64
+	Until Micros
+}
+
 // SetAlarm asks for an Alarm.
 type SetAlarm struct{ At Micros }
 
@@ -316,3 +351,5 @@
 func (Probe) action()     {}
 func (SetAlarm) action()  {}
 func (WriteDown) action() {}
+func (Ask) action()       {}
+func (Grant) action()     {}
--- a/rules/loops.go
+++ b/rules/loops.go
@@ -13,7 +13,7 @@
 	case OK, Errored:
 		n.Answered, n.mute = s.now, 0
 		if s.isCold(n) {
-			n.window.Add(s.now, -r.Units*max(1, s.set.FallMultiple*coldShare))
+			n.cold.Answered(s.now, r.Units, e.Latency)
 		}
 		if e.Result == Errored {
 			n.Errors += (1 - n.Errors) / errorsSeen
@@ -59,6 +59,7 @@
 			n.former, n.broke = n.Suspect, s.now
 		}
 		n.mute, n.Suspect, n.probeAt = cmp.Or(n.mute, s.now), s.now, s.now
+		n.cold.Restarted()
 	}
 }
 
--- a/rules/nodes.go
+++ b/rules/nodes.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"otterturn/rules/agenda"
-	"otterturn/rules/window"
+	"otterturn/rules/cold"
 )
 
 type node struct {
@@ -20,16 +20,16 @@
 	lastSend        Micros
 	served, latency float64 // units and summed latencies of this slow interval
 	answers, low    float64
-	mute            Micros                // silent since then, after a failure or time-out
-	lossAt          Micros                // last attempt that timed out though later ones were answered
-	scouted         Micros                // last answer or failure of a probe
-	heard           Micros                // last answer to a probe
-	probing         bool                  // a probe is out
-	probed, probeAt Micros                // last probe sent; not to be probed before
-	broke, former   Micros                // a connection broke, unprobed yet; suspect before
-	pausedTo        Micros                // what is not reserved waits until then
-	fullTo          Micros                // turned a request away not long before
-	window          window.Window[Micros] // units sent, less answered, in the fall span, while cold
+	mute            Micros             // silent since then, after a failure or time-out
+	lossAt          Micros             // last attempt that timed out though later ones were answered
+	scouted         Micros             // last answer or failure of a probe
+	heard           Micros             // last answer to a probe
+	probing         bool               // a probe is out
+	probed, probeAt Micros             // last probe sent; not to be probed before
+	broke, former   Micros             // a connection broke, unprobed yet; suspect before
+	pausedTo        Micros             // what is not reserved waits until then
+	fullTo          Micros             // turned a request away not long before
+	cold            cold.Guard[Micros] // what may be sent while it is cold
 }
 
 // learn takes over the node list. A node that is missing from a full list is gone.
@@ -42,13 +42,14 @@
 	for _, l := range e.List {
 		n := s.byName[l.Node]
 		if n == nil {
-			n = &node{Habits: s.Fresh(), calm: true, window: window.Of(s.set.FallSpan + s.margin())}
+			n = &node{Habits: s.Fresh(), calm: true, cold: s.cold.Guard()}
 			s.agenda.Enter(&n.entry, n)
 			s.byName[l.Node] = n
 			s.nodes = append(s.nodes, n)
 		}
 		if l.Since != n.Since {
 			n.Suspect, n.Usual, n.pausedTo, n.calm, n.Errors = 0, 0, 0, true, 0
+			n.cold.Restarted()
 		}
 		n.Listing = l
 	}
@@ -190,40 +191,6 @@
 	}
 }
 
-// isCold tells whether a node may still be warming up.
-func (s *Scheduler) isCold(n *node) bool {
-	up := max(n.Since, n.Suspect)
-	return up > 0 && s.now < up+s.set.Ramp
-}
-
-// coldPart is how many units more this host may send to a node that may be cold, and its even part of what
-// such a node always bears. Within any fall span it sends at most coldShare of the multiple times what the
-// node answered, plus coldBorne of its part, which grows with the guaranteed ramp. Answers show capacity: all
-// hosts' together are at most one times it. The rest is left for answers that cost less work than what they
-// call up (repeats, work put off), and for nodes that more is asked of than of others.
-func (s *Scheduler) coldPart(n *node) (room, part float64) {
-	age := max(0, s.now-max(n.Since, n.Suspect)-s.set.FallSpan)
-	share := s.set.ColdFrom + (1-s.set.ColdFrom)*float64(age)/float64(s.set.Ramp)
-	part = s.set.ColdUnits * share / s.set.ColdFrom / float64(s.set.Hosts) * coldBorne
-	return part - n.window.Sum(s.now), part
-}
-
-// bears tells whether a node that may be cold can take a request more.
-func (s *Scheduler) bears(n *node, r *request) bool {
-	if !s.isCold(n) {
-		n.window.Clear()
-		return true
-	}
-	room, part := s.coldPart(n)
-	if r.Units <= room || part >= s.set.MostUnits {
-		return r.Units <= room
-	}
-	// Among many hosts a part may be below any request, and without a send nothing is ever answered. So each
-	// request leaves with the chance that makes up the part in the mean of what a node gets of this host.
-	usual := s.demand.Sum / float64(slowInterval) * float64(s.set.FallSpan) / float64(len(s.nodes))
-	return len(n.pending) == 0 && r.draw < part/usual
-}
-
 // wary tells that a probe goes ahead. Each of many hosts would find out by a slow request of its own that a
 // node is jammed, and never that it is free again. So where slow answers are not seldom, or the node was
 // slow, one goes to a node not heard of for a slow interval. Covers ageing, overload, foreign work; it costs
--- a/rules/order.go
+++ b/rules/order.go
@@ -99,12 +99,15 @@
 		if len(s.nodes) > placeAmong {
 			n = s.nodes[s.rng.IntN(len(s.nodes))]
 		}
-		if n.State != Running || n.mute > 0 || n.failing() || s.now < n.fullTo || !s.bears(n, r) {
+		if n.State != Running || n.mute > 0 || n.failing() || s.now < n.fullTo {
 			continue
 		}
 		load := n.outUnits + s.shard(n.Shard).units
 		score := (load + r.Units) / n.Budget * (1 + 0.01*s.rng.Float64())
 		score *= max(cmp.Or(n.Usual, s.pool.Usual, float64(s.aim)), float64(s.waiting(n)))
+		if s.isCold(n) { // as slow as it may be
+			score *= s.cold.Slower(s.age(n))
+		}
 		if score < best {
 			best, shard = score, n.Shard
 		}
@@ -123,7 +126,7 @@
 	for _, n := range ready {
 		sh := s.shard(n.Shard)
 		for n.State == Running && sh.units > 0 && n.mute == 0 && s.now >= n.fullTo {
-			r, rank := s.pick(n, sh)
+			r, rank := s.pick(n, sh, math.Inf(1))
 			if r != nil && s.wary(n) {
 				s.probe(n)
 				break
@@ -131,6 +134,12 @@
 			if r == nil || !s.takes(n, r, rank) {
 				break
 			}
+			if !s.bears(n, r) {
+				s.wish(n, sh, r)
+				if r, rank = s.pick(n, sh, n.cold.Room(s.now)); r == nil || !s.takes(n, r, rank) {
+					break
+				}
+			}
 			s.send(n, sh, r, rank == rankReserved)
 		}
 	}
@@ -171,7 +180,7 @@
 	}
 	stands := sh.units > 0 && (!has || len(f.held) == 0)
 	return (s.set.MaxOpen <= 0 || len(s.reqs) < s.set.MaxOpen) && s.now >= n.fullTo && s.eligible(n, r) &&
-		(stands || s.wary(n) || s.takes(n, r, s.rank(r, s.late(n, r))))
+		s.bears(n, r) && (stands || s.wary(n) || s.takes(n, r, s.rank(r, s.late(n, r))))
 }
 
 // replace finds another shard for new objects that are held where no node takes them.
@@ -185,12 +194,12 @@
 }
 
 // pick is mClock: the earliest due reservation tag, else the smallest weight tag. Requests that can no longer
-// meet their aim come after all that can.
-func (s *Scheduler) pick(n *node, sh *shard) (best *request, rank int) {
+// meet their aim come after all that can. None is larger than the most units that there is room for.
+func (s *Scheduler) pick(n *node, sh *shard, most float64) (best *request, rank int) {
 	rank, bestTag := rankNone, 0.0
 	for f := range sh.busy.All {
 		s.fill(f.vol)
-		r, late := s.head(n, f)
+		r, late := s.head(n, f, most)
 		if r == nil {
 			continue
 		}
@@ -227,11 +236,12 @@
 }
 
 // head is the next request of a flow, one that can't meet its aim only if none can.
-func (s *Scheduler) head(n *node, f *flow) (best *request, late bool) {
+func (s *Scheduler) head(n *node, f *flow, most float64) (best *request, late bool) {
 	late = true
 	for _, r := range f.held {
 		l := s.late(n, r)
-		if first := best == nil || !l && late || l == late && before(r, best); first && s.eligible(n, r) {
+		first := best == nil || !l && late || l == late && before(r, best)
+		if first && r.Units <= most && s.eligible(n, r) {
 			best, late = r, l
 		}
 	}
@@ -256,7 +266,7 @@
 		p.wasFull = true
 		return false
 	}
-	return s.bears(n, r)
+	return true
 }
 
 // send starts an attempt and advances the tags.
@@ -264,6 +274,7 @@
 	f, v := r.flow, r.vol
 	s.unhold(r)
 	if v.plan.Limit > 0 && !r.drawn {
+		v.away, r.away = v.away+r.Units, r.Units
 		if r.drawn = true; v.bucket.Draw(s.now, r.Units, s.lease(v)) {
 			s.out = append(s.out, WriteDown{})
 		}
@@ -282,9 +293,7 @@
 		s.allowance.Further(s.now)
 	}
 	if s.isCold(n) {
-		// What a lone request takes beyond the room has gathered before; its answer counts in full.
-		room, _ := s.coldPart(n)
-		n.window.Add(s.now, min(r.Units, max(0, room)))
+		n.cold.Sent(s.now, r.Units)
 	}
 	r.sends = append(r.sends, attempt{n, s.now})
 	r.out, r.overtaken, n.lastSend = r.out+1, 0, s.now
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -18,9 +18,9 @@
 	overtaken       int      // later sends to the same node that were answered before the attempt that is out
 	cancelled       bool     // the attempt that is out was taken back
 	drawn           bool     // has taken its units from the limit's bucket
+	away            float64  // units that it took, and that no node may have counted yet
 	done            bool
-	draw            float64 // at random, against the chance to leave for a cold node
-	placed          bool    // a new object, whose shard is this host's choice
+	placed          bool // a new object, whose shard is this host's choice
 	flow            *flow
 }
 
@@ -44,8 +44,9 @@
 	hosts   float64
 	reserve float64 // reservation tag: due once it is not after now
 	bucket  bucket.Bucket[Micros]
-	open    int    // requests that are not over
-	closed  Micros // none since then
+	away    float64 // units drawn that no node may have counted yet
+	open    int     // requests that are not over
+	closed  Micros  // none since then
 }
 
 // admit takes a client's request: it is held until the loops, the order and the guards let it leave.
@@ -56,7 +57,6 @@
 	}
 	e.Units = cmp.Or(max(e.Units, 0), 1)
 	r := s.request(e)
-	s.demand.Add(s.now, e.Units)
 	// A client's next try ends when the first would have. Its worth goes by the first one's aim.
 	p, again := s.refused.Look(r.origin())
 	if again && max(r.deadline-p.deadline, p.deadline-r.deadline) <= s.margin() {
@@ -77,7 +77,7 @@
 func (s *Scheduler) request(e Request) *request {
 	c := &s.set.Classes[e.Class]
 	return &request{Request: e, class: c, vol: s.volume(e), aimAt: s.now + min(c.Aim, e.Left),
-		deadline: s.now + e.Left, placed: e.Shard < 0, draw: s.rng.Float64()}
+		deadline: s.now + e.Left, placed: e.Shard < 0}
 }
 
 // margin is how long before its end a request is not sent any more.
@@ -110,8 +110,15 @@
 	return (1 - r.class.Worth/s.worth) / 2 * (float64(second) + s.set.MostUnits/s.reservation(r.vol))
 }
 
-// fill adds this host's part of the limit since the last time.
-func (s *Scheduler) fill(v *volume) { v.bucket.Fill(s.now, v.rate(), v.plan.Burst/v.hosts) }
+// fill adds this host's part of the limit since the last time. What was drawn counts once it reaches a node,
+// long after where nodes are cut off. Until then it takes up room in the bucket, which would be full again by
+// then, and as much would be sent beyond the burst.
+func (s *Scheduler) fill(v *volume) {
+	v.bucket.Fill(s.now, v.rate(), max(0, v.plan.Burst/v.hosts-v.away))
+}
+
+// landed notes that a request's units have been counted, or never will be.
+func (r *request) landed() { r.vol.away, r.away = r.vol.away-r.away, 0 }
 
 func (v *volume) rate() float64 { return v.plan.Limit / v.hosts / float64(second) }
 
@@ -146,6 +153,9 @@
 		r.ran = &a
 	}
 	r.drawn = r.drawn && e.Result != Moot
+	if e.Result == OK || e.Result == Errored || e.Result == Moot {
+		r.landed()
+	}
 	if r.class.InOrder && ran && e.Result != Errored {
 		s.turns.Rest(r.Key, s.now+s.set.KeyRest)
 	}
@@ -269,6 +279,7 @@
 	if r.out > 0 {
 		return
 	}
+	r.landed()
 	delete(s.reqs, r.ID)
 	r.vol.open, r.vol.closed = r.vol.open-1, s.now
 	if r.class.InOrder {
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -7,10 +7,10 @@
 
 	"otterturn/rules/agenda"
 	"otterturn/rules/allowance"
+	"otterturn/rules/cold"
 	"otterturn/rules/fading"
 	"otterturn/rules/ranked"
 	"otterturn/rules/turns"
-	"otterturn/rules/window"
 )
 
 // Figures of the design, the same for every deployment.
@@ -23,8 +23,6 @@
 	tradeOff            = 0.1 // slope of the curve, relative to its top and its lowest latency
 	lostAfter           = 2   // and lost once so many later sends were answered
 	overdueTimes        = 4   // an attempt is overdue after so many times what the node usually takes
-	coldShare           = 0.4 // of the fall multiple, for what a cold node answers
-	coldBorne           = 0.7 // of what a cold node always bears
 	fullAims            = 2   // a node that turned a request away is left alone for so many shortest aims
 	seldom              = 16  // answers over the shortest aim are seldom below one in so many
 	errorsSeen          = 6   // errors are smoothed over so many answers
@@ -37,8 +35,7 @@
 	set        Settings
 	rng        *rand.Rand
 	now, began Micros
-	demand     window.Fading[Micros] // units that came within about a slow interval
-	slow       float64               // share of answers and time-outs that took over the shortest aim
+	slow       float64 // share of answers and time-outs that took over the shortest aim
 	out        []Action
 	aim        Micros  // the shortest aim of the classes
 	worth      float64 // the highest worth of the classes
@@ -56,6 +53,8 @@
 	wakeSet    bool
 	sweptAt    Micros                      // idle volumes and flows count as forgotten as of then
 	allowance  allowance.Allowance[Micros] // of further attempts
+	cold       cold.Figures[Micros]
+	rations    []ration // of cold nodes, that this host deals out
 }
 
 // New returns a scheduler for one host. The seed drives all its random choices.
@@ -67,11 +66,12 @@
 		shards: map[int]*shard{}, reqs: map[string]*request{}, turns: turns.New[Micros, *request](),
 		volumes: fading.Of[string, *volume](), flows: fading.Of[place, *flow](),
 		refused:   fading.Of[Request, *request](),
-		demand:    window.Fading[Micros]{Span: slowInterval},
 		agenda:    agenda.Of[Micros, *node](fastInterval, slowInterval),
 		allowance: allowance.Of(set.RetrySpan, set.RetrySpare, set.RetryShare),
 		aim:       set.Classes[0].Aim, worth: math.SmallestNonzeroFloat64}
 	s.pool = &node{Habits: Habits{Budget: capRequests * set.MeanUnits}, calm: true}
+	s.cold = cold.Figures[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
+		Multiple: set.FallMultiple, Span: set.FallSpan, Units: set.ColdUnits, Peers: set.Peers}
 	for _, c := range set.Classes {
 		s.aim, s.worth = min(s.aim, c.Aim), max(s.worth, c.Worth)
 	}
@@ -92,6 +92,7 @@
 		s.watch(n)
 	}
 	s.dispatch()
+	s.deal()
 	s.giveUp()
 	s.shed()
 	if now >= s.sweptAt+slowInterval {
@@ -102,7 +103,7 @@
 	s.volumes.Sweep(some, s.forgotten)
 	s.refused.Sweep(some, func(r *request) bool { return r.deadline < s.now })
 	s.agenda.Close(s.watchAt)
-	if s.busy.Len() > 0 && !s.wakeSet {
+	if (s.busy.Len() > 0 || s.wishing()) && !s.wakeSet {
 		s.wakeSet = true
 		s.out = append(s.out, SetAlarm{At: now + wakeTicks*s.set.Tick})
 	}
@@ -123,6 +124,10 @@
 		}
 	case Probed:
 		s.probed(e)
+	case Asked:
+		s.asked(e)
+	case Granted:
+		s.granted(e)
 	case Room:
 		s.set.MaxOpen = e.Open
 	case Alarm:
--- a/rules/window/window.go
+++ b/rules/window/window.go
@@ -1,21 +1,6 @@
 // Package window adds up amounts over a sliding span of time. It reads no clock.
 package window
 
-import "math"
-
-// Fading is a sum whose parts fade away, as of the last one: by Span, e times.
-type Fading[T ~int64] struct {
-	Span T
-	Sum  float64
-	at   T
-}
-
-// Add takes in an amount.
-func (f *Fading[T]) Add(now T, amount float64) {
-	f.Sum = f.Sum*math.Exp(-float64(now-f.at)/float64(f.Span)) + amount
-	f.at = now
-}
-
 // Window holds the amounts of the last span, each with its time. Times must not go back.
 type Window[T ~int64] struct {
 	span  T
