Read discovery's answer whole for thousands of nodes, where 64 KiB held some 450

Checked by reading, then by a test: transport/discovery.go, longestList, cut an answer at 64 KiB and refused it as 'status 200, 65537 bytes'. An entry has 140 to 150 bytes, so the list of 450 nodes and more stayed as it was at the start for ever. The bound is limits.List now, 1 MiB or a 32nd of the memory. A configuration with 2,000 peers and 2,000 nodes and an answer with 2,000 nodes are tests now, and so are bad peers and bad messages between fronts.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -17,6 +17,7 @@
 	Answer      int64 // bytes of an answer's body
 	LongAnswers int   // answers longer than Body that are read at a time
 	Header      int   // bytes of a message's head
+	List        int64 // bytes of an answer of discovery
 
 	Informational int // heads of a node's answer, informational ones and its own
 	WriteTries    int // connections that a request is written to, while it was not written whole
@@ -89,6 +90,9 @@
 	answer = 1 << 20
 )
 
+// list is the room for discovery's answer at least: 2,000 nodes take 400 KiB, and twice that while it is read.
+const list = 1 << 20
+
 // For fills the limits of a deployment.
 func For(s Site) Limits {
 	rest := max(s.Sockets-reserved-spareConns, 16)
@@ -108,7 +112,7 @@
 	return Limits{
 		Memory: memory,
 		Inbox:  4 * clients, Open: open, Hold: min(open, s.Sockets/toHold), ClientKeep: min(clients, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
-		Body: body, Answer: min(answer, memory/32), LongAnswers: 8, Header: 16 << 10, Informational: 8, WriteTries: 3, ConnectTries: 3, ProbeTries: 3,
+		Body: body, Answer: min(answer, memory/32), LongAnswers: 8, Header: 16 << 10, List: max(list, memory/32), Informational: 8, WriteTries: 3, ConnectTries: 3, ProbeTries: 3,
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
 		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
 		WriteAnswer: 2*s.Deadline + 5*time.Second,
--- /dev/null
+++ b/internal/net/protocol/fleet_test.go
@@ -0,0 +1,73 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"otterturn/rules"
+)
+
+// bigConfig is the configuration of one of many fronts before many nodes.
+func bigConfig(t *testing.T, many int) string {
+	settings, err := json.Marshal(FormatSettings(rules.Settings{Hosts: many, Number: many - 1, Peers: true, Tick: 1000, MeanUnits: 2, MostUnits: 6,
+		Classes: []rules.Class{{Aim: 300_000, Worth: 1}}, Plans: []rules.Plan{{Weight: 1}}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(`"ConnIdleUs":0`, `"ConnIdleUs":15000000`, `"ConnectTimeoutUs":0`, `"ConnectTimeoutUs":250000`,
+		`"GiveUpUs":0`, `"GiveUpUs":2500000`).Replace(string(settings))
+	var peers, hosts []string
+	for i := range many {
+		peers = append(peers, fmt.Sprintf(`"10.3.%d.%d:7946"`, i/250, i%250+1))
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%08x","dial":"10.1.%d.%d:5000","site":"a","block":%d,"health":"up","born_ms":0}`, i, i/250, i%250+1, i))
+	}
+	return fmt.Sprintf(`{"name":"n3","listen":"10.0.0.4:5000","discovery":"10.2.0.1:8500","seed":"8c1f","limits":{"memory_mb":72,"sockets":512},
+"peer_listen":"10.0.0.4:7946","peers":[%s],"known":{"seq":41,"whole":true,"hosts":[%s]},"settings":%s}`,
+		strings.Join(peers, ","), strings.Join(hosts, ","), text)
+}
+
+func TestConfigurationOfTwoThousandFrontsAndNodes(t *testing.T) {
+	const many = 2000
+	got, err := ParseConfig([]byte(bigConfig(t, many)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if set := got.Settings.Rules; len(got.Peers) != many || len(got.Known.Hosts) != many || set.Hosts != many || set.Number != many-1 || !set.Peers {
+		t.Errorf("%d peers, %d nodes, %d hosts, number %d, peers %v", len(got.Peers), len(got.Known.Hosts), set.Hosts, set.Number, set.Peers)
+	}
+}
+
+// A peer list that can't be read is refused whole, with the field: a front that took itself for another one would deal
+// out what is not its to deal.
+func TestBadPeersNameTheField(t *testing.T) {
+	good := bigConfig(t, 3)
+	for old, c := range map[string]struct{ with, field string }{
+		`"10.3.0.2:7946"`:               {`"10.3.0.2"`, "peers[1]"},
+		`"10.3.0.3:7946"]`:              {`"10.3.0.3:7946","10.3.0.4:7946"]`, "peers: 4"},
+		`"peer_listen":"10.0.0.4:7946"`: {`"peer_listen":"here"`, "peer_listen"},
+	} {
+		if _, err := ParseConfig([]byte(strings.Replace(good, old, c.with, 1))); err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%s: error %v", c.with, err)
+		}
+	}
+	silent, err := ParseConfig([]byte(strings.Replace(good, `"peer_listen":"10.0.0.4:7946",`, "", 1)))
+	if err != nil || silent.Settings.Rules.Peers || len(silent.Peers) > 0 {
+		t.Errorf("without an address to listen at: %v, peers %v", err, silent.Peers)
+	}
+}
+
+func TestBadNotesNameTheField(t *testing.T) {
+	for _, c := range []struct{ text, field string }{
+		{"", "no kind"}, {"ask", "no kind"}, {"tell 1 2", "no kind"}, {"ask 1 1 1 s-1", "no kind"}, {"ask 1 x 1 1 s-1", "units"},
+		{"ask 1 1 NaN 1 s-1", "units"}, {"ask 1 1 1 -1 s-1", "units"}, {"grant 1e9 1 s-1", "units"}, {"grant 1 soon s-1", "until"}, {"grant 1 0 s-1", "until"},
+	} {
+		if e, err := ParseNote(1, []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%q: %v, %v", c.text, e, err)
+		}
+	}
+	if FormatNote(rules.Ask{Node: strings.Repeat("x", 300)}) != nil || FormatNote(rules.SetAlarm{}) != nil {
+		t.Error("a message that is too long, or none of ours, was written")
+	}
+}
--- a/internal/net/protocol/note.go
+++ b/internal/net/protocol/note.go
@@ -61,8 +61,8 @@
 	return nil, fmt.Errorf("note: %.40q is of no kind", text)
 }
 
-// formatUnits writes units, to a thousandth.
-func formatUnits(units float64) string { return strconv.FormatFloat(units, 'f', 3, 64) }
+// formatUnits writes units exactly: a grant that was rounded down would be too small for its request.
+func formatUnits(units float64) string { return strconv.FormatFloat(units, 'f', -1, 64) }
 
 func parseUnits(text string) (float64, error) {
 	units, err := strconv.ParseFloat(text, 64)
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -13,9 +13,6 @@
 	"otterturn/internal/net/protocol"
 )
 
-// longestList bounds an answer of discovery.
-const longestList = 64 << 10
-
 // WholeList in the place of a version has a watch begin with the whole list.
 const WholeList = -1
 
@@ -68,12 +65,12 @@
 		return protocol.List{}, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, longestList+1))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, l.List+1))
 	switch {
 	case err != nil:
 		return protocol.List{}, err
-	case resp.StatusCode != http.StatusOK || len(text) > longestList:
-		return protocol.List{}, fmt.Errorf("status %d, %d bytes", resp.StatusCode, len(text))
+	case resp.StatusCode != http.StatusOK || int64(len(text)) > l.List:
+		return protocol.List{}, fmt.Errorf("status %d, %d bytes, %d may be read", resp.StatusCode, len(text), l.List)
 	}
 	return protocol.ParseList(text, zones)
 }
--- a/internal/net/transport/peers.go
+++ b/internal/net/transport/peers.go
@@ -7,7 +7,9 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
+	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/rules"
 )
@@ -18,11 +20,12 @@
 	conn    *net.UDPConn
 	addrs   []netip.AddrPort       // by number
 	numbers map[netip.AddrPort]int // whose address it is
+	again   time.Duration          // pause after a failure
 	log     *slog.Logger
 }
 
 // ListenPeers opens the socket for messages of other fronts.
-func ListenPeers(listen string, addrs []netip.AddrPort, log *slog.Logger) (*Peers, error) {
+func ListenPeers(listen string, addrs []netip.AddrPort, l limits.Limits, log *slog.Logger) (*Peers, error) {
 	at, err := netip.ParseAddrPort(listen)
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
@@ -31,7 +34,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	p := &Peers{conn: conn, addrs: addrs, numbers: make(map[netip.AddrPort]int, len(addrs)), log: log}
+	p := &Peers{conn: conn, addrs: addrs, numbers: make(map[netip.AddrPort]int, len(addrs)), again: l.AcceptAgain, log: log}
 	for i, a := range addrs {
 		p.numbers[a] = i
 	}
@@ -54,9 +57,16 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // of a peer that is gone, as the next read hears
+			select {
+			case <-ctx.Done():
+			case <-time.After(p.again):
+			}
+			continue
+		}
 		number, known := p.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if err != nil || !known || n > protocol.LongestNote {
-			continue // of a peer that is gone, as the next send hears; or from elsewhere
+		if !known || n > protocol.LongestNote {
+			continue // no peer's
 		}
 		e, err := protocol.ParseNote(number, buffer[:n])
 		if err != nil {
--- /dev/null
+++ b/internal/net/transport/peers_test.go
@@ -0,0 +1,99 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/standin"
+	"otterturn/rules"
+	"otterturn/rules/cold"
+)
+
+// An answer of discovery that names some 450 nodes was longer than what was read of it, so the list froze. Fleets have
+// hundreds of nodes, and no bound of ours may stand below what they need.
+func TestListOfTwoThousandNodes(t *testing.T) {
+	const many = 2000
+	var hosts []string
+	for i := range many {
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%08x","dial":"127.11.%d.%d:5000","site":"hall-a","class":"std-node","block":%d,"health":"up","share":1.25,"born_ms":1796159830723}`,
+			i, i/250, i%250+1, i))
+	}
+	text := fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[%s]}`, strings.Join(hosts, ","))
+	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	})
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(end)
+	lists := make(chan protocol.List, 1)
+	nodes := NewNodes(standin.Limits())
+	go Watch(ctx, addr, WholeList, []string{"hall-a"}, standin.Limits(), func(l protocol.List) {
+		nodes.Apply(l)
+		lists <- l
+		<-ctx.Done()
+	}, standin.Log(func(line string) { t.Error(line) }))
+	if got := standin.Await(t, "the list", lists); len(got.Hosts) != many || len(nodes.States()) != many {
+		t.Errorf("%d nodes read, %d kept", len(got.Hosts), len(nodes.States()))
+	}
+}
+
+// newPeers opens sockets for fronts, all of which know each other.
+func newPeers(t *testing.T, n int, line func(string)) (peers []*Peers, heard []chan rules.Event) {
+	var addrs []netip.AddrPort
+	for range n { // a port that is free now is free a moment later, as nobody else has this address
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, netip.MustParseAddrPort(c.LocalAddr().String()))
+		c.Close()
+	}
+	for _, a := range addrs {
+		p, err := ListenPeers(a.String(), addrs, standin.Limits(), standin.Log(line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, end := context.WithCancel(context.Background())
+		t.Cleanup(end)
+		events := make(chan rules.Event, 16)
+		go p.Run(ctx, func(e rules.Event) { events <- e })
+		peers, heard = append(peers, p), append(heard, events)
+	}
+	return peers, heard
+}
+
+func TestPeersHearEachOther(t *testing.T) {
+	logged := make(chan string, 1)
+	peers, heard := newPeers(t, 2, func(line string) { logged <- line })
+	wish := cold.Wish{Units: 2, Least: 1, Shown: cold.Shown{Served: 3.5, Speed: 7.25}}
+	peers[0].Send(1, rules.Ask{To: 1, Node: "s-1", Wish: wish})
+	if got, want := standin.Await(t, "an ask", heard[1]), (rules.Asked{From: 0, Node: "s-1", Wish: wish}); got != want {
+		t.Errorf("heard %v, want %v", got, want)
+	}
+	peers[1].Send(0, rules.Grant{To: 0, Node: "s-1", Units: 2, Until: 17})
+	if got, want := standin.Await(t, "a grant", heard[0]), (rules.Granted{From: 1, Node: "s-1", Units: 2, Until: 17}); got != want {
+		t.Errorf("heard %v, want %v", got, want)
+	}
+	// What can't be read, comes from elsewhere or is too long ends nothing.
+	peers[0].Send(7, rules.Ask{To: 7, Node: "s-1"})
+	peers[0].conn.WriteToUDPAddrPort([]byte("ask x 1 1 1 s-1"), peers[1].addrs[1])
+	if line := standin.Await(t, "a line", logged); !strings.Contains(line, "units") {
+		t.Errorf("logged %q, which names no field", line)
+	}
+	stranger, err := net.Dial("udp4", peers[1].addrs[1].String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.Write([]byte("grant 2.000 17 s-1"))
+	peers[0].conn.WriteToUDPAddrPort(make([]byte, 400), peers[1].addrs[1])
+	peers[0].Send(1, rules.Ask{To: 1, Node: "s-2", Wish: wish})
+	if got := standin.Await(t, "the next ask", heard[1]); got.(rules.Asked).Node != "s-2" {
+		t.Errorf("heard %v", got)
+	}
+}
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -50,12 +50,13 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	if len(config.Peers) > 0 {
-		peers, err := transport.ListenPeers(config.PeerListen, config.Peers, log)
-		if err != nil {
-			return err
+		// Messages may be lost, so a front without its socket serves: cold nodes get less of it.
+		if peers, err := transport.ListenPeers(config.PeerListen, config.Peers, l, log); err != nil {
+			log.Error("no messages between fronts", "error", err)
+		} else {
+			core.Note = peers.Send
+			go peers.Run(ctx, core.Hear)
 		}
-		core.Note = peers.Send
-		go peers.Run(ctx, core.Hear)
 	}
 	go core.Run(ctx)
 	go nodes.Run(ctx)
--- a/internal/wire/remote.go
+++ b/internal/wire/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -135,11 +136,19 @@
 			code, feedback = 0, fmt.Sprintf("\tfeedback=backlog:%v", e.Queue)
 		}
 		fmt.Fprintf(w, "PROBE_RESULT\ti=%s\ttarget=%s\tstateCode=%d%s\n", i.name, e.Node, code, feedback)
+	case rules.Asked:
+		i.writeNote(w, e.From, rules.Ask{Node: e.Node, Wish: e.Wish})
+	case rules.Granted:
+		i.writeNote(w, e.From, rules.Grant{Node: e.Node, Units: e.Units, Until: e.Until})
 	case rules.Alarm:
 		fmt.Fprintf(w, "REMINDER\ti=%s\tctx=0\n", i.name)
 	}
 }
 
+func (i *Instance) writeNote(w io.Writer, from int, a rules.Action) {
+	fmt.Fprintf(w, "NOTE_FROM\ti=%s\toriginPeer=%d\toctets=%s\n", i.name, from, base64.StdEncoding.EncodeToString(protocol.FormatNote(a)))
+}
+
 // action reads an action.
 func (l *line) action() rules.Action {
 	id := l.fields["requestId"]
@@ -154,6 +163,14 @@
 		return rules.Cancel{ID: id, Attempt: int(l.integer("seqNo"))}
 	case "TEST":
 		return rules.Probe{Node: l.text("target")}
+	case "SHARE":
+		switch e := l.note("recipient").(type) {
+		case rules.Asked:
+			return rules.Ask{To: e.From, Node: e.Node, Wish: e.Wish}
+		case rules.Granted:
+			return rules.Grant{To: e.From, Node: e.Node, Units: e.Units, Until: e.Until}
+		}
+		return nil
 	case "TIMER":
 		return rules.SetAlarm{At: rules.Micros(l.integer("atUs"))}
 	}
--- a/internal/wire/remote_test.go
+++ b/internal/wire/remote_test.go
@@ -8,11 +8,12 @@
 	"testing"
 
 	"otterturn/rules"
+	"otterturn/rules/cold"
 )
 
 // A scheduler behind the pipe decides as one that is called: the same events have the same actions.
 func TestRemoteDecidesAsCalled(t *testing.T) {
-	set := rules.Settings{Hosts: 2, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 3, Probing: true, Cancel: true,
+	set := rules.Settings{Hosts: 2, Peers: true, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 3, Probing: true, Cancel: true,
 		RetryAfter: true, MaxRetryAfter: 500_000, ColdFrom: 0.25, Ramp: 15_000_000, FallMultiple: 2.5, FallSpan: 1_000_000, ColdUnits: 8,
 		KeyRest: 100, RetrySpan: 10_000_000, RetrySpare: 5, RetryShare: 0.2,
 		Classes: []rules.Class{{Aim: 300_000, Worth: 2}, {Aim: 400_000, Repeat: rules.Keyed, Group: rules.SameShard, Window: 3_000_000, InOrder: true, Worth: 1},
@@ -53,7 +54,8 @@
 				Latency: rules.Micros(rng.IntN(500_000)), Final: result == rules.OK})
 			pending = pending[1:]
 		}
-		events = append(events, rules.Alarm{}, rules.Probed{Node: "n0", OK: step%3 > 0, Queue: float64(step % 5)}, rules.Lapsed{ID: strconv.Itoa(step - 900)})
+		events = append(events, rules.Alarm{}, rules.Probed{Node: "n0", OK: step%3 > 0, Queue: float64(step % 5)}, rules.Lapsed{ID: strconv.Itoa(step - 900)},
+			rules.Asked{From: 1, Node: "n" + strconv.Itoa(step%4), Wish: cold.Wish{Units: 2, Least: 1, Shown: cold.Shown{Speed: 8}}})
 		a, b := called.Step(now, events), far.Step(now, events)
 		for i, x := range a { // the reasons don't cross the pipe
 			switch x := x.(type) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -111,6 +111,20 @@
 		Elsewhere: l.optional("elsewhere")}
 }
 
+// note reads a message between instances; the field named tells the other one's number.
+func (l *line) note(other string) rules.Event {
+	text, err := base64.StdEncoding.DecodeString(l.text("octets"))
+	if err != nil {
+		l.fail(err.Error())
+		return nil
+	}
+	e, err := protocol.ParseNote(int(l.integer(other)), text)
+	if err != nil {
+		l.fail(err.Error())
+	}
+	return e
+}
+
 func (l *line) listing() rules.Listing {
 	state, ok := states[l.text("availability")]
 	if !ok {
@@ -268,14 +282,7 @@
 	case "REMINDER":
 		return rules.Alarm{}, true
 	case "NOTE_FROM":
-		text, err := base64.StdEncoding.DecodeString(l.text("octets"))
-		if err == nil {
-			e, err = protocol.ParseNote(int(l.integer("originPeer")), text)
-		}
-		if err != nil {
-			l.fail(err.Error())
-		}
-		return e, true
+		return l.note("originPeer"), true
 	case "BEGUN":
 		return nil, false
 	}
