--- /dev/null
+++ b/internal/lab/world/fleet_test.go
@@ -0,0 +1,111 @@
+package world_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"otterturn/internal/lab/model"
+	"otterturn/internal/lab/world"
+	"otterturn/rules"
+)
+
+const second = rules.Micros(1_000_000)
+
+// fleet is many fronts before nodes that all start cold together, with a little traffic at each front. A unit is work
+// of 0.1 s, and a node does 10 a second once it is warm.
+type fleet struct {
+	*world.World
+	set    rules.Settings
+	seed   int64
+	served int
+}
+
+const unitWork = 100_000.0
+
+func newFleet(t *testing.T, fronts, nodes int, seed uint64) *fleet {
+	t.Helper()
+	f := &fleet{seed: int64(seed), set: rules.Settings{Hosts: fronts, Peers: true, Tick: 1000, MeanUnits: 2, MostUnits: 6, MaxTries: 4, Probing: true,
+		RetryAfter: true, MaxRetryAfter: second / 2, ColdFrom: 0.2, Ramp: 17 * second, FallMultiple: 2.5, FallSpan: second, ColdUnits: 1,
+		Classes: []rules.Class{{Aim: 700_000, Worth: 2}, {Aim: 900_000, Repeat: rules.Keyed, Group: rules.SameShard, Window: 7 * second, Worth: 2}},
+		Plans:   []rules.Plan{{Reservation: 3, Weight: 1}, {Weight: 1, Limit: 3, Burst: 36}}}}
+	var models []*model.Node
+	for range nodes {
+		models = append(models, model.New(model.Figures{Cores: 2, Speed: 0.5, Room: 60, ColdFrom: f.set.ColdFrom, Ramp: int64(f.set.Ramp),
+			FallTimes: f.set.FallMultiple, FallSpan: int64(f.set.FallSpan), FallFree: f.set.ColdUnits * unitWork, KeyWindow: int64(7 * second), MostMemory: 10_000}))
+	}
+	f.World = world.New(f.set, models, 1, 5_000, seed)
+	for _, n := range f.Nodes {
+		f.Restart(n)
+	}
+	for i := range fronts {
+		f.begin(t, i)
+	}
+	f.Watch(f)
+	return f
+}
+
+// begin starts a front that knows nothing.
+func (f *fleet) begin(t *testing.T, place int) {
+	set := f.set
+	set.Number = place
+	f.seed++
+	s, err := rules.New(set, f.seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.World.Start(place, s)
+}
+
+// ask plans so many requests a second for each node, each from one of the fronts that use it.
+func (f *fleet) ask(rate float64, users int, until rules.Micros) {
+	rng := rand.New(rand.NewPCG(uint64(f.seed), 3))
+	id := 0
+	for shard := range f.Nodes {
+		for at := 0.0; rules.Micros(at) < until; at += rng.ExpFloat64() * 1e6 / rate {
+			id++
+			units := min(6, 1+int(rng.ExpFloat64()*1.2))
+			front := (shard*7 + rng.IntN(users)*13) % len(f.Fronts)
+			class := rng.IntN(2)
+			q := world.Request{At: rules.Micros(at), Front: front, Work: float64(units) * unitWork, Write: class == 1, Comes: true,
+				Request: rules.Request{ID: fmt.Sprint("r", id), Class: class, Plan: id % 2, Volume: fmt.Sprint("v", shard, "-", front, "-", id%2),
+					Key: fmt.Sprint("k", id), Units: float64(units), Shard: shard, Hosts: 1, Left: 4 * second}}
+			f.At(q.At, func() { f.Ask(q) })
+		}
+	}
+}
+
+func (f *fleet) Told(int, rules.Nodes)     {}
+func (f *fleet) Asked(int, rules.Request)  {}
+func (f *fleet) Sent(int, string, string)  {}
+func (f *fleet) Back(string, rules.Result) {}
+func (f *fleet) Answered(_ string, v world.Verdict, _ rules.Reason) {
+	if v == world.Served || v == world.Late {
+		f.served++
+	}
+}
+
+// All nodes have just started, seven in ten of 300 fronts forget everything while these are cold, clients come again at
+// once, and for a while the fronts don't hear each other. No node may be pushed over, and they must get enough to do.
+func TestHundredsOfFrontsBeforeColdNodes(t *testing.T) {
+	for seed := range uint64(2) {
+		f := newFleet(t, 300, 6, seed)
+		f.ask(8, 45, 9*second)
+		f.At(2*second, func() {
+			for i := range f.Fronts {
+				if f.Rand.IntN(10) < 7 {
+					f.begin(t, i)
+				}
+			}
+		})
+		f.At(4*second, func() { f.Cut = func(from, to int) bool { return (from < 150) != (to < 150) } })
+		f.At(6*second, func() { f.Cut = nil })
+		f.Run(14 * second)
+		if n := f.Audit.Fallen(); n > 0 || f.Audit.Count > 0 {
+			t.Errorf("seed %d: %d nodes pushed over, %d rules broken: %v", seed, n, f.Audit.Count, f.Audit.Breaks)
+		}
+		if f.served < 40 {
+			t.Errorf("seed %d: only %d requests served", seed, f.served)
+		}
+	}
+}
