Measure a front's memory, descriptors and threads by the fleet's size, and signals at its start

SIGHUP, SIGTERM and SIGHUP again during the start and right behind it, with discovery silent and no node there: the front ends by itself. Neither needed a change; both are tests now.

--- /dev/null
+++ b/cmd/otterturn/size_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"otterturn/internal/standin"
+)
+
+// fleetConfig is that of one of many fronts before many nodes, none of which answers.
+func fleetConfig(t *testing.T, listen, discovery, peerListen string, many int) string {
+	t.Helper()
+	var hosts, peers []string
+	for i := range many {
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%08x","dial":"127.0.0.1:1","site":"a","block":%d,"health":"up","born_ms":%d}`, i, i, time.Now().UnixMilli()))
+		peers = append(peers, fmt.Sprintf(`"127.9.%d.%d:1"`, i/250, i%250+1))
+	}
+	return strings.NewReplacer(`"peers":[]`, fmt.Sprintf(`"peer_listen":%q,"peers":[%s]`, peerListen, strings.Join(peers, ",")),
+		`"hosts":[]`, fmt.Sprintf(`"hosts":[%s]`, strings.Join(hosts, ",")), `"balancers":1`, fmt.Sprintf(`"balancers":%d`, many),
+		`"memory_mb":192,"sockets":1024`, `"memory_mb":72,"sockets":512`, `"probing":true`, `"probing":true,"peers":true`, `"shards":1`, fmt.Sprintf(`"shards":%d,"coldUnits":1`, many),
+		`"report"`, `"safety":{"coldFrom":0.2,"fallMultiple":2.5,"fallUs":1000000,"rampTimeUs":17000000},"report"`).Replace(fmt.Sprintf(platformConfig, listen, discovery))
+}
+
+// freePeer is an address for messages between fronts that nobody else has.
+func freePeer(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", freeAddr(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// A front takes memory, descriptors and threads by what it has to do and not by the size of the fleet: no more than
+// a few kilobytes for each front and node. The line that is logged has the figures.
+func TestSizeOfAFront(t *testing.T) {
+	rss := map[int]int{}
+	for _, many := range []int{10, 350, 1024} {
+		discovery := standin.Peer(t, func(_ int, c net.Conn) { c.Read(make([]byte, 1<<16)) }) // hears the call, and says nothing
+		addr := freeAddr(t)
+		p := start(t, []string{"RELAY_CONFIG=" + write(t, "config.json", fleetConfig(t, addr, discovery, freePeer(t), many))})
+		get := newGet(t, addr)
+		standin.Until(t, "readiness", func() bool { status, _, _ := get("/ready", ""); return status == 200 })
+		for i := range 2 { // for a node that is away
+			get("/read/00000000000000aa/00000000000000bb", fmt.Sprint("id-", i))
+		}
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+		if err != nil {
+			t.Skip("no /proc here: ", err)
+		}
+		figure := func(name string) int {
+			n, _ := strconv.Atoi(regexp.MustCompile(name + `:\s+(\d+)`).FindStringSubmatch(string(status))[1])
+			return n
+		}
+		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Process.Pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		rss[many] = figure("VmRSS")
+		t.Logf("size: %d fronts and nodes: %d KiB, %d descriptors, %d threads", many, rss[many], len(files), figure("Threads"))
+		if len(files) > 40 || figure("Threads") > 24 {
+			t.Errorf("%d fronts and nodes: %d descriptors, %d threads", many, len(files), figure("Threads"))
+		}
+		p.stop(t)
+	}
+	if each := (rss[1024] - rss[10]) / 1014; each > 16 {
+		t.Errorf("%d KiB for each front and node", each)
+	}
+}
+
+// Signals may come while a front starts, before it has heard anything: with discovery silent and no node there it takes
+// over the file and ends by itself.
+func TestSignalsWhileNothingAnswers(t *testing.T) {
+	discovery := standin.Peer(t, func(_ int, c net.Conn) { c.Read(make([]byte, 1<<16)) })
+	for _, ready := range []bool{false, true} {
+		addr := freeAddr(t)
+		config := write(t, "config.json", fleetConfig(t, addr, discovery, freePeer(t), 350))
+		p := start(t, []string{"RELAY_CONFIG=" + config})
+		standin.Until(t, "the first line", func() bool { return p.output.String() != "" })
+		if get := newGet(t, addr); ready {
+			standin.Until(t, "readiness", func() bool { status, _, _ := get("/ready", ""); return status == 200 })
+		}
+		for _, sig := range []os.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+			p.Process.Signal(sig)
+		}
+		if err := standin.Await(t, "the end of the program", p.done); err != nil {
+			t.Errorf("ready %v: ended with %v:\n%s", ready, err, p.output)
+		}
+	}
+}
