--- a/rules/cold/cold.go
+++ b/rules/cold/cold.go
@@ -47,8 +47,10 @@
 	periodSpans  = 12 // a host deals for so long, less one to hand over
 	servedShare  = 0.75
 	speedShare   = 0.5
-	smooth       = 4 // speeds are smoothed over so many answers
-	alonePeriods = 2 // the same where each host asks itself: one that has nothing to send keeps the others waiting
+	smooth       = 4    // speeds are smoothed over so many answers
+	nearCost     = 0.25 // of its work, that a request for a piece costs which a node remembers: 27 to 51%
+	remembered   = 4    // pieces that a node remembers at most
+	alonePeriods = 2    // the same where each host asks itself: one that has nothing to send keeps the others waiting
 )
 
 // valid is for how long a grant may be used.
@@ -97,6 +99,8 @@
 	sent    window.Window[T] // for what was answered, less the answers
 	served  window.Window[T] // answered
 	speed   float64          // units a span, as single requests were served; smoothed
+	pieces  [remembered]string
+	next    int // of the pieces to be forgotten
 	granted float64
 	until   T // of the grant
 	asked   T // not to be asked for again before
@@ -124,10 +128,21 @@
 	g.sent.Add(now, max(0, units-granted))
 }
 
-// Answered makes room for what was answered.
-func (g *Guard[T]) Answered(now T, units float64, latency T) {
+// Answered makes room for what was answered. A node does less work for a piece of data that it has worked on just
+// before, and a run of such requests must not call up as many others, so they make room for the least that they may
+// have cost. They show no speed.
+func (g *Guard[T]) Answered(now T, piece string, units float64, latency T) {
+	near := piece != "" && slices.Contains(g.pieces[:], piece)
+	if near {
+		units *= nearCost
+	} else {
+		g.pieces[g.next], g.next = piece, (g.next+1)%len(g.pieces)
+	}
 	g.sent.Add(now, -units)
 	g.served.Add(now, units)
+	if near {
+		return
+	}
 	speed := units * float64(g.span) / float64(max(latency, 1))
 	if g.speed == 0 {
 		g.speed = speed
--- a/rules/cold/cold_test.go
+++ b/rules/cold/cold_test.go
@@ -171,7 +171,7 @@
 	if got := g.Room(now); got != 1 {
 		t.Errorf("room for %v of a grant of 3, 2 sent", got)
 	}
-	g.Answered(now, 2, 100*ms)
+	g.Answered(now, "piece", 2, 100*ms)
 	if got := g.Room(now + 2*f.valid()); got != 2 {
 		t.Errorf("room for %v behind an answer of 2, the grant over", got)
 	}
@@ -183,3 +183,24 @@
 		t.Errorf("room for %v a span later", got)
 	}
 }
+
+// A run of requests for one piece costs a node little. As many others behind it would push it over.
+func TestARunOnOnePieceMakesLittleRoom(t *testing.T) {
+	f := figures(4, true)
+	g := f.Guard()
+	now := 1_000_000 * ms
+	for range 20 {
+		g.Answered(now, "piece", 2, 10*ms)
+	}
+	if got := g.Room(now); got > 2+19*2*nearCost {
+		t.Errorf("room for %v units behind a run", got)
+	}
+	slow := f.Guard()
+	slow.Answered(now, "piece", 2, 200*ms)
+	for range 20 {
+		slow.Answered(now, "piece", 2, 10*ms)
+	}
+	if got := slow.Shown(now).Speed; got != 10 {
+		t.Errorf("speed %v, the first request alone shows 10", got)
+	}
+}
--- a/rules/loops.go
+++ b/rules/loops.go
@@ -13,7 +13,7 @@
 	case OK, Errored:
 		n.Answered, n.mute = s.now, 0
 		if s.isCold(n) {
-			n.cold.Answered(s.now, r.Units, e.Latency)
+			n.cold.Answered(s.now, r.Key, r.Units, e.Latency)
 		}
 		if e.Result == Errored {
 			n.Errors += (1 - n.Errors) / errorsSeen
