Let the fuzz test ask for and grant room at cold nodes, and want no ration left behind

Streams of asks and grants of any host for any node, known or not, with and without peers: the promises hold, and rations are gone once all is over.

--- a/rules/fuzz_test.go
+++ b/rules/fuzz_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"otterturn/rules/cold"
 )
 
 // peer plays everything around a scheduler by the rules of the interface, at random, and holds it to what it promises.
@@ -140,6 +142,7 @@
 // any legal stream of events keeps the promises, and leaves nothing behind once all is over.
 func promises(t *rapid.T) {
 	set := testSettings()
+	set.Peers, set.Hosts = rapid.Bool().Draw(t, "peers"), rapid.SampledFrom([]int{1, 2, 5}).Draw(t, "hosts")
 	set.Cancel, set.MaxOpen = rapid.Bool().Draw(t, "cancel"), rapid.SampledFrom([]int{0, 8, 40}).Draw(t, "most open")
 	if rapid.Bool().Draw(t, "allowance") {
 		set.RetrySpan, set.RetrySpare, set.RetryShare = 5_000_000, 2, 0.2
@@ -194,6 +197,14 @@
 				p.step(Probed{Node: node, OK: rapid.Bool().Draw(t, "alive"), Queue: float64(rapid.IntRange(-1, 9).Draw(t, "queue"))})
 			}
 		},
+		"asked": func(t *rapid.T) {
+			p.step(Asked{From: rapid.IntRange(-1, 9).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
+				Wish: cold.Wish{Units: float64(rapid.IntRange(0, 9).Draw(t, "units")), Least: 1, Shown: cold.Shown{Speed: 5}}})
+		},
+		"granted": func(t *rapid.T) {
+			p.step(Granted{From: rapid.IntRange(0, 4).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
+				Units: rapid.Float64Range(0, 9).Draw(t, "units"), Until: p.now + Micros(rapid.IntRange(-1000, 200_000).Draw(t, "lasts"))})
+		},
 		"wait": func(t *rapid.T) { p.wait(Micros(rapid.IntRange(1, 700_000).Draw(t, "wait"))) },
 	})
 	for _, id := range p.outs() {
@@ -206,9 +217,9 @@
 	for range 40 {
 		p.wait(2_000_000)
 	}
-	if left := len(s.reqs) + s.volumes.Len() + s.flows.Len() + s.refused.Len() + s.busy.Len(); left > 0 {
-		t.Fatalf("%d requests, %d volumes, %d flows, %d refused and %d shards with something held stay", len(s.reqs), s.volumes.Len(),
-			s.flows.Len(), s.refused.Len(), s.busy.Len())
+	if left := len(s.reqs) + s.volumes.Len() + s.flows.Len() + s.refused.Len() + s.busy.Len() + len(s.rations); left > 0 {
+		t.Fatalf("%d requests, %d volumes, %d flows, %d refused, %d shards with something held and %d rations stay", len(s.reqs), s.volumes.Len(),
+			s.flows.Len(), s.refused.Len(), s.busy.Len(), len(s.rations))
 	}
 	for _, n := range s.nodes {
 		if len(n.pending) > 0 || n.outUnits != 0 {
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -281,7 +281,9 @@
 	}
 	r.landed()
 	delete(s.reqs, r.ID)
-	r.vol.open, r.vol.closed = r.vol.open-1, s.now
+	if r.vol.open, r.vol.closed = r.vol.open-1, s.now; r.vol.open == 0 {
+		r.vol.away = 0 // without a rest of rounding
+	}
 	if r.class.InOrder {
 		s.turns.Leave(r.Key, r, s.now, 2*len(s.reqs))
 	}
