Take each request's id once: bad clients' copies of answered requests were sent to nodes again

The line at fault: routing/core.go, admit, which knew an id only as long as its request was open (calls). Ruled out: repeats of the same request, as all 50 that were answered at last had the one failure before it that their class allows; outcomes that prove too much, as none was 'unreachable' or 'turned away' ahead of a second answer.

Now the core remembers ids for twice the longest deadline, in bounded memory (limits.IDs, IDKeep), and answers 400 to a copy, which also costs its client's connection. TestIdInUse wants that: without the change the copy is sent.

--- a/internal/lab/sockets/site.go
+++ b/internal/lab/sockets/site.go
@@ -115,7 +115,7 @@
 	set := s.set
 	set.Rules.MaxOpen = l.Hold
 	var err error
-	if f.core, err = routing.New(set.Rules, int64(i), l.Inbox, transport.NewProber(f.nodes, set, logs.Quiet()).Probe); err != nil {
+	if f.core, err = routing.New(set.Rules, int64(i), l, transport.NewProber(f.nodes, set, logs.Quiet()).Probe); err != nil {
 		return nil, err
 	}
 	listener, err := net.Listen("tcp", host()+":0")
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -7,6 +7,7 @@
 type Limits struct {
 	Memory      int64 // bytes that the run time aims to stay under
 	Inbox       int   // events that may wait for the scheduler
+	IDs         int   // ids of requests that are over, which are remembered, in either half
 	Open        int   // requests open at once; more are refused
 	Hold        int   // requests open at once, past which the scheduler refuses those that earn least
 	ClientKeep  int   // client connections past which those without a request make room for others
@@ -24,6 +25,7 @@
 	ConnectTries  int // as often a connection is opened that is reset as it comes up
 	ProbeTries    int // a probe is sent so often while its answers can't be read
 
+	IDKeep       time.Duration // the id of a request that is over is remembered for so long
 	ReadHead     time.Duration // a request's head must have come, counted from its first byte or the connection's start
 	ReadRequest  time.Duration // and the whole request
 	WriteAnswer  time.Duration // an answer must be written, counted from the request's head
@@ -78,6 +80,9 @@
 // Memory that a connection takes at most, beside a body: its buffers and the stacks of those who work on it.
 const perConn = 32 << 10
 
+// Memory that an id takes at most while it is remembered.
+const perID = 256
+
 // How long after SIGTERM the process is killed at the earliest: see For.
 const (
 	stopDeadline = 3 * time.Second
@@ -111,7 +116,8 @@
 	grace := min(s.Deadline, stopDeadline) + stopMore
 	return Limits{
 		Memory: memory,
-		Inbox:  4 * clients, Open: open, Hold: min(open, s.Sockets/toHold), ClientKeep: min(clients, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
+		// A copy of a request comes within the time that its client waits, or its nodes drop repeats for.
+		Inbox: 4 * clients, IDs: max(1024, int(memory/32/perID)), IDKeep: 2 * s.Deadline, Open: open, Hold: min(open, s.Sockets/toHold), ClientKeep: min(clients, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
 		Body: body, Answer: min(answer, memory/32), LongAnswers: 8, Header: 16 << 10, List: max(list, memory/32), Informational: 8, WriteTries: 3, ConnectTries: 3, ProbeTries: 3,
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
 		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -12,14 +12,15 @@
 	"sync/atomic"
 	"time"
 
+	"otterturn/internal/limits"
 	"otterturn/rules"
 )
 
 // ErrFailed is the final answer that promises nothing about a request's effect.
 var ErrFailed = errors.New("the request failed")
 
-// ErrDuplicate tells that a request's id is that of one that is not over yet.
-var ErrDuplicate = errors.New("a request with this id is open")
+// ErrDuplicate tells that a request's id is that of another one, which may be over.
+var ErrDuplicate = errors.New("a request with this id has been taken")
 
 // ErrStopped tells that the core has ended.
 var ErrStopped = errors.New("the core has stopped")
@@ -78,7 +79,8 @@
 	probe     func(node string) rules.Probed
 	inbox     chan message
 	stopped   chan struct{}
-	calls     map[string]*call // of the loop alone, as is
+	calls     map[string]*call // of the loop alone, as are
+	taken     taken            // ids of calls that are over, and
 	waiting   []message        // requests that wait for room, the oldest first
 	writeDown chan struct{}    // holds one while a record of what is learned is wanted
 
@@ -89,15 +91,15 @@
 	open, served, refused, failed, left atomic.Int64
 }
 
-// New returns a core. probe asks a node for its health and load, and returns within a bounded time; inbox is
-// how many events may wait for the scheduler.
-func New(set rules.Settings, seed int64, inbox int, probe func(node string) rules.Probed) (*Core, error) {
+// New returns a core. probe asks a node for its health and load, and returns within a bounded time.
+func New(set rules.Settings, seed int64, l limits.Limits, probe func(node string) rules.Probed) (*Core, error) {
 	scheduler, err := rules.New(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("scheduler: %w", err)
 	}
-	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, inbox),
-		stopped: make(chan struct{}), calls: map[string]*call{}, writeDown: make(chan struct{}, 1), Note: func(int, rules.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
+	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, l.Inbox),
+		stopped: make(chan struct{}), calls: map[string]*call{}, taken: newTaken(rules.Micros(l.IDKeep/time.Microsecond), l.IDs),
+		writeDown: make(chan struct{}, 1), Note: func(int, rules.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
 }
 
 // Tally tells how many requests are open and how the others ended.
@@ -198,8 +200,8 @@
 		}
 		close(m.call.taken)
 		// The scheduler keeps requests by id: a second one under an id that is in use would take the first one's
-		// place, or be ended by the outcome of an attempt that is still out for it.
-		if c.calls[e.ID] != nil {
+		// place, or be ended by the outcome of an attempt that is still out for it. One that is over must not run again.
+		if c.calls[e.ID] != nil || c.taken.has(e.ID) {
 			close(m.call.verdicts)
 			return false
 		}
@@ -234,6 +236,7 @@
 	}
 	if call.out == 0 {
 		delete(c.calls, call.id)
+		c.taken.add(c.clock.Now(), call.id)
 	}
 }
 
--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -96,7 +96,8 @@
 }
 
 // An id is in use until the last attempt under it has ended: a second request under it would be ended by the
-// first one's outcome, and one that is turned away for it must not end the first as its client leaves.
+// first one's outcome, and one that is turned away for it must not end the first as its client leaves. It stays
+// used: what may run only once would run again.
 func TestIdInUse(t *testing.T) {
 	core := newCore(t)
 	out, goOn := make(chan context.Context, 1), make(chan struct{})
@@ -133,9 +134,9 @@
 	}
 	close(goOn)
 	standin.Await(t, "the end of the attempt", own.Done())
-	serve := func(context.Context, string) (int, rules.Outcome) { return 2, rules.Outcome{Result: rules.OK} }
-	if got, err := routing.Do(t.Context(), core, request("same"), serve); got != 2 || err != nil {
-		t.Errorf("after it: %d, %v", got, err)
+	// Bad clients send copies of requests that were answered. One was sent to its node up to four times more.
+	if _, err := routing.Do(t.Context(), core, request("same"), refuse); !errors.Is(err, routing.ErrDuplicate) {
+		t.Errorf("after it: %v", err)
 	}
 }
 
--- /dev/null
+++ b/internal/net/routing/taken_test.go
@@ -0,0 +1,28 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"otterturn/rules"
+)
+
+// Ids are remembered for as long as they must be, in bounded memory, and forgotten then.
+func TestIdsAreRememberedForAWhile(t *testing.T) {
+	const keep, most = rules.Micros(1000), 100
+	ids := newTaken(keep, most)
+	for now := rules.Micros(0); now < 20*keep; now += 20 {
+		ids.add(now, fmt.Sprint(now))
+		if now >= keep && !ids.has(fmt.Sprint(now-keep)) {
+			t.Fatalf("at %d the id of %d is forgotten", now, now-keep)
+		}
+		if old := now - 2*keep - 60; old >= 0 && ids.has(fmt.Sprint(old)) {
+			t.Fatalf("at %d the id of %d is remembered", now, old)
+		}
+	}
+	for i := range 10 * most {
+		if ids.add(30*keep, fmt.Sprint("flood-", i)); len(ids.now)+len(ids.older) > 2*most {
+			t.Fatalf("%d ids in a flood", len(ids.now)+len(ids.older))
+		}
+	}
+}
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -164,7 +164,8 @@
 	case errors.As(err, &refused):
 		protocol.SetRetryAfter(w.Header(), refused.RetryAfter)
 		http.Error(w, "refused", http.StatusServiceUnavailable)
-	case errors.Is(err, routing.ErrDuplicate):
+	case errors.Is(err, routing.ErrDuplicate): // who sends copies gets no further use of the connection
+		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	default:
 		http.Error(w, "failed", http.StatusBadGateway)
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -113,7 +113,7 @@
 	var err error
 	set := o.Settings().Rules
 	set.MaxOpen = l.Hold
-	a.core, err = routing.New(set, rand.Int64(), l.Inbox, probe)
+	a.core, err = routing.New(set, rand.Int64(), l, probe)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -43,7 +43,7 @@
 	nodes := transport.NewNodes(l)
 	prober := transport.NewProber(nodes, set, log)
 	set.Rules.MaxOpen = l.Hold
-	core, err := routing.New(set.Rules, config.Seed, l.Inbox, prober.Probe)
+	core, err := routing.New(set.Rules, config.Seed, l, prober.Probe)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -45,7 +45,9 @@
 	if probe == nil {
 		probe = func(node string) rules.Probed { return rules.Probed{Node: node, OK: true, Queue: -1} }
 	}
-	core, err := routing.New(set, 1, 64, probe)
+	l := Limits()
+	l.Inbox = 64
+	core, err := routing.New(set, 1, l, probe)
 	if err != nil {
 		t.Fatal(err)
 	}
