Take the speeds that a cold node shows together, with doubt: one small request had shown 350 units a second

Work is drawn apart from units, so a read of one unit may take 3 ms (units served in the last span / units a span as single requests were served):

The lines at fault: rules/cold, Answered (a speed for each answer, smoothed) and Deal (the most of all hosts' speeds). Now hosts tell units and time, the dealer adds up those of all who ask, and the shortest aim is added to the time. With that evidence all of (multiple - 1) is granted, of it and of what was answered, where a half and three quarters were before.

--- a/internal/net/protocol/note.go
+++ b/internal/net/protocol/note.go
@@ -13,7 +13,7 @@
 
 // Notes between fronts are words set apart by single blanks, the first of which is their kind.
 const (
-	noteAsk   = "ask"   // units of the next and of the smallest request, units answered of late, speed, node
+	noteAsk   = "ask"   // units of the next and of the smallest request, units answered of late and in all, in how many spans, node
 	noteGrant = "grant" // units, Unix time in microseconds, node
 )
 
@@ -22,8 +22,8 @@
 	var text []byte
 	switch a := a.(type) {
 	case rules.Ask:
-		text = fmt.Appendf(nil, "%s %s %s %s %s %s", noteAsk, formatUnits(a.Units), formatUnits(a.Least),
-			formatUnits(a.Served), formatUnits(a.Speed), a.Node)
+		text = fmt.Appendf(nil, "%s %s %s %s %s %s %s", noteAsk, formatUnits(a.Units), formatUnits(a.Least),
+			formatUnits(a.Shown.Served), formatUnits(a.Shown.Units), formatUnits(a.Shown.Time), a.Node)
 	case rules.Grant:
 		text = fmt.Appendf(nil, "%s %s %d %s", noteGrant, formatUnits(a.Units), a.Until, a.Node)
 	}
@@ -37,9 +37,9 @@
 func ParseNote(from int, text []byte) (rules.Event, error) {
 	words := strings.Split(string(text), " ")
 	switch {
-	case words[0] == noteAsk && len(words) == 6:
-		e := rules.Asked{From: from, Node: words[5]}
-		for i, to := range []*float64{&e.Units, &e.Least, &e.Served, &e.Speed} {
+	case words[0] == noteAsk && len(words) == 7:
+		e := rules.Asked{From: from, Node: words[6]}
+		for i, to := range []*float64{&e.Units, &e.Least, &e.Shown.Served, &e.Shown.Units, &e.Shown.Time} {
 			units, err := parseUnits(words[i+1])
 			if err != nil {
 				return nil, fmt.Errorf("note: ask: %w", err)
--- a/rules/cold/cold.go
+++ b/rules/cold/cold.go
@@ -12,10 +12,10 @@
 //     node itself have shown to be borne beside c.
 //
 // These are: Units x (1 - 1/Multiple), which with c is no more than max(Multiple x c, Units) whatever c is, as the two
-// meet at c = Units/Multiple. Three quarters of (Multiple - 1) times what those who ask were answered, which is at most
-// c. Half of (Multiple - 1) times the speed that single requests were served with: a node does that much at least, and
-// becomes no slower while it warms. The quarter and the half are left for requests that cost less work than those that
-// they call up. And as often as nothing else counts a lone request of up to Units, or no node would ever show anything.
+// meet at c = Units/Multiple. (Multiple - 1) times what those who ask were answered, which is at most c. As much of the
+// speed that requests were served with, one by one: a node does that much on one of its cores, and becomes no slower
+// while it warms. A request of one unit may cost hardly any work, so what all who ask saw is taken together, with some
+// time of doubt. And as often as nothing else counts a lone request of up to Units, or no node would show anything.
 //
 // Who deals is told by the node's name and the time, which all hosts share. A host deals for a period, but not before
 // a span of it has passed, nor before a span since its own start: by then what others dealt, or a former self, counts
@@ -38,16 +38,15 @@
 	Multiple float64 // of its capacity
 	Span     T       // sent for so long
 	Units    float64 // that are borne within Span in any case, over all hosts
+	Doubt    T       // what was answered counts as having taken so much longer
 	Peers    bool    // hosts may ask each other
 }
 
 const (
-	validParts   = 10 // a grant may be used for one in so many parts of a span
-	askParts     = 2  // an ask that brings nothing is made anew after one in so many
-	periodSpans  = 12 // a host deals for so long, less one to hand over
-	servedShare  = 0.75
-	speedShare   = 0.5
-	smooth       = 4    // speeds are smoothed over so many answers
+	validParts   = 10   // a grant may be used for one in so many parts of a span
+	askParts     = 2    // an ask that brings nothing is made anew after one in so many
+	periodSpans  = 12   // a host deals for so long, less one to hand over
+	longest      = 4    // spans of answers that a host tells of at most
 	nearCost     = 0.25 // of its work, that a request for a piece costs which a node remembers: 27 to 51%
 	remembered   = 4    // pieces that a node remembers at most
 	alonePeriods = 2    // the same where each host asks itself: one that has nothing to send keeps the others waiting
@@ -98,7 +97,8 @@
 	span    T
 	sent    window.Window[T] // for what was answered, less the answers
 	served  window.Window[T] // answered
-	speed   float64          // units a span, as single requests were served; smoothed
+	units   float64          // that were answered one by one,
+	time    float64          // in so many spans
 	pieces  [remembered]string
 	next    int // of the pieces to be forgotten
 	granted float64
@@ -143,18 +143,17 @@
 	if near {
 		return
 	}
-	speed := units * float64(g.span) / float64(max(latency, 1))
-	if g.speed == 0 {
-		g.speed = speed
+	g.units, g.time = g.units+units, g.time+float64(latency)/float64(max(g.span, 1))
+	if g.time > longest { // what was seen later, of a warmer node, counts for more
+		g.units, g.time = g.units/2, g.time/2
 	}
-	g.speed += (speed - g.speed) / smooth
 }
 
 // Shown is what the node has shown this host.
-func (g *Guard[T]) Shown(now T) Shown { return Shown{g.served.Sum(now), g.speed} }
+func (g *Guard[T]) Shown(now T) Shown { return Shown{g.served.Sum(now), g.units, g.time} }
 
 // Restarted tells that the node may begin anew.
-func (g *Guard[T]) Restarted() { g.speed = 0 }
+func (g *Guard[T]) Restarted() { g.units, g.time = 0, 0 }
 
 // Granted takes in a grant that lasts until a time.
 func (g *Guard[T]) Granted(now T, units float64, until T) {
@@ -174,7 +173,8 @@
 func (g *Guard[T]) Clear() {
 	g.sent.Clear()
 	g.served.Clear()
-	g.granted, g.asked, g.speed = 0, 0, 0
+	g.granted, g.asked = 0, 0
+	g.Restarted()
 }
 
 // Ration is what this host deals out at one node.
@@ -193,14 +193,15 @@
 // Shown is what a node has shown a host of its capacity, in units.
 type Shown struct {
 	Served float64 // answered within the last span
-	Speed  float64 // a span, as single requests were served
+	Units  float64 // answered since it started,
+	Time   float64 // one by one in so many spans
 }
 
 // Wish is for room, in units.
 type Wish struct {
 	Units float64 // for the request that is next; 0 for nothing
 	Least float64 // for the smallest, if there is no room for that
-	Shown
+	Shown Shown
 }
 
 // Grant is so many units for a host, to be sent until a time.
@@ -230,10 +231,11 @@
 	shown, rest := Shown{}, max(r.f.Multiple, 1)-1
 	r.asks = slices.DeleteFunc(r.asks, func(a ask[T]) bool { return a.at < now-r.f.Span/askParts })
 	for _, a := range r.asks {
-		shown.Served += a.Served
-		shown.Speed = max(shown.Speed, a.Speed)
+		shown.Served += a.Shown.Served
+		shown.Units, shown.Time = shown.Units+a.Shown.Units, shown.Time+a.Shown.Time
 	}
-	part := max(borne*rest/(rest+1), shown.Served*rest*servedShare, shown.Speed*rest*speedShare)
+	speed := shown.Units / (shown.Time + float64(r.f.Doubt)/float64(max(r.f.Span, 1)))
+	part := max(borne*rest/(rest+1), shown.Served*rest, speed*rest)
 	dealt := r.dealt.Sum(now)
 	for i := range r.asks {
 		a := &r.asks[i]
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -75,7 +75,7 @@
 	for _, c := range set.Classes {
 		s.aim, s.worth = min(s.aim, c.Aim), max(s.worth, c.Worth)
 	}
-	s.pool.Target = float64(s.aim) / 2
+	s.pool.Target, s.cold.Doubt = float64(s.aim)/2, s.aim
 	s.agenda.Enter(&s.pool.entry, s.pool)
 	return s, nil
 }
