--- a/rules/cold/cold.go
+++ b/rules/cold/cold.go
@@ -152,12 +152,10 @@
 // Shown is what the node has shown this host.
 func (g *Guard[T]) Shown(now T) Shown { return Shown{g.served.Sum(now), g.units, g.time} }
 
-// Restarted tells that the node may begin anew.
-func (g *Guard[T]) Restarted() { g.units, g.time = 0, 0 }
-
-// Granted takes in a grant that lasts until a time.
+// Granted takes in a grant that lasts until a time. What is left of the last one goes: it would last for longer than
+// the dealer counts it.
 func (g *Guard[T]) Granted(now T, units float64, until T) {
-	g.granted, g.until, g.asked = g.grant(now)+units, until, now
+	g.granted, g.until, g.asked = units, until, now
 }
 
 // Asks tells whether to ask for room now.
@@ -169,12 +167,11 @@
 	return true
 }
 
-// Clear forgets all, once the node is warm.
+// Clear forgets all, once the node is warm, or where it may begin anew: what was answered was its former self.
 func (g *Guard[T]) Clear() {
 	g.sent.Clear()
 	g.served.Clear()
-	g.granted, g.asked = 0, 0
-	g.Restarted()
+	g.granted, g.asked, g.units, g.time = 0, 0, 0, 0
 }
 
 // Ration is what this host deals out at one node.
@@ -216,10 +213,13 @@
 	return &Ration[T]{f: f, dealt: window.Of(f.Counts())}
 }
 
-// Ask has a host wait for room. Its former ask is forgotten, so there are no more than hosts.
+// Ask has a host wait for room. One that waits already keeps its place, so there are no more asks than hosts.
 func (r *Ration[T]) Ask(now T, host int, w Wish) {
 	i := slices.IndexFunc(r.asks, func(a ask[T]) bool { return a.host == host })
-	if i >= 0 {
+	if i >= 0 && r.asks[i].Units > 0 {
+		r.asks[i] = ask[T]{w, host, now}
+		return
+	} else if i >= 0 {
 		r.asks = slices.Delete(r.asks, i, i+1)
 	}
 	r.asks = append(r.asks, ask[T]{w, host, now})
--- a/rules/cold/cold_test.go
+++ b/rules/cold/cold_test.go
@@ -171,6 +171,10 @@
 	if got := g.Room(now); got != 1 {
 		t.Errorf("room for %v of a grant of 3, 2 sent", got)
 	}
+	g.Granted(now+f.valid()/2, 1, now+f.valid()+f.valid()/2)
+	if got := g.Room(now + f.valid()/2); got != 1 {
+		t.Errorf("room for %v: what is left of a grant lasts as long as the next one", got)
+	}
 	g.Answered(now, "piece", 2, 100*ms)
 	if got := g.Room(now + 2*f.valid()); got != 2 {
 		t.Errorf("room for %v behind an answer of 2, the grant over", got)
--- a/rules/loops.go
+++ b/rules/loops.go
@@ -59,7 +59,7 @@
 			n.former, n.broke = n.Suspect, s.now
 		}
 		n.mute, n.Suspect, n.probeAt = cmp.Or(n.mute, s.now), s.now, s.now
-		n.cold.Restarted()
+		n.cold.Clear()
 	}
 }
 
--- a/rules/rations.go
+++ b/rules/rations.go
@@ -30,17 +30,19 @@
 // wish asks for room at a cold node: the host that deals there, which may be this one.
 func (s *Scheduler) wish(n *node, sh *shard, next *request) {
 	dealer, may := s.cold.Dealer(n.Node, s.now)
+	own := dealer == s.set.Number
+	if !own && !s.set.Peers || own && !may || !n.cold.Asks(s.now) {
+		return
+	}
 	w := cold.Wish{Units: next.Units, Least: next.Units, Shown: n.cold.Shown(s.now)}
 	for f := range sh.busy.All {
 		for _, r := range f.held {
 			w.Least = min(w.Least, r.Units)
 		}
 	}
-	switch own := dealer == s.set.Number; {
-	case !own && !s.set.Peers, own && !may, !n.cold.Asks(s.now):
-	case own:
+	if own {
 		s.asked(Asked{From: dealer, Node: n.Node, Wish: w})
-	default:
+	} else {
 		s.out = append(s.out, Ask{To: dealer, Node: n.Node, Wish: w})
 	}
 }
