Number the fronts of the laboratory on sockets, and read the address for messages once

Found reading the change over. lab/sockets/site.go gave all fronts number 0 and peers, though no messages go between them: each would have dealt out a cold node's ration where number 0's turn was. They have their numbers now, and no peers, so each asks itself in turn. The platform's fronts were not touched by it. ParseConfig and ListenPeers both read peer_listen; the configuration holds the address now.

--- a/internal/lab/sockets/site.go
+++ b/internal/lab/sockets/site.go
@@ -114,6 +114,7 @@
 	f := &front{site: s, nodes: transport.NewNodes(l), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 	set := s.set
 	set.Rules.MaxOpen = l.Hold
+	set.Rules.Number, set.Rules.Peers = i, false // no messages go between these fronts
 	var err error
 	if f.core, err = routing.New(set.Rules, int64(i), l, transport.NewProber(f.nodes, set, logs.Quiet()).Probe); err != nil {
 		return nil, err
--- a/internal/net/protocol/config.go
+++ b/internal/net/protocol/config.go
@@ -19,7 +19,7 @@
 	Known     List
 	Settings  Settings
 
-	PeerListen string           // where messages of other fronts come, "" for none
+	PeerListen netip.AddrPort   // where messages of other fronts come
 	Peers      []netip.AddrPort // the fronts by their numbers, this one included; none where they don't talk
 }
 
@@ -66,8 +66,7 @@
 	if set := &out.Settings.Rules; in.PeerListen == "" || len(in.Peers) == 0 {
 		set.Peers = false
 	} else if set.Peers {
-		out.PeerListen = in.PeerListen
-		if _, err := netip.ParseAddrPort(in.PeerListen); err != nil {
+		if out.PeerListen, err = netip.ParseAddrPort(in.PeerListen); err != nil {
 			return Config{}, fmt.Errorf("peer_listen: %w", err)
 		}
 		if len(in.Peers) != set.Hosts {
--- a/internal/net/transport/peers.go
+++ b/internal/net/transport/peers.go
@@ -25,12 +25,8 @@
 }
 
 // ListenPeers opens the socket for messages of other fronts.
-func ListenPeers(listen string, addrs []netip.AddrPort, l limits.Limits, log *slog.Logger) (*Peers, error) {
-	at, err := netip.ParseAddrPort(listen)
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+func ListenPeers(listen netip.AddrPort, addrs []netip.AddrPort, l limits.Limits, log *slog.Logger) (*Peers, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
--- a/internal/net/transport/peers_test.go
+++ b/internal/net/transport/peers_test.go
@@ -54,7 +54,7 @@
 		c.Close()
 	}
 	for _, a := range addrs {
-		p, err := ListenPeers(a.String(), addrs, standin.Limits(), standin.Log(line))
+		p, err := ListenPeers(a, addrs, standin.Limits(), standin.Log(line))
 		if err != nil {
 			t.Fatal(err)
 		}
