Spread and back off calls for lists: 80 fronts kept discovery overbooked and heard nothing

At fault: transport/discovery.go, Watch, which asked all at one instant and again 50 ms after a failure, without growth or spread. Checked: a probe with 10 fronts alone asking, 5 of them by short polls, 5 by watches that go on: a new watch takes 0.1 s (0.15 and 0.2 where two meet), one that goes on is never refused and hears of changes within 30 ms. Ruled out as remedies: pauses that double up to 4 s (12 calls a second, still none served), polls without holding (all served for the first second, then none), watches of 10 s alone. The queue works off calls that nobody waits for any more, so what counts is that all fronts together ask less often than it bears.

Now fronts that share discovery (registryMode on_request) begin within 125 ms for each of them, and a failure doubles a pause of that order (internal/net/pace, a pure core tested for 10 to 1,024 fronts; with a fixed pause it serves nearly none).

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,7 +38,9 @@
 	Probe        time.Duration // a probe must be answered
 	WatchHold    time.Duration // discovery may hold a watch
 	WatchSilence time.Duration // and answers within this after it
-	WatchAgain   time.Duration // pause before the next watch after one that failed
+	WatchAgain   time.Duration // pause before the next watch after one that failed, which doubles
+	WatchMost    time.Duration // up to this
+	WatchSpread  time.Duration // and within this the first watches of all fronts begin, 0 where none shares discovery
 	AcceptAgain  time.Duration // pause after a client could not be accepted
 	StopAccept   time.Duration // after SIGTERM clients may still come for so long
 	StopServe    time.Duration // and use their connections for so long; then idle ones are closed
@@ -66,6 +68,7 @@
 	MemoryMB, Sockets, Open int
 	ConnIdle, Connect       time.Duration
 	Deadline                time.Duration // the longest of any request
+	Askers                  int           // fronts that ask one discovery, 0 where each has its own agent
 }
 
 // Share of the sockets: clients keep a connection each while their requests are held, and may hold a third of all
@@ -95,6 +98,14 @@
 	answer = 1 << 20
 )
 
+// What one discovery answers, for all fronts that ask it: it was seen to take 0.1 s for each watch that begins, and
+// nothing for one that goes on. A quarter more is left to it.
+const (
+	watchEach   = 125 * time.Millisecond
+	sharedHold  = 10 * time.Second // a watch that goes on is asked anew as seldom as this
+	sharedQueue = 3 * time.Second  // and one that begins may wait in turn for so long
+)
+
 // list is the room for discovery's answer at least: 2,000 nodes take 400 KiB, and twice that while it is read.
 const list = 1 << 20
 
@@ -114,6 +125,10 @@
 	}
 	// A stop may take the longest deadline, counted as stopDeadline where it is longer, and stopMore.
 	grace := min(s.Deadline, stopDeadline) + stopMore
+	hold, silence := time.Second, time.Second
+	if s.Askers > 0 {
+		hold, silence = sharedHold, sharedQueue
+	}
 	return Limits{
 		Memory: memory,
 		// A copy of a request comes within the time that its client waits, or its nodes drop repeats for.
@@ -123,8 +138,8 @@
 		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
 		WriteAnswer: 2*s.Deadline + 5*time.Second,
 		ClientIdle:  5 * time.Second, ClientSettle: 20 * time.Millisecond, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10, NodeSettle: time.Millisecond,
-		AnswerRest: max(s.Connect, 250*time.Millisecond), Probe: 2 * s.Connect, WatchHold: time.Second, WatchSilence: time.Second,
-		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond,
+		AnswerRest: max(s.Connect, 250*time.Millisecond), Probe: 2 * s.Connect, WatchHold: hold, WatchSilence: silence,
+		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond, WatchMost: 400 * time.Millisecond, WatchSpread: time.Duration(s.Askers) * watchEach,
 		StopAccept: 500 * time.Millisecond, StopServe: grace - 350*time.Millisecond,
 		StopShare: 2, StopAnswer: grace - 100*time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
 		StopAtMost: s.Deadline + 2*time.Second,
--- /dev/null
+++ b/internal/net/pace/pace_test.go
@@ -0,0 +1,73 @@
+package pace
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Fronts that start at one instant before a service that bears few calls: each takes a tenth of a second, calls wait in
+// turn, and those that waited for 2 s are dropped when they are reached. Behind a fixed pause hardly any is ever served.
+func TestFrontsThatStartTogetherAreServed(t *testing.T) {
+	const each, patience = 100 * time.Millisecond, 2 * time.Second
+	for _, fronts := range []int{10, 80, 350, 1024} {
+		f := Figures{Least: 50 * time.Millisecond, Most: time.Second, Spread: time.Duration(fronts) * 125 * time.Millisecond}
+		if served, took := play(fronts, f, each, patience); served < fronts || took > 2*f.Spread+2*time.Second {
+			t.Errorf("%d fronts: %d served within %v", fronts, served, took)
+		}
+		// The same where the service is half as fast as taken for: it takes longer, and does not stay overbooked.
+		if served, took := play(fronts, f, 2*each, patience); served < fronts || took > 10*f.Spread+2*time.Second {
+			t.Errorf("%d fronts, slow service: %d served within %v", fronts, served, took)
+		}
+	}
+}
+
+// play has every front call until it is served once, and tells how many were and when the last one was.
+func play(fronts int, f Figures, each, patience time.Duration) (served int, took time.Duration) {
+	type call struct {
+		at   time.Duration
+		from *Pace
+	}
+	var calls []call
+	for i := range fronts {
+		p := New(f, int64(i))
+		calls = append(calls, call{p.First(), p})
+	}
+	free := time.Duration(0) // the service is, from then on
+	for len(calls) > 0 && took < time.Hour {
+		i := 0
+		for j, c := range calls {
+			if c.at < calls[i].at {
+				i = j
+			}
+		}
+		c := calls[i]
+		calls = slices.Delete(calls, i, i+1)
+		begin := max(c.at, free)
+		if took = max(took, c.at); begin-c.at+each > patience { // its work is lost all the same
+			free = min(begin, c.at+patience) + each
+			calls = append(calls, call{c.at + patience + c.from.Failed(), c.from})
+			continue
+		}
+		free, took = begin+each, max(took, begin+each)
+		served++
+	}
+	return served, took
+}
+
+// A service of a front's own is asked at once, and again soon, but not without end.
+func TestOwnService(t *testing.T) {
+	p := New(Figures{Least: 50 * time.Millisecond, Most: time.Second}, 1)
+	if first := p.First(); first != 0 {
+		t.Errorf("first call after %v", first)
+	}
+	for i := range 20 {
+		if wait := p.Failed(); wait < 25*time.Millisecond || wait > 1500*time.Millisecond || i > 8 && wait < 500*time.Millisecond {
+			t.Errorf("wait %d: %v", i, wait)
+		}
+	}
+	p.Served()
+	if wait := p.Failed(); wait > 75*time.Millisecond {
+		t.Errorf("after a success: %v", wait)
+	}
+}
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -11,10 +11,11 @@
 
 // settings mirrors the keys of the settings object that the program has a use for.
 type settings struct {
-	Balancers int
-	SlotNo    int
-	TickUs    int64
-	Ceilings  struct {
+	Balancers    int
+	SlotNo       int
+	TickUs       int64
+	RegistryMode string
+	Ceilings     struct {
 		Peers            bool
 		ConnIdleUs       int64
 		ConnectTimeoutUs int64
@@ -70,6 +71,9 @@
 var groups = map[string]rules.Group{"": rules.AllNodes, "all": rules.AllNodes, "zone": rules.SameZone,
 	"cell": rules.SameShard}
 
+// registryAsked is the mode in which fronts hear only what they ask for.
+const registryAsked = "on_request"
+
 // queueFields are the names under which a load report may tell the requests waiting.
 var queueFields = map[string]bool{"queue": true, "backlog": true}
 
@@ -84,6 +88,7 @@
 	LoadReports bool   // probes are answered with a load report
 	LoadQueue   string // its field that tells the requests waiting, "" where it has none
 	MaxOpen     int    // requests open at once, 0 for no bound
+	Askers      int    // fronts that share one discovery, which has to be asked; 0 where changes are pushed to an agent
 	ConnIdle    time.Duration
 	Connect     time.Duration
 	LongestWait time.Duration // the longest that a client waits
@@ -111,6 +116,9 @@
 	out := Settings{Zones: in.Zones, Writes: in.FamilyInfo.ClassWrites, LoadReports: in.Report.How != "" && in.Report.How != "off",
 		Shards: in.FamilyInfo.Shards, MaxOpen: in.Ceilings.MaxOpen, ConnIdle: micros(in.Ceilings.ConnIdleUs),
 		Connect: micros(in.Ceilings.ConnectTimeoutUs), Retry: micros(in.Ceilings.MaxRetryAfterUs)}
+	if in.RegistryMode == registryAsked {
+		out.Askers = in.Balancers
+	}
 	for _, field := range in.Report.Fields {
 		if queueFields[field] {
 			out.LoadQueue = field
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -34,7 +34,7 @@
 	}
 	set := config.Settings
 	l := limits.For(limits.Site{MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
-		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait})
+		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait, Askers: set.Askers})
 	bound(l)
 	stopped, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer unhook()
@@ -63,7 +63,7 @@
 	apply := func(list protocol.List) { core.Tell(nodes.Apply(list)) }
 	apply(config.Known)
 	go follow(ctx, config, hangups, path, log, func(ctx context.Context, addr string, seq int64) {
-		transport.Watch(ctx, addr, seq, set.Zones, l, apply, log)
+		transport.Watch(ctx, addr, seq, set.Zones, l, config.Seed, apply, log)
 	})
 
 	listener, err := net.Listen("tcp", config.Listen)
