--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -125,13 +125,18 @@
 // that the connection is up.
 func (s *Nodes[T]) Acquire(ctx context.Context, name string, wanted func(rules.NodeState) bool) (*Conn[T], error) {
 	got, err := s.reserve(name, wanted)
-	for got.freed != nil {
+	for got.freed != nil || got.settled > 0 {
+		var settled <-chan time.Time
+		if got.settled > 0 {
+			settled = time.After(got.settled)
+		}
 		select {
+		case <-settled:
 		case <-got.freed:
-			got, err = s.reserve(name, wanted)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
+		got, err = s.reserve(name, wanted)
 	}
 	if err != nil || got.conn != nil {
 		return got.conn, err
@@ -206,12 +211,14 @@
 	return &Conn[T]{Conn: raw, Session: session}, nil
 }
 
-// reserved is an idle connection, or else the room for a new one, or what is closed once there may be some.
+// reserved is an idle connection, or else the room for a new one, or what is closed once there may be some, or for how
+// long to wait for a connection that was given back just now.
 type reserved[T any] struct {
-	node  *node[T]
-	conn  *Conn[T]
-	dial  string
-	freed <-chan struct{}
+	node    *node[T]
+	conn    *Conn[T]
+	dial    string
+	freed   <-chan struct{}
+	settled time.Duration
 }
 
 // reserve takes an idle connection that is still good, or the room for a new one.
@@ -223,10 +230,13 @@
 		return reserved[T]{}, ErrNotTaking
 	}
 	// What comes behind an answer comes right behind it: one taken too soon would be found quiet, and its next
-	// request be answered with that.
+	// request be answered with that. But what was held leaves as an answer comes, so such a one is waited for: a
+	// new connection would take longer, and its handshake is the node's work.
+	settled := time.Duration(0)
 	for i := len(n.idle) - 1; i >= 0; i-- {
 		c := n.idle[i]
-		if time.Since(c.idle) < s.limits.NodeSettle {
+		if rest := s.limits.NodeSettle - time.Since(c.idle); rest > 0 {
+			settled = rest
 			continue
 		}
 		n.idle = slices.Delete(n.idle, i, i+1)
@@ -236,6 +246,9 @@
 		}
 		s.shut(c)
 	}
+	if settled > 0 {
+		return reserved[T]{settled: settled}, nil
+	}
 	if s.open >= s.limits.NodeConns && !s.closeLongest() {
 		return reserved[T]{freed: s.freed}, nil
 	}
