Deal cold nodes by what the whole fleet saw of them: they were sent a third of what they do

Seen: from 10 s on, when six in ten nodes are cold, 930 requests a 5 s were given up on, most while they waited for room at one. A cold node was sent 2.6 units a second at first, 9.6 after 5 s and 13 after 10 s; warm ones did 28 in the mean, at the same latency (p50 61 ms cold, 80 ms warm). 6,261 asks and 2,929 grants, 0.0004 of price.

At fault: rules/cold, Ask and Deal: what a host had seen of the node counted for as long as its ask, half a span, and it told nothing before its next request for that node, seconds later. So speed was judged by one to three answers and half a second of doubt. And Dealer: periods began at one instant for all nodes, and none was dealt anything for the first 1.1 s. Ruled out: asks or grants that got lost (asks made anew within half a span), the budget (no more than 8% of those given up on).

What keeps the sum borne is as before: only one core's speed counts, which is at most c, of the node's present start. An ask carries that start now, and evidence of another is none; with it a dealer forgets where the node may have begun anew. TestWhatAHostShowedCountsWhileOthersAsk, TestDealerHearsOfEachAnswerOfAColdNode and TestPeriodsDoNotBeginTogether fail without.

--- a/internal/lab/world/front.go
+++ b/internal/lab/world/front.go
@@ -107,7 +107,7 @@
 			w.plan(w.Now+w.delay, func() { f.tell(p) })
 		})
 	case rules.Ask:
-		w.note(f, a.To, rules.Asked{From: f.place, Node: a.Node, Wish: a.Wish})
+		w.note(f, a.To, rules.Asked{From: f.place, Node: a.Node, Since: a.Since, Wish: a.Wish})
 	case rules.Grant:
 		w.note(f, a.To, rules.Granted{From: f.place, Node: a.Node, Units: a.Units, Until: a.Until})
 	case rules.SetAlarm:
--- a/internal/net/protocol/note.go
+++ b/internal/net/protocol/note.go
@@ -13,7 +13,7 @@
 
 // Notes between fronts are words set apart by single blanks, the first of which is their kind.
 const (
-	noteAsk   = "ask"   // units of the next and of the smallest request, units answered of late and in all, in how many spans, node
+	noteAsk   = "ask"   // units of the next and of the smallest request, units answered of late and in all, in how many spans, the node's start, node
 	noteGrant = "grant" // units, Unix time in microseconds, node
 )
 
@@ -22,8 +22,8 @@
 	var text []byte
 	switch a := a.(type) {
 	case rules.Ask:
-		text = fmt.Appendf(nil, "%s %s %s %s %s %s %s", noteAsk, formatUnits(a.Units), formatUnits(a.Least),
-			formatUnits(a.Shown.Served), formatUnits(a.Shown.Units), formatUnits(a.Shown.Time), a.Node)
+		text = fmt.Appendf(nil, "%s %s %s %s %s %s %d %s", noteAsk, formatUnits(a.Units), formatUnits(a.Least),
+			formatUnits(a.Shown.Served), formatUnits(a.Shown.Units), formatUnits(a.Shown.Time), a.Since, a.Node)
 	case rules.Grant:
 		text = fmt.Appendf(nil, "%s %s %d %s", noteGrant, formatUnits(a.Units), a.Until, a.Node)
 	}
@@ -37,8 +37,8 @@
 func ParseNote(from int, text []byte) (rules.Event, error) {
 	words := strings.Split(string(text), " ")
 	switch {
-	case words[0] == noteAsk && len(words) == 7:
-		e := rules.Asked{From: from, Node: words[6]}
+	case words[0] == noteAsk && len(words) == 8:
+		e := rules.Asked{From: from, Node: words[7]}
 		for i, to := range []*float64{&e.Units, &e.Least, &e.Shown.Served, &e.Shown.Units, &e.Shown.Time} {
 			units, err := parseUnits(words[i+1])
 			if err != nil {
@@ -46,6 +46,11 @@
 			}
 			*to = units
 		}
+		since, err := strconv.ParseInt(words[6], 10, 64)
+		if err != nil || since < 0 {
+			return nil, fmt.Errorf("note: ask: since: %.40q is no time", words[6])
+		}
+		e.Since = rules.Micros(since)
 		return e, nil
 	case words[0] == noteGrant && len(words) == 4:
 		units, err := parseUnits(words[1])
--- a/internal/net/transport/peers_test.go
+++ b/internal/net/transport/peers_test.go
@@ -81,7 +81,7 @@
 	}
 	// What can't be read, comes from elsewhere or is too long ends nothing.
 	peers[0].Send(7, rules.Ask{To: 7, Node: "s-1"})
-	peers[0].conn.WriteToUDPAddrPort([]byte("ask x 1 1 1 1 s-1"), peers[1].addrs[1])
+	peers[0].conn.WriteToUDPAddrPort([]byte("ask x 1 1 1 1 5 s-1"), peers[1].addrs[1])
 	if line := standin.Await(t, "a line", logged); !strings.Contains(line, "units") {
 		t.Errorf("logged %q, which names no field", line)
 	}
--- a/internal/wire/remote.go
+++ b/internal/wire/remote.go
@@ -137,7 +137,7 @@
 		}
 		fmt.Fprintf(w, "PROBE_RESULT\ti=%s\ttarget=%s\tstateCode=%d%s\n", i.name, e.Node, code, feedback)
 	case rules.Asked:
-		i.writeNote(w, e.From, rules.Ask{Node: e.Node, Wish: e.Wish})
+		i.writeNote(w, e.From, rules.Ask{Node: e.Node, Since: e.Since, Wish: e.Wish})
 	case rules.Granted:
 		i.writeNote(w, e.From, rules.Grant{Node: e.Node, Units: e.Units, Until: e.Until})
 	case rules.Alarm:
@@ -166,7 +166,7 @@
 	case "SHARE":
 		switch e := l.note("recipient").(type) {
 		case rules.Asked:
-			return rules.Ask{To: e.From, Node: e.Node, Wish: e.Wish}
+			return rules.Ask{To: e.From, Node: e.Node, Since: e.Since, Wish: e.Wish}
 		case rules.Granted:
 			return rules.Grant{To: e.From, Node: e.Node, Units: e.Units, Until: e.Until}
 		}
--- a/rules/api.go
+++ b/rules/api.go
@@ -252,10 +252,11 @@
 	Sure  bool // and no earlier one may
 }
 
-// Asked tells that another host, by its number, asks to be granted units at a cold node.
+// Asked tells that another host, by its number, asks to be granted units at a cold node, or just what it saw there.
 type Asked struct {
-	From int
-	Node string
+	From  int
+	Node  string
+	Since Micros // the node's last start, as far as that host knows
 	cold.Wish
 }
 
@@ -328,8 +329,9 @@
 
 // Ask is Asked, on its way to the host of a number.
 type Ask struct {
-	To   int
-	Node string
+	To    int
+	Node  string
+	Since Micros
 	cold.Wish
 }
 
--- a/rules/cold/cold.go
+++ b/rules/cold/cold.go
@@ -24,9 +24,11 @@
 package cold
 
 import (
-	"hash/fnv"
+	"math"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"otterturn/rules/window"
 )
 
@@ -44,9 +46,11 @@
 
 const (
 	validParts   = 10   // a grant may be used for one in so many parts of a span
+	tellParts    = 10   // of an answer the dealer hears after one in so many at least
 	askParts     = 2    // an ask that brings nothing is made anew after one in so many
 	periodSpans  = 12   // a host deals for so long, less one to hand over
 	longest      = 4    // spans of answers that a host tells of at most
+	shownSpans   = 4    // what a host showed counts for so long after it asked last
 	nearCost     = 0.25 // of its work, that a request for a piece costs which a node remembers: 27 to 51%
 	remembered   = 4    // pieces that a node remembers at most
 	alonePeriods = 2    // the same where each host asks itself: one that has nothing to send keeps the others waiting
@@ -73,10 +77,11 @@
 	if f.Hosts <= 1 {
 		return 0, true
 	}
-	h := fnv.New32a()
-	h.Write([]byte(node))
-	// Consecutive periods are those of consecutive hosts, from a place of the node's own.
-	host = int((int64(h.Sum32()) + int64(now/period)) % int64(max(f.Hosts, 1)))
+	sum := xxhash.Sum64String(node)
+	// Consecutive periods are those of consecutive hosts, from a place and a time of the node's own: were they the same
+	// for all nodes, no cold node would get anything while the periods begin.
+	now += T(sum>>32) % period
+	host = int((int64(sum&math.MaxUint32) + int64(now/period)) % int64(max(f.Hosts, 1)))
 	return host, now%period > f.Counts()
 }
 
@@ -104,6 +109,7 @@
 	granted float64
 	until   T // of the grant
 	asked   T // not to be asked for again before
+	told    T // nor told of
 }
 
 // Guard returns one for a node that nothing was sent to.
@@ -167,18 +173,34 @@
 	return true
 }
 
+// Tells tells whether the dealer is to hear now of what was answered last.
+func (g *Guard[T]) Tells(now T) bool {
+	if now < g.told {
+		return false
+	}
+	g.told = now + g.span/tellParts
+	return true
+}
+
 // Clear forgets all, once the node is warm, or where it may begin anew: what was answered was its former self.
 func (g *Guard[T]) Clear() {
 	g.sent.Clear()
 	g.served.Clear()
-	g.granted, g.asked, g.units, g.time = 0, 0, 0, 0
+	g.granted, g.asked, g.told, g.units, g.time = 0, 0, 0, 0, 0
 }
 
 // Ration is what this host deals out at one node.
 type Ration[T ~int64] struct {
 	f     *Figures[T]
 	dealt window.Window[T]
-	asks  []ask[T] // the last one of each host, while it waits or its news counts
+	asks  []ask[T]  // the last one of each host, while it waits or its news counts
+	shown []told[T] // what each host told last of the node's speed, while it counts
+}
+
+type told[T ~int64] struct {
+	Shown
+	host int
+	at   T
 }
 
 type ask[T ~int64] struct {
@@ -213,8 +235,26 @@
 	return &Ration[T]{f: f, dealt: window.Of(f.Counts())}
 }
 
+// Anew forgets what the node showed, where it may have begun anew: it may be far slower now.
+func (r *Ration[T]) Anew() {
+	r.shown = nil
+	for i := range r.asks {
+		r.asks[i].Shown = Shown{}
+	}
+}
+
+// Tell takes in what a host has seen of the node's speed, in the place of what it told before. It counts for a while
+// after the host asked last: a node becomes no slower while it warms, and of many hosts few ask at a time.
+func (r *Ration[T]) Tell(now T, host int, s Shown) {
+	r.shown = slices.DeleteFunc(r.shown, func(t told[T]) bool { return t.host == host || t.at < now-shownSpans*r.f.Span })
+	if s.Units > 0 {
+		r.shown = append(r.shown, told[T]{s, host, now})
+	}
+}
+
 // Ask has a host wait for room. One that waits already keeps its place, so there are no more asks than hosts.
 func (r *Ration[T]) Ask(now T, host int, w Wish) {
+	r.Tell(now, host, w.Shown)
 	i := slices.IndexFunc(r.asks, func(a ask[T]) bool { return a.host == host })
 	if i >= 0 && r.asks[i].Units > 0 {
 		r.asks[i] = ask[T]{w, host, now}
@@ -228,19 +268,23 @@
 // Deal grants what may be sent within a span to a node that bears so much in any case, in the order in which it was
 // asked for. Hosts whose ask is too old have asked anew, or need nothing more.
 func (r *Ration[T]) Deal(now T, borne float64) (grants []Grant[T]) {
-	shown, rest := Shown{}, max(r.f.Multiple, 1)-1
+	rest, served, units, time := max(r.f.Multiple, 1)-1, 0.0, 0.0, 0.0
 	r.asks = slices.DeleteFunc(r.asks, func(a ask[T]) bool { return a.at < now-r.f.Span/askParts })
 	for _, a := range r.asks {
-		shown.Served += a.Shown.Served
-		shown.Units, shown.Time = shown.Units+a.Shown.Units, shown.Time+a.Shown.Time
+		served += a.Shown.Served
 	}
-	speed := shown.Units / (shown.Time + float64(r.f.Doubt)/float64(max(r.f.Span, 1)))
-	part := max(borne*rest/(rest+1), shown.Served*rest, speed*rest)
+	for _, s := range r.shown {
+		if s.at >= now-shownSpans*r.f.Span {
+			units, time = units+s.Units, time+s.Time
+		}
+	}
+	speed := units / (time + float64(r.f.Doubt)/float64(max(r.f.Span, 1)))
+	part := max(borne*rest/(rest+1), served*rest, speed*rest)
 	dealt := r.dealt.Sum(now)
 	for i := range r.asks {
 		a := &r.asks[i]
 		most := part
-		if dealt <= 0 && shown.Served <= 0 {
+		if dealt <= 0 && served <= 0 {
 			most = max(part, borne)
 		}
 		if a.Units > most {
@@ -260,8 +304,11 @@
 	return grants
 }
 
-// Idle tells that nobody waits, and that nothing that was dealt counts any more.
-func (r *Ration[T]) Idle(now T) bool { return len(r.asks) == 0 && r.dealt.Sum(now) <= 0 }
+// Idle tells that nobody waits, and that nothing that was dealt or told counts any more.
+func (r *Ration[T]) Idle(now T) bool {
+	return len(r.asks) == 0 && r.dealt.Sum(now) <= 0 &&
+		!slices.ContainsFunc(r.shown, func(t told[T]) bool { return t.at >= now-shownSpans*r.f.Span })
+}
 
 // Waits tells that somebody waits.
 func (r *Ration[T]) Waits() bool {
--- a/rules/cold/cold_test.go
+++ b/rules/cold/cold_test.go
@@ -208,3 +208,55 @@
 		t.Errorf("shown %+v, the first request alone shows 2 units in a fifth of a span", got)
 	}
 }
+
+// Of many hosts few ask at a time, and what the others saw of the node counts as well, for a while and for its present
+// start: with what those who ask know alone a node was sent a third of what it can do.
+func TestWhatAHostShowedCountsWhileOthersAsk(t *testing.T) {
+	f := figures(300, true)
+	now := 1_000_000 * ms
+	r := f.Ration()
+	most := func(after int64) (units float64) {
+		for host := range 40 {
+			r.Ask(now+after, 100+host, Wish{Units: 1, Least: 1})
+		}
+		for _, g := range r.Deal(now+after, f.Borne(0)) {
+			units += g.Units
+		}
+		r.Drop()
+		return units
+	}
+	for host := range 20 {
+		r.Tell(now, host, Shown{Units: 2, Time: 0.1}) // a core does 20 a span
+		r.Tell(now, host, Shown{Units: 2, Time: 0.1})
+	}
+	if got := most(2 * f.Span); got < 20 || got > 24 { // 1.5 times 40 units in 2 spans and a half of doubt
+		t.Errorf("%v units dealt by what twenty hosts showed", got)
+	}
+	if got := most(2*f.Span + 3*f.Counts()/2); got < 20 {
+		t.Errorf("%v units dealt a little later", got)
+	}
+	r.Anew()
+	if got := most(2*f.Span + 4*f.Counts()); got > f.Borne(0) {
+		t.Errorf("%v units dealt at a node that began anew", got)
+	}
+	r.Tell(now, 1, Shown{Units: 100, Time: 1})
+	if later := now + (shownSpans+1)*f.Span + 5*f.Counts(); !r.Idle(later) || most(later-now) > f.Borne(0) {
+		t.Error("what was shown long ago counts yet")
+	}
+}
+
+// Periods begin at other times at other nodes: in each there is a while in which nothing is dealt.
+func TestPeriodsDoNotBeginTogether(t *testing.T) {
+	f := figures(80, true)
+	for now := int64(0); now < periodSpans*f.Counts(); now += 100 * ms {
+		deals := 0
+		for n := range 60 {
+			if _, may := f.Dealer(fmt.Sprint("node", n), now); may {
+				deals++
+			}
+		}
+		if deals < 40 {
+			t.Fatalf("at %d: only %d of 60 nodes have a dealer", now, deals)
+		}
+	}
+}
--- a/rules/loops.go
+++ b/rules/loops.go
@@ -13,7 +13,7 @@
 	case OK, Errored:
 		n.Answered, n.mute = s.now, 0
 		if s.isCold(n) {
-			n.cold.Answered(s.now, r.Key, r.Units, e.Latency)
+			s.answered(n, r, e.Latency)
 		}
 		if e.Result == Errored {
 			n.Errors += (1 - n.Errors) / errorsSeen
@@ -59,7 +59,7 @@
 			n.former, n.broke = n.Suspect, s.now
 		}
 		n.mute, n.Suspect, n.probeAt = cmp.Or(n.mute, s.now), s.now, s.now
-		n.cold.Clear()
+		s.anew(n)
 	}
 }
 
--- a/rules/nodes.go
+++ b/rules/nodes.go
@@ -49,7 +49,7 @@
 		}
 		if l.Since != n.Since {
 			n.Suspect, n.Usual, n.pausedTo, n.calm, n.Errors = 0, 0, 0, true, 0
-			n.cold.Clear()
+			s.anew(n)
 		}
 		n.Listing = l
 	}
--- a/rules/rations.go
+++ b/rules/rations.go
@@ -40,23 +40,56 @@
 			w.Least = min(w.Least, r.Units)
 		}
 	}
-	if own {
-		s.asked(Asked{From: dealer, Node: n.Node, Wish: w})
+	s.ask(dealer, n, w)
+}
+
+func (s *Scheduler) ask(dealer int, n *node, w cold.Wish) {
+	if dealer == s.set.Number {
+		s.asked(Asked{From: dealer, Node: n.Node, Since: n.Since, Wish: w})
 	} else {
-		s.out = append(s.out, Ask{To: dealer, Node: n.Node, Wish: w})
+		s.out = append(s.out, Ask{To: dealer, Node: n.Node, Since: n.Since, Wish: w})
+	}
+}
+
+// answered takes in an answer of a node that may be cold, and tells the host that deals there: one of many hosts
+// meets the node seldom, and what it saw would be told only with its next request.
+func (s *Scheduler) answered(n *node, r *request, latency Micros) {
+	n.cold.Answered(s.now, r.Key, r.Units, latency)
+	dealer, _ := s.cold.Dealer(n.Node, s.now)
+	if (s.set.Peers || dealer == s.set.Number) && n.cold.Tells(s.now) {
+		s.ask(dealer, n, cold.Wish{Shown: n.cold.Shown(s.now)})
+	}
+}
+
+// anew forgets what a node showed of its speed, where it may have started again.
+func (s *Scheduler) anew(n *node) {
+	n.cold.Clear()
+	for _, r := range s.rations {
+		if r.node == n.Node {
+			r.Anew()
+		}
 	}
 }
 
-// asked has a host wait for room at a node. What this host has not been told of it may not deal out.
+// asked has a host wait for room at a node, or takes in what it saw there. What this host has not been told of it may
+// not deal out, and what was seen of a start that this one does not know counts for none.
 func (s *Scheduler) asked(e Asked) {
-	if e.From < 0 || e.From >= s.set.Hosts || e.Units <= 0 || s.byName[e.Node] == nil {
+	n := s.byName[e.Node]
+	if e.From < 0 || e.From >= s.set.Hosts || n == nil {
 		return
 	}
+	if e.Since != n.Since {
+		e.Shown = cold.Shown{}
+	}
 	i := slices.IndexFunc(s.rations, func(r ration) bool { return r.node == e.Node })
 	if i < 0 {
 		i = len(s.rations)
 		s.rations = append(s.rations, ration{e.Node, s.cold.Ration()})
 	}
+	if e.Units <= 0 {
+		s.rations[i].Tell(s.now, e.From, e.Shown)
+		return
+	}
 	s.rations[i].Ask(s.now, e.From, e.Wish)
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -429,7 +429,7 @@
 		asks = append(asks, slices.DeleteFunc(a, func(a Action) bool { _, is := a.(Ask); return !is })...)
 	}
 	dealer, _ := h.s.cold.Dealer("a", h.now)
-	if want := []Action{Ask{To: dealer, Node: "a", Wish: cold.Wish{Units: 2, Least: 2}}}; !reflect.DeepEqual(asks, want) {
+	if want := []Action{Ask{To: dealer, Node: "a", Since: h.s.byName["a"].Since, Wish: cold.Wish{Units: 2, Least: 2}}}; !reflect.DeepEqual(asks, want) {
 		t.Errorf("asks %v in half a second, want %v", asks, want)
 	}
 	until := h.now + 100*ms
@@ -440,6 +440,38 @@
 	h.wantSends(h.step(Granted{From: dealer, Node: "a", Units: 2, Until: until}), "x19")
 }
 
+// One of many hosts meets a cold node seldom: what it saw there helps the others only if the host that deals hears of it
+// at once. What was seen of another start of the node counts for none.
+func TestDealerHearsOfEachAnswerOfAColdNode(t *testing.T) {
+	set := testSettings()
+	set.Hosts, set.Peers, set.Number = 300, true, -1
+	h := coldHostOf(t, set)
+	for may := false; !may; _, may = h.s.cold.Dealer("a", h.now) {
+		h.after(100 * ms)
+	}
+	h.after(25*ms, req("x", nil))
+	dealer, _ := h.s.cold.Dealer("a", h.now)
+	since := h.s.byName["a"].Since
+	h.wantSends(h.step(Granted{From: dealer, Node: "a", Units: 2, Until: h.now + 100*ms}), "x")
+	told := slices.DeleteFunc(h.after(50*ms, Outcome{ID: "x", Result: OK, Latency: 50 * ms, Final: true}),
+		func(a Action) bool { _, is := a.(Ask); return !is })
+	if len(told) != 1 || told[0].(Ask).To != dealer || told[0].(Ask).Since != since || told[0].(Ask).Units != 0 || told[0].(Ask).Shown.Units != 2 {
+		t.Errorf("told %+v", told)
+	}
+	h.s.asked(Asked{From: 1, Node: "a", Since: since - 1, Wish: cold.Wish{Shown: cold.Shown{Units: 9, Time: 0.1}}})
+	if !h.s.rations[0].Idle(h.now) {
+		t.Error("what was seen of an earlier start counts")
+	}
+	h.s.asked(Asked{From: 1, Node: "a", Since: since, Wish: cold.Wish{Shown: cold.Shown{Units: 9, Time: 0.1}}})
+	if h.s.rations[0].Idle(h.now) {
+		t.Error("what was seen of this start is forgotten at once")
+	}
+	h.step(Nodes{List: []Listing{{Node: "a", Since: h.now}}})
+	if len(h.s.rations) > 0 {
+		t.Error("what was seen counts for the next start")
+	}
+}
+
 // A full queue takes seconds to empty: what is sent meanwhile is turned away again or answered late.
 func TestNodeThatTurnsAwayIsLeftAlone(t *testing.T) {
 	h := newHost(t, testSettings())
