Deal cold nodes by all that was answered, and don't probe a node that the list says has started

At fault: rules/cold, Deal, which counted what the hosts that wait were answered, 2 or 3 of 80. Now each tell carries what was answered since the last one, and the dealer adds up a span of them; an eighth is taken off, as what is told comes up to 0.14 s late, so that with what each host was answered it stays within the multiple. A message that comes twice counts once.

At fault: nodes.go, learn, which kept `mute`.

TestWhatAllHostsWereAnsweredCounts and TestNodeThatStartedAnewIsNotProbedFirst fail without.

--- a/rules/cold/cold.go
+++ b/rules/cold/cold.go
@@ -12,9 +12,9 @@
 //     node itself have shown to be borne beside c.
 //
 // These are: Units x (1 - 1/Multiple), which with c is no more than max(Multiple x c, Units) whatever c is, as the two
-// meet at c = Units/Multiple. (Multiple - 1) times what those who ask were answered, which is at most c. As much of the
+// meet at c = Units/Multiple. (Multiple - 1) times what all hosts told was answered, which is at most c, less what may have been told late. As much of the
 // speed that requests were served with, one by one: a node does that much on one of its cores, and becomes no slower
-// while it warms. A request of one unit may cost hardly any work, so what all who ask saw is taken together, with some
+// while it warms. A request of one unit may cost hardly any work, so what all of them saw is taken together, with some
 // time of doubt. And as often as nothing else counts a lone request of up to Units, or no node would show anything.
 //
 // Who deals is told by the node's name and the time, which all hosts share. A host deals for a period, but not before
@@ -49,6 +49,7 @@
 	tellParts    = 10   // of an answer the dealer hears after one in so many at least
 	askParts     = 2    // an ask that brings nothing is made anew after one in so many
 	periodSpans  = 12   // a host deals for so long, less one to hand over
+	toldInTime   = 0.88 // of what was told within a span was answered within it: the rest was told late
 	longest      = 4    // spans of answers that a host tells of at most
 	shownSpans   = 4    // what a host showed counts for so long after it asked last
 	nearCost     = 0.25 // of its work, that a request for a piece costs which a node remembers: 27 to 51%
@@ -101,7 +102,7 @@
 type Guard[T ~int64] struct {
 	span    T
 	sent    window.Window[T] // for what was answered, less the answers
-	served  window.Window[T] // answered
+	fresh   float64          // answered, and not told of yet
 	units   float64          // that were answered one by one,
 	time    float64          // in so many spans
 	pieces  [remembered]string
@@ -114,7 +115,7 @@
 
 // Guard returns one for a node that nothing was sent to.
 func (f *Figures[T]) Guard() Guard[T] {
-	return Guard[T]{span: f.Span, sent: window.Of(f.Span), served: window.Of(f.Span)}
+	return Guard[T]{span: f.Span, sent: window.Of(f.Span)}
 }
 
 // Room is how many units may be sent now.
@@ -145,7 +146,7 @@
 		g.pieces[g.next], g.next = piece, (g.next+1)%len(g.pieces)
 	}
 	g.sent.Add(now, -units)
-	g.served.Add(now, units)
+	g.fresh += units
 	if near {
 		return
 	}
@@ -155,8 +156,12 @@
 	}
 }
 
-// Shown is what the node has shown this host.
-func (g *Guard[T]) Shown(now T) Shown { return Shown{g.served.Sum(now), g.units, g.time} }
+// Shown is what the node has shown this host, to be told now.
+func (g *Guard[T]) Shown() Shown {
+	s := Shown{g.fresh, g.units, g.time}
+	g.fresh = 0
+	return s
+}
 
 // Granted takes in a grant that lasts until a time. What is left of the last one goes: it would last for longer than
 // the dealer counts it.
@@ -185,16 +190,16 @@
 // Clear forgets all, once the node is warm, or where it may begin anew: what was answered was its former self.
 func (g *Guard[T]) Clear() {
 	g.sent.Clear()
-	g.served.Clear()
-	g.granted, g.asked, g.told, g.units, g.time = 0, 0, 0, 0, 0
+	g.granted, g.asked, g.told, g.fresh, g.units, g.time = 0, 0, 0, 0, 0, 0
 }
 
 // Ration is what this host deals out at one node.
 type Ration[T ~int64] struct {
-	f     *Figures[T]
-	dealt window.Window[T]
-	asks  []ask[T]  // the last one of each host, while it waits or its news counts
-	shown []told[T] // what each host told last of the node's speed, while it counts
+	f      *Figures[T]
+	dealt  window.Window[T]
+	served window.Window[T] // answered, as hosts told
+	asks   []ask[T]         // the last one of each host, while it waits or its news counts
+	shown  []told[T]        // what each host told last of the node's speed, while it counts
 }
 
 type told[T ~int64] struct {
@@ -211,7 +216,7 @@
 
 // Shown is what a node has shown a host of its capacity, in units.
 type Shown struct {
-	Served float64 // answered within the last span
+	Served float64 // answered since it told last
 	Units  float64 // answered since it started,
 	Time   float64 // one by one in so many spans
 }
@@ -232,22 +237,23 @@
 
 // Ration returns one of which nothing was dealt.
 func (f *Figures[T]) Ration() *Ration[T] {
-	return &Ration[T]{f: f, dealt: window.Of(f.Counts())}
+	return &Ration[T]{f: f, dealt: window.Of(f.Counts()), served: window.Of(f.Span)}
 }
 
 // Anew forgets what the node showed, where it may have begun anew: it may be far slower now.
 func (r *Ration[T]) Anew() {
 	r.shown = nil
-	for i := range r.asks {
-		r.asks[i].Shown = Shown{}
-	}
+	r.served.Clear()
 }
 
 // Tell takes in what a host has seen of the node's speed, in the place of what it told before. It counts for a while
 // after the host asked last: a node becomes no slower while it warms, and of many hosts few ask at a time.
 func (r *Ration[T]) Tell(now T, host int, s Shown) {
+	if s.Served > 0 && !slices.ContainsFunc(r.shown, func(t told[T]) bool { return t.host == host && t.Shown == s }) {
+		r.served.Add(now, s.Served) // a message that came twice tells once
+	}
 	r.shown = slices.DeleteFunc(r.shown, func(t told[T]) bool { return t.host == host || t.at < now-shownSpans*r.f.Span })
-	if s.Units > 0 {
+	if s.Units > 0 || s.Served > 0 {
 		r.shown = append(r.shown, told[T]{s, host, now})
 	}
 }
@@ -268,18 +274,15 @@
 // Deal grants what may be sent within a span to a node that bears so much in any case, in the order in which it was
 // asked for. Hosts whose ask is too old have asked anew, or need nothing more.
 func (r *Ration[T]) Deal(now T, borne float64) (grants []Grant[T]) {
-	rest, served, units, time := max(r.f.Multiple, 1)-1, 0.0, 0.0, 0.0
+	rest, served, units, time := max(r.f.Multiple, 1)-1, r.served.Sum(now), 0.0, 0.0
 	r.asks = slices.DeleteFunc(r.asks, func(a ask[T]) bool { return a.at < now-r.f.Span/askParts })
-	for _, a := range r.asks {
-		served += a.Shown.Served
-	}
 	for _, s := range r.shown {
 		if s.at >= now-shownSpans*r.f.Span {
 			units, time = units+s.Units, time+s.Time
 		}
 	}
 	speed := units / (time + float64(r.f.Doubt)/float64(max(r.f.Span, 1)))
-	part := max(borne*rest/(rest+1), served*rest, speed*rest)
+	part := max(borne*rest/(rest+1), served*rest*toldInTime, speed*rest)
 	dealt := r.dealt.Sum(now)
 	for i := range r.asks {
 		a := &r.asks[i]
--- a/rules/cold/cold_test.go
+++ b/rules/cold/cold_test.go
@@ -204,7 +204,7 @@
 	for range 20 {
 		slow.Answered(now, "piece", 2, 10*ms)
 	}
-	if got := slow.Shown(now); got.Units != 2 || got.Time != 0.2 {
+	if got := slow.Shown(); got.Units != 2 || got.Time != 0.2 {
 		t.Errorf("shown %+v, the first request alone shows 2 units in a fifth of a span", got)
 	}
 }
@@ -245,6 +245,28 @@
 	}
 }
 
+// All that hosts told was answered within a span counts, whoever asks: that shows more than one core. A message that comes
+// twice counts once.
+func TestWhatAllHostsWereAnsweredCounts(t *testing.T) {
+	f := figures(300, true)
+	r, now := f.Ration(), 1_000_000*ms
+	for host := range 30 {
+		for range 2 {
+			r.Tell(now, host, Shown{Served: 2, Units: 2, Time: 1}) // a core does 2 a span, the node 60
+		}
+	}
+	sum := 0.0
+	for host := range 200 {
+		r.Ask(now, 100+host, Wish{Units: 1, Least: 1})
+	}
+	for _, g := range r.Deal(now, f.Borne(0)) {
+		sum += g.Units
+	}
+	if sum < 70 || sum > 1.5*60 {
+		t.Errorf("%v units dealt where 60 were answered", sum)
+	}
+}
+
 // Periods begin at other times at other nodes: in each there is a while in which nothing is dealt.
 func TestPeriodsDoNotBeginTogether(t *testing.T) {
 	f := figures(80, true)
--- a/rules/nodes.go
+++ b/rules/nodes.go
@@ -48,7 +48,7 @@
 			s.nodes = append(s.nodes, n)
 		}
 		if l.Since != n.Since {
-			n.Suspect, n.Usual, n.pausedTo, n.calm, n.Errors = 0, 0, 0, true, 0
+			n.Suspect, n.mute, n.Usual, n.pausedTo, n.calm, n.Errors = 0, 0, 0, 0, true, 0
 			s.anew(n)
 		}
 		n.Listing = l
--- a/rules/rations.go
+++ b/rules/rations.go
@@ -34,7 +34,7 @@
 	if !own && !s.set.Peers || own && !may || !n.cold.Asks(s.now) {
 		return
 	}
-	w := cold.Wish{Units: next.Units, Least: next.Units, Shown: n.cold.Shown(s.now)}
+	w := cold.Wish{Units: next.Units, Least: next.Units, Shown: n.cold.Shown()}
 	for f := range sh.busy.All {
 		for _, r := range f.held {
 			w.Least = min(w.Least, r.Units)
@@ -57,7 +57,7 @@
 	n.cold.Answered(s.now, r.Key, r.Units, latency)
 	dealer, _ := s.cold.Dealer(n.Node, s.now)
 	if (s.set.Peers || dealer == s.set.Number) && n.cold.Tells(s.now) {
-		s.ask(dealer, n, cold.Wish{Shown: n.cold.Shown(s.now)})
+		s.ask(dealer, n, cold.Wish{Shown: n.cold.Shown()})
 	}
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -472,6 +472,18 @@
 	}
 }
 
+// A node that the list says has started lives. While each of many hosts probed it first, a zone's return cost a probe
+// for each host and node, and requests waited for the answers.
+func TestNodeThatStartedAnewIsNotProbedFirst(t *testing.T) {
+	set := testSettings()
+	set.Ramp = 0
+	h := newHost(t, set)
+	h.wantSends(h.after(ms, req("x", func(r *Request) { r.Left = 60 * second })), "x")
+	h.wantSends(h.after(ms, h.end("x", Unreachable, ms)))
+	h.wantSends(h.after(3*second, Alarm{}))
+	h.wantSends(h.after(ms, Nodes{List: []Listing{{Node: "a", Since: h.now}}}), "x")
+}
+
 // A full queue takes seconds to empty: what is sent meanwhile is turned away again or answered late.
 func TestNodeThatTurnsAwayIsLeftAlone(t *testing.T) {
 	h := newHost(t, testSettings())
