--- a/rules/order.go
+++ b/rules/order.go
@@ -105,6 +105,9 @@
 		load := n.outUnits + s.shard(n.Shard).units
 		score := (load + r.Units) / n.Budget * (1 + 0.01*s.rng.Float64())
 		score *= max(cmp.Or(n.Usual, s.pool.Usual, float64(s.aim)), float64(s.waiting(n)))
+		if s.now > n.Answered+4*slowInterval { // nor is a connection to it kept
+			score *= unsure
+		}
 		if s.isCold(n) { // as slow as it may be
 			score *= s.cold.Slower(s.age(n))
 		}
--- a/rules/rations.go
+++ b/rules/rations.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// hear takes in what another host says.
+func (s *Scheduler) hear(e Event) {
+	switch e := e.(type) {
+	case Asked:
+		s.asked(e)
+	case Granted:
+		s.granted(e)
+	}
+}
+
 // asked has a host wait for room at a node, or takes in what it saw there. What this host has not been told of it may
 // not deal out, and what was seen of a start that this one does not know counts for none.
 func (s *Scheduler) asked(e Asked) {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -484,6 +484,27 @@
 	h.wantSends(h.after(ms, Nodes{List: []Listing{{Node: "a", Since: h.now}}}), "x")
 }
 
+// One of many hosts that strews its new objects over all nodes meets each of them seldom, with a new connection for nearly
+// every object, and knows none. They go where it was answered lately, unless that is slower by more than a little.
+func TestNewObjectsGoWhereTheHostWasAnsweredLately(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.step(Nodes{Full: true, List: []Listing{running("a", 0), running("b", 1), running("c", 2), running("d", 3)}})
+	fresh := func(r *Request) { r.Shard = -1 }
+	h.wantSends(h.after(ms, req("x", func(r *Request) { r.Shard = 2 })), "x")
+	h.after(50*ms, h.end("x", OK, 50*ms))
+	for i := range 20 {
+		id := fmt.Sprint("n", i)
+		out := h.after(100*ms, req(id, fresh))
+		h.wantSends(out, id)
+		for _, a := range out {
+			if send, is := a.(Send); is && send.Node != "c" {
+				t.Fatalf("object %d goes to %s", i, send.Node)
+			}
+		}
+		h.after(50*ms, h.end(id, OK, 50*ms))
+	}
+}
+
 // A full queue takes seconds to empty: what is sent meanwhile is turned away again or answered late.
 func TestNodeThatTurnsAwayIsLeftAlone(t *testing.T) {
 	h := newHost(t, testSettings())
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -26,6 +26,7 @@
 	fullAims            = 2   // a node that turned a request away is left alone for so many shortest aims
 	seldom              = 16  // answers over the shortest aim are seldom below one in so many
 	errorsSeen          = 6   // errors are smoothed over so many answers
+	unsure              = 1.5 // times as slow may be a node without an answer for some slow intervals
 	placeAmong          = 64  // nodes that a new object is placed among, drawn where there are more
 	wakeTicks           = 5   // while something is held, look again after so many ticks
 )
@@ -124,10 +125,6 @@
 		}
 	case Probed:
 		s.probed(e)
-	case Asked:
-		s.asked(e)
-	case Granted:
-		s.granted(e)
 	case Room:
 		s.set.MaxOpen = e.Open
 	case Alarm:
@@ -136,5 +133,7 @@
 		for i := range s.volumes.Len() {
 			s.volumes.At(i).bucket.Written(e.There, e.Sure)
 		}
+	default:
+		s.hear(e)
 	}
 }
