--- a/internal/lab/world/fleet_test.go
+++ b/internal/lab/world/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"otterturn/internal/lab/model"
 	"otterturn/internal/lab/world"
+	"otterturn/internal/net/protocol"
 	"otterturn/rules"
 )
 
@@ -19,13 +20,15 @@
 	set    rules.Settings
 	seed   int64
 	served int
+	asked  int            // first tries
+	said   map[string]int // actions of all fronts that the fleet pays for, by kind
 }
 
 const unitWork = 100_000.0
 
 func newFleet(t *testing.T, fronts, nodes int, seed uint64) *fleet {
 	t.Helper()
-	f := &fleet{seed: int64(seed), set: rules.Settings{Hosts: fronts, Peers: true, Tick: 1000, MeanUnits: 2, MostUnits: 6, MaxTries: 4, Probing: true,
+	f := &fleet{seed: int64(seed), said: map[string]int{}, set: rules.Settings{Hosts: fronts, Peers: true, Tick: 1000, MeanUnits: 2, MostUnits: 6, MaxTries: 4, Probing: true,
 		RetryAfter: true, MaxRetryAfter: second / 2, ColdFrom: 0.2, Ramp: 17 * second, FallMultiple: 2.5, FallSpan: second, ColdUnits: 1,
 		Classes: []rules.Class{{Aim: 700_000, Worth: 2}, {Aim: 900_000, Repeat: rules.Keyed, Group: rules.SameShard, Window: 7 * second, Worth: 2}},
 		Plans:   []rules.Plan{{Reservation: 3, Weight: 1}, {Weight: 1, Limit: 3, Burst: 36}}}}
@@ -54,7 +57,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.World.Start(place, s)
+	f.World.Start(place, counted{s, f.said})
+}
+
+// counted is a scheduler whose paid actions are counted.
+type counted struct {
+	*rules.Scheduler
+	said map[string]int
+}
+
+func (c counted) Step(now rules.Micros, events []rules.Event) []rules.Action {
+	out := c.Scheduler.Step(now, events)
+	for _, a := range out {
+		switch a := a.(type) {
+		case rules.Probe:
+			c.said["probes"]++
+		case rules.Ask, rules.Grant:
+			c.said["messages"]++
+			c.said["bytes"] += len(protocol.FormatNote(a))
+		}
+	}
+	return out
 }
 
 // ask plans so many requests a second for each node, each from one of the fronts that use it.
@@ -70,6 +93,7 @@
 			q := world.Request{At: rules.Micros(at), Front: front, Work: float64(units) * unitWork, Write: class == 1, Comes: true,
 				Request: rules.Request{ID: fmt.Sprint("r", id), Class: class, Plan: id % 2, Volume: fmt.Sprint("v", shard, "-", front, "-", id%2),
 					Key: fmt.Sprint("k", id), Units: float64(units), Shard: shard, Hosts: 1, Left: 4 * second}}
+			f.asked++
 			f.At(q.At, func() { f.Ask(q) })
 		}
 	}
@@ -109,3 +133,25 @@
 		}
 	}
 }
+
+// The same requests come through ever more fronts, to nodes that are all cold. What the fleet pays for beside them must go
+// by the requests, and not by the fronts or by fronts times nodes.
+func TestWhatAFleetPaysForGoesByItsRequests(t *testing.T) {
+	for _, fronts := range []int{10, 80, 350, 1024} {
+		if testing.Short() && fronts > 350 {
+			continue
+		}
+		f := newFleet(t, fronts, 6, 7)
+		f.ask(8, min(fronts, 77), 8*second)
+		f.Run(12 * second)
+		each := func(what string) float64 { return float64(f.said[what]) / float64(f.asked) }
+		t.Logf("%d fronts: %d requests, %d served, for each %.2f messages of %.0f bytes, %.2f probes", fronts, f.asked, f.served,
+			each("messages"), float64(f.said["bytes"])/float64(f.said["messages"]), each("probes"))
+		if each("messages") > 10 || f.said["bytes"] > 80*f.said["messages"] || each("probes") > 1 {
+			t.Errorf("%d fronts: %v for %d requests", fronts, f.said, f.asked)
+		}
+		if f.served < f.asked/6 { // twice as much comes as a warm node does
+			t.Errorf("%d fronts: %d of %d requests served", fronts, f.served, f.asked)
+		}
+	}
+}
