Say once when what a host told counts, how a note's time is read, and how a wait ends early

Peers.Run had its own select where transport's rest does the same. nodes.Acquire made a timer of a duration that reserve handed it: reserve hands it what to wait for. Error texts and bounds are as before, as the tests of both want.

--- a/internal/net/protocol/note.go
+++ b/internal/net/protocol/note.go
@@ -46,26 +46,35 @@
 			}
 			*to = units
 		}
-		since, err := strconv.ParseInt(words[6], 10, 64)
-		if err != nil || since < 0 {
-			return nil, fmt.Errorf("note: ask: since: %.40q is no time", words[6])
+		since, err := parseTime("since", words[6], 0)
+		if err != nil {
+			return nil, fmt.Errorf("note: ask: %w", err)
 		}
-		e.Since = rules.Micros(since)
+		e.Since = since
 		return e, nil
 	case words[0] == noteGrant && len(words) == 4:
 		units, err := parseUnits(words[1])
 		if err != nil {
 			return nil, fmt.Errorf("note: grant: %w", err)
 		}
-		until, err := strconv.ParseInt(words[2], 10, 64)
-		if err != nil || until <= 0 {
-			return nil, fmt.Errorf("note: grant: until: %.40q is no time", words[2])
+		until, err := parseTime("until", words[2], 1)
+		if err != nil {
+			return nil, fmt.Errorf("note: grant: %w", err)
 		}
-		return rules.Granted{From: from, Node: words[3], Units: units, Until: rules.Micros(until)}, nil
+		return rules.Granted{From: from, Node: words[3], Units: units, Until: until}, nil
 	}
 	return nil, fmt.Errorf("note: %.40q is of no kind", text)
 }
 
+// parseTime reads Unix time in microseconds that is not before the least.
+func parseTime(field, text string, least rules.Micros) (rules.Micros, error) {
+	at, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || rules.Micros(at) < least {
+		return 0, fmt.Errorf("%s: %.40q is no time", field, text)
+	}
+	return rules.Micros(at), nil
+}
+
 // formatUnits writes units exactly: a grant that was rounded down would be too small for its request.
 func formatUnits(units float64) string { return strconv.FormatFloat(units, 'f', -1, 64) }
 
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -125,13 +125,9 @@
 // that the connection is up.
 func (s *Nodes[T]) Acquire(ctx context.Context, name string, wanted func(rules.NodeState) bool) (*Conn[T], error) {
 	got, err := s.reserve(name, wanted)
-	for got.freed != nil || got.settled > 0 {
-		var settled <-chan time.Time
-		if got.settled > 0 {
-			settled = time.After(got.settled)
-		}
+	for got.freed != nil || got.settled != nil {
 		select {
-		case <-settled:
+		case <-got.settled:
 		case <-got.freed:
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -211,14 +207,14 @@
 	return &Conn[T]{Conn: raw, Session: session}, nil
 }
 
-// reserved is an idle connection, or else the room for a new one, or what is closed once there may be some, or for how
-// long to wait for a connection that was given back just now.
+// reserved is an idle connection, or else the room for a new one, or what is closed once there may be some, or what
+// tells that a connection that was given back just now may be used.
 type reserved[T any] struct {
 	node    *node[T]
 	conn    *Conn[T]
 	dial    string
 	freed   <-chan struct{}
-	settled time.Duration
+	settled <-chan time.Time
 }
 
 // reserve takes an idle connection that is still good, or the room for a new one.
@@ -232,11 +228,11 @@
 	// What comes behind an answer comes right behind it: one taken too soon would be found quiet, and its next
 	// request be answered with that. But what was held leaves as an answer comes, so such a one is waited for: a
 	// new connection would take longer, and its handshake is the node's work.
-	settled := time.Duration(0)
+	settles := time.Duration(0)
 	for i := len(n.idle) - 1; i >= 0; i-- {
 		c := n.idle[i]
 		if rest := s.limits.NodeSettle - time.Since(c.idle); rest > 0 {
-			settled = rest
+			settles = rest
 			continue
 		}
 		n.idle = slices.Delete(n.idle, i, i+1)
@@ -246,8 +242,8 @@
 		}
 		s.shut(c)
 	}
-	if settled > 0 {
-		return reserved[T]{settled: settled}, nil
+	if settles > 0 {
+		return reserved[T]{settled: time.After(settles)}, nil
 	}
 	if s.open >= s.limits.NodeConns && !s.closeLongest() {
 		return reserved[T]{freed: s.freed}, nil
--- a/internal/net/transport/peers.go
+++ b/internal/net/transport/peers.go
@@ -54,10 +54,7 @@
 			return
 		}
 		if err != nil { // of a peer that is gone, as the next read hears
-			select {
-			case <-ctx.Done():
-			case <-time.After(p.again):
-			}
+			rest(ctx, p.again)
 			continue
 		}
 		number, known := p.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
--- a/rules/cold/cold.go
+++ b/rules/cold/cold.go
@@ -12,9 +12,9 @@
 //     node itself have shown to be borne beside c.
 //
 // These are: Units x (1 - 1/Multiple), which with c is no more than max(Multiple x c, Units) whatever c is, as the two
-// meet at c = Units/Multiple. (Multiple - 1) times what all hosts told was answered, which is at most c, less what may have been told late. As much of the
-// speed that requests were served with, one by one: a node does that much on one of its cores, and becomes no slower
-// while it warms. A request of one unit may cost hardly any work, so what all of them saw is taken together, with some
+// meet at c = Units/Multiple. (Multiple - 1) times what all hosts told was answered, which is at most c, less what may
+// have been told late. As much of the speed that requests were served with, one by one: a node does that much on one of
+// its cores, and becomes no slower while it warms. A request of one unit may cost hardly any work, so what all of them saw is taken together, with some
 // time of doubt. And as often as nothing else counts a lone request of up to Units, or no node would show anything.
 //
 // Who deals is told by the node's name and the time, which all hosts share. A host deals for a period, but not before
@@ -252,12 +252,15 @@
 	if s.Served > 0 && !slices.ContainsFunc(r.shown, func(t told[T]) bool { return t.host == host && t.Shown == s }) {
 		r.served.Add(now, s.Served) // a message that came twice tells once
 	}
-	r.shown = slices.DeleteFunc(r.shown, func(t told[T]) bool { return t.host == host || t.at < now-shownSpans*r.f.Span })
+	r.shown = slices.DeleteFunc(r.shown, func(t told[T]) bool { return t.host == host || !r.recent(now, t) })
 	if s.Units > 0 || s.Served > 0 {
 		r.shown = append(r.shown, told[T]{s, host, now})
 	}
 }
 
+// recent tells that what a host told counts yet.
+func (r *Ration[T]) recent(now T, t told[T]) bool { return t.at >= now-shownSpans*r.f.Span }
+
 // Ask has a host wait for room. One that waits already keeps its place, so there are no more asks than hosts.
 func (r *Ration[T]) Ask(now T, host int, w Wish) {
 	r.Tell(now, host, w.Shown)
@@ -277,7 +280,7 @@
 	rest, served, units, time := max(r.f.Multiple, 1)-1, r.served.Sum(now), 0.0, 0.0
 	r.asks = slices.DeleteFunc(r.asks, func(a ask[T]) bool { return a.at < now-r.f.Span/askParts })
 	for _, s := range r.shown {
-		if s.at >= now-shownSpans*r.f.Span {
+		if r.recent(now, s) {
 			units, time = units+s.Units, time+s.Time
 		}
 	}
@@ -310,7 +313,7 @@
 // Idle tells that nobody waits, and that nothing that was dealt or told counts any more.
 func (r *Ration[T]) Idle(now T) bool {
 	return len(r.asks) == 0 && r.dealt.Sum(now) <= 0 &&
-		!slices.ContainsFunc(r.shown, func(t told[T]) bool { return t.at >= now-shownSpans*r.f.Span })
+		!slices.ContainsFunc(r.shown, func(t told[T]) bool { return r.recent(now, t) })
 }
 
 // Waits tells that somebody waits.
