Answer operators: health, figures, chunk servers out by hand, settings that change at SIGHUP

Each front ended at its start where the platform holds the clients' socket (descriptor 7), had no operators' address and no figures, and kept its settings until a start.

Change: $RELAY_ACCEPT_FD, an address for operators (internal/net/control), the list less what is kept out by hand (internal/roster, pure), settings taken over whole or not at all (protocol.ParseChange, rules.Retune). The way not taken: bans as an event of the scheduler, as the pool looks at a node's state as well. Counts are kept once, where a request ends.

--- /dev/null
+++ b/cmd/otterturn/daily_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"otterturn/internal/standin"
+)
+
+// site is a platform's front with one node, its clients' socket held by the test as the platform does.
+type site struct {
+	addr, control, config, folder string
+	socket                        *os.File // of the clients
+	get                           func(path, id string) (int, string, bool)
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	node := httpPeer(t, func(*http.Request) string { return "index data" })
+	list := fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[{"host":"s","dial":%q,"site":"a","block":0,"health":"up","born_ms":0}]}`, node)
+	discovery := httpPeer(t, func(r *http.Request) string {
+		if r.URL.Query().Get("from") == "42" {
+			return ""
+		}
+		return list
+	})
+	l := standin.Listen(t)
+	file, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	t.Cleanup(func() { file.Close() })
+	s := &site{addr: l.Addr().String(), control: freeAddr(t), socket: file, folder: t.TempDir()}
+	s.config = write(t, "config.json", fmt.Sprintf(platformConfig, s.addr, discovery))
+	s.get = newGet(t, s.addr)
+	return s
+}
+
+// start starts a process of the front, with an operators' address of its own.
+func (s *site) start(t *testing.T, control string, env ...string) *process {
+	t.Helper()
+	return startWith(t, func(c *exec.Cmd) { c.ExtraFiles = []*os.File{s.socket} },
+		append([]string{"RELAY_CONFIG=" + s.config, "RELAY_CONTROL=" + control, "RELAY_ACCEPT_FD=3", "TMPDIR=" + s.folder}, env...))
+}
+
+// call makes one operators' call.
+func call(t *testing.T, method, addr, path string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+addr+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := (&http.Client{Timeout: standin.Patience}).Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.StatusCode, string(text)
+}
+
+func healthy(t *testing.T, control string) {
+	t.Helper()
+	standin.Until(t, "a yes", func() bool { status, _ := call(t, "GET", control, "/healthcheck"); return status == 200 })
+}
+
+func (s *site) figure(t *testing.T, line string) {
+	t.Helper()
+	var text string
+	standin.Until(t, line, func() bool {
+		_, text = call(t, "GET", s.control, "/stats")
+		return strings.Contains("\n"+text, "\n"+line+"\n")
+	})
+}
+
+const piece = "/read/00000000000000aa/00000000000000bb"
+
+func anID() string { return fmt.Sprint("id-", time.Now().UnixNano()) }
+
+// Operators leave a node out, twice, and call it back once; the figures follow what clients saw. Callers that say
+// nothing hold nobody up.
+func TestOperators(t *testing.T) {
+	s := newSite(t)
+	p := s.start(t, s.control)
+	healthy(t, s.control)
+	for range 40 {
+		c, err := net.Dial("tcp", s.control)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET /stats HTTP/1.1\r\n")
+	}
+	standin.Until(t, "a served request", func() bool { status, _, _ := s.get(piece, anID()); return status == 200 })
+	s.figure(t, "svc.chunk_servers_known:1|g")
+	s.figure(t, "svc.chunk_servers_excluded:0|g")
+	for _, c := range []struct {
+		path string
+		want int
+	}{{"/chunk-servers/s/maint", 200}, {"/chunk-servers/s/maint", 200}, {"/chunk-servers/nobody/maint", 404}, {"/chunk-servers/nobody/ready", 404}} {
+		if status, text := call(t, "POST", s.control, c.path); status != c.want {
+			t.Errorf("%s: %d %s", c.path, status, text)
+		}
+	}
+	s.figure(t, "svc.chunk_servers_excluded:1|g")
+	if status, _, _ := s.get(piece, anID()); status == 200 {
+		t.Error("a node that is kept out was asked")
+	}
+	if status, _ := call(t, "POST", s.control, "/chunk-servers/s/ready"); status != 200 {
+		t.Errorf("called back: %d", status)
+	}
+	standin.Until(t, "a served request", func() bool { status, _, _ := s.get(piece, anID()); return status == 200 })
+	s.figure(t, "svc.served.read:2|c")
+	s.figure(t, "svc.attempts:2|c")
+	s.figure(t, "svc.in_flight:0|g")
+	p.stop(t)
+}
+
+// A file is taken whole or not at all: classes come and go, and what is broken names its field and changes nothing.
+func TestSettingsThatChange(t *testing.T) {
+	s := newSite(t)
+	p := s.start(t, s.control)
+	healthy(t, s.control)
+	former, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text string) {
+		if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, c := range []struct{ old, new, says string }{
+		{string(former), "", "unexpected end"}, {string(former), string(former[:100]), "unexpected end"},
+		{`"giveUpUs":5000000,`, "", "settings.classes[0].giveUpUs: missing"}, {`"giveUpUs":5000000`, `"giveUpUs":-5`, "giveUpUs"},
+		{`"tryLimit":4`, `"tryLimit":0`, "tryLimit"}, {`"tryLimit":4,`, "", "settings.ceilings.tryLimit: missing"},
+		{`"semantics":"retryable"`, `"semantics":"odd"`, "semantics"},
+	} {
+		reload(strings.Replace(string(former), c.old, c.new, 1))
+		s.figure(t, fmt.Sprintf("svc.reloads_failed:%d|c", i+1))
+		if !strings.Contains(p.output.String(), c.says) {
+			t.Errorf("no word of %q:\n%s", c.says, p.output)
+		}
+	}
+	standin.Until(t, "a served request", func() bool { status, _, _ := s.get(piece, anID()); return status == 200 })
+	reload(strings.Replace(string(former), `"classes":[`, `"classes":[{"name":"index","aimUs":300000,"giveUpUs":5000000,"semantics":"retryable","credit":1},`, 1))
+	s.figure(t, "svc.reloads_ok:1|c")
+	s.figure(t, "svc.served.index:0|c")
+	s.figure(t, "svc.served.read:1|c")
+	reload(strings.Replace(string(former), `"name":"read"`, `"name":"index"`, 1))
+	s.figure(t, "svc.reloads_ok:2|c")
+	standin.Until(t, "the end of a class", func() bool { status, _, _ := s.get(piece, anID()); return status == 404 })
+	p.stop(t)
+}
+
+// A descriptor that is none ends the start with a word.
+func TestWrongDescriptor(t *testing.T) {
+	s := newSite(t)
+	for _, fd := range []string{"x", "1", "77"} {
+		p := s.start(t, freeAddr(t), "RELAY_ACCEPT_FD="+fd)
+		if err := standin.Await(t, "the end", p.done); err == nil || !strings.Contains(p.output.String(), "RELAY_ACCEPT_FD") {
+			t.Errorf("%q: %v, %s", fd, err, p.output)
+		}
+	}
+}
--- a/cmd/otterturn/main_test.go
+++ b/cmd/otterturn/main_test.go
@@ -78,12 +78,19 @@
 }
 
 func start(t *testing.T, env []string, args ...string) *process {
+	t.Helper()
+	return startWith(t, func(*exec.Cmd) {}, env, args...)
+}
+
+// startWith starts a process that is prepared further.
+func startWith(t *testing.T, prepare func(*exec.Cmd), env []string, args ...string) *process {
 	t.Helper()
 	ctx, end := context.WithCancel(context.Background()) // a process must not outlive its test
 	t.Cleanup(end)
 	p := &process{Cmd: exec.CommandContext(ctx, os.Args[0], args...), done: make(chan error, 1), output: &output{}}
 	p.Env = append(append(os.Environ(), "OTTERTURN_TEST_RUN=1"), env...)
 	p.Stdout, p.Stderr = p.output, p.output
+	prepare(p.Cmd)
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/protocol/config.go
+++ b/internal/net/protocol/config.go
@@ -13,6 +13,7 @@
 type Config struct {
 	Listen    string
 	Discovery string
+	Control   string // where operators call, "" for nowhere
 	Seed      int64
 	MemoryMB  int
 	Sockets   int
@@ -26,8 +27,8 @@
 // ParseConfig reads the file that RELAY_CONFIG names. Its errors name the field.
 func ParseConfig(text []byte) (Config, error) {
 	var in struct {
-		Listen, Discovery, Seed string
-		Limits                  struct {
+		Listen, Discovery, Control, Seed string
+		Limits                           struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
@@ -39,13 +40,16 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return Config{}, err
 	}
-	out := Config{Listen: in.Listen, Discovery: in.Discovery, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets}
+	out := Config{Listen: in.Listen, Discovery: in.Discovery, Control: in.Control, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets}
 	if _, err := netip.ParseAddrPort(in.Listen); err != nil {
 		return Config{}, fmt.Errorf("listen: %w", err)
 	}
 	if _, err := netip.ParseAddrPort(in.Discovery); err != nil {
 		return Config{}, fmt.Errorf("discovery: %w", err)
 	}
+	if _, err := netip.ParseAddrPort(in.Control); in.Control != "" && err != nil {
+		return Config{}, fmt.Errorf("control: %w", err)
+	}
 	if out.MemoryMB <= 0 || out.Sockets <= 0 {
 		return Config{}, fmt.Errorf("limits: memory_mb and sockets must be above 0")
 	}
--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -75,7 +75,7 @@
 func ParseRequest(r *http.Request, set Settings) (Request, error) {
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class := slices.Index(set.Classes, parts[0])
-	if len(parts) != 3 || class < 0 || !hex(parts[1]) || !hex(parts[2]) || r.URL.RawPath != "" {
+	if len(parts) != 3 || parts[0] == "" || class < 0 || !hex(parts[1]) || !hex(parts[2]) || r.URL.RawPath != "" {
 		return Request{}, ErrNoPath
 	}
 	for _, name := range forwarded {
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -80,8 +80,11 @@
 // Settings are the deployment's figures: those of the scheduler, and those of the sockets.
 type Settings struct {
 	Rules       rules.Settings
-	Classes     []string // by the scheduler's index
-	Writes      []bool   // which classes write; none where that is not told
+	Classes     []string        // by the scheduler's index; "" for one that is no more
+	Names       []string        // the same, with those that are no more
+	PlanNames   []string        // and so of plans
+	Waits       []time.Duration // by class, how long its clients wait at most
+	Writes      []bool          // which classes write; none where that is not told
 	Plans       []string
 	Zones       []string
 	Shards      int    // shards are numbered from 0 to below this
@@ -130,7 +133,7 @@
 		if !ok || !known {
 			return Settings{}, fmt.Errorf("classes[%d]: semantics %q, group %q", i, c.Semantics, c.Group)
 		}
-		out.Classes = append(out.Classes, c.Name)
+		out.Classes, out.Waits = append(out.Classes, c.Name), append(out.Waits, micros(c.GiveUpUs))
 		out.LongestWait = max(out.LongestWait, micros(c.GiveUpUs))
 		set.Classes = append(set.Classes, rules.Class{Aim: rules.Micros(c.AimUs), Repeat: repeat, Group: group,
 			Window: rules.Micros(c.WindowUs), InOrder: c.ByArrival, Worth: c.Credit})
@@ -140,7 +143,7 @@
 		set.Plans = append(set.Plans, rules.Plan{Reservation: p.FloorRate, Weight: p.Shares,
 			Limit: p.CeilingRate, Burst: p.LimitBurst, Slack: p.Slack})
 	}
-	out.Rules = set
+	out.Rules, out.Names, out.PlanNames = set, out.Classes, out.Plans
 	return out, nil
 }
 
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"otterturn/internal/limits"
@@ -47,9 +46,6 @@
 	return rules.Micros(c.start.UnixMicro()) + rules.Micros(time.Since(c.start)/time.Microsecond)
 }
 
-// Tally counts requests by how they ended.
-type Tally struct{ Open, Served, Refused, Failed, Left int64 }
-
 // call is a request that is owed an answer, or one that is over with an attempt still out. Its verdicts are
 // closed when nothing more is owed. The rest is the loop's.
 type call struct {
@@ -88,7 +84,7 @@
 
 	Log *slog.Logger // each request's way at level debug; set before Run, nothing is logged without
 
-	open, served, refused, failed, left atomic.Int64
+	counts counts
 }
 
 // New returns a core. probe asks a node for its health and load, and returns within a bounded time.
@@ -102,12 +98,6 @@
 		writeDown: make(chan struct{}, 1), Note: func(int, rules.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
 }
 
-// Tally tells how many requests are open and how the others ended.
-func (c *Core) Tally() Tally {
-	return Tally{Open: c.open.Load(), Served: c.served.Load(), Refused: c.refused.Load(),
-		Failed: c.failed.Load(), Left: c.left.Load()}
-}
-
 // Tell hands news of the node list to the scheduler, ahead of any request submitted later.
 func (c *Core) Tell(news rules.Nodes) { c.submit(message{event: news}) }
 
@@ -338,8 +328,8 @@
 	attempt func(ctx context.Context, node string) (T, rules.Outcome)) (T, error) {
 	var none T
 	c, r, call, deadline := e.core, e.request, e.call, e.deadline
-	c.open.Add(1)
-	defer c.open.Add(-1)
+	c.counts.opened(1)
+	defer c.counts.opened(-1)
 	answers := make(chan T, 1) // at most one attempt is answered, so nobody waits here
 	takeBack := context.CancelCauseFunc(func(error) {})
 	verdicts, tries := call.verdicts, 0
@@ -370,13 +360,13 @@
 			case rules.Cancel:
 				takeBack(errTakenBack)
 			case rules.Refuse:
-				c.refused.Add(1)
+				c.counts.ended(r.Class, Rejected)
 				if c.debugs() {
 					c.Log.Debug("refused", "request", r.ID, "why", v.Why, "retry_after_us", v.RetryAfter, "attempts", tries)
 				}
 				return none, &Refused{RetryAfter: time.Duration(v.RetryAfter) * time.Microsecond}
 			case rules.Fail:
-				c.failed.Add(1)
+				c.counts.ended(r.Class, Failing)
 				if c.debugs() {
 					c.Log.Debug("failed", "request", r.ID, "why", v.Why, "attempts", tries)
 				}
@@ -389,10 +379,10 @@
 				verdicts = nil // served: the answer is on its way
 			}
 		case value := <-answers:
-			c.served.Add(1)
+			c.counts.ended(r.Class, Served)
 			return value, nil
 		case <-ctx.Done():
-			c.left.Add(1)
+			c.counts.left()
 			c.lapse(call, tries)
 			return none, context.Cause(ctx)
 		case <-c.stopped:
--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -57,8 +57,8 @@
 	if refused := new(routing.Refused); !errors.As(err, &refused) {
 		t.Errorf("no node: %v", err)
 	}
-	if got, want := core.Tally(), (routing.Tally{Failed: 1, Refused: 1}); got != want {
-		t.Errorf("tally %+v, want %+v", got, want)
+	if got := core.Tally(); got.Sum(routing.Failing) != 1 || got.Sum(routing.Rejected) != 1 || got.Sum(routing.Served) != 0 {
+		t.Errorf("tally %+v", got)
 	}
 }
 
@@ -153,7 +153,7 @@
 	if _, err := routing.Do(t.Context(), core, request("last"), serve); err != nil {
 		t.Error(err)
 	}
-	if got := core.Tally(); got.Open != 0 || got.Served+got.Left != 5001 {
+	if got := core.Tally(); got.Open != 0 || got.Sum(routing.Served)+got.Left != 5001 {
 		t.Errorf("tally %+v", got)
 	}
 }
--- a/internal/net/routing/learned.go
+++ b/internal/net/routing/learned.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"context"
 
 	"otterturn/rules"
@@ -30,6 +31,19 @@
 	return c.ask(ctx, func(s *rules.Scheduler) { s.Forget(node, volume) })
 }
 
+// Retune takes over other settings, see rules.Scheduler.Retune: all of them, or none where they are wrong.
+func (c *Core) Retune(set rules.Settings) error {
+	var wrong error
+	err := c.ask(context.Background(), func(s *rules.Scheduler) { wrong = s.Retune(set) })
+	return cmp.Or(err, wrong)
+}
+
+// Avoided tells how many nodes of the list get nothing new now.
+func (c *Core) Avoided(ctx context.Context) (n int, err error) {
+	err = c.ask(ctx, func(s *rules.Scheduler) { n = s.Avoided(c.Now()) })
+	return n, err
+}
+
 // Recorded tells the scheduler how the last record ended.
 func (c *Core) Recorded(r rules.Recorded) { c.submit(message{event: r}) }
 
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -48,6 +48,7 @@
 type Nodes struct {
 	*nodes.Nodes[*stream]
 	limits limits.Limits
+	whole  atomic.Int64  // attempts of requests that were written whole
 	long   chan struct{} // a token for each long answer that is being read
 }
 
@@ -85,6 +86,9 @@
 	})}
 }
 
+// Attempts tells how many attempts of requests were written whole.
+func (s *Nodes) Attempts() int64 { return s.whole.Load() }
+
 // quiet tells whether a connection is open with nothing to read. An idle one that ended, or on which something
 // came unasked, must not carry a request.
 func quiet(c net.Conn) bool {
@@ -164,6 +168,9 @@
 	}
 	began := time.Now()
 	resp, written, err = s.exchange(ctx, c, r, message)
+	if written {
+		s.whole.Add(1)
+	}
 	switch {
 	case errors.Is(err, errSpoilt):
 		// As with an error of the node's own, its latency is what came before the answer.
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -19,7 +19,7 @@
 
 // Front serves the platform's clients.
 type Front struct {
-	settings protocol.Settings
+	settings atomic.Pointer[protocol.Settings]
 	limits   limits.Limits
 	proxy    *httputil.ReverseProxy
 	server   *http.Server
@@ -27,13 +27,16 @@
 	open     atomic.Int64              // requests taken and not answered
 	stopping atomic.Pointer[time.Time] // when the stop began, nil before
 
+	core *routing.Core // counts what finds no room here
+
 	Door *gate.Gate // decides who is taken when the front is full; nil for none, set before Serve
 }
 
 // NewFront returns a front that answers clients with what the round tripper brings.
-func NewFront(set protocol.Settings, l limits.Limits, next http.RoundTripper) *Front {
+func NewFront(set protocol.Settings, l limits.Limits, next *RoundTripper) *Front {
 	quiet := log.New(io.Discard, "", 0) // a client that leaves is no news, and a line each would be a flood
-	f := &Front{settings: set, limits: l, clients: newClients(l)}
+	f := &Front{limits: l, clients: newClients(l), core: next.core}
+	f.Retune(set)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite: func(p *httputil.ProxyRequest) {
 			p.Out.URL.RawQuery = p.In.URL.RawQuery
@@ -59,6 +62,19 @@
 	return f
 }
 
+// Retune has the requests that come from now on read by other settings.
+func (f *Front) Retune(set protocol.Settings) { f.settings.Store(&set) }
+
+// Retire has other settings hold, if those named hold yet.
+func (f *Front) Retire(old, set protocol.Settings) {
+	if now := f.settings.Load(); len(now.Names) == len(old.Names) && &now.Names[0] == &old.Names[0] {
+		f.settings.Store(&set)
+	}
+}
+
+// Names are the classes by number, with those that are no more.
+func (f *Front) Names() []string { return f.settings.Load().Names }
+
 // Serve accepts clients until Stop. Over TLS the listener is one of Handshakes.
 func (f *Front) Serve(l net.Listener) error {
 	err := f.server.Serve(&listener{Listener: l, clients: f.clients})
@@ -84,14 +100,16 @@
 		}
 		return
 	}
-	m, status, err := f.read(w, r)
+	set := f.settings.Load()
+	m, status, err := f.read(w, r, *set)
 	switch {
 	case err != nil: // who sends what can't be used gets no further use of the connection
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
 		return
 	case full:
-		answerError(w, r, &routing.Refused{RetryAfter: f.settings.Retry})
+		f.core.Turned(m.Class)
+		answerError(w, r, &routing.Refused{RetryAfter: set.Retry})
 		return
 	}
 	if stopping { // what comes now must be over when the process may be killed
@@ -102,7 +120,7 @@
 		came := time.Now()
 		client, _, _ := net.SplitHostPort(r.RemoteAddr)
 		// Half of its time: what is taken later could hardly be answered, and its client can still come again.
-		weight := f.settings.Rules.Plans[m.Plan].Weight // a plan that the settings don't name was turned away in read
+		weight := set.Rules.Plans[m.Plan].Weight // a plan that the settings don't name was turned away in read
 		leave, err := f.Door.Enter(r.Context(), m.Volume, client, m.Units, weight, time.Duration(m.Left)*time.Microsecond/2)
 		if err != nil {
 			answerError(w, r, err)
@@ -117,7 +135,7 @@
 }
 
 // read reads a request whole, or tells with which status it is turned away.
-func (f *Front) read(w http.ResponseWriter, r *http.Request) (protocol.Request, int, error) {
+func (f *Front) read(w http.ResponseWriter, r *http.Request, set protocol.Settings) (protocol.Request, int, error) {
 	conn := connOf(r.Context())
 	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
 		if conn.framing.clashes() {
@@ -125,7 +143,7 @@
 		}
 		w.Header().Set("Connection", "close") // what stands behind it could not be told from its body
 	}
-	m, err := protocol.ParseRequest(r, f.settings)
+	m, err := protocol.ParseRequest(r, set)
 	if errors.Is(err, protocol.ErrNoPath) {
 		return m, http.StatusNotFound, err
 	} else if err != nil {
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -159,7 +159,7 @@
 	if took := time.Since(began); took > 3*time.Second {
 		t.Errorf("answered after %v of 4 s", took)
 	}
-	if got := core.Tally(); got.Refused != 1 || got.Open != 0 {
+	if got := core.Tally(); got.Sum(routing.Rejected) != 1 || got.Open != 0 {
 		t.Errorf("tally %+v", got)
 	}
 }
--- a/internal/program/console.go
+++ b/internal/program/console.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"otterturn/internal/net/routing"
 	"otterturn/rules"
 )
 
@@ -115,7 +116,8 @@
 	switch cmd.Plain {
 	case "status":
 		t := a.core.Tally()
-		text = fmt.Sprintf("open %d\nserved %d\nrefused %d\nfailed %d\nclients left %d", t.Open, t.Served, t.Refused, t.Failed, t.Left)
+		text = fmt.Sprintf("open %d\nserved %d\nrefused %d\nfailed %d\nclients left %d", t.Open,
+			t.Sum(routing.Served), t.Sum(routing.Rejected), t.Sum(routing.Failing), t.Left)
 	case "nodes":
 		text = c.nodes()
 	case "projects":
--- /dev/null
+++ b/internal/program/operators.go
@@ -0,0 +1,55 @@
+package program
+
+import (
+	"context"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/net/routing"
+)
+
+// Ready tells whether this process serves clients.
+func (p *platform) Ready() bool { return p.ready.Load() }
+
+// Ban leaves a node out until it is called back, whatever the list says of it meanwhile. False is for a node that
+// nobody has.
+func (p *platform) Ban(node, by string) bool {
+	return p.byHand("a node is kept out by hand", node, by, func() (protocol.List, bool) { return p.roster.Ban(node, by) })
+}
+
+// Lift lets a node serve again.
+func (p *platform) Lift(node, by string) bool {
+	return p.byHand("a node may serve again", node, by, func() (protocol.List, bool) { return p.roster.Lift(node) })
+}
+
+func (p *platform) byHand(what, node, by string, do func() (protocol.List, bool)) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change, known := do()
+	if known {
+		p.tell(change)
+		p.log.Info(what, "node", node, "by", by)
+	}
+	return known
+}
+
+// Figures are what operators are told of this process.
+func (p *platform) Figures() (protocol.Figures, error) {
+	ctx, end := context.WithTimeout(context.Background(), p.limits.Figures)
+	defer end()
+	avoided, err := p.core.Avoided(ctx)
+	if err != nil {
+		return protocol.Figures{}, err
+	}
+	t := p.core.Tally()
+	out := protocol.Figures{InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
+		ReloadsOK: p.reloaded.Load(), ReloadsFailed: p.refused.Load()}
+	for i, name := range p.front.Names() {
+		ended := t.Of(i)
+		out.Classes = append(out.Classes, protocol.Ended{Class: name, Served: ended[routing.Served],
+			Refused: ended[routing.Rejected], Failed: ended[routing.Failing]})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out.Known = p.roster.Listed()
+	return out, nil
+}
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -11,134 +11,141 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"otterturn/internal/limits"
 	"otterturn/internal/logs"
+	"otterturn/internal/net/control"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
+	"otterturn/internal/roster"
 )
 
+// platform is the platform's front.
+type platform struct {
+	path   string // of the configuration
+	text   []byte // of it, as it is in force
+	config protocol.Config
+	limits limits.Limits
+	log    *slog.Logger
+	nodes  *transport.Nodes
+	core   *routing.Core
+	front  *transport.Front
+
+	ready             atomic.Bool // clients are served
+	reloaded, refused atomic.Int64
+
+	mu     sync.Mutex // held from news of the list until pool and scheduler have it, so that they hear it in order
+	roster *roster.Roster
+}
+
 // Platform runs the platform's front, as the RELAY_ variables tell, until SIGTERM or an interrupt. At SIGHUP it
-// reads the configuration again and follows the discovery that it names then.
+// reads the configuration again, follows the discovery that it names then and takes over its settings.
 func Platform() error {
 	path := os.Getenv("RELAY_CONFIG")
 	if path == "" {
 		return misuse{errors.New("RELAY_CONFIG: not set")}
 	}
 	hangups := hangups()
-	config, err := readConfig(path)
+	config, text, err := readConfig(path)
 	if err != nil {
 		return misuse{err}
 	}
-	set := config.Settings
-	l := limits.For(limits.Site{MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
-		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait, Askers: set.Askers})
-	bound(l)
 	stopped, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer unhook()
-
-	log := logs.New(os.Stderr, slog.LevelInfo)
-	nodes := transport.NewNodes(l)
-	prober := transport.NewProber(nodes, set, log)
-	set.Rules.MaxOpen = l.Hold
-	core, err := routing.New(set.Rules, config.Seed, l, prober.Probe)
-	if err != nil {
-		return err
-	}
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	if len(config.Peers) > 0 {
-		// Messages may be lost, so a front without its socket serves: cold nodes get less of it.
-		if peers, err := transport.ListenPeers(config.PeerListen, config.Peers, l, log); err != nil {
-			log.Error("no messages between fronts", "error", err)
-		} else {
-			core.Note = peers.Send
-			go peers.Run(ctx, core.Hear)
-		}
+	p, err := newPlatform(path, text, config)
+	if err != nil {
+		return err
 	}
-	go core.Run(ctx)
-	go nodes.Run(ctx)
-	apply := func(list protocol.List) { core.Tell(nodes.Apply(list)) }
-	apply(config.Known)
-	go follow(ctx, config, hangups, path, log, func(ctx context.Context, addr string, seq int64) {
-		transport.Watch(ctx, addr, seq, set.Zones, l, config.Seed, apply, log)
-	})
-
-	listener, err := net.Listen("tcp", config.Listen)
+	listener, err := clientsListener(config.Listen, os.Getenv(acceptVariable))
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	front := transport.NewFront(set, l, transport.NewRoundTripper(core, nodes))
-	log.Info("serving", "address", config.Listen)
+	if err := p.startControl(); err != nil {
+		return err
+	}
+	p.run(ctx, hangups)
+	p.log.Info("serving", "address", config.Listen)
 	served := make(chan error, 1)
-	go func() { served <- front.Serve(listener) }()
+	go func() { served <- p.front.Serve(listener) }()
+	p.ready.Store(true)
 	select {
 	case err := <-served:
 		return err
 	case <-stopped.Done():
-		log.Info("stopping")
-		defer log.Info("stopped")
-		return front.Stop(core.Room)
+		p.ready.Store(false)
+		p.log.Info("stopping")
+		defer p.log.Info("stopped")
+		return p.front.Stop(p.core.Room)
 	}
 }
 
-// hangups delivers SIGHUP, which would end the program, from here to its end: one may come while it stops.
-func hangups() <-chan os.Signal {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c
-}
-
-func readConfig(path string) (protocol.Config, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return protocol.Config{}, fmt.Errorf("RELAY_CONFIG: %w", err)
-	}
-	config, err := protocol.ParseConfig(text)
+// newPlatform builds the parts. None of them runs yet.
+func newPlatform(path string, text []byte, config protocol.Config) (*platform, error) {
+	set := config.Settings
+	l := limits.For(limits.Site{MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
+		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait, Askers: set.Askers})
+	bound(l)
+	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
+		nodes: transport.NewNodes(l), roster: roster.New()}
+	set.Rules.MaxOpen = l.Hold
+	core, err := routing.New(set.Rules, config.Seed, l, transport.NewProber(p.nodes, set, p.log).Probe)
 	if err != nil {
-		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
-	return config, nil
+	p.core = core
+	p.front = transport.NewFront(set, l, transport.NewRoundTripper(core, p.nodes))
+	return p, nil
 }
 
-// follow keeps a watch on discovery until ctx ends. At each hangup the file is read again whole: one that is bad
-// leaves things as they are, and a good one moves the watch. The new watch begins once the old one has ended,
-// with the whole list, as versions may not carry over. Limits and settings hold until the program is started anew.
-func follow(ctx context.Context, config protocol.Config, hangups <-chan os.Signal, path string, log *slog.Logger,
-	watch func(ctx context.Context, addr string, seq int64)) {
-	for seq := config.Known.Seq; ; seq = transport.WholeList {
-		own, end := context.WithCancel(ctx)
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			watch(own, config.Discovery, seq)
-		}()
-		anew, ok := reread(ctx, hangups, readConfig, path, log)
-		end()
-		<-ended
-		if !ok {
-			return
+// run starts the parts that go on beside the clients.
+func (p *platform) run(ctx context.Context, hangups <-chan os.Signal) {
+	if len(p.config.Peers) > 0 {
+		// Messages may be lost, so a front without its socket serves: cold nodes get less of it.
+		if peers, err := transport.ListenPeers(p.config.PeerListen, p.config.Peers, p.limits, p.log); err != nil {
+			p.log.Error("no messages between fronts", "error", err)
+		} else {
+			p.core.Note = peers.Send
+			go peers.Run(ctx, p.core.Hear)
 		}
-		config = anew
 	}
+	go p.core.Run(ctx)
+	go p.nodes.Run(ctx)
+	p.told(p.config.Known)
+	go p.follow(ctx, hangups)
 }
 
-// reread waits for a hangup at which read brings a configuration, or for the end of ctx.
-func reread[T any](ctx context.Context, hangups <-chan os.Signal, read func(path string) (T, error), path string, log *slog.Logger) (T, bool) {
-	for {
-		select {
-		case <-ctx.Done():
-			return *new(T), false
-		case <-hangups:
-		}
-		config, err := read(path)
-		if err == nil {
-			return config, true
-		}
-		log.Error("reload: the old configuration stays", "error", err)
+// startControl opens the operators' address, where there is one.
+func (p *platform) startControl() error {
+	addr := p.config.Control
+	if own := os.Getenv("RELAY_CONTROL"); own != "" { // a second process of a front has its own
+		addr = own
+	}
+	if addr == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
 	}
+	go func() {
+		if err := control.New(p, p.limits).Serve(l); err != nil {
+			p.log.Error("operators are not answered any more", "error", err)
+		}
+	}()
+	return nil
+}
+
+// hangups delivers SIGHUP, which would end the program, from here to its end: one may come while it stops.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
 }
 
 // bound keeps the run time within the machine: one core, and collections before the memory limit is near.
--- /dev/null
+++ b/internal/program/reload.go
@@ -0,0 +1,112 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/net/transport"
+)
+
+// retireAfter is for how long clients may still name a class that a new file no longer has: they hear of it late.
+const retireAfter = 2 * time.Second
+
+func readConfig(path string) (protocol.Config, []byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return protocol.Config{}, nil, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	config, err := protocol.ParseConfig(text)
+	if err != nil {
+		return protocol.Config{}, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return config, text, nil
+}
+
+// follow keeps a watch on discovery until ctx ends. At each hangup the file is read again whole: one that is bad
+// leaves all as it is. A good one's classes, plans and attempts hold at once, and it moves the watch: the new one
+// begins once the old one has ended, with the whole list, as versions may not carry over. Addresses and limits hold
+// until the program is started anew.
+func (p *platform) follow(ctx context.Context, hangups <-chan os.Signal) {
+	for seq := p.config.Known.Seq; ; seq = transport.WholeList {
+		own, end := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			transport.Watch(own, p.config.Discovery, seq, p.config.Settings.Zones, p.limits, p.config.Seed, p.told, p.log)
+		}()
+		config, ok := reread(ctx, hangups, p.change, p.path, p.log)
+		end()
+		<-ended
+		if !ok {
+			return
+		}
+		p.config = config
+	}
+}
+
+// change reads the file anew and has its settings hold, whole or not at all.
+func (p *platform) change(path string) (protocol.Config, error) {
+	config, err := p.retune(path)
+	if err != nil {
+		p.refused.Add(1)
+		return config, err
+	}
+	p.reloaded.Add(1)
+	p.log.Info("the configuration was read anew", "classes", len(config.Settings.Rules.Classes))
+	return config, nil
+}
+
+func (p *platform) retune(path string) (protocol.Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return protocol.Config{}, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	config, err := protocol.ParseChange(text, p.config, p.text)
+	if err != nil {
+		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	// The scheduler has a class before the first request of it comes. A class that is no more has its number kept.
+	if err := p.core.Retune(config.Settings.Rules); err != nil {
+		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	still := config.Settings
+	still.Classes, still.Plans = still.Names, still.PlanNames
+	p.front.Retune(still)
+	time.AfterFunc(retireAfter, func() { p.front.Retire(still, config.Settings) })
+	p.text = text
+	return config, nil
+}
+
+// told takes in news of the node list: the pools learn of it before the scheduler does.
+func (p *platform) told(list protocol.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tell(p.roster.Told(list))
+}
+
+// tell hands news on. The lock is held.
+func (p *platform) tell(list protocol.List) {
+	if len(list.Hosts) > 0 || list.Whole {
+		p.core.Tell(p.nodes.Apply(list))
+	}
+}
+
+// reread waits for a hangup at which read brings a configuration, or for the end of ctx.
+func reread[T any](ctx context.Context, hangups <-chan os.Signal, read func(path string) (T, error), path string, log *slog.Logger) (T, bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return *new(T), false
+		case <-hangups:
+		}
+		config, err := read(path)
+		if err == nil {
+			return config, true
+		}
+		log.Error("reload: the old configuration stays", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,90 @@
+// Package roster is the list of nodes as a front goes by it: what discovery told, less what operators keep out by
+// hand. It does no I/O and reads no clock. Its owner sees to it that one caller at a time uses it.
+package roster
+
+import (
+	"maps"
+	"slices"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/rules"
+)
+
+// Roster is the list. A ban is a node's name, not its process: it outlasts restarts of the node and whatever the
+// list says of it, and holds until it is lifted.
+type Roster struct {
+	hosts map[string]protocol.Host
+	bans  map[string]string // who told, by node
+}
+
+// New returns an empty one.
+func New() *Roster {
+	return &Roster{hosts: map[string]protocol.Host{}, bans: map[string]string{}}
+}
+
+// Told takes in what discovery told, and returns it as it is to be acted on.
+func (r *Roster) Told(list protocol.List) protocol.List {
+	if list.Whole {
+		clear(r.hosts)
+	}
+	out := list
+	out.Hosts = slices.Clone(list.Hosts)
+	for i, h := range list.Hosts {
+		if h.State == rules.Gone {
+			delete(r.hosts, h.Node)
+		} else {
+			r.hosts[h.Node] = h
+		}
+		out.Hosts[i] = r.seen(h)
+	}
+	return out
+}
+
+// seen is a node's entry as it is acted on: one that is banned takes nothing new, as one that drains.
+func (r *Roster) seen(h protocol.Host) protocol.Host {
+	if _, banned := r.bans[h.Node]; banned && h.State == rules.Running {
+		h.State = rules.Draining
+	}
+	return h
+}
+
+// Ban keeps a node out, and returns the change to act on; twice is once. It is false for a node that nobody has.
+func (r *Roster) Ban(node, by string) (protocol.List, bool) {
+	if _, listed := r.hosts[node]; !listed && r.bans[node] == "" {
+		return protocol.List{}, false
+	}
+	r.bans[node] = by
+	return r.change(node), true
+}
+
+// Lift lets a node serve again as the list has it, however often it was banned, and returns the change to act on.
+// It is false for a node that nobody has.
+func (r *Roster) Lift(node string) (protocol.List, bool) {
+	if _, listed := r.hosts[node]; !listed && r.bans[node] == "" {
+		return protocol.List{}, false
+	}
+	delete(r.bans, node)
+	return r.change(node), true
+}
+
+func (r *Roster) change(node string) (out protocol.List) {
+	if h, listed := r.hosts[node]; listed {
+		out.Hosts = []protocol.Host{r.seen(h)}
+	}
+	return out
+}
+
+// Bans are the nodes that are kept out by hand, with who told.
+func (r *Roster) Bans() map[string]string { return maps.Clone(r.bans) }
+
+// Listed tells how many nodes are on the list.
+func (r *Roster) Listed() int { return len(r.hosts) }
+
+// Whole is the whole list as discovery told it.
+func (r *Roster) Whole() protocol.List {
+	out := protocol.List{Whole: true}
+	for _, name := range slices.Sorted(maps.Keys(r.hosts)) {
+		out.Hosts = append(out.Hosts, r.hosts[name])
+	}
+	return out
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -42,6 +42,7 @@
 	Window  Micros  // for Keyed: for how long, from the first attempt that may have run
 	InOrder bool    // requests with the same key run one at a time, in turn
 	Worth   float64 // worth of a request
+	tries   int     // attempts that a request may have, 0 for no bound
 }
 
 // Plan is the service that a volume has bought. Its figures count over all hosts and nodes.
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -171,7 +171,7 @@
 
 // mayRepeat tells whether the request may ever be sent again.
 func (s *Scheduler) mayRepeat(r *request) bool {
-	more := s.set.MaxTries <= 0 || len(r.sends) < s.set.MaxTries
+	more := r.class.tries <= 0 || len(r.sends) < r.class.tries
 	return more && (r.ran == nil || r.class.Repeat == Safe || r.class.Repeat == Keyed &&
 		s.now < r.ran.sent+r.class.Window-s.margin())
 }
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 
 	"otterturn/rules/agenda"
@@ -63,20 +62,17 @@
 	if err := set.validate(); err != nil {
 		return nil, err
 	}
-	s := &Scheduler{set: set, rng: rand.New(rand.NewPCG(uint64(seed), 0)), byName: map[string]*node{},
+	s := &Scheduler{rng: rand.New(rand.NewPCG(uint64(seed), 0)), byName: map[string]*node{},
 		shards: map[int]*shard{}, reqs: map[string]*request{}, turns: turns.New[Micros, *request](),
 		volumes: fading.Of[string, *volume](), flows: fading.Of[place, *flow](),
 		refused:   fading.Of[Request, *request](),
 		agenda:    agenda.Of[Micros, *node](fastInterval, slowInterval),
-		allowance: allowance.Of(set.RetrySpan, set.RetrySpare, set.RetryShare),
-		aim:       set.Classes[0].Aim, worth: math.SmallestNonzeroFloat64}
+		allowance: allowance.Of(set.RetrySpan, set.RetrySpare, set.RetryShare)}
 	s.pool = &node{Habits: Habits{Budget: capRequests * set.MeanUnits}, calm: true}
 	s.cold = cold.Figures[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
 		Multiple: set.FallMultiple, Span: set.FallSpan, Units: set.ColdUnits, Peers: set.Peers}
-	for _, c := range set.Classes {
-		s.aim, s.worth = min(s.aim, c.Aim), max(s.worth, c.Worth)
-	}
-	s.pool.Target, s.cold.Doubt = float64(s.aim)/2, s.aim
+	s.tune(set)
+	s.pool.Target = float64(s.aim) / 2
 	s.agenda.Enter(&s.pool.entry, s.pool)
 	return s, nil
 }
