Hand over from process to process: state, promises, and clients' connections as they stand idle

Change: internal/handover (messages and socket), rules.Yield, Resume and Succeed, idle connections passed as descriptors. The way not taken: state shared while both serve, where each draw waits for the other process; and closing idle connections, which lost a request wherever one crossed.

Tests start up to five processes in a row, kill either one, and keep connections through all of it.

--- /dev/null
+++ b/cmd/otterturn/upgrade_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"otterturn/internal/standin"
+)
+
+// kept is a client's connection that lives through upgrades.
+type kept struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (s *site) connect(t *testing.T) *kept {
+	t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &kept{c, bufio.NewReader(c)}
+}
+
+// head is the first part of a request, and rest the other one.
+func head(id string) string {
+	return "GET " + piece + " HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: read\r\nX-Plan: gold\r\n"
+}
+
+const rest = "X-Time-Left: 4000m\r\nX-IO: units=1,shard=0,hosts=1\r\n\r\n"
+
+func (k *kept) say(t *testing.T, text string) {
+	t.Helper()
+	if _, err := k.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (k *kept) answer(t *testing.T) int {
+	t.Helper()
+	resp, err := http.ReadResponse(k.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (k *kept) ask(t *testing.T, id string) int {
+	t.Helper()
+	k.say(t, head(id)+rest)
+	return k.answer(t)
+}
+
+func logged(t *testing.T, p *process, what string) {
+	t.Helper()
+	defer func() {
+		if t.Failed() {
+			t.Log(p.output)
+		}
+	}()
+	standin.Until(t, what, func() bool { return strings.Contains(p.output.String(), what) })
+}
+
+// Upgrades in a row: no connection of a client is closed, what is kept out by hand stays out, an id is taken once over
+// all processes, and a request that has half come is answered by the process that began to read it.
+func TestUpgrades(t *testing.T) {
+	s := newSite(t)
+	elder := s.start(t, s.control)
+	healthy(t, s.control)
+	clients := []*kept{s.connect(t), s.connect(t), s.connect(t)}
+	half := s.connect(t)
+	for _, c := range clients[:2] { // the third has said nothing yet
+		standin.Until(t, "a served request", func() bool { return c.ask(t, anID()) == 200 })
+	}
+	once := anID()
+	if got := clients[0].ask(t, once); got != 200 {
+		t.Fatalf("answered with %d", got)
+	}
+	for round := range 3 {
+		half.say(t, head(anID()))
+		control := freeAddr(t)
+		younger := s.start(t, control)
+		healthy(t, control)
+		logged(t, elder, "handed over")
+		half.say(t, rest)
+		if got := half.answer(t); got != 200 {
+			t.Errorf("round %d: half a request got %d", round, got)
+		}
+		elder.stop(t)
+		for i, c := range clients {
+			if got := c.ask(t, anID()); got != 200 {
+				t.Errorf("round %d: connection %d got %d", round, i, got)
+			}
+		}
+		if got := half.ask(t, anID()); got != 200 {
+			t.Errorf("round %d: the connection with half a request got %d", round, got)
+		}
+		elder, s.control = younger, control
+	}
+	if status, _ := call(t, "POST", s.control, "/chunk-servers/s/maint"); status != 200 {
+		t.Fatalf("out by hand: %d", status)
+	}
+	control := freeAddr(t)
+	younger := s.start(t, control)
+	healthy(t, control)
+	elder.stop(t)
+	if got := clients[1].ask(t, anID()); got == 200 {
+		t.Error("a node that is kept out was asked after an upgrade")
+	}
+	if status, _ := call(t, "POST", control, "/chunk-servers/s/ready"); status != 200 {
+		t.Errorf("called back: %d", status)
+	}
+	if got := clients[1].ask(t, anID()); got != 200 {
+		t.Errorf("after the call back: %d", got)
+	}
+	if got := clients[1].ask(t, once); got != 400 {
+		t.Errorf("an id that another process took: %d", got)
+	}
+	younger.stop(t)
+}
+
+// A younger process that dies leaves the elder serving, which hands over to the next. An elder that dies leaves the
+// younger serving. What another version or nobody left in the folder holds no start up.
+func TestUpgradesThatFail(t *testing.T) {
+	s := newSite(t)
+	if err := os.WriteFile(filepath.Join(s.folder, "handover"), []byte("of another version"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	elder := s.start(t, s.control)
+	healthy(t, s.control)
+	c := s.connect(t)
+	standin.Until(t, "a served request", func() bool { return c.ask(t, anID()) == 200 })
+	bad, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: filepath.Join(s.folder, "handover"), Net: "unixpacket"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(bad, "nonsense")
+	logged(t, elder, "did not take over")
+	bad.Close()
+	for range 2 {
+		control := freeAddr(t)
+		younger := s.start(t, control)
+		healthy(t, control)
+		logged(t, elder, "handed over")
+		fresh := s.connect(t)
+		if got := fresh.ask(t, anID()); got != 200 {
+			t.Errorf("a new client got %d of the younger process", got)
+		}
+		younger.Process.Kill()
+		standin.Await(t, "the end of the younger process", younger.done)
+		standin.Until(t, "a new client of the elder process", func() bool { return s.connect(t).ask(t, anID()) == 200 })
+	}
+	control := freeAddr(t)
+	younger := s.start(t, control)
+	healthy(t, control)
+	elder.Process.Signal(syscall.SIGKILL)
+	standin.Await(t, "the end of the elder process", elder.done)
+	if got := s.connect(t).ask(t, anID()); got != 200 {
+		t.Errorf("after the elder's death: %d", got)
+	}
+	younger.stop(t)
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -50,6 +50,8 @@
 	StopLinger   time.Duration // a client may take so long to read the last answer
 	StopAtMost   time.Duration // and the front ends at the latest after this
 
+	Handover time.Duration // one process of a front has handed over to the next within this, or does not
+
 	Calls    int           // operators' connections without a whole call; past them the oldest gives way
 	Call     time.Duration // a call must have come, and its answer gone, within this
 	CallBody int64         // bytes of a call's body
@@ -148,7 +150,7 @@
 		StopAccept: 500 * time.Millisecond, StopServe: grace - 350*time.Millisecond,
 		StopShare: 2, StopAnswer: grace - 100*time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
 		StopAtMost: s.Deadline + 2*time.Second,
-		Calls:      16, Call: 5 * time.Second, CallBody: 4 << 10, Figures: 700 * time.Millisecond,
+		Handover:   2 * time.Second, Calls: 16, Call: 5 * time.Second, CallBody: 4 << 10, Figures: 700 * time.Millisecond,
 		Handshakes: max(8, clients/8), Handshake: 3 * time.Second,
 		FileConns: min(clients, 32), FileHandles: 256, FilePacket: 64<<10 + 1024, FileRead: 32 << 10, FileTransfers: 8, FileTake: 30 * time.Second, FileAnswer: 2 << 20,
 		FileIdle: 5 * time.Minute,
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"otterturn/internal/limits"
@@ -84,7 +85,8 @@
 
 	Log *slog.Logger // each request's way at level debug; set before Run, nothing is logged without
 
-	counts counts
+	counts   counts
+	announce atomic.Pointer[func(id string)] // hears of each id that is taken
 }
 
 // New returns a core. probe asks a node for its health and load, and returns within a bounded time.
@@ -283,6 +285,9 @@
 	e := &Entry{core: c, request: r, call: &call{id: r.ID, verdicts: make(chan rules.Action, verdictRoom),
 		taken: make(chan struct{})}}
 	e.deadline = time.Now().Add(time.Duration(r.Left) * time.Microsecond)
+	if tell := c.announce.Load(); tell != nil {
+		(*tell)(r.ID)
+	}
 	if !c.submit(message{event: r, call: e.call, until: until}) {
 		return nil, ErrStopped
 	}
--- /dev/null
+++ b/internal/net/transport/clients.go
@@ -0,0 +1,191 @@
+package transport
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"otterturn/internal/limits"
+)
+
+// clients are the connections that are open.
+type clients struct {
+	limits  limits.Limits
+	mu      sync.Mutex
+	conns   map[*clientConn]struct{}
+	pass    func(net.Conn) error // takes connections that stand idle, nil while they are kept
+	changed chan struct{}        // holds one: a connection has ended or stands idle
+}
+
+func newClients(l limits.Limits) *clients {
+	return &clients{limits: l, conns: map[*clientConn]struct{}{}, changed: make(chan struct{}, 1)}
+}
+
+// enter takes a connection in. Past ClientKeep, the one that has stood longest without a request is closed
+// for it: clients that ask once and stay, or connect and say nothing, would keep those out that ask, and clients
+// that may have only so many connections would find them all used up. Past ClientConns and the spare ones it waits.
+func (s *clients) enter(c *clientConn) {
+	for !s.fits(c) {
+		select {
+		case <-s.changed:
+		case <-time.After(s.limits.ClientSettle):
+		}
+	}
+}
+
+func (s *clients) fits(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.limits.ClientKeep {
+		s.closeLongest(time.Now())
+	}
+	if len(s.conns) >= s.limits.ClientConns+s.limits.SpareConns {
+		return false
+	}
+	c.since = time.Now()
+	s.conns[c] = struct{}{}
+	return true
+}
+
+// closeLongest closes the connection that has been longest without a whole request, if it has had time to send
+// one. Those that never brought one for the core go first: in a flood of others, clients would lose the connections
+// that they use now and then. The lock is held.
+func (s *clients) closeLongest(now time.Time) {
+	var longest *clientConn
+	for c := range s.conns {
+		wait := s.limits.ClientSettle
+		if c.stage == reading {
+			wait = s.limits.ReadHead / 2
+		}
+		if c.stage == busy || now.Sub(c.since) < wait || longest != nil && !c.goesBefore(longest) {
+			continue
+		}
+		if c.stage == reading || !c.crossed() {
+			longest = c
+		}
+	}
+	if longest != nil {
+		s.shut(longest)
+	}
+}
+
+func (c *clientConn) goesBefore(other *clientConn) bool {
+	if c.used != other.used {
+		return other.used
+	}
+	return c.since.Before(other.since)
+}
+
+// shut closes a connection. The lock is held. net/http then finds it closed.
+func (s *clients) shut(c *clientConn) {
+	delete(s.conns, c)
+	c.raw.Close()
+}
+
+func (s *clients) leave(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.note()
+}
+
+func (s *clients) note() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// track follows net/http's word on a connection.
+func (s *clients) track(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		if c.stage = reading; c.served {
+			c.since = time.Now()
+		}
+	case http.StateIdle:
+		c.came.Store(c.framing.next())
+		c.stage, c.since, c.served = idle, time.Now(), true
+		s.note()
+	}
+}
+
+// due is when the request that comes on a connection must be whole.
+func (s *clients) due(c *clientConn) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.since.Add(s.limits.ReadRequest)
+}
+
+// until is when a read of a connection is to end, never where one is owed an answer: an end of the read would count as
+// the client's leaving.
+func (s *clients) until(c *clientConn) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.stage == busy {
+		return time.Time{}
+	}
+	return time.Now().Add(s.limits.ReadRequest)
+}
+
+// take marks that a request has come whole: its connection is left alone until it is answered.
+func (s *clients) take(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.stage, c.used = busy, true
+}
+
+// count tells how many connections are open.
+func (s *clients) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// closeIdle closes what has carried no request for a while, and tells how many connections stay. One that a
+// request is crossing is left alone; a client that finds a connection closed between requests opens another.
+func (s *clients) closeIdle(since time.Time) (left int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.stage == idle && c.since.Before(since) && !c.crossed() {
+			s.shut(c)
+		}
+	}
+	return len(s.conns)
+}
+
+// passOn has connections that stand idle, now and later, taken by pass; nil keeps them again. One on which something
+// has come is served first.
+func (s *clients) passOn(pass func(net.Conn) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pass = pass
+	if pass == nil {
+		return
+	}
+	for c := range s.conns {
+		if c.stage == idle && !c.came.Load() {
+			c.woken.Store(true)
+			c.raw.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// passes tells whether a connection is to be passed on, of which nothing has been read since it stood idle.
+func (s *clients) passes(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pass == nil || c.stage != idle || c.came.Load() {
+		return false
+	}
+	c.passTo = s.pass
+	return true
+}
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -24,7 +24,10 @@
 	proxy    *httputil.ReverseProxy
 	server   *http.Server
 	clients  *clients
+	passed   chan net.Conn             // by another process of the front
+	listener atomic.Pointer[listener]  // nil before Serve
 	open     atomic.Int64              // requests taken and not answered
+	yielded  atomic.Bool               // another process serves new connections
 	stopping atomic.Pointer[time.Time] // when the stop began, nil before
 
 	core *routing.Core // counts what finds no room here
@@ -35,7 +38,7 @@
 // NewFront returns a front that answers clients with what the round tripper brings.
 func NewFront(set protocol.Settings, l limits.Limits, next *RoundTripper) *Front {
 	quiet := log.New(io.Discard, "", 0) // a client that leaves is no news, and a line each would be a flood
-	f := &Front{limits: l, clients: newClients(l), core: next.core}
+	f := &Front{limits: l, clients: newClients(l), core: next.core, passed: make(chan net.Conn)}
 	f.Retune(set)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite: func(p *httputil.ProxyRequest) {
@@ -75,9 +78,14 @@
 // Names are the classes by number, with those that are no more.
 func (f *Front) Names() []string { return f.settings.Load().Names }
 
+// Plans are the plans by number, with those that are no more.
+func (f *Front) Plans() []string { return f.settings.Load().PlanNames }
+
 // Serve accepts clients until Stop. Over TLS the listener is one of Handshakes.
 func (f *Front) Serve(l net.Listener) error {
-	err := f.server.Serve(&listener{Listener: l, clients: f.clients})
+	own := newListener(l, f.clients, f.passed)
+	f.listener.Store(own)
+	err := f.server.Serve(own)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -189,41 +197,3 @@
 		http.Error(w, "failed", http.StatusBadGateway)
 	}
 }
-
-// stopped tells for how long the front has been stopping, if it is.
-func (f *Front) stopped() (since time.Duration, stopping bool) {
-	began := f.stopping.Load()
-	if began == nil {
-		return 0, false
-	}
-	return time.Since(*began), true
-}
-
-// Stop ends the front without losing a request. Its clients have no other way until it is started again, and
-// learn late that it stops: so it serves them for nearly as long as a stop may take. Then it closes the
-// connections that stand idle, answers the others with 'Connection: close', and ends once none is left.
-//
-// Clients get no further connections, and one that finds all of its own taken once sent nothing more until the
-// next start. So room, where it is given, hears how many requests may be open: a part of the connections that are.
-func (f *Front) Stop(room func(open int)) error {
-	began := time.Now()
-	f.stopping.Store(&began)
-	tick := time.NewTicker(f.limits.StopCheck)
-	defer tick.Stop()
-	for now := range tick.C {
-		since, left := now.Sub(began), f.clients.count()
-		if room != nil && left > 0 {
-			room(max(1, left/f.limits.StopShare))
-		}
-		if since < f.limits.StopAccept {
-			continue
-		}
-		if since >= f.limits.StopServe {
-			left = f.clients.closeIdle(now.Add(-f.limits.StopCheck))
-		}
-		if left == 0 && f.open.Load() == 0 || since > f.limits.StopAtMost {
-			break
-		}
-	}
-	return f.server.Close()
-}
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -295,6 +295,9 @@
 	}
 }
 
+// CloseIdle drops all connections that stand idle.
+func (s *Nodes[T]) CloseIdle() { s.expire(time.Now().Add(time.Hour)) }
+
 func (s *Nodes[T]) expire(before time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/program/handover.go
@@ -0,0 +1,222 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"otterturn/internal/handover"
+	"otterturn/internal/net/routing"
+	"otterturn/internal/net/transport"
+	"otterturn/rules"
+)
+
+// handoverSocket stands in $TMPDIR, which the processes of a front share.
+const handoverSocket = "handover"
+
+// socketOf is where the process that serves is asked to hand over, "" where the platform holds no clients' socket
+// that two could serve.
+func socketOf(accept, folder string) string {
+	if accept == "" || folder == "" {
+		return ""
+	}
+	return filepath.Join(folder, handoverSocket)
+}
+
+// succeed takes over from an elder process of this front, where there is one. On any fault before the elder has let
+// go, this process begins as after a restart: it promises no more than that allows.
+func (p *platform) succeed(path string) {
+	c, err := handover.Dial(path)
+	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
+		return // none runs
+	}
+	if err == nil {
+		if err = p.receive(c); err == nil {
+			return
+		}
+		c.Close()
+	}
+	p.log.Error("nothing was handed over, beginning as after a restart", "error", err)
+}
+
+func (p *platform) receive(c *handover.Channel) error {
+	if err := c.Within(p.limits.Handover); err != nil {
+		return err
+	}
+	text, socket, err := c.AskFor()
+	if err != nil {
+		return err
+	}
+	if socket != nil {
+		defer socket.Close()
+	}
+	state, err := handover.Decode(text, p.config.Settings.Plans)
+	if err != nil {
+		return err
+	}
+	if err := c.Confirm(); err != nil {
+		return err
+	}
+	p.roster.Keep(state.Bans)
+	p.core.Succeed(p.nodes.Apply(p.roster.Told(state.List)), state.Given)
+	if socket != nil && len(p.config.Peers) > 0 {
+		if conn, err := net.FilePacketConn(socket); err == nil {
+			p.peers = transport.PeersOn(conn.(*net.UDPConn), p.config.Peers, p.limits, p.log)
+		}
+	}
+	p.log.Info("taken over", "nodes", len(state.List.Hosts), "projects", len(state.Given.Accounts), "by_hand", len(state.Bans))
+	p.succeeded = true
+	p.beside.Store(c)
+	if err := c.Within(0); err != nil {
+		return err
+	}
+	go p.hearBeside(c)
+	return nil
+}
+
+// offer hands over to each younger process that asks, one at a time, until ctx ends.
+func (p *platform) offer(ctx context.Context, path string) {
+	for ctx.Err() == nil {
+		c, err := p.awaitYounger(ctx, path)
+		if err != nil {
+			if ctx.Err() == nil {
+				p.log.Error("no younger process can take over", "error", err)
+			}
+			return
+		}
+		if err := p.handOver(c); err != nil {
+			p.log.Warn("a younger process did not take over, this one goes on", "error", err)
+		}
+		c.Close()
+	}
+}
+
+func (p *platform) awaitYounger(ctx context.Context, path string) (*handover.Channel, error) {
+	l, err := handover.Listen(path)
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	c, err := l.AcceptUnix()
+	if err != nil {
+		return nil, err
+	}
+	return handover.Of(c), nil
+}
+
+// handOver is the elder's part, from the younger's question to its end. It returns while this process serves.
+func (p *platform) handOver(c *handover.Channel) error {
+	if err := c.Within(p.limits.Handover); err != nil {
+		return err
+	}
+	if err := c.Asked(); err != nil {
+		return err
+	}
+	given, err := p.give(c)
+	if err != nil {
+		p.takeBack(given.Learned)
+		return err
+	}
+	p.beside.Store(c)
+	p.core.Announce(func(id string) { c.Send(handover.ID, []byte(id), nil) })
+	p.front.Yield(func(conn net.Conn) error {
+		socket, ok := conn.(syscall.Conn)
+		if !ok {
+			return errors.ErrUnsupported
+		}
+		return c.Send(handover.Conn, nil, socket)
+	})
+	p.nodes.CloseIdle()
+	p.log.Info("handed over")
+	p.hearBeside(c)
+	p.takeBack(rules.Learned{})
+	return errors.New("it has ended")
+}
+
+// give stops promising and gives the state, until the younger process may go on.
+func (p *platform) give(c *handover.Channel) (routing.Given, error) {
+	var socket syscall.Conn
+	if p.peers != nil {
+		p.peers.Pause()
+		socket = p.peers.Socket()
+	}
+	p.front.Pause(true)
+	ctx, end := context.WithTimeout(context.Background(), p.limits.Handover)
+	defer end()
+	given, err := p.core.Yield(ctx)
+	if err != nil {
+		return given, err
+	}
+	p.mu.Lock()
+	state := handover.State{Given: given, Plans: p.front.Plans(), List: p.roster.Whole(), Bans: p.roster.Bans()}
+	p.mu.Unlock()
+	text, err := handover.Encode(state)
+	if err != nil {
+		return given, err
+	}
+	return given, errors.Join(c.SendState(text, socket), c.LetGo(), c.Within(0))
+}
+
+// takeBack has this process serve again, as the younger one is gone. unused is what that one never used.
+func (p *platform) takeBack(unused rules.Learned) {
+	p.beside.Store(nil)
+	p.core.Announce(nil)
+	if p.peers != nil {
+		p.peers.Resume()
+	}
+	if err := p.core.Resume(unused, p.talks); err != nil {
+		p.log.Error("limits let nothing flow in", "error", err)
+	}
+	p.front.Resume()
+}
+
+// hearBeside takes in what the other process says, until it ends.
+func (p *platform) hearBeside(c *handover.Channel) {
+	for {
+		k, text, socket, err := c.Receive()
+		if err != nil {
+			p.beside.CompareAndSwap(c, nil)
+			return
+		}
+		if err := p.heard(k, string(text), socket); err != nil {
+			p.log.Warn("from the other process", "error", err)
+		}
+		if socket != nil {
+			socket.Close() // what was taken has a copy
+		}
+	}
+}
+
+func (p *platform) heard(k handover.Kind, text string, socket *os.File) error {
+	node, by, _ := strings.Cut(text, "\n")
+	switch {
+	case k == handover.Conn && socket != nil:
+		conn, err := net.FileConn(socket)
+		if err != nil {
+			return err
+		}
+		p.front.Take(conn)
+	case k == handover.ID:
+		p.core.TakenElsewhere(text)
+	case k == handover.Out:
+		p.byHand("a node is kept out by hand, by the other process", node, by, p.roster.Ban)
+	case k == handover.Back:
+		p.byHand("a node may serve again, by the other process", node, by, p.roster.Lift)
+	default:
+		return fmt.Errorf("a message of kind %d", k)
+	}
+	return nil
+}
+
+// tellBeside has the other process, where there is one, hear of a node that is kept out or called back.
+func (p *platform) tellBeside(k handover.Kind, node, by string) {
+	if c := p.beside.Load(); c != nil {
+		c.Send(k, []byte(node+"\n"+by), nil) // one that is gone has no use for it
+	}
+}
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"otterturn/internal/handover"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
 )
@@ -13,18 +14,26 @@
 // Ban leaves a node out until it is called back, whatever the list says of it meanwhile. False is for a node that
 // nobody has.
 func (p *platform) Ban(node, by string) bool {
-	return p.byHand("a node is kept out by hand", node, by, func() (protocol.List, bool) { return p.roster.Ban(node, by) })
+	known := p.byHand("a node is kept out by hand", node, by, p.roster.Ban)
+	if known {
+		p.tellBeside(handover.Out, node, by)
+	}
+	return known
 }
 
 // Lift lets a node serve again.
 func (p *platform) Lift(node, by string) bool {
-	return p.byHand("a node may serve again", node, by, func() (protocol.List, bool) { return p.roster.Lift(node) })
+	known := p.byHand("a node may serve again", node, by, p.roster.Lift)
+	if known {
+		p.tellBeside(handover.Back, node, by)
+	}
+	return known
 }
 
-func (p *platform) byHand(what, node, by string, do func() (protocol.List, bool)) bool {
+func (p *platform) byHand(what, node, by string, do func(node, by string) (protocol.List, bool)) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	change, known := do()
+	change, known := do(node, by)
 	if known {
 		p.tell(change)
 		p.log.Info(what, "node", node, "by", by)
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"otterturn/internal/handover"
 	"otterturn/internal/limits"
 	"otterturn/internal/logs"
 	"otterturn/internal/net/control"
@@ -35,6 +36,11 @@
 	core   *routing.Core
 	front  *transport.Front
 
+	peers     *transport.Peers                 // nil where fronts don't talk
+	beside    atomic.Pointer[handover.Channel] // to the other process of this front, while there are two
+	succeeded bool                             // state was handed over
+	talks     bool                             // fronts may say something to each other
+
 	ready             atomic.Bool // clients are served
 	reloaded, refused atomic.Int64
 
@@ -69,7 +75,14 @@
 	if err := p.startControl(); err != nil {
 		return err
 	}
+	socket := socketOf(os.Getenv(acceptVariable), os.Getenv("TMPDIR"))
+	if socket != "" {
+		p.succeed(socket)
+	}
 	p.run(ctx, hangups)
+	if socket != "" {
+		go p.offer(ctx, socket)
+	}
 	p.log.Info("serving", "address", config.Listen)
 	served := make(chan error, 1)
 	go func() { served <- p.front.Serve(listener) }()
@@ -92,7 +105,7 @@
 		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait, Askers: set.Askers})
 	bound(l)
 	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
-		nodes: transport.NewNodes(l), roster: roster.New()}
+		nodes: transport.NewNodes(l), roster: roster.New(), talks: set.Rules.Peers}
 	set.Rules.MaxOpen = l.Hold
 	core, err := routing.New(set.Rules, config.Seed, l, transport.NewProber(p.nodes, set, p.log).Probe)
 	if err != nil {
@@ -105,18 +118,23 @@
 
 // run starts the parts that go on beside the clients.
 func (p *platform) run(ctx context.Context, hangups <-chan os.Signal) {
-	if len(p.config.Peers) > 0 {
+	if len(p.config.Peers) > 0 && p.peers == nil {
 		// Messages may be lost, so a front without its socket serves: cold nodes get less of it.
-		if peers, err := transport.ListenPeers(p.config.PeerListen, p.config.Peers, p.limits, p.log); err != nil {
+		peers, err := transport.ListenPeers(p.config.PeerListen, p.config.Peers, p.limits, p.log)
+		if err != nil {
 			p.log.Error("no messages between fronts", "error", err)
-		} else {
-			p.core.Note = peers.Send
-			go peers.Run(ctx, p.core.Hear)
 		}
+		p.peers = peers
+	}
+	if p.peers != nil {
+		p.core.Note = p.peers.Send
+		go p.peers.Run(ctx, p.core.Hear)
 	}
 	go p.core.Run(ctx)
 	go p.nodes.Run(ctx)
-	p.told(p.config.Known)
+	if !p.succeeded { // else the list is newer than the one that it was started with
+		p.told(p.config.Known)
+	}
 	go p.follow(ctx, hangups)
 }
 
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -31,7 +31,11 @@
 // begins once the old one has ended, with the whole list, as versions may not carry over. Addresses and limits hold
 // until the program is started anew.
 func (p *platform) follow(ctx context.Context, hangups <-chan os.Signal) {
-	for seq := p.config.Known.Seq; ; seq = transport.WholeList {
+	seq := p.config.Known.Seq
+	if p.succeeded {
+		seq = transport.WholeList
+	}
+	for ; ; seq = transport.WholeList {
 		own, end := context.WithCancel(ctx)
 		ended := make(chan struct{})
 		go func() {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -59,7 +59,7 @@
 
 // Lift lets a node serve again as the list has it, however often it was banned, and returns the change to act on.
 // It is false for a node that nobody has.
-func (r *Roster) Lift(node string) (protocol.List, bool) {
+func (r *Roster) Lift(node, _ string) (protocol.List, bool) {
 	if _, listed := r.hosts[node]; !listed && r.bans[node] == "" {
 		return protocol.List{}, false
 	}
@@ -77,6 +77,9 @@
 // Bans are the nodes that are kept out by hand, with who told.
 func (r *Roster) Bans() map[string]string { return maps.Clone(r.bans) }
 
+// Keep has nodes kept out that another process of the front kept out.
+func (r *Roster) Keep(bans map[string]string) { maps.Copy(r.bans, bans) }
+
 // Listed tells how many nodes are on the list.
 func (r *Roster) Listed() int { return len(r.hosts) }
 
--- a/rules/rations.go
+++ b/rules/rations.go
@@ -116,7 +116,7 @@
 		if dealer != s.set.Number {
 			r.Drop() // those who wait have to ask another by now
 		}
-		if !may || s.now <= s.began+s.cold.Counts() {
+		if !may || s.now <= max(s.began, s.dealsFrom)+s.cold.Counts() {
 			continue
 		}
 		age := Micros(0)
--- a/rules/retune.go
+++ b/rules/retune.go
@@ -42,10 +42,10 @@
 	if set.RetrySpan != old.RetrySpan || set.RetrySpare != old.RetrySpare || set.RetryShare != old.RetryShare {
 		s.allowance = allowance.Of(set.RetrySpan, set.RetrySpare, set.RetryShare)
 	}
-	for i := range s.volumes.Len() {
-		v := s.volumes.At(i)
-		v.plan = &s.set.Plans[v.index]
+	if s.plans != nil {
+		s.dry()
 	}
+	s.replan()
 	return nil
 }
 
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -55,6 +55,8 @@
 	allowance  allowance.Allowance[Micros] // of further attempts
 	cold       cold.Figures[Micros]
 	rations    []ration // of cold nodes, that this host deals out
+	dealsFrom  Micros   // not before
+	plans      []Plan   // while another process of this host decides: those whose limits count
 }
 
 // New returns a scheduler for one host. The seed drives all its random choices.
