Pass long bodies through in pieces, and decide on a long request at its last byte

Latencies ran to an answer's last byte, so slow answers closed budgets. And 245 attempts in 25 s were answered with 504 and X-Unprocessed at once, with over 2 s left: the module took each for a full queue, left the node alone for half a second and halved its budget.

The way not taken: to decide on a long request at its first byte, which counts a slow client's seconds as the node's. net/http's reader of chunks held back up to a buffer of a chunk that comes slowly; it is given what has come.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -15,8 +15,7 @@
 	SpareConns  int   // connections past ClientConns where none does; more wait
 	NodeConns   int   // connections to storage nodes, idle ones included
 	Body        int64 // bytes of a request's body
-	Answer      int64 // bytes of an answer's body
-	LongAnswers int   // answers longer than Body that are read at a time
+	Long        int64 // bytes of a body that is passed on as it comes, in either direction
 	Header      int   // bytes of a message's head
 	List        int64 // bytes of an answer of discovery
 
@@ -27,13 +26,17 @@
 
 	IDKeep       time.Duration // the id of a request that is over is remembered for so long
 	ReadHead     time.Duration // a request's head must have come, counted from its first byte or the connection's start
-	ReadRequest  time.Duration // and the whole request
+	ReadRequest  time.Duration // and a request whose length is held
 	WriteAnswer  time.Duration // an answer must be written, counted from the request's head
 	ClientIdle   time.Duration // a client's connection may stand idle
 	ClientSettle time.Duration // and so long in any case, for a request that is under way
 	Connect      time.Duration // a connection to a node must be up
 	NodeIdle     time.Duration // a node's connection is dropped once idle for so long
-	AnswerRest   time.Duration // a node's answer must come to its end, counted from its first byte
+	AnswerHead   time.Duration // the head of a node's answer must have come, counted from its first byte
+	AnswerRest   time.Duration // and each further piece, of what is held
+	AnswerHold   time.Duration // an answer whose length is not told is held for so long for its end
+	LongSilence  time.Duration // each further piece of what is passed on as it comes
+	BodySilence  time.Duration // each further piece of a client's body
 	NodeSettle   time.Duration // a node's connection is not used again so soon
 	Probe        time.Duration // a probe must be answered
 	WatchHold    time.Duration // discovery may hold a watch
@@ -99,10 +102,10 @@
 	stopMore     = 700 * time.Millisecond
 )
 
-// The longest bodies on the platform. Nodes answer with more than the protocol's 64 KiB, in one of twenty cases.
+// Bodies: up to body they are held, longer ones pass through in pieces.
 const (
-	body   = 64 << 10
-	answer = 1 << 20
+	body = 64 << 10
+	long = 256 << 20
 )
 
 // What one discovery answers, for all fronts that ask it: as fronts began to ask together it answered one watch that
@@ -140,12 +143,12 @@
 		Memory: memory,
 		// A copy of a request comes within the time that its client waits, or its nodes drop repeats for.
 		Inbox: 4 * clients, IDs: max(1024, int(memory/32/perID)), IDKeep: 2 * s.Deadline, Open: open, Hold: min(open, s.Sockets/toHold), ClientKeep: min(clients, s.Sockets/toHold), ClientConns: clients, SpareConns: spareConns, NodeConns: nodes,
-		Body: body, Answer: min(answer, memory/32), LongAnswers: 8, Header: 16 << 10, List: max(list, memory/32), Informational: 8, WriteTries: 3, ConnectTries: 3, ProbeTries: 3,
+		Body: body, Long: long, Header: 16 << 10, List: max(list, memory/32), Informational: 8, WriteTries: 3, ConnectTries: 3, ProbeTries: 3,
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
-		ReadHead: 1500 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
+		ReadHead: 2400 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
 		WriteAnswer: 2*s.Deadline + 5*time.Second,
 		ClientIdle:  5 * time.Second, ClientSettle: 20 * time.Millisecond, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10, NodeSettle: time.Millisecond,
-		AnswerRest: max(s.Connect, 250*time.Millisecond), Probe: 2 * s.Connect, WatchHold: hold, WatchSilence: silence,
+		AnswerHead: max(s.Connect, 250*time.Millisecond), AnswerRest: max(s.Connect, 250*time.Millisecond), AnswerHold: 250 * time.Millisecond, LongSilence: 10 * time.Second, BodySilence: 2500 * time.Millisecond, Probe: 2 * s.Connect, WatchHold: hold, WatchSilence: silence,
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond, WatchMost: 400 * time.Millisecond, WatchSpread: time.Duration(s.Askers) * watchEach,
 		StopAccept: 500 * time.Millisecond, StopServe: grace - 350*time.Millisecond,
 		StopShare: 2, StopAnswer: grace - 100*time.Millisecond, StopCheck: 50 * time.Millisecond, StopLinger: 500 * time.Millisecond,
--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -212,8 +212,9 @@
 	switch {
 	case status == http.StatusOK:
 		out.Result = rules.OK
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
-		h.Get(headerUnprocessed) == "1":
+	case status == http.StatusGatewayTimeout && h.Get(headerUnprocessed) == "1":
+		out.Result = rules.Expired
+	case status == http.StatusServiceUnavailable && h.Get(headerUnprocessed) == "1":
 		out.Result = rules.Full
 	}
 	return out
--- a/internal/net/routing/learned.go
+++ b/internal/net/routing/learned.go
@@ -38,6 +38,12 @@
 	return cmp.Or(err, wrong)
 }
 
+// Place tells which node a request would be sent to now, and its shard; "" for none.
+func (c *Core) Place(ctx context.Context, r rules.Request) (node string, shard int, err error) {
+	err = c.ask(ctx, func(s *rules.Scheduler) { node, shard = s.Place(c.Now(), r) })
+	return node, shard, err
+}
+
 // Avoided tells how many nodes of the list get nothing new now.
 func (c *Core) Avoided(ctx context.Context) (n int, err error) {
 	err = c.ask(ctx, func(s *rules.Scheduler) { n = s.Avoided(c.Now()) })
--- a/internal/net/transport/clients.go
+++ b/internal/net/transport/clients.go
@@ -117,11 +117,11 @@
 	}
 }
 
-// due is when the request that comes on a connection must be whole.
-func (s *clients) due(c *clientConn) time.Time {
+// goesOn notes that a body comes: its connection is not among those that have stopped.
+func (s *clients) goesOn(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return c.since.Add(s.limits.ReadRequest)
+	c.since = time.Now()
 }
 
 // until is when a read of a connection is to end, never where one is owed an answer: an end of the read would count as
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -7,7 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
-	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +30,7 @@
 	yielded  atomic.Bool               // another process serves new connections
 	stopping atomic.Pointer[time.Time] // when the stop began, nil before
 
+	next *RoundTripper
 	core *routing.Core // counts what finds no room here
 
 	Door *gate.Gate // decides who is taken when the front is full; nil for none, set before Serve
@@ -38,29 +39,33 @@
 // NewFront returns a front that answers clients with what the round tripper brings.
 func NewFront(set protocol.Settings, l limits.Limits, next *RoundTripper) *Front {
 	quiet := log.New(io.Discard, "", 0) // a client that leaves is no news, and a line each would be a flood
-	f := &Front{limits: l, clients: newClients(l), core: next.core, passed: make(chan net.Conn)}
+	f := &Front{limits: l, clients: newClients(l), next: next, core: next.core, passed: make(chan net.Conn)}
 	f.Retune(set)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite: func(p *httputil.ProxyRequest) {
 			p.Out.URL.RawQuery = p.In.URL.RawQuery
 			p.Out.Header = protocol.Forwarded(p.In.Header) // no Upgrade above all, nor Expect: the body is here
 		},
-		Transport:    next,
-		ErrorHandler: answerError,
-		ErrorLog:     quiet,
+		Transport:     next,
+		ErrorHandler:  answerError,
+		ErrorLog:      quiet,
+		BufferPool:    &buffers,
+		FlushInterval: -1, // nothing of a long answer is held back
 		ModifyResponse: func(r *http.Response) error { // what a node tells the front is not for its clients
 			kind := r.Header.Get("Content-Type")
 			r.Header = http.Header{}
 			if kind != "" {
 				r.Header.Set("Content-Type", kind)
 			}
+			if r.ContentLength >= 0 { // one that is cut off can be told
+				r.Header.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+			}
 			return nil
 		},
 	}
 	// A read deadline that ran on would end net/http's wait for the client's leaving, and count as that. So the
 	// head alone has one here, and the body sets and clears its own.
-	f.server = &http.Server{Handler: f, ReadHeaderTimeout: l.ReadHead, WriteTimeout: l.WriteAnswer,
-		IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header, ErrorLog: quiet, ConnContext: withConn,
+	f.server = &http.Server{Handler: f, ReadHeaderTimeout: l.ReadHead, IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header, ErrorLog: quiet, ConnContext: withConn,
 		ConnState: f.clients.track}
 	return f
 }
@@ -109,8 +114,14 @@
 		return
 	}
 	set := f.settings.Load()
+	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), most: f.limits.WriteAnswer}
 	m, status, err := f.read(w, r, *set)
+	defer func() { m.upload.close() }()
 	switch {
+	case errors.Is(err, errNotSent):
+		f.core.Turned(m.Class)
+		answerError(w, r, &routing.Refused{RetryAfter: set.Retry})
+		return
 	case err != nil: // who sends what can't be used gets no further use of the connection
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
@@ -142,47 +153,6 @@
 	f.proxy.ServeHTTP(w, r)
 }
 
-// read reads a request whole, or tells with which status it is turned away.
-func (f *Front) read(w http.ResponseWriter, r *http.Request, set protocol.Settings) (protocol.Request, int, error) {
-	conn := connOf(r.Context())
-	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
-		if conn.framing.clashes() {
-			return protocol.Request{}, http.StatusBadRequest, errors.New("the request may be framed in two ways")
-		}
-		w.Header().Set("Connection", "close") // what stands behind it could not be told from its body
-	}
-	m, err := protocol.ParseRequest(r, set)
-	if errors.Is(err, protocol.ErrNoPath) {
-		return m, http.StatusNotFound, err
-	} else if err != nil {
-		return m, http.StatusBadRequest, err
-	}
-	if r.ContentLength > f.limits.Body {
-		return m, http.StatusRequestEntityTooLarge, errTooLong
-	}
-	if r.ContentLength == 0 {
-		return m, 0, nil
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(f.clients.due(conn)); err != nil {
-		return m, http.StatusInternalServerError, err
-	}
-	// net/http notices that a client leaves only once the body has been read.
-	m.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, f.limits.Body))
-	switch tooLong := new(http.MaxBytesError); {
-	case errors.As(err, &tooLong):
-		return m, http.StatusRequestEntityTooLarge, err
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return m, http.StatusRequestTimeout, errors.New("the body did not come in time")
-	case err != nil:
-		return m, http.StatusBadRequest, errors.New("the body did not come whole")
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return m, http.StatusInternalServerError, err
-	}
-	return m, 0, nil
-}
-
 // answerError writes the final answer to a request that was not served.
 func answerError(w http.ResponseWriter, _ *http.Request, err error) {
 	var refused *routing.Refused
--- /dev/null
+++ b/internal/net/transport/long_test.go
@@ -0,0 +1,183 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/standin"
+)
+
+// put is a long request of so many bytes, in a form of its own where that is below 0: chunks.
+func put(id string, length int) string {
+	head := strings.Replace(fmt.Sprintf(request, id), "GET", "PUT", 1)
+	if length < 0 {
+		return head + "Transfer-Encoding: chunked\r\n\r\n"
+	}
+	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", length)
+}
+
+// A long body reaches the node as it was sent, wherever it is cut, and not before its last byte has come does it count
+// as a request. What a node can't have is refused, once it has all come.
+func TestLongBodies(t *testing.T) {
+	bodies := make(chan []byte, 1)
+	var count atomic.Int64
+	addr := standin.Peer(t, func(_ int, c net.Conn) {
+		for in := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				t.Error(err)
+			}
+			count.Add(1)
+			bodies <- body
+			io.WriteString(c, served)
+		}
+	})
+	_, core, front := newFront(t, nil, addr)
+	want := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+	for i, length := range []int{len(want), -1} {
+		c := dial(t, front)
+		io.WriteString(c, put(fmt.Sprint("long", i), length))
+		write := func(p []byte) {
+			if length < 0 {
+				fmt.Fprintf(c, "%x\r\n%s\r\n", len(p), p)
+			} else {
+				c.Write(p)
+			}
+		}
+		for at, cut := 0, 1; at < len(want)-1; at, cut = at+cut, min(cut*3, len(want)-2-at-cut) {
+			write(want[at : at+max(cut, 1)])
+			if cut <= 0 {
+				break
+			}
+		}
+		if open := core.Tally().Open; open != 0 {
+			t.Errorf("%d requests counted ahead of their last byte", open)
+		}
+		write(want[len(want)-1:])
+		end := ""
+		if length < 0 {
+			end = "0\r\n\r\n"
+		}
+		if r, _ := c.ask(t, end); r.StatusCode != 200 {
+			t.Errorf("length %d: answered with %d", length, r.StatusCode)
+		}
+		if got := standin.Await(t, "the body at the node", bodies); !bytes.Equal(got, want) {
+			t.Errorf("length %d: %d bytes came, other ones", length, len(got))
+		}
+	}
+	gone, goneCore, other := newFront(t, nil, standin.Peer(t, func(_ int, c net.Conn) { c.Read(make([]byte, 1)) }))
+	if r, _ := dial(t, other).ask(t, put("broken", len(want))+string(want)); r.StatusCode != 503 {
+		t.Errorf("a node that breaks within a body: %d", r.StatusCode)
+	}
+	if got := count.Load(); got != 2 || goneCore.Tally().Open != 0 || gone.open.Load() != 0 {
+		t.Errorf("%d requests, open %d", got, goneCore.Tally().Open)
+	}
+}
+
+// A long answer passes through as it comes, its length told where the node tells it; one that the node cuts off can be told.
+func TestLongAnswers(t *testing.T) {
+	const size = 4 << 20
+	for _, c := range []struct {
+		head, end string
+		sent      int
+		whole     bool
+	}{
+		{fmt.Sprintf("Content-Length: %d\r\n\r\n", size), "", size, true},
+		{fmt.Sprintf("Content-Length: %d\r\n\r\n", size), "", size - 1, false},
+		{fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size), "\r\n0\r\n\r\n", size, true},
+		{fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size), "\r\n", size, false},
+	} {
+		goOn := make(chan struct{})
+		addr, _ := newNode(t, func(_ int64, conn net.Conn, _ *http.Request) {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.head)
+			conn.Write(make([]byte, size/2))
+			<-goOn
+			conn.Write(make([]byte, c.sent-size/2))
+			io.WriteString(conn, c.end)
+			conn.Close()
+		})
+		_, core, front := newFront(t, nil, addr)
+		client := dial(t, front)
+		fmt.Fprintf(client, request+"\r\n", "id")
+		r, err := http.ReadResponse(client.in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.CopyN(io.Discard, r.Body, size/2); err != nil {
+			t.Fatalf("what the node has given is held back: %v", err)
+		}
+		standin.Until(t, "a request that is open within its answer", func() bool { return core.Tally().Open == 1 })
+		close(goOn)
+		n, err := io.Copy(io.Discard, r.Body)
+		if whole := err == nil && n == size/2; whole != c.whole || err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%.20q, %d bytes: %d more came, %v", c.head, c.sent, n, err)
+		}
+		standin.Until(t, "the end of the request", func() bool { return core.Tally().Open == 0 })
+	}
+}
+
+// The bound: 32 KiB each way for a body under way, beside a connection's own buffers. Hundreds of clients that have
+// stopped within answers and bodies of 32 MB, taken together far over the memory limit, leave the others served.
+func TestHundredsOfSlowTransfers(t *testing.T) {
+	const slow, size = 300, 32 << 20
+	var wait sync.WaitGroup
+	piece := make([]byte, 64<<10)
+	addr, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
+		if !strings.Contains(r.Header.Get("X-Correlation-Id"), "slow") {
+			io.WriteString(c, served)
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		for {
+			if _, err := c.Write(piece); err != nil {
+				return
+			}
+		}
+	})
+	_, core, front := newFront(t, func(l *limits.Limits) {
+		l.ClientKeep, l.ClientConns, l.NodeConns, l.Open, l.Hold = 2*slow, 2*slow, 2*slow, 2*slow, 2*slow
+	}, addr)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range slow {
+		c, err := net.Dial("tcp", front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if i%2 == 0 {
+			wait.Go(func() { io.WriteString(c, put(fmt.Sprint("slow", i), size)+strings.Repeat("x", 1<<20)) })
+			continue
+		}
+		fmt.Fprintf(c, request+"\r\n", fmt.Sprint("slow", i))
+		if r, err := http.ReadResponse(bufio.NewReaderSize(c, 16), nil); err != nil || r.StatusCode != 200 {
+			t.Fatalf("answer %d: %v, %v", i, r, err)
+		}
+	}
+	wait.Wait()
+	standin.Until(t, "the answers under way", func() bool { return core.Tally().Open == slow/2 })
+	if r, _ := dial(t, front).ask(t, fmt.Sprintf(request, "quick")+"\r\n"); r.StatusCode != 200 {
+		t.Errorf("beside them: %d", r.StatusCode)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if held := int64(after.HeapAlloc) - int64(before.HeapAlloc); held > 32<<20 {
+		t.Errorf("%d slow transfers hold %d MB", slow, held>>20)
+	}
+}
--- /dev/null
+++ b/internal/net/transport/probe.go
@@ -0,0 +1,81 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/net/transport/nodes"
+	"otterturn/rules"
+)
+
+// Prober asks nodes for their health and load.
+type Prober struct {
+	nodes *Nodes
+	path  string
+	queue string      // field of the load report, "" for none
+	odd   atomic.Bool // the last report could not be read, which was logged
+	log   *slog.Logger
+}
+
+// NewProber returns a Prober that asks for load reports where nodes have them.
+func NewProber(nodes *Nodes, set protocol.Settings, log *slog.Logger) *Prober {
+	p := &Prober{nodes: nodes, path: "/health", queue: set.LoadQueue, log: log}
+	if set.LoadReports {
+		p.path = "/status/load"
+	}
+	return p
+}
+
+// Probe asks one node. An answer that is spoilt, or a connection that breaks under the probe, says nothing of the
+// node that another connection would not tell better, so it is asked again.
+func (p *Prober) Probe(node string) rules.Probed {
+	out := rules.Probed{Node: node, Queue: -1}
+	ctx, release := context.WithTimeout(context.Background(), p.nodes.limits.Probe)
+	defer release()
+	resp, again, err := p.ask(ctx, node)
+	for tries := 1; again && tries < p.nodes.limits.ProbeTries; tries++ {
+		resp, again, err = p.ask(ctx, node)
+	}
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return out
+	}
+	out.OK = true
+	if p.queue == "" {
+		return out
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err == nil {
+		out.Queue, err = protocol.ParseLoad(string(text), p.queue)
+	}
+	if err != nil {
+		out.Queue = -1
+	}
+	if was := p.odd.Swap(err != nil); err != nil && !was { // a line each would be a flood
+		p.log.Warn("a load report can't be read", "node", node, "error", err)
+	}
+	return out
+}
+
+// ask sends a probe once. again tells that one more may do better.
+func (p *Prober) ask(ctx context.Context, node string) (resp *http.Response, again bool, err error) {
+	c, err := p.nodes.Acquire(ctx, node, nodes.AnyState)
+	if err != nil {
+		return nil, false, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.RemoteAddr().String()+p.path, nil)
+	if err != nil {
+		p.nodes.Release(c, false)
+		return nil, false, err
+	}
+	message, err := encode(r)
+	if err != nil {
+		p.nodes.Release(c, false)
+		return nil, false, err
+	}
+	resp, _, _, err = p.nodes.exchange(ctx, c, r, message)
+	return resp, err != nil && ctx.Err() == nil, err
+}
--- /dev/null
+++ b/internal/net/transport/upload.go
@@ -0,0 +1,173 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"sync"
+	"time"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/net/transport/nodes"
+	"otterturn/rules"
+)
+
+// pieces are the buffers of bodies under way.
+type pieces struct{ pool sync.Pool }
+
+// pieceBytes is the size of a buffer: each body under way holds two of them at most.
+const pieceBytes = 32 << 10
+
+func (p *pieces) Get() []byte {
+	if b, ok := p.pool.Get().(*[]byte); ok {
+		return *b
+	}
+	return make([]byte, pieceBytes)
+}
+
+func (p *pieces) Put(b []byte) { p.pool.Put(&b) }
+
+var buffers pieces
+
+// upload is a long request of which all but the end has gone to a node: a node begins a request once its last byte
+// has come, so the scheduler decides on the end alone, when the client's last byte has come, as with any other
+// request. What has gone is not held, so it goes to this node or to none.
+type upload struct {
+	node    string
+	conn    *nodes.Conn[*stream]
+	request *http.Request
+	end     []byte // what is held back
+	release func(clean bool)
+}
+
+// begin sends a long request to a node as it comes. Its body has begun with held. An error tells that the node can't have it;
+// the client's own faults are clientError.
+func (s *Nodes) begin(ctx context.Context, node string, r *http.Request, held []byte, next func(p []byte) (int, error)) (*upload, error) {
+	limited, end := context.WithTimeout(ctx, 2*s.limits.Connect) // where all sockets are in use it waits for one
+	defer end()
+	c, err := s.Acquire(limited, node, nodes.Running)
+	if err != nil {
+		return nil, err
+	}
+	u := &upload{node: node, conn: c, request: r}
+	u.release = func(clean bool) { s.Release(c, clean) }
+	if err := u.send(r, held, next, s.limits); err != nil {
+		u.close()
+		return nil, err
+	}
+	return u, nil
+}
+
+// send writes head and body but for the end.
+func (u *upload) send(r *http.Request, held []byte, next func(p []byte) (int, error), l limits.Limits) error {
+	var pending bytes.Buffer
+	fmt.Fprintf(&pending, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URL.RequestURI(), r.Host)
+	r.Header.Write(&pending)
+	to, length := io.Writer(&pending), r.ContentLength
+	if length >= 0 {
+		fmt.Fprintf(&pending, "Content-Length: %d\r\n\r\n", length)
+	} else {
+		pending.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		to = httputil.NewChunkedWriter(&pending)
+	}
+	piece := buffers.Get()
+	defer buffers.Put(piece)
+	for {
+		for ; len(held) > len(piece); held = held[len(piece):] { // it is longer by one byte than what is short
+			to.Write(held[:len(piece)])
+			if err := u.write(&pending, l); err != nil {
+				return err
+			}
+		}
+		if held != nil {
+			to.Write(held)
+			held = nil
+		}
+		n, err := next(piece)
+		if n > 0 { // there is more, so what was held back is not the end
+			if err := u.write(&pending, l); err != nil {
+				return err
+			}
+			to.Write(piece[:n])
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return clientError{err}
+		}
+	}
+	if length < 0 {
+		to.(io.Closer).Close()
+		pending.WriteString("\r\n")
+	}
+	u.end = pending.Bytes()
+	return u.conn.SetWriteDeadline(time.Time{})
+}
+
+// write sends what is pending. The node may take a while for it: its client waits as long.
+func (u *upload) write(pending *bytes.Buffer, l limits.Limits) error {
+	if err := u.conn.SetWriteDeadline(time.Now().Add(l.LongSilence)); err != nil {
+		return err
+	}
+	if _, err := u.conn.Write(pending.Bytes()); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	pending.Reset()
+	return nil
+}
+
+// clientError is a fault of the client's.
+type clientError struct{ error }
+
+func (e clientError) Unwrap() error { return e.error }
+
+// close drops the connection, if it was not used to the end.
+func (u *upload) close() {
+	if u != nil && u.release != nil {
+		u.release(false)
+		u.release = nil
+	}
+}
+
+// finish writes the end of a long request, and reads the answer. It can do so once.
+func (s *Nodes) finish(ctx context.Context, node string, u *upload) (*http.Response, rules.Outcome) {
+	if u.node != node || u.release == nil {
+		return nil, rules.Outcome{Result: rules.Moot}
+	}
+	u.release = nil
+	resp, out, written := s.outcome(ctx, node, u.conn, u.request, u.end)
+	if !written && out.Result == rules.Unreachable {
+		// The connection had stood open for long: that it broke says little of the node, which a new one tells.
+		out = rules.Outcome{Result: rules.Reset, Alive: s.Renew(node)}
+	}
+	return resp, out
+}
+
+// upload has a long request go to its node as it comes.
+func (t *RoundTripper) upload(r *http.Request, m *message, next func(p []byte) (int, error)) error {
+	node, shard, err := t.core.Place(r.Context(), m.Request.Request)
+	if err != nil {
+		return err
+	}
+	if node == "" {
+		return errNoNode
+	}
+	out := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: protocol.Forwarded(r.Header), ContentLength: r.ContentLength}
+	protocol.SetLeft(out.Header, time.Duration(m.Left)*time.Microsecond)
+	held := m.Body
+	m.Body = nil
+	if m.upload, err = t.nodes.begin(r.Context(), node, out, held, next); err != nil {
+		return err
+	}
+	m.Shard = shard // where it has gone, if it is a new object
+	return nil
+}
+
+// errNoNode tells that no node takes a request now.
+var errNoNode = errors.New("no node takes it")
--- a/rules/api.go
+++ b/rules/api.go
@@ -208,7 +208,7 @@
 // Result is how an attempt ended.
 type Result int
 
-// The kinds of Result. Full, Unreachable and Moot prove that the attempt never ran.
+// The kinds of Result. Full, Unreachable, Moot and Expired prove that the attempt never ran.
 const (
 	OK Result = iota
 	Errored
@@ -218,10 +218,11 @@
 	Reset
 	Cancelled
 	Moot
+	Expired // the node found the request's time over, which says nothing of the node
 )
 
 func (r Result) String() string {
-	return [...]string{"answered", "errored", "turned away", "silent", "unreachable", "broken", "taken back", "moot"}[r]
+	return [...]string{"answered", "errored", "turned away", "silent", "unreachable", "broken", "taken back", "moot", "expired"}[r]
 }
 
 // Outcome ends one attempt.
--- a/rules/loops.go
+++ b/rules/loops.go
@@ -32,6 +32,8 @@
 			q.low, q.minLatency = min(l, cmp.Or(q.low, l)), min(l, cmp.Or(q.minLatency, l))
 			q.served, q.latency, q.answers = q.served+r.Units, q.latency+l, q.answers+1
 		}
+	case Expired:
+		n.Answered, n.mute = s.now, 0
 	case Full:
 		// A full queue takes long to empty: what is sent before is turned away again or late.
 		n.Answered, n.mute, n.fullTo = s.now, 0, s.now+fullAims*s.aim
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -162,7 +162,7 @@
 	switch {
 	case e.Final || r.done:
 		s.close(r)
-	case s.now >= r.deadline-s.margin() || !s.mayRepeat(r):
+	case s.now >= r.deadline-s.margin() || e.Result == Expired || !s.mayRepeat(r):
 		s.finish(r, 0, NoRepeat)
 	default:
 		s.hold(r)
--- a/rules/retune.go
+++ b/rules/retune.go
@@ -58,3 +58,16 @@
 	}
 	return n
 }
+
+// Place tells which node a request would go to now, and its shard; "" for none. A long request goes there ahead of its
+// end, on which alone the scheduler decides.
+func (s *Scheduler) Place(now Micros, e Request) (node string, shard int) {
+	s.now = max(s.now, now)
+	if shard = e.Shard; shard < 0 {
+		shard = s.place(s.request(e))
+	}
+	if n := s.shard(shard).node; shard >= 0 && n != nil && n.mute == 0 {
+		node = n.Node
+	}
+	return node, shard
+}
