--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -11,14 +11,12 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
-	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport/nodes"
 	"otterturn/rules"
 )
@@ -30,19 +28,6 @@
 // the node lives.
 var errSpoilt = errors.New("the answer is spoilt")
 
-// RoundTripper carries a client's request through the core to the nodes. http.Transport would send a GET or a
-// keyed request again by itself when a kept connection breaks: an attempt that nobody counted, and a second
-// copy beside one that may still run. So each attempt here is one exchange on one connection.
-type RoundTripper struct {
-	core  *routing.Core
-	nodes *Nodes
-}
-
-// NewRoundTripper returns a RoundTripper. Requests must carry a protocol.Request in their context.
-func NewRoundTripper(core *routing.Core, nodes *Nodes) *RoundTripper {
-	return &RoundTripper{core: core, nodes: nodes}
-}
-
 // Nodes are the nodes with HTTP connections to each.
 type Nodes struct {
 	*nodes.Nodes[*stream]
@@ -103,73 +88,6 @@
 	return err == nil && open
 }
 
-type messageKey struct{}
-
-// message is a request that has come whole: its body is held, or has gone to a node but for its end.
-type message struct {
-	protocol.Request
-	upload *upload
-}
-
-// withMessage hands the decoded request to the RoundTripper.
-func withMessage(ctx context.Context, m message) context.Context {
-	return context.WithValue(ctx, messageKey{}, m)
-}
-
-// RoundTrip returns a node's 200 answer, or the core's refusal or failure as an error.
-func (t *RoundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
-	m, ok := r.Context().Value(messageKey{}).(message)
-	if !ok {
-		return nil, errors.New("round trip: no request in the context")
-	}
-	var answer handed
-	resp, err := routing.Do(r.Context(), t.core, m.Request.Request,
-		func(ctx context.Context, node string) (resp *http.Response, outcome rules.Outcome) {
-			defer func() { answer.put(resp) }()
-			if m.upload != nil {
-				return t.nodes.finish(ctx, node, m.upload)
-			}
-			out := r.Clone(ctx)
-			out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(m.Body)), int64(len(m.Body))
-			if len(m.Body) == 0 {
-				out.Body = http.NoBody
-			}
-			if deadline, ok := ctx.Deadline(); ok {
-				protocol.SetLeft(out.Header, time.Until(deadline))
-			}
-			return t.nodes.attempt(ctx, node, out)
-		})
-	if err != nil {
-		answer.drop()
-	} else if long, ok := resp.Body.(*longAnswer); ok { // it stays open until its body has been passed on
-		long.ended = t.core.Stay()
-	}
-	return resp, err
-}
-
-// handed is an answer on its way to a client that may have left: nobody else would give its connection back.
-type handed struct {
-	mu      sync.Mutex
-	resp    *http.Response
-	dropped bool
-}
-
-func (h *handed) put(resp *http.Response) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.resp = resp; h.dropped && resp != nil {
-		resp.Body.Close()
-	}
-}
-
-func (h *handed) drop() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.dropped = true; h.resp != nil {
-		h.resp.Body.Close()
-	}
-}
-
 // attempt sends a request to a node once and tells how that ended. Where the connection breaks before the last
 // byte is written the request never ran, and it is written again to another: the node may just have closed it.
 func (s *Nodes) attempt(ctx context.Context, node string, r *http.Request) (*http.Response, rules.Outcome) {
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -3,14 +3,11 @@
 package nodes
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"otterturn/internal/limits"
@@ -140,73 +137,6 @@
 	return s.connect(ctx, name, got, wanted)
 }
 
-// Renew opens a connection to a node on which another just broke, and keeps it. It tells whether the node took it:
-// a process that died takes none, and one that lives may close connections for reasons of its own.
-func (s *Nodes[T]) Renew(name string) bool {
-	ctx, release := context.WithTimeout(context.Background(), s.limits.Connect)
-	defer release()
-	s.mu.Lock()
-	n := s.byName[name]
-	if n == nil || s.open >= s.limits.NodeConns && !s.closeLongest() {
-		s.mu.Unlock()
-		return false
-	}
-	s.open++
-	got := reserved[T]{node: n, dial: n.Dial}
-	s.mu.Unlock()
-	c, err := s.connect(ctx, name, got, AnyState)
-	if err != nil {
-		return false
-	}
-	s.Release(c, true)
-	return true
-}
-
-// connect opens the connection that room was reserved for.
-func (s *Nodes[T]) connect(ctx context.Context, name string, to reserved[T], wanted func(rules.NodeState) bool) (c *Conn[T], err error) {
-	dialer := net.Dialer{Timeout: s.limits.Connect}
-	raw, err := dialer.DialContext(ctx, "tcp", to.dial)
-	// A process that has died refuses. One that resets a connection as it comes up lives, and took for dead it
-	// would count as cold, for the whole ramp, once it answers again.
-	for tries := 1; errors.Is(err, syscall.ECONNRESET) && tries < s.limits.ConnectTries; tries++ {
-		raw, err = dialer.DialContext(ctx, "tcp", to.dial)
-	}
-	if err == nil {
-		c, err = s.start(ctx, raw)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err != nil {
-		s.left()
-		return nil, fmt.Errorf("connect to %s: %w", name, err)
-	}
-	c.node = to.node
-	// Coming up took time: a drain told meanwhile counts from when it was told, not from the next send.
-	if s.byName[name] != to.node || !wanted(to.node.State) {
-		s.shut(c)
-		return nil, ErrNotTaking
-	}
-	return c, nil
-}
-
-// start opens the session on a new connection, within the time for connecting.
-func (s *Nodes[T]) start(ctx context.Context, raw net.Conn) (*Conn[T], error) {
-	raw.SetDeadline(time.Now().Add(s.limits.Connect))
-	unhook := context.AfterFunc(ctx, func() { raw.Close() })
-	session, err := s.session.Open(raw)
-	if !unhook() && err == nil {
-		err = ctx.Err()
-	}
-	if err == nil {
-		err = raw.SetDeadline(time.Time{})
-	}
-	if err != nil {
-		raw.Close()
-		return nil, err
-	}
-	return &Conn[T]{Conn: raw, Session: session}, nil
-}
-
 // reserved is an idle connection, or else the room for a new one, or what is closed once there may be some, or what
 // tells that a connection that was given back just now may be used.
 type reserved[T any] struct {
@@ -308,21 +238,3 @@
 		}
 	}
 }
-
-// States lists the nodes by name.
-func (s *Nodes[T]) States() []State {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []State
-	for _, n := range s.byName {
-		out = append(out, State{Host: n.Host, Idle: len(n.idle)})
-	}
-	slices.SortFunc(out, func(a, b State) int { return cmp.Compare(a.Node, b.Node) })
-	return out
-}
-
-// Running is the condition under which a node gets new work.
-func Running(state rules.NodeState) bool { return state == rules.Running }
-
-// AnyState is the condition for probes.
-func AnyState(rules.NodeState) bool { return true }
--- /dev/null
+++ b/internal/net/transport/nodes/state.go
@@ -0,0 +1,26 @@
+package nodes
+
+import (
+	"cmp"
+	"slices"
+
+	"otterturn/rules"
+)
+
+// States lists the nodes by name.
+func (s *Nodes[T]) States() []State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []State
+	for _, n := range s.byName {
+		out = append(out, State{Host: n.Host, Idle: len(n.idle)})
+	}
+	slices.SortFunc(out, func(a, b State) int { return cmp.Compare(a.Node, b.Node) })
+	return out
+}
+
+// Running is the condition under which a node gets new work.
+func Running(state rules.NodeState) bool { return state == rules.Running }
+
+// AnyState is the condition for probes.
+func AnyState(rules.NodeState) bool { return true }
--- /dev/null
+++ b/rules/handover_test.go
@@ -0,0 +1,122 @@
+package rules
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// What two processes of a host send together of a limited volume is what one might have sent, whenever the elder yields,
+// whatever it holds then, and if the younger ends again, before it sent anything or later.
+func TestTwoProcessesDrawAsOne(t *testing.T) {
+	const rate, burst, slack, units = 10.0, 36.0, 6.0, 2.0
+	set := Settings{Hosts: 1, Tick: 1000, MeanUnits: units, MostUnits: 6, Classes: []Class{{Aim: 300_000, Worth: 1}},
+		Plans: []Plan{{Weight: 1, Limit: rate, Burst: burst, Slack: slack}}}
+	rapid.Check(t, func(t *rapid.T) {
+		process := func() *Scheduler {
+			s, err := New(set, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return s
+		}
+		now := Micros(1_000_000)
+		list := Nodes{Full: true, List: []Listing{{Node: "n"}}}
+		sent, n := 0.0, 0
+		level, at := slack/2, now // of the bucket that both have together, which may start with as much
+		step := func(s *Scheduler, events ...Event) {
+			for _, a := range s.Step(now, events) {
+				if send, ok := a.(Send); ok {
+					sent += units
+					level = min(burst, level+rate*float64(now-at)/float64(second)) - units
+					at = now
+					if level < -slack {
+						t.Fatalf("%v units sent at %d, the bucket stands at %v", sent, now, level)
+					}
+					s.Step(now, []Event{Outcome{ID: send.ID, Result: OK, Final: true, Latency: 1000}})
+				}
+			}
+		}
+		ask := func(s *Scheduler, many int) {
+			for range many {
+				n++
+				step(s, Request{ID: fmt.Sprint(n), Volume: "v", Units: units, Hosts: 1, Left: 2_000_000})
+			}
+		}
+		elder := process()
+		step(elder, list)
+		var younger *Scheduler
+		var given Learned
+		used := false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += Micros(rapid.IntRange(1, 400_000).Draw(t, "pause"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				ask(elder, rapid.IntRange(1, 10).Draw(t, "at the elder"))
+			case 2:
+				if younger != nil {
+					ask(younger, rapid.IntRange(1, 10).Draw(t, "at the younger"))
+					used = true
+				}
+			case 3:
+				if younger == nil {
+					var began Micros
+					given, began = elder.Yield(now)
+					younger, used = process(), false
+					step(younger, list)
+					younger.Succeed(now, given, began)
+				}
+			case 4:
+				if younger != nil {
+					if used {
+						given = Learned{}
+					}
+					elder.Resume(now, given, false)
+					younger = nil
+				}
+			}
+			step(elder, Alarm{})
+			if younger != nil {
+				step(younger, Alarm{})
+			}
+		}
+	})
+}
+
+// A request that is open keeps the attempts that it came with; one that comes later has those of the new settings.
+func TestOpenRequestsKeepTheirClass(t *testing.T) {
+	set := Settings{Hosts: 1, Tick: 1000, MeanUnits: 2, MostUnits: 6, MaxTries: 2, Classes: []Class{{Aim: 300_000, Worth: 1}},
+		Plans: []Plan{{Weight: 1}}}
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := Micros(1_000_000)
+	s.Step(now, []Event{Nodes{Full: true, List: []Listing{{Node: "n"}}}})
+	tries := func(id string, again func()) (sends int) {
+		actions := s.Step(now, []Event{Request{ID: id, Volume: "v", Left: 9_000_000}})
+		for sent := true; sent; {
+			sent = false
+			for _, a := range actions {
+				if _, ok := a.(Send); ok {
+					sends, sent = sends+1, true
+				}
+			}
+			again()
+			now += 1_000_000
+			actions = s.Step(now, []Event{Outcome{ID: id, Attempt: sends - 1, Result: Errored, Latency: 1000}, Alarm{}})
+		}
+		return sends
+	}
+	set.MaxTries = 1
+	if got := tries("old", func() { s.Retune(set) }); got != 2 {
+		t.Errorf("a request that was open had %d attempts", got)
+	}
+	if got := tries("new", func() {}); got != 1 {
+		t.Errorf("a later one had %d", got)
+	}
+	if err := s.Retune(Settings{}); err == nil {
+		t.Error("settings of nothing were taken")
+	}
+}
--- a/rules/retune.go
+++ b/rules/retune.go
@@ -15,6 +15,9 @@
 	for i := range set.Classes {
 		set.Classes[i].tries = set.MaxTries
 	}
+	if old := s.set; len(old.Classes) == 0 || set.RetrySpan != old.RetrySpan || set.RetrySpare != old.RetrySpare || set.RetryShare != old.RetryShare {
+		s.allowance = allowance.Of(set.RetrySpan, set.RetrySpare, set.RetryShare)
+	}
 	s.set = set
 	s.aim, s.worth = set.Classes[0].Aim, math.SmallestNonzeroFloat64
 	for _, c := range set.Classes {
@@ -39,9 +42,6 @@
 			len(set.Plans), len(old.Classes), len(old.Plans))
 	}
 	s.tune(set)
-	if set.RetrySpan != old.RetrySpan || set.RetrySpare != old.RetrySpare || set.RetryShare != old.RetryShare {
-		s.allowance = allowance.Of(set.RetrySpan, set.RetrySpare, set.RetryShare)
-	}
 	if s.plans != nil {
 		s.dry()
 	}
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -67,14 +67,12 @@
 	s := &Scheduler{rng: rand.New(rand.NewPCG(uint64(seed), 0)), byName: map[string]*node{},
 		shards: map[int]*shard{}, reqs: map[string]*request{}, turns: turns.New[Micros, *request](),
 		volumes: fading.Of[string, *volume](), flows: fading.Of[place, *flow](),
-		refused:   fading.Of[Request, *request](),
-		agenda:    agenda.Of[Micros, *node](fastInterval, slowInterval),
-		allowance: allowance.Of(set.RetrySpan, set.RetrySpare, set.RetryShare)}
-	s.pool = &node{Habits: Habits{Budget: capRequests * set.MeanUnits}, calm: true}
+		refused: fading.Of[Request, *request](),
+		agenda:  agenda.Of[Micros, *node](fastInterval, slowInterval)}
 	s.cold = cold.Figures[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
 		Multiple: set.FallMultiple, Span: set.FallSpan, Units: set.ColdUnits, Peers: set.Peers}
 	s.tune(set)
-	s.pool.Target = float64(s.aim) / 2
+	s.pool = &node{Habits: Habits{Budget: capRequests * set.MeanUnits, Target: float64(s.aim / 2)}, calm: true}
 	s.agenda.Enter(&s.pool.entry, s.pool)
 	return s, nil
 }
