--- a/rules/handover.go
+++ b/rules/handover.go
@@ -9,6 +9,12 @@
 // trickle is what a limit lets flow in, in units a second, where another process draws from it: as good as nothing.
 const trickle = 1e-6
 
+// succession is what a process keeps of another one of the same host.
+type succession struct {
+	dealsFrom Micros // no cold node is dealt out before: the other one may have
+	plans     []Plan // while the other one decides: those whose limits count
+}
+
 // Yield gives what this host may promise to another process of the same host, which decides from now on, and returns
 // what that one is to Succeed to. What is left here is enough for the requests that are held, as far as there is as
 // much; nothing flows into limits any more, no cold node is dealt out, and other hosts are not asked. So what both
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -55,8 +55,7 @@
 	allowance  allowance.Allowance[Micros] // of further attempts
 	cold       cold.Figures[Micros]
 	rations    []ration // of cold nodes, that this host deals out
-	dealsFrom  Micros   // not before
-	plans      []Plan   // while another process of this host decides: those whose limits count
+	succession
 }
 
 // New returns a scheduler for one host. The seed drives all its random choices.
@@ -72,7 +71,8 @@
 	s.cold = cold.Figures[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
 		Multiple: set.FallMultiple, Span: set.FallSpan, Units: set.ColdUnits, Peers: set.Peers}
 	s.tune(set)
-	s.pool = &node{Habits: Habits{Budget: capRequests * set.MeanUnits, Target: float64(s.aim / 2)}, calm: true}
+	s.pool = &node{Habits: s.Fresh(), calm: true}
+	s.pool.Budget = capRequests * set.MeanUnits
 	s.agenda.Enter(&s.pool.entry, s.pool)
 	return s, nil
 }
