Pass on what has come of a chunk in as large pieces as it came

Change: what the kernel has is read first, and single bytes are gathered; two bytes are held back at most.

--- a/internal/net/transport/answer.go
+++ b/internal/net/transport/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -55,13 +56,7 @@
 	piece := make([]byte, 8<<10)
 	for rest := resp.ContentLength < 0; ; {
 		// One that goes on is passed on before its client is late; one that has stopped never comes to an end.
-		if err := c.SetReadDeadline(time.Now().Add(s.limits.AnswerRest)); err != nil {
-			return nil, nil, fmt.Errorf("read: %w", err)
-		}
-		if ctx.Err() != nil {
-			return nil, nil, ctx.Err()
-		}
-		n, err := some(in, resp, piece)
+		n, err := some(ctx, c, resp, piece, time.Now().Add(s.limits.AnswerRest))
 		held.Write(piece[:n])
 		switch {
 		case err == io.EOF:
@@ -77,19 +72,45 @@
 	}
 }
 
-// chunkHeads is the room for the heads of chunks among what is buffered.
-const chunkHeads = 64
+// What is kept apart of the bytes that are buffered of a body in chunks.
+const (
+	chunkHeads = 64               // may be heads of chunks
+	chunkEnd   = 2                // end a chunk whose next one has not come
+	soon       = time.Millisecond // what the kernel has comes at once
+)
 
-// some reads what has come of a body. The reader of chunks would wait until it has filled p, and hold back what a node
-// gave of a chunk.
-func some(in *stream, resp *http.Response, p []byte) (int, error) {
+// some reads what has come of a body, waiting until something has. The reader of chunks would wait until it has filled p,
+// and hold back what a node gave of a chunk: two bytes are held back at most.
+func some(ctx context.Context, c *nodes.Conn[*stream], resp *http.Response, p []byte, until time.Time) (n int, err error) {
+	in := c.Session
+	wait := func() error {
+		return cmp.Or(c.SetReadDeadline(until), ctx.Err()) // that may have set a deadline before
+	}
+	if err := wait(); err != nil {
+		return 0, err
+	}
 	if len(resp.TransferEncoding) == 0 {
 		return resp.Body.Read(p)
 	}
 	if _, err := in.Peek(1); err != nil {
 		return resp.Body.Read(p[:1]) // which tells whether that was the end
 	}
-	return resp.Body.Read(p[:max(1, min(len(p), in.Buffered()-chunkHeads))])
+	if in.Buffered() <= chunkHeads {
+		c.SetReadDeadline(time.Now().Add(soon))
+		in.Peek(in.Buffered() + 1)
+		if err := wait(); err != nil {
+			return 0, err
+		}
+	}
+	if most := in.Buffered() - chunkHeads; most > 0 {
+		return resp.Body.Read(p[:min(len(p), most)])
+	}
+	for err == nil && n < len(p) && (n == 0 || in.Buffered() > chunkEnd) {
+		var one int
+		one, err = resp.Body.Read(p[n : n+1])
+		n += one
+	}
+	return n, err
 }
 
 // longAnswer is the body of an answer that is passed on while it comes. Nothing of it is held but what the kernel
@@ -118,10 +139,7 @@
 		a.head = a.head[n:]
 		return n, nil
 	}
-	if err := a.conn.SetReadDeadline(time.Now().Add(a.limits.LongSilence)); err != nil {
-		return 0, err
-	}
-	n, err = some(a.conn.Session, a.from, p)
+	n, err = some(context.Background(), a.conn, a.from, p, time.Now().Add(a.limits.LongSilence))
 	if a.left -= int64(n); a.left < 0 {
 		return 0, errTooLong
 	}
