--- a/cmd/otterturn/upgrade_test.go
+++ b/cmd/otterturn/upgrade_test.go
@@ -169,3 +169,22 @@
 	}
 	younger.stop(t)
 }
+
+// An elder that is stopped keeps its promises to itself: the younger serves, but lets nothing flow into limits until
+// that one has ended.
+func TestUpgradeBesideOneThatSaysNothing(t *testing.T) {
+	s := newSite(t)
+	elder := s.start(t, s.control)
+	healthy(t, s.control)
+	if err := elder.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	control := freeAddr(t)
+	younger := s.start(t, control)
+	healthy(t, control)
+	logged(t, younger, "says nothing")
+	elder.Process.Kill()
+	logged(t, younger, "the elder process has ended")
+	standin.Until(t, "a served request", func() bool { return s.connect(t).ask(t, anID()) == 200 })
+	younger.stop(t)
+}
--- a/internal/net/routing/handover.go
+++ b/internal/net/routing/handover.go
@@ -25,6 +25,9 @@
 	return g, err
 }
 
+// PromiseNothing leaves all promises to another process, which did not say what it had made, until Resume. The core must not run yet.
+func (c *Core) PromiseNothing() { c.scheduler.Yield(c.Now()) }
+
 // Resume takes back what Yield gave, see rules.Scheduler.Resume.
 func (c *Core) Resume(unused rules.Learned, peers bool) error {
 	return c.ask(context.Background(), func(s *rules.Scheduler) { s.Resume(c.Now(), unused, peers) })
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -39,11 +39,34 @@
 		if err = p.receive(c); err == nil {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			p.log.Error("the elder process says nothing: limits let nothing flow in until it has ended", "error", err)
+			p.core.PromiseNothing()
+			go p.outlive(c)
+			return
+		}
 		c.Close()
 	}
 	p.log.Error("nothing was handed over, beginning as after a restart", "error", err)
 }
 
+// outlive waits for the end of an elder process that did not hand over, and may go on at any time: until then this one
+// promises nothing.
+func (p *platform) outlive(c *handover.Channel) {
+	defer c.Close()
+	for err := c.Within(0); err == nil; {
+		var socket *os.File
+		if _, _, socket, err = c.Receive(); socket != nil {
+			socket.Close()
+		}
+	}
+	if err := p.core.Resume(rules.Learned{}, p.talks); err != nil {
+		p.log.Error("limits let nothing flow in", "error", err)
+		return
+	}
+	p.log.Info("the elder process has ended")
+}
+
 func (p *platform) receive(c *handover.Channel) error {
 	if err := c.Within(p.limits.Handover); err != nil {
 		return err
