--- /dev/null
+++ b/internal/net/transport/bounds_test.go
@@ -0,0 +1,236 @@
+package transport
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/standin"
+)
+
+func TestBoundsAreAnsweredAtOnce(t *testing.T) {
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	addr, _ := newNode(t, func(n int64, c net.Conn, _ *http.Request) {
+		if n == 1 {
+			close(begun)
+			<-goOn
+		}
+		io.WriteString(c, served)
+	})
+	_, _, front := newFront(t, func(l *limits.Limits) { l.Open = 1 }, addr)
+	first, second := dial(t, front), dial(t, front)
+	io.WriteString(first, fmt.Sprintf(request, "one")+"\r\n")
+	standin.Await(t, "the attempt", begun)
+	if r, _ := second.ask(t, fmt.Sprintf(request, "two")+"\r\n"); r.StatusCode != 503 || r.Header.Get("Retry-After") != "1" || !r.Close {
+		t.Errorf("past the open requests: %d %v, closes %v", r.StatusCode, r.Header, r.Close)
+	}
+	close(goOn)
+	if r, _ := first.ask(t, ""); r.StatusCode != 200 {
+		t.Errorf("within the bound: %d", r.StatusCode)
+	}
+}
+
+// Clients that asked once and stay, or connect and say nothing, once held every slot until others got 503. They
+// make room, the longest idle first, and never one whose request is owed an answer.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
+	stuck, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
+		close(begun)
+		<-goOn
+		io.WriteString(c, served)
+	})
+	f, _, front := newFront(t, func(l *limits.Limits) {
+		l.ClientKeep, l.ClientSettle, l.ReadHead, l.ClientIdle = 3, 0, time.Hour, time.Hour
+	}, addr, stuck)
+	slow := dial(t, front)
+	io.WriteString(slow, strings.Replace(fmt.Sprintf(request, "slow"), "shard=0", "shard=1", 1)+"\r\n")
+	standin.Await(t, "the slow attempt", begun)
+	var waiting []*client
+	for i := range 6 {
+		c := dial(t, front)
+		waiting = append(waiting, c)
+		if len(waiting) > 2 { // with the slow one, one too many: a silent one goes first
+			gone := 1 - i%2 // before an even one, a usual and a silent one are idle, in this order; else two usual ones
+			if _, err := waiting[gone].in.ReadByte(); err != io.EOF {
+				t.Errorf("before client %d: %v, want an end", i, err)
+			}
+			waiting = slices.Delete(waiting, gone, gone+1)
+		}
+		if i%2 == 1 {
+			continue // says nothing
+		}
+		if r, _ := c.ask(t, fmt.Sprintf(request, fmt.Sprint("usual-", i))+"\r\n"); r.StatusCode != 200 {
+			t.Errorf("usual client %d: %d", i, r.StatusCode)
+		}
+		standin.Until(t, "the usual clients stand idle", func() bool { // net/http says so after the answer
+			f.clients.mu.Lock()
+			defer f.clients.mu.Unlock()
+			for c := range f.clients.conns {
+				if c.used && c.stage != idle && c.RemoteAddr().String() != slow.LocalAddr().String() {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	close(goOn)
+	if r, _ := slow.ask(t, ""); r.StatusCode != 200 {
+		t.Errorf("the slow request: %d", r.StatusCode)
+	}
+}
+
+// One time for a whole request, longer than any deadline, let silent clients and endless heads stay. Head and
+// body are bounded apart, and neither bound cuts off a request that came whole and is owed its answer.
+func TestWhatComesTooSlowlyEnds(t *testing.T) {
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	addr, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
+		close(begun)
+		<-goOn
+		io.WriteString(c, served)
+	})
+	_, _, front := newFront(t, func(l *limits.Limits) {
+		l.ReadHead, l.BodySilence = 100*time.Millisecond, 200*time.Millisecond
+	}, addr)
+	put := strings.Replace(fmt.Sprintf(request, "id"), "GET", "PUT", 1) + "Content-Length: 4\r\n\r\n"
+	whole := dial(t, front)
+	io.WriteString(whole, put+"data")
+	standin.Await(t, "the attempt", begun)
+	for _, text := range []string{"", "GET /read/", put[:len(put)-2]} {
+		c := dial(t, front)
+		io.WriteString(c, text)
+		if answer, err := io.ReadAll(c.in); err != nil || len(answer) > 0 && !strings.HasPrefix(string(answer), "HTTP/1.1 4") {
+			t.Errorf("after %q: %q, %v", text, answer, err)
+		}
+	}
+	if r, _ := dial(t, front).ask(t, put+"da"); r.StatusCode != 408 || !r.Close {
+		t.Errorf("half a body: %d, closes %v", r.StatusCode, r.Close)
+	}
+	close(goOn)
+	if r, _ := whole.ask(t, ""); r.StatusCode != 200 {
+		t.Errorf("the request that came whole: %d", r.StatusCode)
+	}
+}
+
+// A request framed in two ways may hide another in its body, and net/http shows a handler one of the two.
+func TestRequestFramedInTwoWays(t *testing.T) {
+	addr, count := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
+	_, _, front := newFront(t, nil, addr)
+	hidden := fmt.Sprintf(request, "hidden") + "\r\n"
+	put := strings.Replace(fmt.Sprintf(request, "id"), "GET", "PUT", 1)
+	chunked := fmt.Sprintf("\r\n%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
+	for _, text := range []string{
+		put + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunked,
+		put + "transfer-encoding:chunked\r\nX-Pad: " + strings.Repeat("x", 5000) + "\r\ncontent-length:4\r\n" + chunked,
+		strings.Replace(put, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n" + chunked,
+		put + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunked,
+		put + "Content-Length: 4\r\nContent-Length: 5\r\n\r\ndata",
+	} {
+		r, _ := dial(t, front).ask(t, text)
+		if r.StatusCode != 400 && r.StatusCode != 501 || !r.Close {
+			t.Errorf("%.400q: %d, closes %v", text, r.StatusCode, r.Close)
+		}
+	}
+	behind := dial(t, front) // a head that begins unseen, behind another request
+	if r, _ := behind.ask(t, fmt.Sprintf(request, "ahead")+"\r\n"+put+"Content-Length: 4\r\n"); r.StatusCode != 200 {
+		t.Errorf("ahead: %d", r.StatusCode)
+	}
+	if r, _ := behind.ask(t, "Transfer-Encoding: chunked\r\n"+chunked); r.StatusCode != 400 || !r.Close {
+		t.Errorf("behind another request: %d, closes %v", r.StatusCode, r.Close)
+	}
+	if n := count.Load(); n != 1 {
+		t.Errorf("the node heard %d requests, want the one ahead", n)
+	}
+	if r, _ := dial(t, front).ask(t, put+"Transfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n0\r\n\r\n"); r.StatusCode != 200 {
+		t.Errorf("chunks alone: %d", r.StatusCode)
+	}
+}
+
+// Two open requests with one id would take each other's place in the scheduler.
+func TestSecondRequestUnderAnOpenId(t *testing.T) {
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
+		close(begun)
+		<-goOn
+		io.WriteString(c, served)
+	})
+	_, _, front := newFront(t, nil, addr)
+	first := dial(t, front)
+	io.WriteString(first, fmt.Sprintf(request, "same")+"\r\n")
+	standin.Await(t, "the attempt", begun)
+	if r, _ := dial(t, front).ask(t, fmt.Sprintf(request, "same")+"\r\n"); r.StatusCode != 400 {
+		t.Errorf("the second: %d", r.StatusCode)
+	}
+	close(goOn)
+	if r, _ := first.ask(t, ""); r.StatusCode != 200 {
+		t.Errorf("the first: %d", r.StatusCode)
+	}
+}
+
+// After SIGTERM clients still come for a while, and use the connections that they have for as long as these are
+// open. Closed at once, they left every request of the next seconds without a way. Closed never, they would be in
+// use when SIGKILL comes: idle ones are closed in the end, but none that carries a request.
+func TestStopLosesNothing(t *testing.T) {
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	addr, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
+		if r.Header.Get("X-Correlation-Id") == "slow" {
+			close(begun)
+			<-goOn
+		}
+		io.WriteString(c, served)
+	})
+	f, core, front := newFront(t, func(l *limits.Limits) { l.StopServe, l.StopAnswer = 2*time.Second, 3*time.Second }, addr)
+	kept, idle, slow := dial(t, front), dial(t, front), dial(t, front)
+	idle.ask(t, fmt.Sprintf(request, "idle")+"\r\n")
+	io.WriteString(slow, fmt.Sprintf(request, "slow")+"\r\n")
+	standin.Await(t, "the slow attempt", begun)
+	if r, _ := kept.ask(t, fmt.Sprintf(request, "before")+"\r\n"); r.StatusCode != 200 || r.Close {
+		t.Errorf("before: %d, closes %v", r.StatusCode, r.Close)
+	}
+	stopped := make(chan error, 1)
+	rooms := make(chan int, 1)
+	go func() {
+		stopped <- f.Stop(func(open int) {
+			core.Room(open)
+			select {
+			case rooms <- open:
+			default:
+			}
+		})
+	}()
+	standin.Until(t, "the stop", func() bool { _, stopping := f.stopped(); return stopping })
+	// A client that found all of its connections taken by what was held, and could get no other, stayed away.
+	if open := standin.Await(t, "the room while it stops", rooms); open != 3/2 {
+		t.Errorf("room for %d requests on 3 connections", open)
+	}
+	for i, c := range []*client{kept, dial(t, front), kept} {
+		r, _ := c.ask(t, fmt.Sprintf(request, fmt.Sprint("after-", i))+"\r\n")
+		if since, _ := f.stopped(); r.StatusCode != 200 || r.Close && since < f.limits.StopServe {
+			t.Errorf("after: %d, closes %v", r.StatusCode, r.Close)
+		}
+	}
+	if r, _ := kept.ask(t, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); r.StatusCode != 503 || !r.Close {
+		t.Errorf("ready while it stops: %d, closes %v", r.StatusCode, r.Close)
+	}
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v, want its end", err)
+	}
+	select {
+	case <-stopped:
+		t.Error("the front ended with a request open")
+	default:
+	}
+	close(goOn)
+	if r, _ := slow.ask(t, ""); r.StatusCode != 200 {
+		t.Errorf("the slow request: %d", r.StatusCode)
+	}
+	if err := standin.Await(t, "the end", stopped); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/net/transport/connections_test.go
@@ -0,0 +1,129 @@
+package transport
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/logs"
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/standin"
+	"otterturn/rules"
+)
+
+func TestNodeThatIsNotThere(t *testing.T) {
+	l := standin.Listen(t)
+	l.Close()
+	if got := send(t, newNodes(nil, l.Addr().String()), standin.Patience); got.Result != rules.Unreachable {
+		t.Errorf("refused connection: %v", got.Result)
+	}
+	silent := standin.Peer(t, func(_ int, c net.Conn) { io.Copy(io.Discard, c) })
+	if got := send(t, newNodes(nil, silent), 50*time.Millisecond); got.Result != rules.TimedOut {
+		t.Errorf("silent node: %v", got.Result)
+	}
+}
+
+// A connection that is reset as it comes up, or before anything is written, tells nothing of the node, and an
+// attempt that never left goes on another. Which of the two the client sees depends on how quick the node is.
+func TestConnectionResetAsItComesUp(t *testing.T) {
+	addr := standin.Peer(t, func(n int, c net.Conn) {
+		if n%2 == 0 {
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.WriteString(c, served)
+		}
+	})
+	for range 2000 {
+		if got := send(t, newNodes(nil, addr), standin.Patience); got.Result != rules.OK && !got.Alive {
+			t.Fatalf("%+v", got)
+		}
+	}
+}
+
+// All sockets in use is no news of a node: told as the node's 'full', it kept requests from a node that had room.
+// An idle connection to another node makes room, and where there is none the attempt waits for one.
+func TestSocketsInUseAreNoNewsOfANode(t *testing.T) {
+	begun, goOn := make(chan struct{}, 1), make(chan struct{})
+	addr, _ := newNode(t, func(n int64, c net.Conn, _ *http.Request) {
+		if n == 2 {
+			begun <- struct{}{}
+			<-goOn
+		}
+		io.WriteString(c, served)
+	})
+	other, count := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
+	s := newNodes(func(l *limits.Limits) { l.NodeConns = 1 }, addr, other)
+	probe := NewProber(s, protocol.Settings{}, logs.Quiet()).Probe
+	if got := send(t, s, standin.Patience); got.Result != rules.OK {
+		t.Errorf("the first: %v", got.Result)
+	}
+	if !probe("node-1").OK {
+		t.Error("no room where the other node's connection is idle")
+	}
+	first, second := make(chan rules.Outcome, 1), make(chan rules.Probed, 1)
+	go func() { first <- send(t, s, standin.Patience) }()
+	standin.Await(t, "the attempt", begun)
+	go func() { second <- probe("node-1") }()
+	close(goOn)
+	if got := standin.Await(t, "the outcome", first); got.Result != rules.OK {
+		t.Errorf("the one that was in the way: %v", got.Result)
+	}
+	if !standin.Await(t, "the probe", second).OK || count.Load() != 2 {
+		t.Errorf("the one that waited: not answered, %d requests", count.Load())
+	}
+}
+
+// A request written to a connection that the node has closed ends as a reset that may have run. So what stood
+// idle is looked at first.
+func TestConnectionThatEndedWhileIdleCarriesNothing(t *testing.T) {
+	ended := make(chan struct{}, 1)
+	addr, _ := newNode(t, func(n int64, c net.Conn, _ *http.Request) {
+		io.WriteString(c, served)
+		if n == 1 {
+			c.Close()
+			ended <- struct{}{}
+		}
+	})
+	s := newNodes(nil, addr)
+	send(t, s, standin.Patience)
+	standin.Await(t, "the end of the connection", ended)
+	if got := send(t, s, standin.Patience); got.Result != rules.OK {
+		t.Errorf("after the node closed an idle connection: %v", got.Result)
+	}
+}
+
+// Neither a drain that is told while a connection comes up, nor a node that was started anew, may see a byte on
+// an old connection.
+func TestNewsOfANodeCountsBeforeTheFirstByte(t *testing.T) {
+	conns := make(chan int, 8)
+	addr := standin.Peer(t, func(n int, c net.Conn) {
+		conns <- n
+		for in := bufio.NewReader(c); ; {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			io.WriteString(c, served)
+		}
+	})
+	s := newNodes(nil, addr)
+	send(t, s, standin.Patience)
+	standin.Await(t, "the first connection", conns)
+	anew := list(addr)
+	anew.Hosts[0].Since = 7
+	s.Apply(anew)
+	if got := send(t, s, standin.Patience); got.Result != rules.OK {
+		t.Errorf("after a restart: %v", got.Result)
+	}
+	standin.Await(t, "a connection to the restarted node", conns)
+	anew.Hosts[0].State = rules.Draining
+	s.Apply(anew)
+	if got := send(t, s, standin.Patience); got.Result != rules.Full {
+		t.Errorf("draining: %v", got.Result)
+	}
+}
--- /dev/null
+++ b/internal/net/transport/probe_test.go
@@ -0,0 +1,89 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"otterturn/internal/logs"
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/standin"
+	"otterturn/rules"
+)
+
+// Load reports name their fields as the settings do. Read under the name of the protocol's example alone, no
+// queue was ever heard of at this deployment.
+func TestProbe(t *testing.T) {
+	set, err := protocol.ParseSettings([]byte(`{"report":{"how":"on_probe","fields":["backlog","outstanding"]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]rules.Probed{
+		"TEXT backlog=2.5, outstanding=7": {Node: "node-0", OK: true, Queue: 2.5},
+		"TEXT outstanding=7":              {Node: "node-0", OK: true, Queue: -1},
+		"TEXT backlog=NaN":                {Node: "node-0", OK: true, Queue: -1},
+		"JSON {}":                         {Node: "node-0", OK: true, Queue: -1},
+	} {
+		addr, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
+			if r.URL.Path != "/status/load" {
+				t.Errorf("probed %s", r.URL.Path)
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		})
+		if got := NewProber(newNodes(nil, addr), set, logs.Quiet()).Probe("node-0"); got != want {
+			t.Errorf("%q: %+v", text, got)
+		}
+	}
+	unhealthy, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
+		io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+	})
+	if got := NewProber(newNodes(nil, unhealthy), protocol.Settings{}, logs.Quiet()).Probe("node-0"); got.OK {
+		t.Errorf("unhealthy node: %+v", got)
+	}
+}
+
+// Text that is no list is logged and leaves things as they are; the next call is made within 200 ms, from the
+// version last had, or changes in between would count as told.
+func TestWatchOutlivesBadText(t *testing.T) {
+	calls := make(chan string, 16)
+	bad := []string{"{", `{"hosts":[]}`, `{"seq":9,"hosts":[{"host":"x","health":"odd"}]}`,
+		`{"seq":9,"hosts":[{"host":"x","health":"up","dial":"nowhere"}]}`}
+	good := `{"seq":42,"whole":false,"hosts":[{"host":"x","dial":"127.0.0.1:1","site":"a","block":3,"health":"draining","born_ms":5}]}`
+	addr, _ := newNode(t, func(n int64, c net.Conn, r *http.Request) {
+		calls <- r.URL.RawQuery
+		text := good
+		if n <= int64(len(bad)) {
+			text = bad[n-1]
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	})
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(end)
+	lists, logged := make(chan protocol.List, 1), make(chan string, 16)
+	go Watch(ctx, addr, 41, []string{"b", "a"}, standin.Limits(), 1, func(l protocol.List) {
+		lists <- l
+		<-ctx.Done()
+	}, standin.Log(func(line string) { logged <- line }))
+	got := standin.Await(t, "the list", lists)
+	want := protocol.Host{Dial: "127.0.0.1:1", Listing: rules.Listing{Node: "x", Zone: 1, Shard: 3,
+		State: rules.Draining, Since: 5000}}
+	if len(got.Hosts) != 1 || got.Hosts[0] != want || got.Seq != 42 {
+		t.Errorf("list %+v", got)
+	}
+	for range len(bad) + 1 {
+		if query := standin.Await(t, "a call", calls); !strings.HasPrefix(query, "from=41&hold_ms=") {
+			t.Errorf("call %q", query)
+		}
+	}
+	if pause := standin.Limits().WatchAgain; pause > 150*time.Millisecond {
+		t.Errorf("%v between two calls", pause)
+	}
+	if len(logged) != len(bad) {
+		t.Errorf("%d lines logged, want %d", len(logged), len(bad))
+	}
+}
