--- a/rules/giveup.go
+++ b/rules/giveup.go
@@ -1,9 +1,7 @@
 package rules // Giving requests up: what is refused or failed, when, and which first.
 
-import (
-	"cmp"
-	"slices"
-)
+import "cmp"
+import "slices"
 
 // giveUp answers at once what won't be sent again, or can't be answered before its client leaves whatever is
 // done. What may still earn, late too, goes on waiting, but not past the last step sure to come in time; what
