--- a/rules/rations.go
+++ b/rules/rations.go
@@ -78,6 +78,8 @@
 		s.asked(e)
 	case Granted:
 		s.granted(e)
+	case NodeSilent:
+		s.silenced(e)
 	}
 }
 
