--- a/internal/net/protocol/figures.go
+++ b/internal/net/protocol/figures.go
@@ -23,6 +23,19 @@
 	Excluded      int   // of these, those that get nothing now, by hand or by choice
 	ReloadsOK     int64
 	ReloadsFailed int64
+	Health        *HealthFigures // nil where fronts don't share the health of nodes: there are no lines of it then
+}
+
+// HealthFigures are what operators are told of the zone's shared health of nodes.
+type HealthFigures struct {
+	Probes           int64 // sent to nodes
+	MessagesSent     int64 // to other fronts
+	BytesSent        int64 // in these
+	MessagesReceived int64 // that were taken in
+	Dropped          int64 // messages or entries of them that were not
+	Shed             int64 // entries that were not sent for want of bytes
+	Lost             int64 // observations that there was no room for
+	Condemned        int   // nodes that this front avoids by its zone's verdict
 }
 
 // FormatFigures writes figures, one a line: name, value, and 'c' for a count or 'g' for what goes up and down.
@@ -42,5 +55,15 @@
 	line("g", "chunk_servers_excluded", int64(f.Excluded))
 	line("c", "reloads_ok", f.ReloadsOK)
 	line("c", "reloads_failed", f.ReloadsFailed)
+	if h := f.Health; h != nil {
+		line("c", "health.probes", h.Probes)
+		line("c", "health.messages_sent", h.MessagesSent)
+		line("c", "health.bytes_sent", h.BytesSent)
+		line("c", "health.messages_received", h.MessagesReceived)
+		line("c", "health.dropped", h.Dropped)
+		line("c", "health.shed", h.Shed)
+		line("c", "health.lost", h.Lost)
+		line("g", "health.condemned", int64(h.Condemned))
+	}
 	return out.String()
 }
--- a/internal/net/routing/calls.go
+++ b/internal/net/routing/calls.go
@@ -13,7 +13,8 @@
 	verdicts chan rules.Action
 	taken    chan struct{} // closed once the scheduler has it
 	over     bool
-	out      int // sends without an outcome
+	out      int      // sends without an outcome
+	nodes    []string // by attempt, the node that it went to, "" where the observer did not take it; none without an observer
 }
 
 // verdictRoom holds all verdicts that can wait for one request: a send, its cancel, a final answer.
@@ -41,6 +42,7 @@
 			return false
 		}
 		call.out--
+		c.observeEnd(call, e)
 		if e.Final || call.over {
 			c.end(call)
 		}
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -77,6 +77,8 @@
 
 	Note func(to int, a rules.Action) // sends a message to another front; set before Run, none is sent without
 
+	Observer Observer // hears of attempts; set before Run, nil for none
+
 	Log *slog.Logger // each request's way at level debug; set before Run, nothing is logged without
 
 	counts   counts
@@ -210,8 +212,9 @@
 	if call == nil || call.over {
 		return
 	}
-	if _, send := verdict.(rules.Send); send {
+	if send, ok := verdict.(rules.Send); ok {
 		call.out++
+		c.observeStart(call, send)
 	}
 	call.verdicts <- verdict
 	if final {
--- /dev/null
+++ b/internal/net/routing/observer_test.go
@@ -0,0 +1,66 @@
+package routing_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/routing"
+	"otterturn/internal/standin"
+	"otterturn/rules"
+)
+
+// observed keeps what an Observer hears, and takes no attempt at the node "b".
+type observed struct{ lines chan string }
+
+func (o *observed) AttemptStarted(node, id string, attempt int) bool {
+	o.lines <- fmt.Sprint("start ", node, " ", id, " ", attempt)
+	return node != "b"
+}
+
+func (o *observed) AttemptEnded(node string, e rules.Outcome) {
+	o.lines <- fmt.Sprint("end ", node, " ", e.ID, " ", e.Attempt, " ", e.Result, " ", e.Alive)
+}
+
+// Each attempt is told at its start and at its end, with its node and number; one that was not taken has no end.
+func TestObserverHearsOfEachAttempt(t *testing.T) {
+	set := standin.Settings()
+	core, err := routing.New(set, 1, limits.Limits{Inbox: 64, IDs: 64}, func(node string) rules.Probed {
+		return rules.Probed{Node: node, OK: true, Queue: -1}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &observed{lines: make(chan string, 64)}
+	core.Observer = o
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	go core.Run(ctx)
+	core.Tell(rules.Nodes{Full: true, List: []rules.Listing{{Node: "a"}, {Node: "b", Shard: 1}}})
+	outcomes := []rules.Outcome{{Result: rules.Reset, Alive: true}, {Result: rules.OK}}
+	serve := func(_ context.Context, _ routing.Attempt) (int, rules.Outcome) {
+		o := outcomes[0]
+		outcomes = outcomes[1:]
+		return 1, o
+	}
+	if _, err := routing.Do(t.Context(), core, request("x"), serve); err != nil {
+		t.Fatal(err)
+	}
+	outcomes = []rules.Outcome{{Result: rules.OK}}
+	untaken := request("y")
+	untaken.Shard = 1
+	if _, err := routing.Do(t.Context(), core, untaken, serve); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"start a x 0", "end a x 0 broken true", "start a x 1", "end a x 1 answered false", "start b y 0"} {
+		if got := standin.Await(t, want, o.lines); got != want {
+			t.Errorf("heard %q, want %q", got, want)
+		}
+	}
+	select {
+	case line := <-o.lines:
+		t.Errorf("heard %q", line)
+	default:
+	}
+}
--- a/internal/net/transport/peers.go
+++ b/internal/net/transport/peers.go
@@ -25,8 +25,20 @@
 	log     *slog.Logger
 	paused  atomic.Bool
 	resumed chan struct{} // holds one: no longer paused
+
+	// Take hears each datagram of a peer first and tells whether it is its own rather than a note. The text is good
+	// until it returns. Set before Run; nil for none.
+	Take func(from int, text []byte) bool
+	// Drop hears of each datagram that was dropped, in the place of the log. Set before Run; nil for none.
+	Drop func(from netip.AddrPort, why error)
 }
 
+// Why a datagram was dropped.
+var (
+	ErrNoPeer  = errors.New("the sender is no peer")
+	ErrTooLong = errors.New("the datagram is too long")
+)
+
 // ListenPeers opens the socket for messages of other fronts.
 func ListenPeers(listen netip.AddrPort, addrs []netip.AddrPort, l limits.Limits, log *slog.Logger) (*Peers, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
@@ -64,7 +76,14 @@
 
 // Send sends what the scheduler has for the front of a number.
 func (p *Peers) Send(to int, a rules.Action) {
-	if text := protocol.FormatNote(a); text != nil && !p.paused.Load() && to >= 0 && to < len(p.addrs) {
+	if text := protocol.FormatNote(a); text != nil {
+		p.SendBytes(to, text)
+	}
+}
+
+// SendBytes sends a datagram to the front of a number.
+func (p *Peers) SendBytes(to int, text []byte) {
+	if !p.paused.Load() && to >= 0 && to < len(p.addrs) {
 		p.conn.WriteToUDPAddrPort(text, p.addrs[to]) // one that can't be sent is one that was lost
 	}
 }
@@ -89,15 +108,37 @@
 			rest(ctx, p.again)
 			continue
 		}
-		number, known := p.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if !known || n > protocol.LongestNote {
-			continue // no peer's
-		}
-		e, err := protocol.ParseNote(number, buffer[:n])
-		if err != nil {
-			p.log.Warn("a peer's message can't be read", "peer", from.String(), "error", err)
-			continue
-		}
-		hear(e)
+		p.receive(from, buffer[:n], hear)
+	}
+}
+
+// receive hands on one datagram.
+func (p *Peers) receive(from netip.AddrPort, text []byte, hear func(rules.Event)) {
+	number, known := p.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+	switch {
+	case !known:
+		p.drop(from, ErrNoPeer)
+		return
+	case len(text) > protocol.LongestNote:
+		p.drop(from, ErrTooLong)
+		return
+	case p.Take != nil && p.Take(number, text):
+		return
+	}
+	e, err := protocol.ParseNote(number, text)
+	if err != nil {
+		p.drop(from, err)
+		return
+	}
+	hear(e)
+}
+
+// drop tells of a datagram that was dropped. Without Drop those that can't be read are logged, others are no peer's.
+func (p *Peers) drop(from netip.AddrPort, why error) {
+	switch {
+	case p.Drop != nil:
+		p.Drop(from, why)
+	case why != ErrNoPeer && why != ErrTooLong:
+		p.log.Warn("a peer's message can't be read", "peer", from.String(), "error", why)
 	}
 }
