--- /dev/null
+++ b/internal/fleet/monitor/monitor.go
@@ -0,0 +1,192 @@
+// Package monitor is the shell around health.Monitor: one goroutine owns it, feeds it from a bounded inbox and a timer,
+// and performs its actions. What it decides stands in package health.
+package monitor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"otterturn/internal/fleet/health"
+	"otterturn/rules"
+)
+
+// ErrStopped tells that the monitor has ended.
+var ErrStopped = errors.New("the monitor of the zone's health has stopped")
+
+// Hooks are what a Monitor acts through. All must be set.
+type Hooks struct {
+	Now    func() rules.Micros            // the scheduler's clock
+	Probe  func(node string) rules.Probed // asks a node itself, and returns within a bounded time
+	Report func(rules.Event)              // tells the scheduler
+	Send   func(to int, message []byte)   // sends a datagram to the front of a number, without waiting
+	Log    *slog.Logger
+}
+
+// Bounds of a Monitor.
+type Bounds struct {
+	Inbox int           // observations and messages that may wait; more are dropped and counted
+	Hold  time.Duration // a probe that the scheduler wants is answered within this, as failed at the latest
+}
+
+// Monitor runs a health.Monitor. Its methods may be called from any goroutine.
+type Monitor struct {
+	core    *health.Monitor // of Run's goroutine
+	hooks   Hooks
+	hold    time.Duration
+	inbox   *inbox
+	waiters waiters
+	drops   drops
+	stopped chan struct{} // closed once Run has ended
+}
+
+// New returns a Monitor that does not run yet. The error names the field of the configuration that is wrong.
+func New(c health.Config, b Bounds, h Hooks) (*Monitor, error) {
+	core, err := health.New(c)
+	if err != nil {
+		return nil, err
+	}
+	m := &Monitor{core: core, hooks: h, hold: b.Hold, inbox: newInbox(b.Inbox), stopped: make(chan struct{})}
+	m.drops.log = h.Log
+	return m, nil
+}
+
+// Run has the monitor decide until ctx ends: events that wait go into one step together.
+func (m *Monitor) Run(ctx context.Context) {
+	defer m.waiters.release()
+	defer close(m.stopped)
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		var events []health.Event
+		select {
+		case <-ctx.Done():
+			return
+		case <-alarm.C:
+			events = append(events, health.Alarm{})
+		case <-m.inbox.waiting:
+		}
+		entries := m.inbox.take()
+		for _, e := range entries {
+			if e.ask == nil {
+				events = append(events, e.event)
+				continue
+			}
+			m.step(events, alarm) // what came ahead of the question has to be known
+			events = nil
+			e.ask()
+		}
+		m.step(events, alarm)
+	}
+}
+
+func (m *Monitor) step(events []health.Event, alarm *time.Timer) {
+	if len(events) == 0 {
+		return
+	}
+	now := m.hooks.Now()
+	for _, a := range m.core.Step(now, events) {
+		m.perform(a, now, alarm)
+	}
+	if slices.ContainsFunc(events, received) {
+		m.drops.note(m.core.Counters().Dropped)
+	}
+}
+
+// received tells whether an event is a message, of which something may have been dropped.
+func received(e health.Event) bool {
+	_, ok := e.(health.Received)
+	return ok
+}
+
+func (m *Monitor) perform(a health.Action, now rules.Micros, alarm *time.Timer) {
+	switch a := a.(type) {
+	case health.StartProbe:
+		go func() { m.inbox.put(health.ProbeEnded{Probed: m.hooks.Probe(a.Node)}) }()
+	case health.ProbeAnswered:
+		m.waiters.answer(a.Probed)
+	case health.Report:
+		m.hooks.Report(a.NodeSilent)
+		m.hooks.Log.Info("the zone found a node silent", "node", a.Node)
+	case health.Send:
+		m.hooks.Send(a.To, a.Message.Encode())
+	case health.SetAlarm:
+		alarm.Reset(time.Duration(a.At-now) * time.Microsecond)
+	}
+}
+
+// Probe has a node probed for the scheduler: by this front, or by others of its zone. It returns within the bound, and
+// at the monitor's end.
+func (m *Monitor) Probe(node string) rules.Probed {
+	failed := rules.Probed{Node: node, Queue: -1}
+	answer := m.waiters.enter(node)
+	m.inbox.put(health.ProbeWanted{Node: node})
+	late := time.NewTimer(m.hold)
+	defer late.Stop()
+	select {
+	case p := <-answer:
+		return p
+	case <-late.C:
+	case <-m.stopped:
+	}
+	m.waiters.leave(node, answer)
+	return failed
+}
+
+// Told takes in news of the node list.
+func (m *Monitor) Told(news rules.Nodes) {
+	m.inbox.put(health.NodeList{Full: news.Full, Nodes: news.List})
+}
+
+// AttemptStarted takes in that an attempt was sent, unless there is no room for it.
+func (m *Monitor) AttemptStarted(node, id string, attempt int) bool {
+	return m.inbox.offer(health.AttemptStarted{Node: node, ID: id, Attempt: attempt})
+}
+
+// AttemptEnded takes in how an attempt ended whose start was taken in. There is room for it.
+func (m *Monitor) AttemptEnded(node string, e rules.Outcome) {
+	m.inbox.put(health.AttemptEnded{Node: node, ID: e.ID, Attempt: e.Attempt, Result: e.Result, Alive: e.Alive})
+}
+
+// Take takes in a datagram of the front of a number. False is for one that is no message of a monitor's.
+func (m *Monitor) Take(from int, text []byte) bool {
+	if !health.IsMessage(text) {
+		return false
+	}
+	message, err := health.Decode(text)
+	if err != nil {
+		m.drops.add(health.DropUnreadable, "front", from, "error", err)
+		return true
+	}
+	m.inbox.offer(health.Received{From: from, Message: message})
+	return true
+}
+
+// Reconfigure has another configuration hold, whole or not at all. The error names the field that is wrong.
+func (m *Monitor) Reconfigure(ctx context.Context, c health.Config) (err error) {
+	asked := m.ask(ctx, func() { err = m.core.Reconfigure(c) })
+	if asked != nil {
+		return fmt.Errorf("the zone's health: %w", asked)
+	}
+	return err
+}
+
+// ask runs a function between two steps, and waits for its end.
+func (m *Monitor) ask(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	m.inbox.add(entry{ask: func() {
+		f()
+		close(done)
+	}})
+	select {
+	case <-done:
+		return nil
+	case <-m.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/fleet/monitor/waiters.go
@@ -0,0 +1,53 @@
+package monitor
+
+import (
+	"slices"
+	"sync"
+
+	"otterturn/rules"
+)
+
+// waiters are the calls of Probe that wait for an answer, by node.
+type waiters struct {
+	mu     sync.Mutex
+	byNode map[string][]chan rules.Probed
+}
+
+// enter adds a call, which is answered over the channel.
+func (w *waiters) enter(node string) chan rules.Probed {
+	answer := make(chan rules.Probed, 1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.byNode == nil {
+		w.byNode = map[string][]chan rules.Probed{}
+	}
+	w.byNode[node] = append(w.byNode[node], answer)
+	return answer
+}
+
+// answer answers all calls that wait for a node: what was asked again in the meantime is told the same.
+func (w *waiters) answer(p rules.Probed) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.byNode[p.Node] {
+		c <- p
+	}
+	delete(w.byNode, p.Node)
+}
+
+// leave takes a call out that waits no more.
+func (w *waiters) leave(node string, answer chan rules.Probed) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	left := slices.DeleteFunc(w.byNode[node], func(c chan rules.Probed) bool { return c == answer })
+	if w.byNode[node] = left; len(left) == 0 {
+		delete(w.byNode, node)
+	}
+}
+
+// release forgets all calls. Those who wait have heard of the end by other means.
+func (w *waiters) release() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byNode = nil
+}
--- /dev/null
+++ b/internal/program/fleet.go
@@ -0,0 +1,192 @@
+package program
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"otterturn/internal/fleet/health"
+	"otterturn/rules"
+)
+
+// fleetVariable names the operator's file of what the fronts do together. Where it is not set each acts for itself.
+const fleetVariable = "RELAY_FLEET"
+
+// longestEvidence is the most that evidence may live: messages tell its age in 16 bits of milliseconds.
+const longestEvidence = time.Minute
+
+// Fleet is the operator's file of what the fronts do together.
+type Fleet struct {
+	Health FleetHealth
+	Zones  []FleetZone
+}
+
+// FleetHealth sets up the zones' shared health of nodes, see health.Config.
+type FleetHealth struct {
+	Enabled       bool
+	Probers       int
+	Quorum        int
+	SuspectAfter  time.Duration `toml:"suspect_after"`
+	ProbeLate     time.Duration `toml:"probe_late"`
+	EvidenceLife  time.Duration `toml:"evidence_life"`
+	TakeoverAfter time.Duration `toml:"takeover_after"`
+	ProbesPerNode float64       `toml:"probes_per_node"`
+	MessageBytes  float64       `toml:"message_bytes"`
+}
+
+// FleetZone is a zone of fronts, which are told by their numbers: single ones, or ranges such as "0-119".
+type FleetZone struct {
+	Name   string
+	Region string
+	Fronts []string
+}
+
+// frontSite is what a fleet's file has to fit: this front's configuration.
+type frontSite struct {
+	self, fronts int  // its number, and of how many
+	peers        bool // fronts have addresses for messages to each other
+	probing      bool // nodes may be probed
+}
+
+// loadFleet reads and checks the file. Its errors name the field.
+func loadFleet(path string, s frontSite) (Fleet, error) {
+	var f Fleet
+	meta, err := toml.DecodeFile(path, &f)
+	if err != nil {
+		var at *os.PathError
+		if errors.As(err, &at) {
+			return Fleet{}, fmt.Errorf("%s: %w", fleetVariable, err)
+		}
+		return Fleet{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if odd := meta.Undecoded(); len(odd) > 0 {
+		return Fleet{}, fmt.Errorf("%s: %s: unknown", path, odd[0])
+	}
+	if !f.Health.Enabled {
+		return f, nil
+	}
+	if _, err := f.config(s, 0); err != nil {
+		return Fleet{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+// config is what the monitor is told at a front, whose process began at a time in Unix microseconds.
+func (f *Fleet) config(s frontSite, began int64) (health.Config, error) {
+	switch {
+	case !s.peers:
+		return health.Config{}, errors.New("health.enabled: the configuration names no peers")
+	case !s.probing:
+		return health.Config{}, errors.New("health.enabled: settings.ceilings.probing is off in the configuration")
+	}
+	if err := f.Health.check(); err != nil {
+		return health.Config{}, err
+	}
+	zones, err := f.zones(s.fronts)
+	if err != nil {
+		return health.Config{}, err
+	}
+	h := f.Health
+	c := health.Config{Self: s.self, Run: began, Zones: zones, Probers: h.Probers, Quorum: h.Quorum,
+		SuspectAfter: inMicros(h.SuspectAfter), ProbeLate: inMicros(h.ProbeLate), EvidenceLife: inMicros(h.EvidenceLife),
+		TakeoverAfter: inMicros(h.TakeoverAfter), ProbesPerNode: h.ProbesPerNode, MessageBytes: h.MessageBytes}
+	if err := c.Validate(); err != nil {
+		return health.Config{}, fmt.Errorf("health: %w", err)
+	}
+	return c, nil
+}
+
+// check tells the first figure that is wrong by itself.
+func (h *FleetHealth) check() error {
+	switch {
+	case h.Probers < 1:
+		return fmt.Errorf("health.probers: %d, must be 1 at least", h.Probers)
+	case h.Quorum < 2 || h.Quorum > h.Probers:
+		return fmt.Errorf("health.quorum: %d, must be 2 at least and no more than health.probers, %d", h.Quorum, h.Probers)
+	case !(h.ProbesPerNode > 0):
+		return errors.New("health.probes_per_node: must be above 0")
+	case !(h.MessageBytes > 0):
+		return errors.New("health.message_bytes: must be above 0")
+	case h.EvidenceLife > longestEvidence:
+		return fmt.Errorf("health.evidence_life: %v, must be %v at most", h.EvidenceLife, longestEvidence)
+	}
+	for _, t := range []struct {
+		field string
+		value time.Duration
+	}{{"suspect_after", h.SuspectAfter}, {"probe_late", h.ProbeLate}, {"evidence_life", h.EvidenceLife}, {"takeover_after", h.TakeoverAfter}} {
+		if t.value < time.Microsecond {
+			return fmt.Errorf("health.%s: must be a time above 0", t.field)
+		}
+	}
+	return nil
+}
+
+// zones tells each front's zone by the front's number. Every front must be in one, and in one alone.
+func (f *Fleet) zones(fronts int) ([]int, error) {
+	if len(f.Zones) == 0 {
+		return nil, errors.New("zones: missing")
+	}
+	const none = -1
+	out := make([]int, fronts)
+	for i := range out {
+		out[i] = none
+	}
+	names := map[string]bool{}
+	for i, z := range f.Zones {
+		if z.Name == "" || names[z.Name] {
+			return nil, fmt.Errorf("zones[%d].name: missing or taken", i)
+		}
+		names[z.Name] = true
+		members := 0
+		for _, text := range z.Fronts {
+			first, last, err := parseFronts(text, fronts)
+			if err != nil {
+				return nil, fmt.Errorf("zones[%d].fronts: %w", i, err)
+			}
+			for n := first; n <= last; n++ {
+				if out[n] != none {
+					return nil, fmt.Errorf("zones[%d].fronts: front %d is in zone %q already", i, n, f.Zones[out[n]].Name)
+				}
+				out[n] = i
+			}
+			members += last - first + 1
+		}
+		if f.Health.Probers > members {
+			return nil, fmt.Errorf("health.probers: %d, but zones[%d] has %d fronts", f.Health.Probers, i, members)
+		}
+	}
+	for n, zone := range out {
+		if zone == none {
+			return nil, fmt.Errorf("zones: front %d is in none", n)
+		}
+	}
+	return out, nil
+}
+
+// parseFronts reads a number or a range of numbers, of so many fronts.
+func parseFronts(text string, fronts int) (first, last int, err error) {
+	from, to, ranged := strings.Cut(text, "-")
+	if !ranged {
+		to = from
+	}
+	first, err = strconv.Atoi(from)
+	if err == nil {
+		last, err = strconv.Atoi(to)
+	}
+	switch {
+	case err != nil:
+		return 0, 0, fmt.Errorf("%q is no number and no range such as \"0-119\"", text)
+	case first > last:
+		return 0, 0, fmt.Errorf("%q ends before it begins", text)
+	case last >= fronts:
+		return 0, 0, fmt.Errorf("%q is out of range: settings.balancers is %d, numbers begin at 0", text, fronts)
+	}
+	return first, last, nil
+}
+
+func inMicros(d time.Duration) rules.Micros { return rules.Micros(d / time.Microsecond) }
--- /dev/null
+++ b/internal/program/fleet_test.go
@@ -0,0 +1,126 @@
+package program
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const fleetFile = `[health]
+enabled = true
+probers = 2
+quorum = 2
+suspect_after = "50ms"
+probe_late = "100ms"
+evidence_life = "6s"
+takeover_after = "1s"
+probes_per_node = 40
+message_bytes = 8192
+[[zones]]
+name = "north-a"
+region = "north"
+fronts = ["0-1", "4"]
+[[zones]]
+name = "north-b"
+region = "north"
+fronts = ["2-3"]
+`
+
+var goodSite = frontSite{self: 3, fronts: 5, peers: true, probing: true}
+
+func loadText(t *testing.T, text string, s frontSite) (Fleet, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "fleet.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return loadFleet(path, s)
+}
+
+func TestFleetFile(t *testing.T) {
+	f, err := loadText(t, fleetFile, goodSite)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := f.config(goodSite, 17)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(c.Zones, []int{0, 0, 1, 1, 0}) {
+		t.Errorf("zones %v", c.Zones)
+	}
+	c.Zones = nil
+	if c.Self != 3 || c.Run != 17 || c.Probers != 2 || c.Quorum != 2 || c.SuspectAfter != 50_000 || c.ProbeLate != 100_000 ||
+		c.EvidenceLife != 6_000_000 || c.TakeoverAfter != 1_000_000 || c.ProbesPerNode != 40 || c.MessageBytes != 8192 {
+		t.Errorf("%+v", c)
+	}
+	if _, err := loadFleet("../../deploy/fleet.toml", frontSite{fronts: 1200, peers: true, probing: true}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Each wrong field is named, and nothing else is said.
+func TestWrongFleetFileNamesTheField(t *testing.T) {
+	zones := fleetFile[strings.Index(fleetFile, "[[zones]]"):]
+	for _, c := range []struct{ old, with, says string }{
+		{"probers = 2", "probers = 0", "health.probers"},
+		{"probers = 2", "probers = 3", "health.probers: 3, but zones[1] has 2 fronts"},
+		{"probers = 2", "probes = 2", "health.probes: unknown"},
+		{"quorum = 2", "quorum = 1", "health.quorum"},
+		{"quorum = 2", "quorum = 3", "health.quorum"},
+		{`suspect_after = "50ms"`, "", "health.suspect_after"},
+		{`"100ms"`, `"-1s"`, "health.probe_late"},
+		{`"6s"`, `"0s"`, "health.evidence_life"},
+		{`"6s"`, `"2m"`, "health.evidence_life"},
+		{`"1s"`, `"soon"`, "takeover_after"},
+		{"per_node = 40", "per_node = -1", "health.probes_per_node"},
+		{"per_node = 40", "per_node = nan", "health.probes_per_node"},
+		{"bytes = 8192", "bytes = 0", "health.message_bytes"},
+		{zones, "", "zones: missing"},
+		{`name = "north-b"`, `name = "north-a"`, "zones[1].name"},
+		{`fronts = ["2-3"]`, `fronts = ["2"]`, "health.probers: 2, but zones[1]"},
+		{`"0-1", "4"`, `"0-1"`, "zones: front 4 is in none"},
+		{`"0-1", "4"`, `"0-2", "4"`, "zones[1].fronts: front 2 is in zone \"north-a\""},
+		{`"0-1", "4"`, `"0-1", "4", "0"`, "zones[0].fronts: front 0 is in zone"},
+		{`"0-1", "4"`, `"0-5"`, "zones[0].fronts: \"0-5\" is out of range"},
+		{`"0-1", "4"`, `"1-0", "4"`, "zones[0].fronts: \"1-0\" ends"},
+		{`"0-1", "4"`, `"-1", "4"`, "zones[0].fronts: \"-1\" is no number"},
+		{`"0-1", "4"`, `"x"`, "zones[0].fronts: \"x\" is no number"},
+		{`"0-1", "4"`, `0, 1, 4`, "fronts"},
+		{`region = "north"`, `regoin = "north"`, "zones.regoin: unknown"},
+		{"enabled = true", "enabled = 1", "enabled"},
+	} {
+		_, err := loadText(t, strings.Replace(fleetFile, c.old, c.with, 1), goodSite)
+		if err == nil || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q for %q: %v, want %q", c.with, c.old, err, c.says)
+		}
+	}
+}
+
+// The file has to fit the front's configuration, and one that is off needs nothing.
+func TestFleetFileFitsTheConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		edit func(*frontSite)
+		says string
+	}{
+		{func(s *frontSite) { s.peers = false }, "health.enabled: the configuration names no peers"},
+		{func(s *frontSite) { s.probing = false }, "health.enabled: settings.ceilings.probing"},
+		{func(s *frontSite) { s.fronts = 6 }, "zones: front 5 is in none"},
+		{func(s *frontSite) { s.fronts = 4 }, "zones[0].fronts"},
+	} {
+		site := goodSite
+		c.edit(&site)
+		if _, err := loadText(t, fleetFile, site); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%+v: %v, want %q", site, err, c.says)
+		}
+		off := strings.Replace(fleetFile, "enabled = true", "enabled = false", 1)
+		if f, err := loadText(t, off, site); err != nil || f.Health.Enabled {
+			t.Errorf("%+v, off: %v", site, err)
+		}
+	}
+	if _, err := loadFleet(filepath.Join(t.TempDir(), "missing.toml"), goodSite); err == nil || !strings.Contains(err.Error(), "RELAY_FLEET") {
+		t.Errorf("a missing file: %v", err)
+	}
+}
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -85,7 +85,9 @@
 		return err
 	}
 	p.roster.Keep(state.Bans)
-	p.core.Succeed(p.nodes.Apply(p.roster.Told(state.List)), state.Given)
+	news := p.nodes.Apply(p.roster.Told(state.List))
+	p.tellMonitor(news)
+	p.core.Succeed(news, state.Given)
 	if socket != nil && len(p.config.Peers) > 0 {
 		if conn, err := net.FilePacketConn(socket); err == nil {
 			p.peers = transport.PeersOn(conn.(*net.UDPConn), p.config.Peers, p.limits, p.log)
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -49,9 +49,13 @@
 	if err != nil {
 		return protocol.Figures{}, err
 	}
+	shared, err := p.healthFigures(ctx)
+	if err != nil {
+		return protocol.Figures{}, err
+	}
 	t := p.core.Tally()
 	out := protocol.Figures{InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
-		ReloadsOK: p.reloaded.Load(), ReloadsFailed: p.refused.Load()}
+		ReloadsOK: p.reloaded.Load(), ReloadsFailed: p.refused.Load(), Health: shared}
 	for i, name := range p.front.Names() {
 		ended := t.Of(i)
 		out.Classes = append(out.Classes, protocol.Ended{Class: name, Served: ended[routing.Served],
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -41,6 +41,8 @@
 	succeeded bool                             // state was handed over
 	talks     bool                             // fronts may say something to each other
 
+	sharedHealth
+
 	ready             atomic.Bool // clients are served
 	reloaded, refused atomic.Int64
 
@@ -108,7 +110,15 @@
 	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
 		nodes: transport.NewNodes(l), roster: roster.New(), talks: set.Rules.Peers}
 	set.Rules.MaxOpen = l.Hold
-	core, err := routing.New(set.Rules, config.Seed, l, transport.NewProber(p.nodes, set, p.log).Probe)
+	probe := transport.NewProber(p.nodes, set, p.log).Probe
+	var err error
+	if p.monitor, err = p.newMonitor(probe); err != nil {
+		return nil, err
+	}
+	if p.monitor != nil {
+		probe = p.monitor.Probe
+	}
+	core, err := routing.New(set.Rules, config.Seed, l, probe)
 	if err != nil {
 		return nil, err
 	}
@@ -129,6 +139,9 @@
 	}
 	if p.peers != nil {
 		p.core.Note = p.peers.Send
+	}
+	p.runMonitor(ctx)
+	if p.peers != nil {
 		go p.peers.Run(ctx, p.core.Hear)
 	}
 	go p.core.Run(ctx)
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -73,10 +73,17 @@
 	if err != nil {
 		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
 	}
+	changeFleet, err := p.changedFleet(config.Settings.Rules)
+	if err != nil {
+		return protocol.Config{}, err
+	}
 	// The scheduler has a class before the first request of it comes. A class that is no more has its number kept.
 	if err := p.core.Retune(config.Settings.Rules); err != nil {
 		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := changeFleet(); err != nil {
+		return protocol.Config{}, err
+	}
 	still := config.Settings
 	still.Classes, still.Plans = still.Names, still.PlanNames
 	p.front.Retune(still)
@@ -95,7 +102,9 @@
 // tell hands news on. The lock is held.
 func (p *platform) tell(list protocol.List) {
 	if len(list.Hosts) > 0 || list.Whole {
-		p.core.Tell(p.nodes.Apply(list))
+		news := p.nodes.Apply(list)
+		p.tellMonitor(news)
+		p.core.Tell(news)
 	}
 }
 
--- /dev/null
+++ b/internal/standin/relay.go
@@ -0,0 +1,218 @@
+package standin
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Relay stands between processes: what they send each other passes through it, over links that lose, delay, repeat,
+// reorder or cut as the test says. All of it ends with the test.
+type Relay struct {
+	t       *testing.T
+	meshed  sync.Mutex // guards sockets
+	sockets [][]*net.UDPConn
+	fronts  []netip.AddrPort
+	links   [][]*Link
+
+	mu  sync.Mutex // guards rng
+	rng *rand.Rand
+}
+
+// Faults are what a link does to what it carries.
+type Faults struct {
+	Loss   float64       // share of datagrams that are lost
+	Repeat float64       // share that come twice
+	Delay  time.Duration // before anything comes
+	Jitter time.Duration // up to so much more for each datagram, so that they overtake each other
+	Cut    bool          // nothing passes; what a connection carries waits until the link is whole again
+}
+
+// NewRelay returns a Relay whose draws go by a seed, which is printed.
+func NewRelay(t *testing.T, seed uint64) *Relay {
+	t.Logf("relay: seed %d", seed)
+	return &Relay{t: t, rng: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Link is one direction between two processes.
+type Link struct {
+	relay   *Relay
+	mu      sync.Mutex
+	faults  Faults
+	changed chan struct{} // closed, and made anew, with each change
+}
+
+func (r *Relay) link() *Link { return &Link{relay: r, changed: make(chan struct{})} }
+
+// Set has a link do other things from now on.
+func (l *Link) Set(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *Link) now() (Faults, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults, l.changed
+}
+
+// Mesh puts the relay between fronts that send each other datagrams, by the addresses at which they listen. It returns
+// each front's list of peers: a socket of the relay's for each other front, from which that one's datagrams come too.
+func (r *Relay) Mesh(fronts []netip.AddrPort) (peers [][]netip.AddrPort) {
+	r.t.Helper()
+	r.fronts = fronts
+	for i := range fronts {
+		var sockets []*net.UDPConn
+		var addrs []netip.AddrPort
+		var links []*Link
+		for j := range fronts {
+			conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: fronts[i].Addr().AsSlice()})
+			if err != nil {
+				r.t.Fatal(err)
+			}
+			r.t.Cleanup(func() { conn.Close() })
+			addr := fronts[i] // a front's own address stands in its list
+			if i != j {
+				addr = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+			}
+			sockets, addrs, links = append(sockets, conn), append(addrs, addr), append(links, r.link())
+		}
+		r.sockets, peers, r.links = append(r.sockets, sockets), append(peers, addrs), append(r.links, links)
+	}
+	for i := range fronts {
+		for j := range fronts {
+			go r.carryDatagrams(i, j)
+		}
+	}
+	return peers
+}
+
+// Datagrams is the link from one front to another.
+func (r *Relay) Datagrams(from, to int) *Link { return r.links[from][to] }
+
+// Inject sends a datagram to a front as if another had sent it.
+func (r *Relay) Inject(from, to int, text []byte) {
+	r.t.Helper()
+	if _, err := r.sockets[to][from].WriteToUDPAddrPort(text, r.fronts[to]); err != nil {
+		r.t.Error(err)
+	}
+}
+
+// carryDatagrams passes on what a front sends to the socket that stands for another one.
+func (r *Relay) carryDatagrams(from, to int) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := r.sockets[from][to].ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		text := append([]byte(nil), buffer[:n]...)
+		for _, delay := range r.fates(r.links[from][to]) {
+			time.AfterFunc(delay, func() { r.sockets[to][from].WriteToUDPAddrPort(text, r.fronts[to]) })
+		}
+	}
+}
+
+// fates draws after which times a datagram comes: never, once or twice.
+func (r *Relay) fates(l *Link) (delays []time.Duration) {
+	f, _ := l.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	copies := 1
+	if r.rng.Float64() < f.Repeat {
+		copies = 2
+	}
+	if f.Cut || r.rng.Float64() < f.Loss {
+		copies = 0
+	}
+	for range copies {
+		delay := f.Delay
+		if f.Jitter > 0 {
+			delay += time.Duration(r.rng.Int64N(int64(f.Jitter)))
+		}
+		delays = append(delays, delay)
+	}
+	return delays
+}
+
+// Pipe is a way for connections to one address, with a link for each direction.
+type Pipe struct {
+	Addr     string // where to connect to
+	To, Back *Link
+}
+
+// Set has both directions do the same.
+func (p *Pipe) Set(f Faults) {
+	p.To.Set(f)
+	p.Back.Set(f)
+}
+
+// Pipe returns a way for connections to an address. What comes to a link that is cut waits there: the connection is up
+// and silent. Datagrams' faults don't concern it, but for the delay.
+func (r *Relay) Pipe(to string) *Pipe {
+	p := &Pipe{To: r.link(), Back: r.link()}
+	p.Addr = Peer(r.t, func(_ int, c net.Conn) {
+		out, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		ended := make(chan struct{})
+		var end sync.Once
+		carry := func(l *Link, to, from net.Conn) {
+			l.copy(to, from, ended)
+			end.Do(func() { close(ended) })
+			to.Close()
+			from.Close()
+		}
+		go carry(p.Back, c, out)
+		carry(p.To, out, c)
+	})
+	return p
+}
+
+// copy passes on what comes from one connection to another until either ends.
+func (l *Link) copy(to io.Writer, from io.Reader, ended <-chan struct{}) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !l.passes(ended) {
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// passes waits for as long as the link delays or is cut. False is for a connection that ended meanwhile.
+func (l *Link) passes(ended <-chan struct{}) bool {
+	for {
+		f, changed := l.now()
+		wait := time.NewTimer(f.Delay)
+		due := wait.C
+		if f.Cut {
+			due = nil
+		}
+		select {
+		case <-due:
+			return true
+		case <-changed:
+		case <-ended:
+			wait.Stop()
+			return false
+		}
+		wait.Stop()
+	}
+}
