--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -14,7 +14,6 @@
 // reorder or cut as the test says. All of it ends with the test.
 type Relay struct {
 	t       *testing.T
-	meshed  sync.Mutex // guards sockets
 	sockets [][]*net.UDPConn
 	fronts  []netip.AddrPort
 	links   [][]*Link
@@ -212,6 +211,9 @@
 		case <-ended:
 			wait.Stop()
 			return false
+		case <-l.relay.t.Context().Done():
+			wait.Stop()
+			return false
 		}
 		wait.Stop()
 	}
--- /dev/null
+++ b/internal/standin/relay_test.go
@@ -0,0 +1,145 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+)
+
+// meshOfTwo opens sockets for two fronts with a relay between them, and returns each one's name of the other.
+func meshOfTwo(t *testing.T, r *Relay) (conns []*net.UDPConn, names []netip.AddrPort) {
+	t.Helper()
+	var addrs []netip.AddrPort
+	for range 2 {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		conns, addrs = append(conns, c), append(addrs, c.LocalAddr().(*net.UDPAddr).AddrPort())
+	}
+	peers := r.Mesh(addrs)
+	if peers[0][0] != addrs[0] || peers[1][1] != addrs[1] {
+		t.Errorf("own addresses %v and %v, want %v", peers[0][0], peers[1][1], addrs)
+	}
+	return conns, []netip.AddrPort{peers[0][1], peers[1][0]}
+}
+
+// receive reads the next datagram, which must come from an address.
+func receive(t *testing.T, c *net.UDPConn, from netip.AddrPort) string {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(Patience))
+	buffer := make([]byte, 64)
+	n, sender, err := c.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if sender != from {
+		t.Errorf("%q came from %v, want %v", buffer[:n], sender, from)
+	}
+	return string(buffer[:n])
+}
+
+// What a front sends to its name of another one comes to that one from its name of the first.
+func TestRelayOfDatagrams(t *testing.T) {
+	r := NewRelay(t, 1)
+	conns, names := meshOfTwo(t, r)
+	conns[0].WriteToUDPAddrPort([]byte("there"), names[0])
+	if got := receive(t, conns[1], names[1]); got != "there" {
+		t.Errorf("%q", got)
+	}
+	r.Datagrams(0, 1).Set(Faults{Cut: true})
+	conns[0].WriteToUDPAddrPort([]byte("lost"), names[0])
+	conns[1].WriteToUDPAddrPort([]byte("back"), names[1])
+	if got := receive(t, conns[0], names[0]); got != "back" {
+		t.Errorf("%q over the way back, which is whole", got)
+	}
+	r.Inject(0, 1, []byte("injected"))
+	if got := receive(t, conns[1], names[1]); got != "injected" {
+		t.Errorf("%q over a link that is cut", got)
+	}
+	r.Datagrams(0, 1).Set(Faults{Repeat: 1})
+	conns[0].WriteToUDPAddrPort([]byte("twice"), names[0])
+	for range 2 {
+		if got := receive(t, conns[1], names[1]); got != "twice" {
+			t.Errorf("%q", got)
+		}
+	}
+}
+
+// Datagrams meet with faults as often as was set, each with a delay of its own, and the same ones by the same seed.
+func TestRelayDrawsByItsSeed(t *testing.T) {
+	const many = 10_000
+	draw := func() (lost, repeated int, delays []time.Duration) {
+		r := NewRelay(t, 7)
+		l := r.link()
+		l.Set(Faults{Loss: 0.3, Repeat: 0.2, Delay: time.Second, Jitter: time.Second})
+		for range many {
+			fates := r.fates(l)
+			switch len(fates) {
+			case 0:
+				lost++
+			case 2:
+				repeated++
+			}
+			delays = append(delays, fates...)
+		}
+		return lost, repeated, delays
+	}
+	lost, repeated, delays := draw()
+	if lost < many*28/100 || lost > many*32/100 || repeated < many*12/100 || repeated > many*16/100 {
+		t.Errorf("of %d lost %d and repeated %d", many, lost, repeated)
+	}
+	if lowest, most := slices.Min(delays), slices.Max(delays); lowest < time.Second || most >= 2*time.Second || most-lowest < 900*time.Millisecond {
+		t.Errorf("delays of %v to %v", lowest, most)
+	}
+	if _, _, again := draw(); !slices.Equal(again, delays) {
+		t.Error("another draw by the same seed differs")
+	}
+}
+
+// A connection over a pipe that is cut is silent, and goes on once the pipe is whole.
+func TestRelayOfConnections(t *testing.T) {
+	echo := Peer(t, func(_ int, c net.Conn) { io.Copy(c, c) })
+	p := NewRelay(t, 1).Pipe(echo)
+	c, err := net.Dial("tcp", p.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	lines := make(chan string)
+	go func() {
+		for in := bufio.NewScanner(c); in.Scan(); {
+			lines <- in.Text()
+		}
+	}()
+	fmt.Fprintln(c, "one")
+	if got := Await(t, "the echo", lines); got != "one" {
+		t.Errorf("%q", got)
+	}
+	p.To.Set(Faults{Cut: true})
+	fmt.Fprintln(c, "two")
+	other, err := net.Dial("tcp", NewRelay(t, 1).Pipe(echo).Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	fmt.Fprintln(other, "beside")
+	if text, err := bufio.NewReader(other).ReadString('\n'); err != nil || text != "beside\n" {
+		t.Errorf("%q, %v", text, err)
+	}
+	select {
+	case got := <-lines:
+		t.Errorf("%q came over a link that is cut", got)
+	default:
+	}
+	p.To.Set(Faults{})
+	if got := Await(t, "the echo", lines); got != "two" {
+		t.Errorf("%q", got)
+	}
+}
