Check all packages with staticcheck in make lint, and mend its three findings

It found: tint.NewHandler is deprecated (NewTextHandler is the same function), two identical operands where two strings of an extended SFTP attribute are skipped (now a count of strings), and a check for nil of an error that handOver never returns as nil (now said in its comment). No check is switched off. Behaviour is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	go vet ./...
+	go tool staticcheck ./...
 
 # The appliance by the operator's file in deploy/; CONFIG names another one.
 CONFIG ?= deploy/appliance.toml
--- a/internal/logs/logger.go
+++ b/internal/logs/logger.go
@@ -17,7 +17,7 @@
 func New(w io.Writer, level slog.Leveler) *slog.Logger {
 	var h slog.Handler
 	if f, ok := w.(*os.File); ok && isatty.IsTerminal(f.Fd()) {
-		h = tint.NewHandler(w, &tint.Options{Level: level})
+		h = tint.NewTextHandler(w, &tint.Options{Level: level})
 	} else {
 		h = slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
 	}
--- a/internal/net/protocol/sftp/packet/attrs.go
+++ b/internal/net/protocol/sftp/packet/attrs.go
@@ -39,11 +39,11 @@
 		{HasMode, func() bool { return s.ReadUint32(&a.Mode) }},
 		{HasTimes, func() bool { return s.ReadUint32(&a.Atime) && s.ReadUint32(&a.Mtime) }},
 		{hasExtended, func() bool {
-			var n uint32
+			var pairs uint32 // each of two strings: its type and its data
 			var unused []byte
-			ok := s.ReadUint32(&n)
-			for ; ok && n > 0; n-- {
-				ok = s.bytes(&unused) && s.bytes(&unused)
+			ok := s.ReadUint32(&pairs)
+			for left := 2 * uint64(pairs); ok && left > 0; left-- {
+				ok = s.bytes(&unused)
 			}
 			return ok
 		}},
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -116,9 +116,8 @@
 	for ctx.Err() == nil {
 		c, err := awaitYounger(ctx, l)
 		if err == nil {
-			if handed := p.handOver(c); handed != nil {
-				p.log.Warn("a younger process did not take over, this one goes on", "error", handed)
-			}
+			cause := p.handOver(c)
+			p.log.Warn("a younger process did not take over, this one goes on", "error", cause)
 			c.Close()
 			l, err = handover.Listen(path)
 		}
@@ -142,7 +141,8 @@
 	return handover.Of(c), nil
 }
 
-// handOver is the elder's part, from the younger's question to its end. It returns while this process serves.
+// handOver is the elder's part, from the younger's question to its end. It returns while this process serves, with the cause,
+// never nil: where the younger one did take over, this process ends meanwhile.
 func (p *platform) handOver(c *handover.Channel) error {
 	if err := c.Within(p.limits.Handover); err != nil {
 		return err
