--- /dev/null
+++ b/internal/fleet/health/due.go
@@ -0,0 +1,61 @@
+package health
+
+import (
+	"container/heap"
+
+	"otterturn/rules"
+)
+
+// dueQueue holds the nodes that have something to be looked at, by time.
+type dueQueue []*node
+
+func (q dueQueue) Len() int           { return len(q) }
+func (q dueQueue) Less(i, j int) bool { return q[i].due < q[j].due }
+func (q dueQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].place, q[j].place = i+1, j+1
+}
+
+// Push is for container/heap alone.
+func (q *dueQueue) Push(x any) {
+	n := x.(*node)
+	*q = append(*q, n)
+	n.place = len(*q)
+}
+
+// Pop is for container/heap alone.
+func (q *dueQueue) Pop() any {
+	last := len(*q) - 1
+	n := (*q)[last]
+	(*q)[last] = nil
+	*q, n.place = (*q)[:last], 0
+	return n
+}
+
+// set puts a node where its time belongs, in the place of an earlier one.
+func (q *dueQueue) set(n *node, at rules.Micros) {
+	if n.place > 0 && n.due == at {
+		return
+	}
+	n.due = at
+	if n.place > 0 {
+		heap.Fix(q, n.place-1)
+		return
+	}
+	heap.Push(q, n)
+}
+
+// remove takes a node out, if it is in.
+func (q *dueQueue) remove(n *node) {
+	if n.place > 0 {
+		heap.Remove(q, n.place-1)
+	}
+}
+
+// take removes and returns a node whose time has come, nil if there is none.
+func (q *dueQueue) take(now rules.Micros) *node {
+	if len(*q) == 0 || (*q)[0].due > now {
+		return nil
+	}
+	return heap.Pop(q).(*node)
+}
--- /dev/null
+++ b/internal/fleet/health/inbox.go
@@ -0,0 +1,109 @@
+package health
+
+import "otterturn/rules"
+
+const (
+	driftPart = 5000 // two clocks differ by one in so many parts of time more, 200 ppm
+	seenSpan  = 64   // a message that comes so many later than one behind it counts as repeated
+)
+
+// peer is what is kept of a front that sent messages.
+type peer struct {
+	run    int64
+	newest uint32       // sequence
+	seen   uint64       // bit i: newest - i came
+	offset rules.Micros // least difference of both clocks
+	at     rules.Micros // when that was seen last
+}
+
+// repeated tells whether a message of the run came before, or can't be told from one that did. It counts as come from
+// then on.
+func (p *peer) repeated(sequence uint32) bool {
+	if sequence > p.newest || p.seen == 0 {
+		p.seen = p.seen<<(sequence-p.newest) | 1
+		p.newest = sequence
+		return false
+	}
+	back := p.newest - sequence
+	if back >= seenSpan || p.seen&(1<<back) != 0 {
+		return true
+	}
+	p.seen |= 1 << back
+	return false
+}
+
+// delay is for how long a message was under way: by how much more both clocks differ than they did at the quickest
+// message of the run. The first of a run counts as quick.
+func (p *peer) delay(now, sent rules.Micros) rules.Micros {
+	difference := now - sent
+	if p.at == never {
+		p.offset, p.at = difference, now
+		return 0
+	}
+	p.offset, p.at = min(p.offset+(now-p.at)/driftPart, difference), now
+	return difference - p.offset
+}
+
+// received takes in a message of another front.
+func (m *Monitor) received(e Received) {
+	if !m.ofZone(e.From) {
+		m.drop(DropForeign)
+		return
+	}
+	p := m.peers[e.From]
+	if p == nil || e.Message.Run > p.run {
+		p = &peer{run: e.Message.Run, at: never}
+		m.peers[e.From] = p
+	}
+	if e.Message.Run < p.run || m.seams.repeated(p, e.Message.Sequence) {
+		m.drop(DropRepeated)
+		return
+	}
+	delay := p.delay(m.now, e.Message.Sent)
+	if delay > m.config.EvidenceLife {
+		m.drop(DropLate)
+		return
+	}
+	m.counts.Received++
+	for _, entry := range e.Message.Entries {
+		if why := m.takeIn(e.From, entry, delay); why != "" {
+			m.drop(why)
+		}
+	}
+}
+
+// ofZone tells whether a front is another one of this front's zone.
+func (m *Monitor) ofZone(front int) bool {
+	zones := m.config.Zones
+	return front >= 0 && front < len(zones) && front != m.config.Self && zones[front] == zones[m.config.Self]
+}
+
+// takeIn takes in what a front tells of a node, or tells why not.
+func (m *Monitor) takeIn(from int, e Entry, delay rules.Micros) Drop {
+	n := m.byKey[e.Node]
+	switch {
+	case e.State < Reachable || e.State > Suspected:
+		return DropUnreadable
+	case n == nil || n.alone:
+		return DropUnknown
+	case e.Age < 0:
+		return DropFuture
+	case !m.seams.sameStart(e.Since, n.wire) && startedLater(e.Since, n.wire):
+		return DropFuture
+	case !m.seams.sameStart(e.Since, n.wire):
+		return DropOutdated
+	case e.Age+delay >= m.config.EvidenceLife:
+		return DropLate
+	case !n.running():
+		return "" // the list counts for more
+	}
+	at := m.now - delay - e.Age
+	if e.State == Suspected {
+		m.asked(n, from, at)
+		return ""
+	}
+	n.inTrouble()
+	n.evidence.add(observation{from, e.State, at})
+	m.touch(n)
+	return ""
+}
--- /dev/null
+++ b/internal/fleet/health/probing.go
@@ -0,0 +1,135 @@
+package health
+
+import "otterturn/rules"
+
+const (
+	fastestProbe rules.Micros = 200_000   // between two probes of a node
+	slowestProbe rules.Micros = 2_000_000 // between two probes of a node that a front is to watch
+	silencePart               = 8         // a silent node is probed after one in so many parts of its silence
+	lateUsuals                = 4         // a probe that is out for so many times the usual may count as failed
+	mostLate                  = 4         // times ProbeLate, within which it counts as failed whatever is usual
+	pausedAfter  rules.Micros = 500_000   // an alarm that is later means that this front was paused
+	microsPerSec              = 1e6
+)
+
+// pausedAfter is how late an alarm is at a front that was paused: half of the time that a probe has, as a pause of that
+// length would take an answer that waits to be read for none.
+func (c Config) pausedAfter() rules.Micros { return min(pausedAfter, c.ProbeLate/2) }
+
+// onDuty tells whether this front is to probe a node for its zone.
+func (m *Monitor) onDuty(n *node) bool {
+	own, seen := n.evidence.of(m.config.Self)
+	silent := seen && own.state == Silent
+	switch {
+	case len(n.askers) > 0:
+		return true
+	case n.rank < m.config.Probers:
+		return n.suspecting || n.avoided || silent || m.others(n, Silent) > 0
+	}
+	covered := m.ahead(n, Silent)+m.ahead(n, Reachable) >= m.config.Quorum
+	return n.takeover || n.duty && silent && !covered
+}
+
+// look probes a node that this front is to probe, and takes a probe that is out for too long for failed.
+func (m *Monitor) look(n *node) (next rules.Micros) {
+	if n.probe.out {
+		return m.lookLate(n)
+	}
+	if !m.onDuty(n) {
+		return forever
+	}
+	n.duty = true
+	if m.now < n.probe.next {
+		return n.probe.next
+	}
+	m.startProbe(n)
+	return m.lookLate(n)
+}
+
+func (m *Monitor) startProbe(n *node) {
+	n.probe = probe{out: true, sent: m.now, next: m.now + fastestProbe}
+	m.counts.Probes++
+	m.out = append(m.out, StartProbe{Node: n.name})
+}
+
+func (m *Monitor) lookLate(n *node) (next rules.Micros) {
+	if n.probe.counted || n.probe.void {
+		return forever
+	}
+	late := max(m.config.ProbeLate, min(lateUsuals*m.usualProbe, mostLate*m.config.ProbeLate))
+	if m.now < n.probe.sent+late {
+		return n.probe.sent + late
+	}
+	m.unanswered(n)
+	return forever
+}
+
+// unanswered takes a probe for failed.
+func (m *Monitor) unanswered(n *node) {
+	n.probe.counted = true
+	if n.probe.sent < n.answered { // an attempt was answered meanwhile
+		return
+	}
+	first := n.silent == never
+	if first {
+		n.silent = n.probe.sent
+	}
+	n.evidence.add(observation{m.config.Self, Silent, n.probe.sent})
+	n.probe.next = n.probe.sent + m.interval(n)
+	if first {
+		// All probers begin together: from their second probe on they are spread over an interval.
+		n.probe.next += rules.Micros(share(m.config.Self, n.key) * float64(m.interval(n)))
+	}
+	if !n.duty {
+		m.suspect(n, n.probe.sent)
+	}
+	m.touch(n)
+}
+
+// interval is the time between two probes of a silent node.
+func (m *Monitor) interval(n *node) rules.Micros {
+	perSecond := m.config.ProbesPerNode / float64(m.config.probersOfAllZones())
+	pace := max(rules.Micros(microsPerSec/perSecond), (m.now-n.silent)/silencePart, fastestProbe)
+	switch {
+	case n.rank >= m.config.Probers: // any number of fronts may do so, where they don't hear each other
+		all := rules.Micros(float64(len(m.config.Zones)) / m.config.ProbesPerNode * microsPerSec)
+		return min(pace, max(all, slowestProbe))
+	case n.rank >= m.config.Quorum && m.ahead(n, Silent) >= m.config.Quorum: // stands by
+		return slowestProbe
+	}
+	return min(pace, max(slowestProbe, rules.Micros(microsPerSec/perSecond)))
+}
+
+func (m *Monitor) probeEnded(e ProbeEnded) {
+	if m.passed[e.Node] {
+		delete(m.passed, e.Node)
+		m.out = append(m.out, ProbeAnswered(e))
+	}
+	n := m.byName[e.Node]
+	if n == nil || n.trouble == nil || !n.probe.out {
+		return
+	}
+	n.probe.out = false
+	if e.OK {
+		m.usualProbe += (m.now - n.probe.sent - m.usualProbe) / usualOver
+		m.answeredBy(n)
+	} else if !n.probe.counted && !n.probe.void {
+		m.unanswered(n)
+	}
+	if n.probe.void && !e.OK {
+		n.probe.next = m.now
+	}
+	if n.held && !n.avoided && (e.OK || n.probe.wanted) {
+		m.answer(n, e.Probed)
+	}
+	n.probe.wanted = false
+	m.touch(n)
+}
+
+// reached takes in that this front reached a node in trouble, by a probe or an attempt.
+func (m *Monitor) reached(n *node) {
+	n.silent = never
+	if len(n.evidence) > 0 || len(n.askers) > 0 || n.suspecting {
+		n.evidence.add(observation{m.config.Self, Reachable, m.now})
+	}
+}
--- /dev/null
+++ b/internal/fleet/health/seek.go
@@ -0,0 +1,101 @@
+package health
+
+import (
+	"slices"
+
+	"otterturn/rules"
+)
+
+// mostRounds bounds for how many times TakeoverAfter a front asks others before it looks for itself.
+const mostRounds = 8
+
+// seek asks for evidence while this front needs it and has none that suffices: the node's probers first, and with
+// each TakeoverAfter the next ones in rank beside them. A front in that rank looks itself, as does one that has asked for
+// mostRounds. So when probers die, are paused or cut off the next follow.
+func (m *Monitor) seek(n *node) (next rules.Micros) {
+	from := m.now - m.config.freshFor()
+	if n.suspecting {
+		from = max(from, n.suspected)
+	}
+	needed := n.avoided || n.suspecting || n.held && m.others(n, Silent) > 0
+	if enough, until := m.suffices(n, from); !needed || enough {
+		n.lacking, n.takeover = false, false
+		if !needed {
+			return forever
+		}
+		return until
+	}
+	if !n.lacking {
+		n.lacking, n.lackedFrom, n.round = true, m.now, -1
+	}
+	if round := int((m.now - n.lackedFrom) / m.config.TakeoverAfter); round > n.round {
+		n.round = round
+		m.ask(n, max(from, n.answered))
+		n.takeover = n.takeover || round >= min(n.rank/m.config.Probers, mostRounds)
+	}
+	return n.lackedFrom + rules.Micros(n.round+1)*m.config.TakeoverAfter
+}
+
+// suffices tells whether a quorum of fronts, whatever they saw, did so after a time, and until when it stays so.
+func (m *Monitor) suffices(n *node, from rules.Micros) (enough bool, until rules.Micros) {
+	var times []rules.Micros
+	for _, o := range n.evidence {
+		if o.at > from {
+			times = append(times, o.at)
+		}
+	}
+	if len(times) < m.config.Quorum {
+		return false, 0
+	}
+	slices.Sort(times)
+	return true, times[len(times)-m.config.Quorum] + m.config.freshFor()
+}
+
+// ask tells the probers, and those of this round, that this front wants news of a node younger than a time.
+func (m *Monitor) ask(n *node, from rules.Micros) {
+	probers := m.config.Probers
+	first := n.round * probers % len(n.ranked)
+	for i, front := range n.ranked {
+		if front != m.config.Self && (i < probers || i >= first && i < first+probers) {
+			m.outbox.direct(front, news{n.key, n.wire, Suspected, from})
+		}
+	}
+}
+
+// asked takes in that another front wants news of a node.
+func (m *Monitor) asked(n *node, from int, at rules.Micros) {
+	n.inTrouble()
+	if i := slices.IndexFunc(n.askers, func(a asker) bool { return a.front == from }); i >= 0 {
+		n.askers[i].at = max(n.askers[i].at, at)
+	} else {
+		n.askers = append(n.askers, asker{from, at})
+	}
+	m.touch(n)
+}
+
+// serve answers those who asked, as soon as there is something younger than they want. What the whole zone is told they
+// hear with it.
+func (m *Monitor) serve(n *node) (next rules.Micros) {
+	if len(n.askers) == 0 {
+		return forever
+	}
+	seen, ok := n.evidence.of(m.config.Self)
+	if n.answered > seen.at || !ok {
+		seen = observation{m.config.Self, Reachable, n.answered}
+	}
+	to := seen.at
+	if seen.state == Silent { // all the while the probe was out
+		to += m.config.ProbeLate
+	}
+	waiting := n.askers[:0]
+	for _, a := range n.askers {
+		switch {
+		case to > a.at && !m.tellsAll(n, seen):
+			m.outbox.direct(a.front, news{n.key, n.wire, seen.state, seen.at})
+		case to <= a.at && a.at > m.now-m.config.EvidenceLife:
+			waiting = append(waiting, a)
+		}
+	}
+	n.askers = waiting
+	return forever
+}
--- /dev/null
+++ b/internal/fleet/health/telling.go
@@ -0,0 +1,68 @@
+package health
+
+import "otterturn/rules"
+
+// standbyPatience is for how long a prober beyond the quorum waits before it tells what it saw: the others tell it.
+const standbyPatience rules.Micros = 60_000
+
+// tell tells the zone what this front saw of a node, where that is its part and news.
+func (m *Monitor) tell(n *node) (next rules.Micros) {
+	own, seen := n.evidence.of(m.config.Self)
+	if !seen || own.at <= n.told.at && own.state == n.told.state {
+		n.told.since = never
+		return forever
+	}
+	if n.told.queued || !m.tellsAll(n, own) {
+		return forever
+	}
+	if n.told.since == never {
+		n.told.since = m.now
+	}
+	if patience := m.patience(n); m.now < n.told.since+patience {
+		return n.told.since + patience
+	}
+	n.told.queued = true
+	m.outbox.queue(n, m.urgency(n, own), m.now)
+	return forever
+}
+
+// tellsAll tells whether it is this front's part to tell its zone what it saw.
+func (m *Monitor) tellsAll(n *node, own observation) bool {
+	if !n.duty || own.state == Reachable && !m.heldSilent(n) {
+		return false
+	}
+	contradicted := m.tells(n) != 0 && n.told.state != own.state
+	return contradicted || m.ahead(n, own.state) < m.config.Quorum
+}
+
+// heldSilent tells whether the zone may hold a node for silent.
+func (m *Monitor) heldSilent(n *node) bool {
+	return n.avoided || m.tells(n) == Silent || m.others(n, Silent) > 0
+}
+
+// tells is what the zone heard of this front and may still believe, 0 for nothing.
+func (m *Monitor) tells(n *node) State {
+	if n.told.at <= m.now-m.config.EvidenceLife {
+		return 0
+	}
+	return n.told.state
+}
+
+// patience is how long this front waits for others before it tells: not where it is to take back what it told.
+func (m *Monitor) patience(n *node) rules.Micros {
+	if n.rank < m.config.Quorum || m.tells(n) != 0 {
+		return 0
+	}
+	return standbyPatience
+}
+
+// urgency tells news from what only keeps older news fresh.
+func (m *Monitor) urgency(n *node, own observation) urgency {
+	switch {
+	case m.tells(n) == own.state:
+		return repeated
+	case own.state == Reachable:
+		return reachable
+	}
+	return firstSilent
+}
