--- /dev/null
+++ b/cmd/otterturn/fleet_input_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+
+	"otterturn/internal/standin"
+)
+
+// What comes to a front's address for messages may be anything, from anybody: it is dropped, counted and logged once a
+// kind, and the front goes on.
+func TestBadMessagesAreDroppedAndCounted(t *testing.T) {
+	const each = 20
+	s := newFleetSite(t, 3, 1, fleetText(t, fleetSettings, 3))
+	f := s.fronts[0]
+	stranger, err := net.Dial("udp4", f.listen.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	const version = "\xf1\x01"
+	head := version + strings.Repeat("\x00", 7) + "\x01" + strings.Repeat("\x00", 12)
+	for kind, c := range []struct {
+		text, why string
+		foreign   bool
+	}{
+		{text: head[:9], why: `"why":"unreadable"`},                                      // cut
+		{text: "\xf1\x63" + head[2:], why: `"why":"unreadable"`},                         // of another version
+		{text: head + strings.Repeat("\xff", 7), why: `"why":"unreadable"`},              // an entry cut
+		{text: head + strings.Repeat("\xff", 300), why: `"why":"too long"`},              // oversized
+		{text: strings.Repeat("\x00garbage\xff", 9), why: `"why":"of no kind"`},          // neither a message nor a note
+		{text: head + strings.Repeat("\x01", 15), why: `"why":"no peer"`, foreign: true}, // of an address that is no peer's
+	} {
+		before := f.figure("health.dropped")
+		for range each {
+			if c.foreign {
+				stranger.Write([]byte(c.text))
+			} else {
+				s.relay.Inject(1, 0, []byte(c.text))
+			}
+		}
+		standin.Until(t, fmt.Sprintf("the count of %d", kind), func() bool { return f.figure("health.dropped") >= before+each })
+		logged(t, f.process, c.why)
+		if n := strings.Count(f.output.String(), c.why); n != 1 {
+			t.Errorf("%s was logged %d times", c.why, n)
+		}
+	}
+	f.serves(0)
+	s.nodes[0].silence(true)
+	go f.ask(0)
+	figures(t, s.fronts, "health.condemned", 1)
+}
+
+// At SIGHUP a fleet's file that is wrong changes nothing, nor does a configuration beside it; a good one holds.
+func TestFleetFileThatChanges(t *testing.T) {
+	path := fleetText(t, fleetSettings, 3)
+	s := newFleetSite(t, 3, 1, path)
+	f := s.fronts[0]
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := os.ReadFile(f.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(path, text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(f.config, []byte(replace(string(config), `"classes":[`,
+		`"classes":[{"name":"index","aimUs":300000,"giveUpUs":5000000,"semantics":"retryable","credit":1},`)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range []struct{ old, with, says string }{
+		{"quorum = 2", "quorum = 1", "health.quorum"},
+		{"probers = 3", "probers = 4", "health.probers"},
+		{`"0-2"`, `"0-1"`, "zones: front 2 is in none"},
+		{"enabled = true", "enabled = false", "health.enabled"},
+		{`region = "north"`, `odd = 1`, "zones.odd: unknown"},
+	} {
+		reload(path, replace(string(good), c.old, c.with))
+		figures(t, []*fleetFront{f}, "reloads_failed", i+1)
+		logged(t, f.process, c.says)
+	}
+	if f.figure("served.index") != -1 {
+		t.Error("a configuration was taken over beside a fleet's file that is wrong")
+	}
+	s.nodes[0].silence(true) // the old settings hold
+	go f.ask(0)
+	figures(t, s.fronts, "health.condemned", 1)
+	s.nodes[0].silence(false)
+	figures(t, s.fronts, "health.condemned", 0)
+	reload(path, replace(string(good), `"12s"`, `"5s"`))
+	figures(t, []*fleetFront{f}, "reloads_ok", 1)
+	figures(t, []*fleetFront{f}, "served.index", 0)
+}
+
+// A wrong file of the fleet ends the start with one line that names the field, and the status of wrong configurations.
+func TestWrongFleetFileEndsTheStart(t *testing.T) {
+	platform := fmt.Sprintf(platformConfig, freeAddr(t), "127.0.0.1:1")
+	config := write(t, "config.json", platform)
+	for _, c := range []struct{ fleet, says string }{
+		{write(t, "fleet.toml", fleetSettings+zonesOf(1)), "health.enabled: the configuration names no peers"},
+		{write(t, "fleet.toml", "[health]\nenabeld = true\n"), "health.enabeld: unknown"},
+		{"/nowhere/fleet.toml", "RELAY_FLEET"},
+	} {
+		p := start(t, []string{"RELAY_CONFIG=" + config, "RELAY_FLEET=" + c.fleet})
+		err := standin.Await(t, "the end", p.done)
+		exit, text := new(exec.ExitError), p.output.String()
+		if !errors.As(err, &exit) || exit.ExitCode() != exitMisused || strings.Count(text, "\n") != 1 || !strings.Contains(text, c.says) {
+			t.Errorf("%v, %q, want %q", err, text, c.says)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/otterturn/fleet_site_test.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"otterturn/internal/standin"
+)
+
+// fleetSite is a few fronts, each a process of the program, before a few nodes, with a relay between all of them.
+type fleetSite struct {
+	t      *testing.T
+	relay  *standin.Relay
+	nodes  []*auditedNode // by shard
+	fronts []*fleetFront
+}
+
+// fleetFront is one process.
+type fleetFront struct {
+	*process
+	t             *testing.T
+	number        int
+	addr, control string
+	listen        netip.AddrPort  // for messages of other fronts
+	config        string          // path of its configuration
+	pipes         []*standin.Pipe // by node
+	client        *http.Client
+}
+
+// fleetSettings are the figures of the fleet's file, slow enough for a busy machine: what counts is how they compare.
+const fleetSettings = `[health]
+enabled = true
+probers = 3
+quorum = 2
+suspect_after = "200ms"
+probe_late = "400ms"
+evidence_life = "12s"
+takeover_after = "1s"
+probes_per_node = 40
+message_bytes = 8192
+`
+
+// zonesOf writes zones of so many fronts, numbered on.
+func zonesOf(sizes ...int) string {
+	var out strings.Builder
+	first := 0
+	for i, n := range sizes {
+		fmt.Fprintf(&out, "[[zones]]\nname = \"zone-%d\"\nregion = \"north\"\nfronts = [\"%d-%d\"]\n", i, first, first+n-1)
+		first += n
+	}
+	return out.String()
+}
+
+// newFleetSite starts fronts before nodes, which hold a shard each. fleetFile is the path of the fleet's file, "" for
+// none. It returns once each front has served a request of each node.
+func newFleetSite(t *testing.T, fronts, nodes int, fleetFile string) *fleetSite {
+	t.Helper()
+	s := &fleetSite{t: t, relay: standin.NewRelay(t, rand.Uint64())}
+	for i := range nodes {
+		s.nodes = append(s.nodes, newAuditedNode(t, fmt.Sprint("s-", i), fronts))
+	}
+	var listens []netip.AddrPort
+	for range fronts {
+		listens = append(listens, netip.MustParseAddrPort(freePeer(t)))
+	}
+	peers := s.relay.Mesh(listens)
+	for i := range fronts {
+		s.fronts = append(s.fronts, s.newFront(i, listens[i], peers[i]))
+	}
+	for _, f := range s.fronts {
+		f.start(fleetFile)
+	}
+	s.each(func(f *fleetFront) {
+		for shard := range s.nodes {
+			f.serves(shard)
+		}
+	})
+	return s
+}
+
+// each runs a function for all fronts side by side.
+func (s *fleetSite) each(do func(f *fleetFront)) {
+	var wait sync.WaitGroup
+	for _, f := range s.fronts {
+		wait.Go(func() { do(f) })
+	}
+	wait.Wait()
+}
+
+func (s *fleetSite) newFront(number int, listen netip.AddrPort, peers []netip.AddrPort) *fleetFront {
+	s.t.Helper()
+	f := &fleetFront{t: s.t, number: number, listen: listen, addr: freeAddr(s.t), control: freeAddr(s.t),
+		client: &http.Client{Timeout: standin.Patience, Transport: &http.Transport{}}}
+	var hosts, names []string
+	for shard, n := range s.nodes {
+		pipe := s.relay.Pipe(n.addrs[number])
+		f.pipes = append(f.pipes, pipe)
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"site":"a","block":%d,"health":"up","born_ms":0}`, n.name, pipe.Addr, shard))
+	}
+	for _, p := range peers {
+		names = append(names, strconv.Quote(p.String()))
+	}
+	list := fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[%s]}`, strings.Join(hosts, ","))
+	discovery := httpPeer(s.t, func(r *http.Request) string {
+		if r.URL.Query().Get("from") == "42" {
+			return ""
+		}
+		return list
+	})
+	text := strings.NewReplacer(`"peers":[]`, fmt.Sprintf(`"control":%q,"peer_listen":%q,"peers":[%s]`, f.control, listen, strings.Join(names, ",")),
+		`"balancers":1`, fmt.Sprintf(`"balancers":%d,"slotNo":%d`, len(peers), number), `"probing":true`, `"probing":true,"peers":true`,
+		`"connectTimeoutUs":250000`, `"connectTimeoutUs":500000`,
+		`"shards":1`, fmt.Sprintf(`"shards":%d`, len(s.nodes))).Replace(fmt.Sprintf(platformConfig, f.addr, discovery))
+	f.config = write(s.t, "config.json", text)
+	return f
+}
+
+// start starts the front's process.
+func (f *fleetFront) start(fleetFile string) {
+	f.t.Helper()
+	f.process = start(f.t, []string{"RELAY_CONFIG=" + f.config, "RELAY_FLEET=" + fleetFile})
+}
+
+// ask sends a request for a shard and returns the answer's status, 0 for none.
+func (f *fleetFront) ask(shard int) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+f.addr+piece, nil)
+	if err != nil {
+		f.t.Error(err)
+		return 0
+	}
+	for k, v := range map[string]string{"X-Correlation-Id": anID(), "X-Service-Class": "read", "X-Plan": "gold", "X-Time-Left": "3000m",
+		"X-IO": fmt.Sprintf("units=1,shard=%d,hosts=1", shard)} {
+		r.Header.Set(k, v)
+	}
+	resp, err := f.client.Do(r)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// serves waits until a request for a shard is served.
+func (f *fleetFront) serves(shard int) {
+	f.t.Helper()
+	standin.Until(f.t, fmt.Sprintf("a request of shard %d served by front %d", shard, f.number), func() bool { return f.ask(shard) == http.StatusOK })
+}
+
+// figure is one line of what the front tells operators, -1 where there is none.
+func (f *fleetFront) figure(name string) int {
+	_, text := call(f.t, "GET", f.control, "/stats")
+	found := regexp.MustCompile(`(?m)^svc\.` + regexp.QuoteMeta(name) + `:(\d+)\|`).FindStringSubmatch(text)
+	if found == nil {
+		return -1
+	}
+	n, err := strconv.Atoi(found[1])
+	if err != nil {
+		f.t.Error(err)
+	}
+	return n
+}
+
+// figures waits until a figure has a value at all of the fronts.
+func figures(t *testing.T, fronts []*fleetFront, name string, want int) {
+	t.Helper()
+	for _, f := range fronts {
+		standin.Until(t, fmt.Sprintf("%s of %d at front %d", name, want, f.number), func() bool { return f.figure(name) == want })
+	}
+}
+
+// verdicts counts how often a front's zone found a node silent.
+func (f *fleetFront) verdicts() int {
+	return strings.Count(f.output.String(), "the zone found a node silent")
+}
+
+// fleetText writes a fleet's file and returns its path.
+func fleetText(t *testing.T, settings string, zones ...int) string {
+	t.Helper()
+	return write(t, "fleet.toml", settings+zonesOf(zones...))
+}
+
+// since is for how long something has gone on, in seconds.
+func since(at time.Time) float64 { return time.Since(at).Seconds() }
--- /dev/null
+++ b/cmd/otterturn/fleet_view_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"otterturn/internal/standin"
+)
+
+// replace is a text with another one in the place of what must be there.
+func replace(text, old, with string) string {
+	if !strings.Contains(text, old) {
+		panic("there is no " + old)
+	}
+	return strings.Replace(text, old, with, 1)
+}
+
+// A front that is cut off from a node by itself has the others look, and condemns nothing for them: they go on.
+func TestOneFrontsWrongViewCondemnsNothing(t *testing.T) {
+	const fronts = 4
+	s := newFleetSite(t, fronts, 1, fleetText(t, replace(fleetSettings, "probers = 3", "probers = 4"), fronts))
+	node, wrong, others := s.nodes[0], s.fronts[0], s.fronts[1:]
+	node.forget()
+	wrong.pipes[0].Set(standin.Faults{Cut: true})
+	go wrong.ask(0)
+	standin.Until(t, "the front that is cut off to avoid the node", func() bool { return wrong.figure("chunk_servers_excluded") == 1 })
+	for _, f := range others {
+		standin.Until(t, "a probe of another front", func() bool { return node.probed(f.number) > 0 })
+	}
+	sent := wrong.figure("health.probes")
+	standin.Until(t, "three further probes of the front that is cut off", func() bool { return wrong.figure("health.probes") >= sent+3 })
+	for _, f := range others {
+		if n := f.verdicts(); n != 0 || f.figure("chunk_servers_excluded") != 0 {
+			t.Errorf("front %d avoids the node by another one's word (%d verdicts)", f.number, n)
+		}
+		if status := f.ask(0); status != http.StatusOK {
+			t.Errorf("front %d: %d", f.number, status)
+		}
+	}
+	wrong.pipes[0].Set(standin.Faults{})
+	wrong.serves(0)
+}
+
+// A zone that can't see a node avoids it, and another zone goes on using it.
+func TestZoneThatCannotSeeANodeStopsNoOtherZone(t *testing.T) {
+	s := newFleetSite(t, 6, 1, fleetText(t, fleetSettings, 3, 3))
+	blind, seeing := s.fronts[:3], s.fronts[3:]
+	for _, f := range blind {
+		f.pipes[0].Set(standin.Faults{Cut: true})
+	}
+	go blind[0].ask(0)
+	figures(t, blind, "health.condemned", 1)
+	for _, f := range seeing {
+		for range 5 {
+			if status := f.ask(0); status != http.StatusOK {
+				t.Errorf("front %d of the other zone: %d", f.number, status)
+			}
+		}
+		if n := f.verdicts(); n != 0 || f.figure("health.messages_received") != 0 {
+			t.Errorf("front %d of the other zone: %d verdicts, %d messages", f.number, n, f.figure("health.messages_received"))
+		}
+	}
+	for _, f := range blind {
+		f.pipes[0].Set(standin.Faults{})
+	}
+	figures(t, blind, "health.condemned", 0)
+	for _, f := range blind {
+		f.serves(0)
+	}
+}
+
+// Messages are lost, repeated and reordered, and two fronts hear each other one way alone: the zone finds a silent node
+// and its return all the same, and a node that answers is not condemned.
+func TestVerdictsOverBadLinks(t *testing.T) {
+	const fronts = 5
+	s := newFleetSite(t, fronts, 2, fleetText(t, fleetSettings, fronts))
+	for i := range fronts {
+		for j := range fronts {
+			s.relay.Datagrams(i, j).Set(standin.Faults{Loss: 0.3, Repeat: 0.3, Jitter: 60 * time.Millisecond})
+		}
+	}
+	s.relay.Datagrams(1, 2).Set(standin.Faults{Cut: true})
+	for round := range 2 {
+		s.nodes[0].silence(true)
+		go s.fronts[round].ask(0)
+		figures(t, s.fronts, "health.condemned", 1)
+		s.each(func(f *fleetFront) { f.serves(1) })
+		s.nodes[0].silence(false)
+		figures(t, s.fronts, "health.condemned", 0)
+		s.each(func(f *fleetFront) { f.serves(0) })
+	}
+	for _, f := range s.fronts {
+		for _, line := range strings.Split(f.output.String(), "\n") {
+			if strings.Contains(line, "found a node silent") && !strings.Contains(line, `"node":"s-0"`) {
+				t.Errorf("front %d: %s", f.number, line)
+			}
+		}
+	}
+}
+
+// Fronts are stopped for some seconds, while they have requests out and while they probe, and go on: the time that they
+// did not look is no node's silence.
+func TestPausedFrontsCondemnNothing(t *testing.T) {
+	const fronts = 4
+	s := newFleetSite(t, fronts, 2, fleetText(t, replace(fleetSettings, "probers = 3", "probers = 4"), fronts))
+	paused, others := s.fronts[:2], s.fronts[2:]
+	s.nodes[0].silence(true) // so that there are probers and probes
+	go others[0].ask(0)
+	figures(t, s.fronts, "health.condemned", 1)
+	for range 2 {
+		for _, f := range paused {
+			for range 4 {
+				go f.ask(1)
+			}
+			if err := f.Process.Signal(syscall.SIGSTOP); err != nil {
+				t.Fatal(err)
+			}
+		}
+		stopped := time.Now()
+		standin.Until(t, "two seconds of service by others", func() bool {
+			for _, f := range others {
+				if status := f.ask(1); status != http.StatusOK {
+					t.Errorf("front %d: %d while others are stopped", f.number, status)
+				}
+			}
+			return since(stopped) > 2
+		})
+		for _, f := range paused {
+			if err := f.Process.Signal(syscall.SIGCONT); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, f := range paused {
+			f.serves(1)
+		}
+	}
+	s.nodes[0].silence(false)
+	figures(t, s.fronts, "health.condemned", 0)
+	s.each(func(f *fleetFront) { f.serves(0) })
+	for _, f := range s.fronts {
+		if text := f.output.String(); strings.Contains(text, `"node":"s-1"`) {
+			t.Errorf("front %d condemned a node that answers:\n%s", f.number, text)
+		}
+	}
+}
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -56,7 +56,6 @@
 
 // Run has the monitor decide until ctx ends: events that wait go into one step together.
 func (m *Monitor) Run(ctx context.Context) {
-	defer m.waiters.release()
 	defer close(m.stopped)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
--- a/internal/fleet/monitor/waiters.go
+++ b/internal/fleet/monitor/waiters.go
@@ -7,7 +7,7 @@
 	"otterturn/rules"
 )
 
-// waiters are the calls of Probe that wait for an answer, by node.
+// waiters are the calls of Probe that wait for an answer, by node. Each call leaves by itself.
 type waiters struct {
 	mu     sync.Mutex
 	byNode map[string][]chan rules.Probed
@@ -44,10 +44,3 @@
 		delete(w.byNode, node)
 	}
 }
-
-// release forgets all calls. Those who wait have heard of the end by other means.
-func (w *waiters) release() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.byNode = nil
-}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -17,8 +17,8 @@
 // fleetVariable names the operator's file of what the fronts do together. Where it is not set each acts for itself.
 const fleetVariable = "RELAY_FLEET"
 
-// longestEvidence is the most that evidence may live: messages tell its age in 16 bits of milliseconds.
-const longestEvidence = time.Minute
+// longestEvidence is the most that evidence may live.
+const longestEvidence = time.Duration(health.MaxEvidenceLife) * time.Microsecond
 
 // Fleet is the operator's file of what the fronts do together.
 type Fleet struct {
@@ -110,8 +110,8 @@
 		return fmt.Errorf("health.quorum: %d, must be 2 at least and no more than health.probers, %d", h.Quorum, h.Probers)
 	case !(h.ProbesPerNode > 0):
 		return errors.New("health.probes_per_node: must be above 0")
-	case !(h.MessageBytes > 0):
-		return errors.New("health.message_bytes: must be above 0")
+	case !(h.MessageBytes >= health.MessageLimit):
+		return fmt.Errorf("health.message_bytes: must be %d at least, for one message a second", health.MessageLimit)
 	case h.EvidenceLife > longestEvidence:
 		return fmt.Errorf("health.evidence_life: %v, must be %v at most", h.EvidenceLife, longestEvidence)
 	}
@@ -136,13 +136,12 @@
 	for i := range out {
 		out[i] = none
 	}
-	names := map[string]bool{}
+	names, members := map[string]bool{}, make([]int, len(f.Zones))
 	for i, z := range f.Zones {
 		if z.Name == "" || names[z.Name] {
 			return nil, fmt.Errorf("zones[%d].name: missing or taken", i)
 		}
 		names[z.Name] = true
-		members := 0
 		for _, text := range z.Fronts {
 			first, last, err := parseFronts(text, fronts)
 			if err != nil {
@@ -154,10 +153,7 @@
 				}
 				out[n] = i
 			}
-			members += last - first + 1
-		}
-		if f.Health.Probers > members {
-			return nil, fmt.Errorf("health.probers: %d, but zones[%d] has %d fronts", f.Health.Probers, i, members)
+			members[i] += last - first + 1
 		}
 	}
 	for n, zone := range out {
@@ -165,6 +161,11 @@
 			return nil, fmt.Errorf("zones: front %d is in none", n)
 		}
 	}
+	for i, n := range members {
+		if f.Health.Probers > n {
+			return nil, fmt.Errorf("health.probers: %d, but zones[%d] has %d fronts", f.Health.Probers, i, n)
+		}
+	}
 	return out, nil
 }
 
