--- a/internal/lab/sockets/site.go
+++ b/internal/lab/sockets/site.go
@@ -110,10 +110,10 @@
 
 func (s *Site) front(i int) (*front, error) {
 	l := limits.For(limits.Site{MemoryMB: 192, Sockets: 1024, Connect: 250 * time.Millisecond, ConnIdle: 15 * time.Second, Deadline: time.Minute})
-	l.StopAccept, l.StopServe, l.StopAtMost = 0, 0, time.Millisecond // there is no one left to wait for
+	l.Stop.Accept, l.Stop.Serve, l.Stop.AtMost = 0, 0, time.Millisecond // there is no one left to wait for
 	f := &front{site: s, nodes: transport.NewNodes(l), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 	set := s.set
-	set.Rules.MaxOpen = l.Hold
+	set.Rules.MaxOpen = l.Requests.Scheduled
 	set.Rules.Number, set.Rules.Peers = i, false // no messages go between these fronts
 	var err error
 	if f.core, err = routing.New(set.Rules, int64(i), l, transport.NewProber(f.nodes, set, logs.Quiet()).Probe); err != nil {
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -9,20 +9,20 @@
 // sockets for clients would soon not have been enough, and all bounds together must stay within what there is.
 func TestSocketsAreShared(t *testing.T) {
 	l := For(Site{MemoryMB: 192, Sockets: 1024, Open: 10_000})
-	if sum := l.ClientConns + l.SpareConns + l.NodeConns + reserved; sum > 1024 {
+	if sum := l.Clients.Conns + l.Clients.SpareConns + l.Nodes.Conns + reservedSockets; sum > 1024 {
 		t.Errorf("%d sockets in all", sum)
 	}
-	if l.ClientConns < 600 || l.NodeConns < 200 || l.Open != l.ClientConns {
-		t.Errorf("clients %d, nodes %d, open %d", l.ClientConns, l.NodeConns, l.Open)
+	if l.Clients.Conns < 600 || l.Nodes.Conns < 200 || l.Requests.Open != l.Clients.Conns {
+		t.Errorf("clients %d, nodes %d, open %d", l.Clients.Conns, l.Nodes.Conns, l.Requests.Open)
 	}
-	if bodies := 2 * int64(l.ClientConns) * l.Body; bodies > l.Memory {
+	if bodies := 2 * int64(l.Clients.Conns) * l.Requests.BufferedBytes; bodies > l.Memory {
 		t.Errorf("bodies of %d bytes in %d", bodies, l.Memory)
 	}
 }
 
 // A node's second answer may come some milliseconds behind its first, and must find no request on the connection.
 func TestConnectionsRestForLongerThanALateAnswer(t *testing.T) {
-	if rest := For(Site{MemoryMB: 192, Sockets: 1024}).NodeSettle; rest < 5*time.Millisecond {
+	if rest := For(Site{MemoryMB: 192, Sockets: 1024}).Nodes.ReuseDelay; rest < 5*time.Millisecond {
 		t.Errorf("%v", rest)
 	}
 }
@@ -32,13 +32,13 @@
 func TestNewsIsHeardInTime(t *testing.T) {
 	for _, fronts := range []int{1, 10, 80, 350, 1024, 4096} {
 		l := For(Site{MemoryMB: 192, Sockets: 1024, Askers: fronts})
-		if way := l.WatchHold + l.WatchSilence + l.WatchMost*3/2; way > 6*time.Second || l.WatchSpread > 4*time.Second {
-			t.Errorf("%d fronts: %v behind silence, first calls within %v", fronts, way, l.WatchSpread)
+		if way := l.Discovery.WatchHold + l.Discovery.AnswerTimeout + l.Discovery.RetryMax*3/2; way > 6*time.Second || l.Discovery.StartSpread > 4*time.Second {
+			t.Errorf("%d fronts: %v behind silence, first calls within %v", fronts, way, l.Discovery.StartSpread)
 		}
 	}
 	for _, grace := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 5 * time.Second} {
 		l := For(Site{MemoryMB: 192, Sockets: 1024, DrainGrace: grace})
-		if way := l.WatchHold + l.WatchSilence + l.WatchMost*3/2; way > grace || l.WatchSpread > 0 {
+		if way := l.Discovery.WatchHold + l.Discovery.AnswerTimeout + l.Discovery.RetryMax*3/2; way > grace || l.Discovery.StartSpread > 0 {
 			t.Errorf("grace %v: heard of %v later", grace, way)
 		}
 	}
--- /dev/null
+++ b/internal/limits/operation.go
@@ -0,0 +1,90 @@
+package limits
+
+import "time"
+
+// A front's own agent answers at once and at no cost, or not at all while discovery is down, and what it has counts as
+// told: so a call that is not answered is given up, and the next one made, within the time in which a drain has to be
+// heeded. Three of these parts of it are gone then at the latest, and an eighth.
+const (
+	agentParts    = 4
+	minDrainGrace = 200 * time.Millisecond // the grace is reckoned within these bounds
+	maxDrainGrace = 2 * time.Second
+)
+
+// What one discovery answers, for all fronts that ask it: as 80 fronts began to ask together it answered one watch that
+// begins in 30 ms, and nothing was seen of one that goes on. Half of it is left to it, as far as that can be waited for:
+// whether it hears of it or not, a front counts as told 6 s behind the news, and 4 s behind SIGHUP. The longest way to news
+// is a watch that falls silent, and the pause before the next call, or a call that fails, and that pause.
+const (
+	sharedSpreadPerFront = 60 * time.Millisecond
+	sharedMaxSpread      = 3 * time.Second         // first watches begin within this, whatever the number of fronts
+	sharedWatchHold      = 2 * time.Second         // a watch that goes on is asked anew as seldom as this
+	sharedAnswerTimeout  = 2 * time.Second         // and one that begins may wait in turn for so long
+	sharedRetryMax       = 1300 * time.Millisecond // a pause is one and a half times as long at most
+)
+
+const (
+	minListBytes = 1 << 20 // 2,000 nodes take 400 KiB, and twice that while they are read
+	watchRetry   = 50 * time.Millisecond
+)
+
+func discoveryLimits(site Site, got shares) DiscoveryLimits {
+	part := min(max(site.DrainGrace, minDrainGrace), maxDrainGrace) / agentParts
+	out := DiscoveryLimits{
+		ListBytes:     max(minListBytes, got.memory/memoryFraction),
+		WatchHold:     part,
+		AnswerTimeout: part,
+		RetryMin:      watchRetry,
+		RetryMax:      part,
+		StartSpread:   min(time.Duration(site.Askers)*sharedSpreadPerFront, sharedMaxSpread),
+	}
+	if site.Askers > 0 {
+		out.WatchHold = sharedWatchHold
+		out.AnswerTimeout = sharedAnswerTimeout
+		out.RetryMax = sharedRetryMax
+	}
+	return out
+}
+
+// A process is killed after SIGTERM no earlier than its longest deadline, counted as stopMaxDeadline where that is
+// longer, and stopExtra.
+const (
+	stopMaxDeadline     = 3 * time.Second
+	stopExtra           = 700 * time.Millisecond
+	stopServeMargin     = 350 * time.Millisecond // before the kill connections bring no requests any more
+	stopAnswerMargin    = 100 * time.Millisecond // before the kill all requests are answered
+	stopAccept          = 500 * time.Millisecond
+	stopAtMostExtra     = 2 * time.Second // beyond the longest deadline
+	stopConnsPerRequest = 2
+	stopCheckInterval   = 50 * time.Millisecond
+	handoverTimeout     = 2 * time.Second
+)
+
+func stopLimits(site Site) StopLimits {
+	kill := min(site.Deadline, stopMaxDeadline) + stopExtra
+	return StopLimits{
+		Accept:          stopAccept,
+		Serve:           kill - stopServeMargin,
+		Answer:          kill - stopAnswerMargin,
+		AtMost:          site.Deadline + stopAtMostExtra,
+		ConnsPerRequest: stopConnsPerRequest,
+		CheckInterval:   stopCheckInterval,
+		HandoverTimeout: handoverTimeout,
+	}
+}
+
+const (
+	controlConns         = 16
+	controlCallTimeout   = 5 * time.Second
+	controlBodyBytes     = 4 << 10
+	controlReportTimeout = 700 * time.Millisecond
+)
+
+func controlLimits() ControlLimits {
+	return ControlLimits{
+		Conns:         controlConns,
+		CallTimeout:   controlCallTimeout,
+		BodyBytes:     controlBodyBytes,
+		ReportTimeout: controlReportTimeout,
+	}
+}
--- a/internal/net/control/control.go
+++ b/internal/net/control/control.go
@@ -31,14 +31,14 @@
 
 // New returns a server for a front.
 func New(f Front, l limits.Limits) *Server {
-	s := &Server{front: f, calls: &calls{most: l.Calls, open: map[net.Conn]int{}}}
+	s := &Server{front: f, calls: &calls{most: l.Control.Conns, open: map[net.Conn]int{}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthcheck", s.health)
 	mux.HandleFunc("GET /stats", s.stats)
 	mux.HandleFunc("POST /chunk-servers/{id}/maint", s.ban)
 	mux.HandleFunc("POST /chunk-servers/{id}/ready", s.lift)
-	s.http = &http.Server{Handler: http.MaxBytesHandler(mux, l.CallBody), ReadTimeout: l.Call, WriteTimeout: l.Call,
-		MaxHeaderBytes: l.Header, ErrorLog: log.New(io.Discard, "", 0), ConnState: s.calls.track}
+	s.http = &http.Server{Handler: http.MaxBytesHandler(mux, l.Control.BodyBytes), ReadTimeout: l.Control.CallTimeout, WriteTimeout: l.Control.CallTimeout,
+		MaxHeaderBytes: l.Requests.HeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnState: s.calls.track}
 	s.http.SetKeepAlivesEnabled(false)
 	return s
 }
--- a/internal/net/routing/ask_test.go
+++ b/internal/net/routing/ask_test.go
@@ -13,7 +13,7 @@
 func TestQuestionsWaitForWhatCameAheadOfThem(t *testing.T) {
 	set := rules.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, Classes: []rules.Class{{Aim: 300_000}},
 		Plans: []rules.Plan{{Weight: 1}}}
-	c, err := New(set, 1, limits.Limits{Inbox: 8, IDs: 1}, nil)
+	c, err := New(set, 1, limits.Limits{Requests: limits.RequestLimits{Inbox: 8, PastIDs: 1}}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -89,8 +89,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("scheduler: %w", err)
 	}
-	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, l.Inbox),
-		stopped: make(chan struct{}), calls: map[string]*call{}, taken: newTaken(rules.Micros(l.IDKeep/time.Microsecond), l.IDs),
+	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, l.Requests.Inbox),
+		stopped: make(chan struct{}), calls: map[string]*call{}, taken: newTaken(rules.Micros(l.Requests.IDRetention/time.Microsecond), l.Requests.PastIDs),
 		writeDown: make(chan struct{}, 1), Note: func(int, rules.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
 }
 
--- a/internal/net/transport/answer.go
+++ b/internal/net/transport/answer.go
@@ -22,9 +22,9 @@
 // is one. A long one is passed on as it comes: its body is a longAnswer.
 func (s *Nodes) read(ctx context.Context, c *nodes.Conn[*stream], r *http.Request) (resp *http.Response, body []byte, err error) {
 	in, informational := c.Session, 0
-	in.limit.N = int64(s.limits.Header)
+	in.limit.N = int64(s.limits.Requests.HeaderBytes)
 	for resp == nil || resp.StatusCode < http.StatusOK {
-		if informational++; informational > s.limits.Informational {
+		if informational++; informational > s.limits.Nodes.ResponseHeads {
 			return nil, nil, fmt.Errorf("%w: no end of informational answers", errSpoilt)
 		}
 		if err := c.SetReadDeadline(time.Time{}); err != nil {
@@ -37,7 +37,7 @@
 			return nil, nil, fmt.Errorf("read head: %w", err)
 		}
 		in.first = time.Now()
-		if err := c.SetReadDeadline(in.first.Add(s.limits.AnswerHead)); err != nil {
+		if err := c.SetReadDeadline(in.first.Add(s.limits.Nodes.HeaderTimeout)); err != nil {
 			return nil, nil, fmt.Errorf("read: %w", err)
 		}
 		if resp, err = http.ReadResponse(in.Reader, r); err != nil {
@@ -46,9 +46,9 @@
 	}
 	in.limit.N = math.MaxInt64 // the body is bounded by what is held, or passed on
 	switch {
-	case resp.ContentLength > s.limits.Long || resp.ContentLength > s.limits.Body && resp.StatusCode != http.StatusOK:
+	case resp.ContentLength > s.limits.Requests.StreamedBytes || resp.ContentLength > s.limits.Requests.BufferedBytes && resp.StatusCode != http.StatusOK:
 		return nil, nil, fmt.Errorf("%w: %w", errSpoilt, errTooLong)
-	case resp.ContentLength > s.limits.Body:
+	case resp.ContentLength > s.limits.Requests.BufferedBytes:
 		resp.Body = newLong(resp, c, s.limits, nil)
 		return resp, nil, nil
 	}
@@ -56,17 +56,17 @@
 	piece := make([]byte, 8<<10)
 	for rest := resp.ContentLength < 0; ; {
 		// One that goes on is passed on before its client is late; one that has stopped never comes to an end.
-		n, err := some(ctx, c, resp, piece, time.Now().Add(s.limits.AnswerRest))
+		n, err := some(ctx, c, resp, piece, time.Now().Add(s.limits.Nodes.BodySilence))
 		held.Write(piece[:n])
 		switch {
 		case err == io.EOF:
 			return resp, held.Bytes(), nil
 		case err != nil:
 			return nil, nil, spoilt(ctx, "body", err, in)
-		case rest && resp.StatusCode == http.StatusOK && (int64(held.Len()) > s.limits.Body || time.Since(in.first) > s.limits.AnswerHold):
+		case rest && resp.StatusCode == http.StatusOK && (int64(held.Len()) > s.limits.Requests.BufferedBytes || time.Since(in.first) > s.limits.Nodes.BufferTimeout):
 			resp.Body = newLong(resp, c, s.limits, held.Bytes())
 			return resp, nil, nil
-		case int64(held.Len()) > s.limits.Body:
+		case int64(held.Len()) > s.limits.Requests.BufferedBytes:
 			return nil, nil, fmt.Errorf("%w: %w", errSpoilt, errTooLong)
 		}
 	}
@@ -130,7 +130,7 @@
 
 func newLong(resp *http.Response, c *nodes.Conn[*stream], l limits.Limits, head []byte) *longAnswer {
 	from := *resp
-	return &longAnswer{head: head, from: &from, conn: c, limits: l, left: l.Long, close: resp.Close, ended: func() {}}
+	return &longAnswer{head: head, from: &from, conn: c, limits: l, left: l.Requests.StreamedBytes, close: resp.Close, ended: func() {}}
 }
 
 func (a *longAnswer) Read(p []byte) (n int, err error) {
@@ -139,7 +139,7 @@
 		a.head = a.head[n:]
 		return n, nil
 	}
-	n, err = some(context.Background(), a.conn, a.from, p, time.Now().Add(a.limits.LongSilence))
+	n, err = some(context.Background(), a.conn, a.from, p, time.Now().Add(a.limits.Nodes.StreamSilence))
 	if a.left -= int64(n); a.left < 0 {
 		return 0, errTooLong
 	}
--- a/internal/net/transport/body.go
+++ b/internal/net/transport/body.go
@@ -30,16 +30,16 @@
 	} else if err != nil {
 		return m, http.StatusBadRequest, err
 	}
-	if r.ContentLength > f.limits.Long {
+	if r.ContentLength > f.limits.Requests.StreamedBytes {
 		return m, http.StatusRequestEntityTooLarge, errTooLong
 	}
 	if r.ContentLength == 0 {
 		return m, 0, nil
 	}
 	control := http.NewResponseController(w)
-	left := f.limits.Long
+	left := f.limits.Requests.StreamedBytes
 	next := func(p []byte) (int, error) {
-		if err := control.SetReadDeadline(time.Now().Add(f.limits.BodySilence)); err != nil {
+		if err := control.SetReadDeadline(time.Now().Add(f.limits.Clients.BodySilence)); err != nil {
 			return 0, err
 		}
 		n, err := r.Body.Read(p)
@@ -49,13 +49,13 @@
 		}
 		return n, err
 	}
-	held := make([]byte, min(max(r.ContentLength, 512), f.limits.Body)+1)
+	held := make([]byte, min(max(r.ContentLength, 512), f.limits.Requests.BufferedBytes)+1)
 	n := 0
 	for err == nil && n < len(held) {
 		var got int
 		got, err = next(held[n:])
-		if n += got; n == len(held) && int64(n) <= f.limits.Body { // of a length that was not told
-			held = append(held, make([]byte, min(int64(n), f.limits.Body+1-int64(n)))...)
+		if n += got; n == len(held) && int64(n) <= f.limits.Requests.BufferedBytes { // of a length that was not told
+			held = append(held, make([]byte, min(int64(n), f.limits.Requests.BufferedBytes+1-int64(n)))...)
 		}
 	}
 	m.Body = held[:n]
--- a/internal/net/transport/bounds_test.go
+++ b/internal/net/transport/bounds_test.go
@@ -23,7 +23,7 @@
 		}
 		io.WriteString(c, served)
 	})
-	_, _, front := newFront(t, func(l *limits.Limits) { l.Open = 1 }, addr)
+	_, _, front := newFront(t, func(l *limits.Limits) { l.Requests.Open = 1 }, addr)
 	first, second := dial(t, front), dial(t, front)
 	io.WriteString(first, fmt.Sprintf(request, "one")+"\r\n")
 	standin.Await(t, "the attempt", begun)
@@ -47,7 +47,7 @@
 		io.WriteString(c, served)
 	})
 	f, _, front := newFront(t, func(l *limits.Limits) {
-		l.ClientKeep, l.ClientSettle, l.ReadHead, l.ClientIdle = 3, 0, time.Hour, time.Hour
+		l.Clients.KeptConns, l.Clients.MinIdle, l.Clients.HeaderTimeout, l.Clients.IdleTimeout = 3, 0, time.Hour, time.Hour
 	}, addr, stuck)
 	slow := dial(t, front)
 	io.WriteString(slow, strings.Replace(fmt.Sprintf(request, "slow"), "shard=0", "shard=1", 1)+"\r\n")
@@ -96,7 +96,7 @@
 		io.WriteString(c, served)
 	})
 	_, _, front := newFront(t, func(l *limits.Limits) {
-		l.ReadHead, l.BodySilence = 100*time.Millisecond, 200*time.Millisecond
+		l.Clients.HeaderTimeout, l.Clients.BodySilence = 100*time.Millisecond, 200*time.Millisecond
 	}, addr)
 	put := strings.Replace(fmt.Sprintf(request, "id"), "GET", "PUT", 1) + "Content-Length: 4\r\n\r\n"
 	whole := dial(t, front)
@@ -185,7 +185,7 @@
 		}
 		io.WriteString(c, served)
 	})
-	f, core, front := newFront(t, func(l *limits.Limits) { l.StopServe, l.StopAnswer = 2*time.Second, 3*time.Second }, addr)
+	f, core, front := newFront(t, func(l *limits.Limits) { l.Stop.Serve, l.Stop.Answer = 2*time.Second, 3*time.Second }, addr)
 	kept, idle, slow := dial(t, front), dial(t, front), dial(t, front)
 	idle.ask(t, fmt.Sprintf(request, "idle")+"\r\n")
 	io.WriteString(slow, fmt.Sprintf(request, "slow")+"\r\n")
@@ -211,7 +211,7 @@
 	}
 	for i, c := range []*client{kept, dial(t, front), kept} {
 		r, _ := c.ask(t, fmt.Sprintf(request, fmt.Sprint("after-", i))+"\r\n")
-		if since, _ := f.stopped(); r.StatusCode != 200 || r.Close && since < f.limits.StopServe {
+		if since, _ := f.stopped(); r.StatusCode != 200 || r.Close && since < f.limits.Stop.Serve {
 			t.Errorf("after: %d, closes %v", r.StatusCode, r.Close)
 		}
 	}
--- a/internal/net/transport/clients.go
+++ b/internal/net/transport/clients.go
@@ -23,14 +23,14 @@
 	return &clients{limits: l, conns: map[*clientConn]struct{}{}, changed: make(chan struct{}, 1)}
 }
 
-// enter takes a connection in. Past ClientKeep, the one that has stood longest without a request is closed
+// enter takes a connection in. Past KeptConns, the one that has stood longest without a request is closed
 // for it: clients that ask once and stay, or connect and say nothing, would keep those out that ask, and clients
-// that may have only so many connections would find them all used up. Past ClientConns and the spare ones it waits.
+// that may have only so many connections would find them all used up. Past Conns and the spare ones it waits.
 func (s *clients) enter(c *clientConn) {
 	for !s.fits(c) {
 		select {
 		case <-s.changed:
-		case <-time.After(s.limits.ClientSettle):
+		case <-time.After(s.limits.Clients.MinIdle):
 		}
 	}
 }
@@ -38,10 +38,10 @@
 func (s *clients) fits(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns)-s.unmade >= s.limits.ClientKeep {
+	if len(s.conns)-s.unmade >= s.limits.Clients.KeptConns {
 		s.closeLongest(time.Now())
 	}
-	if len(s.conns) >= s.limits.ClientConns+s.limits.SpareConns && !s.cutEnding() {
+	if len(s.conns) >= s.limits.Clients.Conns+s.limits.Clients.SpareConns && !s.cutEnding() {
 		return false
 	}
 	c.since = time.Now()
@@ -55,9 +55,9 @@
 func (s *clients) closeLongest(now time.Time) {
 	var longest *clientConn
 	for c := range s.conns {
-		wait := s.limits.ClientSettle
+		wait := s.limits.Clients.MinIdle
 		if c.stage == reading {
-			wait = s.limits.ReadHead / 2
+			wait = s.limits.Clients.HeaderTimeout / 2
 		}
 		if c.stage == busy || c.unmade || now.Sub(c.since) < wait || longest != nil && !c.goesBefore(longest) {
 			continue
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -141,7 +141,7 @@
 	if len(p) == 0 {
 		return
 	}
-	room := c.clients.limits.Ahead - len(c.ahead)
+	room := c.clients.limits.Clients.ReadAhead - len(c.ahead)
 	if c.flooded = c.flooded || len(p) > room; c.flooded {
 		time.Sleep(floodPause)
 	}
@@ -157,7 +157,7 @@
 	pass := c.clients.end(c)
 	passed := pass != nil && pass(c.raw) == nil
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); !passed && c.wrote.Load() && ok && half.CloseWrite() == nil {
-		c.Conn.SetReadDeadline(time.Now().Add(c.clients.limits.ClientLinger))
+		c.Conn.SetReadDeadline(time.Now().Add(c.clients.limits.Clients.LastAnswerTimeout))
 		io.Copy(io.Discard, c.Conn)
 	}
 	err := c.Conn.Close()
--- a/internal/net/transport/connections_test.go
+++ b/internal/net/transport/connections_test.go
@@ -58,7 +58,7 @@
 		io.WriteString(c, served)
 	})
 	other, count := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
-	s := newNodes(func(l *limits.Limits) { l.NodeConns = 1 }, addr, other)
+	s := newNodes(func(l *limits.Limits) { l.Nodes.Conns = 1 }, addr, other)
 	probe := NewProber(s, protocol.Settings{}, logs.Quiet()).Probe
 	if got := send(t, s, standin.Patience); got.Result != rules.OK {
 		t.Errorf("the first: %v", got.Result)
--- a/internal/net/transport/crossings_test.go
+++ b/internal/net/transport/crossings_test.go
@@ -40,7 +40,7 @@
 				}
 				io.WriteString(c, served)
 			})
-			_, core, front := newFront(t, func(l *limits.Limits) { l.NodeSettle, l.NodeConns = 0, 1 }, addr)
+			_, core, front := newFront(t, func(l *limits.Limits) { l.Nodes.ReuseDelay, l.Nodes.Conns = 0, 1 }, addr)
 			first, second := dial(t, front), dial(t, front)
 			io.WriteString(first, fmt.Sprintf(request, "first")+"\r\n")
 			standin.Await(t, "the first attempt", begun)
@@ -86,7 +86,7 @@
 			close(late)
 		}
 	})
-	s := newNodes(func(l *limits.Limits) { l.NodeSettle = 300 * time.Millisecond }, addr)
+	s := newNodes(func(l *limits.Limits) { l.Nodes.ReuseDelay = 300 * time.Millisecond }, addr)
 	for i := range 2 {
 		r, _ := http.NewRequest(http.MethodGet, "http://backend.local/read/00000000000000aa/00000000000000bb", nil)
 		resp, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", Begin: t.Context()}, r)
@@ -129,7 +129,7 @@
 
 // A close over bytes that were not read resets the connection, and takes the last answer along.
 func TestLastAnswerOutlivesWhatWasNotRead(t *testing.T) {
-	_, _, front := newFront(t, func(l *limits.Limits) { l.Open = 0 }) // every request is one too many: 503 and a close
+	_, _, front := newFront(t, func(l *limits.Limits) { l.Requests.Open = 0 }) // every request is one too many: 503 and a close
 	for i := range 50 {
 		c := dial(t, front)
 		go c.Write(append([]byte(fmt.Sprintf(request, fmt.Sprint("id-", i))+"\r\n"), make([]byte, 200<<10)...))
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -29,16 +29,16 @@
 	apply func(protocol.List), log *slog.Logger) {
 	client := &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConns: 1,
-		DialContext: (&net.Dialer{Timeout: l.Connect}).DialContext}}
+		DialContext: (&net.Dialer{Timeout: l.Nodes.ConnectTimeout}).DialContext}}
 	defer client.CloseIdleConnections()
-	said, hold := "", l.WatchHold
+	said, hold := "", l.Discovery.WatchHold
 	warn := func(what, text string) {
 		if text != said {
 			said = text
 			log.Warn(what, "address", addr, "error", text)
 		}
 	}
-	calls := pace.New(pace.Figures{Least: l.WatchAgain, Most: l.WatchMost, Spread: l.WatchSpread}, seed)
+	calls := pace.New(pace.Figures{Least: l.Discovery.RetryMin, Most: l.Discovery.RetryMax, Spread: l.Discovery.StartSpread}, seed)
 	rest(ctx, calls.First())
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -54,7 +54,7 @@
 		case list.Seq < seq:
 			warn("discovery goes back, the list stays", fmt.Sprintf("%d behind %d", list.Seq, seq))
 			seq = WholeList
-			rest(ctx, l.WatchAgain)
+			rest(ctx, l.Discovery.RetryMin)
 			continue
 		case len(list.Odd) > 0:
 			warn("entries that can't be true are left out", fmt.Sprintf("%d, of %s first", len(list.Odd), list.Odd[0]))
@@ -64,11 +64,11 @@
 		calls.Served()
 		// An agent that does not hold an empty answer would be asked without end. The next call is due within 200 ms
 		// of an answer, or the watch would have to begin anew.
-		again := hold == 0 || len(list.Hosts) > 0 || time.Since(began) > l.WatchAgain
-		seq, hold = list.Seq, l.WatchHold
+		again := hold == 0 || len(list.Hosts) > 0 || time.Since(began) > l.Discovery.RetryMin
+		seq, hold = list.Seq, l.Discovery.WatchHold
 		apply(list)
 		if !again {
-			rest(ctx, l.WatchAgain)
+			rest(ctx, l.Discovery.RetryMin)
 		}
 	}
 }
@@ -87,7 +87,7 @@
 // fetch asks for what is newer than a version, or for all. Discovery may hold the answer for a while.
 func fetch(ctx context.Context, client *http.Client, addr string, seq int64, hold time.Duration, zones []string,
 	l limits.Limits) (protocol.List, error) {
-	ctx, end := context.WithTimeout(ctx, hold+l.WatchSilence)
+	ctx, end := context.WithTimeout(ctx, hold+l.Discovery.AnswerTimeout)
 	defer end()
 	url := fmt.Sprintf("http://%s/v1/endpoints", addr)
 	if seq != WholeList {
@@ -102,12 +102,12 @@
 		return protocol.List{}, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, l.List+1))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, l.Discovery.ListBytes+1))
 	switch {
 	case err != nil:
 		return protocol.List{}, err
-	case resp.StatusCode != http.StatusOK || int64(len(text)) > l.List:
-		return protocol.List{}, fmt.Errorf("status %d, %d bytes, %d may be read", resp.StatusCode, len(text), l.List)
+	case resp.StatusCode != http.StatusOK || int64(len(text)) > l.Discovery.ListBytes:
+		return protocol.List{}, fmt.Errorf("status %d, %d bytes, %d may be read", resp.StatusCode, len(text), l.Discovery.ListBytes)
 	}
 	return protocol.ParseList(text, zones, rules.Micros(time.Now().Add(clockSlack).UnixMicro()))
 }
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -98,7 +98,7 @@
 	}
 	for tries := 1; ; tries++ {
 		resp, out, written := s.once(ctx, a, r, message)
-		if written || tries == s.limits.WriteTries || a.Begin.Err() != nil {
+		if written || tries == s.limits.Nodes.WriteTries || a.Begin.Err() != nil {
 			return resp, out
 		}
 	}
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -29,7 +29,7 @@
 		conns <- c.RemoteAddr().String()
 		io.WriteString(c, []string{served[:len(served)-1], served + served, served}[n-1])
 	})
-	s := newNodes(func(l *limits.Limits) { l.AnswerRest = 50 * time.Millisecond }, addr)
+	s := newNodes(func(l *limits.Limits) { l.Nodes.BodySilence = 50 * time.Millisecond }, addr)
 	began := time.Now()
 	if got := send(t, s, standin.Patience); got.Result != rules.Errored || time.Since(began) > standin.Patience/2 {
 		t.Errorf("an answer that stops short: %+v", got)
@@ -102,7 +102,7 @@
 
 func newNodes(edit func(*limits.Limits), addrs ...string) *Nodes {
 	l := standin.Limits()
-	l.NodeSettle = 0 // connections are used again at once
+	l.Nodes.ReuseDelay = 0 // connections are used again at once
 	if edit != nil {
 		edit(&l)
 	}
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -64,8 +64,15 @@
 	}
 	// A read deadline that ran on would end net/http's wait for the client's leaving, and count as that. So the
 	// head alone has one here, and the body sets and clears its own.
-	f.server = &http.Server{Handler: f, ReadHeaderTimeout: l.ReadHead, IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header, ErrorLog: quiet, ConnContext: withConn,
-		ConnState: f.clients.track}
+	f.server = &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: l.Clients.HeaderTimeout,
+		IdleTimeout:       l.Clients.IdleTimeout,
+		MaxHeaderBytes:    l.Requests.HeaderBytes,
+		ErrorLog:          quiet,
+		ConnContext:       withConn,
+		ConnState:         f.clients.track,
+	}
 	return f
 }
 
@@ -100,9 +107,9 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer f.open.Add(-1)
 	open := f.open.Add(1)
-	full := open > int64(f.limits.Open)
+	full := open > int64(f.limits.Requests.Open)
 	since, stopping := f.stopped()
-	if stopping && since >= f.limits.StopServe || full {
+	if stopping && since >= f.limits.Stop.Serve || full {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" && r.Method == http.MethodGet {
@@ -113,7 +120,7 @@
 		return
 	}
 	set := f.settings.Load()
-	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), most: f.limits.WriteAnswer}
+	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), most: f.limits.Clients.WriteTimeout}
 	m, status, err := f.read(w, r, *set)
 	defer func() { m.upload.close() }()
 	switch {
@@ -131,7 +138,7 @@
 		return
 	}
 	if stopping { // what comes now must be over when the process may be killed
-		m.Left = min(m.Left, micros(f.limits.StopAnswer-since))
+		m.Left = min(m.Left, micros(f.limits.Stop.Answer-since))
 	}
 	if !f.clients.take(connOf(r.Context())) { // it ended for want of room before it was whole
 		return
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -175,7 +175,7 @@
 		}
 		io.WriteString(c, served)
 	})
-	_, core, front := newFront(t, func(l *limits.Limits) { l.NodeSettle, l.NodeConns = 0, 1 }, addr) // the next one waits for it
+	_, core, front := newFront(t, func(l *limits.Limits) { l.Nodes.ReuseDelay, l.Nodes.Conns = 0, 1 }, addr) // the next one waits for it
 	c := dial(t, front)
 	io.WriteString(c, fmt.Sprintf(request, "id")+"\r\n")
 	standin.Await(t, "the attempt", begun)
--- a/internal/net/transport/handshakes.go
+++ b/internal/net/transport/handshakes.go
@@ -52,7 +52,7 @@
 			h.failed <- err
 			return
 		}
-		time.Sleep(h.limits.AcceptAgain) // no descriptor is left, or the client has gone again
+		time.Sleep(h.limits.AcceptRetry) // no descriptor is left, or the client has gone again
 	}
 }
 
@@ -66,7 +66,7 @@
 func (h *Handshakes) begin(raw net.Conn) *queue.Element {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.open.Len() >= h.limits.Handshakes {
+	if h.open.Len() >= h.limits.Clients.Handshakes {
 		h.open.Front().Value.(net.Conn).Close() // which ends it: its own goroutine takes it off the list
 		h.open.MoveToBack(h.open.Front())
 	}
@@ -74,7 +74,7 @@
 }
 
 func (h *Handshakes) shake(raw net.Conn, at *queue.Element) {
-	limited, end := context.WithTimeout(h.ctx, h.limits.Handshake)
+	limited, end := context.WithTimeout(h.ctx, h.limits.Clients.HandshakeTimeout)
 	conn := tls.Server(raw, h.config)
 	err := conn.HandshakeContext(limited)
 	end()
--- a/internal/net/transport/handshakes_test.go
+++ b/internal/net/transport/handshakes_test.go
@@ -18,7 +18,7 @@
 		t.Fatal(err)
 	}
 	l := standin.Limits()
-	l.Handshakes, l.Handshake = 4, standin.Patience
+	l.Clients.Handshakes, l.Clients.HandshakeTimeout = 4, standin.Patience
 	h := NewHandshakes(standin.Listen(t), &tls.Config{Certificates: []tls.Certificate{cert}}, l)
 	served := make(chan error, 1)
 	go func() {
--- a/internal/net/transport/long_test.go
+++ b/internal/net/transport/long_test.go
@@ -150,7 +150,7 @@
 		}
 	})
 	_, core, front := newFront(t, func(l *limits.Limits) {
-		l.ClientKeep, l.ClientConns, l.NodeConns, l.Open, l.Hold = 2*slow, 2*slow, 2*slow, 2*slow, 2*slow
+		l.Clients.KeptConns, l.Clients.Conns, l.Nodes.Conns, l.Requests.Open, l.Requests.Scheduled = 2*slow, 2*slow, 2*slow, 2*slow, 2*slow
 	}, addr)
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/internal/net/transport/nodes/connect.go
+++ b/internal/net/transport/nodes/connect.go
@@ -14,11 +14,11 @@
 // Renew opens a connection to a node on which another just broke, and keeps it. It tells whether the node took it:
 // a process that died takes none, and one that lives may close connections for reasons of its own.
 func (s *Nodes[T]) Renew(name string) bool {
-	ctx, release := context.WithTimeout(context.Background(), s.limits.Connect)
+	ctx, release := context.WithTimeout(context.Background(), s.limits.Nodes.ConnectTimeout)
 	defer release()
 	s.mu.Lock()
 	n := s.byName[name]
-	if n == nil || s.open >= s.limits.NodeConns && !s.closeLongest() {
+	if n == nil || s.open >= s.limits.Nodes.Conns && !s.closeLongest() {
 		s.mu.Unlock()
 		return false
 	}
@@ -35,11 +35,11 @@
 
 // connect opens the connection that room was reserved for.
 func (s *Nodes[T]) connect(ctx context.Context, name string, to reserved[T], wanted func(rules.NodeState) bool) (c *Conn[T], err error) {
-	dialer := net.Dialer{Timeout: s.limits.Connect}
+	dialer := net.Dialer{Timeout: s.limits.Nodes.ConnectTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", to.dial)
 	// A process that has died refuses. One that resets a connection as it comes up lives, and took for dead it
 	// would count as cold, for the whole ramp, once it answers again.
-	for tries := 1; errors.Is(err, syscall.ECONNRESET) && tries < s.limits.ConnectTries; tries++ {
+	for tries := 1; errors.Is(err, syscall.ECONNRESET) && tries < s.limits.Nodes.ConnectTries; tries++ {
 		raw, err = dialer.DialContext(ctx, "tcp", to.dial)
 	}
 	if err == nil {
@@ -62,7 +62,7 @@
 
 // start opens the session on a new connection, within the time for connecting.
 func (s *Nodes[T]) start(ctx context.Context, raw net.Conn) (*Conn[T], error) {
-	raw.SetDeadline(time.Now().Add(s.limits.Connect))
+	raw.SetDeadline(time.Now().Add(s.limits.Nodes.ConnectTimeout))
 	unhook := context.AfterFunc(ctx, func() { raw.Close() })
 	session, err := s.session.Open(raw)
 	if !unhook() && err == nil {
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -161,13 +161,13 @@
 	settles := time.Duration(0)
 	for i := len(n.idle) - 1; i >= 0; i-- {
 		c := n.idle[i]
-		if rest := s.limits.NodeSettle - time.Since(c.idle); rest > 0 {
+		if rest := s.limits.Nodes.ReuseDelay - time.Since(c.idle); rest > 0 {
 			settles = rest
 			continue
 		}
 		n.idle = slices.Delete(n.idle, i, i+1)
 		// A request on a connection that the node has closed would end as a reset that may have run.
-		if time.Since(c.idle) < s.limits.NodeIdle && s.session.Alive(c.Conn, c.Session) {
+		if time.Since(c.idle) < s.limits.Nodes.IdleTimeout && s.session.Alive(c.Conn, c.Session) {
 			return reserved[T]{node: n, conn: c}, nil
 		}
 		s.shut(c)
@@ -175,7 +175,7 @@
 	if settles > 0 {
 		return reserved[T]{settled: time.After(settles)}, nil
 	}
-	if s.open >= s.limits.NodeConns && !s.closeLongest() {
+	if s.open >= s.limits.Nodes.Conns && !s.closeLongest() {
 		return reserved[T]{freed: s.freed}, nil
 	}
 	s.open++
@@ -213,14 +213,14 @@
 
 // Run drops connections that stood idle for long, until ctx ends.
 func (s *Nodes[T]) Run(ctx context.Context) {
-	tick := time.NewTicker(s.limits.NodeIdle/4 + time.Millisecond)
+	tick := time.NewTicker(s.limits.Nodes.IdleTimeout/4 + time.Millisecond)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			s.expire(time.Now().Add(-s.limits.NodeIdle))
+			s.expire(time.Now().Add(-s.limits.Nodes.IdleTimeout))
 		}
 	}
 }
--- a/internal/net/transport/nodes/nodes_test.go
+++ b/internal/net/transport/nodes/nodes_test.go
@@ -21,7 +21,7 @@
 		c.Read(make([]byte, 1)) // until it is closed
 	})
 	l := standin.Limits()
-	l.NodeSettle = 20 * time.Millisecond
+	l.Nodes.ReuseDelay = 20 * time.Millisecond
 	s := New(l, Session[int]{Open: func(net.Conn) (int, error) { return 0, nil }, Alive: func(net.Conn, int) bool { return true }})
 	s.Apply(protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: addr, Listing: rules.Listing{Node: "a"}}}})
 	first, err := s.Acquire(context.Background(), "a", Running)
@@ -38,7 +38,7 @@
 	if err != nil || again != first {
 		t.Errorf("%v, another connection: %v", err, again != first)
 	}
-	if time.Since(first.idle) < l.NodeSettle {
+	if time.Since(first.idle) < l.Nodes.ReuseDelay {
 		t.Error("used again too soon")
 	}
 	if opened.Load() != 1 {
--- a/internal/net/transport/peers.go
+++ b/internal/net/transport/peers.go
@@ -38,7 +38,7 @@
 
 // PeersOn has messages come on a socket that is open.
 func PeersOn(conn *net.UDPConn, addrs []netip.AddrPort, l limits.Limits, log *slog.Logger) *Peers {
-	p := &Peers{resumed: make(chan struct{}, 1), conn: conn, addrs: addrs, numbers: make(map[netip.AddrPort]int, len(addrs)), again: l.AcceptAgain, log: log}
+	p := &Peers{resumed: make(chan struct{}, 1), conn: conn, addrs: addrs, numbers: make(map[netip.AddrPort]int, len(addrs)), again: l.AcceptRetry, log: log}
 	for i, a := range addrs {
 		p.numbers[a] = i
 	}
--- a/internal/net/transport/probe.go
+++ b/internal/net/transport/probe.go
@@ -34,10 +34,10 @@
 // node that another connection would not tell better, so it is asked again.
 func (p *Prober) Probe(node string) rules.Probed {
 	out := rules.Probed{Node: node, Queue: -1}
-	ctx, release := context.WithTimeout(context.Background(), p.nodes.limits.Probe)
+	ctx, release := context.WithTimeout(context.Background(), p.nodes.limits.Nodes.ProbeTimeout)
 	defer release()
 	resp, again, err := p.ask(ctx, node)
-	for tries := 1; again && tries < p.nodes.limits.ProbeTries; tries++ {
+	for tries := 1; again && tries < p.nodes.limits.Nodes.ProbeTries; tries++ {
 		resp, again, err = p.ask(ctx, node)
 	}
 	if err != nil || resp.StatusCode != http.StatusOK {
--- a/internal/net/transport/probe_test.go
+++ b/internal/net/transport/probe_test.go
@@ -80,7 +80,7 @@
 			t.Errorf("call %q", query)
 		}
 	}
-	if pause := standin.Limits().WatchAgain; pause > 150*time.Millisecond {
+	if pause := standin.Limits().Discovery.RetryMin; pause > 150*time.Millisecond {
 		t.Errorf("%v between two calls", pause)
 	}
 	if len(logged) != len(bad) {
--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -66,7 +66,7 @@
 func NewClient(l limits.Limits) *Client {
 	return &Client{Nodes: nodes.New(l, nodes.Session[*session]{
 		Open: func(c net.Conn) (*session, error) {
-			w := &wire{Conn: c, bound: l.FileAnswer}
+			w := &wire{Conn: c, bound: l.Files.ResponseBytes}
 			client, err := sftp.NewClientPipe(w, w)
 			if err != nil {
 				return nil, fmt.Errorf("start of the session: %w", err)
@@ -222,7 +222,7 @@
 func (c *Client) Probe(l limits.Limits) func(node string) rules.Probed {
 	return func(node string) rules.Probed {
 		out := rules.Probed{Node: node, Queue: -1}
-		ctx, release := context.WithTimeout(context.Background(), l.Probe)
+		ctx, release := context.WithTimeout(context.Background(), l.Nodes.ProbeTimeout)
 		defer release()
 		conn, err := c.Acquire(ctx, node, nodes.AnyState)
 		if err != nil {
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -45,7 +45,7 @@
 // NewFront returns a front.
 func NewFront(site Site, l limits.Limits, core *routing.Core, attempt Attempter) *Front {
 	f := &Front{site: site, limits: l, core: core, attempt: attempt, conns: map[*visitor]struct{}{},
-		tallies: map[string]*tally{}, room: make(chan struct{}, l.Open)}
+		tallies: map[string]*tally{}, room: make(chan struct{}, l.Requests.Open)}
 	for _, p := range site.Projects {
 		f.tallies[p.Name] = &tally{}
 	}
@@ -88,7 +88,7 @@
 			return nil
 		}
 		if err != nil { // no descriptor is left, or the client has gone again
-			time.Sleep(f.limits.AcceptAgain)
+			time.Sleep(f.limits.AcceptRetry)
 			continue
 		}
 		if !f.enter(newVisitor(f, c)) {
@@ -101,7 +101,7 @@
 func (f *Front) enter(v *visitor) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closing || len(f.conns) >= f.limits.FileConns {
+	if f.closing || len(f.conns) >= f.limits.Files.Conns {
 		return false
 	}
 	f.conns[v] = struct{}{}
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -289,7 +289,7 @@
 // The node vanished without a word: the command must be answered by its deadline, by the front.
 func TestSilentNodeIsAnsweredForByTheDeadline(t *testing.T) {
 	silent := standin.Peer(t, func(_ int, c net.Conn) { io.Copy(io.Discard, c) })
-	b := newBench(t, 300*time.Millisecond, func(l *limits.Limits) { l.Connect = 100 * time.Millisecond }, silent)
+	b := newBench(t, 300*time.Millisecond, func(l *limits.Limits) { l.Nodes.ConnectTimeout = 100 * time.Millisecond }, silent)
 	if _, err := b.dial().Stat("/a/x"); err == nil || errors.Is(err, os.ErrNotExist) {
 		t.Errorf("stat: %v", err)
 	}
@@ -446,7 +446,7 @@
 
 func TestBoundsOfAClient(t *testing.T) {
 	node := standin.NewFileServer(t)
-	b := newBench(t, 2*time.Second, func(l *limits.Limits) { l.FileHandles, l.FileConns = 2, 2 }, node.Addr)
+	b := newBench(t, 2*time.Second, func(l *limits.Limits) { l.Files.Handles, l.Files.Conns = 2, 2 }, node.Addr)
 	c := b.dial()
 	if err := c.Mkdir("/a"); err != nil {
 		t.Fatal(err)
--- a/internal/net/transport/sftp/leave.go
+++ b/internal/net/transport/sftp/leave.go
@@ -12,7 +12,7 @@
 // watch has what is out for a client lapse once it has left, until ended. What a client sent ahead is not read before its
 // turn, so the end behind it is not read either: the kernel tells of it beside the bytes.
 func (v *visitor) watch(ended <-chan struct{}) {
-	tick := time.NewTicker(v.front.limits.LeaveCheck)
+	tick := time.NewTicker(v.front.limits.Files.LeaveInterval)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/net/transport/sftp/transfer.go
+++ b/internal/net/transport/sftp/transfer.go
@@ -97,7 +97,7 @@
 // rest waits unread.
 func (v *visitor) move(r packet.Request, size int) error {
 	h, _ := v.handles[r.Handle].(*file)
-	cmd := files.Command{Op: files.Read, Offset: int64(r.Offset), Length: min(int(r.Length), v.front.limits.FileRead)}
+	cmd := files.Command{Op: files.Read, Offset: int64(r.Offset), Length: min(int(r.Length), v.front.limits.Files.ReadBytes)}
 	write := r.Kind == packet.Write
 	var err error
 	switch {
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	entry, err := v.front.core.EnterWhenReady(v.taking, request, v.front.limits.FileTake)
+	entry, err := v.front.core.EnterWhenReady(v.taking, request, v.front.limits.Files.AdmitTimeout)
 	if err == nil {
 		_, err = v.in.Discard(lengthBytes + size) // the core has taken it, whatever ends meanwhile
 	}
--- a/internal/net/transport/sftp/upload_test.go
+++ b/internal/net/transport/sftp/upload_test.go
@@ -107,7 +107,7 @@
 		t.Run(fmt.Sprint(clients, " clients"), func(t *testing.T) {
 			node := standin.NewFileServer(t)
 			slowAtWrites(node, 20*time.Millisecond)
-			b := newBench(t, time.Second, func(l *limits.Limits) { l.FileTake = standin.Patience }, node.Addr)
+			b := newBench(t, time.Second, func(l *limits.Limits) { l.Files.AdmitTimeout = standin.Patience }, node.Addr)
 			data := content(2 << 20 / clients)
 			b.inFolder()
 			var all sync.WaitGroup
--- a/internal/net/transport/sftp/visitor.go
+++ b/internal/net/transport/sftp/visitor.go
@@ -45,8 +45,8 @@
 }
 
 func newVisitor(f *Front, c net.Conn) *visitor {
-	v := &visitor{front: f, conn: c, in: bufio.NewReaderSize(c, lengthBytes+f.limits.FilePacket),
-		handles: map[string]handle{}, transfer: make(chan struct{}, f.limits.FileTransfers)}
+	v := &visitor{front: f, conn: c, in: bufio.NewReaderSize(c, lengthBytes+f.limits.Files.PacketBytes),
+		handles: map[string]handle{}, transfer: make(chan struct{}, f.limits.Files.Transfers)}
 	v.ctx, v.left = context.WithCancelCause(context.Background())
 	v.taking, v.noMore = context.WithCancelCause(v.ctx)
 	return v
@@ -123,8 +123,8 @@
 		return nil, err
 	}
 	n := binary.BigEndian.Uint32(head)
-	if n == 0 || n > uint32(v.front.limits.FilePacket) {
-		return nil, fmt.Errorf("%w: %d bytes, at most %d are taken", packet.ErrMalformed, n, v.front.limits.FilePacket)
+	if n == 0 || n > uint32(v.front.limits.Files.PacketBytes) {
+		return nil, fmt.Errorf("%w: %d bytes, at most %d are taken", packet.ErrMalformed, n, v.front.limits.Files.PacketBytes)
 	}
 	if err := v.patient(); err != nil {
 		return nil, err
@@ -138,7 +138,7 @@
 
 // patient starts the time that the client may be silent.
 func (v *visitor) patient() error {
-	err := v.conn.SetReadDeadline(time.Now().Add(v.front.limits.FileIdle))
+	err := v.conn.SetReadDeadline(time.Now().Add(v.front.limits.Files.IdleTimeout))
 	if v.stopping.Load() { // after the deadline is set, as stop sets one too
 		return errStopping
 	}
@@ -158,7 +158,7 @@
 func (v *visitor) send(answer []byte) error {
 	v.writing.Lock()
 	defer v.writing.Unlock()
-	err := v.conn.SetWriteDeadline(time.Now().Add(v.front.limits.WriteAnswer))
+	err := v.conn.SetWriteDeadline(time.Now().Add(v.front.limits.Clients.WriteTimeout))
 	if err == nil {
 		_, err = v.conn.Write(answer)
 	}
@@ -180,7 +180,7 @@
 func (v *visitor) close() {
 	half, ok := v.conn.(interface{ CloseWrite() error }) // TCP and TLS alike
 	if ok && v.stopping.Load() && half.CloseWrite() == nil {
-		v.conn.SetReadDeadline(time.Now().Add(v.front.limits.StopLinger))
+		v.conn.SetReadDeadline(time.Now().Add(v.front.limits.Files.LastAnswerTimeout))
 		io.Copy(io.Discard, v.conn)
 	}
 	v.conn.Close()
--- a/internal/net/transport/stop.go
+++ b/internal/net/transport/stop.go
@@ -27,21 +27,21 @@
 	if f.yielded.Load() {
 		return f.leave(began)
 	}
-	tick := time.NewTicker(f.limits.StopCheck)
+	tick := time.NewTicker(f.limits.Stop.CheckInterval)
 	defer tick.Stop()
 	for now := range tick.C {
 		since, left := now.Sub(began), f.clients.count()
 		if room != nil && left > 0 {
-			room(max(1, left/f.limits.StopShare))
+			room(max(1, left/f.limits.Stop.ConnsPerRequest))
 		}
-		if since < f.limits.StopAccept {
+		if since < f.limits.Stop.Accept {
 			continue
 		}
-		if since >= f.limits.StopServe {
+		if since >= f.limits.Stop.Serve {
 			f.shutDoor()
-			left = f.clients.closeIdle(now.Add(-f.limits.StopCheck))
+			left = f.clients.closeIdle(now.Add(-f.limits.Stop.CheckInterval))
 		}
-		if left == 0 && f.open.Load() == 0 || since > f.limits.StopAtMost {
+		if left == 0 && f.open.Load() == 0 || since > f.limits.Stop.AtMost {
 			break
 		}
 	}
@@ -81,16 +81,16 @@
 func (f *Front) Take(c net.Conn) {
 	select {
 	case f.passed <- c:
-	case <-time.After(f.limits.ReadHead): // the front has ended, or is full
+	case <-time.After(f.limits.Clients.HeaderTimeout): // the front has ended, or is full
 		c.Close()
 	}
 }
 
 // leave ends the front once all that it keeps yet is answered and passed on, as another process serves in its place.
 func (f *Front) leave(began time.Time) error {
-	for tick := time.NewTicker(f.limits.StopCheck); ; <-tick.C {
+	for tick := time.NewTicker(f.limits.Stop.CheckInterval); ; <-tick.C {
 		idle := f.clients.count() == 0 && f.open.Load() == 0
-		if idle || time.Since(began) > f.limits.StopAtMost {
+		if idle || time.Since(began) > f.limits.Stop.AtMost {
 			tick.Stop()
 			return f.server.Close()
 		}
--- a/internal/net/transport/upload.go
+++ b/internal/net/transport/upload.go
@@ -49,7 +49,7 @@
 // begin sends a long request to a node as it comes. Its body has begun with held. An error tells that the node can't have it;
 // the client's own faults are clientError.
 func (s *Nodes) begin(ctx context.Context, node string, r *http.Request, held []byte, next func(p []byte) (int, error)) (*upload, error) {
-	limited, end := context.WithTimeout(ctx, 2*s.limits.Connect) // where all sockets are in use it waits for one
+	limited, end := context.WithTimeout(ctx, 2*s.limits.Nodes.ConnectTimeout) // where all sockets are in use it waits for one
 	defer end()
 	c, err := s.Acquire(limited, node, nodes.Running)
 	if err != nil {
@@ -113,7 +113,7 @@
 
 // write sends what is pending. The node may take a while for it: its client waits as long.
 func (u *upload) write(pending *bytes.Buffer, l limits.Limits) error {
-	if err := u.conn.SetWriteDeadline(time.Now().Add(l.LongSilence)); err != nil {
+	if err := u.conn.SetWriteDeadline(time.Now().Add(l.Nodes.StreamSilence)); err != nil {
 		return err
 	}
 	if _, err := u.conn.Write(pending.Bytes()); err != nil {
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -112,7 +112,7 @@
 	}
 	var err error
 	set := o.Settings().Rules
-	set.MaxOpen = l.Hold
+	set.MaxOpen = l.Requests.Scheduled
 	a.core, err = routing.New(set, rand.Int64(), l, probe)
 	if err != nil {
 		return nil, err
--- a/internal/program/certificates.go
+++ b/internal/program/certificates.go
@@ -53,8 +53,8 @@
 		return fmt.Errorf("certificates: %w", err)
 	}
 	if set.HTTP {
-		answers := &http.Server{Handler: a.certs.HTTP(), ReadTimeout: a.limits.ReadRequest, WriteTimeout: a.limits.WriteAnswer,
-			IdleTimeout: a.limits.ClientIdle, MaxHeaderBytes: a.limits.Header, ErrorLog: quiet}
+		answers := &http.Server{Handler: a.certs.HTTP(), ReadTimeout: a.limits.Clients.ChallengeTimeout, WriteTimeout: a.limits.Clients.WriteTimeout,
+			IdleTimeout: a.limits.Clients.IdleTimeout, MaxHeaderBytes: a.limits.Requests.HeaderBytes, ErrorLog: quiet}
 		serve := func(l net.Listener) error {
 			if err := answers.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				return err
--- a/internal/program/console.go
+++ b/internal/program/console.go
@@ -56,7 +56,7 @@
 			return nil
 		}
 		if err != nil { // no descriptor is left
-			time.Sleep(c.appliance.limits.AcceptAgain)
+			time.Sleep(c.appliance.limits.AcceptRetry)
 			continue
 		}
 		select {
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -67,7 +67,7 @@
 }
 
 func (p *platform) receive(c *handover.Channel) error {
-	if err := c.Within(p.limits.Handover); err != nil {
+	if err := c.Within(p.limits.Stop.HandoverTimeout); err != nil {
 		return err
 	}
 	text, socket, err := c.AskFor()
@@ -144,7 +144,7 @@
 // handOver is the elder's part, from the younger's question to its end. It returns while this process serves, with the cause,
 // never nil: where the younger one did take over, this process ends meanwhile.
 func (p *platform) handOver(c *handover.Channel) error {
-	if err := c.Within(p.limits.Handover); err != nil {
+	if err := c.Within(p.limits.Stop.HandoverTimeout); err != nil {
 		return err
 	}
 	if err := c.Asked(); err != nil {
@@ -179,7 +179,7 @@
 		socket = p.peers.Socket()
 	}
 	p.front.Pause(true)
-	ctx, end := context.WithTimeout(context.Background(), p.limits.Handover)
+	ctx, end := context.WithTimeout(context.Background(), p.limits.Stop.HandoverTimeout)
 	defer end()
 	given, err := p.core.Yield(ctx)
 	if err != nil {
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -43,7 +43,7 @@
 
 // Figures are what operators are told of this process.
 func (p *platform) Figures() (protocol.Figures, error) {
-	ctx, end := context.WithTimeout(context.Background(), p.limits.Figures)
+	ctx, end := context.WithTimeout(context.Background(), p.limits.Control.ReportTimeout)
 	defer end()
 	avoided, err := p.core.Avoided(ctx)
 	if err != nil {
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -107,7 +107,7 @@
 	bound(l)
 	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
 		nodes: transport.NewNodes(l), roster: roster.New(), talks: set.Rules.Peers}
-	set.Rules.MaxOpen = l.Hold
+	set.Rules.MaxOpen = l.Requests.Scheduled
 	core, err := routing.New(set.Rules, config.Seed, l, transport.NewProber(p.nodes, set, p.log).Probe)
 	if err != nil {
 		return nil, err
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -46,7 +46,7 @@
 		probe = func(node string) rules.Probed { return rules.Probed{Node: node, OK: true, Queue: -1} }
 	}
 	l := Limits()
-	l.Inbox = 64
+	l.Requests.Inbox = 64
 	core, err := routing.New(set, 1, l, probe)
 	if err != nil {
 		t.Fatal(err)
