--- a/internal/program/fleet_health.go
+++ b/internal/program/fleet_health.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, misuse{fmt.Errorf("%s: %w", path, err)}
 	}
-	return monitor.New(config, monitor.Bounds{Inbox: max(leastInbox, p.limits.Inbox), Hold: longestProbe}, monitor.Hooks{
+	return monitor.New(config, monitor.Bounds{Inbox: max(leastInbox, p.limits.Requests.Inbox), Hold: longestProbe}, monitor.Hooks{
 		Now:    func() rules.Micros { return p.core.Now() },
 		Probe:  probe,
 		Report: func(e rules.Event) { p.core.Hear(e) },
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -109,7 +109,7 @@
 	bound(l)
 	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
 		nodes: transport.NewNodes(l), roster: roster.New(), talks: set.Rules.Peers}
-	set.Rules.MaxOpen = l.Hold
+	set.Rules.MaxOpen = l.Requests.Scheduled
 	probe := transport.NewProber(p.nodes, set, p.log).Probe
 	var err error
 	if p.monitor, err = p.newMonitor(probe); err != nil {
--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -55,6 +55,7 @@
 	}
 	r.Datagrams(0, 1).Set(Faults{Cut: true})
 	conns[0].WriteToUDPAddrPort([]byte("lost"), names[0])
+	Until(t, "the datagram that is lost", func() bool { return r.Datagrams(0, 1).Came() == 2 })
 	conns[1].WriteToUDPAddrPort([]byte("back"), names[1])
 	if got := receive(t, conns[0], names[0]); got != "back" {
 		t.Errorf("%q over the way back, which is whole", got)
