--- a/internal/fleet/health/outbox.go
+++ b/internal/fleet/health/outbox.go
@@ -25,7 +25,7 @@
 )
 
 // room is the part of the bytes of a second up to which something may be sent.
-var room = [...]float64{repeated: 0.6, request: 0.75, firstSilent: 0.95, reachable: 1}
+var room = [...]float64{repeated: 0.7, request: 0.8, firstSilent: 0.95, reachable: 1}
 
 // news is an Entry with its time in the place of an age.
 type news struct {
@@ -124,6 +124,7 @@
 		o.news, o.newsAt, o.sentAt = o.news[:0], forever, m.now
 	}
 	if len(o.repeats) > 0 && m.now >= o.repeatAt {
+		m.shed()
 		m.begin(o.repeats, true)
 		o.repeats, o.repeatAt = o.repeats[:0], m.now+m.config.EvidenceLife/lifeParts
 	}
@@ -172,8 +173,7 @@
 		all = append(all, news{n.key, n.wire, own.state, own.at})
 	}
 	slices.SortStableFunc(all, func(a, b news) int { return int(b.urgency() - a.urgency()) })
-	at := slices.Index(m.zone, m.config.Self)
-	to := append(slices.Clone(m.zone[at+1:]), m.zone[:at]...)
+	to := m.recipients(nodes)
 	for part := range slices.Chunk(all, entriesPerMessage) {
 		u := part[0].urgency()
 		if repeats {
@@ -183,8 +183,53 @@
 	}
 }
 
-// advance sends a round on to as many fronts as there is room for. What finds none is shed where it only repeats, or is
-// too old.
+// recipients are the zone's other fronts in the order in which they are told: from this front's place on. Probers that
+// stand by come last: where there is no room for them they tell the others in this front's place. They begin with
+// those that a prober which they have not heard comes to last.
+func (m *Monitor) recipients(nodes []*node) []int {
+	place := func(front int) int { return slices.Index(m.zone, front) }
+	self := place(m.config.Self)
+	order := append(slices.Clone(m.zone[self+1:]), m.zone[:self]...)
+	if missing, ok := m.unheard(nodes[0]); ok {
+		at := place(missing)
+		order = append(slices.Clone(m.zone[at:]), m.zone[:at]...)
+		slices.Reverse(order)
+		order = slices.DeleteFunc(order, func(front int) bool { return front == m.config.Self })
+	}
+	last := map[int]bool{}
+	for _, n := range nodes {
+		if n.trouble != nil && n.ranked != nil {
+			for _, front := range n.ranked[m.config.Quorum:m.config.Probers] {
+				last[front] = true
+			}
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case last[a] == last[b]:
+			return 0
+		case last[a]:
+			return 1
+		}
+		return -1
+	})
+	return order
+}
+
+// unheard is the first prober of a node that this front stands in for.
+func (m *Monitor) unheard(n *node) (front int, ok bool) {
+	if n.trouble == nil || n.ranked == nil || n.rank < m.config.Quorum {
+		return 0, false
+	}
+	for _, front := range n.ranked[:m.config.Quorum] {
+		if n.evidence.find(front) < 0 {
+			return front, true
+		}
+	}
+	return 0, false
+}
+
+// advance sends a round on to as many fronts as there is room for. What is too old is shed.
 func (m *Monitor) advance(r *round) {
 	r.news = slices.DeleteFunc(r.news, func(n news) bool {
 		old := n.at <= m.now-m.config.freshFor()
@@ -201,10 +246,16 @@
 	for len(r.to) > 0 && m.send(r.to[0], entries, r.urgency) {
 		r.to = r.to[1:]
 	}
-	if len(r.to) > 0 && r.urgency == repeated {
-		m.counts.Shed += int64(len(r.to) * len(r.news))
-		r.to = nil
-	}
+}
+
+// shed drops what is left of earlier repetitions as new ones begin.
+func (m *Monitor) shed() {
+	m.outbox.rounds = slices.DeleteFunc(m.outbox.rounds, func(r *round) bool {
+		if r.urgency == repeated {
+			m.counts.Shed += int64(len(r.to) * len(r.news))
+		}
+		return r.urgency == repeated
+	})
 }
 
 // entries are news with their ages.
--- a/internal/fleet/health/probing.go
+++ b/internal/fleet/health/probing.go
@@ -39,6 +39,9 @@
 		return forever
 	}
 	n.duty = true
+	if own, seen := n.evidence.of(m.config.Self); seen && m.overtaken(n, own) {
+		n.probe.next = min(n.probe.next, n.probe.sent+fastestProbe)
+	}
 	if m.now < n.probe.next {
 		return n.probe.next
 	}
--- a/internal/fleet/health/seek.go
+++ b/internal/fleet/health/seek.go
@@ -13,7 +13,7 @@
 // each TakeoverAfter the next ones in rank beside them. A front in that rank looks itself, as does one that has asked for
 // mostRounds. So when probers die, are paused or cut off the next follow.
 func (m *Monitor) seek(n *node) (next rules.Micros) {
-	from := m.now - m.config.freshFor()
+	from := m.now - m.askAfter(n)
 	if n.suspecting {
 		from = max(from, n.suspected)
 	}
@@ -36,6 +36,17 @@
 	return n.lackedFrom + rules.Micros(n.round+1)*m.config.TakeoverAfter
 }
 
+// askAfter is the age at which evidence no longer suffices: another one at each front, as all would ask at once.
+func (m *Monitor) askAfter(n *node) rules.Micros {
+	spread := float64(m.config.EvidenceLife-m.config.freshFor()) / 2
+	return m.config.freshFor() + rules.Micros(share(m.config.Self, n.key)*spread)
+}
+
+// comesToAll tells whether the whole zone is told soon what this front saw, for the first time.
+func (m *Monitor) comesToAll(n *node, own observation) bool {
+	return m.tellsAll(n, own) && own.at > n.told.at && m.urgency(n, own) != repeated
+}
+
 // suffices tells whether a quorum of fronts, whatever they saw, did so after a time, and until when it stays so.
 func (m *Monitor) suffices(n *node, from rules.Micros) (enough bool, until rules.Micros) {
 	var times []rules.Micros
@@ -48,7 +59,7 @@
 		return false, 0
 	}
 	slices.Sort(times)
-	return true, times[len(times)-m.config.Quorum] + m.config.freshFor()
+	return true, times[len(times)-m.config.Quorum] + m.askAfter(n)
 }
 
 // ask tells the probers, and those of this round, that this front wants news of a node younger than a time.
@@ -90,7 +101,7 @@
 	waiting := n.askers[:0]
 	for _, a := range n.askers {
 		switch {
-		case to > a.at && !m.tellsAll(n, seen):
+		case to > a.at && !m.comesToAll(n, seen):
 			m.outbox.direct(a.front, news{n.key, n.wire, seen.state, seen.at})
 		case to <= a.at && a.at > m.now-m.config.EvidenceLife:
 			waiting = append(waiting, a)
--- a/internal/fleet/health/telling.go
+++ b/internal/fleet/health/telling.go
@@ -28,13 +28,19 @@
 
 // tellsAll tells whether it is this front's part to tell its zone what it saw.
 func (m *Monitor) tellsAll(n *node, own observation) bool {
-	if !n.duty || own.state == Reachable && !m.heldSilent(n) {
+	if !n.duty || own.state == Reachable && !m.heldSilent(n) || m.overtaken(n, own) {
 		return false
 	}
 	contradicted := m.tells(n) != 0 && n.told.state != own.state
 	return contradicted || m.ahead(n, own.state) < m.config.Quorum
 }
 
+// overtaken tells whether another front reached the node after this one's probe of it was not answered: then this front
+// looks again before it says anything.
+func (m *Monitor) overtaken(n *node, own observation) bool {
+	return own.state == Silent && n.evidence.count(Reachable, own.at, nil) > 0
+}
+
 // heldSilent tells whether the zone may hold a node for silent.
 func (m *Monitor) heldSilent(n *node) bool {
 	return n.avoided || m.tells(n) == Silent || m.others(n, Silent) > 0
@@ -56,13 +62,27 @@
 	return standbyPatience
 }
 
-// urgency tells news from what only keeps older news fresh.
+// urgency tells news from what only keeps older news fresh, or takes back what makes no difference any more.
 func (m *Monitor) urgency(n *node, own observation) urgency {
 	switch {
 	case m.tells(n) == own.state:
 		return repeated
-	case own.state == Reachable:
+	case own.state == Silent:
+		return firstSilent
+	case m.zoneAvoids(n):
 		return reachable
 	}
-	return firstSilent
+	return repeated
+}
+
+// zoneAvoids tells whether the zone's other fronts avoid a node, by what they have heard.
+func (m *Monitor) zoneAvoids(n *node) bool {
+	silent, back := m.others(n, Silent), m.others(n, Reachable)
+	switch m.tells(n) {
+	case Silent:
+		silent++
+	case Reachable:
+		back++
+	}
+	return silent >= m.config.Quorum && silent > back
 }
