--- a/internal/fleet/health/outbox.go
+++ b/internal/fleet/health/outbox.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	batchFor  rules.Micros = 20_000    // news waits for so long for others
-	batchGap  rules.Micros = 60_000    // and for so long since the last went out
+	batchFor  rules.Micros = 20_000    // news waits for so long for others,
+	batchMost rules.Micros = 50_000    // for so long while probes are out that may make some,
+	batchGap  rules.Micros = 100_000   // and for so long since the last went out
 	retryFor  rules.Micros = 50_000    // what finds no room is tried again
 	bytesSpan rules.Micros = 1_000_000 // of Config.MessageBytes
 	lifeParts              = 3         // evidence is repeated after one in so many parts of its life
@@ -50,7 +51,8 @@
 	to       map[int][]news // to single fronts
 	order    []int          // of these, as they came
 	news     []*node        // to the zone,
-	newsAt   rules.Micros   // at this time
+	newsAt   rules.Micros   // at this time,
+	newsMost rules.Micros   // or until this one while probes are out
 	repeats  []*node        // to the zone, with the next repetition
 	repeatAt rules.Micros
 	sentAt   rules.Micros // when news went out last
@@ -85,7 +87,7 @@
 		return
 	}
 	if len(o.news) == 0 {
-		o.newsAt = max(now+batchFor, o.sentAt+batchGap)
+		o.newsAt, o.newsMost = max(now+batchFor, o.sentAt+batchGap), max(now+batchMost, o.sentAt+batchGap)
 	}
 	o.news = append(o.news, n)
 }
@@ -103,8 +105,12 @@
 // outboxDue is when something is to be sent.
 func (m *Monitor) outboxDue() rules.Micros {
 	o, next := &m.outbox, forever
-	if len(o.news) > 0 {
+	switch {
+	case len(o.news) == 0:
+	case m.now < o.newsAt:
 		next = o.newsAt
+	default: // a probe's end may be earlier
+		next = o.newsMost
 	}
 	if len(o.repeats) > 0 {
 		next = min(next, o.repeatAt)
@@ -115,11 +121,18 @@
 	return next
 }
 
+// expectsNews tells whether a probe is out that may be taken for failed soon.
+func (m *Monitor) expectsNews() bool {
+	return slices.ContainsFunc(m.due, func(n *node) bool {
+		return n.trouble != nil && n.duty && n.probe.out && !n.probe.counted && !n.probe.void
+	})
+}
+
 // flush sends what is due and finds room.
 func (m *Monitor) flush() {
 	m.flushDirect()
 	o := &m.outbox
-	if len(o.news) > 0 && m.now >= o.newsAt {
+	if len(o.news) > 0 && m.now >= o.newsAt && (m.now >= o.newsMost || !m.expectsNews()) {
 		m.begin(o.news, false)
 		o.news, o.newsAt, o.sentAt = o.news[:0], forever, m.now
 	}
