--- /dev/null
+++ b/internal/fleet/health/faults_test.go
@@ -0,0 +1,76 @@
+package health
+
+import (
+	"testing"
+
+	"otterturn/rules"
+)
+
+// avoiding counts the fronts that avoid the first node.
+func (w *world) avoiding() (count int) {
+	for _, f := range w.fronts {
+		count += f.monitor.Counters().Condemned
+	}
+	return count
+}
+
+// A front that was paused takes nothing for silent that it did not look at meanwhile.
+func TestPausedFrontCondemnsNothing(t *testing.T) {
+	w := newWorld(2, zonesOf(1, 4), 3, nil)
+	begin := w.now
+	w.load(20, w.nodes, begin+10*second)
+	told := 0
+	w.each = func(f *simFront, a Action) {
+		if s, ok := a.(Send); ok {
+			for _, e := range s.Message.Entries {
+				if e.State != Reachable {
+					told++
+				}
+			}
+		}
+	}
+	for at := begin + second; at < begin+8*second; at += second {
+		w.at(at, func() { w.fronts[0].paused = true })
+		w.at(at+700_000, func() { w.resume(w.fronts[0]) })
+	}
+	w.run(begin + 10*second)
+	if told > 0 || w.avoiding() > 0 {
+		t.Errorf("%d entries told against nodes, %d avoided", told, w.avoiding())
+	}
+}
+
+// When probers die, are paused or can't be heard the next in rank follow, and all fronts avoid the node.
+func TestOthersTakeOverFromProbers(t *testing.T) {
+	for name, fail := range map[string]func(w *world, f *simFront){
+		"dead":   func(w *world, f *simFront) { f.life++ },
+		"paused": func(w *world, f *simFront) { f.paused = true },
+		"cut": func(w *world, f *simFront) {
+			link := w.link
+			w.link = func(from, to int) []rules.Micros {
+				if from == f.number || to == f.number {
+					return nil
+				}
+				return link(from, to)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(3, zonesOf(1, 12), 1, nil)
+			begin := w.now
+			w.load(5, w.nodes, begin+20*second)
+			failed := rankFronts(w.fronts[0].monitor.zone, NodeKey("node-0"))[:DefaultProbers]
+			w.at(begin+second, func() {
+				for _, front := range failed {
+					fail(w, w.fronts[front])
+				}
+				w.setAll(true)
+			})
+			w.run(begin + 4*second)
+			for _, f := range w.fronts {
+				if c := f.monitor.Counters(); c.Condemned == 0 && f.number != failed[0] && f.number != failed[1] && f.number != failed[2] {
+					t.Errorf("front %d sends to a silent node 3 s later", f.number)
+				}
+			}
+		})
+	}
+}
