--- a/internal/fleet/health/config.go
+++ b/internal/fleet/health/config.go
@@ -59,6 +59,11 @@
 	check(c.EvidenceLife > MaxEvidenceLife, "evidence_life: %d ms, must be %d ms at most", c.EvidenceLife/1000, MaxEvidenceLife/1000)
 	check(c.TakeoverAfter <= 0, "takeover_after: must be above 0")
 	check(!(c.ProbesPerNode > 0), "probes_per_node: must be above 0")
+	if c.Probers > 0 && c.ProbesPerNode > 0 && c.EvidenceLife > 0 {
+		least := float64(c.probersOfAllZones()) / seconds(c.slowestProbe())
+		check(c.ProbesPerNode < least, "probes_per_node: %g, but the %d probers of a node need %.3g for evidence to last",
+			c.ProbesPerNode, c.probersOfAllZones(), least)
+	}
 	check(!(c.MessageBytes >= MessageLimit), "message_bytes: must be %d at least", MessageLimit)
 	return errors.Join(wrong...)
 }
@@ -93,3 +98,16 @@
 	zones := slices.Compact(slices.Sorted(slices.Values(c.Zones)))
 	return len(zones) * c.Probers
 }
+
+// slowestProbe is the longest time between two probes of a node that a front is to watch: what it shows must come to all
+// fronts before what the last one showed is too old.
+func (c Config) slowestProbe() rules.Micros { return min(slowestProbe, c.EvidenceLife/lifeParts) }
+
+// probePace is the time between two probes that ProbesPerNode leaves to each prober.
+func (c Config) probePace() rules.Micros {
+	return rules.Micros(float64(c.probersOfAllZones()) / c.ProbesPerNode * microsPerSecond)
+}
+
+const microsPerSecond = 1e6
+
+func seconds(t rules.Micros) float64 { return float64(t) / microsPerSecond }
--- a/internal/fleet/health/inbox.go
+++ b/internal/fleet/health/inbox.go
@@ -103,7 +103,9 @@
 		return ""
 	}
 	n.inTrouble()
-	n.evidence.add(observation{from, e.State, at})
+	m.seams.add(&n.evidence, observation{from, e.State, at})
 	m.touch(n)
 	return ""
 }
+
+func sameStart(told, listed rules.Micros) bool { return told == listed }
--- a/internal/fleet/health/monitor.go
+++ b/internal/fleet/health/monitor.go
@@ -37,6 +37,7 @@
 type seams struct {
 	repeated  func(p *peer, sequence uint32) bool
 	sameStart func(told, listed rules.Micros) bool
+	add       func(e *evidence, o observation)
 }
 
 // New returns a Monitor that knows no node.
@@ -50,7 +51,7 @@
 		byName: map[string]*node{}, byKey: map[uint64]*node{}, attempts: map[attemptID]attempt{},
 		passed: map[string]bool{}, peers: map[int]*peer{}, outbox: newOutbox(), bytes: window.Of(bytesSpan),
 		counts: Counters{Dropped: map[Drop]int64{}},
-		seams:  seams{repeated: (*peer).repeated, sameStart: func(told, listed rules.Micros) bool { return told == listed }},
+		seams:  seams{repeated: (*peer).repeated, sameStart: sameStart, add: (*evidence).add},
 	}, nil
 }
 
--- a/internal/fleet/health/probing.go
+++ b/internal/fleet/health/probing.go
@@ -9,7 +9,6 @@
 	lateUsuals                = 4         // a probe that is out for so many times the usual may count as failed
 	mostLate                  = 4         // times ProbeLate, within which it counts as failed whatever is usual
 	pausedAfter  rules.Micros = 500_000   // an alarm that is later means that this front was paused
-	microsPerSec              = 1e6
 )
 
 // pausedAfter is how late an alarm is at a front that was paused: half of the time that a probe has, as a pause of that
@@ -99,16 +98,16 @@
 
 // interval is the time between two probes of a silent node.
 func (m *Monitor) interval(n *node) rules.Micros {
-	perSecond := m.config.ProbesPerNode / float64(m.config.probersOfAllZones())
-	pace := max(rules.Micros(microsPerSec/perSecond), (m.now-n.silent)/silencePart, fastestProbe)
+	pace := max(m.config.probePace(), (m.now-n.silent)/silencePart, fastestProbe)
+	slowest := max(m.config.slowestProbe(), fastestProbe)
 	switch {
 	case n.rank >= m.config.Probers: // any number of fronts may do so, where they don't hear each other
-		all := rules.Micros(float64(len(m.config.Zones)) / m.config.ProbesPerNode * microsPerSec)
-		return min(pace, max(all, slowestProbe))
+		all := float64(len(m.config.Zones)) / m.config.ProbesPerNode * microsPerSecond
+		return min(pace, max(rules.Micros(all), slowest))
 	case n.rank >= m.config.Quorum && m.ahead(n, Silent) >= m.config.Quorum: // stands by
-		return slowestProbe
+		return slowest
 	}
-	return min(pace, max(slowestProbe, rules.Micros(microsPerSec/perSecond)))
+	return min(pace, slowest)
 }
 
 func (m *Monitor) probeEnded(e ProbeEnded) {
--- /dev/null
+++ b/internal/fleet/health/random_test.go
@@ -0,0 +1,51 @@
+package health
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"otterturn/rules"
+	"pgregory.net/rapid"
+)
+
+// schedules is how many random schedules are played.
+const schedules = 10_000
+
+var waits = []rules.Micros{20_000, 120_000, 300_000, 1_100_000}
+
+func moveOf(t *rapid.T, i int) move {
+	return move{
+		fault: fault(rapid.IntRange(0, int(faults)-1).Draw(t, fmt.Sprintf("fault %d", i))),
+		at:    rapid.IntRange(0, 3).Draw(t, fmt.Sprintf("at %d", i)),
+		wait:  rapid.SampledFrom(waits).Draw(t, fmt.Sprintf("wait %d", i)),
+	}
+}
+
+// playRandom draws and plays one schedule.
+func playRandom(t *rapid.T, broken func(m *Monitor)) []string {
+	fronts := rapid.IntRange(2, 4).Draw(t, "fronts")
+	nodes := rapid.IntRange(1, 2).Draw(t, "nodes")
+	seed := rapid.Uint64Range(0, 1000).Draw(t, "seed")
+	var moves []move
+	for i := range rapid.IntRange(1, 6).Draw(t, "moves") {
+		moves = append(moves, moveOf(t, i))
+	}
+	return newTrial(seed, fronts, nodes, broken).play(moves)
+}
+
+func TestRandomSchedules(t *testing.T) {
+	former := flag.Lookup("rapid.checks").Value.String()
+	if err := flag.Set("rapid.checks", fmt.Sprint(schedules)); err != nil {
+		t.Fatal(err)
+	}
+	defer flag.Set("rapid.checks", former)
+	played := 0
+	rapid.Check(t, func(t *rapid.T) {
+		played++
+		for _, wrong := range playRandom(t, nil) {
+			t.Error(wrong)
+		}
+	})
+	t.Logf("%d schedules", played)
+}
--- /dev/null
+++ b/internal/fleet/health/schedule_test.go
@@ -0,0 +1,309 @@
+package health
+
+import (
+	"fmt"
+	"slices"
+
+	"otterturn/rules"
+)
+
+// fault is one thing that goes wrong, or right again.
+type fault int
+
+const (
+	nodeDies fault = iota
+	nodeReturns
+	nodeRestarts // with a new start on the list
+	nodeDrains
+	nodeRuns // again, by the list
+	frontCrashes
+	frontPauses
+	linkCut   // from one front to the next one alone
+	reachCut  // from a front to the node
+	loseNext  // messages
+	copyNext  // the next messages arrive three times
+	delayNext // the next messages arrive late, behind others
+	faults    // how many there are
+)
+
+func (f fault) String() string {
+	return [...]string{"node dies", "node returns", "node restarts", "node drains", "node runs", "front crashes",
+		"front pauses", "link cut", "reach cut", "lose", "copy", "delay"}[f]
+}
+
+// move is a fault at a front, or a node, and a wait.
+type move struct {
+	fault fault
+	at    int
+	wait  rules.Micros
+}
+
+func (m move) String() string { return fmt.Sprintf("%v at %d, %d ms", m.fault, m.at, m.wait/1000) }
+
+// trial plays moves before small worlds and audits them.
+type trial struct {
+	*world
+	wrong    []string
+	cutLinks map[[2]int]bool
+	cutReach map[int]bool
+	lose     int
+	copies   int
+	delay    int
+	silent   map[sighting]rules.Micros // what a front was told, or saw itself, last
+	sent     map[int][]sentBytes
+	asked    map[int]map[string]rules.Micros // probes started last
+	broken   func(m *Monitor)                // breaks each Monitor on purpose
+}
+
+// sighting is a silent probe of a node's start, as a front knows it of another or of itself.
+type sighting struct {
+	front, origin int
+	node          uint64
+	start         rules.Micros
+}
+
+// Figures of small worlds: shorter times than the usual ones, in the same order.
+const (
+	smallLife     = 3 * second
+	smallTakeover = second / 2
+	smallBytes    = 2048
+	smallLoad     = 4.0
+	// agreement is how long all fronts may take to agree once links are whole and the node stays as it is: what is
+	// too old fades, and those who lost what came after it ask the next in rank.
+	agreement = smallLife + 4*smallTakeover
+	// answerWithin is how long a ProbeWanted may wait: for evidence, then for this front's turn, then for its probe.
+	answerWithin = smallLife + (mostRounds+3)*smallTakeover + second
+)
+
+func newTrial(seed uint64, fronts, nodes int, broken func(m *Monitor)) *trial {
+	t := &trial{
+		cutLinks: map[[2]int]bool{}, cutReach: map[int]bool{}, silent: map[sighting]rules.Micros{},
+		sent: map[int][]sentBytes{}, asked: map[int]map[string]rules.Micros{}, broken: broken,
+	}
+	probers := min(3, fronts)
+	t.world = newWorld(seed, zonesOf(1, fronts), nodes, func(c *Config) {
+		c.Probers, c.EvidenceLife, c.TakeoverAfter, c.MessageBytes = probers, smallLife, smallTakeover, smallBytes
+	})
+	t.encoded, t.link, t.reaches, t.each = true, t.fate, t.reach, t.audit
+	t.succeeded = t.checkSuccess
+	t.against = func(f *simFront, node string) { t.say("front %d avoids %s against the list", f.number, node) }
+	if broken != nil {
+		for _, f := range t.fronts {
+			broken(f.monitor)
+		}
+	}
+	return t
+}
+
+func (t *trial) fate(from, to int) []rules.Micros {
+	const usual = 500
+	switch {
+	case t.cutLinks[[2]int{from, to}]:
+		return nil
+	case t.lose > 0:
+		t.lose--
+		return nil
+	case t.copies > 0:
+		t.copies--
+		return []rules.Micros{usual, usual + 30_000, usual + 400_000}
+	case t.delay > 0:
+		t.delay--
+		return []rules.Micros{700_000}
+	}
+	return []rules.Micros{usual + rules.Micros(t.random.IntN(1000))}
+}
+
+func (t *trial) reach(front int, _ *simNode) bool { return !t.cutReach[front] }
+
+func (t *trial) say(format string, args ...any) {
+	t.wrong = append(t.wrong, fmt.Sprintf("%d ms: ", (t.now-1_000_000_000)/1000)+fmt.Sprintf(format, args...))
+}
+
+// audit looks at each action from outside.
+func (t *trial) audit(f *simFront, a Action) {
+	switch a := a.(type) {
+	case StartProbe:
+		if t.asked[f.number] == nil {
+			t.asked[f.number] = map[string]rules.Micros{}
+		}
+		t.asked[f.number][a.Node] = t.now
+	case Send:
+		t.auditSend(f, a)
+	case Report:
+		t.auditReport(f, a)
+	}
+}
+
+// auditSend holds messages to their bounds.
+func (t *trial) auditSend(f *simFront, a Send) {
+	size := len(a.Message.Encode())
+	if size > MessageLimit || size != a.Message.size() {
+		t.say("front %d sends %d bytes, reckoned as %d", f.number, size, a.Message.size())
+	}
+	list := append(t.sent[f.number], sentBytes{t.now, size})
+	for list[0].at < t.now-second {
+		list = list[1:]
+	}
+	t.sent[f.number] = list
+	sum := 0
+	for _, s := range list {
+		sum += s.bytes
+	}
+	if sum > smallBytes {
+		t.say("front %d sends %d bytes within a second", f.number, sum)
+	}
+	for _, e := range a.Message.Entries { // whoever hears it may count it
+		if e.State == Silent {
+			for _, to := range t.fronts {
+				t.silent[sighting{to.number, f.number, e.Node, e.Since}] = t.now - e.Age
+			}
+		}
+	}
+}
+
+// auditReport counts the fronts whose probes of this start were not answered lately.
+func (t *trial) auditReport(f *simFront, a Report) {
+	key, start := NodeKey(a.Node), wireSince(a.Since)
+	origins := 0
+	for _, other := range t.fronts {
+		at, told := t.silent[sighting{f.number, other.number, key, start}]
+		if other == f {
+			at, told = t.asked[f.number][a.Node]
+		}
+		if told && at > t.now-smallLife-second {
+			origins++
+		}
+	}
+	if origins < f.config.Quorum {
+		t.say("front %d condemns %s by the probes of %d fronts", f.number, a.Node, origins)
+	}
+	if a.Since != f.known[a.Node] {
+		t.say("front %d condemns a former start", f.number)
+	}
+}
+
+// apply carries a move out.
+func (t *trial) apply(m move) {
+	node, front := t.nodes[m.at%len(t.nodes)], t.fronts[m.at%len(t.fronts)]
+	switch m.fault {
+	case nodeDies:
+		node.dead = true
+	case nodeReturns:
+		node.dead = false
+	case nodeRestarts:
+		node.dead, node.start = false, t.now
+		t.listAll(NodeList{Nodes: []rules.Listing{{Node: node.name, Since: node.start}}})
+	case nodeDrains:
+		t.listAll(NodeList{Nodes: []rules.Listing{{Node: node.name, Since: node.start, State: rules.Draining}}})
+	case nodeRuns:
+		t.listAll(t.list())
+	case frontCrashes:
+		t.crash(front)
+	case frontPauses:
+		front.paused = true
+		t.at(t.now+700_000, func() { t.resume(front) })
+	case linkCut:
+		link := [2]int{front.number, (front.number + 1) % len(t.fronts)}
+		t.cutLinks[link] = !t.cutLinks[link]
+	case reachCut:
+		t.cutReach[front.number] = !t.cutReach[front.number]
+	case loseNext:
+		t.lose = 3
+	case copyNext:
+		t.copies = 3
+	case delayNext:
+		t.delay = 3
+	}
+}
+
+func (t *trial) crash(f *simFront) {
+	t.boot(f)
+	if t.broken != nil {
+		t.broken(f.monitor)
+	}
+}
+
+// listAll tells each front of news of the list, 3 ms apart.
+func (t *trial) listAll(l NodeList) {
+	for i, f := range t.fronts {
+		t.at(t.now+rules.Micros(i)*3000, func() {
+			if f.paused {
+				t.to(f, t.now, l)
+				return
+			}
+			t.step(f, l)
+		})
+	}
+}
+
+// heal makes links whole and lets fronts run.
+func (t *trial) heal() {
+	clear(t.cutLinks)
+	clear(t.cutReach)
+	t.lose, t.copies, t.delay = 0, 0, 0
+	for _, f := range t.fronts {
+		if f.paused {
+			t.resume(f)
+		}
+	}
+	t.listAll(t.list())
+}
+
+// play plays moves, heals the world, and tells what was wrong.
+func (t *trial) play(moves []move) []string {
+	begin := t.now
+	total := second/4 + agreement
+	for _, m := range moves {
+		total += m.wait
+	}
+	t.load(smallLoad, t.nodes, begin+total)
+	t.run(begin + second/4)
+	for _, m := range moves {
+		t.apply(m)
+		t.run(t.now + m.wait)
+		t.checkWanted()
+	}
+	t.heal()
+	t.run(t.now + agreement)
+	t.checkWanted()
+	t.checkAgreement()
+	return t.wrong
+}
+
+func (t *trial) checkWanted() {
+	for _, f := range t.fronts {
+		for node, at := range f.wanted {
+			if !f.paused && t.now > at+answerWithin {
+				t.say("front %d has owed a probe of %s for %d ms", f.number, node, (t.now-at)/1000)
+			}
+		}
+	}
+}
+
+func (t *trial) checkAgreement() {
+	for _, n := range t.nodes {
+		var avoid []int
+		for _, f := range t.fronts {
+			known := f.monitor.byName[n.name]
+			if known.trouble != nil && known.avoided {
+				avoid = append(avoid, f.number)
+			}
+		}
+		switch {
+		case n.dead && len(avoid) < len(t.fronts):
+			t.say("%s is silent, and only fronts %v avoid it", n.name, avoid)
+		case !n.dead && len(avoid) > 0:
+			t.say("%s runs, and fronts %v avoid it", n.name, avoid)
+		}
+	}
+}
+
+// checkSuccess has a success checked: nothing older may count against it.
+func (t *trial) checkSuccess(f *simFront, node string) {
+	n := f.monitor.byName[node]
+	if n.running() && n.trouble != nil && n.avoided && !slices.ContainsFunc(n.evidence, func(o observation) bool {
+		return o.state == Silent && o.at > t.now-1
+	}) {
+		t.say("front %d avoids %s though it was just answered", f.number, node)
+	}
+}
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -14,18 +14,20 @@
 // scheduler what matters here: it sends nothing to a node that it was told is silent, or that failed it, until a probe
 // of it is answered.
 type world struct {
-	fronts  []*simFront
-	nodes   []*simNode
-	byName  map[string]*simNode
-	now     rules.Micros
-	events  simQueue
-	order   int
-	random  *rand.Rand
-	link    func(from, to int) (delays []rules.Micros) // of each copy that arrives; none where it is lost
-	reaches func(front int, node *simNode) bool
-	each    func(front *simFront, action Action) // sees all actions
-	shell   rules.Micros                         // a probe ends as failed after this
-	encoded bool                                 // messages pass Encode and Decode
+	fronts    []*simFront
+	nodes     []*simNode
+	byName    map[string]*simNode
+	now       rules.Micros
+	events    simQueue
+	order     int
+	random    *rand.Rand
+	link      func(from, to int) (delays []rules.Micros) // of each copy that arrives; none where it is lost
+	reaches   func(front int, node *simNode) bool
+	each      func(front *simFront, action Action) // sees all actions
+	succeeded func(front *simFront, node string)   // sees each request that was answered
+	against   func(front *simFront, node string)   // sees each node that is avoided though the list bars it
+	shell     rules.Micros                         // a probe ends as failed after this
+	encoded   bool                                 // messages pass Encode and Decode
 }
 
 type simFront struct {
@@ -37,6 +39,7 @@
 	paused  bool
 	late    []simEvent // what came while paused
 	mute    map[string]bool
+	known   map[string]rules.Micros // starts, by the list
 	wanted  map[string]rules.Micros // ProbeWanted without an answer
 	failed  map[string]int          // requests
 	bytes   []sentBytes             // sent and received
@@ -111,6 +114,7 @@
 		panic(err)
 	}
 	f.monitor, f.life, f.paused, f.late = monitor, f.life+1, false, nil
+	f.known = map[string]rules.Micros{}
 	f.mute, f.wanted = map[string]bool{}, map[string]rules.Micros{}
 	if f.failed == nil {
 		f.failed = map[string]int{}
@@ -178,12 +182,31 @@
 }
 
 func (w *world) step(f *simFront, events ...Event) {
-	for _, a := range f.monitor.Step(w.now, events) {
+	actions := f.monitor.Step(w.now, events)
+	for _, e := range events {
+		if l, ok := e.(NodeList); ok {
+			w.listed(f, l)
+		}
+	}
+	for _, a := range actions {
 		w.each(f, a)
 		w.act(f, a)
 	}
 }
 
+// listed has a front's scheduler forget what it held of a former start.
+func (w *world) listed(f *simFront, l NodeList) {
+	for _, listed := range l.Nodes {
+		if f.known[listed.Node] != listed.Since {
+			f.known[listed.Node], f.mute[listed.Node] = listed.Since, false
+		}
+		n := f.monitor.byName[listed.Node]
+		if n.trouble != nil && n.avoided && listed.State != rules.Running && w.against != nil {
+			w.against(f, listed.Node)
+		}
+	}
+}
+
 func (w *world) act(f *simFront, a Action) {
 	switch a := a.(type) {
 	case SetAlarm:
@@ -301,6 +324,9 @@
 				}
 			}
 			w.step(f, AttemptEnded{Node: n.name, ID: id, Result: result})
+			if result == rules.OK && w.succeeded != nil {
+				w.succeeded(f, n.name)
+			}
 		}})
 	}
 	switch {
