--- a/internal/fleet/health/probing.go
+++ b/internal/fleet/health/probing.go
@@ -9,7 +9,6 @@
 	lateUsuals                = 4         // a probe that is out for so many times the usual may count as failed
 	mostLate                  = 4         // times ProbeLate, within which it counts as failed whatever is usual
 	pausedAfter  rules.Micros = 500_000   // an alarm that is later means that this front was paused
-	microsPerSec              = 1e6
 )
 
 // pausedAfter is how late an alarm is at a front that was paused: half of the time that a probe has, as a pause of that
@@ -20,14 +19,22 @@
 func (m *Monitor) onDuty(n *node) bool {
 	own, seen := n.evidence.of(m.config.Self)
 	silent := seen && own.state == Silent
-	switch {
-	case len(n.askers) > 0:
-		return true
-	case n.rank < m.config.Probers:
-		return n.suspecting || n.avoided || silent || m.others(n, Silent) > 0
+	if n.rank < m.config.Probers {
+		return len(n.askers) > 0 || n.suspecting || n.avoided || silent || m.others(n, Silent) > 0
+	}
+	for _, a := range n.askers {
+		if !m.covered(n, a.at-m.config.ProbeLate) {
+			return true
+		}
 	}
-	covered := m.ahead(n, Silent)+m.ahead(n, Reachable) >= m.config.Quorum
-	return n.takeover || n.duty && silent && !covered
+	return n.takeover || n.duty && silent && !m.covered(n, never)
+}
+
+// covered tells whether a quorum of fronts of lower rank saw the node after a time, and not long ago.
+func (m *Monitor) covered(n *node, after rules.Micros) bool {
+	after = max(after, m.now-m.config.freshFor())
+	ahead := func(front int) bool { return m.ranksAhead(n, front) }
+	return n.evidence.count(Silent, after, ahead)+n.evidence.count(Reachable, after, ahead) >= m.config.Quorum
 }
 
 // look probes a node that this front is to probe, and takes a probe that is out for too long for failed.
@@ -39,6 +46,9 @@
 		return forever
 	}
 	n.duty = true
+	if own, seen := n.evidence.of(m.config.Self); seen && m.overtaken(n, own) {
+		n.probe.next = min(n.probe.next, n.probe.sent+fastestProbe)
+	}
 	if m.now < n.probe.next {
 		return n.probe.next
 	}
@@ -88,16 +98,16 @@
 
 // interval is the time between two probes of a silent node.
 func (m *Monitor) interval(n *node) rules.Micros {
-	perSecond := m.config.ProbesPerNode / float64(m.config.probersOfAllZones())
-	pace := max(rules.Micros(microsPerSec/perSecond), (m.now-n.silent)/silencePart, fastestProbe)
+	pace := max(m.config.probePace(), (m.now-n.silent)/silencePart, fastestProbe)
+	slowest := max(m.config.slowestProbe(), fastestProbe)
 	switch {
 	case n.rank >= m.config.Probers: // any number of fronts may do so, where they don't hear each other
-		all := rules.Micros(float64(len(m.config.Zones)) / m.config.ProbesPerNode * microsPerSec)
-		return min(pace, max(all, slowestProbe))
+		all := float64(len(m.config.Zones)) / m.config.ProbesPerNode * microsPerSecond
+		return min(pace, max(rules.Micros(all), slowest))
 	case n.rank >= m.config.Quorum && m.ahead(n, Silent) >= m.config.Quorum: // stands by
-		return slowestProbe
+		return slowest
 	}
-	return min(pace, max(slowestProbe, rules.Micros(microsPerSec/perSecond)))
+	return min(pace, slowest)
 }
 
 func (m *Monitor) probeEnded(e ProbeEnded) {
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -1,9 +1,11 @@
 package health
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"otterturn/rules"
 )
@@ -12,18 +14,20 @@
 // scheduler what matters here: it sends nothing to a node that it was told is silent, or that failed it, until a probe
 // of it is answered.
 type world struct {
-	fronts  []*simFront
-	nodes   []*simNode
-	byName  map[string]*simNode
-	now     rules.Micros
-	events  simQueue
-	order   int
-	random  *rand.Rand
-	link    func(from, to int) (delays []rules.Micros) // of each copy that arrives; none where it is lost
-	reaches func(front int, node *simNode) bool
-	each    func(front *simFront, action Action) // sees all actions
-	shell   rules.Micros                         // a probe ends as failed after this
-	encoded bool                                 // messages pass Encode and Decode
+	fronts    []*simFront
+	nodes     []*simNode
+	byName    map[string]*simNode
+	now       rules.Micros
+	events    simQueue
+	order     int
+	random    *rand.Rand
+	link      func(from, to int) (delays []rules.Micros) // of each copy that arrives; none where it is lost
+	reaches   func(front int, node *simNode) bool
+	each      func(front *simFront, action Action) // sees all actions
+	succeeded func(front *simFront, node string)   // sees each request that was answered
+	against   func(front *simFront, node string)   // sees each node that is avoided though the list bars it
+	shell     rules.Micros                         // a probe ends as failed after this
+	encoded   bool                                 // messages pass Encode and Decode
 }
 
 type simFront struct {
@@ -35,10 +39,10 @@
 	paused  bool
 	late    []simEvent // what came while paused
 	mute    map[string]bool
+	known   map[string]rules.Micros // starts, by the list
 	wanted  map[string]rules.Micros // ProbeWanted without an answer
 	failed  map[string]int          // requests
-	bytes   map[int64]int           // sent and received, by second
-	sent    []sentBytes
+	bytes   []sentBytes             // sent and received
 }
 
 type sentBytes struct {
@@ -110,9 +114,10 @@
 		panic(err)
 	}
 	f.monitor, f.life, f.paused, f.late = monitor, f.life+1, false, nil
+	f.known = map[string]rules.Micros{}
 	f.mute, f.wanted = map[string]bool{}, map[string]rules.Micros{}
 	if f.failed == nil {
-		f.failed, f.bytes = map[string]int{}, map[int64]int{}
+		f.failed = map[string]int{}
 	}
 	w.step(f, w.list())
 }
@@ -177,12 +182,31 @@
 }
 
 func (w *world) step(f *simFront, events ...Event) {
-	for _, a := range f.monitor.Step(w.now, events) {
+	actions := f.monitor.Step(w.now, events)
+	for _, e := range events {
+		if l, ok := e.(NodeList); ok {
+			w.listed(f, l)
+		}
+	}
+	for _, a := range actions {
 		w.each(f, a)
 		w.act(f, a)
 	}
 }
 
+// listed has a front's scheduler forget what it held of a former start.
+func (w *world) listed(f *simFront, l NodeList) {
+	for _, listed := range l.Nodes {
+		if f.known[listed.Node] != listed.Since {
+			f.known[listed.Node], f.mute[listed.Node] = listed.Since, false
+		}
+		n := f.monitor.byName[listed.Node]
+		if n.trouble != nil && n.avoided && listed.State != rules.Running && w.against != nil {
+			w.against(f, listed.Node)
+		}
+	}
+}
+
 func (w *world) act(f *simFront, a Action) {
 	switch a := a.(type) {
 	case SetAlarm:
@@ -212,6 +236,28 @@
 	}
 }
 
+// setAll lets all nodes fall silent, or return.
+func (w *world) setAll(dead bool) {
+	for _, n := range w.nodes {
+		n.dead = dead
+	}
+}
+
+// mostBytes is how many bytes a front sent and received within any second.
+func (f *simFront) mostBytes() int {
+	slices.SortStableFunc(f.bytes, func(a, b sentBytes) int { return cmp.Compare(a.at, b.at) })
+	worst, sum, from := 0, 0, 0
+	for _, b := range f.bytes {
+		sum += b.bytes
+		for f.bytes[from].at <= b.at-1_000_000 {
+			sum -= f.bytes[from].bytes
+			from++
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
 // want is the scheduler's wish for a probe.
 func (w *world) want(f *simFront, node string, in rules.Micros) {
 	w.push(simEvent{at: w.now + in, front: f.number, life: f.life, run: func() {
@@ -230,13 +276,11 @@
 			panic(err)
 		}
 	}
-	second := int64(w.now / 1_000_000)
-	f.bytes[second] += size
-	f.sent = append(f.sent, sentBytes{w.now, size})
+	f.bytes = append(f.bytes, sentBytes{w.now, size})
 	to := w.fronts[a.To]
 	for _, delay := range w.link(f.number, a.To) {
 		at := w.now + delay
-		w.fronts[a.To].bytes[int64(at/1_000_000)] += size
+		to.bytes = append(to.bytes, sentBytes{at, size})
 		w.to(to, at, Received{From: f.number, Message: message})
 	}
 }
@@ -280,6 +324,9 @@
 				}
 			}
 			w.step(f, AttemptEnded{Node: n.name, ID: id, Result: result})
+			if result == rules.OK && w.succeeded != nil {
+				w.succeeded(f, n.name)
+			}
 		}})
 	}
 	switch {
