--- a/rules/giveup.go
+++ b/rules/giveup.go
@@ -1,11 +1,12 @@
 package rules // Giving requests up: what is refused or failed, when, and which first.
 
-import "cmp"
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
-// giveUp answers at once what won't be sent again, or can't be answered before its client leaves whatever is
-// done. What may still earn, late too, goes on waiting, but not past the last step sure to come in time; what
-// was never sent not past half of its time either: its client is told while it can still come again.
+// giveUp answers at once what won't be sent again or can't be answered in time. Others wait until the last
+// step sure to be in time; what was never sent for half its time, as its client may come again.
 func (s *Scheduler) giveUp() {
 	spare := wakeTicks*s.set.Tick + s.margin()
 	for sh := range s.busy.All {
@@ -20,9 +21,8 @@
 	}
 }
 
-// shed refuses what earns least while more is open than there is room for. Clients have only so many
-// connections, and each request that is held takes one: held for little, it keeps out what a node could serve
-// at once. Covers floods; could hurt where one ends just as its requests are refused.
+// shed refuses what is worth least while more requests are open than MaxOpen. Each takes one of its client's
+// few connections. Could hurt where a flood ends just as its requests are refused.
 func (s *Scheduler) shed() {
 	for s.set.MaxOpen > 0 && len(s.reqs) > s.set.MaxOpen {
 		sh, r := s.least()
@@ -63,9 +63,8 @@
 	return where, worst
 }
 
-// answerAt is the earliest that a held request may be answered, as far as this host can tell. A node that is
-// gone or does not answer is expected to stay so for as long again. What it held when last heard of is served
-// first; a late request waits for all others; a limit's bucket has to fill.
+// answerAt is the earliest time of a held request's answer. A node that is gone or silent is expected to stay
+// so for as long again. What it held goes first; late requests wait for all others; buckets have to fill.
 func (s *Scheduler) answerAt(sh *shard, r *request) Micros {
 	n := sh.node
 	switch {
--- a/rules/learned.go
+++ b/rules/learned.go
@@ -72,7 +72,7 @@
 	if v, has := s.volumes.Look(volume); has {
 		v.reserve, v.bucket.Level = 0, 0
 		for _, sh := range s.shards {
-			if f, has := s.flows.Look(place{sh, v}); has {
+			if f, has := s.flows.Look(flowKey{sh, v}); has {
 				f.weight = sh.virtual
 			}
 		}
--- a/rules/loops.go
+++ b/rules/loops.go
@@ -65,10 +65,9 @@
 	}
 }
 
-// queues are what an attempt waits in: the node, and for a new object all nodes together. One of many hosts
-// meets a node too seldom to see an overload: by its own news some node always seems quick, and all hosts jam
-// it. So all nodes have a budget, a target and a pause, fed by each new object. Covers surges, mass failures
-// and releases; hurts where few slow nodes stand for all. Reserved work still leaves.
+// queues are what an attempt waits in: the node, and for a new object the pool of all nodes too. One of many
+// hosts meets a node too seldom to see an overload: some node always seems quick, and all hosts overload it.
+// Could hurt where few slow nodes stand for all. Reserved work still leaves.
 func (s *Scheduler) queues(n *node, r *request) []*node {
 	if r.placed {
 		return []*node{n, s.pool}
@@ -76,10 +75,9 @@
 	return []*node{n}
 }
 
-// judge takes in how long it took, for answers and for time-outs: a jammed node answers too late for its
-// clients. One request of each of many hosts fills a node, and a budget below one request would need more
-// answers than a host gets. So a cut lasts for one answer: what is not reserved stays away the longer, the
-// further the last two were over half the aim, a slow interval at most. Hurts where they stand for no others.
+// judge smooths the latency of answers and time-outs. One request of each of many hosts fills a node, and a
+// budget below one request would need more answers than a host gets. So what is not reserved pauses, the
+// longer the further the last two latencies were over the target: a slow interval at most.
 func (s *Scheduler) judge(n *node, l float64) {
 	n.Usual = cmp.Or(n.Usual, l)
 	n.Usual += (l - n.Usual) / 8
@@ -96,9 +94,8 @@
 	}
 }
 
-// normal turns a latency into that of a mean request. Small requests, and repeats of a key that the node
-// remembers, would otherwise set a lowest latency that no other request can reach, and the target with it.
-// The time of a unit is a low quantile of what the node showed; the rest of a latency is waiting.
+// normal scales a latency to a request of mean size. Else small requests, and repeats that the node
+// remembers, set a minimum that no other reaches. A unit's time is a low quantile, the rest is waiting.
 func (n *node) normal(latency, units, mean float64) float64 {
 	n.Unit = quantile.Low(n.Unit, latency/units)
 	return max(0, latency-units*n.Unit) + mean*n.Unit
@@ -122,8 +119,7 @@
 	s.agenda.RestFast(&n.entry)
 }
 
-// slowLoop adds a point to the throughput-latency curve and sets the target where the curve's slope meets
-// the trade-off.
+// slowLoop adds a point to the throughput-latency curve; the target is where its slope meets the trade-off.
 func (s *Scheduler) slowLoop(n *node) {
 	if !n.entry.Slow.Ended(s.now) {
 		return
--- a/rules/nodes.go
+++ b/rules/nodes.go
@@ -90,9 +90,8 @@
 	return min(at, s.now-s.waiting(n)+s.stallAfter(n)+1)
 }
 
-// failing tells that more of a node's answers are errors than not. It gets one request at a time, each a
-// while after the last error, and no new objects. Covers nodes that run and serve nothing; could hurt where
-// requests of one kind alone fail.
+// failing tells that most of a node's answers are errors. It gets one request at a time, each a while after
+// the last error, and no new objects. Could hurt where requests of one kind alone fail.
 func (n *node) failing() bool { return n.Errors > 0.5 }
 
 // stallAfter is how long a node may be without any answer before it counts as silent.
@@ -138,9 +137,8 @@
 	return units, count, silent
 }
 
-// watch probes a node that failed or may have fallen silent, until it answers. Attempts that are lost while
-// the node answers others are taken back if another one can be in time. It covers stalls, crashes and lost
-// connections too, and could hurt, by work done twice, where a node is slower for some requests.
+// watch probes a node that failed or may be silent, until it answers, and cancels attempts lost while it
+// answers others, if another one can be in time. Could do work twice where a node is slow for some requests.
 func (s *Scheduler) watch(n *node) {
 	_, _, silent := s.live(n)
 	if s.set.Probing && n.State == Running && (n.mute > 0 || silent) && s.now >= n.probeAt {
@@ -178,11 +176,10 @@
 	if e.OK && n.broke > 0 && n.probed <= n.Suspect+fastInterval && s.now < n.probed+s.aim {
 		n.Suspect = n.former
 	}
-	n.broke = 0
+	n.broke, n.scouted = 0, s.now
 	if e.OK {
 		n.mute, n.heard = 0, s.now
 	}
-	n.scouted = s.now
 	if each := n.Unit * s.set.MeanUnits; e.OK && e.Queue >= 0 { // what waits there bounds the usual latency
 		n.Usual, n.Judged = min(n.Usual, each*(1+e.Queue)), s.now
 		if each*e.Queue > float64(s.aim) {
@@ -191,10 +188,9 @@
 	}
 }
 
-// wary tells that a probe goes ahead. Each of many hosts would find out by a slow request of its own that a
-// node is jammed, and never that it is free again. So where slow answers are not seldom, or the node was
-// slow, one goes to a node not heard of for a slow interval. Covers ageing, overload, foreign work; it costs
-// a probe, and hurts where a queue soon grows.
+// wary tells that a probe goes ahead of a request: where slow answers are not rare, or the node was slow, and
+// it was not heard of for a slow interval. Otherwise each of many hosts would find out by a slow request of
+// its own that a node is overloaded, and never that it is free. Could hurt where a queue soon grows.
 func (s *Scheduler) wary(n *node) bool {
 	slow := s.slow > 1.0/seldom || n.Usual > float64(s.aim)
 	return s.set.Probing && slow && s.now > max(n.Judged, n.scouted)+slowInterval
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -72,9 +72,8 @@
 	s.hold(r)
 }
 
-// request is a request as it is held. Clients may give a try up long before its aim. What can't be answered
-// by then is late, whatever the aim: work for clients that have gone would crowd out the rest. Could hurt
-// where the usual is misjudged.
+// request is a request as it is held. Its aim ends with its client's time at the latest: work for clients
+// that have gone would crowd out the rest. Could hurt where the usual latency is misjudged.
 func (s *Scheduler) request(e Request) *request {
 	c := &s.set.Classes[e.Class]
 	return &request{Request: e, class: c, vol: s.volume(e), aimAt: s.now + min(c.Aim, e.Left),
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -46,7 +46,7 @@
 	shards     map[int]*shard
 	busy       ranked.Set[*shard] // those that something is held for, in the order of their first request
 	volumes    fading.Table[string, *volume]
-	flows      fading.Table[place, *flow]
+	flows      fading.Table[flowKey, *flow]
 	reqs       map[string]*request
 	turns      turns.Turns[Micros, *request]
 	refused    fading.Table[Request, *request] // what clients may bring again, until their time is up
@@ -65,7 +65,7 @@
 	}
 	s := &Scheduler{rng: rand.New(rand.NewPCG(uint64(seed), 0)), byName: map[string]*node{},
 		shards: map[int]*shard{}, reqs: map[string]*request{}, turns: turns.New[Micros, *request](),
-		volumes: fading.Of[string, *volume](), flows: fading.Of[place, *flow](),
+		volumes: fading.Of[string, *volume](), flows: fading.Of[flowKey, *flow](),
 		refused: fading.Of[Request, *request](),
 		agenda:  agenda.Of[Micros, *node](fastInterval, slowInterval)}
 	s.cold = cold.Figures[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
