--- a/internal/lab/processes/heard.go
+++ b/internal/lab/processes/heard.go
@@ -21,7 +21,7 @@
 		return out
 	}
 	told, again := fit(floats(l.Plan.Fronts), late(pushed)), fit(floats(l.Plan.Fronts), late(reread))
-	spread := float64(limits.For(limits.Site{MemoryMB: wideMemoryMB, Sockets: wideSockets, Askers: askers}).WatchSpread.Milliseconds())
+	spread := float64(limits.For(limits.Site{MemoryMB: wideMemoryMB, Sockets: wideSockets, Askers: askers}).Discovery.StartSpread.Milliseconds())
 	note := "this machine's cores bear all fronts; the value is what the most fronts took"
 	rows := []Row{
 		{Measure: "a list change until in force at all fronts, " + mode(asked), Sizes: sized, Fit: told, Unit: "ms a front",
--- a/internal/lab/processes/memory.go
+++ b/internal/lab/processes/memory.go
@@ -132,17 +132,17 @@
 	}
 	today, wide := allowed(todayMemoryMB, todaySockets), allowed(int(budgetMemory), wideSockets)
 	least := int(budgetMemory)
-	for allowed(least, wideSockets).ClientConns < sizeConnections {
+	for allowed(least, wideSockets).Clients.Conns < sizeConnections {
 		least++
 	}
 	files := todaySockets
-	for allowed(1<<20, files).ClientKeep < sizeConnections {
+	for allowed(1<<20, files).Clients.KeptConns < sizeConnections {
 		files++
 	}
 	return []Row{
 		{Measure: "memory that limits.For wants for 3,667 client connections", Sizes: "reckoned", Value: float64(least), In: "MB", Budget: budgetMemory,
-			Note: fmt.Sprintf("256 MB allow %d clients and %d to nodes", wide.ClientConns, wide.NodeConns)},
+			Note: fmt.Sprintf("256 MB allow %d clients and %d to nodes", wide.Clients.Conns, wide.Nodes.Conns)},
 		{Measure: "sockets that limits.For wants to keep 3,667 idle clients", Sizes: "reckoned", Value: float64(files), In: "descriptors",
-			Note: fmt.Sprintf("192 MB and 1,024 sockets allow %d clients, %d of them kept idle, %d to nodes", today.ClientConns, today.ClientKeep, today.NodeConns)},
+			Note: fmt.Sprintf("192 MB and 1,024 sockets allow %d clients, %d of them kept idle, %d to nodes", today.Clients.Conns, today.Clients.KeptConns, today.Nodes.Conns)},
 	}
 }
