--- a/internal/lab/processes/changes.go
+++ b/internal/lab/processes/changes.go
@@ -120,8 +120,8 @@
 }
 
 func (l *Lab) logHeard(asked bool, how string, h heard) {
-	l.logf("%d fronts, %d nodes listed, %s, %s: in force within %s ms, last at the former node %s ms; %d calls, %d lines, %d bytes", h.fronts, h.listed, mode(asked), how,
-		short(slices.Max(h.inForce)), short(slices.Max(h.former)), h.calls, h.lines, h.bytes)
+	l.logf("%d fronts, %d nodes listed, %s, %s: in force within %s ms, last at the former node %s ms; %d calls, %d lines, %d bytes",
+		h.fronts, h.listed, mode(asked), how, short(slices.Max(h.inForce)), short(slices.Max(h.former)), h.calls, h.lines, h.bytes)
 }
 
 // listedWith is a list of so many nodes, the first of which is given.
--- a/internal/lab/processes/heard.go
+++ b/internal/lab/processes/heard.go
@@ -26,7 +26,8 @@
 	rows := []Row{
 		{Measure: "a list change until in force at all fronts, " + mode(asked), Sizes: sized, Fit: told, Unit: "ms a front",
 			Value: late(pushed)[len(pushed)-1], In: "ms", Budget: budgetChange, Note: note},
-		{Measure: "SIGHUP until the new list is in force, " + mode(asked), Sizes: sized, Fit: again, Unit: "ms a front", Value: spread + bare, In: "ms", Budget: budgetChange,
+		{Measure: "SIGHUP until the new list is in force, " + mode(asked), Sizes: sized, Fit: again, Unit: "ms a front",
+			Value: spread + bare, In: "ms", Budget: budgetChange,
 			Note: fmt.Sprintf("%.0f ms that the most fronts took with agents, and %.0f ms in which 1,200 fronts begin their watches; "+
 				"whether discovery bears so many is the row of its lines", bare, spread)},
 	}
@@ -54,7 +55,7 @@
 	return []Row{
 		{Measure: "bytes of the whole list, for a front behind SIGHUP", Sizes: sized, Fit: size, Unit: "bytes a node", Value: size.At(sizeNodes) / 1024, In: "KB",
 			Budget: budgetListBytes, Note: "this stand-in writes an entry as the platform does, with names and addresses of its own length"},
-		{Measure: "SIGHUP until the new list is in force at one front, by its length", Sizes: sized, Fit: time, Unit: "ms a node", Value: time.At(sizeNodes), In: "ms",
-			Budget: budgetChange},
+		{Measure: "SIGHUP until the new list is in force at one front, by its length", Sizes: sized, Fit: time, Unit: "ms a node",
+			Value: time.At(sizeNodes), In: "ms", Budget: budgetChange},
 	}
 }
--- a/internal/lab/processes/memory.go
+++ b/internal/lab/processes/memory.go
@@ -143,6 +143,7 @@
 		{Measure: "memory that limits.For wants for 3,667 client connections", Sizes: "reckoned", Value: float64(least), In: "MB", Budget: budgetMemory,
 			Note: fmt.Sprintf("256 MB allow %d clients and %d to nodes", wide.Clients.Conns, wide.Nodes.Conns)},
 		{Measure: "sockets that limits.For wants to keep 3,667 idle clients", Sizes: "reckoned", Value: float64(files), In: "descriptors",
-			Note: fmt.Sprintf("192 MB and 1,024 sockets allow %d clients, %d of them kept idle, %d to nodes", today.Clients.Conns, today.Clients.KeptConns, today.Nodes.Conns)},
+			Note: fmt.Sprintf("192 MB and 1,024 sockets allow %d clients, %d of them kept idle, %d to nodes",
+				today.Clients.Conns, today.Clients.KeptConns, today.Nodes.Conns)},
 	}
 }
--- a/internal/lab/processes/report.go
+++ b/internal/lab/processes/report.go
@@ -105,11 +105,19 @@
 	return out
 }
 
+const pageHead = `# Measured: fronts as processes
+
+Written by "make processes MARKDOWN=docs/capacity/processes.md": the built program on loopback, before stand-in nodes and a
+stand-in discovery in the measuring process. Figures are from /proc: processor time is what the threads ran, so a busy machine
+adds little to it but what shared caches and cores cost. Slopes are those of a straight line by least squares, with the standard
+error; the residual is the points' standard deviation about the line, in bytes, milliseconds, or microseconds a second. MB and KB
+are 1,048,576 and 1,024 bytes.
+
+`
+
 // Page writes rows as the page of figures.
 func Page(out io.Writer, rows []Row) {
-	fmt.Fprint(out, "# Measured: fronts as processes\n\nWritten by `make processes MARKDOWN=docs/capacity/processes.md`: the built program on loopback, before stand-in nodes and a\n"+
-		"stand-in discovery, figures from `/proc`. Slopes are those of a straight line by least squares, with the standard error; the residual\n"+
-		"is the points' standard deviation about it, in the unit of what was measured.\n\n")
+	fmt.Fprint(out, pageHead)
 	Markdown(out, rows)
 	fmt.Fprintf(out, "\n%s.\n", strings.ToUpper(Worst(rows)[:1])+Worst(rows)[1:])
 }
--- a/internal/lab/processes/scenario.go
+++ b/internal/lab/processes/scenario.go
@@ -36,8 +36,8 @@
 }
 
 func (o Outcome) String() string {
-	return fmt.Sprintf("a front: %.1f probes, %.1f attempts, %.1f messages of %.0f bytes; %.0f served, %.0f refused, %.0f failed", o.Probes, o.Attempts, o.Messages,
-		o.MessageBytes, o.Served, o.Refused, o.Failed)
+	return fmt.Sprintf("a front: %.1f probes, %.1f attempts, %.1f messages of %.0f bytes; %.0f served, %.0f refused, %.0f failed",
+		o.Probes, o.Attempts, o.Messages, o.MessageBytes, o.Served, o.Refused, o.Failed)
 }
 
 // Play plays a scenario with real processes.
--- a/internal/lab/processes/silent.go
+++ b/internal/lab/processes/silent.go
@@ -45,8 +45,8 @@
 func (l *Lab) silentRows(all []silence, rate float64) []Row {
 	var probes, peaks, attempts, bytes []float64
 	for _, s := range all {
-		l.logf("%d fronts of %s requests a second, a node silent for %.0f s: %d probes, %d in one second, %d attempts, %d connections, %d bytes", s.fronts, short(rate),
-			s.seconds, s.probes, s.peak, s.attempts, s.opened, s.bytes)
+		l.logf("%d fronts of %s requests a second, a node silent for %.0f s: %d probes, %d in one second, %d attempts, %d connections, %d bytes",
+			s.fronts, short(rate), s.seconds, s.probes, s.peak, s.attempts, s.opened, s.bytes)
 		probes, peaks = append(probes, float64(s.probes)/s.seconds), append(peaks, float64(s.peak))
 		attempts, bytes = append(attempts, float64(s.attempts)), append(bytes, float64(s.bytes)/s.seconds)
 	}
@@ -66,7 +66,8 @@
 		{Measure: "probes of a silent node in the worst second" + each, Sizes: sized, Fit: m, Unit: "a second a front", Value: m.Slope * sizeFronts, In: "a second",
 			Budget: budget(budgetProbes), Note: "of the same " + span[len("mean of the "):]},
 		{Measure: "bytes to silent nodes, a zone of 180 gone" + each, Sizes: sized, Fit: b, Unit: "bytes a second a front and node",
-			Value: b.Slope * sizeZoneNodes / 1024, In: "KB a second a front", Budget: budget(budgetBytes), Note: span + "; heads of probes and attempts, without TCP's own"},
+			Value: b.Slope * sizeZoneNodes / 1024, In: "KB a second a front", Budget: budget(budgetBytes),
+			Note: span + "; heads of probes and attempts, without TCP's own"},
 		{Measure: "attempts that a silent node has cost" + each, Sizes: sized, Fit: a, Unit: "a front", Value: a.Slope * sizeFronts, In: "of the fleet, a node",
 			Note: "the aim of issue 28 is a tenth of it"},
 	}
--- a/internal/lab/processes/whole.go
+++ b/internal/lab/processes/whole.go
@@ -42,8 +42,8 @@
 	}
 	u, err := front.Usage()
 	_, kept := connectionsAt(nodes)
-	l.logf("%d connections, %d requests in %.1f s, %d connections to %d nodes: %.1f MB resident, %d descriptors", many, many*rounds, time.Since(began).Seconds(), kept,
-		len(nodes), megabytes(u.Resident), u.Descriptors)
+	l.logf("%d connections, %d requests in %.1f s, %d connections to %d nodes: %.1f MB resident, %d descriptors",
+		many, many*rounds, time.Since(began).Seconds(), kept, len(nodes), megabytes(u.Resident), u.Descriptors)
 	sized := fmt.Sprintf("%d connections, %d nodes", many, len(nodes))
 	return []Row{
 		{Measure: "memory of a whole front, clients idle", Sizes: sized, Value: megabytes(u.Resident), In: "MB", Budget: budgetMemory,
