--- a/internal/lab/processes/idle.go
+++ b/internal/lab/processes/idle.go
@@ -50,7 +50,7 @@
 			In: "% of a core", Budget: budgetProcessor, Note: fmt.Sprintf("%s wakeups of a thread a second", short(wakes.At(sizeNodes)))},
 		{Measure: "memory of a listed node" + with, Sizes: sized, Fit: size, Unit: "bytes", Value: size.At(sizeNodes) / (1 << 20), In: "MB", Budget: budgetMemory,
 			Note: "a front without clients, 1,200 fronts named"},
-		{Measure: "bytes of discovery when idle" + with, Sizes: sized, Fit: heard, Unit: "bytes a second a node", 
+		{Measure: "bytes of discovery when idle" + with, Sizes: sized, Fit: heard, Unit: "bytes a second a node",
 			Value: heard.At(sizeNodes) / 1024, In: "KB a second", Budget: budgetBytes, Note: "watches without news"},
 	}, nil
 }
