--- /dev/null
+++ b/internal/lab/processes/meter.go
@@ -0,0 +1,88 @@
+package processes
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+)
+
+// host is a loopback address that this process alone uses: a port that was given back there is taken by nobody else.
+func host() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
+}
+
+// Ports for fronts, which open them later: below those that the kernel hands out, and none twice.
+const firstPort, lastPort = 12_000, 32_000
+
+var ports atomic.Int64
+
+// freePort is a port of this process's address that is free for a listener of a network, tcp or udp.
+func freePort(network string) (string, error) {
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("%s:%d", host(), firstPort+ports.Add(1)%(lastPort-firstPort))
+		var probe io.Closer
+		var err error
+		if network == "udp" {
+			probe, err = net.ListenPacket(network, addr)
+		} else {
+			probe, err = net.Listen(network, addr)
+		}
+		if err == nil {
+			return addr, probe.Close()
+		}
+	}
+	return "", errors.New("no free port on " + host())
+}
+
+// meter counts connections, and the bytes that pass over them. A counter that is nil is not kept.
+type meter struct {
+	net.Listener
+	opened, open, sent, received *atomic.Int64
+}
+
+func add(to *atomic.Int64, n int) {
+	if to != nil {
+		to.Add(int64(n))
+	}
+}
+
+// Accept counts a connection in.
+func (m *meter) Accept() (net.Conn, error) {
+	c, err := m.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	add(m.opened, 1)
+	add(m.open, 1)
+	return &meteredConn{Conn: c, meter: m}, nil
+}
+
+type meteredConn struct {
+	net.Conn
+	meter  *meter
+	closed atomic.Bool
+}
+
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	add(c.meter.received, n)
+	return n, err
+}
+
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	add(c.meter.sent, n)
+	return n, err
+}
+
+// Close counts the connection out, once.
+func (c *meteredConn) Close() error {
+	if !c.closed.Swap(true) {
+		add(c.meter.open, -1)
+	}
+	return c.Conn.Close()
+}
