--- /dev/null
+++ b/rules/module_test.go
@@ -0,0 +1,132 @@
+package rules
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+func TestDeterminism(t *testing.T) {
+	script := func() (all []Action) {
+		h := newHost(t, testSettings())
+		for i := range 300 {
+			id := "r" + string(rune('A'+i/64)) + string(rune('0'+i%64))
+			a := h.after(3*ms, req(id, func(r *Request) { r.Shard = i%3 - 1; r.Plan = i % 3; r.Volume = id[:2] }))
+			all = append(all, a...)
+			for _, x := range sends(a) {
+				if i%7 != 0 {
+					all = append(all, h.after(ms, h.end(x, OK, 20*ms))...)
+				}
+			}
+		}
+		return all
+	}
+	if a, b := script(), script(); !reflect.DeepEqual(a, b) {
+		t.Error("the same events led to other actions")
+	}
+}
+
+func TestNothingPilesUp(t *testing.T) {
+	for _, span := range []Micros{0, 1000 * ms} {
+		set := testSettings()
+		set.RetrySpan = span
+		h := newHost(t, set)
+		for i := range 500 {
+			id := fmt.Sprintf("r%d", i)
+			h.step(req(id, func(r *Request) { r.Class, r.Key = 3, id }))
+			o := h.end(id, Cancelled, 5*ms)
+			o.Final = true
+			h.after(10*ms, o)
+		}
+		if left := len(h.s.reqs); left > 0 {
+			t.Errorf("%d requests left", left)
+		}
+	}
+}
+
+func TestOddEvents(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.step()
+	h.step(Outcome{ID: "?"}, Lapsed{ID: "?"}, Probed{Node: "?"}, Alarm{})
+	refused, _ := finals(h.step(req("x", func(r *Request) { r.Class = 9 })))
+	if !reflect.DeepEqual(refused, []string{"x"}) {
+		t.Errorf("refused %v", refused)
+	}
+	h.wantSends(h.step(req("y", func(r *Request) { r.Units, r.Hosts = 0, 0 })), "y")
+	h.step(h.end("y", OK, ms), h.end("y", OK, ms))
+}
+
+func TestUnusableSettings(t *testing.T) {
+	cases := map[string]func(*Settings){
+		"Tick":      func(s *Settings) { s.Tick = 0 },
+		"MeanUnits": func(s *Settings) { s.MeanUnits = 0 },
+		"ColdFrom":  func(s *Settings) { s.ColdFrom = 0 },
+		"Classes":   func(s *Settings) { s.Classes = nil },
+		"Plans":     func(s *Settings) { s.Plans = nil },
+		"Aim":       func(s *Settings) { s.Classes[0].Aim = 0 },
+		"Burst":     func(s *Settings) { s.Plans[3].Burst = 0 },
+	}
+	for field, edit := range cases {
+		set := testSettings()
+		edit(&set)
+		if _, err := New(set, 1); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error %v", field, err)
+		}
+	}
+}
+
+// The operators run no longer module, so its files are named and counted where they are built.
+func TestSizeOfTheModule(t *testing.T) {
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, policy, _ := strings.Cut(string(deploy), "policy = [")
+	policy, _, _ = strings.Cut(policy, "]")
+	lines := 0
+	for _, name := range strings.Split(policy, ",") {
+		text, err := os.ReadFile("../" + strings.Trim(name, ` "`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, l := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(l) != "" {
+				lines++
+			}
+			if n := utf8.RuneCountInString(strings.ReplaceAll(l, "\t", "    ")); n > 110 {
+				t.Errorf("%s, line %d has %d characters", name, i+1, n)
+			}
+		}
+	}
+	if lines > 1000 {
+		t.Errorf("%d lines that are not blank", lines)
+	}
+}
+
+// Ever new volumes were all kept for good. What is idle goes, but a limit's store not before it is full
+// again: its volume would come back with more than is left.
+func TestIdleVolumesAreForgotten(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.idle(5 * second) // the stores of the limit, 10 units a second up to 20, are full
+	for i := range 100 {
+		id := fmt.Sprint(i)
+		h.step(req(id, func(r *Request) { r.Plan = i % 3 }))
+		h.step(h.end(id, OK, ms))
+	}
+	limited := func(r *Request) { r.Volume, r.Plan, r.Units = "limited", 3, 8 }
+	for _, id := range []string{"x", "y"} {
+		h.after(ms, req(id, limited))
+		h.step(h.end(id, OK, ms))
+	}
+	h.wantSends(h.idle(slowInterval))
+	if v, has := h.s.volumes.Look("limited"); !has || v.bucket.Level >= 20 {
+		t.Errorf("the store that is not full: %+v", v)
+	}
+	h.idle(40 * second)
+	if n, flows := h.s.volumes.Len(), h.s.flows.Len(); n+flows > 0 {
+		t.Errorf("%d volumes and %d flows stay", n, flows)
+	}
+}
--- /dev/null
+++ b/rules/place_test.go
@@ -0,0 +1,128 @@
+package rules
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// One of many hosts that strews its new objects over all nodes meets each of them seldom, with a new connection for nearly
+// every object, and knows none. They go where it was answered lately, unless that is slower by more than a little.
+func TestNewObjectsGoWhereTheHostWasAnsweredLately(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.step(Nodes{Full: true, List: []Listing{running("a", 0), running("b", 1), running("c", 2), running("d", 3)}})
+	fresh := func(r *Request) { r.Shard = -1 }
+	h.wantSends(h.after(ms, req("x", func(r *Request) { r.Shard = 2 })), "x")
+	h.after(50*ms, h.end("x", OK, 50*ms))
+	for i := range 20 {
+		id := fmt.Sprint("n", i)
+		out := h.after(100*ms, req(id, fresh))
+		h.wantSends(out, id)
+		for _, a := range out {
+			if send, is := a.(Send); is && send.Node != "c" {
+				t.Fatalf("object %d goes to %s", i, send.Node)
+			}
+		}
+		h.after(50*ms, h.end(id, OK, 50*ms))
+	}
+}
+
+// Among many hosts each node is met too seldom for its own news: what one node shows of new objects holds for
+// all.
+func TestNewObjectsWaitForTheNewsOfAllNodes(t *testing.T) {
+	fresh := func(r *Request) { r.Shard, r.Left = -1, 20*second }
+	for _, c := range []struct {
+		latency Micros
+		sent    int // of four more new objects
+	}{{40 * ms, 4}, {1900 * ms, 1}} {
+		set := testSettings()
+		set.Hosts = 100
+		h := newHost(t, set)
+		var list []Listing
+		for i := range 20 {
+			list = append(list, running(fmt.Sprintf("n%d", i), i))
+		}
+		h.step(Nodes{Full: true, List: list})
+		for i := range 2 { // by two answers of two nodes
+			id := fmt.Sprintf("w%d", i)
+			h.wantSends(h.step(req(id, fresh)), id)
+			h.after(c.latency, h.end(id, OK, c.latency))
+		}
+		actions := h.step(req("old", func(r *Request) { r.Shard = 15 }), req("x0", fresh), req("x1", fresh),
+			req("x2", fresh), req("x3", fresh))
+		for range 5 { // probes go ahead and find no queue
+			events := []Event{Alarm{}}
+			for _, a := range actions {
+				if p, ok := a.(Probe); ok {
+					events = append(events, Probed{Node: p.Node, OK: true})
+				}
+			}
+			actions = h.after(ms, events...)
+		}
+		if got := h.tries["x0"] + h.tries["x1"] + h.tries["x2"] + h.tries["x3"]; got != c.sent || h.tries["old"] != 1 {
+			t.Errorf("after answers in %v µs: %d of 4 new objects sent, a read %d times", c.latency, got, h.tries["old"])
+		}
+	}
+}
+
+func TestNewObjectsAvoidANodeThatOwesAnAnswer(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.step(req("x", nil), req("y", func(r *Request) { r.Shard = 1 }))
+	y := Outcome{ID: "y", Result: OK, Latency: 100 * ms, Final: true}
+	h.after(100*ms, h.end("x", OK, 50*ms), y)
+	h.step(req("u", func(r *Request) { r.Units = 1 }))
+	h.s.byName["a"].outUnits = 0 // only what it owes tells
+	a := h.after(300*ms, req("w", func(r *Request) { r.Shard = -1 }))
+	if !slices.Contains(a, Action(Send{ID: "w", Node: "b"})) {
+		t.Errorf("actions %v", a)
+	}
+}
+
+func TestNewObjectsGoWhereThereIsRoom(t *testing.T) {
+	h := newHost(t, testSettings())
+	feed(h, 3, 20*ms)
+	h.s.byName["b"].Usual = h.s.byName["a"].Usual
+	at := map[string]int{}
+	for i := range 8 {
+		for _, a := range h.step(req(fmt.Sprintf("n%d", i), func(r *Request) { r.Shard = -1 })) {
+			if a, ok := a.(Send); ok {
+				at[a.Node]++
+			}
+		}
+	}
+	if at["a"] < 1 || at["b"] < 1 {
+		t.Errorf("sends by node: %v", at)
+	}
+	h.step(Nodes{List: []Listing{{Node: "b", Shard: 1, State: Draining}}})
+	for _, a := range h.step(req("late", func(r *Request) { r.Shard = -1 })) {
+		if a, ok := a.(Send); ok && a.Node == "b" {
+			t.Error("sent to a draining node")
+		}
+	}
+}
+
+// A node that answered nothing but errors did so in 3 ms, which counted as its latency: it looked quicker
+// than all others and drew the new objects.
+func TestNodeThatAnswersErrors(t *testing.T) {
+	h := newHost(t, testSettings())
+	object := func(r *Request) { r.Shard = -1 }
+	h.step(req("usual", func(r *Request) { r.Shard = 1 }))
+	h.step(h.end("usual", OK, 20*ms))
+	for i := range 4 {
+		id := fmt.Sprint("error-", i)
+		h.wantSends(h.after(20*ms, req(id, nil)), id)
+		h.step(h.end(id, Errored, ms), Lapsed{ID: id})
+	}
+	for i := range 5 {
+		id := fmt.Sprint("object-", i)
+		if a := h.after(20*ms, req(id, object)); !slices.Contains(a, Action(Send{ID: id, Node: "b"})) {
+			t.Errorf("a new object: %v, want it sent to b", a)
+		}
+		h.step(h.end(id, OK, 20*ms))
+	}
+	h.wantSends(h.step(req("trial", nil), req("behind", nil)))
+	h.idle(400 * ms)
+	if h.tries["trial"]+h.tries["behind"] != 1 {
+		t.Errorf("%d and %d sends, want one trial", h.tries["trial"], h.tries["behind"])
+	}
+}
--- /dev/null
+++ b/rules/repeats_test.go
@@ -0,0 +1,127 @@
+package rules
+
+import (
+	"reflect"
+	"testing"
+)
+
+func TestEffects(t *testing.T) {
+	cases := []struct {
+		name    string
+		class   int
+		result  Result
+		again   bool
+		refused bool // of a request that is not sent again
+	}{
+		{"safe after a reset", 0, Reset, true, false},
+		{"keyed after an error", 1, Errored, true, false},
+		{"unsafe after an error", 2, Errored, false, false},
+		{"unsafe after a reset", 2, Reset, false, false},
+		{"unsafe turned away", 2, Full, true, false},
+		{"unsafe never connected", 2, Unreachable, true, false},
+		{"unsafe moot", 2, Moot, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			set := testSettings()
+			set.Ramp = 0
+			h := newHost(t, set)
+			h.step(req("x", func(r *Request) { r.Class = c.class }))
+			a := h.after(10*ms, h.end("x", c.result, 10*ms))
+			refused, failed := finals(a)
+			a = append(a, h.after(1000*ms, Probed{Node: "a", OK: true})...)
+			if got := len(sends(a)) > 0; got != c.again {
+				t.Errorf("sent again: %v", got)
+			}
+			if got := len(failed) > 0; got == c.again || len(refused) > 0 {
+				t.Errorf("refused %v, failed %v", refused, failed)
+			}
+		})
+	}
+}
+
+func TestKeyedRepeatStaysInsideItsWindow(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.step(req("x", func(r *Request) { r.Class = 1 }), req("y", func(r *Request) { r.Class = 4 }))
+	_, failed := finals(h.after(1000*ms, h.end("x", Errored, 1000*ms)))
+	refused, _ := finals(h.step(h.end("y", Errored, 1000*ms)))
+	if !reflect.DeepEqual(failed, []string{"x"}) || !reflect.DeepEqual(refused, []string{"y"}) {
+		t.Errorf("failed %v, refused %v", failed, refused)
+	}
+}
+
+func TestAttemptLimit(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.wantSends(h.step(req("x", nil)), "x")
+	h.wantSends(h.after(10*ms, h.end("x", Errored, 10*ms)), "x")
+	h.wantSends(h.after(10*ms, h.end("x", Errored, 10*ms)), "x")
+	refused, _ := finals(h.after(10*ms, h.end("x", Errored, 10*ms)))
+	if !reflect.DeepEqual(refused, []string{"x"}) {
+		t.Errorf("refused %v", refused)
+	}
+}
+
+func TestRetryAllowance(t *testing.T) {
+	set := testSettings()
+	set.RetrySpan, set.RetrySpare, set.RetryShare = 1000*ms, 1, 0.1
+	h := newHost(t, set)
+	h.step(req("x", nil))
+	h.wantSends(h.after(10*ms, h.end("x", Errored, 10*ms)), "x")
+	h.wantSends(h.after(10*ms, h.end("x", Errored, 10*ms)))
+	if a := sends(h.idle(900 * ms)); len(a) != 0 {
+		t.Errorf("sends %v", a)
+	}
+	h.wantSends(h.idle(200*ms), "x")
+}
+
+func TestOneAttemptAtATime(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.step(req("x", nil))
+	if a := sends(h.idle(1900 * ms)); len(a) != 0 {
+		t.Errorf("sends %v", a)
+	}
+}
+
+// lossyHost has seen one attempt run into its deadline though two later ones were answered.
+func lossyHost(t *testing.T) *host {
+	set := testSettings()
+	set.Cancel = true
+	h := newHost(t, set)
+	h.wantSends(h.step(req("x", nil), req("y", nil), req("z", nil)), "x", "y", "z")
+	h.after(20*ms, h.end("y", OK, 20*ms), h.end("z", OK, 20*ms))
+	h.after(1980*ms, h.end("x", TimedOut, 2000*ms))
+	h.after(ms, Probed{Node: "a", OK: true})
+	return h
+}
+
+// A lost attempt was waited for once its request would be late, though late it may still earn.
+func TestAttemptLostAtALossyNodeIsRepeated(t *testing.T) {
+	for _, out := range []Micros{120 * ms, 1000 * ms} {
+		h := lossyHost(t)
+		h.wantSends(h.step(req("u", nil), req("v", nil), req("w", nil)), "u", "v", "w")
+		h.after(20*ms, h.end("v", OK, 20*ms), h.end("w", OK, 20*ms))
+		var cancels []Action
+		for _, a := range h.after(out - 20*ms) {
+			if _, ok := a.(Cancel); ok {
+				cancels = append(cancels, a)
+			}
+		}
+		if !reflect.DeepEqual(cancels, []Action{Cancel{ID: "u", Attempt: 0}}) {
+			t.Errorf("cancels %v", cancels)
+		}
+		h.wantSends(h.after(ms, h.end("u", Cancelled, out)), "u")
+	}
+}
+
+func TestAttemptIsLeftAloneWhereNoneWasLost(t *testing.T) {
+	set := testSettings()
+	set.Cancel = true
+	h := newHost(t, set)
+	h.step(req("u", nil), req("v", nil), req("w", nil))
+	h.after(20*ms, h.end("v", OK, 20*ms), h.end("w", OK, 20*ms))
+	for _, a := range h.idle(1000 * ms) {
+		if _, ok := a.(Cancel); ok {
+			t.Errorf("cancelled: %v", a)
+		}
+	}
+}
