--- a/internal/fleet/health/monitor.go
+++ b/internal/fleet/health/monitor.go
@@ -38,6 +38,7 @@
 	repeated  func(p *peer, sequence uint32) bool
 	sameStart func(told, listed rules.Micros) bool
 	add       func(e *evidence, o observation)
+	round     func(lacked, takeoverAfter rules.Micros) int
 }
 
 // New returns a Monitor that knows no node.
@@ -51,7 +52,7 @@
 		byName: map[string]*node{}, byKey: map[uint64]*node{}, attempts: map[attemptID]attempt{},
 		passed: map[string]bool{}, peers: map[int]*peer{}, outbox: newOutbox(), bytes: window.Of(bytesSpan),
 		counts: Counters{Dropped: map[Drop]int64{}},
-		seams:  seams{repeated: (*peer).repeated, sameStart: sameStart, add: (*evidence).add},
+		seams:  seams{repeated: (*peer).repeated, sameStart: sameStart, add: (*evidence).add, round: roundOf},
 	}, nil
 }
 
--- a/internal/fleet/health/random_test.go
+++ b/internal/fleet/health/random_test.go
@@ -24,7 +24,7 @@
 
 // playRandom draws and plays one schedule.
 func playRandom(t *rapid.T, broken func(m *Monitor)) []string {
-	fronts := rapid.IntRange(2, 4).Draw(t, "fronts")
+	fronts := rapid.IntRange(2, 5).Draw(t, "fronts")
 	nodes := rapid.IntRange(1, 2).Draw(t, "nodes")
 	seed := rapid.Uint64Range(0, 1000).Draw(t, "seed")
 	var moves []move
--- a/internal/fleet/health/schedule_test.go
+++ b/internal/fleet/health/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 
 	"otterturn/rules"
@@ -17,17 +18,18 @@
 	nodeDrains
 	nodeRuns // again, by the list
 	frontCrashes
+	frontLeaves // for good, while enough stay for a quorum
 	frontPauses
 	linkCut   // from one front to the next one alone
 	reachCut  // from a front to the node
-	loseNext  // messages
-	copyNext  // the next messages arrive three times
-	delayNext // the next messages arrive late, behind others
+	loseSome  // all messages for a while
+	copySome  // the messages of a while arrive three times
+	delaySome // the messages of a while arrive late, behind others
 	faults    // how many there are
 )
 
 func (f fault) String() string {
-	return [...]string{"node dies", "node returns", "node restarts", "node drains", "node runs", "front crashes",
+	return [...]string{"node dies", "node returns", "node restarts", "node drains", "node runs", "front crashes", "front leaves",
 		"front pauses", "link cut", "reach cut", "lose", "copy", "delay"}[f]
 }
 
@@ -46,9 +48,9 @@
 	wrong    []string
 	cutLinks map[[2]int]bool
 	cutReach map[int]bool
-	lose     int
-	copies   int
-	delay    int
+	lose     rules.Micros // until then
+	copies   rules.Micros
+	delay    rules.Micros
 	silent   map[sighting]rules.Micros // what a front was told, or saw itself, last
 	sent     map[int][]sentBytes
 	asked    map[int]map[string]rules.Micros // probes started last
@@ -68,6 +70,7 @@
 	smallTakeover = second / 2
 	smallBytes    = 2048
 	smallLoad     = 4.0
+	faultFor      = 400_000 // that messages are lost, copied or late
 	// agreement is how long all fronts may take to agree once links are whole and the node stays as it is: what is
 	// too old fades, and those who lost what came after it ask the next in rank.
 	agreement = smallLife + 4*smallTakeover
@@ -80,7 +83,7 @@
 		cutLinks: map[[2]int]bool{}, cutReach: map[int]bool{}, silent: map[sighting]rules.Micros{},
 		sent: map[int][]sentBytes{}, asked: map[int]map[string]rules.Micros{}, broken: broken,
 	}
-	probers := min(3, fronts)
+	probers := 2 + int(seed%2)*min(1, fronts-2)
 	t.world = newWorld(seed, zonesOf(1, fronts), nodes, func(c *Config) {
 		c.Probers, c.EvidenceLife, c.TakeoverAfter, c.MessageBytes = probers, smallLife, smallTakeover, smallBytes
 	})
@@ -100,14 +103,11 @@
 	switch {
 	case t.cutLinks[[2]int{from, to}]:
 		return nil
-	case t.lose > 0:
-		t.lose--
+	case t.now < t.lose:
 		return nil
-	case t.copies > 0:
-		t.copies--
+	case t.now < t.copies:
 		return []rules.Micros{usual, usual + 30_000, usual + 400_000}
-	case t.delay > 0:
-		t.delay--
+	case t.now < t.delay:
 		return []rules.Micros{700_000}
 	}
 	return []rules.Micros{usual + rules.Micros(t.random.IntN(1000))}
@@ -198,7 +198,11 @@
 	case nodeRuns:
 		t.listAll(t.list())
 	case frontCrashes:
-		t.crash(front)
+		if !front.gone {
+			t.crash(front)
+		}
+	case frontLeaves:
+		t.leave(front)
 	case frontPauses:
 		front.paused = true
 		t.at(t.now+700_000, func() { t.resume(front) })
@@ -207,12 +211,26 @@
 		t.cutLinks[link] = !t.cutLinks[link]
 	case reachCut:
 		t.cutReach[front.number] = !t.cutReach[front.number]
-	case loseNext:
-		t.lose = 3
-	case copyNext:
-		t.copies = 3
-	case delayNext:
-		t.delay = 3
+	case loseSome:
+		t.lose = t.now + faultFor
+	case copySome:
+		t.copies = t.now + faultFor
+	case delaySome:
+		t.delay = t.now + faultFor
+	}
+}
+
+// leave ends a front for good.
+func (t *trial) leave(f *simFront) {
+	living := 0
+	for _, other := range t.fronts {
+		if !other.gone {
+			living++
+		}
+	}
+	if living > f.config.Quorum && !f.gone {
+		f.gone, f.paused, f.late = true, false, nil
+		f.life++
 	}
 }
 
@@ -273,7 +291,7 @@
 func (t *trial) checkWanted() {
 	for _, f := range t.fronts {
 		for node, at := range f.wanted {
-			if !f.paused && t.now > at+answerWithin {
+			if !f.paused && !f.gone && t.now > at+answerWithin {
 				t.say("front %d has owed a probe of %s for %d ms", f.number, node, (t.now-at)/1000)
 			}
 		}
@@ -283,14 +301,19 @@
 func (t *trial) checkAgreement() {
 	for _, n := range t.nodes {
 		var avoid []int
+		living := 0
 		for _, f := range t.fronts {
+			if f.gone {
+				continue
+			}
+			living++
 			known := f.monitor.byName[n.name]
 			if known.trouble != nil && known.avoided {
 				avoid = append(avoid, f.number)
 			}
 		}
 		switch {
-		case n.dead && len(avoid) < len(t.fronts):
+		case n.dead && len(avoid) < living:
 			t.say("%s is silent, and only fronts %v avoid it", n.name, avoid)
 		case !n.dead && len(avoid) > 0:
 			t.say("%s runs, and fronts %v avoid it", n.name, avoid)
@@ -307,3 +330,12 @@
 		t.say("front %d avoids %s though it was just answered", f.number, node)
 	}
 }
+
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
+
+func randomMoves(random *rand.Rand) (moves []move) {
+	for range 1 + random.IntN(6) {
+		moves = append(moves, move{fault(random.IntN(int(faults))), random.IntN(4), waits[random.IntN(len(waits))]})
+	}
+	return moves
+}
--- a/internal/fleet/health/seek.go
+++ b/internal/fleet/health/seek.go
@@ -28,14 +28,18 @@
 	if !n.lacking {
 		n.lacking, n.lackedFrom, n.round = true, m.now, -1
 	}
-	if round := int((m.now - n.lackedFrom) / m.config.TakeoverAfter); round > n.round {
+	lacked := m.now - n.lackedFrom
+	if round := m.seams.round(lacked, m.config.TakeoverAfter); round > n.round {
 		n.round = round
 		m.ask(n, max(from, n.answered))
 		n.takeover = n.takeover || round >= min(n.rank/m.config.Probers, mostRounds)
 	}
-	return n.lackedFrom + rules.Micros(n.round+1)*m.config.TakeoverAfter
+	return m.now + m.config.TakeoverAfter - lacked%m.config.TakeoverAfter
 }
 
+// roundOf is the round of asking after evidence has been missing for so long.
+func roundOf(lacked, takeoverAfter rules.Micros) int { return int(lacked / takeoverAfter) }
+
 // askAfter is the age at which evidence no longer suffices: another one at each front, as all would ask at once.
 func (m *Monitor) askAfter(n *node) rules.Micros {
 	spread := float64(m.config.EvidenceLife-m.config.freshFor()) / 2
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -37,6 +37,7 @@
 	life    int // counts restarts
 	alarm   int // of the last SetAlarm
 	paused  bool
+	gone    bool
 	late    []simEvent // what came while paused
 	mute    map[string]bool
 	known   map[string]rules.Micros // starts, by the list
@@ -182,6 +183,9 @@
 }
 
 func (w *world) step(f *simFront, events ...Event) {
+	if f.gone {
+		return
+	}
 	actions := f.monitor.Step(w.now, events)
 	for _, e := range events {
 		if l, ok := e.(NodeList); ok {
@@ -306,7 +310,7 @@
 // request sends one request, unless the front's scheduler holds the node for silent. A silent node is given up on after
 // 400 ms.
 func (w *world) request(f *simFront, n *simNode, id string) {
-	if f.paused || f.mute[n.name] {
+	if f.paused || f.gone || f.mute[n.name] {
 		return
 	}
 	w.step(f, AttemptStarted{Node: n.name, ID: id})
