Call the ordered set of rules what it is: package orderedset

rules/ranked is named after the standard term; its doc comments say cost and what may change during an iteration. The code is the same, identifiers aside. go test ./rules/orderedset passes.

--- a/rules/flow.go
+++ b/rules/flow.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"otterturn/rules/ranked"
+	"otterturn/rules/orderedset"
 )
 
 // flow is what is held of one volume for one shard.
@@ -24,13 +24,13 @@
 
 type shard struct {
 	id, number int
-	began      int               // flows that ever began
-	busy       ranked.Set[*flow] // those that hold something
-	virtual    float64           // weight tag of the last request sent
-	units      float64           // units held
-	nodes      []*node           // running ones that hold the shard, and
-	node       *node             // the last of them, if any
-	since      Micros            // without a node since then
+	began      int                   // flows that ever began
+	busy       orderedset.Set[*flow] // those that hold something
+	virtual    float64               // weight tag of the last request sent
+	units      float64               // units held
+	nodes      []*node               // running ones that hold the shard, and
+	node       *node                 // the last of them, if any
+	since      Micros                // without a node since then
 }
 
 // hold puts a request among those held for its shard. A new object goes where the budgets say there is room.
--- /dev/null
+++ b/rules/orderedset/orderedset.go
@@ -0,0 +1,56 @@
+// Package orderedset implements a set of values that are ordered by an integer key. It is meant for sets that stay small,
+// such as those members of a large collection that have work to do.
+package orderedset
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Set is an ordered set, smallest key first, kept in a sorted slice: to add or remove a value takes O(log n) comparisons
+// and a move of the values behind it. The zero value is an empty set.
+type Set[V any] struct {
+	entries []entry[V]
+}
+
+type entry[V any] struct {
+	key   int
+	value V
+}
+
+func (s *Set[V]) find(key int) (int, bool) {
+	return slices.BinarySearchFunc(s.entries, key, func(e entry[V], key int) int { return cmp.Compare(e.key, key) })
+}
+
+// Add adds a value, unless the set has one of that key.
+func (s *Set[V]) Add(key int, value V) {
+	if i, found := s.find(key); !found {
+		s.entries = slices.Insert(s.entries, i, entry[V]{key, value})
+	}
+}
+
+// Remove removes the value of a key, if there is one.
+func (s *Set[V]) Remove(key int) {
+	if i, found := s.find(key); found {
+		s.entries = slices.Delete(s.entries, i, i+1)
+	}
+}
+
+// Len returns the number of values.
+func (s *Set[V]) Len() int { return len(s.entries) }
+
+// All iterates over the values in the order of their keys. The set may be changed during the iteration: no value is
+// visited twice, and one that is added with a larger key than the current one's is visited.
+func (s *Set[V]) All(yield func(V) bool) {
+	for i := 0; i < len(s.entries); {
+		e := s.entries[i]
+		if !yield(e.value) {
+			return
+		}
+		if i < len(s.entries) && s.entries[i].key == e.key {
+			i++
+		} else {
+			i, _ = s.find(e.key + 1)
+		}
+	}
+}
--- a/rules/ranked/ranked_test.go
+++ b/rules/orderedset/orderedset_test.go
@@ -1,4 +1,4 @@
-package ranked
+package orderedset
 
 import (
 	"slices"
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -8,7 +8,7 @@
 	"otterturn/rules/allowance"
 	"otterturn/rules/cold"
 	"otterturn/rules/fading"
-	"otterturn/rules/ranked"
+	"otterturn/rules/orderedset"
 	"otterturn/rules/turns"
 )
 
@@ -44,7 +44,7 @@
 	byName     map[string]*node
 	agenda     agenda.Agenda[Micros, *node] // nodes that something happened or is due at
 	shards     map[int]*shard
-	busy       ranked.Set[*shard] // those that something is held for, in the order of their first request
+	busy       orderedset.Set[*shard] // those that something is held for, in the order of their first request
 	volumes    fading.Table[string, *volume]
 	flows      fading.Table[flowKey, *flow]
 	reqs       map[string]*request
