--- /dev/null
+++ b/rules/expiring/expiring.go
@@ -0,0 +1,80 @@
+// Package expiring implements a table whose entries expire by a condition of the caller's. They are removed by an
+// incremental sweep, a few in each call, so that no call takes long and the table stays in proportion to what is in use.
+// It reads no clock.
+package expiring
+
+// Table maps keys to values that may expire. New returns an empty one.
+type Table[K comparable, V any] struct {
+	byKey   map[K]*entry[K, V]
+	entries []*entry[K, V]
+	next    int // index at which the next sweep goes on
+}
+
+type entry[K comparable, V any] struct {
+	key   K
+	value V
+	index int
+}
+
+// New returns an empty table.
+func New[K comparable, V any]() Table[K, V] { return Table[K, V]{byKey: map[K]*entry[K, V]{}} }
+
+// Len returns the number of entries, expired ones that were not swept yet included.
+func (t *Table[K, V]) Len() int { return len(t.entries) }
+
+// At returns the value at an index from 0 to Len()-1. Indexes change when an entry is removed.
+func (t *Table[K, V]) At(index int) V { return t.entries[index].value }
+
+// GetOrCreate returns the value of a key. Where there is none, or it has expired, create makes a new one.
+func (t *Table[K, V]) GetOrCreate(key K, expired func(V) bool, create func() V) V {
+	e := t.byKey[key]
+	if e != nil && expired(e.value) {
+		t.remove(e)
+		e = nil
+	}
+	if e == nil {
+		t.Put(key, create())
+		e = t.byKey[key]
+	}
+	return e.value
+}
+
+// Get returns the value of a key, expired or not, and whether there is one.
+func (t *Table[K, V]) Get(key K) (value V, found bool) {
+	if e := t.byKey[key]; e != nil {
+		return e.value, true
+	}
+	return value, false
+}
+
+// Put sets the value of a key.
+func (t *Table[K, V]) Put(key K, value V) {
+	if e := t.byKey[key]; e != nil {
+		e.value = value
+		return
+	}
+	e := &entry[K, V]{key, value, len(t.entries)}
+	t.byKey[key], t.entries = e, append(t.entries, e)
+}
+
+// Sweep checks the next entries, at most limit of them, and removes those that have expired.
+func (t *Table[K, V]) Sweep(limit int, expired func(V) bool) {
+	for range min(limit, len(t.entries)) {
+		if t.next >= len(t.entries) {
+			t.next = 0
+		}
+		if len(t.entries) > 0 && expired(t.entries[t.next].value) {
+			t.remove(t.entries[t.next]) // the last entry takes its index, and is checked next
+		} else {
+			t.next++
+		}
+	}
+}
+
+func (t *Table[K, V]) remove(e *entry[K, V]) {
+	last := len(t.entries) - 1
+	t.entries[e.index], t.entries[last].index = t.entries[last], e.index
+	t.entries[last] = nil
+	t.entries = t.entries[:last]
+	delete(t.byKey, e.key)
+}
--- a/rules/fading/fading_test.go
+++ b/rules/expiring/expiring_test.go
@@ -1,4 +1,4 @@
-package fading
+package expiring
 
 import (
 	"math/rand/v2"
@@ -8,14 +8,14 @@
 // Entries are found as in a map, and a sweep of all of them in parts forgets what is gone.
 func TestTableForgetsWhatIsGone(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
-	table, until := Of[int, int](), map[int]int{}
+	table, until := New[int, int](), map[int]int{}
 	for now := range 20_000 {
 		key := rng.IntN(500)
 		gone := func(k int) bool { return until[k] <= now }
 		if was := until[key]; was > now != has(table, key, gone) {
 			t.Fatalf("at %d: %d lasts until %d", now, key, was)
 		}
-		table.Get(key, gone, func() int { return key })
+		table.GetOrCreate(key, gone, func() int { return key })
 		until[key] = now + 50 + rng.IntN(50)
 		table.Sweep(2, gone)
 		if table.Len() > 200 {
@@ -31,6 +31,6 @@
 }
 
 func has(t Table[int, int], key int, gone func(int) bool) bool {
-	v, there := t.Look(key)
+	v, there := t.Get(key)
 	return there && !gone(v)
 }
--- a/rules/flow.go
+++ b/rules/flow.go
@@ -68,7 +68,7 @@
 }
 
 func (s *Scheduler) flow(sh *shard, v *volume) *flow {
-	return s.flows.Get(flowKey{sh, v}, s.expired, func() *flow {
+	return s.flows.GetOrCreate(flowKey{sh, v}, s.expired, func() *flow {
 		sh.began++
 		return &flow{vol: v, shard: sh, number: sh.began, emptied: s.now}
 	})
--- a/rules/giveup_test.go
+++ b/rules/giveup_test.go
@@ -111,7 +111,7 @@
 	}
 	h.step(req("again", func(r *Request) { r.Volume, r.Key, r.Left = "vx", "k", first+1500*ms-h.now }))
 	h.step(req("other", func(r *Request) { r.Volume, r.Key, r.Left = "vx", "k", 1500*ms }))
-	if r, _ := h.s.refused.Look(Request{Volume: "vx", Key: "k", Units: 2}); r.aimAt != first+400*ms {
+	if r, _ := h.s.refused.Get(Request{Volume: "vx", Key: "k", Units: 2}); r.aimAt != first+400*ms {
 		t.Errorf("aim at %v after the first try", r.aimAt-first)
 	}
 	if r := h.s.reqs["other"]; r == nil || r.aimAt != h.now+400*ms {
--- a/rules/handover.go
+++ b/rules/handover.go
@@ -78,7 +78,7 @@
 	s.set.Number, s.set.Peers, s.dealsFrom = -1-s.set.Number, peers, s.now
 	s.replan()
 	for _, a := range unused.Accounts {
-		if v, has := s.volumes.Look(a.Volume); has && v.plan.Limit > 0 {
+		if v, has := s.volumes.Get(a.Volume); has && v.plan.Limit > 0 {
 			v.bucket.Level += a.Bucket.Level
 		}
 	}
--- a/rules/learned.go
+++ b/rules/learned.go
@@ -69,10 +69,10 @@
 		n.Habits = s.Fresh()
 		n.Suspect = suspect
 	}
-	if v, has := s.volumes.Look(volume); has {
+	if v, has := s.volumes.Get(volume); has {
 		v.reserve, v.bucket.Level = 0, 0
 		for _, sh := range s.shards {
-			if f, has := s.flows.Look(flowKey{sh, v}); has {
+			if f, has := s.flows.Get(flowKey{sh, v}); has {
 				f.weight = sh.virtual
 			}
 		}
--- a/rules/learned_test.go
+++ b/rules/learned_test.go
@@ -110,7 +110,7 @@
 	set.Lease, set.LeaseLast = 200*ms, 60_000*ms
 	h := newHost(t, set)
 	h.s.Recall(h.now, Learned{At: h.now, Accounts: []Account{{Volume: "v", Plan: 3, Hosts: 1}}})
-	v, _ := h.s.volumes.Look("v")
+	v, _ := h.s.volumes.Get("v")
 	v.bucket.Level, v.bucket.Bound = 18, h.now+60_000*ms
 	ask := func(id string) []Action {
 		return h.step(req(id, func(r *Request) { r.Volume, r.Plan, r.Units, r.Hosts = "v", 3, 5, 1 }))
--- a/rules/module_test.go
+++ b/rules/module_test.go
@@ -122,7 +122,7 @@
 		h.step(h.end(id, OK, ms))
 	}
 	h.wantSends(h.idle(slowInterval))
-	if v, has := h.s.volumes.Look("limited"); !has || v.bucket.Level >= 20 {
+	if v, has := h.s.volumes.Get("limited"); !has || v.bucket.Level >= 20 {
 		t.Errorf("the store that is not full: %+v", v)
 	}
 	h.idle(40 * second)
--- a/rules/quotas_test.go
+++ b/rules/quotas_test.go
@@ -149,7 +149,7 @@
 		o.Elsewhere = 1000
 		h.after(10*ms, o)
 		// The even part is 50 units a second; told, the volume has had its second and more of the whole 100.
-		v, _ := h.s.volumes.Look("v")
+		v, _ := h.s.volumes.Get("v")
 		if due := v.reserve+1 <= float64(h.now); due == told {
 			t.Errorf("told %v: tag due %v", told, due)
 		}
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -59,7 +59,7 @@
 	e.Units = cmp.Or(max(e.Units, 0), 1)
 	r := s.request(e)
 	// A client's next try ends when the first would have. Its worth goes by the first one's aim.
-	p, again := s.refused.Look(r.origin())
+	p, again := s.refused.Get(r.origin())
 	if again && max(r.deadline-p.deadline, p.deadline-r.deadline) <= s.margin() {
 		r.aimAt = min(r.aimAt, p.aimAt)
 	}
@@ -86,7 +86,7 @@
 // volume finds or opens a volume. A limit's bucket starts with its part of half the slack: what a former
 // self of this host spent is not known after a restart, and two may come before the part is full again.
 func (s *Scheduler) volume(e Request) *volume {
-	v := s.volumes.Get(e.Volume, s.forgotten, func() *volume {
+	v := s.volumes.GetOrCreate(e.Volume, s.forgotten, func() *volume {
 		v := &volume{name: e.Volume, index: e.Plan, plan: &s.set.Plans[e.Plan], hosts: 1, closed: s.now}
 		v.bucket.At, v.bucket.Level = s.began, v.plan.Slack/2/float64(max(e.Hosts, 1))
 		return v
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -7,7 +7,7 @@
 	"otterturn/rules/agenda"
 	"otterturn/rules/allowance"
 	"otterturn/rules/cold"
-	"otterturn/rules/fading"
+	"otterturn/rules/expiring"
 	"otterturn/rules/orderedset"
 	"otterturn/rules/turns"
 )
@@ -45,11 +45,11 @@
 	agenda     agenda.Agenda[Micros, *node] // nodes that something happened or is due at
 	shards     map[int]*shard
 	busy       orderedset.Set[*shard] // those that something is held for, in the order of their first request
-	volumes    fading.Table[string, *volume]
-	flows      fading.Table[flowKey, *flow]
+	volumes    expiring.Table[string, *volume]
+	flows      expiring.Table[flowKey, *flow]
 	reqs       map[string]*request
 	turns      turns.Turns[Micros, *request]
-	refused    fading.Table[Request, *request] // what clients may bring again, until their time is up
+	refused    expiring.Table[Request, *request] // what clients may bring again, until their time is up
 	wakeSet    bool
 	sweptAt    Micros                      // idle volumes and flows count as forgotten as of then
 	allowance  allowance.Allowance[Micros] // of further attempts
@@ -65,8 +65,8 @@
 	}
 	s := &Scheduler{rng: rand.New(rand.NewPCG(uint64(seed), 0)), byName: map[string]*node{},
 		shards: map[int]*shard{}, reqs: map[string]*request{}, turns: turns.New[Micros, *request](),
-		volumes: fading.Of[string, *volume](), flows: fading.Of[flowKey, *flow](),
-		refused: fading.Of[Request, *request](),
+		volumes: expiring.New[string, *volume](), flows: expiring.New[flowKey, *flow](),
+		refused: expiring.New[Request, *request](),
 		agenda:  agenda.Of[Micros, *node](fastInterval, slowInterval)}
 	s.cold = cold.Figures[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
 		Multiple: set.FallMultiple, Span: set.FallSpan, Units: set.ColdUnits, Peers: set.Peers}
--- a/rules/send.go
+++ b/rules/send.go
@@ -63,7 +63,7 @@
 	s.now = now
 	sh, r := s.shard(e.Shard), s.request(e)
 	n := sh.node
-	f, has := s.flows.Look(flowKey{sh, r.vol})
+	f, has := s.flows.Get(flowKey{sh, r.vol})
 	if n == nil || n.mute > 0 {
 		return true
 	}
