Call the queues by key of rules what they are: package fifo

rules/turns is named after the standard term, its methods after what they do to a queue: Push, PauseUntil, MayStart, Remove. The code is the same, identifiers aside; the test keeps its assertions. go test ./rules ./rules/fifo passes.

--- a/rules/order.go
+++ b/rules/order.go
@@ -77,7 +77,7 @@
 		s.now >= r.deadline-s.margin() || !s.mayRepeat(r) || len(r.sends) > 0 && !s.allowance.Left(s.now),
 		r.ran != nil && c.Repeat == Keyed && c.Group == SameShard && n.Shard != r.ran.node.Shard,
 		r.ran != nil && c.Repeat == Keyed && c.Group == SameZone && n.Zone != r.ran.node.Zone,
-		c.InOrder && !s.turns.Has(r.Key, r, s.now, r.ran != nil):
+		c.InOrder && !s.byKey.MayStart(r.Key, r, s.now, r.ran != nil):
 		return false
 	case r.placed && !s.due(r) && (s.now < p.pausedTo || p.outUnits > 0 && p.outUnits+r.Units > p.Budget):
 		p.wasFull = true
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -66,7 +66,7 @@
 	s.reqs[e.ID] = r
 	r.vol.open++
 	if r.class.InOrder && e.Key != "" {
-		s.turns.Join(e.Key, r)
+		s.byKey.Push(e.Key, r)
 	}
 	s.allowance.Request(s.now)
 	s.hold(r)
@@ -157,7 +157,7 @@
 		r.landed()
 	}
 	if r.class.InOrder && ran && e.Result != Errored {
-		s.turns.Rest(r.Key, s.now+s.set.KeyRest)
+		s.byKey.PauseUntil(r.Key, s.now+s.set.KeyRest)
 	}
 	switch {
 	case e.Final || r.done:
@@ -188,6 +188,6 @@
 		r.vol.away = 0 // without a rest of rounding
 	}
 	if r.class.InOrder {
-		s.turns.Leave(r.Key, r, s.now, 2*len(s.reqs))
+		s.byKey.Remove(r.Key, r, s.now, 2*len(s.reqs))
 	}
 }
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -8,8 +8,8 @@
 	"otterturn/rules/allowance"
 	"otterturn/rules/cold"
 	"otterturn/rules/expiring"
+	"otterturn/rules/fifo"
 	"otterturn/rules/orderedset"
-	"otterturn/rules/turns"
 )
 
 // Figures of the design, the same for every deployment.
@@ -48,7 +48,7 @@
 	volumes    expiring.Table[string, *volume]
 	flows      expiring.Table[flowKey, *flow]
 	reqs       map[string]*request
-	turns      turns.Turns[Micros, *request]
+	byKey      fifo.Queues[Micros, *request]     // requests of classes that keep the order of a key
 	refused    expiring.Table[Request, *request] // what clients may bring again, until their time is up
 	wakeSet    bool
 	sweptAt    Micros                      // idle volumes and flows count as forgotten as of then
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	s := &Scheduler{rng: rand.New(rand.NewPCG(uint64(seed), 0)), byName: map[string]*node{},
-		shards: map[int]*shard{}, reqs: map[string]*request{}, turns: turns.New[Micros, *request](),
+		shards: map[int]*shard{}, reqs: map[string]*request{}, byKey: fifo.New[Micros, *request](),
 		volumes: expiring.New[string, *volume](), flows: expiring.New[flowKey, *flow](),
 		refused: expiring.New[Request, *request](),
 		agenda:  agenda.Of[Micros, *node](fastInterval, slowInterval)}
