Call the grouped intervals of rules what they are: package interval

rules/phase had Phases of Phase, Own, Wake and Rest. It is now a Schedule of Groups that are merged by union by rank, and an Interval that is separate or belongs to a group.

--- a/rules/agenda/agenda.go
+++ b/rules/agenda/agenda.go
@@ -6,13 +6,13 @@
 	"math"
 	"slices"
 
-	"otterturn/rules/phase"
+	"otterturn/rules/interval"
 	"otterturn/rules/timers"
 )
 
 // Agenda keeps members with two recurring intervals each, a fast one and a slow one.
 type Agenda[T ~int64, M any] struct {
-	fast, slow phase.Phases[T]
+	fast, slow interval.Schedule[T]
 	entered    int
 	looked     []*Entry[T, M]
 	timers     timers.Timers[T, *Entry[T, M]]
@@ -21,7 +21,7 @@
 
 // Entry is a member's place.
 type Entry[T ~int64, M any] struct {
-	Fast, Slow phase.Interval[T]
+	Fast, Slow interval.Interval[T]
 	member     M
 	number     int
 	listed     bool // among those to be looked at
@@ -31,7 +31,7 @@
 
 // Of returns an agenda without members, with the lengths of the intervals.
 func Of[T ~int64, M any](fast, slow T) Agenda[T, M] {
-	return Agenda[T, M]{fast: phase.Of(fast), slow: phase.Of(slow)}
+	return Agenda[T, M]{fast: interval.NewSchedule(fast), slow: interval.NewSchedule(slow)}
 }
 
 // Enter takes a member in, behind all others. Its intervals have ended, so it is looked at in this step.
@@ -58,11 +58,11 @@
 	}
 }
 
-// Wake does so, and has the member's intervals end for themselves, as something is to be done then.
+// Wake does so, and separates the member's intervals, as something is to be done when they end.
 func (a *Agenda[T, M]) Wake(e *Entry[T, M]) {
 	a.Touch(e)
-	e.Fast.Wake()
-	e.Slow.Wake()
+	e.Fast.Separate()
+	e.Slow.Separate()
 }
 
 // Due are the members to be looked at in the step of a time, in their order. Call it once in each step.
@@ -84,22 +84,22 @@
 }
 
 // RestFast and RestSlow begin a member's next interval.
-func (a *Agenda[T, M]) RestFast(e *Entry[T, M]) { e.Fast.Rest(&a.fast, a.now) }
+func (a *Agenda[T, M]) RestFast(e *Entry[T, M]) { e.Fast.Restart(&a.fast, a.now) }
 
 // RestSlow begins the slow one.
-func (a *Agenda[T, M]) RestSlow(e *Entry[T, M]) { e.Slow.Rest(&a.slow, a.now) }
+func (a *Agenda[T, M]) RestSlow(e *Entry[T, M]) { e.Slow.Restart(&a.slow, a.now) }
 
 // Never is the time of what is not due.
 const Never = math.MaxInt64
 
-// Close ends a step: each member that was looked at, or touched since, is looked at again as an interval ends for
-// itself, or at the time that next tells.
+// Close ends a step: each member that was looked at, or touched since, is looked at again when a separate
+// interval of its ends, or at the time that next tells.
 func (a *Agenda[T, M]) Close(next func(M) T) {
 	for _, e := range a.looked {
 		e.listed = false
 		at := next(e.member)
-		for _, i := range []*phase.Interval[T]{&e.Fast, &e.Slow} {
-			if end, own := i.Own(); own {
+		for _, i := range []*interval.Interval[T]{&e.Fast, &e.Slow} {
+			if end, separate := i.SeparateEnd(); separate {
 				at = min(at, end)
 			}
 		}
--- a/rules/loops.go
+++ b/rules/loops.go
@@ -124,7 +124,7 @@
 	if !n.entry.Slow.Ended(s.now) {
 		return
 	}
-	if end, _ := n.entry.Slow.Own(); n.answers > 0 && end > 0 {
+	if end, _ := n.entry.Slow.SeparateEnd(); n.answers > 0 && end > 0 {
 		span := float64(s.now-end+slowInterval) / float64(second)
 		p := curve.Point{Throughput: n.served / span, Latency: n.latency / n.answers, Low: n.low}
 		n.Curve = n.Curve.Add(p, curvePoints)
--- a/rules/loops_test.go
+++ b/rules/loops_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"otterturn/rules/curve"
-	"otterturn/rules/phase"
+	"otterturn/rules/interval"
 )
 
 // Without it one request of each of dozens of hosts fills a node again as soon as it has answered.
@@ -112,7 +112,7 @@
 	}
 	before, target := n.Budget, n.Target
 	ended := func() { // its fast interval, in this step
-		n.entry.Fast = phase.Interval[Micros]{}
+		n.entry.Fast = interval.Interval[Micros]{}
 		h.s.agenda.Touch(&n.entry)
 		h.step()
 	}
@@ -144,9 +144,9 @@
 		n.Curve, n.served, n.answers, n.latency, n.low = p[1:], p[0].Throughput*2, 1, p[0].Latency, p[0].Low
 		h.now += slowInterval
 		h.s.now = h.now
-		last := phase.Of(slowInterval)
-		n.entry.Slow.Rest(&last, h.now-slowInterval)
-		n.entry.Slow.Wake()
+		last := interval.NewSchedule(slowInterval)
+		n.entry.Slow.Restart(&last, h.now-slowInterval)
+		n.entry.Slow.Separate()
 		h.s.slowLoop(n)
 		return n.Target
 	}
