Call the spread of calls to discovery what it is: package backoff

internal/net/pace is exponential backoff with jitter and a spread of the first calls; it is named so, with Config, InitialDelay, Next and Reset. The code is the same, identifiers aside; the tests keep their assertions. go test -race ./internal/net/backoff ./internal/net/transport passes.

--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"otterturn/internal/limits"
-	"otterturn/internal/net/pace"
+	"otterturn/internal/net/backoff"
 	"otterturn/internal/net/protocol"
 	"otterturn/rules"
 )
@@ -38,8 +38,8 @@
 			log.Warn(what, "address", addr, "error", text)
 		}
 	}
-	calls := pace.New(pace.Figures{Least: l.Discovery.RetryMin, Most: l.Discovery.RetryMax, Spread: l.Discovery.StartSpread}, seed)
-	rest(ctx, calls.First())
+	calls := backoff.New(backoff.Config{Min: l.Discovery.RetryMin, Max: l.Discovery.RetryMax, Spread: l.Discovery.StartSpread}, seed)
+	rest(ctx, calls.InitialDelay())
 	for ctx.Err() == nil {
 		began := time.Now()
 		list, err := fetch(ctx, client, addr, seq, hold, zones, l)
@@ -49,7 +49,7 @@
 		case err != nil:
 			warn("discovery can't be read, the list stays", err.Error())
 			hold = 0
-			rest(ctx, calls.Failed())
+			rest(ctx, calls.Next())
 			continue
 		case list.Seq < seq:
 			warn("discovery goes back, the list stays", fmt.Sprintf("%d behind %d", list.Seq, seq))
@@ -61,7 +61,7 @@
 		default:
 			said = ""
 		}
-		calls.Served()
+		calls.Reset()
 		// An agent that does not hold an empty answer would be asked without end. The next call is due within 200 ms
 		// of an answer, or the watch would have to begin anew.
 		again := hold == 0 || len(list.Hosts) > 0 || time.Since(began) > l.Discovery.RetryMin
