Call the processes of a handover predecessor and successor

Lines that operators read in the log keep their words, and so does docs/operators/daily.md, which quotes them.

--- a/cmd/otterturn/upgrade_test.go
+++ b/cmd/otterturn/upgrade_test.go
@@ -74,7 +74,7 @@
 // all processes, and a request that has half come is answered by the process that began to read it.
 func TestUpgrades(t *testing.T) {
 	s := newSite(t)
-	elder := s.start(t, s.control)
+	predecessor := s.start(t, s.control)
 	healthy(t, s.control)
 	clients := []*kept{s.connect(t), s.connect(t), s.connect(t)}
 	half := s.connect(t)
@@ -88,14 +88,14 @@
 	for round := range 3 {
 		half.say(t, head(anID()))
 		control := freeAddr(t)
-		younger := s.start(t, control)
+		successor := s.start(t, control)
 		healthy(t, control)
-		logged(t, elder, "handed over")
+		logged(t, predecessor, "handed over")
 		half.say(t, rest)
 		if got := half.answer(t); got != 200 {
 			t.Errorf("round %d: half a request got %d", round, got)
 		}
-		elder.stop(t)
+		predecessor.stop(t)
 		for i, c := range clients {
 			if got := c.ask(t, anID()); got != 200 {
 				t.Errorf("round %d: connection %d got %d", round, i, got)
@@ -104,15 +104,15 @@
 		if got := half.ask(t, anID()); got != 200 {
 			t.Errorf("round %d: the connection with half a request got %d", round, got)
 		}
-		elder, s.control = younger, control
+		predecessor, s.control = successor, control
 	}
 	if status, _ := call(t, "POST", s.control, "/chunk-servers/s/maint"); status != 200 {
 		t.Fatalf("out by hand: %d", status)
 	}
 	control := freeAddr(t)
-	younger := s.start(t, control)
+	successor := s.start(t, control)
 	healthy(t, control)
-	elder.stop(t)
+	predecessor.stop(t)
 	if got := clients[1].ask(t, anID()); got == 200 {
 		t.Error("a node that is kept out was asked after an upgrade")
 	}
@@ -125,17 +125,17 @@
 	if got := clients[1].ask(t, once); got != 400 {
 		t.Errorf("an id that another process took: %d", got)
 	}
-	younger.stop(t)
+	successor.stop(t)
 }
 
-// A younger process that dies leaves the elder serving, which hands over to the next. An elder that dies leaves the
-// younger serving. What another version or nobody left in the folder holds no start up.
+// A successor that dies leaves the predecessor serving, which hands over to the next. A predecessor that dies leaves the
+// successor serving. What another version or nobody left in the folder holds no start up.
 func TestUpgradesThatFail(t *testing.T) {
 	s := newSite(t)
 	if err := os.WriteFile(filepath.Join(s.folder, "handover"), []byte("of another version"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	elder := s.start(t, s.control)
+	predecessor := s.start(t, s.control)
 	healthy(t, s.control)
 	c := s.connect(t)
 	standin.Until(t, "a served request", func() bool { return c.ask(t, anID()) == 200 })
@@ -144,47 +144,47 @@
 		t.Fatal(err)
 	}
 	fmt.Fprint(bad, "nonsense")
-	logged(t, elder, "did not take over")
+	logged(t, predecessor, "did not take over")
 	bad.Close()
 	for range 2 {
 		control := freeAddr(t)
-		younger := s.start(t, control)
+		successor := s.start(t, control)
 		healthy(t, control)
-		logged(t, elder, "handed over")
+		logged(t, predecessor, "handed over")
 		fresh := s.connect(t)
 		if got := fresh.ask(t, anID()); got != 200 {
-			t.Errorf("a new client got %d of the younger process", got)
+			t.Errorf("a new client got %d of the successor", got)
 		}
-		younger.Process.Kill()
-		standin.Await(t, "the end of the younger process", younger.done)
-		standin.Until(t, "a new client of the elder process", func() bool { return s.connect(t).ask(t, anID()) == 200 })
+		successor.Process.Kill()
+		standin.Await(t, "the end of the successor", successor.done)
+		standin.Until(t, "a new client of the predecessor", func() bool { return s.connect(t).ask(t, anID()) == 200 })
 	}
 	control := freeAddr(t)
-	younger := s.start(t, control)
+	successor := s.start(t, control)
 	healthy(t, control)
-	elder.Process.Signal(syscall.SIGKILL)
-	standin.Await(t, "the end of the elder process", elder.done)
+	predecessor.Process.Signal(syscall.SIGKILL)
+	standin.Await(t, "the end of the predecessor", predecessor.done)
 	if got := s.connect(t).ask(t, anID()); got != 200 {
-		t.Errorf("after the elder's death: %d", got)
+		t.Errorf("after the predecessor's death: %d", got)
 	}
-	younger.stop(t)
+	successor.stop(t)
 }
 
-// An elder that is stopped keeps its promises to itself: the younger serves, but lets nothing flow into limits until
+// A predecessor that is stopped keeps its promises to itself: the successor serves, but lets nothing flow into limits until
 // that one has ended.
 func TestUpgradeBesideOneThatSaysNothing(t *testing.T) {
 	s := newSite(t)
-	elder := s.start(t, s.control)
+	predecessor := s.start(t, s.control)
 	healthy(t, s.control)
-	if err := elder.Process.Signal(syscall.SIGSTOP); err != nil {
+	if err := predecessor.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
 	control := freeAddr(t)
-	younger := s.start(t, control)
+	successor := s.start(t, control)
 	healthy(t, control)
-	logged(t, younger, "says nothing")
-	elder.Process.Kill()
-	logged(t, younger, "the elder process has ended")
+	logged(t, successor, "says nothing")
+	predecessor.Process.Kill()
+	logged(t, successor, "the elder process has ended")
 	standin.Until(t, "a served request", func() bool { return s.connect(t).ask(t, anID()) == 200 })
-	younger.stop(t)
+	successor.stop(t)
 }
--- a/internal/handover/channel.go
+++ b/internal/handover/channel.go
@@ -15,12 +15,12 @@
 
 // The kinds of message. A state comes in parts, the last of which may carry the socket for other fronts' messages.
 const (
-	Ask  Kind = iota + 1 // younger: hand over; the text is the version
-	Part                 // elder: a part of the state
-	End                  // elder: the state is whole
-	Have                 // younger: it can serve
-	Go                   // elder: it may
-	Conn                 // elder: a client's connection
+	Ask  Kind = iota + 1 // successor: hand over; the text is the version
+	Part                 // predecessor: a part of the state
+	End                  // predecessor: the state is whole
+	Have                 // successor: it can serve
+	Go                   // predecessor: it may
+	Conn                 // predecessor: a client's connection
 	ID                   // either: a request was taken under this id
 	Out                  // either: a node is kept out by hand; node and who told, apart by a line's end
 	Back                 // either: it may serve again
@@ -35,7 +35,7 @@
 // Channel is one end of the socket between two processes.
 type Channel struct{ conn *net.UnixConn }
 
-// Listen opens the socket at a path on which a younger process asks. What a process left there that is gone is removed.
+// Listen opens the socket at a path on which a successor asks. What a process left there that is gone is removed.
 func Listen(path string) (*net.UnixListener, error) {
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("handover: %w", err)
@@ -44,11 +44,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	l.SetUnlinkOnClose(false) // the younger has one there by then
+	l.SetUnlinkOnClose(false) // the successor has one there by then
 	return l, nil
 }
 
-// Dial reaches the elder process. It fails where there is none.
+// Dial reaches the predecessor. It fails where there is none.
 func Dial(path string) (*Channel, error) {
 	c, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
 	if err != nil {
@@ -134,7 +134,7 @@
 	return c.conn.SetDeadline(time.Now().Add(d))
 }
 
-// AskFor has the elder give its state, and returns it with the socket that came with it, nil for none.
+// AskFor has the predecessor give its state, and returns it with the socket that came with it, nil for none.
 func (c *Channel) AskFor() (state []byte, socket *os.File, err error) {
 	if err := c.Send(Ask, []byte{Version}, nil); err != nil {
 		return nil, nil, err
@@ -154,7 +154,7 @@
 	}
 }
 
-// Asked waits for the younger's question.
+// Asked waits for the successor's question.
 func (c *Channel) Asked() error {
 	k, text, _, err := c.Receive()
 	if err == nil && (k != Ask || len(text) != 1 || text[0] != Version) {
@@ -163,7 +163,7 @@
 	return err
 }
 
-// Confirm tells the elder that this process can serve, and waits until it may.
+// Confirm tells the predecessor that this process can serve, and waits until it may.
 func (c *Channel) Confirm() error {
 	if err := c.Send(Have, nil, nil); err != nil {
 		return err
@@ -171,7 +171,7 @@
 	return c.await(Go)
 }
 
-// LetGo waits until the younger can serve, and lets it.
+// LetGo waits until the successor can serve, and lets it.
 func (c *Channel) LetGo() error {
 	if err := c.await(Have); err != nil {
 		return err
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,7 +1,8 @@
-// Package handover is what one process of a front says to the next as it hands over, and the socket for it. The
-// younger asks; the elder stops promising, and gives its state; the younger says that it has it; the elder lets it
-// go on, and from then on passes connections of clients as they stand idle. Until it has let go, an elder that loses
-// the younger takes all back; a younger that loses the elder before that begins as after a restart.
+// Package handover implements the messages with which one process of a front hands over to the next, and their socket.
+// The successor asks; the predecessor stops promising, and gives its state; the successor says that it has it; the
+// predecessor lets it go on, and from then on passes connections of clients as they become idle. Until it has let go, a
+// predecessor that loses the successor takes all back; a successor that loses the predecessor before that begins as
+// after a restart.
 package handover
 
 import (
@@ -22,7 +23,7 @@
 // ErrVersion tells that the other process speaks another version.
 var ErrVersion = errors.New("the other process hands over in another version")
 
-// State is what the elder gives.
+// State is what the predecessor gives.
 type State struct {
 	Given routing.Given
 	Plans []string          // by the number that accounts go by
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -26,7 +26,7 @@
 	return filepath.Join(folder, handoverSocket)
 }
 
-// succeed takes over from an elder process of this front, where there is one. On a fault before the elder has let go
+// succeed takes over from a predecessor of this front, where there is one. On a fault before the predecessor has let go
 // this process begins as after a restart, and promises no more than that allows; beside one that lives and says nothing
 // it promises nothing.
 func (p *platform) succeed(path string) {
@@ -49,7 +49,7 @@
 	p.log.Error("nothing was handed over, beginning as after a restart", "error", err)
 }
 
-// outlive waits for the end of an elder process that did not hand over, and may go on at any time: until then this one
+// outlive waits for the end of a predecessor that did not hand over, and may go on at any time: until then this one
 // promises nothing.
 func (p *platform) outlive(c *handover.Channel) {
 	defer c.Close()
@@ -101,7 +101,7 @@
 	return nil
 }
 
-// offer hands over to each younger process that asks, one at a time, until ctx ends. The first may ask from its return
+// offer hands over to each successor that asks, one at a time, until ctx ends. The first may ask from its return
 // on: one that found nobody to ask would begin as after a restart beside this one.
 func (p *platform) offer(ctx context.Context, path string) {
 	l, err := handover.Listen(path)
@@ -114,7 +114,7 @@
 
 func (p *platform) handOn(ctx context.Context, path string, l *net.UnixListener) {
 	for ctx.Err() == nil {
-		c, err := awaitYounger(ctx, l)
+		c, err := awaitSuccessor(ctx, l)
 		if err == nil {
 			cause := p.handOver(c)
 			p.log.Warn("a younger process did not take over, this one goes on", "error", cause)
@@ -130,8 +130,8 @@
 	}
 }
 
-// awaitYounger takes the one younger process that asks next.
-func awaitYounger(ctx context.Context, l *net.UnixListener) (*handover.Channel, error) {
+// awaitSuccessor takes the one successor that asks next.
+func awaitSuccessor(ctx context.Context, l *net.UnixListener) (*handover.Channel, error) {
 	defer l.Close()
 	defer context.AfterFunc(ctx, func() { l.Close() })()
 	c, err := l.AcceptUnix()
@@ -141,8 +141,8 @@
 	return handover.Of(c), nil
 }
 
-// handOver is the elder's part, from the younger's question to its end. It returns while this process serves, with the cause,
-// never nil: where the younger one did take over, this process ends meanwhile.
+// handOver is the predecessor's part, from the successor's question to its end. It returns while this process serves,
+// with the cause, never nil: where the successor did take over, this process ends meanwhile.
 func (p *platform) handOver(c *handover.Channel) error {
 	if err := c.Within(p.limits.Stop.HandoverTimeout); err != nil {
 		return err
@@ -171,7 +171,7 @@
 	return errors.New("it has ended")
 }
 
-// give stops promising and gives the state, until the younger process may go on.
+// give stops promising and gives the state, until the successor may go on.
 func (p *platform) give(c *handover.Channel) (routing.Given, error) {
 	var socket syscall.Conn
 	if p.peers != nil {
@@ -195,7 +195,7 @@
 	return given, errors.Join(c.SendState(text, socket), c.LetGo(), c.Within(0))
 }
 
-// takeBack has this process serve again, as the younger one is gone. unused is what that one never used.
+// takeBack has this process serve again, as the successor is gone. unused is what that one never used.
 func (p *platform) takeBack(unused rules.Learned) {
 	p.beside.Store(nil)
 	p.core.Announce(nil)
--- a/rules/handover_test.go
+++ b/rules/handover_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 )
 
-// What two processes of a host send together of a limited volume is what one might have sent, whenever the elder yields,
-// whatever it holds then, and if the younger ends again, before it sent anything or later.
+// What two processes of a host send together of a limited volume is what one might have sent, whenever the predecessor
+// yields, whatever it holds then, and if the successor ends again, before it sent anything or later.
 func TestTwoProcessesDrawAsOne(t *testing.T) {
 	const rate, burst, slack, units = 10.0, 36.0, 6.0, 2.0
 	set := Settings{Hosts: 1, Tick: 1000, MeanUnits: units, MostUnits: 6, Classes: []Class{{Aim: 300_000, Worth: 1}},
@@ -44,41 +44,41 @@
 				step(s, Request{ID: fmt.Sprint(n), Volume: "v", Units: units, Hosts: 1, Left: 2_000_000})
 			}
 		}
-		elder := process()
-		step(elder, list)
-		var younger *Scheduler
+		predecessor := process()
+		step(predecessor, list)
+		var successor *Scheduler
 		var given Learned
 		used := false
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += Micros(rapid.IntRange(1, 400_000).Draw(t, "pause"))
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0, 1:
-				ask(elder, rapid.IntRange(1, 10).Draw(t, "at the elder"))
+				ask(predecessor, rapid.IntRange(1, 10).Draw(t, "at the predecessor"))
 			case 2:
-				if younger != nil {
-					ask(younger, rapid.IntRange(1, 10).Draw(t, "at the younger"))
+				if successor != nil {
+					ask(successor, rapid.IntRange(1, 10).Draw(t, "at the successor"))
 					used = true
 				}
 			case 3:
-				if younger == nil {
+				if successor == nil {
 					var began Micros
-					given, began = elder.Yield(now)
-					younger, used = process(), false
-					step(younger, list)
-					younger.Succeed(now, given, began)
+					given, began = predecessor.Yield(now)
+					successor, used = process(), false
+					step(successor, list)
+					successor.Succeed(now, given, began)
 				}
 			case 4:
-				if younger != nil {
+				if successor != nil {
 					if used {
 						given = Learned{}
 					}
-					elder.Resume(now, given, false)
-					younger = nil
+					predecessor.Resume(now, given, false)
+					successor = nil
 				}
 			}
-			step(elder, Alarm{})
-			if younger != nil {
-				step(younger, Alarm{})
+			step(predecessor, Alarm{})
+			if successor != nil {
+				step(successor, Alarm{})
 			}
 		}
 	})
