--- a/internal/door/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -1,4 +1,4 @@
-// Package gate is the door's shell: requests wait in it for room, each in a goroutine of its own.
+// Package gate is the shell of package admission: requests wait in it for room, each in a goroutine of its own.
 package gate
 
 import (
@@ -8,17 +8,17 @@
 	"sync"
 	"time"
 
-	"otterturn/internal/door"
+	"otterturn/internal/admission"
 	"otterturn/internal/net/routing"
 )
 
-// Gate lets requests in as its door decides.
+// Gate admits requests as its queue decides. It is safe for concurrent use.
 type Gate struct {
 	patience time.Duration
 	began    time.Time
 
 	mu    sync.Mutex
-	door  *door.Door
+	queue *admission.Queue
 	waits []chan verdict // by ticket; each holds one
 }
 
@@ -29,9 +29,9 @@
 }
 
 // New returns a gate whose requests wait for so long at the most.
-func New(set door.Settings, patience time.Duration) *Gate {
-	return &Gate{patience: patience, began: time.Now(), door: door.New(set, maphash.MakeSeed(), rand.Uint64()),
-		waits: make([]chan verdict, max(set.Waiting, 1))}
+func New(config admission.Config, patience time.Duration) *Gate {
+	return &Gate{patience: patience, began: time.Now(), queue: admission.New(config, maphash.MakeSeed(), rand.Uint64()),
+		waits: make([]chan verdict, max(config.Waiting, 1))}
 }
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
@@ -40,25 +40,25 @@
 
 // Enter waits for room, no longer than most, and returns what to call once the request is over; or a routing.Refused with
 // when to come back, or why ctx ended. What waits too long is refused at once when its time is up, not held back. cost
-// and weight are as door.Door.Arrive takes them.
+// and weight are as admission.Queue.Arrive takes them.
 func (g *Gate) Enter(ctx context.Context, project, client string, cost, weight float64, most time.Duration) (leave func(), err error) {
 	g.mu.Lock()
-	a := g.door.Arrive(g.now(), project, client, cost, weight)
-	if a.Instead >= 0 {
-		g.waits[a.Instead] <- verdict{after: micros(a.Later)}
+	a := g.queue.Arrive(g.now(), project, client, cost, weight)
+	if a.Evicted >= 0 {
+		g.waits[a.Evicted] <- verdict{after: micros(a.EvictedRetryAfter)}
 	}
 	var wait chan verdict
-	if !a.Taken && !a.Refused {
+	if !a.Admitted && !a.Refused {
 		// A new one each time: a verdict for the ticket's last holder may still be on its way to it.
 		wait = make(chan verdict, 1)
 		g.waits[a.Ticket] = wait
 	}
 	g.mu.Unlock()
 	switch {
-	case a.Taken:
+	case a.Admitted:
 		return g.in(cost), nil
 	case a.Refused:
-		return nil, &routing.Refused{RetryAfter: micros(a.After)}
+		return nil, &routing.Refused{RetryAfter: micros(a.RetryAfter)}
 	}
 	timer := time.NewTimer(min(g.patience, most))
 	defer timer.Stop()
@@ -77,10 +77,10 @@
 	}
 	defer g.mu.Unlock()
 	if ctx.Err() != nil {
-		g.door.Withdraw(a.Ticket)
+		g.queue.Cancel(a.Ticket)
 		return nil, context.Cause(ctx)
 	}
-	return nil, &routing.Refused{RetryAfter: micros(g.door.GiveUp(g.now(), a.Ticket))}
+	return nil, &routing.Refused{RetryAfter: micros(g.queue.Expire(g.now(), a.Ticket))}
 }
 
 func (g *Gate) told(v verdict, cost float64) (leave func(), err error) {
@@ -96,15 +96,15 @@
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		for _, t := range g.door.Leave(cost, g.now()-since) {
+		for _, t := range g.queue.Release(cost, g.now()-since) {
 			g.waits[t] <- verdict{taken: true}
 		}
 	}
 }
 
-// Waiting is how many requests wait.
+// Waiting returns the number of requests that wait.
 func (g *Gate) Waiting() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.door.Waiting()
+	return g.queue.Waiting()
 }
--- a/internal/door/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -9,14 +9,14 @@
 	"testing"
 	"time"
 
-	"otterturn/internal/door"
+	"otterturn/internal/admission"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
 )
 
 // Many clients at once: no more are in than there is room for, every one is let in or refused, and the room is free after.
 func TestManyAtOnce(t *testing.T) {
-	g := New(door.Settings{Room: 8, Waiting: 64, Advice: 1000}, standin.Patience)
+	g := New(admission.Config{Room: 8, Waiting: 64, MaxRetryAfter: 1000}, standin.Patience)
 	var in, most, served, refused atomic.Int64
 	var all sync.WaitGroup
 	for i := range 5000 {
@@ -46,7 +46,7 @@
 }
 
 func TestWaitsEnd(t *testing.T) {
-	g := New(door.Settings{Room: 1, Waiting: 4, Advice: 5_000_000}, standin.Patience)
+	g := New(admission.Config{Room: 1, Waiting: 4, MaxRetryAfter: 5_000_000}, standin.Patience)
 	leave, err := g.Enter(t.Context(), "a", "", 1, 1, 0)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/net/transport/door_test.go
+++ b/internal/net/transport/door_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"otterturn/internal/door"
-	"otterturn/internal/door/gate"
+	"otterturn/internal/admission"
+	"otterturn/internal/admission/gate"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/standin"
 	"otterturn/rules"
@@ -40,7 +40,7 @@
 	f := NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 1,
 		Rules: rules.Settings{Plans: []rules.Plan{{Weight: 1}}}, LongestWait: time.Minute, Retry: time.Second}, l,
 		NewRoundTripper(core, nodes))
-	f.Door = g
+	f.Admission = g
 	listener := standin.Listen(t)
 	go f.Serve(listener)
 	t.Cleanup(func() { f.server.Close() })
@@ -51,7 +51,7 @@
 // second is served once the first is.
 func TestDoorBeforeTheFront(t *testing.T) {
 	asked, release := make(chan bool, 4), make(chan bool)
-	g := gate.New(door.Settings{Room: 1, Waiting: 1, Advice: 1_000_000}, standin.Patience)
+	g := gate.New(admission.Config{Room: 1, Waiting: 1, MaxRetryAfter: 1_000_000}, standin.Patience)
 	addr := frontBefore(t, g, func() {
 		asked <- true
 		<-release
--- a/internal/net/transport/flood_test.go
+++ b/internal/net/transport/flood_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"otterturn/internal/door"
-	"otterturn/internal/door/gate"
+	"otterturn/internal/admission"
+	"otterturn/internal/admission/gate"
 )
 
 // tally is what the clients of one run saw.
@@ -32,7 +32,7 @@
 	slots := make(chan struct{}, 8)
 	var g *gate.Gate
 	if room > 0 {
-		g = gate.New(door.Settings{Room: room, Waiting: 2 * room, Advice: 1_000_000}, time.Second)
+		g = gate.New(admission.Config{Room: room, Waiting: 2 * room, MaxRetryAfter: 1_000_000}, time.Second)
 	}
 	addr := frontBefore(t, g, func() {
 		slots <- struct{}{}
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"otterturn/internal/door/gate"
+	"otterturn/internal/admission/gate"
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
@@ -32,7 +32,7 @@
 
 	next *RoundTripper // its core counts what finds no room here, too
 
-	Door *gate.Gate // decides who is taken when the front is full; nil for none, set before Serve
+	Admission *gate.Gate // decides who is admitted when the front is full; nil for none, set before Serve
 }
 
 // NewFront returns a front that answers clients with what the round tripper brings.
@@ -143,12 +143,12 @@
 	if !f.clients.take(connOf(r.Context())) { // it ended for want of room before it was whole
 		return
 	}
-	if f.Door != nil {
+	if f.Admission != nil {
 		came := time.Now()
 		client, _, _ := net.SplitHostPort(r.RemoteAddr)
 		// Half of its time: what is taken later could hardly be answered, and its client can still come again.
 		weight := set.Rules.Plans[m.Plan].Weight // a plan that the settings don't name was turned away in read
-		leave, err := f.Door.Enter(r.Context(), m.Volume, client, m.Units, weight, time.Duration(m.Left)*time.Microsecond/2)
+		leave, err := f.Admission.Enter(r.Context(), m.Volume, client, m.Units, weight, time.Duration(m.Left)*time.Microsecond/2)
 		if err != nil {
 			answerError(w, r, err)
 			return
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -14,9 +14,9 @@
 	"sync"
 	"syscall"
 
+	"otterturn/internal/admission"
+	"otterturn/internal/admission/gate"
 	"otterturn/internal/certs/manager"
-	"otterturn/internal/door"
-	"otterturn/internal/door/gate"
 	"otterturn/internal/learned/keeper"
 	"otterturn/internal/limits"
 	"otterturn/internal/logs"
@@ -152,7 +152,7 @@
 	}
 	front := transport.NewFront(o.Settings(), a.limits, transport.NewRoundTripper(a.core, a.nodes))
 	if d := o.Door; d.Room > 0 {
-		front.Door = gate.New(door.Settings{Room: d.Room, Waiting: d.Waiting, Advice: o.Limits.RetryAfter.Microseconds()}, d.Patience)
+		front.Admission = gate.New(admission.Config{Room: d.Room, Waiting: d.Waiting, MaxRetryAfter: o.Limits.RetryAfter.Microseconds()}, d.Patience)
 	}
 	return a.serve("http.listen", o.HTTP.Listen, a.secure(o.HTTP.TLS, front.Serve), func(net.Listener) { front.Stop(nil) })
 }
