Call who grants room at a cold node the granter, and split package cold

rules/cold had a Dealer that deals out a Ration, whom others Ask and Tell, in one file of 325 lines. It is now a Granter with an Allocator, Request and Report, in config.go, guard.go and allocator.go, and its test (284 lines) in two files. rules/rations.go is coldnodes.go. The messages between fronts (rules.Ask, Asked, Grant, Granted, cold.Wish, cold.Shown) keep their names, as the wire and the recorded formats do.

--- a/rules/rations.go
+++ b/rules/coldnodes.go
@@ -6,10 +6,10 @@
 	"otterturn/rules/cold"
 )
 
-// ration is what this host deals out at one cold node, see package cold.
-type ration struct {
+// allocator grants room at one cold node, where this host is its granter, see package cold.
+type allocator struct {
 	node string
-	*cold.Ration[Micros]
+	*cold.Allocator[Micros]
 }
 
 // isCold tells whether a node may still be warming up.
@@ -27,11 +27,11 @@
 	return r.Units <= n.cold.Room(s.now)
 }
 
-// wish asks for room at a cold node: the host that deals there, which may be this one.
+// wish asks for room at a cold node: the granter, which may be this host.
 func (s *Scheduler) wish(n *node, sh *shard, next *request) {
-	dealer, may := s.cold.Dealer(n.Node, s.now)
-	own := dealer == s.set.Number
-	if !own && !s.set.Peers || own && !may || !n.cold.Asks(s.now) {
+	granter, may := s.cold.Granter(n.Node, s.now)
+	own := granter == s.set.Number
+	if !own && !s.set.Peers || own && !may || !n.cold.ShouldRequest(s.now) {
 		return
 	}
 	w := cold.Wish{Units: next.Units, Least: next.Units, Shown: n.cold.Shown()}
@@ -40,33 +40,33 @@
 			w.Least = min(w.Least, r.Units)
 		}
 	}
-	s.ask(dealer, n, w)
+	s.ask(granter, n, w)
 }
 
-func (s *Scheduler) ask(dealer int, n *node, w cold.Wish) {
-	if dealer == s.set.Number {
-		s.asked(Asked{From: dealer, Node: n.Node, Since: n.Since, Wish: w})
+func (s *Scheduler) ask(granter int, n *node, w cold.Wish) {
+	if granter == s.set.Number {
+		s.asked(Asked{From: granter, Node: n.Node, Since: n.Since, Wish: w})
 	} else {
-		s.out = append(s.out, Ask{To: dealer, Node: n.Node, Since: n.Since, Wish: w})
+		s.out = append(s.out, Ask{To: granter, Node: n.Node, Since: n.Since, Wish: w})
 	}
 }
 
-// answered takes in an answer of a node that may be cold, and tells the host that deals there: one of many hosts
+// answered takes in an answer of a node that may be cold, and reports it to the granter: one of many hosts
 // meets the node seldom, and what it saw would be told only with its next request.
 func (s *Scheduler) answered(n *node, r *request, latency Micros) {
 	n.cold.Answered(s.now, r.Key, r.Units, latency)
-	dealer, _ := s.cold.Dealer(n.Node, s.now)
-	if (s.set.Peers || dealer == s.set.Number) && n.cold.Tells(s.now) {
-		s.ask(dealer, n, cold.Wish{Shown: n.cold.Shown()})
+	granter, _ := s.cold.Granter(n.Node, s.now)
+	if (s.set.Peers || granter == s.set.Number) && n.cold.ShouldReport(s.now) {
+		s.ask(granter, n, cold.Wish{Shown: n.cold.Shown()})
 	}
 }
 
 // anew forgets what a node showed of its speed, where it may have started again.
 func (s *Scheduler) anew(n *node) {
 	n.cold.Clear()
-	for _, r := range s.rations {
+	for _, r := range s.allocators {
 		if r.node == n.Node {
-			r.Anew()
+			r.Reset()
 		}
 	}
 }
@@ -93,39 +93,39 @@
 	if e.Since != n.Since {
 		e.Shown = cold.Shown{}
 	}
-	i := slices.IndexFunc(s.rations, func(r ration) bool { return r.node == e.Node })
+	i := slices.IndexFunc(s.allocators, func(r allocator) bool { return r.node == e.Node })
 	if i < 0 {
-		i = len(s.rations)
-		s.rations = append(s.rations, ration{e.Node, s.cold.Ration()})
+		i = len(s.allocators)
+		s.allocators = append(s.allocators, allocator{e.Node, s.cold.NewAllocator()})
 	}
 	if e.Units <= 0 {
-		s.rations[i].Tell(s.now, e.From, e.Shown)
+		s.allocators[i].Report(s.now, e.From, e.Shown)
 		return
 	}
-	s.rations[i].Ask(s.now, e.From, e.Wish)
+	s.allocators[i].Request(s.now, e.From, e.Wish)
 }
 
-// deal grants what may be sent to cold nodes. One that this host takes for warm may have restarted unseen.
-func (s *Scheduler) deal() {
-	kept := s.rations[:0]
-	for _, r := range s.rations {
+// allocate grants what may be sent to cold nodes. One that this host takes for warm may have restarted unseen.
+func (s *Scheduler) allocate() {
+	kept := s.allocators[:0]
+	for _, r := range s.allocators {
 		n := s.byName[r.node]
 		if n == nil || r.Idle(s.now) {
 			continue
 		}
 		kept = append(kept, r)
-		dealer, may := s.cold.Dealer(r.node, s.now)
-		if dealer != s.set.Number {
-			r.Drop() // those who wait have to ask another by now
+		granter, may := s.cold.Granter(r.node, s.now)
+		if granter != s.set.Number {
+			r.DropRequests() // those who wait have to ask another by now
 		}
-		if !may || s.now <= max(s.began, s.dealsFrom)+s.cold.Counts() {
+		if !may || s.now <= max(s.began, s.grantsFrom)+s.cold.GrantLifetime() {
 			continue
 		}
 		age := Micros(0)
 		if s.isCold(n) {
 			age = s.age(n)
 		}
-		for _, g := range r.Deal(s.now, s.cold.Borne(age)) {
+		for _, g := range r.Allocate(s.now, s.cold.Borne(age)) {
 			if g.Host == s.set.Number {
 				s.granted(Granted{From: g.Host, Node: r.node, Units: g.Units, Until: g.Until})
 				continue
@@ -133,22 +133,22 @@
 			s.out = append(s.out, Grant{To: g.Host, Node: r.node, Units: g.Units, Until: g.Until})
 		}
 	}
-	s.rations = kept
+	s.allocators = kept
 }
 
-// granted makes room at a cold node. A grant counts only from the host that dealt as it was made.
+// granted makes room at a cold node. A grant counts only from the granter of the time at which it was made.
 func (s *Scheduler) granted(e Granted) {
 	n := s.byName[e.Node]
-	if n == nil || e.Units <= 0 || !s.cold.Dealt(e.Node, e.From, s.now, e.Until) {
+	if n == nil || e.Units <= 0 || !s.cold.MayHaveGranted(e.Node, e.From, s.now, e.Until) {
 		return
 	}
 	s.agenda.Touch(&n.entry)
 	n.cold.Granted(s.now, e.Units, e.Until)
 }
 
-// wishing tells that a host waits for room that this one deals out.
+// wishing tells that a host waits for room that this one grants.
 func (s *Scheduler) wishing() bool {
-	return slices.ContainsFunc(s.rations, func(r ration) bool { return r.Waits() })
+	return slices.ContainsFunc(s.allocators, func(r allocator) bool { return r.Pending() })
 }
 
 // age is how long a node that may be cold has been up.
--- a/rules/coldnodes_test.go
+++ b/rules/coldnodes_test.go
@@ -89,7 +89,7 @@
 func TestHostThatJustBeganAsksBeforeItSendsToAColdNode(t *testing.T) {
 	set := testSettings()
 	set.Hosts, set.Peers = 300, true
-	set.Number = -1 // never the dealer
+	set.Number = -1 // never the granter
 	h := coldHostOf(t, set)
 	asks := []Action{}
 	for i := range 20 {
@@ -98,46 +98,46 @@
 		h.wantSends(a)
 		asks = append(asks, slices.DeleteFunc(a, func(a Action) bool { _, is := a.(Ask); return !is })...)
 	}
-	dealer, _ := h.s.cold.Dealer("a", h.now)
-	if want := []Action{Ask{To: dealer, Node: "a", Since: h.s.byName["a"].Since, Wish: cold.Wish{Units: 2, Least: 2}}}; !reflect.DeepEqual(asks, want) {
+	granter, _ := h.s.cold.Granter("a", h.now)
+	if want := []Action{Ask{To: granter, Node: "a", Since: h.s.byName["a"].Since, Wish: cold.Wish{Units: 2, Least: 2}}}; !reflect.DeepEqual(asks, want) {
 		t.Errorf("asks %v in half a second, want %v", asks, want)
 	}
 	until := h.now + 100*ms
-	if _, may := h.s.cold.Dealer("a", until-100*ms); !may {
-		t.Fatal("no dealer may grant at the time of this test")
+	if _, may := h.s.cold.Granter("a", until-100*ms); !may {
+		t.Fatal("no granter may grant at the time of this test")
 	}
-	h.wantSends(h.step(Granted{From: dealer + 1, Node: "a", Units: 2, Until: until}))
-	h.wantSends(h.step(Granted{From: dealer, Node: "a", Units: 2, Until: until}), "x19")
+	h.wantSends(h.step(Granted{From: granter + 1, Node: "a", Units: 2, Until: until}))
+	h.wantSends(h.step(Granted{From: granter, Node: "a", Units: 2, Until: until}), "x19")
 }
 
-// One of many hosts meets a cold node seldom: what it saw there helps the others only if the host that deals hears of it
+// One of many hosts meets a cold node seldom: what it saw there helps the others only if the granter hears of it
 // at once. What was seen of another start of the node counts for none.
-func TestDealerHearsOfEachAnswerOfAColdNode(t *testing.T) {
+func TestGranterHearsOfEachAnswerOfAColdNode(t *testing.T) {
 	set := testSettings()
 	set.Hosts, set.Peers, set.Number = 300, true, -1
 	h := coldHostOf(t, set)
-	for may := false; !may; _, may = h.s.cold.Dealer("a", h.now) {
+	for may := false; !may; _, may = h.s.cold.Granter("a", h.now) {
 		h.after(100 * ms)
 	}
 	h.after(25*ms, req("x", nil))
-	dealer, _ := h.s.cold.Dealer("a", h.now)
+	granter, _ := h.s.cold.Granter("a", h.now)
 	since := h.s.byName["a"].Since
-	h.wantSends(h.step(Granted{From: dealer, Node: "a", Units: 2, Until: h.now + 100*ms}), "x")
+	h.wantSends(h.step(Granted{From: granter, Node: "a", Units: 2, Until: h.now + 100*ms}), "x")
 	told := slices.DeleteFunc(h.after(50*ms, Outcome{ID: "x", Result: OK, Latency: 50 * ms, Final: true}),
 		func(a Action) bool { _, is := a.(Ask); return !is })
-	if len(told) != 1 || told[0].(Ask).To != dealer || told[0].(Ask).Since != since || told[0].(Ask).Units != 0 || told[0].(Ask).Shown.Units != 2 {
+	if len(told) != 1 || told[0].(Ask).To != granter || told[0].(Ask).Since != since || told[0].(Ask).Units != 0 || told[0].(Ask).Shown.Units != 2 {
 		t.Errorf("told %+v", told)
 	}
 	h.s.asked(Asked{From: 1, Node: "a", Since: since - 1, Wish: cold.Wish{Shown: cold.Shown{Units: 9, Time: 0.1}}})
-	if !h.s.rations[0].Idle(h.now) {
+	if !h.s.allocators[0].Idle(h.now) {
 		t.Error("what was seen of an earlier start counts")
 	}
 	h.s.asked(Asked{From: 1, Node: "a", Since: since, Wish: cold.Wish{Shown: cold.Shown{Units: 9, Time: 0.1}}})
-	if h.s.rations[0].Idle(h.now) {
+	if h.s.allocators[0].Idle(h.now) {
 		t.Error("what was seen of this start is forgotten at once")
 	}
 	h.step(Nodes{List: []Listing{{Node: "a", Since: h.now}}})
-	if len(h.s.rations) > 0 {
+	if len(h.s.allocators) > 0 {
 		t.Error("what was seen counts for the next start")
 	}
 }
--- a/rules/fuzz_test.go
+++ b/rules/fuzz_test.go
@@ -217,9 +217,9 @@
 	for range 40 {
 		p.wait(2_000_000)
 	}
-	if left := len(s.reqs) + s.volumes.Len() + s.flows.Len() + s.refused.Len() + s.busy.Len() + len(s.rations); left > 0 {
-		t.Fatalf("%d requests, %d volumes, %d flows, %d refused, %d shards with something held and %d rations stay", len(s.reqs), s.volumes.Len(),
-			s.flows.Len(), s.refused.Len(), s.busy.Len(), len(s.rations))
+	if left := len(s.reqs) + s.volumes.Len() + s.flows.Len() + s.refused.Len() + s.busy.Len() + len(s.allocators); left > 0 {
+		t.Fatalf("%d requests, %d volumes, %d flows, %d refused, %d shards with something held and %d allocators stay", len(s.reqs), s.volumes.Len(),
+			s.flows.Len(), s.refused.Len(), s.busy.Len(), len(s.allocators))
 	}
 	for _, n := range s.nodes {
 		if len(n.pending) > 0 || n.outUnits != 0 {
--- a/rules/handover.go
+++ b/rules/handover.go
@@ -11,13 +11,13 @@
 
 // succession is what a process keeps of another one of the same host.
 type succession struct {
-	dealsFrom Micros // no cold node is dealt out before: the other one may have
-	plans     []Plan // while the other one decides: those whose limits count
+	grantsFrom Micros // nothing is granted at cold nodes before: the other process may have
+	plans      []Plan // while the other one decides: those whose limits count
 }
 
 // Yield gives what this host may promise to another process of the same host, which decides from now on, and returns
 // what that one is to Succeed to. What is left here is enough for the requests that are held, as far as there is as
-// much; nothing flows into limits any more, no cold node is dealt out, and other hosts are not asked. So what both
+// much; nothing flows into limits any more, nothing is granted at cold nodes, and other hosts are not asked. So what both
 // send together is what one might have sent.
 func (s *Scheduler) Yield(now Micros) (l Learned, began Micros) {
 	s.now = max(s.now, now)
@@ -47,7 +47,7 @@
 	for i := range s.flows.Len() {
 		l.Leads = s.flows.At(i).lead(l.Leads, s.now)
 	}
-	s.rations, s.set.Number, s.set.Peers = nil, -1-s.set.Number, false
+	s.allocators, s.set.Number, s.set.Peers = nil, -1-s.set.Number, false
 	s.dry()
 	return l, s.began
 }
@@ -75,7 +75,7 @@
 		s.fill(s.volumes.At(i))
 	}
 	s.set.Plans, s.plans = s.plans, nil
-	s.set.Number, s.set.Peers, s.dealsFrom = -1-s.set.Number, peers, s.now
+	s.set.Number, s.set.Peers, s.grantsFrom = -1-s.set.Number, peers, s.now
 	s.replan()
 	for _, a := range unused.Accounts {
 		if v, has := s.volumes.Get(a.Volume); has && v.plan.Limit > 0 {
@@ -95,5 +95,5 @@
 // it left of limits, in full. A volume that it does not name had a full bucket. Plans are those of this process.
 func (s *Scheduler) Succeed(now Micros, l Learned, began Micros) {
 	s.Recall(now, l)
-	s.began, s.dealsFrom = min(began, s.now), s.now
+	s.began, s.grantsFrom = min(began, s.now), s.now
 }
--- a/rules/nodes.go
+++ b/rules/nodes.go
@@ -42,7 +42,7 @@
 	for _, l := range e.List {
 		n := s.byName[l.Node]
 		if n == nil {
-			n = &node{Habits: s.Fresh(), calm: true, cold: s.cold.Guard()}
+			n = &node{Habits: s.Fresh(), calm: true, cold: s.cold.NewGuard()}
 			s.agenda.Enter(&n.entry, n)
 			s.byName[l.Node] = n
 			s.nodes = append(s.nodes, n)
--- a/rules/place.go
+++ b/rules/place.go
@@ -24,7 +24,7 @@
 			score *= unsure
 		}
 		if s.isCold(n) { // as slow as it may be
-			score *= s.cold.Slower(s.age(n))
+			score *= s.cold.Slowdown(s.age(n))
 		}
 		if score < best {
 			best, shard = score, n.Shard
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -53,8 +53,8 @@
 	wakeSet    bool
 	sweptAt    Micros                      // idle volumes and flows count as forgotten as of then
 	allowance  allowance.Allowance[Micros] // of further attempts
-	cold       cold.Figures[Micros]
-	rations    []ration // of cold nodes, that this host deals out
+	cold       cold.Config[Micros]
+	allocators []allocator // of cold nodes, where this host grants room
 	succession
 }
 
@@ -68,7 +68,7 @@
 		volumes: expiring.New[string, *volume](), flows: expiring.New[flowKey, *flow](),
 		refused: expiring.New[Request, *request](),
 		agenda:  agenda.Of[Micros, *node](fastInterval, slowInterval)}
-	s.cold = cold.Figures[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
+	s.cold = cold.Config[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
 		Multiple: set.FallMultiple, Span: set.FallSpan, Units: set.ColdUnits, Peers: set.Peers}
 	s.tune(set)
 	s.pool = &node{Habits: s.Fresh(), calm: true}
@@ -89,7 +89,7 @@
 		s.watch(n)
 	}
 	s.dispatch()
-	s.deal()
+	s.allocate()
 	s.giveUp()
 	s.shed()
 	if now >= s.sweptAt+slowInterval {
