Let no front call a silent node well: only a probe sent after a contradiction counts against it

A front that said of all nodes that they are well, ten times a second, kept others from telling what they saw, and a front's own earlier answers counted against those who found the node silent. Now a prober looks once more and tells; what a front was answered before its own requests stall is forgotten. Found by TestOneFrontCannotCallASilentNodeWell.

--- a/internal/fleet/health/attempts.go
+++ b/internal/fleet/health/attempts.go
@@ -1,6 +1,10 @@
 package health
 
-import "otterturn/rules"
+import (
+	"slices"
+
+	"otterturn/rules"
+)
 
 const (
 	stallUsuals = 4 // an attempt that is out for so many usual latencies may be stalled
@@ -117,5 +121,9 @@
 	}
 	n.inTrouble()
 	n.suspecting, n.suspected, n.raised = true, since, m.now
+	// That it was reached before is no word against those who find it silent now.
+	n.evidence = slices.DeleteFunc(n.evidence, func(o observation) bool {
+		return o.front == m.config.Self && o.state == Reachable && o.at <= since
+	})
 	m.touch(n)
 }
--- /dev/null
+++ b/internal/fleet/health/exhaustive_test.go
@@ -0,0 +1,132 @@
+package health
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"otterturn/rules"
+)
+
+// allMoves are all moves of a world with so many fronts and nodes.
+func allMoves(fronts, nodes int, wait rules.Micros) (moves []move) {
+	for f := range faults {
+		places := 1
+		switch {
+		case slices.Contains([]fault{frontCrashes, frontLeaves, frontPauses, linkCut, reachCut}, f):
+			places = fronts
+		case f <= nodeDrains:
+			places = nodes
+		}
+		for at := range places {
+			moves = append(moves, move{f, at, wait})
+		}
+	}
+	return moves
+}
+
+// Every order of faults in small worlds, at three speeds: within the life of a probe, of a message held back, and of
+// evidence.
+func TestEveryInterleavingOfSmallCases(t *testing.T) {
+	const millisecond rules.Micros = 1000
+	for _, c := range []struct {
+		fronts, nodes, length int
+		waits                 []rules.Micros
+	}{
+		{2, 1, 3, []rules.Micros{150 * millisecond}},
+		{2, 2, 2, []rules.Micros{30 * millisecond, 150 * millisecond, 1100 * millisecond}},
+		{3, 1, 2, []rules.Micros{30 * millisecond, 150 * millisecond, 1100 * millisecond}},
+		{3, 2, 2, []rules.Micros{150 * millisecond}},
+	} {
+		t.Run(fmt.Sprintf("%d fronts, %d nodes, %d faults", c.fronts, c.nodes, c.length), func(t *testing.T) {
+			t.Parallel()
+			played := 0
+			for _, wait := range c.waits {
+				each(allMoves(c.fronts, c.nodes, wait), c.length, func(list []move) {
+					played++
+					for _, wrong := range newTrial(1, c.fronts, c.nodes, nil).play(list) {
+						t.Errorf("%v: %s", list, wrong)
+					}
+				})
+			}
+			t.Logf("%d schedules", played)
+		})
+	}
+}
+
+// each calls do with every sequence of a length.
+func each(moves []move, length int, do func(list []move)) {
+	if length == 0 {
+		do(nil)
+		return
+	}
+	for _, m := range moves {
+		each(moves, length-1, func(rest []move) { do(append([]move{m}, rest...)) })
+	}
+}
+
+// told is evidence as it comes to a front: from whom, in which message.
+type told struct {
+	from     int
+	sequence uint32
+	state    State
+	at       rules.Micros
+}
+
+// Whatever the order in which messages come, and whichever come twice, a front holds the same in the end.
+func TestOrderAndRepetitionChangeNoVerdict(t *testing.T) {
+	const now = 100 * second
+	all := []told{
+		{1, 2, Silent, now - 3*second}, {1, 3, Reachable, now - 2*second}, {1, 4, Silent, now - second},
+		{2, 2, Reachable, now - 5*second/2}, {2, 3, Silent, now - second/2}, {3, 2, Reachable, now - second/4},
+	}
+	type held struct {
+		avoided  bool
+		evidence string
+	}
+	played := 0
+	var first *held
+	permute(all, func(order []told) {
+		for repeated := -1; repeated < len(order); repeated++ {
+			list := slices.Clone(order)
+			if repeated >= 0 {
+				list = append(list, order[repeated])
+			}
+			m := front(t, 0, zonesOf(1, 4), now)
+			for from := 1; from < 4; from++ { // clocks are known
+				m.Step(now, []Event{Received{from, Message{Run: 1, Sequence: 1, Sent: now}}})
+			}
+			for _, e := range list {
+				m.Step(now, []Event{Received{e.from, Message{Run: 1, Sequence: e.sequence, Sent: now, Entries: []Entry{
+					{Node: NodeKey("a"), Since: wireSince(second), State: e.state, Age: now - e.at}}}}})
+			}
+			n := m.byName["a"]
+			evidence := slices.Clone(n.evidence)
+			slices.SortFunc(evidence, func(a, b observation) int { return a.front - b.front })
+			is := held{n.avoided, sprint(evidence)}
+			if first == nil {
+				first = &is
+			}
+			if is != *first {
+				t.Fatalf("%v: %v, and else %v", list, is, *first)
+			}
+			played++
+		}
+	})
+	if !first.avoided {
+		t.Error("two of three found the node silent, and it is not avoided")
+	}
+	t.Logf("%d orders", played)
+}
+
+// permute calls do with every order of a list.
+func permute(list []told, do func([]told)) {
+	if len(list) <= 1 {
+		do(list)
+		return
+	}
+	for i := range list {
+		rest := slices.Concat(list[:i], list[i+1:])
+		permute(rest, func(order []told) { do(append([]told{list[i]}, order...)) })
+	}
+}
--- a/internal/fleet/health/inbox.go
+++ b/internal/fleet/health/inbox.go
@@ -103,9 +103,20 @@
 		return ""
 	}
 	n.inTrouble()
-	m.seams.add(&n.evidence, observation{from, e.State, at})
+	m.hear(n, observation{from, e.State, at})
 	m.touch(n)
 	return ""
 }
 
+// hear takes in another front's observation.
+func (m *Monitor) hear(n *node, o observation) {
+	former, known := n.evidence.of(o.front)
+	own, seen := n.evidence.of(m.config.Self)
+	turned := o.state == Reachable && !(known && former.state == Reachable)
+	if turned && seen && own.state == Silent && n.contradicted <= own.at {
+		n.contradicted = m.now
+	}
+	m.seams.add(&n.evidence, o)
+}
+
 func sameStart(told, listed rules.Micros) bool { return told == listed }
--- a/internal/fleet/health/monitor.go
+++ b/internal/fleet/health/monitor.go
@@ -178,7 +178,7 @@
 	m.rank(n)
 	n.evidence.prune(m.now - m.config.EvidenceLife)
 	m.judge(n)
-	next = min(m.fades(n), m.seek(n), m.look(n), m.serve(n), m.tell(n), m.release(n))
+	next = min(m.fades(n), m.seek(n), m.serve(n), m.look(n), m.tell(n), m.release(n))
 	if n.idle() {
 		n.trouble = nil
 		return forever
--- /dev/null
+++ b/internal/fleet/health/monitor_test.go
@@ -0,0 +1,268 @@
+package health
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"otterturn/rules"
+)
+
+// front is a Monitor that knows the running nodes a and b, which started at 1 s and 2 s.
+func front(t testing.TB, self int, zones []int, now rules.Micros) *Monitor {
+	t.Helper()
+	m, err := New(Defaults(self, 1, zones))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Step(now, []Event{NodeList{Full: true, Nodes: []rules.Listing{{Node: "a", Since: second}, {Node: "b", Since: 2 * second}}}})
+	return m
+}
+
+func sprint(v any) string { return fmt.Sprintf("%v", v) }
+
+// tells is a message of one entry about node a.
+func tells(sequence uint32, sent rules.Micros, state State, age rules.Micros) Message {
+	return Message{Run: 1, Sequence: sequence, Sent: sent, Entries: []Entry{{NodeKey("a"), wireSince(second), state, age}}}
+}
+
+func (m *Monitor) avoids(node string) bool {
+	n := m.byName[node]
+	return n != nil && n.trouble != nil && n.avoided
+}
+
+// of returns the actions of a kind.
+func of[A Action](actions []Action) (out []A) {
+	for _, a := range actions {
+		if a, ok := a.(A); ok {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func TestQuorumOfOneZoneCondemns(t *testing.T) {
+	const now = 10 * second
+	zones := []int{0, 0, 0, 0, 1, 1, 1}
+	m := front(t, 0, zones, now)
+	for front := 4; front < 7; front++ {
+		m.Step(now, []Event{Received{front, tells(1, now, Silent, 0)}})
+	}
+	if m.avoids("a") || m.Counters().Dropped[DropForeign] != 3 {
+		t.Errorf("words of another zone count: %+v", m.Counters())
+	}
+	for sequence := range uint32(5) {
+		m.Step(now+rules.Micros(sequence), []Event{Received{1, tells(sequence+1, now, Silent, 0)}})
+	}
+	if m.avoids("a") {
+		t.Error("one front's word condemns")
+	}
+	actions := m.Step(now+10, []Event{Received{2, tells(1, now+10, Silent, 0)}})
+	reports := of[Report](actions)
+	if !m.avoids("a") || len(reports) != 1 || reports[0].Since != second || reports[0].Node != "a" {
+		t.Errorf("two fronts' words: %v", actions)
+	}
+	if m.Step(now+20, []Event{Received{3, tells(1, now+20, Silent, 0)}}); m.Counters().Condemned != 1 {
+		t.Errorf("%+v", m.Counters())
+	}
+}
+
+func TestOwnSuccessCountsForMoreThanOlderEvidence(t *testing.T) {
+	const now = 10 * second
+	m := front(t, 0, zonesOf(1, 4), now)
+	m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}})
+	if !m.avoids("a") {
+		t.Fatal("not avoided")
+	}
+	m.Step(now+second, []Event{AttemptEnded{Node: "a", ID: "x", Result: rules.OK}})
+	if m.avoids("a") {
+		t.Error("avoided though it was just answered")
+	}
+	for front := 1; front < 3; front++ { // older than the success
+		m.Step(now+second+1, []Event{Received{front, tells(2, now+second, Silent, second/2)}})
+	}
+	if m.avoids("a") {
+		t.Error("avoided by what is older than the answer")
+	}
+	for front := 1; front < 3; front++ {
+		m.Step(now+3*second, []Event{Received{front, tells(3, now+3*second, Silent, second)}})
+	}
+	if !m.avoids("a") {
+		t.Error("not avoided by what is younger than the answer")
+	}
+}
+
+func TestListCountsForMoreThanEvidence(t *testing.T) {
+	const now = 10 * second
+	for name, l := range map[string]rules.Listing{
+		"drain": {Node: "a", Since: second, State: rules.Draining}, "start": {Node: "a", Since: 9 * second}, "gone": {Node: "a", State: rules.Gone},
+	} {
+		m := front(t, 0, zonesOf(1, 4), now)
+		m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
+		actions := m.Step(now+1, []Event{NodeList{Nodes: []rules.Listing{l}}})
+		if answers := of[ProbeAnswered](actions); m.avoids("a") || m.Counters().Condemned != 0 || len(answers) != 1 || answers[0].OK {
+			t.Errorf("%s: avoids %v, %v", name, m.avoids("a"), actions)
+		}
+		m.Step(now+2, []Event{Received{3, tells(1, now, Silent, 0)}})
+		if m.avoids("a") {
+			t.Errorf("%s: avoided again", name)
+		}
+	}
+}
+
+func TestBadMessagesAreDroppedAndCounted(t *testing.T) {
+	const now = 10 * second
+	m := front(t, 0, []int{0, 0, 0, 0, 1, 1, 1}, now)
+	entry := func(e Entry) Message { return Message{Run: 5, Sent: now, Entries: []Entry{e}} }
+	good := Entry{NodeKey("a"), wireSince(second), Silent, 0}
+	sequence := uint32(0)
+	receive := func(from int, message Message) {
+		sequence++
+		message.Sequence = sequence
+		m.Step(now, []Event{Received{from, message}})
+	}
+	change := func(f func(e *Entry)) Entry {
+		e := good
+		f(&e)
+		return e
+	}
+	receive(1, entry(change(func(e *Entry) { e.Age = -1 })))
+	receive(1, entry(change(func(e *Entry) { e.Since = wireSince(2 * second) })))
+	receive(1, entry(change(func(e *Entry) { e.Since = wireSince(0) })))
+	receive(1, entry(change(func(e *Entry) { e.Node = NodeKey("c") })))
+	receive(1, entry(change(func(e *Entry) { e.State = 7 })))
+	receive(1, entry(change(func(e *Entry) { e.Age = 7 * second })))
+	for _, from := range []int{-1, 0, 4, 7, 1 << 40} {
+		receive(from, entry(good))
+	}
+	sequence--
+	receive(1, entry(good)) // counted as come before only at the front that it came from
+	sequence--
+	receive(1, entry(good))
+	receive(1, Message{Run: 4, Sent: now, Entries: []Entry{good}})
+	receive(1, Message{Run: 5, Sent: now - 20*second, Entries: []Entry{good}})
+	m.Unreadable()
+	want := map[Drop]int64{DropFuture: 2, DropOutdated: 1, DropUnknown: 1, DropUnreadable: 2, DropLate: 2, DropForeign: 5, DropRepeated: 2}
+	if got := m.Counters().Dropped; sprint(got) != sprint(want) {
+		t.Errorf("%v, not %v", got, want)
+	}
+	if n := m.byName["a"]; n.trouble == nil || len(n.evidence) != 1 {
+		t.Error("the one good entry was not taken in alone")
+	}
+}
+
+// Messages that come late make evidence as old as it is.
+func TestDelayCountsAsAge(t *testing.T) {
+	const now = 100 * second
+	m := front(t, 0, zonesOf(1, 4), now)
+	const ahead = 37 * second // the other's clock
+	m.Step(now, []Event{Received{1, Message{Run: 1, Sequence: 1, Sent: now + ahead - 400}}})
+	m.Step(now+5*second, []Event{Received{1, tells(2, now+ahead+2*second, Silent, second)}})
+	own, ok := m.byName["a"].evidence.of(1)
+	if want := now + 1*second; !ok || own.at < want || own.at > want+3000 {
+		t.Errorf("%v of %d", own, want)
+	}
+}
+
+// A front whose requests stall asks the node's probers, and condemns nothing.
+func TestStalledAttemptsAskProbers(t *testing.T) {
+	const now = 10 * second
+	m := front(t, 0, zonesOf(1, 8), now)
+	probers := rankFronts(m.zone, NodeKey("a"))[:DefaultProbers]
+	alarm := of[SetAlarm](m.Step(now, []Event{AttemptStarted{Node: "a", ID: "x"}, AttemptStarted{Node: "b", ID: "y"}}))
+	if len(alarm) != 1 || alarm[0].At != now+DefaultSuspectAfter {
+		t.Fatalf("%v", alarm)
+	}
+	m.Step(now+5000, []Event{AttemptEnded{Node: "b", ID: "y", Result: rules.OK}})
+	var to []int
+	for _, s := range of[Send](m.Step(alarm[0].At, []Event{Alarm{}})) {
+		if len(s.Message.Entries) != 1 || s.Message.Entries[0].State != Suspected || s.Message.Entries[0].Node != NodeKey("a") {
+			t.Errorf("%v", s)
+		}
+		to = append(to, s.To)
+	}
+	probers = slices.DeleteFunc(probers, func(front int) bool { return front == 0 })
+	if slices.Sort(to); sprint(to) != sprint(slices.Sorted(slices.Values(probers))) {
+		t.Errorf("told %v, not %v", to, probers)
+	}
+	if m.avoids("a") || m.avoids("b") {
+		t.Error("condemned")
+	}
+}
+
+// A prober that has just been answered tells so at once, without a probe.
+func TestProberAnswersFromItsOwnSuccess(t *testing.T) {
+	const now = 10 * second
+	prober := rankFronts(zonesOfFronts(4), NodeKey("a"))[0]
+	m := front(t, prober, zonesOf(1, 4), now)
+	m.Step(now, []Event{AttemptStarted{Node: "a", ID: "x"}})
+	m.Step(now+3000, []Event{AttemptEnded{Node: "a", ID: "x", Result: rules.OK}})
+	other := (prober + 1) % 4
+	actions := m.Step(now+4000, []Event{Received{other, tells(1, now, Suspected, second)}})
+	sends := of[Send](actions)
+	if len(sends) != 1 || sends[0].To != other || sends[0].Message.Entries[0].State != Reachable || len(of[StartProbe](actions)) > 0 {
+		t.Errorf("%v", actions)
+	}
+	actions = m.Step(now+second, []Event{Received{other, tells(2, now+second, Suspected, second/2)}})
+	if len(of[StartProbe](actions)) != 1 || len(of[Send](actions)) > 0 {
+		t.Errorf("a younger suspicion: %v", actions)
+	}
+}
+
+func zonesOfFronts(fronts int) (out []int) {
+	for front := range fronts {
+		out = append(out, front)
+	}
+	return out
+}
+
+// Wanted probes of nodes that nobody suspects, or that aren't on the list, go out at once and are answered by their end.
+func TestProbesOfHealthyNodesPass(t *testing.T) {
+	const now = 10 * second
+	m := front(t, 0, zonesOf(1, 4), now)
+	for _, node := range []string{"a", "unknown"} {
+		for _, ok := range []bool{true, false} {
+			if started := of[StartProbe](m.Step(now, []Event{ProbeWanted{node}})); len(started) != 1 || started[0].Node != node {
+				t.Fatalf("%s: %v", node, started)
+			}
+			result := rules.Probed{Node: node, OK: ok, Queue: 3}
+			if answers := of[ProbeAnswered](m.Step(now+1000, []Event{ProbeEnded{result}})); len(answers) != 1 || answers[0].Probed != result {
+				t.Errorf("%s: %v", node, answers)
+			}
+		}
+	}
+}
+
+// Fronts come back to a node over a second, each at a time of its own.
+func TestFrontsReturnOneByOne(t *testing.T) {
+	const now = 10 * second
+	const fronts = 50
+	var at []rules.Micros
+	for self := 5; self < fronts; self++ {
+		m := front(t, self, zonesOf(1, fronts), now)
+		m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
+		if !m.avoids("a") {
+			t.Fatal("not avoided")
+		}
+		alarms := of[SetAlarm](m.Step(now+second, []Event{Received{1, tells(2, now+second, Reachable, 0)}}))
+		for len(alarms) > 0 {
+			next := alarms[len(alarms)-1].At
+			actions := m.Step(next, []Event{Alarm{}})
+			if answers := of[ProbeAnswered](actions); len(answers) > 0 {
+				if !answers[0].OK {
+					t.Error("answered as silent")
+				}
+				at = append(at, next-now-second)
+				break
+			}
+			alarms = of[SetAlarm](actions)
+		}
+	}
+	slices.Sort(at)
+	if len(at) != fronts-5 || at[0] > second/5 || at[len(at)-1] < second*4/5 || at[len(at)-1] > second+10 {
+		t.Errorf("%v", at)
+	}
+	if worst := most(at, second/10); worst > fronts/3 {
+		t.Errorf("%d of %d within a tenth of a second", worst, fronts)
+	}
+}
--- a/internal/fleet/health/node.go
+++ b/internal/fleet/health/node.go
@@ -45,7 +45,8 @@
 	probe  probe
 	silent rules.Micros // first of the unanswered probes in a row, never where the last was answered
 
-	told tale
+	told         tale
+	contradicted rules.Micros // when another front was first heard to reach the node since this one did not
 
 	held   bool // a ProbeWanted waits for its answer,
 	heldAt rules.Micros
@@ -80,7 +81,7 @@
 	if n.trouble == nil {
 		n.trouble = &trouble{
 			ended: never, suspected: never, silent: never,
-			probe: probe{next: never}, told: tale{at: never, since: never},
+			probe: probe{next: never}, told: tale{at: never, since: never}, contradicted: never,
 		}
 	}
 	return n.trouble
--- a/internal/fleet/health/random_test.go
+++ b/internal/fleet/health/random_test.go
@@ -28,6 +28,9 @@
 	nodes := rapid.IntRange(1, 2).Draw(t, "nodes")
 	seed := rapid.Uint64Range(0, 1000).Draw(t, "seed")
 	var moves []move
+	if rapid.IntRange(0, 3).Draw(t, "late news") == 0 {
+		moves = lateNews(rapid.IntRange(0, 1).Draw(t, "late at"))
+	}
 	for i := range rapid.IntRange(1, 6).Draw(t, "moves") {
 		moves = append(moves, moveOf(t, i))
 	}
--- a/internal/fleet/health/schedule_test.go
+++ b/internal/fleet/health/schedule_test.go
@@ -333,7 +333,16 @@
 
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
 
+// lateNews are moves by which words of a node's former start come after it has started anew.
+func lateNews(node int) []move {
+	return []move{{nodeDies, node, 20_000}, {delaySome, 0, 300_000}, {nodeRestarts, node, 120_000}, {nodeDies, node, 1_100_000}}
+}
+
+// randomMoves draws a schedule; a quarter of them begin with lateNews.
 func randomMoves(random *rand.Rand) (moves []move) {
+	if random.IntN(4) == 0 {
+		moves = lateNews(random.IntN(2))
+	}
 	for range 1 + random.IntN(6) {
 		moves = append(moves, move{fault(random.IntN(int(faults))), random.IntN(4), waits[random.IntN(len(waits))]})
 	}
--- a/internal/fleet/health/telling.go
+++ b/internal/fleet/health/telling.go
@@ -35,10 +35,10 @@
 	return contradicted || m.ahead(n, own.state) < m.config.Quorum
 }
 
-// overtaken tells whether another front reached the node after this one's probe of it was not answered: then this front
-// looks again before it says anything.
+// overtaken tells whether this front heard, after it sent the probe that was not answered, that another one reached the
+// node: then it looks again before it says anything. What it sees then it tells whatever others say.
 func (m *Monitor) overtaken(n *node, own observation) bool {
-	return own.state == Silent && n.evidence.count(Reachable, own.at, nil) > 0
+	return own.state == Silent && n.contradicted > own.at && m.others(n, Reachable) > 0
 }
 
 // heldSilent tells whether the zone may hold a node for silent.
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -69,14 +69,14 @@
 	event Event
 }
 
-type simQueue []simEvent
+type simQueue []*simEvent
 
 func (q simQueue) Len() int { return len(q) }
 func (q simQueue) Less(i, j int) bool {
 	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
 }
 func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(*simEvent)) }
 func (q *simQueue) Pop() any {
 	e := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
@@ -134,7 +134,7 @@
 func (w *world) push(e simEvent) {
 	w.order++
 	e.order = w.order
-	heap.Push(&w.events, e)
+	heap.Push(&w.events, &e)
 }
 
 func (w *world) at(at rules.Micros, run func()) { w.push(simEvent{at: at, front: -1, run: run}) }
@@ -147,7 +147,7 @@
 // run plays until a time.
 func (w *world) run(until rules.Micros) {
 	for len(w.events) > 0 && w.events[0].at <= until {
-		e := heap.Pop(&w.events).(simEvent)
+		e := heap.Pop(&w.events).(*simEvent)
 		w.now = e.at
 		if e.front < 0 {
 			e.run()
@@ -157,9 +157,9 @@
 		switch {
 		case f.life != e.life:
 		case f.paused:
-			f.late = append(f.late, e)
+			f.late = append(f.late, *e)
 		default:
-			w.arrive(f, e)
+			w.arrive(f, *e)
 		}
 	}
 	w.now = until
--- /dev/null
+++ b/internal/fleet/health/wrong_test.go
@@ -0,0 +1,125 @@
+package health
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"otterturn/rules"
+)
+
+// None avoids a node that it can reach because of one wrong front: one that is cut off from all nodes, from other
+// fronts one way or both, slow, paused again and again, or one that says the worst of all nodes.
+func TestOneWrongFrontCondemnsNothing(t *testing.T) {
+	const fronts, nodes = 8, 20
+	wrongs := map[string]func(w *world, f *simFront){
+		"cut off from nodes": func(w *world, f *simFront) {
+			w.reaches = func(front int, _ *simNode) bool { return front != f.number }
+		},
+		"deaf": func(w *world, f *simFront) {
+			w.reaches = func(front int, _ *simNode) bool { return front != f.number }
+			w.link = func(_, to int) []rules.Micros { return delays(to != f.number) }
+		},
+		"mute": func(w *world, f *simFront) {
+			w.reaches = func(front int, _ *simNode) bool { return front != f.number }
+			w.link = func(from, _ int) []rules.Micros { return delays(from != f.number) }
+		},
+		"slow": func(w *world, f *simFront) {
+			w.link = func(from, to int) []rules.Micros {
+				if from == f.number || to == f.number {
+					return []rules.Micros{100_000 + rules.Micros(w.random.IntN(900_000))}
+				}
+				return delays(true)
+			}
+		},
+		"paused": func(w *world, f *simFront) {
+			for i := range rules.Micros(10) {
+				w.at(w.now+i*second, func() { f.paused = true })
+				w.at(w.now+i*second+30_000+i*90_000, func() { w.resume(f) })
+			}
+		},
+		"lying": func(w *world, f *simFront) { lie(w, f, Silent) },
+	}
+	for name, wrong := range wrongs {
+		for number := range 3 {
+			t.Run(fmt.Sprintf("%s %d", name, number), func(t *testing.T) {
+				w := newWorld(uint64(number), zonesOf(2, fronts), nodes, nil)
+				f := w.fronts[number]
+				w.each = func(at *simFront, a Action) {
+					if r, ok := a.(Report); ok && at != f {
+						t.Errorf("front %d avoids %s, which it can reach", at.number, r.Node)
+					}
+				}
+				w.load(2, w.nodes, w.now+12*second)
+				w.at(w.now+second, func() { wrong(w, f) })
+				w.run(w.now + 12*second)
+			})
+		}
+	}
+}
+
+func delays(whole bool) []rules.Micros {
+	if whole {
+		return []rules.Micros{500}
+	}
+	return nil
+}
+
+// lie has a front say the same of all nodes, ten times a second, to all fronts.
+func lie(w *world, f *simFront, state State) {
+	sequence := uint32(1 << 20)
+	var again func()
+	again = func() {
+		for _, to := range w.fronts {
+			for part := range slices.Chunk(w.nodes, entriesPerMessage) {
+				sequence++
+				m := Message{Run: f.config.Run, Sequence: sequence, Sent: w.now}
+				for _, n := range part {
+					m.Entries = append(m.Entries, Entry{NodeKey(n.name), wireSince(n.start), state, 0})
+				}
+				w.to(to, w.now+500, Received{f.number, m})
+			}
+		}
+		w.at(w.now+second/10, again)
+	}
+	again()
+}
+
+// A front that says that all nodes are well keeps nobody from avoiding a silent one.
+func TestOneFrontCannotCallASilentNodeWell(t *testing.T) {
+	w := newWorld(1, zonesOf(1, 8), 4, nil)
+	w.load(5, w.nodes, w.now+10*second)
+	lie(w, w.fronts[0], Reachable)
+	w.at(w.now+second, func() { w.setAll(true) })
+	w.run(w.now + 4*second)
+	for _, f := range w.fronts[1:] {
+		if c := f.monitor.Counters(); c.Condemned != 4 {
+			t.Errorf("front %d avoids %d of 4 silent nodes", f.number, c.Condemned)
+		}
+	}
+}
+
+// A zone that is cut off from another one's nodes stops using them, and no other zone does. When it heals it comes back.
+func TestZoneThatCannotSeeAnotherCondemnsForItselfAlone(t *testing.T) {
+	const fronts = 6
+	w := newWorld(1, zonesOf(3, fronts), 10, nil)
+	cut := false
+	w.reaches = func(front int, n *simNode) bool { return !cut || front >= fronts || n.index < 5 }
+	w.load(2, w.nodes, w.now+30*second)
+	w.at(w.now+second, func() { cut = true })
+	w.run(w.now + 5*second)
+	for _, f := range w.fronts {
+		want := 0
+		if f.number < fronts {
+			want = 5
+		}
+		if c := f.monitor.Counters(); c.Condemned != want {
+			t.Errorf("front %d avoids %d nodes, not %d", f.number, c.Condemned, want)
+		}
+	}
+	w.at(w.now+second, func() { cut = false })
+	w.run(w.now + 8*second)
+	if avoided := w.avoiding(); avoided > 0 {
+		t.Errorf("%d avoided after the cut", avoided)
+	}
+}
