--- /dev/null
+++ b/internal/fleet/health/codec_test.go
@@ -0,0 +1,155 @@
+package health
+
+import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"otterturn/rules"
+)
+
+func randomMessage(random *rand.Rand, entries int) Message {
+	m := Message{Run: random.Int64N(1 << 52), Sequence: random.Uint32()}
+	m.Sent = rules.Micros(m.Run) + rules.Micros(random.Int64N(1<<40)-1<<30)*milli
+	for range entries {
+		m.Entries = append(m.Entries, Entry{
+			Node: random.Uint64N(1 << keyBits), Since: rules.Micros(random.Uint64N(1<<sinceBits)) * milli,
+			State: Reachable + State(random.IntN(3)), Age: rules.Micros(random.Uint64N(1<<ageBits)) * milli,
+		})
+	}
+	return m
+}
+
+func TestMessagesComeThroughWhole(t *testing.T) {
+	random := newRandom(1)
+	for i := range 5000 {
+		m := randomMessage(random, i%(entriesPerMessage+1))
+		data := m.Encode()
+		if len(data) > MessageLimit || len(data) != m.size() || !IsMessage(data) {
+			t.Fatalf("%d bytes, reckoned as %d", len(data), m.size())
+		}
+		back, err := Decode(data)
+		if err != nil || !reflect.DeepEqual(back, m) {
+			t.Fatalf("%v: %+v, not %+v", err, back, m)
+		}
+	}
+}
+
+// What a Monitor sends is the same behind Decode: what it can't say to the millisecond it does not say.
+func TestWhatIsSentComesThroughWhole(t *testing.T) {
+	w := newWorld(1, zonesOf(1, 5), 30, nil)
+	sent := 0
+	w.each = func(_ *simFront, a Action) {
+		if s, ok := a.(Send); ok {
+			sent++
+			back, err := Decode(s.Message.Encode())
+			if err != nil || !reflect.DeepEqual(back, s.Message) {
+				t.Fatalf("%v: %+v, not %+v", err, back, s.Message)
+			}
+		}
+	}
+	w.load(2, w.nodes, w.now+4*second)
+	w.at(w.now+second+333, func() { w.setAll(true) })
+	w.run(w.now + 4*second)
+	if sent == 0 {
+		t.Error("nothing was sent")
+	}
+}
+
+// A message with more entries than fit has as many as do; one with a state that can't be is refused.
+func TestEncodeKeepsToItsBounds(t *testing.T) {
+	m := randomMessage(newRandom(2), 200)
+	m.Entries[0].Age, m.Entries[1].Age = 10*longestAge, -5
+	data := m.Encode()
+	if len(data) > MessageLimit || len(data) != m.size() {
+		t.Errorf("%d bytes", len(data))
+	}
+	back, err := Decode(data)
+	if err != nil || back.Entries[0].Age != longestAge || back.Entries[1].Age != 0 {
+		t.Errorf("%v", err)
+	}
+	m.Entries = []Entry{{State: 9}}
+	if _, err := Decode(m.Encode()); !errors.Is(err, ErrState) {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestBadMessagesAreRefused(t *testing.T) {
+	good := randomMessage(newRandom(3), 3).Encode()
+	change := func(at int, to byte) []byte {
+		out := bytes.Clone(good)
+		out[at] = to
+		return out
+	}
+	for name, c := range map[string]struct {
+		data []byte
+		want error
+	}{
+		"empty":              {nil, ErrNotMessage},
+		"a note":             {[]byte("ask 1"), ErrNotMessage},
+		"mark alone":         {good[:1], ErrCut},
+		"cut in its run":     {good[:5], ErrCut},
+		"cut in an entry":    {good[:len(good)-1], ErrCut},
+		"another version":    {change(1, 2), ErrVersion},
+		"oversized":          {append(bytes.Clone(good), make([]byte, MessageLimit)...), ErrTooLong},
+		"no state":           {change(len(good)-2, 0), ErrState},
+		"sequence too large": {append(bytes.Clone(good[:fixedBytes]), 0xff, 0xff, 0xff, 0xff, 0xff, 0x01, 0), ErrHeader},
+		"clock too large":    {append(bytes.Clone(good[:fixedBytes]), 0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f), ErrHeader},
+		"endless sequence":   {append(bytes.Clone(good[:fixedBytes]), bytes.Repeat([]byte{0xff}, 11)...), ErrHeader},
+	} {
+		if _, err := Decode(c.data); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, not %v", name, err, c.want)
+		}
+	}
+	for cut := range good { // between entries it is a shorter message; anywhere else an error
+		if _, err := Decode(good[:cut]); err == nil && (len(good)-cut)%entryBytes != 0 {
+			t.Errorf("cut to %d of %d bytes: no error", cut, len(good))
+		}
+	}
+}
+
+// FuzzDecode looks whether any datagram does harm, at Decode or at a Monitor behind it.
+func FuzzDecode(f *testing.F) {
+	random := newRandom(4)
+	for entries := range 4 {
+		f.Add(randomMessage(random, entries).Encode())
+	}
+	f.Add(tells(1, 10*second, Silent, 0).Encode())
+	f.Fuzz(func(t *testing.T, data []byte) { feed(t, data) })
+}
+
+func feed(t *testing.T, data []byte) {
+	m := front(t, 0, zonesOf(1, 4), 10*second)
+	message, err := Decode(data)
+	if err != nil {
+		m.Unreadable()
+		return
+	}
+	if again, err := Decode(message.Encode()); err != nil || !reflect.DeepEqual(again, message) {
+		t.Fatalf("%v: %+v, not %+v", err, again, message)
+	}
+	for from := range 4 {
+		m.Step(10*second+rules.Micros(from), []Event{Received{from, message}})
+	}
+	if m.avoids("a") && len(message.Entries) == 0 {
+		t.Error("condemned by nothing")
+	}
+	m.Step(30*second, []Event{Alarm{}})
+	if m.avoids("a") || m.avoids("b") {
+		t.Error("still avoided 20 s later")
+	}
+}
+
+// Datagrams changed at random do no harm.
+func TestChangedMessagesDoNoHarm(t *testing.T) {
+	random := newRandom(5)
+	for range 20_000 {
+		data := tells(1, 10*second, Silent, 0).Encode()
+		for range 1 + random.IntN(4) {
+			data[random.IntN(len(data))] = byte(random.Uint32())
+		}
+		feed(t, data[:random.IntN(len(data)+1)])
+	}
+}
--- /dev/null
+++ b/internal/fleet/health/config_test.go
@@ -0,0 +1,79 @@
+package health
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+func TestConfigsThatCannotBeNameTheField(t *testing.T) {
+	zones := []int{0, 0, 0, 0, 0, 2, 2, 2}
+	for want, change := range map[string]func(c *Config){
+		"probers: 5, but zone 2 has 3 fronts":        func(c *Config) { c.Probers = 5 },
+		"probers: 0, must be 1 at least":             func(c *Config) { c.Probers = 0 },
+		"quorum: 1, must be 2 at least":              func(c *Config) { c.Quorum = 1 },
+		"quorum: 4, but there are 3 probers":         func(c *Config) { c.Quorum = 4 },
+		"zones: must not be empty":                   func(c *Config) { c.Zones = nil },
+		"zones: front 1 has zone -3, below 0":        func(c *Config) { c.Zones = []int{0, -3, 0, 0} },
+		"self: 8, but there are 8 fronts":            func(c *Config) { c.Self = 8 },
+		"self: -1, but":                              func(c *Config) { c.Self = -1 },
+		"suspect_after: must be above 0":             func(c *Config) { c.SuspectAfter = 0 },
+		"probe_late: must be above 0":                func(c *Config) { c.ProbeLate = -1 },
+		"evidence_life: must be above 0":             func(c *Config) { c.EvidenceLife = 0 },
+		"evidence_life: 17000 ms, must be 16000 ms":  func(c *Config) { c.EvidenceLife = 17 * second },
+		"takeover_after: must be above 0":            func(c *Config) { c.TakeoverAfter = 0 },
+		"probes_per_node: must be above 0":           func(c *Config) { c.ProbesPerNode = math.NaN() },
+		"probes_per_node: 1, but the 6 probers of a": func(c *Config) { c.ProbesPerNode = 1 },
+		"message_bytes: must be 256 at least":        func(c *Config) { c.MessageBytes = 0 },
+	} {
+		c := Defaults(0, 1, zones)
+		change(&c)
+		err := c.Validate()
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, not %s", err, want)
+		}
+		if _, same := New(c); same == nil {
+			t.Errorf("%s: a Monitor is made", want)
+		}
+	}
+	if err := Defaults(7, 1, zones).Validate(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Another configuration is taken whole or not at all, and what still holds stays.
+func TestReconfigureKeepsWhatHolds(t *testing.T) {
+	const now = 10 * second
+	m := front(t, 0, zonesOf(1, 6), now)
+	m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
+	bad := m.config
+	bad.Probers = 7
+	if m.Reconfigure(bad) == nil || m.config.Probers != DefaultProbers {
+		t.Error("a bad one was taken")
+	}
+	m.Step(now+1, nil)
+	if !m.avoids("a") {
+		t.Error("a bad one changes what is held")
+	}
+	good := Defaults(0, 1, []int{0, 0, 0, 0, 0, 0, 0})
+	if err := m.Reconfigure(good); err != nil {
+		t.Error(err)
+	}
+	if m.Step(now+2, nil); !m.avoids("a") {
+		t.Error("another front in the zone changes what is held")
+	}
+	good.Zones = []int{0, 1, 0, 0, 1, 1, 0} // front 1 is of another zone now
+	if err := m.Reconfigure(good); err != nil {
+		t.Error(err)
+	}
+	if m.Step(now+3, nil); m.avoids("a") {
+		t.Error("the word of another zone counts")
+	}
+	if n := m.byName["a"]; !n.held {
+		t.Error("a wanted probe is forgotten")
+	}
+	good.Zones[1] = 0 // the caller's own list is its own
+	if m.ofZone(1) {
+		t.Error("the list of zones is shared with the caller")
+	}
+}
--- a/internal/fleet/health/probing.go
+++ b/internal/fleet/health/probing.go
@@ -139,7 +139,7 @@
 // reached takes in that this front reached a node in trouble, by a probe or an attempt.
 func (m *Monitor) reached(n *node) {
 	n.silent = never
-	if len(n.evidence) > 0 || len(n.askers) > 0 || n.suspecting {
+	if n.evidence.count(Silent, never, nil) > 0 || len(n.askers) > 0 || n.suspecting {
 		n.evidence.add(observation{m.config.Self, Reachable, m.now})
 	}
 }
