--- /dev/null
+++ b/internal/fleet/health/audit_test.go
@@ -0,0 +1,113 @@
+package health
+
+import (
+	"slices"
+
+	"otterturn/rules"
+)
+
+// audit looks at each action from outside.
+func (t *trial) audit(f *simFront, a Action) {
+	switch a := a.(type) {
+	case StartProbe:
+		if t.asked[f.number] == nil {
+			t.asked[f.number] = map[string]rules.Micros{}
+		}
+		t.asked[f.number][a.Node] = t.now
+	case Send:
+		t.auditSend(f, a)
+	case Report:
+		t.auditReport(f, a)
+	}
+}
+
+// auditSend holds messages to their bounds.
+func (t *trial) auditSend(f *simFront, a Send) {
+	size := len(a.Message.Encode())
+	if size > MessageLimit || size != a.Message.size() {
+		t.say("front %d sends %d bytes, reckoned as %d", f.number, size, a.Message.size())
+	}
+	list := append(t.sent[f.number], sentBytes{t.now, size})
+	for list[0].at < t.now-second {
+		list = list[1:]
+	}
+	t.sent[f.number] = list
+	sum := 0
+	for _, s := range list {
+		sum += s.bytes
+	}
+	if sum > smallBytes {
+		t.say("front %d sends %d bytes within a second", f.number, sum)
+	}
+	for _, e := range a.Message.Entries { // whoever hears it may count it
+		if e.State == Silent {
+			for _, to := range t.fronts {
+				t.silent[sighting{to.number, f.number, e.Node, e.Since}] = t.now - e.Age
+			}
+		}
+	}
+}
+
+// auditReport counts the fronts whose probes of this start were not answered lately.
+func (t *trial) auditReport(f *simFront, a Report) {
+	key, start := NodeKey(a.Node), wireSince(a.Since)
+	origins := 0
+	for _, other := range t.fronts {
+		at, told := t.silent[sighting{f.number, other.number, key, start}]
+		if other == f {
+			at, told = t.asked[f.number][a.Node]
+		}
+		if told && at > t.now-smallLife-second {
+			origins++
+		}
+	}
+	if origins < f.config.Quorum {
+		t.say("front %d condemns %s by the probes of %d fronts", f.number, a.Node, origins)
+	}
+	if a.Since != f.known[a.Node] {
+		t.say("front %d condemns a former start", f.number)
+	}
+}
+
+func (t *trial) checkWanted() {
+	for _, f := range t.fronts {
+		for node, at := range f.wanted {
+			if !f.paused && !f.gone && t.now > at+answerWithin {
+				t.say("front %d has owed a probe of %s for %d ms", f.number, node, (t.now-at)/1000)
+			}
+		}
+	}
+}
+
+func (t *trial) checkAgreement() {
+	for _, n := range t.nodes {
+		var avoid []int
+		living := 0
+		for _, f := range t.fronts {
+			if f.gone {
+				continue
+			}
+			living++
+			known := f.monitor.byName[n.name]
+			if known.trouble != nil && known.avoided {
+				avoid = append(avoid, f.number)
+			}
+		}
+		switch {
+		case n.dead && len(avoid) < living:
+			t.say("%s is silent, and only fronts %v avoid it", n.name, avoid)
+		case !n.dead && len(avoid) > 0:
+			t.say("%s runs, and fronts %v avoid it", n.name, avoid)
+		}
+	}
+}
+
+// checkSuccess has a success checked: nothing older may count against it.
+func (t *trial) checkSuccess(f *simFront, node string) {
+	n := f.monitor.byName[node]
+	if n.running() && n.trouble != nil && n.avoided && !slices.ContainsFunc(n.evidence, func(o observation) bool {
+		return o.state == Silent && o.at > t.now-1
+	}) {
+		t.say("front %d avoids %s though it was just answered", f.number, node)
+	}
+}
--- /dev/null
+++ b/internal/fleet/health/front_test.go
@@ -0,0 +1,83 @@
+package health
+
+import (
+	"cmp"
+	"slices"
+
+	"otterturn/rules"
+)
+
+type simFront struct {
+	number  int
+	config  Config
+	monitor *Monitor
+	life    int // counts restarts
+	alarm   int // of the last SetAlarm
+	paused  bool
+	gone    bool
+	late    []simEvent // what came while paused
+	mute    map[string]bool
+	known   map[string]rules.Micros // starts, by the list
+	wanted  map[string]rules.Micros // ProbeWanted without an answer
+	failed  map[string]int          // requests
+	bytes   []sentBytes             // sent and received
+}
+
+type sentBytes struct {
+	at    rules.Micros
+	bytes int
+}
+
+type simNode struct {
+	name   string
+	index  int
+	start  rules.Micros
+	dead   bool
+	refuse bool // a dead one refuses instead of being silent
+	probes []rules.Micros
+}
+
+type simEvent struct {
+	at    rules.Micros
+	order int
+	front int // -1 for the world's own
+	life  int
+	run   func()
+	event Event
+}
+
+type simQueue []*simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(*simEvent)) }
+func (q *simQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// setAll lets all nodes fall silent, or return.
+func (w *world) setAll(dead bool) {
+	for _, n := range w.nodes {
+		n.dead = dead
+	}
+}
+
+// mostBytes is how many bytes a front sent and received within any second.
+func (f *simFront) mostBytes() int {
+	slices.SortStableFunc(f.bytes, func(a, b sentBytes) int { return cmp.Compare(a.at, b.at) })
+	worst, sum, from := 0, 0, 0
+	for _, b := range f.bytes {
+		sum += b.bytes
+		for f.bytes[from].at <= b.at-1_000_000 {
+			sum -= f.bytes[from].bytes
+			from++
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/fleet/health/held_test.go
@@ -0,0 +1,59 @@
+package health
+
+import (
+	"slices"
+	"testing"
+
+	"otterturn/rules"
+)
+
+// Wanted probes of nodes that nobody suspects, or that aren't on the list, go out at once and are answered by their end.
+func TestProbesOfHealthyNodesPass(t *testing.T) {
+	const now = 10 * second
+	m := front(t, 0, zonesOf(1, 4), now)
+	for _, node := range []string{"a", "unknown"} {
+		for _, ok := range []bool{true, false} {
+			if started := of[StartProbe](m.Step(now, []Event{ProbeWanted{node}})); len(started) != 1 || started[0].Node != node {
+				t.Fatalf("%s: %v", node, started)
+			}
+			result := rules.Probed{Node: node, OK: ok, Queue: 3}
+			if answers := of[ProbeAnswered](m.Step(now+1000, []Event{ProbeEnded{result}})); len(answers) != 1 || answers[0].Probed != result {
+				t.Errorf("%s: %v", node, answers)
+			}
+		}
+	}
+}
+
+// Fronts come back to a node over a second, each at a time of its own.
+func TestFrontsReturnOneByOne(t *testing.T) {
+	const now = 10 * second
+	const fronts = 50
+	var at []rules.Micros
+	for self := 5; self < fronts; self++ {
+		m := front(t, self, zonesOf(1, fronts), now)
+		m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
+		if !m.avoids("a") {
+			t.Fatal("not avoided")
+		}
+		alarms := of[SetAlarm](m.Step(now+second, []Event{Received{1, tells(2, now+second, Reachable, 0)}}))
+		for len(alarms) > 0 {
+			next := alarms[len(alarms)-1].At
+			actions := m.Step(next, []Event{Alarm{}})
+			if answers := of[ProbeAnswered](actions); len(answers) > 0 {
+				if !answers[0].OK {
+					t.Error("answered as silent")
+				}
+				at = append(at, next-now-second)
+				break
+			}
+			alarms = of[SetAlarm](actions)
+		}
+	}
+	slices.Sort(at)
+	if len(at) != fronts-5 || at[0] > second/5 || at[len(at)-1] < second*4/5 || at[len(at)-1] > second+10 {
+		t.Errorf("%v", at)
+	}
+	if worst := most(at, second/10); worst > fronts/3 {
+		t.Errorf("%d of %d within a tenth of a second", worst, fronts)
+	}
+}
--- /dev/null
+++ b/internal/fleet/health/traffic_test.go
@@ -0,0 +1,81 @@
+package health
+
+import (
+	"fmt"
+
+	"otterturn/rules"
+)
+
+// probe ends at once where the node answers or refuses, and late where it is silent.
+func (w *world) probe(f *simFront, n *simNode) {
+	n.probes = append(n.probes, w.now)
+	ended := func(after rules.Micros, ok bool) {
+		w.to(f, w.now+after, ProbeEnded{rules.Probed{Node: n.name, OK: ok, Queue: -1}})
+	}
+	switch {
+	case !w.reaches(f.number, n):
+		ended(w.shell, false)
+	case !n.dead:
+		ended(1_000+rules.Micros(w.random.IntN(1000)), true)
+	case n.refuse:
+		ended(1_000, false)
+	default:
+		ended(w.shell, false)
+	}
+}
+
+// request sends one request, unless the front's scheduler holds the node for silent. A silent node is given up on after
+// 400 ms.
+func (w *world) request(f *simFront, n *simNode, id string) {
+	if f.paused || f.gone || f.mute[n.name] {
+		return
+	}
+	w.step(f, AttemptStarted{Node: n.name, ID: id})
+	end := func(after rules.Micros, result rules.Result) {
+		life := f.life
+		w.push(simEvent{at: w.now + after, front: f.number, life: life, run: func() {
+			switch {
+			case result == rules.OK:
+				f.mute[n.name] = false
+			default:
+				f.failed[n.name]++
+				if !f.mute[n.name] {
+					f.mute[n.name] = true
+					w.want(f, n.name, 0)
+				}
+			}
+			w.step(f, AttemptEnded{Node: n.name, ID: id, Result: result})
+			if result == rules.OK && w.succeeded != nil {
+				w.succeeded(f, n.name)
+			}
+		}})
+	}
+	switch {
+	case !w.reaches(f.number, n) || n.dead && !n.refuse:
+		end(400_000, rules.TimedOut)
+	case n.dead:
+		end(1_000, rules.Unreachable)
+	default:
+		end(2_000+rules.Micros(w.random.IntN(4000)), rules.OK)
+	}
+}
+
+// load sends requests at random, so many a second from each front to each node, until a time.
+func (w *world) load(perSecond float64, nodes []*simNode, until rules.Micros) {
+	for _, f := range w.fronts {
+		for _, n := range nodes {
+			w.next(f, n, perSecond, until, 0)
+		}
+	}
+}
+
+func (w *world) next(f *simFront, n *simNode, perSecond float64, until rules.Micros, count int) {
+	at := w.now + 1 + rules.Micros(w.random.ExpFloat64()/perSecond*1_000_000)
+	if at > until {
+		return
+	}
+	w.at(at, func() {
+		w.request(f, n, fmt.Sprintf("%d-%d-%d", f.number, n.index, count))
+		w.next(f, n, perSecond, until, count+1)
+	})
+}
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -1,11 +1,9 @@
 package health
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 
 	"otterturn/rules"
 )
@@ -30,59 +28,6 @@
 	encoded   bool                                 // messages pass Encode and Decode
 }
 
-type simFront struct {
-	number  int
-	config  Config
-	monitor *Monitor
-	life    int // counts restarts
-	alarm   int // of the last SetAlarm
-	paused  bool
-	gone    bool
-	late    []simEvent // what came while paused
-	mute    map[string]bool
-	known   map[string]rules.Micros // starts, by the list
-	wanted  map[string]rules.Micros // ProbeWanted without an answer
-	failed  map[string]int          // requests
-	bytes   []sentBytes             // sent and received
-}
-
-type sentBytes struct {
-	at    rules.Micros
-	bytes int
-}
-
-type simNode struct {
-	name   string
-	index  int
-	start  rules.Micros
-	dead   bool
-	refuse bool // a dead one refuses instead of being silent
-	probes []rules.Micros
-}
-
-type simEvent struct {
-	at    rules.Micros
-	order int
-	front int // -1 for the world's own
-	life  int
-	run   func()
-	event Event
-}
-
-type simQueue []*simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(*simEvent)) }
-func (q *simQueue) Pop() any {
-	e := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return e
-}
-
 // newWorld makes fronts by their zones, all in the same state, with a network of half a millisecond.
 func newWorld(seed uint64, zones []int, nodes int, change func(*Config)) *world {
 	w := &world{
@@ -240,28 +185,6 @@
 	}
 }
 
-// setAll lets all nodes fall silent, or return.
-func (w *world) setAll(dead bool) {
-	for _, n := range w.nodes {
-		n.dead = dead
-	}
-}
-
-// mostBytes is how many bytes a front sent and received within any second.
-func (f *simFront) mostBytes() int {
-	slices.SortStableFunc(f.bytes, func(a, b sentBytes) int { return cmp.Compare(a.at, b.at) })
-	worst, sum, from := 0, 0, 0
-	for _, b := range f.bytes {
-		sum += b.bytes
-		for f.bytes[from].at <= b.at-1_000_000 {
-			sum -= f.bytes[from].bytes
-			from++
-		}
-		worst = max(worst, sum)
-	}
-	return worst
-}
-
 // want is the scheduler's wish for a probe.
 func (w *world) want(f *simFront, node string, in rules.Micros) {
 	w.push(simEvent{at: w.now + in, front: f.number, life: f.life, run: func() {
@@ -288,77 +211,3 @@
 		w.to(to, at, Received{From: f.number, Message: message})
 	}
 }
-
-// probe ends at once where the node answers or refuses, and late where it is silent.
-func (w *world) probe(f *simFront, n *simNode) {
-	n.probes = append(n.probes, w.now)
-	ended := func(after rules.Micros, ok bool) {
-		w.to(f, w.now+after, ProbeEnded{rules.Probed{Node: n.name, OK: ok, Queue: -1}})
-	}
-	switch {
-	case !w.reaches(f.number, n):
-		ended(w.shell, false)
-	case !n.dead:
-		ended(1_000+rules.Micros(w.random.IntN(1000)), true)
-	case n.refuse:
-		ended(1_000, false)
-	default:
-		ended(w.shell, false)
-	}
-}
-
-// request sends one request, unless the front's scheduler holds the node for silent. A silent node is given up on after
-// 400 ms.
-func (w *world) request(f *simFront, n *simNode, id string) {
-	if f.paused || f.gone || f.mute[n.name] {
-		return
-	}
-	w.step(f, AttemptStarted{Node: n.name, ID: id})
-	end := func(after rules.Micros, result rules.Result) {
-		life := f.life
-		w.push(simEvent{at: w.now + after, front: f.number, life: life, run: func() {
-			switch {
-			case result == rules.OK:
-				f.mute[n.name] = false
-			default:
-				f.failed[n.name]++
-				if !f.mute[n.name] {
-					f.mute[n.name] = true
-					w.want(f, n.name, 0)
-				}
-			}
-			w.step(f, AttemptEnded{Node: n.name, ID: id, Result: result})
-			if result == rules.OK && w.succeeded != nil {
-				w.succeeded(f, n.name)
-			}
-		}})
-	}
-	switch {
-	case !w.reaches(f.number, n) || n.dead && !n.refuse:
-		end(400_000, rules.TimedOut)
-	case n.dead:
-		end(1_000, rules.Unreachable)
-	default:
-		end(2_000+rules.Micros(w.random.IntN(4000)), rules.OK)
-	}
-}
-
-// load sends requests at random, so many a second from each front to each node, until a time.
-func (w *world) load(perSecond float64, nodes []*simNode, until rules.Micros) {
-	for _, f := range w.fronts {
-		for _, n := range nodes {
-			w.next(f, n, perSecond, until, 0)
-		}
-	}
-}
-
-func (w *world) next(f *simFront, n *simNode, perSecond float64, until rules.Micros, count int) {
-	at := w.now + 1 + rules.Micros(w.random.ExpFloat64()/perSecond*1_000_000)
-	if at > until {
-		return
-	}
-	w.at(at, func() {
-		w.request(f, n, fmt.Sprintf("%d-%d-%d", f.number, n.index, count))
-		w.next(f, n, perSecond, until, count+1)
-	})
-}
