--- a/rules/requests.go
+++ b/rules/requests.go
@@ -59,22 +59,21 @@
 	e.Units = cmp.Or(max(e.Units, 0), 1)
 	r := s.request(e)
 	// A client's next try ends when the first would have. Its worth goes by the first one's aim.
-	p, again := s.refused.Look(r.origin())
+	p, again := s.refused.Get(r.origin())
 	if again && max(r.deadline-p.deadline, p.deadline-r.deadline) <= s.margin() {
 		r.aimAt = min(r.aimAt, p.aimAt)
 	}
 	s.reqs[e.ID] = r
 	r.vol.open++
 	if r.class.InOrder && e.Key != "" {
-		s.turns.Join(e.Key, r)
+		s.byKey.Push(e.Key, r)
 	}
 	s.allowance.Request(s.now)
 	s.hold(r)
 }
 
-// request is a request as it is held. Clients may give a try up long before its aim. What can't be answered
-// by then is late, whatever the aim: work for clients that have gone would crowd out the rest. Could hurt
-// where the usual is misjudged.
+// request is a request as it is held. Its aim ends with its client's time at the latest: work for clients
+// that have gone would crowd out the rest. Could hurt where the usual latency is misjudged.
 func (s *Scheduler) request(e Request) *request {
 	c := &s.set.Classes[e.Class]
 	return &request{Request: e, class: c, vol: s.volume(e), aimAt: s.now + min(c.Aim, e.Left),
@@ -87,7 +86,7 @@
 // volume finds or opens a volume. A limit's bucket starts with its part of half the slack: what a former
 // self of this host spent is not known after a restart, and two may come before the part is full again.
 func (s *Scheduler) volume(e Request) *volume {
-	v := s.volumes.Get(e.Volume, s.forgotten, func() *volume {
+	v := s.volumes.GetOrCreate(e.Volume, s.forgotten, func() *volume {
 		v := &volume{name: e.Volume, index: e.Plan, plan: &s.set.Plans[e.Plan], hosts: 1, closed: s.now}
 		v.bucket.At, v.bucket.Level = s.began, v.plan.Slack/2/float64(max(e.Hosts, 1))
 		return v
@@ -158,7 +157,7 @@
 		r.landed()
 	}
 	if r.class.InOrder && ran && e.Result != Errored {
-		s.turns.Rest(r.Key, s.now+s.set.KeyRest)
+		s.byKey.PauseUntil(r.Key, s.now+s.set.KeyRest)
 	}
 	switch {
 	case e.Final || r.done:
@@ -189,6 +188,6 @@
 		r.vol.away = 0 // without a rest of rounding
 	}
 	if r.class.InOrder {
-		s.turns.Leave(r.Key, r, s.now, 2*len(s.reqs))
+		s.byKey.Remove(r.Key, r, s.now, 2*len(s.reqs))
 	}
 }
