--- a/internal/fleet/health/monitor.go
+++ b/internal/fleet/health/monitor.go
@@ -37,6 +37,8 @@
 type seams struct {
 	repeated  func(p *peer, sequence uint32) bool
 	sameStart func(told, listed rules.Micros) bool
+	add       func(e *evidence, o observation)
+	round     func(lacked, takeoverAfter rules.Micros) int
 }
 
 // New returns a Monitor that knows no node.
@@ -50,7 +52,7 @@
 		byName: map[string]*node{}, byKey: map[uint64]*node{}, attempts: map[attemptID]attempt{},
 		passed: map[string]bool{}, peers: map[int]*peer{}, outbox: newOutbox(), bytes: window.Of(bytesSpan),
 		counts: Counters{Dropped: map[Drop]int64{}},
-		seams:  seams{repeated: (*peer).repeated, sameStart: func(told, listed rules.Micros) bool { return told == listed }},
+		seams:  seams{repeated: (*peer).repeated, sameStart: sameStart, add: (*evidence).add, round: roundOf},
 	}, nil
 }
 
@@ -176,7 +178,7 @@
 	m.rank(n)
 	n.evidence.prune(m.now - m.config.EvidenceLife)
 	m.judge(n)
-	next = min(m.fades(n), m.seek(n), m.look(n), m.serve(n), m.tell(n), m.release(n))
+	next = min(m.fades(n), m.seek(n), m.serve(n), m.look(n), m.tell(n), m.release(n))
 	if n.idle() {
 		n.trouble = nil
 		return forever
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -1,11 +1,9 @@
 package health
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 
 	"otterturn/rules"
 )
@@ -14,69 +12,20 @@
 // scheduler what matters here: it sends nothing to a node that it was told is silent, or that failed it, until a probe
 // of it is answered.
 type world struct {
-	fronts  []*simFront
-	nodes   []*simNode
-	byName  map[string]*simNode
-	now     rules.Micros
-	events  simQueue
-	order   int
-	random  *rand.Rand
-	link    func(from, to int) (delays []rules.Micros) // of each copy that arrives; none where it is lost
-	reaches func(front int, node *simNode) bool
-	each    func(front *simFront, action Action) // sees all actions
-	shell   rules.Micros                         // a probe ends as failed after this
-	encoded bool                                 // messages pass Encode and Decode
-}
-
-type simFront struct {
-	number  int
-	config  Config
-	monitor *Monitor
-	life    int // counts restarts
-	alarm   int // of the last SetAlarm
-	paused  bool
-	late    []simEvent // what came while paused
-	mute    map[string]bool
-	wanted  map[string]rules.Micros // ProbeWanted without an answer
-	failed  map[string]int          // requests
-	bytes   []sentBytes             // sent and received
-}
-
-type sentBytes struct {
-	at    rules.Micros
-	bytes int
-}
-
-type simNode struct {
-	name   string
-	index  int
-	start  rules.Micros
-	dead   bool
-	refuse bool // a dead one refuses instead of being silent
-	probes []rules.Micros
-}
-
-type simEvent struct {
-	at    rules.Micros
-	order int
-	front int // -1 for the world's own
-	life  int
-	run   func()
-	event Event
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	e := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return e
+	fronts    []*simFront
+	nodes     []*simNode
+	byName    map[string]*simNode
+	now       rules.Micros
+	events    simQueue
+	order     int
+	random    *rand.Rand
+	link      func(from, to int) (delays []rules.Micros) // of each copy that arrives; none where it is lost
+	reaches   func(front int, node *simNode) bool
+	each      func(front *simFront, action Action) // sees all actions
+	succeeded func(front *simFront, node string)   // sees each request that was answered
+	against   func(front *simFront, node string)   // sees each node that is avoided though the list bars it
+	shell     rules.Micros                         // a probe ends as failed after this
+	encoded   bool                                 // messages pass Encode and Decode
 }
 
 // newWorld makes fronts by their zones, all in the same state, with a network of half a millisecond.
@@ -111,6 +60,7 @@
 		panic(err)
 	}
 	f.monitor, f.life, f.paused, f.late = monitor, f.life+1, false, nil
+	f.known = map[string]rules.Micros{}
 	f.mute, f.wanted = map[string]bool{}, map[string]rules.Micros{}
 	if f.failed == nil {
 		f.failed = map[string]int{}
@@ -129,7 +79,7 @@
 func (w *world) push(e simEvent) {
 	w.order++
 	e.order = w.order
-	heap.Push(&w.events, e)
+	heap.Push(&w.events, &e)
 }
 
 func (w *world) at(at rules.Micros, run func()) { w.push(simEvent{at: at, front: -1, run: run}) }
@@ -142,7 +92,7 @@
 // run plays until a time.
 func (w *world) run(until rules.Micros) {
 	for len(w.events) > 0 && w.events[0].at <= until {
-		e := heap.Pop(&w.events).(simEvent)
+		e := heap.Pop(&w.events).(*simEvent)
 		w.now = e.at
 		if e.front < 0 {
 			e.run()
@@ -152,9 +102,9 @@
 		switch {
 		case f.life != e.life:
 		case f.paused:
-			f.late = append(f.late, e)
+			f.late = append(f.late, *e)
 		default:
-			w.arrive(f, e)
+			w.arrive(f, *e)
 		}
 	}
 	w.now = until
@@ -178,12 +128,34 @@
 }
 
 func (w *world) step(f *simFront, events ...Event) {
-	for _, a := range f.monitor.Step(w.now, events) {
+	if f.gone {
+		return
+	}
+	actions := f.monitor.Step(w.now, events)
+	for _, e := range events {
+		if l, ok := e.(NodeList); ok {
+			w.listed(f, l)
+		}
+	}
+	for _, a := range actions {
 		w.each(f, a)
 		w.act(f, a)
 	}
 }
 
+// listed has a front's scheduler forget what it held of a former start.
+func (w *world) listed(f *simFront, l NodeList) {
+	for _, listed := range l.Nodes {
+		if f.known[listed.Node] != listed.Since {
+			f.known[listed.Node], f.mute[listed.Node] = listed.Since, false
+		}
+		n := f.monitor.byName[listed.Node]
+		if n.trouble != nil && n.avoided && listed.State != rules.Running && w.against != nil {
+			w.against(f, listed.Node)
+		}
+	}
+}
+
 func (w *world) act(f *simFront, a Action) {
 	switch a := a.(type) {
 	case SetAlarm:
@@ -213,28 +185,6 @@
 	}
 }
 
-// setAll lets all nodes fall silent, or return.
-func (w *world) setAll(dead bool) {
-	for _, n := range w.nodes {
-		n.dead = dead
-	}
-}
-
-// mostBytes is how many bytes a front sent and received within any second.
-func (f *simFront) mostBytes() int {
-	slices.SortStableFunc(f.bytes, func(a, b sentBytes) int { return cmp.Compare(a.at, b.at) })
-	worst, sum, from := 0, 0, 0
-	for _, b := range f.bytes {
-		sum += b.bytes
-		for f.bytes[from].at <= b.at-1_000_000 {
-			sum -= f.bytes[from].bytes
-			from++
-		}
-		worst = max(worst, sum)
-	}
-	return worst
-}
-
 // want is the scheduler's wish for a probe.
 func (w *world) want(f *simFront, node string, in rules.Micros) {
 	w.push(simEvent{at: w.now + in, front: f.number, life: f.life, run: func() {
@@ -261,74 +211,3 @@
 		w.to(to, at, Received{From: f.number, Message: message})
 	}
 }
-
-// probe ends at once where the node answers or refuses, and late where it is silent.
-func (w *world) probe(f *simFront, n *simNode) {
-	n.probes = append(n.probes, w.now)
-	ended := func(after rules.Micros, ok bool) {
-		w.to(f, w.now+after, ProbeEnded{rules.Probed{Node: n.name, OK: ok, Queue: -1}})
-	}
-	switch {
-	case !w.reaches(f.number, n):
-		ended(w.shell, false)
-	case !n.dead:
-		ended(1_000+rules.Micros(w.random.IntN(1000)), true)
-	case n.refuse:
-		ended(1_000, false)
-	default:
-		ended(w.shell, false)
-	}
-}
-
-// request sends one request, unless the front's scheduler holds the node for silent. A silent node is given up on after
-// 400 ms.
-func (w *world) request(f *simFront, n *simNode, id string) {
-	if f.paused || f.mute[n.name] {
-		return
-	}
-	w.step(f, AttemptStarted{Node: n.name, ID: id})
-	end := func(after rules.Micros, result rules.Result) {
-		life := f.life
-		w.push(simEvent{at: w.now + after, front: f.number, life: life, run: func() {
-			switch {
-			case result == rules.OK:
-				f.mute[n.name] = false
-			default:
-				f.failed[n.name]++
-				if !f.mute[n.name] {
-					f.mute[n.name] = true
-					w.want(f, n.name, 0)
-				}
-			}
-			w.step(f, AttemptEnded{Node: n.name, ID: id, Result: result})
-		}})
-	}
-	switch {
-	case !w.reaches(f.number, n) || n.dead && !n.refuse:
-		end(400_000, rules.TimedOut)
-	case n.dead:
-		end(1_000, rules.Unreachable)
-	default:
-		end(2_000+rules.Micros(w.random.IntN(4000)), rules.OK)
-	}
-}
-
-// load sends requests at random, so many a second from each front to each node, until a time.
-func (w *world) load(perSecond float64, nodes []*simNode, until rules.Micros) {
-	for _, f := range w.fronts {
-		for _, n := range nodes {
-			w.next(f, n, perSecond, until, 0)
-		}
-	}
-}
-
-func (w *world) next(f *simFront, n *simNode, perSecond float64, until rules.Micros, count int) {
-	at := w.now + 1 + rules.Micros(w.random.ExpFloat64()/perSecond*1_000_000)
-	if at > until {
-		return
-	}
-	w.at(at, func() {
-		w.request(f, n, fmt.Sprintf("%d-%d-%d", f.number, n.index, count))
-		w.next(f, n, perSecond, until, count+1)
-	})
-}
