--- a/cmd/otterturn/fleet_view_test.go
+++ b/cmd/otterturn/fleet_view_test.go
@@ -18,27 +18,45 @@
 	return strings.Replace(text, old, with, 1)
 }
 
-// A front that is cut off from a node by itself has the others look, and condemns nothing for them: they go on.
+// A prober that is cut off from a node by itself tells the zone that it is silent, and condemns nothing for the others:
+// the probers see for themselves, and those who don't probe want the word of two.
 func TestOneFrontsWrongViewCondemnsNothing(t *testing.T) {
-	const fronts = 4
-	s := newFleetSite(t, fronts, 1, fleetText(t, replace(fleetSettings, "probers = 3", "probers = 4"), fronts))
-	node, wrong, others := s.nodes[0], s.fronts[0], s.fronts[1:]
+	const fronts, probers = 6, 3
+	s := newFleetSite(t, fronts, 1, fleetText(t, fleetSettings, fronts))
+	node := s.nodes[0]
+	node.forget()
+	node.silence(true) // to see who probes
+	go s.fronts[0].ask(0)
+	figures(t, s.fronts, "health.condemned", 1)
+	var probing []int
+	standin.Until(t, "probes of the probers", func() bool {
+		probing = node.audit().probing
+		return len(probing) >= probers
+	})
+	node.silence(false)
+	figures(t, s.fronts, "health.condemned", 0)
+	s.each(func(f *fleetFront) { f.serves(0) })
 	node.forget()
+	wrong := s.fronts[probing[len(probing)-1]] // the first front has paid already
+	var others []*fleetFront
+	verdicts := map[*fleetFront]int{}
+	for _, f := range s.fronts {
+		verdicts[f] = f.verdicts()
+		if f != wrong {
+			others = append(others, f)
+		}
+	}
 	wrong.pipes[0].Set(standin.Faults{Cut: true})
 	go wrong.ask(0)
 	standin.Until(t, "the front that is cut off to avoid the node", func() bool { return wrong.figure("chunk_servers_excluded") == 1 })
-	for _, f := range others {
-		standin.Until(t, "a probe of another front", func() bool { return node.probed(f.number) > 0 })
-	}
+	standin.Until(t, "probes of the other probers", func() bool { return len(node.audit().probing) >= probers-1 })
 	sent := wrong.figure("health.probes")
 	standin.Until(t, "three further probes of the front that is cut off", func() bool { return wrong.figure("health.probes") >= sent+3 })
 	for _, f := range others {
-		if n := f.verdicts(); n != 0 || f.figure("chunk_servers_excluded") != 0 {
-			t.Errorf("front %d avoids the node by another one's word (%d verdicts)", f.number, n)
-		}
-		if status := f.ask(0); status != http.StatusOK {
-			t.Errorf("front %d: %d", f.number, status)
+		if n := f.verdicts() - verdicts[f]; n != 0 || f.figure("chunk_servers_excluded") != 0 {
+			t.Errorf("front %d avoids the node by the word of front %d alone (%d verdicts)", f.number, wrong.number, n)
 		}
+		f.serves(0)
 	}
 	wrong.pipes[0].Set(standin.Faults{})
 	wrong.serves(0)
