--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -33,6 +33,7 @@
 	ClientLinger time.Duration // a client over HTTP may take so long to read its last answer
 	ClientSettle time.Duration // a client's connection stands idle for so long in any case, for a request that is under way
 	Connect      time.Duration // a connection to a node must be up
+	ConnectAgain time.Duration // one that is not up after this is tried beside a further one
 	NodeIdle     time.Duration // a node's connection is dropped once idle for so long
 	AnswerHead   time.Duration // the head of a node's answer must have come, counted from its first byte
 	AnswerRest   time.Duration // and each further piece, of what is held
@@ -161,7 +162,7 @@
 		// Who sends what can't be read is owed an error or a close within 3 s of connecting.
 		ReadHead: 2400 * time.Millisecond, ReadRequest: 2500 * time.Millisecond,
 		WriteAnswer: 2*s.Deadline + 5*time.Second,
-		ClientIdle:  5 * time.Second, ClientLinger: 250 * time.Millisecond, ClientSettle: 20 * time.Millisecond, Connect: s.Connect, NodeIdle: s.ConnIdle * 6 / 10, NodeSettle: 5 * time.Millisecond,
+		ClientIdle:  5 * time.Second, ClientLinger: 250 * time.Millisecond, ClientSettle: 20 * time.Millisecond, Connect: s.Connect, ConnectAgain: max(s.Connect/8, time.Millisecond), NodeIdle: s.ConnIdle * 6 / 10, NodeSettle: 5 * time.Millisecond,
 		AnswerHead: max(s.Connect, 250*time.Millisecond), AnswerRest: max(s.Connect, 250*time.Millisecond), AnswerHold: 250 * time.Millisecond, LongSilence: 10 * time.Second, BodySilence: 2500 * time.Millisecond, Probe: 2 * s.Connect, WatchHold: hold, WatchSilence: silence,
 		AcceptAgain: 20 * time.Millisecond, WatchAgain: 50 * time.Millisecond, WatchMost: most, WatchSpread: min(time.Duration(s.Askers)*watchEach, sharedSpread),
 		StopAccept: 500 * time.Millisecond, StopServe: grace - 350*time.Millisecond,
--- a/internal/net/transport/nodes/connect.go
+++ b/internal/net/transport/nodes/connect.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
-	"syscall"
 	"time"
 
 	"otterturn/rules"
@@ -35,13 +33,7 @@
 
 // connect opens the connection that room was reserved for.
 func (s *Nodes[T]) connect(ctx context.Context, name string, to reserved[T], wanted func(rules.NodeState) bool) (c *Conn[T], err error) {
-	dialer := net.Dialer{Timeout: s.limits.Connect}
-	raw, err := dialer.DialContext(ctx, "tcp", to.dial)
-	// A process that has died refuses. One that resets a connection as it comes up lives, and took for dead it
-	// would count as cold, for the whole ramp, once it answers again.
-	for tries := 1; errors.Is(err, syscall.ECONNRESET) && tries < s.limits.ConnectTries; tries++ {
-		raw, err = dialer.DialContext(ctx, "tcp", to.dial)
-	}
+	raw, err := s.dial(ctx, to.dial)
 	if err == nil {
 		c, err = s.start(ctx, raw)
 	}
--- /dev/null
+++ b/internal/net/transport/nodes/dial_test.go
@@ -0,0 +1,161 @@
+package nodes
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/standin"
+	"otterturn/rules"
+)
+
+// dials stands in for the network: the script says what becomes of each attempt to connect, numbered from 0.
+type dials struct {
+	begun atomic.Int64
+	given func(ctx context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error)
+}
+
+func (d *dials) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	n := d.begun.Add(1) - 1
+	return d.given(ctx, n, func() (net.Conn, error) { return new(net.Dialer).DialContext(ctx, network, address) })
+}
+
+// never is a connection that does not come up while it is waited for.
+func never(ctx context.Context) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// before returns the pool of one node "a" behind the dials, and how many connections the node took.
+func before(t *testing.T, d *dials, change func(*limits.Limits)) (*Nodes[int], *atomic.Int64) {
+	taken := new(atomic.Int64)
+	addr := standin.Peer(t, func(n int, c net.Conn) {
+		taken.Add(1)
+		c.Read(make([]byte, 1)) // until it is closed
+	})
+	l := standin.Limits()
+	l.Connect, l.ConnectAgain = standin.Patience, time.Millisecond
+	change(&l)
+	s := New(l, Session[int]{Open: func(net.Conn) (int, error) { return 0, nil }, Alive: func(net.Conn, int) bool { return true }})
+	s.dialer = d.dial
+	s.Apply(protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: addr, Listing: rules.Listing{Node: "a"}}}})
+	return s, taken
+}
+
+// settled waits until so many connections, and attempts to open one, are counted.
+func settled(t *testing.T, s *Nodes[int], open int) {
+	t.Helper()
+	end := time.After(standin.Patience)
+	for {
+		s.mu.Lock()
+		freed, have := s.freed, s.open
+		s.mu.Unlock()
+		if have == open {
+			return
+		}
+		select {
+		case <-freed:
+		case <-end:
+			t.Fatalf("%d connections are counted, %d wanted", have, open)
+		}
+	}
+}
+
+// A third of all connections came up late: each was taken for a node that has died, which counted as cold then, for
+// the whole ramp, though it answered on the next connection.
+func TestConnectionThatIsNotUpSoonGetsAnotherBesideIt(t *testing.T) {
+	given := make(chan struct{})
+	d := &dials{given: func(ctx context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error) {
+		if n == 0 {
+			defer close(given)
+			return never(ctx)
+		}
+		return open()
+	}}
+	s, _ := before(t, d, func(*limits.Limits) {})
+	c, err := s.Acquire(context.Background(), "a", Running)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-given // the late one is not waited for any more
+	settled(t, s, 1)
+	s.Release(c, false)
+	settled(t, s, 0)
+}
+
+// One that comes up behind another is closed: nobody would find it again.
+func TestConnectionThatComesUpBehindAnotherIsClosed(t *testing.T) {
+	late, up := make(chan net.Conn, 1), make(chan struct{})
+	d := &dials{given: func(ctx context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error) {
+		if n > 0 {
+			<-up
+			return open()
+		}
+		c, err := open()
+		close(up)
+		<-ctx.Done()
+		late <- c
+		return c, err
+	}}
+	s, _ := before(t, d, func(*limits.Limits) {})
+	c, err := s.Acquire(context.Background(), "a", Running)
+	if err != nil {
+		t.Fatal(err)
+	}
+	behind := <-late
+	if c.Conn == behind {
+		t.Error("the first one was used before it was up")
+	}
+	settled(t, s, 1)
+	if _, err := behind.Write([]byte{0}); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the one that came late is open: %v", err)
+	}
+}
+
+// A node that has vanished takes none: that is told within the time for connecting, after a bounded number of attempts.
+func TestVanishedNodeIsTriedABoundedNumberOfTimes(t *testing.T) {
+	d := &dials{given: func(ctx context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error) { return never(ctx) }}
+	s, taken := before(t, d, func(l *limits.Limits) { l.Connect = 20 * l.ConnectAgain })
+	_, err := s.Acquire(context.Background(), "a", Running)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v", err)
+	}
+	if most := int64(s.limits.ConnectTries); d.begun.Load() > most || taken.Load() > 0 {
+		t.Errorf("%d attempts of at most %d, %d taken", d.begun.Load(), most, taken.Load())
+	}
+	settled(t, s, 0)
+}
+
+// A process that has died refuses: that is told at once, beside whatever is under way.
+func TestRefusedConnectionDecides(t *testing.T) {
+	refused := errors.New("refused")
+	d := &dials{given: func(ctx context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error) {
+		if n == 0 {
+			return never(ctx)
+		}
+		return nil, refused
+	}}
+	s, _ := before(t, d, func(*limits.Limits) {})
+	if _, err := s.Acquire(context.Background(), "a", Running); !errors.Is(err, refused) {
+		t.Errorf("error %v", err)
+	}
+	settled(t, s, 0)
+}
+
+// A further attempt takes no room from others: where all sockets are in use there is none.
+func TestFurtherAttemptNeedsRoom(t *testing.T) {
+	d := &dials{given: func(ctx context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error) { return never(ctx) }}
+	s, _ := before(t, d, func(l *limits.Limits) { l.NodeConns, l.Connect = 1, 20*l.ConnectAgain })
+	if _, err := s.Acquire(context.Background(), "a", Running); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v", err)
+	}
+	if d.begun.Load() != 1 {
+		t.Errorf("%d attempts with room for one", d.begun.Load())
+	}
+	settled(t, s, 0)
+}
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -28,6 +28,7 @@
 type Nodes[T any] struct {
 	limits  limits.Limits
 	session Session[T]
+	dialer  Dial
 	mu      sync.Mutex
 	byName  map[string]*node[T]
 	open    int           // connections, idle ones included
@@ -56,7 +57,8 @@
 
 // New returns an empty list.
 func New[T any](l limits.Limits, s Session[T]) *Nodes[T] {
-	return &Nodes[T]{limits: l, session: s, byName: map[string]*node[T]{}, freed: make(chan struct{})}
+	return &Nodes[T]{limits: l, session: s, dialer: new(net.Dialer).DialContext,
+		byName: map[string]*node[T]{}, freed: make(chan struct{})}
 }
 
 // Apply takes over a list, or changes of one, and returns the same news for the scheduler.
