--- a/cmd/otterturn/crash_test.go
+++ b/cmd/otterturn/crash_test.go
@@ -17,9 +17,9 @@
 	"testing"
 	"time"
 
-	"otterturn/internal/learned/snapshot"
-	"otterturn/internal/learned/store"
 	"otterturn/internal/standin"
+	"otterturn/internal/state/snapshot"
+	"otterturn/internal/state/store"
 	"otterturn/rules"
 )
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -11,9 +11,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"otterturn/internal/learned/snapshot"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
+	"otterturn/internal/state/snapshot"
 	"otterturn/rules"
 )
 
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -12,8 +12,8 @@
 
 	"otterturn/internal/lab/model"
 	"otterturn/internal/lab/world"
-	"otterturn/internal/learned/ageing"
-	"otterturn/internal/learned/snapshot"
+	"otterturn/internal/state/ageing"
+	"otterturn/internal/state/snapshot"
 	"otterturn/rules"
 )
 
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -17,13 +17,13 @@
 	"otterturn/internal/admission"
 	"otterturn/internal/admission/gate"
 	"otterturn/internal/certs/manager"
-	"otterturn/internal/learned/keeper"
 	"otterturn/internal/limits"
 	"otterturn/internal/logs"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
 	"otterturn/internal/net/transport/sftp"
+	"otterturn/internal/state/keeper"
 	"otterturn/rules"
 )
 
--- a/internal/learned/ageing/ageing.go
+++ b/internal/state/ageing/ageing.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"otterturn/internal/learned/snapshot"
+	"otterturn/internal/state/snapshot"
 	"otterturn/rules"
 )
 
--- a/internal/learned/ageing/ageing_test.go
+++ b/internal/state/ageing/ageing_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"otterturn/internal/learned/snapshot"
+	"otterturn/internal/state/snapshot"
 	"otterturn/rules"
 	"otterturn/rules/bucket"
 	"otterturn/rules/curve"
--- a/internal/learned/keeper/cost_test.go
+++ b/internal/state/keeper/cost_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"otterturn/internal/learned/snapshot"
 	"otterturn/internal/standin"
+	"otterturn/internal/state/snapshot"
 	"otterturn/rules"
 	"otterturn/rules/bucket"
 	"otterturn/rules/curve"
--- a/internal/learned/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"otterturn/internal/learned/ageing"
-	"otterturn/internal/learned/snapshot"
-	"otterturn/internal/learned/store"
 	"otterturn/internal/net/routing"
+	"otterturn/internal/state/ageing"
+	"otterturn/internal/state/snapshot"
+	"otterturn/internal/state/store"
 	"otterturn/rules"
 )
 
--- a/internal/learned/keeper/limit_test.go
+++ b/internal/state/keeper/limit_test.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"testing"
 
-	"otterturn/internal/learned/ageing"
-	"otterturn/internal/learned/snapshot"
 	"otterturn/internal/standin"
+	"otterturn/internal/state/ageing"
+	"otterturn/internal/state/snapshot"
 	"otterturn/rules"
 )
 
--- a/internal/learned/store/store_test.go
+++ b/internal/state/store/store_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"otterturn/internal/learned/snapshot"
+	"otterturn/internal/state/snapshot"
 )
 
 // steps are those of a save, in their order.
