--- a/internal/lab/processes/config.go
+++ b/internal/lab/processes/config.go
@@ -42,6 +42,7 @@
 	memoryMB, sockets          int
 	giveUp                     time.Duration // what clients wait at most
 	traced                     bool          // collections of the heap are told
+	units                      int           // of a request at most, 0 for one each
 	nodes                      []Entry
 	shards                     int
 	peerListen                 string
@@ -79,9 +80,10 @@
 				"tryLimit": 4, "probing": true, "retryAfter": true, "maxRetryAfterUs": 500_000},
 			"classes":   []object{class("read"), class("write")},
 			"contracts": []object{{"name": "gold", "shares": 1}},
-			"familyInfo": object{"coldUnits": 1, "meanUnits": 2, "mostUnits": 6, "shards": c.shards,
+			"familyInfo": object{"coldUnits": 1, "meanUnits": 2, "mostUnits": 3, "shards": c.shards,
 				"classWrites": []bool{false, true}},
-			"safety": object{"coldFrom": 0.2, "fallMultiple": 2.5, "fallUs": 1_000_000, "rampTimeUs": 17_000_000, "drainGraceUs": 500_000},
+			"safety": object{"coldFrom": 0.2, "fallMultiple": 2.5, "fallUs": 1_000_000, "rampTimeUs": 17_000_000, "drainGraceUs": 500_000,
+				"budgetSpanUs": 10_000_000, "spareAttempts": 20, "budgetShare": 0.1},
 			"report": object{"how": "off"},
 		},
 	})
--- a/internal/lab/processes/nodes.go
+++ b/internal/lab/processes/nodes.go
@@ -22,8 +22,10 @@
 	Probes   atomic.Int64 // probes that came
 	Received atomic.Int64 // bytes that came
 
-	server *http.Server
+	work func(*http.Request) time.Duration // what an attempt takes, nil for nothing; set before any comes
+
 	mu     sync.Mutex
+	server *http.Server
 	seen   map[string]span // by the front's mark
 }
 
@@ -42,22 +44,42 @@
 func startNodes(many int) ([]*Node, error) {
 	var nodes []*Node
 	for range many {
-		l, err := net.Listen("tcp", host()+":0")
-		if err != nil {
+		n := &Node{Addr: host() + ":0", seen: map[string]span{}}
+		if err := n.begin(); err != nil {
 			closeNodes(nodes)
 			return nil, err
 		}
-		n := &Node{Addr: l.Addr().String(), seen: map[string]span{}}
-		n.server = &http.Server{Handler: n, ErrorLog: quiet}
-		go n.server.Serve(&meter{Listener: l, opened: &n.Opened, open: &n.Open, received: &n.Received})
 		nodes = append(nodes, n)
 	}
 	return nodes, nil
 }
 
+// begin begins the node's process, at the address that it had before.
+func (n *Node) begin() error {
+	l, err := net.Listen("tcp", n.Addr)
+	if err != nil {
+		return err
+	}
+	n.Addr = l.Addr().String()
+	server := &http.Server{Handler: n, ErrorLog: quiet}
+	n.mu.Lock()
+	n.server = server
+	n.mu.Unlock()
+	go server.Serve(&meter{Listener: l, opened: &n.Opened, open: &n.Open, received: &n.Received})
+	return nil
+}
+
+// kill ends the node's process: its connections break, and new ones are refused.
+func (n *Node) kill() {
+	n.mu.Lock()
+	server := n.server
+	n.mu.Unlock()
+	server.Close()
+}
+
 func closeNodes(nodes []*Node) {
 	for _, n := range nodes {
-		n.server.Close()
+		n.kill()
 	}
 }
 
@@ -89,6 +111,9 @@
 	n.Requests.Add(1)
 	n.note(frontOf(r), time.Now())
 	io.Copy(io.Discard, r.Body)
+	if n.work != nil {
+		time.Sleep(n.work(r))
+	}
 	n.answer(w, r, answerBody, n.Mute.Load() || n.Holds.Load())
 }
 
--- a/internal/lab/processes/scenario.go
+++ b/internal/lab/processes/scenario.go
@@ -3,32 +3,61 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"otterturn/internal/lab/load"
+	"otterturn/internal/net/protocol"
 )
 
-// Scenario is a small case that real and hollow fronts can both play: nodes, one shard each, the first of which falls silent
-// under requests, and the last of which is replaced at the same time by a cold one. Requests have one unit each, come at
-// random times and go to all shards alike.
+// Scenario is a small case that real and hollow fronts can both play: nodes with a shard each, all in one zone, and after
+// three seconds an event at one of them. Requests have one to three units, come at random times and go to all shards alike.
 type Scenario struct {
-	Fronts, Nodes int
-	Rate          float64       // requests a second of each front
-	Silent        bool          // the first node takes connections and requests from then on, and answers nothing
-	Cold          bool          // the last node begins anew at that time
-	Span          time.Duration // that is watched from then on
+	Name   string
+	Fronts int
+	Nodes  int
+	Rate   float64       // requests a second of each front
+	Span   time.Duration // from the event on
+	Event  Happening
 }
 
-// Small is the scenario that both are held against each other by.
-func Small() Scenario {
-	return Scenario{Fronts: 8, Nodes: 4, Rate: silentRate, Silent: true, Cold: true, Span: 10 * time.Second}
+// Happening is an event at a node.
+type Happening int
+
+// The kinds of Happening.
+const (
+	FallsSilent Happening = iota // it takes connections and requests, and answers nothing; the list does not tell
+	BeginsAnew                   // its process ends, and begins anew, cold, a second later, as the list tells then
+)
+
+// Scenarios are those by which both are held against each other. Each pair of front and node has more requests than at the
+// size of the fleet, so that chance tells less.
+var Scenarios = []Scenario{
+	{"a node falls silent", 8, 12, 120, 12 * time.Second, FallsSilent},
+	{"a node begins anew", 8, 12, 120, 8 * time.Second, BeginsAnew},
 }
 
-// Outcome is what one front sent in a scenario, on the mean of all.
+// Ahead of the event clients ask for so long; a dead process begins anew after so long.
+const (
+	scenarioWarm = 3 * time.Second
+	deadFor      = time.Second
+)
+
+// What requests of a scenario cost and how long their clients wait.
+const (
+	scenarioUnits    = 3
+	unitTime         = 5 * time.Millisecond // of a core; each request has one
+	scenarioPatience = 2500 * time.Millisecond
+	coldFrom         = 0.2
+	ramp             = 17 * time.Second
+)
+
+// Outcome is what one front sent from the event on, on the mean of all.
 type Outcome struct {
-	Probes       float64 // at the silent node
-	Attempts     float64 // at the silent node
-	Messages     float64 // between fronts
+	Probes       float64 // at the node that the event is about
+	Attempts     float64 // at that node
+	Messages     float64 // to other fronts
 	MessageBytes float64 // of these, without heads of UDP
 	Served       float64 // requests
 	Refused      float64
@@ -36,7 +65,7 @@
 }
 
 func (o Outcome) String() string {
-	return fmt.Sprintf("a front: %.1f probes, %.1f attempts, %.1f messages of %.0f bytes; %.0f served, %.0f refused, %.0f failed",
+	return fmt.Sprintf("a front: %.1f probes, %.1f attempts, %.1f messages of %.0f bytes in all; %.0f served, %.0f refused, %.1f failed",
 		o.Probes, o.Attempts, o.Messages, o.MessageBytes, o.Served, o.Refused, o.Failed)
 }
 
@@ -47,68 +76,114 @@
 		return Outcome{}, err
 	}
 	defer closeNodes(nodes)
-	list := entries(nodes)
-	discovery, err := startDiscovery(list)
-	if err != nil {
+	stage := &stage{scenario: s, nodes: nodes, list: entries(nodes)}
+	for i := range stage.list { // names as long as the hollow fleet's
+		stage.list[i].Host, stage.list[i].Site = fmt.Sprintf("storage-%04d.zone-00.region-0", i), zones[0]
+	}
+	if stage.discovery, err = startDiscovery(stage.list); err != nil {
 		return Outcome{}, err
 	}
-	defer discovery.Close()
-	between, err := newRelay(s.Fronts)
-	if err != nil {
+	defer stage.discovery.Close()
+	if stage.relay, err = newRelay(s.Fronts); err != nil {
 		return Outcome{}, err
 	}
-	defer between.close()
-	c := config{discovery: discovery.Addr, memoryMB: todayMemoryMB, sockets: todaySockets, giveUp: patience, nodes: list, shards: len(list)}
-	fronts, err := l.startAll(ctx, s.Fronts, c, func(c *config) {
-		c.peerListen, c.peers = between.fronts[c.number].String(), between.peers(c.number)
+	defer stage.relay.close()
+	c := config{discovery: stage.discovery.Addr, asked: true, memoryMB: todayMemoryMB, sockets: todaySockets, giveUp: scenarioPatience,
+		nodes: stage.list, shards: s.Nodes, units: scenarioUnits}
+	stage.fronts, err = l.startAll(ctx, s.Fronts, c, func(c *config) {
+		c.peerListen, c.peers = stage.relay.fronts[c.number].String(), stage.relay.peers(c.number)
 	})
 	if err != nil {
 		return Outcome{}, err
 	}
-	defer killAll(fronts)
-	if _, err := askAll(ctx, fronts, s.Rate, warmUp, s.Nodes); err != nil {
+	defer killAll(stage.fronts)
+	return stage.play(ctx)
+}
+
+// stage is a scenario that is played.
+type stage struct {
+	scenario  Scenario
+	nodes     []*Node
+	list      []Entry
+	discovery *Discovery
+	relay     *relay
+	fronts    []*Front
+	cold      atomic.Pointer[time.Time] // when the node began anew, nil before
+}
+
+// play has clients ask ahead of the event and behind it, without a pause, and counts from the event on.
+func (s *stage) play(ctx context.Context) (Outcome, error) {
+	set, err := s.fronts[0].config.settings()
+	if err != nil {
+		return Outcome{}, err
+	}
+	for _, n := range s.nodes {
+		n.work = func(r *http.Request) time.Duration { return s.takes(r, set, n) }
+	}
+	type asked struct {
+		all []load.Progress
+		err error
+	}
+	done := make(chan asked, 1)
+	go func() {
+		all, err := askAll(ctx, s.fronts, s.scenario.Rate, scenarioWarm+s.scenario.Span, s.scenario.Nodes)
+		done <- asked{all, err}
+	}()
+	rest(ctx, scenarioWarm)
+	before := s.count()
+	if err := s.happen(ctx); err != nil {
 		return Outcome{}, err
 	}
-	return s.watch(ctx, fronts, nodes, discovery, between)
+	after := s.count()
+	ended := <-done
+	out := Outcome{Probes: after.Probes - before.Probes, Attempts: after.Attempts - before.Attempts,
+		Messages: after.Messages - before.Messages, MessageBytes: after.MessageBytes - before.MessageBytes}
+	for _, p := range ended.all {
+		out.Served += float64(p.Ended[load.Served]) / float64(len(s.fronts))
+		out.Refused += float64(p.Ended[load.Refused]) / float64(len(s.fronts))
+		out.Failed += float64(p.Ended[load.Failed]) / float64(len(s.fronts))
+	}
+	return out, ended.err
 }
 
-// watch has the scenario's events happen, and counts what is sent from then on.
-func (s Scenario) watch(ctx context.Context, fronts []*Front, nodes []*Node, discovery *Discovery, between *relay) (Outcome, error) {
-	first := nodes[0]
-	probes, attempts, messages, bytes := first.Probes.Load(), first.Requests.Load(), between.Messages.Load(), between.Bytes.Load()
-	first.Mute.Store(s.Silent)
-	if s.Cold {
-		cold := entry(s.Nodes-1, nodes[s.Nodes-1].Addr)
-		cold.Born = time.Now().UnixMilli()
-		discovery.Change(cold)
-	}
-	all, err := askAll(ctx, fronts, s.Rate, s.Span, s.Nodes)
-	n := float64(s.Fronts)
-	out := Outcome{Probes: float64(first.Probes.Load()-probes) / n, Attempts: float64(first.Requests.Load()-attempts) / n,
-		Messages: float64(between.Messages.Load()-messages) / n, MessageBytes: float64(between.Bytes.Load()-bytes) / n}
-	for _, p := range all {
-		out.Served += float64(p.Ended[load.Served]) / n
-		out.Refused += float64(p.Ended[load.Refused]) / n
-		out.Failed += float64(p.Ended[load.Failed]) / n
+// happen has the event happen, and lets the scenario's time pass.
+func (s *stage) happen(ctx context.Context) error {
+	node, began := s.nodes[0], time.Now()
+	switch s.scenario.Event {
+	case FallsSilent:
+		node.Mute.Store(true)
+	case BeginsAnew:
+		node.kill()
+		rest(ctx, deadFor)
+		now := time.Now()
+		s.cold.Store(&now)
+		if err := node.begin(); err != nil {
+			return err
+		}
+		cold := s.list[0]
+		cold.Born = now.UnixMilli()
+		s.discovery.Change(cold)
 	}
-	return out, err
+	rest(ctx, s.scenario.Span-time.Since(began))
+	return nil
 }
 
-// compare plays the small scenario, for the hollow fronts to be held against it.
-func (l *Lab) compare(ctx context.Context) ([]Row, error) {
-	s := Small()
-	s.Span = l.Plan.Silence
-	o, err := l.Play(ctx, s)
+// takes is how long a node works on a request, which has a core of its own.
+func (s *stage) takes(r *http.Request, set protocol.Settings, n *Node) time.Duration {
+	m, err := protocol.ParseRequest(r, set)
 	if err != nil {
-		return nil, err
+		return 0
 	}
-	l.logf("%d fronts, %d nodes, one silent, one cold, %.0f s: %s", s.Fronts, s.Nodes, s.Span.Seconds(), o)
-	sized := fmt.Sprintf("%d fronts, %d nodes, one silent, one cold", s.Fronts, s.Nodes)
-	seconds := s.Span.Seconds()
-	return []Row{
-		{Measure: "small scenario: messages of a front", Sizes: sized, Value: o.Messages / seconds, In: "a second",
-			Note: fmt.Sprintf("%s bytes a second; not a figure at size: to be held against the hollow fronts", short(o.MessageBytes/seconds))},
-		{Measure: "small scenario: probes of a front", Sizes: sized, Value: o.Probes / seconds, In: "a second",
-			Note: fmt.Sprintf("%s attempts at the silent node a front", short(o.Attempts))},
-	}, nil
+	share := 1.0
+	if since := s.cold.Load(); since != nil && n == s.nodes[0] {
+		share = min(1, coldFrom+(1-coldFrom)*float64(time.Since(*since))/float64(ramp))
+	}
+	return time.Duration(m.Units * float64(unitTime) / share)
+}
+
+// count is what a front has sent so far, on the mean.
+func (s *stage) count() Outcome {
+	n := float64(len(s.fronts))
+	return Outcome{Probes: float64(s.nodes[0].Probes.Load()) / n, Attempts: float64(s.nodes[0].Requests.Load()) / n,
+		Messages: float64(s.relay.Messages.Load()) / n, MessageBytes: float64(s.relay.Bytes.Load()) / n}
 }
--- a/internal/lab/processes/traffic.go
+++ b/internal/lab/processes/traffic.go
@@ -49,7 +49,9 @@
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	send := func(ctx context.Context, _ int, rng *rand.Rand) load.Verdict {
-		verdict, _ := load.Send(ctx, client, f.config.listen, set, f.request(set, 0, rng.IntN(shards), rng.Uint64()))
+		request := f.request(set, 0, rng.IntN(shards), rng.Uint64())
+		request.Units = float64(1 + rng.IntN(max(1, f.config.units)))
+		verdict, _ := load.Send(ctx, client, f.config.listen, set, request)
 		return verdict
 	}
 	settings := load.Settings{Rate: rate, For: span, Seed: uint64(f.config.number) + 1, Open: mostOpen}
