--- a/internal/lab/processes/nodes.go
+++ b/internal/lab/processes/nodes.go
@@ -21,6 +21,7 @@
 	Requests atomic.Int64 // attempts that came
 	Probes   atomic.Int64 // probes that came
 	Received atomic.Int64 // bytes that came
+	Wire     atomic.Int64 // bytes of connections that began while it was mute and have ended, both ways, with the heads of IP and TCP
 
 	work func(*http.Request) time.Duration // what an attempt takes, nil for nothing; set before any comes
 
@@ -65,7 +66,7 @@
 	n.mu.Lock()
 	n.server = server
 	n.mu.Unlock()
-	go server.Serve(&meter{Listener: l, opened: &n.Opened, open: &n.Open, received: &n.Received})
+	go server.Serve(&meter{Listener: l, opened: &n.Opened, open: &n.Open, received: &n.Received, wire: &n.Wire, wired: &n.Mute})
 	return nil
 }
 
--- a/internal/lab/processes/silent.go
+++ b/internal/lab/processes/silent.go
@@ -20,6 +20,7 @@
 	fronts                          int
 	seconds                         float64
 	probes, attempts, bytes, opened int64
+	wire                            int64 // both ways, with the heads of IP and TCP, of connections that began and ended meanwhile
 	peak                            int64 // probes in the second that had most
 }
 
@@ -43,12 +44,13 @@
 }
 
 func (l *Lab) silentRows(all []silence, rate float64) []Row {
-	var probes, peaks, attempts, bytes []float64
+	var probes, peaks, attempts, bytes, opened, wire []float64
 	for _, s := range all {
-		l.logf("%d fronts of %s requests a second, a node silent for %.0f s: %d probes, %d in one second, %d attempts, %d connections, %d bytes",
-			s.fronts, short(rate), s.seconds, s.probes, s.peak, s.attempts, s.opened, s.bytes)
+		l.logf("%d fronts of %s requests a second, a node silent for %.0f s: %d probes, %d in one second, %d attempts, %d connections, %d bytes came, %d on the wire",
+			s.fronts, short(rate), s.seconds, s.probes, s.peak, s.attempts, s.opened, s.bytes, s.wire)
 		probes, peaks = append(probes, float64(s.probes)/s.seconds), append(peaks, float64(s.peak))
-		attempts, bytes = append(attempts, float64(s.attempts)), append(bytes, float64(s.bytes)/s.seconds)
+		opened, wire = append(opened, float64(s.opened)), append(wire, float64(s.wire))
+		attempts, bytes = append(attempts, float64(s.attempts)), append(bytes, float64(s.wire)/s.seconds)
 	}
 	counts := floats(l.Plan.Fronts)
 	sized, each := sizes(l.Plan.Fronts, "fronts"), fmt.Sprintf(", %s requests a second a pair", short(rate/silentNodes))
@@ -58,16 +60,18 @@
 		}
 		return of
 	}
-	p, m, a, b := fit(counts, probes), fit(counts, peaks), fit(counts, attempts), fit(counts, bytes)
+	p, m, a, b, w := fit(counts, probes), fit(counts, peaks), fit(counts, attempts), fit(counts, bytes), fit(opened, wire)
 	span := fmt.Sprintf("mean of the first %.0f s", l.Plan.Silence.Seconds())
 	return []Row{
 		{Measure: "probes of a silent node" + each, Sizes: sized, Fit: p, Unit: "a second a front", Value: p.Slope * sizeFronts, In: "a second",
 			Budget: budget(budgetProbes), Note: span + "; the budget is the aim for the whole fleet at each silent node"},
 		{Measure: "probes of a silent node in the worst second" + each, Sizes: sized, Fit: m, Unit: "a second a front", Value: m.Slope * sizeFronts, In: "a second",
 			Budget: budget(budgetProbes), Note: "of the same " + span[len("mean of the "):]},
-		{Measure: "bytes to silent nodes, a zone of 180 gone" + each, Sizes: sized, Fit: b, Unit: "bytes a second a front and node",
+		{Measure: "bytes to and from silent nodes, a zone of 180 gone" + each, Sizes: sized, Fit: b, Unit: "bytes a second a front and node",
 			Value: b.Slope * sizeZoneNodes / 1024, In: "KB a second a front", Budget: budget(budgetBytes),
-			Note: span + "; heads of probes and attempts, without TCP's own"},
+			Note: span + "; both ways, heads of IP and TCP included, by the kernel's count of segments"},
+		{Measure: "bytes of a connection to a silent node, nearly all of probes" + each, Sizes: sizes(opened, "connections"), Fit: w, Unit: "bytes",
+			Value: w.Slope, In: "bytes", Note: "both ways, heads of IP and TCP included, its handshake and its end"},
 		{Measure: "attempts that a silent node has cost" + each, Sizes: sized, Fit: a, Unit: "a front", Value: a.Slope * sizeFronts, In: "of the fleet, a node",
 			Note: "the aim of issue 28 is a tenth of it"},
 	}
@@ -106,7 +110,8 @@
 	}()
 	rest(ctx, warmUp)
 	mute := nodes[0]
-	out := silence{fronts: len(fronts), probes: -mute.Probes.Load(), attempts: -mute.Requests.Load(), bytes: -mute.Received.Load(), opened: -mute.Opened.Load()}
+	out := silence{fronts: len(fronts), probes: -mute.Probes.Load(), attempts: -mute.Requests.Load(), bytes: -mute.Received.Load(), opened: -mute.Opened.Load(),
+		wire: -mute.Wire.Load()}
 	began := time.Now()
 	mute.Mute.Store(true)
 	for last := mute.Probes.Load(); time.Since(began) < l.Plan.Silence && ctx.Err() == nil; {
@@ -118,7 +123,8 @@
 	out.attempts += mute.Requests.Load()
 	out.bytes += mute.Received.Load()
 	out.opened += mute.Opened.Load()
-	out.seconds = time.Since(began).Seconds()
+	out.wire += mute.Wire.Load()
+	out.seconds = time.Since(began).Seconds() // as far as bytes go, what is out at the end is not among it
 	end()
 	return out, <-done
 }
