--- a/cmd/otterlab/processes.go
+++ b/cmd/otterlab/processes.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
+	"strings"
 	"syscall"
 
 	"otterturn/internal/lab/processes"
@@ -33,11 +35,14 @@
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer end()
 	lab := &processes.Lab{Program: program, Plan: processes.Full(), Log: out}
+	before := loads()
 	rows, failed := lab.Run(ctx, c.Only...)
+	busy := fmt.Sprintf("%d cores, shared; load over the last minute %s ahead of the run, %s at its end.", runtime.NumCPU(), before, loads())
+	fmt.Fprintln(out, busy)
 	fmt.Fprintln(out)
 	processes.Text(out, rows)
 	if c.Markdown != "" && failed == nil {
-		if err := c.write(rows); err != nil {
+		if err := c.write(rows, busy); err != nil {
 			return err
 		}
 	}
@@ -45,6 +50,16 @@
 	return failed
 }
 
+// loads is the machine's load over the last minute, as the kernel tells.
+func loads() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	first, _, _ := strings.Cut(string(text), " ")
+	if err != nil {
+		return "unknown"
+	}
+	return first
+}
+
 // check tells of a measure that there is none of.
 func (c measured) check() error {
 	known := map[string]bool{}
@@ -59,11 +74,11 @@
 	return nil
 }
 
-func (c measured) write(rows []processes.Row) error {
+func (c measured) write(rows []processes.Row, busy string) error {
 	f, err := os.Create(c.Markdown)
 	if err != nil {
 		return err
 	}
-	processes.Page(f, rows)
+	processes.Page(f, rows, busy)
 	return f.Close()
 }
--- a/internal/lab/processes/connections.go
+++ b/internal/lab/processes/connections.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -97,24 +96,19 @@
 // handshakes has fronts with and without room for a connection to each node get the rate of a front.
 func (l *Lab) handshakes(ctx context.Context) ([]Row, error) {
 	rooms := []room{{"kept, 16,384 sockets", wideMemoryMB, wideSockets}, {"as today, 192 MB and 1,024 sockets", todayMemoryMB, todaySockets}}
-	all, errs := make([]shaken, len(rooms)), make([]error, len(rooms))
-	var wait sync.WaitGroup
-	for i, r := range rooms {
-		wait.Go(func() { all[i], errs[i] = l.shake(ctx, r) })
-	}
-	wait.Wait()
 	var rows []Row
-	for i, s := range all {
-		if errs[i] != nil {
-			return rows, errs[i]
+	for _, r := range rooms {
+		s, err := l.shake(ctx, r)
+		if err != nil {
+			return rows, err
 		}
 		sized := fmt.Sprintf("%.0f requests a second served before %d nodes", s.served, l.Plan.Kept)
 		rows = append(rows,
-			Row{Measure: "handshakes of a front with nodes: " + rooms[i].name, Sizes: sized, Value: s.handshakes, In: "a second",
-				Note: fmt.Sprintf("%d connections open, %s handshakes a second at each node of 1,200 fronts",
-					s.open, short(s.handshakes/float64(l.Plan.Kept)*sizeFronts))},
-			Row{Measure: "processor time of a request before all nodes: " + rooms[i].name, Sizes: sized, Value: s.processor / s.served * sizeRate / 1e4,
-				In: "% of a core", Budget: budgetCore, Note: fmt.Sprintf("%s us a request, idle time included", short(s.processor/s.served))})
+			Row{Measure: "handshakes of a front with nodes: " + r.name, Sizes: sized, Value: s.handshakes, In: "a second",
+				Note: fmt.Sprintf("%d connections open, %s handshakes a second at each node of 1,200 fronts%s",
+					s.open, short(s.handshakes/float64(l.Plan.Kept)*sizeFronts), s.short())},
+			Row{Measure: "processor time of a request before all nodes: " + r.name, Sizes: sized, Value: s.processor / s.served * sizeRate / 1e4,
+				In: "% of a core", Budget: budgetCore, Note: fmt.Sprintf("%s us a request, idle time included%s", short(s.processor/s.served), s.short())})
 	}
 	return rows, nil
 }
--- a/internal/lab/processes/report.go
+++ b/internal/lab/processes/report.go
@@ -115,9 +115,9 @@
 
 `
 
-// Page writes rows as the page of figures.
-func Page(out io.Writer, rows []Row) {
-	fmt.Fprint(out, pageHead)
+// Page writes rows as the page of figures. load tells how busy the machine was.
+func Page(out io.Writer, rows []Row, load string) {
+	fmt.Fprintf(out, "%s%s\n\n", pageHead, load)
 	Markdown(out, rows)
 	fmt.Fprintf(out, "\n%s.\n", strings.ToUpper(Worst(rows)[:1])+Worst(rows)[1:])
 }
--- a/internal/lab/processes/requests.go
+++ b/internal/lab/processes/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"otterturn/internal/lab/load"
@@ -30,10 +31,22 @@
 
 // point is what a front took at one rate.
 type point struct {
-	served    float64 // requests a second
+	wanted    float64 // requests a second
+	served    float64 // and that were served
 	processor float64 // microseconds of it a second
 }
 
+// most is the share of what is wanted that has to be served for a point to count as at its rate.
+const most = 0.95
+
+// short tells where fewer were served than wanted.
+func (p point) short() string {
+	if p.served >= most*p.wanted {
+		return ""
+	}
+	return fmt.Sprintf("; only %.0f%% of the wanted rate came about on a busy machine: not to be relied on", 100*p.served/p.wanted)
+}
+
 // rates has one front get each rate of the plan.
 func (l *Lab) rates(ctx context.Context) ([]point, error) {
 	nodes, err := startNodes(l.Plan.Nodes)
@@ -74,7 +87,7 @@
 	after, err := front.Usage()
 	seconds := time.Since(began).Seconds()
 	taken := after.Since(before)
-	out := point{served: float64(p.Ended[load.Served]) / seconds, processor: float64(taken.Processor.Microseconds()) / seconds}
+	out := point{wanted: rate, served: float64(p.Ended[load.Served]) / seconds, processor: float64(taken.Processor.Microseconds()) / seconds}
 	l.logf("%.0f requests a second wanted before %d nodes: %.0f served a second, %d refused, %d failed; %.2f%% of a core, %.0f us a request; %.1f MB",
 		rate, shards, out.served, p.Ended[load.Refused], p.Ended[load.Failed], out.processor/1e4, out.processor/out.served, megabytes(after.Resident))
 	return out, err
--- a/internal/lab/processes/scenario.go
+++ b/internal/lab/processes/scenario.go
@@ -59,7 +59,7 @@
 	Attempts     float64 // at that node
 	Messages     float64 // to other fronts
 	MessageBytes float64 // of these, without heads of UDP
-	Served       float64 // requests
+	Served       float64 // requests, those ahead of the event included
 	Refused      float64
 	Failed       float64
 }
