--- a/internal/lab/processes/report.go
+++ b/internal/lab/processes/report.go
@@ -84,6 +84,9 @@
 			worst = r
 		}
 	}
+	if worst.Budget == 0 {
+		return "worst ratio: none, as no row has a budget"
+	}
 	return fmt.Sprintf("worst ratio: %s, %s: %s %s of %s", short(worst.Ratio()), worst.Measure, short(worst.Value), worst.In, short(worst.Budget))
 }
 
