--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for people and for .ci/run. Everything needs the Go tool chain alone.
-.PHONY: build sites test lint run demo door crash restart cost step-cost renewals histories rehearse compare agree speed
+.PHONY: build sites test lint run demo door crash restart cost step-cost renewals histories rehearse compare agree speed processes
 
 build:
 	mkdir -p bin
@@ -19,6 +19,7 @@
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	go vet ./...
+	go tool staticcheck ./...
 
 # The appliance by the operator's file in deploy/; CONFIG names another one.
 CONFIG ?= deploy/appliance.toml
@@ -47,7 +48,7 @@
 
 # What a save of what is learned costs, for 10 to 10,000 nodes and ten times as many projects.
 cost:
-	go test -run '^$$' -bench Save ./internal/learned/keeper
+	go test -run '^$$' -bench Save ./internal/state/keeper
 
 # What a step of the decisions costs, by nodes and volumes, and what is kept of each, in bytes; half a minute.
 step-cost:
@@ -82,3 +83,10 @@
 	go run ./cmd/otterlab agree
 speed:
 	go run ./cmd/otterlab speed
+
+# What fronts take that run as processes of their own: the slopes of docs/capacity/processes.md, under four minutes. ONLY names
+# some of the measures, by commas; MARKDOWN a file for the table.
+ONLY ?=
+MARKDOWN ?=
+processes: build
+	bin/otterlab processes $(if $(ONLY),--only $(ONLY)) $(if $(MARKDOWN),--markdown $(MARKDOWN))
--- /dev/null
+++ b/internal/fleet/health/world_test.go
@@ -0,0 +1,213 @@
+package health
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"otterturn/rules"
+)
+
+// world plays fronts before nodes in virtual time: what their Monitors do, a network between them, and of each
+// scheduler what matters here: it sends nothing to a node that it was told is silent, or that failed it, until a probe
+// of it is answered.
+type world struct {
+	fronts    []*simFront
+	nodes     []*simNode
+	byName    map[string]*simNode
+	now       rules.Micros
+	events    simQueue
+	order     int
+	random    *rand.Rand
+	link      func(from, to int) (delays []rules.Micros) // of each copy that arrives; none where it is lost
+	reaches   func(front int, node *simNode) bool
+	each      func(front *simFront, action Action) // sees all actions
+	succeeded func(front *simFront, node string)   // sees each request that was answered
+	against   func(front *simFront, node string)   // sees each node that is avoided though the list bars it
+	shell     rules.Micros                         // a probe ends as failed after this
+	encoded   bool                                 // messages pass Encode and Decode
+}
+
+// newWorld makes fronts by their zones, all in the same state, with a network of half a millisecond.
+func newWorld(seed uint64, zones []int, nodes int, change func(*Config)) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 28)), shell: 500_000, now: 1_000_000_000, byName: map[string]*simNode{},
+		link:    func(int, int) []rules.Micros { return []rules.Micros{500} },
+		reaches: func(int, *simNode) bool { return true },
+		each:    func(*simFront, Action) {},
+	}
+	for i := range nodes {
+		n := &simNode{name: fmt.Sprintf("node-%d", i), index: i, start: rules.Micros(i+1) * 1_000_000}
+		w.nodes, w.byName[n.name] = append(w.nodes, n), n
+	}
+	for i := range zones {
+		c := Defaults(i, int64(w.now), zones)
+		if change != nil {
+			change(&c)
+		}
+		f := &simFront{number: i, config: c}
+		w.fronts = append(w.fronts, f)
+		w.boot(f)
+	}
+	return w
+}
+
+// boot starts a front, or starts it anew.
+func (w *world) boot(f *simFront) {
+	f.config.Run = int64(w.now)
+	monitor, err := New(f.config)
+	if err != nil {
+		panic(err)
+	}
+	f.monitor, f.life, f.paused, f.late = monitor, f.life+1, false, nil
+	f.known = map[string]rules.Micros{}
+	f.mute, f.wanted = map[string]bool{}, map[string]rules.Micros{}
+	if f.failed == nil {
+		f.failed = map[string]int{}
+	}
+	w.step(f, w.list())
+}
+
+func (w *world) list() NodeList {
+	l := NodeList{Full: true}
+	for _, n := range w.nodes {
+		l.Nodes = append(l.Nodes, rules.Listing{Node: n.name, Since: n.start})
+	}
+	return l
+}
+
+func (w *world) push(e simEvent) {
+	w.order++
+	e.order = w.order
+	heap.Push(&w.events, &e)
+}
+
+func (w *world) at(at rules.Micros, run func()) { w.push(simEvent{at: at, front: -1, run: run}) }
+
+// to has a front learn of an event at a time, if it still lives its present life.
+func (w *world) to(f *simFront, at rules.Micros, e Event) {
+	w.push(simEvent{at: at, front: f.number, life: f.life, event: e})
+}
+
+// run plays until a time.
+func (w *world) run(until rules.Micros) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(*simEvent)
+		w.now = e.at
+		if e.front < 0 {
+			e.run()
+			continue
+		}
+		f := w.fronts[e.front]
+		switch {
+		case f.life != e.life:
+		case f.paused:
+			f.late = append(f.late, *e)
+		default:
+			w.arrive(f, *e)
+		}
+	}
+	w.now = until
+}
+
+// arrive hands an event over, unless it is an alarm that another one took the place of.
+func (w *world) arrive(f *simFront, e simEvent) {
+	if e.run != nil {
+		e.run()
+		return
+	}
+	w.step(f, e.event)
+}
+
+func (w *world) resume(f *simFront) {
+	late := f.late
+	f.paused, f.late = false, nil
+	for _, e := range late {
+		w.arrive(f, e)
+	}
+}
+
+func (w *world) step(f *simFront, events ...Event) {
+	if f.gone {
+		return
+	}
+	actions := f.monitor.Step(w.now, events)
+	for _, e := range events {
+		if l, ok := e.(NodeList); ok {
+			w.listed(f, l)
+		}
+	}
+	for _, a := range actions {
+		w.each(f, a)
+		w.act(f, a)
+	}
+}
+
+// listed has a front's scheduler forget what it held of a former start.
+func (w *world) listed(f *simFront, l NodeList) {
+	for _, listed := range l.Nodes {
+		if f.known[listed.Node] != listed.Since {
+			f.known[listed.Node], f.mute[listed.Node] = listed.Since, false
+		}
+		n := f.monitor.byName[listed.Node]
+		if n.trouble != nil && n.avoided && listed.State != rules.Running && w.against != nil {
+			w.against(f, listed.Node)
+		}
+	}
+}
+
+func (w *world) act(f *simFront, a Action) {
+	switch a := a.(type) {
+	case SetAlarm:
+		f.alarm++
+		this := f.alarm
+		w.push(simEvent{at: max(a.At, w.now), front: f.number, life: f.life, run: func() {
+			if this == f.alarm {
+				w.step(f, Alarm{})
+			}
+		}})
+	case StartProbe:
+		w.probe(f, w.byName[a.Node])
+	case ProbeAnswered:
+		delete(f.wanted, a.Node)
+		if a.OK {
+			f.mute[a.Node] = false
+		} else if f.mute[a.Node] {
+			w.want(f, a.Node, 200_000)
+		}
+	case Report:
+		if !f.mute[a.Node] {
+			f.mute[a.Node] = true
+			w.want(f, a.Node, 0)
+		}
+	case Send:
+		w.deliver(f, a)
+	}
+}
+
+// want is the scheduler's wish for a probe.
+func (w *world) want(f *simFront, node string, in rules.Micros) {
+	w.push(simEvent{at: w.now + in, front: f.number, life: f.life, run: func() {
+		if _, waits := f.wanted[node]; !waits && f.mute[node] {
+			f.wanted[node] = w.now
+			w.step(f, ProbeWanted{node})
+		}
+	}})
+}
+
+func (w *world) deliver(f *simFront, a Send) {
+	message, size := a.Message, len(a.Message.Encode())
+	if w.encoded {
+		var err error
+		if message, err = Decode(a.Message.Encode()); err != nil {
+			panic(err)
+		}
+	}
+	f.bytes = append(f.bytes, sentBytes{w.now, size})
+	to := w.fronts[a.To]
+	for _, delay := range w.link(f.number, a.To) {
+		at := w.now + delay
+		to.bytes = append(to.bytes, sentBytes{at, size})
+		w.to(to, at, Received{From: f.number, Message: message})
+	}
+}
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -77,6 +77,8 @@
 
 	Note func(to int, a rules.Action) // sends a message to another front; set before Run, none is sent without
 
+	Observer Observer // hears of attempts; set before Run, nil for none
+
 	Log *slog.Logger // each request's way at level debug; set before Run, nothing is logged without
 
 	counts   counts
@@ -89,8 +91,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("scheduler: %w", err)
 	}
-	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, l.Inbox),
-		stopped: make(chan struct{}), calls: map[string]*call{}, taken: newTaken(rules.Micros(l.IDKeep/time.Microsecond), l.IDs),
+	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, l.Requests.Inbox),
+		stopped: make(chan struct{}), calls: map[string]*call{}, taken: newTaken(rules.Micros(l.Requests.IDRetention/time.Microsecond), l.Requests.PastIDs),
 		writeDown: make(chan struct{}, 1), Note: func(int, rules.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
 }
 
@@ -210,8 +212,9 @@
 	if call == nil || call.over {
 		return
 	}
-	if _, send := verdict.(rules.Send); send {
+	if send, ok := verdict.(rules.Send); ok {
 		call.out++
+		c.observeStart(call, send)
 	}
 	call.verdicts <- verdict
 	if final {
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"otterturn/internal/door/gate"
+	"otterturn/internal/admission/gate"
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
@@ -32,7 +32,7 @@
 
 	next *RoundTripper // its core counts what finds no room here, too
 
-	Door *gate.Gate // decides who is taken when the front is full; nil for none, set before Serve
+	Admission *gate.Gate // decides who is admitted when the front is full; nil for none, set before Serve
 }
 
 // NewFront returns a front that answers clients with what the round tripper brings.
@@ -64,8 +64,15 @@
 	}
 	// A read deadline that ran on would end net/http's wait for the client's leaving, and count as that. So the
 	// head alone has one here, and the body sets and clears its own.
-	f.server = &http.Server{Handler: f, ReadHeaderTimeout: l.ReadHead, IdleTimeout: l.ClientIdle, MaxHeaderBytes: l.Header, ErrorLog: quiet, ConnContext: withConn,
-		ConnState: f.clients.track}
+	f.server = &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: l.Clients.HeaderTimeout,
+		IdleTimeout:       l.Clients.IdleTimeout,
+		MaxHeaderBytes:    l.Requests.HeaderBytes,
+		ErrorLog:          quiet,
+		ConnContext:       withConn,
+		ConnState:         f.clients.track,
+	}
 	return f
 }
 
@@ -100,9 +107,9 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer f.open.Add(-1)
 	open := f.open.Add(1)
-	full := open > int64(f.limits.Open)
+	full := open > int64(f.limits.Requests.Open)
 	since, stopping := f.stopped()
-	if stopping && since >= f.limits.StopServe || full {
+	if stopping && since >= f.limits.Stop.Serve || full {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" && r.Method == http.MethodGet {
@@ -113,7 +120,7 @@
 		return
 	}
 	set := f.settings.Load()
-	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), most: f.limits.WriteAnswer}
+	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), most: f.limits.Clients.WriteTimeout}
 	m, status, err := f.read(w, r, *set)
 	defer func() { m.upload.close() }()
 	switch {
@@ -131,17 +138,17 @@
 		return
 	}
 	if stopping { // what comes now must be over when the process may be killed
-		m.Left = min(m.Left, micros(f.limits.StopAnswer-since))
+		m.Left = min(m.Left, micros(f.limits.Stop.Answer-since))
 	}
 	if !f.clients.take(connOf(r.Context())) { // it ended for want of room before it was whole
 		return
 	}
-	if f.Door != nil {
+	if f.Admission != nil {
 		came := time.Now()
 		client, _, _ := net.SplitHostPort(r.RemoteAddr)
 		// Half of its time: what is taken later could hardly be answered, and its client can still come again.
 		weight := set.Rules.Plans[m.Plan].Weight // a plan that the settings don't name was turned away in read
-		leave, err := f.Door.Enter(r.Context(), m.Volume, client, m.Units, weight, time.Duration(m.Left)*time.Microsecond/2)
+		leave, err := f.Admission.Enter(r.Context(), m.Volume, client, m.Units, weight, time.Duration(m.Left)*time.Microsecond/2)
 		if err != nil {
 			answerError(w, r, err)
 			return
--- a/internal/net/transport/nodes/connect.go
+++ b/internal/net/transport/nodes/connect.go
@@ -12,11 +12,11 @@
 // Renew opens a connection to a node on which another just broke, and keeps it. It tells whether the node took it:
 // a process that died takes none, and one that lives may close connections for reasons of its own.
 func (s *Nodes[T]) Renew(name string) bool {
-	ctx, release := context.WithTimeout(context.Background(), s.limits.Connect)
+	ctx, release := context.WithTimeout(context.Background(), s.limits.Nodes.ConnectTimeout)
 	defer release()
 	s.mu.Lock()
 	n := s.byName[name]
-	if n == nil || s.open >= s.limits.NodeConns && !s.closeLongest() {
+	if n == nil || s.open >= s.limits.Nodes.Conns && !s.closeLongest() {
 		s.mu.Unlock()
 		return false
 	}
@@ -54,7 +54,7 @@
 
 // start opens the session on a new connection, within the time for connecting.
 func (s *Nodes[T]) start(ctx context.Context, raw net.Conn) (*Conn[T], error) {
-	raw.SetDeadline(time.Now().Add(s.limits.Connect))
+	raw.SetDeadline(time.Now().Add(s.limits.Nodes.ConnectTimeout))
 	unhook := context.AfterFunc(ctx, func() { raw.Close() })
 	session, err := s.session.Open(raw)
 	if !unhook() && err == nil {
--- a/internal/net/transport/nodes/dial.go
+++ b/internal/net/transport/nodes/dial.go
@@ -14,9 +14,9 @@
 	err  error
 }
 
-// race opens a connection to one address, and another one each time that the last one is not up soon. The first that
-// comes up is used. A node that lives may take long to take one connection while the next is up at once; a machine that
-// has vanished takes none.
+// race is hedged connecting: a further attempt begins beside those that are not up soon, and the first that comes up
+// is used. A live node may be late with one connection and take the next at once; a vanished machine takes none. One
+// late connection alone would make the node suspect, and so cold for the whole ramp.
 type race struct {
 	ctx     context.Context
 	address string
@@ -41,17 +41,17 @@
 // dial opens a connection within the time for connecting. Beside the room that its caller has reserved, each further
 // attempt needs some of its own.
 func (s *Nodes[T]) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.limits.Connect)
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Nodes.ConnectTimeout)
 	defer cancel()
-	r := &race{ctx: ctx, address: address, open: s.dialer, ended: make(chan dialed, s.limits.ConnectTries)}
+	r := &race{ctx: ctx, address: address, open: s.dialer, ended: make(chan dialed, s.limits.Nodes.ConnectTries)}
 	defer s.abandon(r)
 	r.begin()
-	again := time.NewTicker(s.limits.ConnectAgain)
-	defer again.Stop()
+	hedge := time.NewTicker(s.limits.Nodes.HedgeDelay)
+	defer hedge.Stop()
 	for {
 		select {
-		case <-again.C:
-			if r.begun < s.limits.ConnectTries && s.spare() {
+		case <-hedge.C:
+			if r.begun < s.limits.Nodes.ConnectTries && s.spare() {
 				r.begin()
 			}
 		case d := <-r.ended:
@@ -61,7 +61,7 @@
 				return d.conn, d.err
 			case r.running > 0:
 				s.unspare()
-			case r.begun == s.limits.ConnectTries:
+			case r.begun == s.limits.Nodes.ConnectTries:
 				return nil, d.err
 			default:
 				// A process that has died refuses. One that resets a connection as it comes up lives, and took for
@@ -91,7 +91,7 @@
 func (s *Nodes[T]) spare() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open >= s.limits.NodeConns {
+	if s.open >= s.limits.Nodes.Conns {
 		return false
 	}
 	s.open++
--- a/internal/net/transport/nodes/dial_test.go
+++ b/internal/net/transport/nodes/dial_test.go
@@ -31,15 +31,15 @@
 	return nil, ctx.Err()
 }
 
-// before returns the pool of one node "a" behind the dials, and how many connections the node took.
-func before(t *testing.T, d *dials, change func(*limits.Limits)) (*Nodes[int], *atomic.Int64) {
+// newPool returns the pool of one node "a" behind the dials, and how many connections the node took.
+func newPool(t *testing.T, d *dials, change func(*limits.Limits)) (*Nodes[int], *atomic.Int64) {
 	taken := new(atomic.Int64)
 	addr := standin.Peer(t, func(n int, c net.Conn) {
 		taken.Add(1)
 		c.Read(make([]byte, 1)) // until it is closed
 	})
 	l := standin.Limits()
-	l.Connect, l.ConnectAgain = standin.Patience, time.Millisecond
+	l.Nodes.ConnectTimeout, l.Nodes.HedgeDelay = standin.Patience, time.Millisecond
 	change(&l)
 	s := New(l, Session[int]{Open: func(net.Conn) (int, error) { return 0, nil }, Alive: func(net.Conn, int) bool { return true }})
 	s.dialer = d.dial
@@ -77,7 +77,7 @@
 		}
 		return open()
 	}}
-	s, _ := before(t, d, func(*limits.Limits) {})
+	s, _ := newPool(t, d, func(*limits.Limits) {})
 	c, err := s.Acquire(context.Background(), "a", Running)
 	if err != nil {
 		t.Fatal(err)
@@ -102,7 +102,7 @@
 		late <- c
 		return c, err
 	}}
-	s, _ := before(t, d, func(*limits.Limits) {})
+	s, _ := newPool(t, d, func(*limits.Limits) {})
 	c, err := s.Acquire(context.Background(), "a", Running)
 	if err != nil {
 		t.Fatal(err)
@@ -120,12 +120,12 @@
 // A node that has vanished takes none: that is told within the time for connecting, after a bounded number of attempts.
 func TestVanishedNodeIsTriedABoundedNumberOfTimes(t *testing.T) {
 	d := &dials{given: func(ctx context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error) { return never(ctx) }}
-	s, taken := before(t, d, func(l *limits.Limits) { l.Connect = 20 * l.ConnectAgain })
+	s, taken := newPool(t, d, func(l *limits.Limits) { l.Nodes.ConnectTimeout = 20 * l.Nodes.HedgeDelay })
 	_, err := s.Acquire(context.Background(), "a", Running)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("error %v", err)
 	}
-	if most := int64(s.limits.ConnectTries); d.begun.Load() > most || taken.Load() > 0 {
+	if most := int64(s.limits.Nodes.ConnectTries); d.begun.Load() > most || taken.Load() > 0 {
 		t.Errorf("%d attempts of at most %d, %d taken", d.begun.Load(), most, taken.Load())
 	}
 	settled(t, s, 0)
@@ -140,7 +140,7 @@
 		}
 		return nil, refused
 	}}
-	s, _ := before(t, d, func(*limits.Limits) {})
+	s, _ := newPool(t, d, func(*limits.Limits) {})
 	if _, err := s.Acquire(context.Background(), "a", Running); !errors.Is(err, refused) {
 		t.Errorf("error %v", err)
 	}
@@ -150,7 +150,7 @@
 // A further attempt takes no room from others: where all sockets are in use there is none.
 func TestFurtherAttemptNeedsRoom(t *testing.T) {
 	d := &dials{given: func(ctx context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error) { return never(ctx) }}
-	s, _ := before(t, d, func(l *limits.Limits) { l.NodeConns, l.Connect = 1, 20*l.ConnectAgain })
+	s, _ := newPool(t, d, func(l *limits.Limits) { l.Nodes.Conns, l.Nodes.ConnectTimeout = 1, 20*l.Nodes.HedgeDelay })
 	if _, err := s.Acquire(context.Background(), "a", Running); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("error %v", err)
 	}
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -43,15 +43,19 @@
 
 // Figures are what operators are told of this process.
 func (p *platform) Figures() (protocol.Figures, error) {
-	ctx, end := context.WithTimeout(context.Background(), p.limits.Figures)
+	ctx, end := context.WithTimeout(context.Background(), p.limits.Control.ReportTimeout)
 	defer end()
 	avoided, err := p.core.Avoided(ctx)
 	if err != nil {
 		return protocol.Figures{}, err
 	}
+	shared, err := p.healthFigures(ctx)
+	if err != nil {
+		return protocol.Figures{}, err
+	}
 	t := p.core.Tally()
 	out := protocol.Figures{InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
-		ReloadsOK: p.reloaded.Load(), ReloadsFailed: p.refused.Load()}
+		ReloadsOK: p.reloaded.Load(), ReloadsFailed: p.refused.Load(), Health: shared}
 	for i, name := range p.front.Names() {
 		ended := t.Of(i)
 		out.Classes = append(out.Classes, protocol.Ended{Class: name, Served: ended[routing.Served],
