Name requests for room and reports at cold nodes in full

wish, ask and tell in rules and rules/cold were three words for a request for room and a report of what a node showed. The code is the same, identifiers aside. go test -race passes in rules and rules/cold.

--- a/rules/cold/allocator.go
+++ b/rules/cold/allocator.go
@@ -91,14 +91,14 @@
 // asked for. Hosts whose request is too old have asked anew, or need nothing more.
 func (r *Allocator[T]) Allocate(now T, borne float64) (grants []Grant[T]) {
 	rest, served, units, time := max(r.config.Multiple, 1)-1, r.served.Sum(now), 0.0, 0.0
-	r.requests = slices.DeleteFunc(r.requests, func(a request[T]) bool { return a.at < now-r.config.Span/askParts })
+	r.requests = slices.DeleteFunc(r.requests, func(a request[T]) bool { return a.at < now-r.config.Span/requestParts })
 	for _, s := range r.reports {
 		if r.recent(now, s) {
 			units, time = units+s.Units, time+s.Time
 		}
 	}
 	speed := units / (time + float64(r.config.Doubt)/float64(max(r.config.Span, 1)))
-	part := max(borne*rest/(rest+1), served*rest*toldInTime, speed*rest)
+	part := max(borne*rest/(rest+1), served*rest*reportedInTime, speed*rest)
 	granted := r.granted.Sum(now)
 	for i := range r.requests {
 		a := &r.requests[i]
--- a/rules/cold/config.go
+++ b/rules/cold/config.go
@@ -43,16 +43,16 @@
 }
 
 const (
-	validParts   = 10   // a grant may be used for one in so many parts of a span
-	tellParts    = 10   // of an answer the granter hears after one in so many at least
-	askParts     = 2    // a request for room that brings nothing is repeated after one in so many
-	periodSpans  = 12   // a host is the granter for so long, less one to hand over
-	toldInTime   = 0.88 // of what was told within a span was answered within it: the rest was told late
-	longest      = 4    // spans of answers that a host tells of at most
-	shownSpans   = 4    // what a host showed counts for so long after it asked last
-	nearCost     = 0.25 // of its work, that a request for a piece costs which a node remembers: 27 to 51%
-	remembered   = 4    // pieces that a node remembers at most
-	alonePeriods = 2    // the same where each host asks itself: one that has nothing to send keeps the others waiting
+	validParts     = 10   // a grant may be used for one in so many parts of a span
+	reportParts    = 10   // of an answer the granter hears after one in so many at least
+	requestParts   = 2    // a request for room that brings nothing is repeated after one in so many
+	periodSpans    = 12   // a host is the granter for so long, less one to hand over
+	reportedInTime = 0.88 // of what was told within a span was answered within it: the rest was told late
+	longest        = 4    // spans of answers that a host tells of at most
+	shownSpans     = 4    // what a host showed counts for so long after it asked last
+	nearCost       = 0.25 // of its work, that a request for a piece costs which a node remembers: 27 to 51%
+	remembered     = 4    // pieces that a node remembers at most
+	alonePeriods   = 2    // the same where each host asks itself: one that has nothing to send keeps the others waiting
 )
 
 // grantValidity is for how long a grant may be used.
--- a/rules/cold/guard.go
+++ b/rules/cold/guard.go
@@ -8,17 +8,17 @@
 
 // Guard is what one host knows of a node's room while it is cold.
 type Guard[T ~int64] struct {
-	span    T
-	sent    window.Window[T] // for what was answered, less the answers
-	fresh   float64          // answered, and not told of yet
-	units   float64          // that were answered one by one,
-	time    float64          // in so many spans
-	pieces  [remembered]string
-	next    int // of the pieces to be forgotten
-	granted float64
-	until   T // of the grant
-	asked   T // not to be asked for again before
-	told    T // nor told of
+	span        T
+	sent        window.Window[T] // for what was answered, less the answers
+	unreported  float64          // units answered, and not reported yet
+	units       float64          // that were answered one by one,
+	time        float64          // in so many spans
+	pieces      [remembered]string
+	next        int // of the pieces to be forgotten
+	granted     float64
+	until       T // of the grant
+	nextRequest T // room is not requested again before
+	nextReport  T // nor are answers reported
 }
 
 // NewGuard returns a guard for a node that nothing was sent to.
@@ -54,7 +54,7 @@
 		g.pieces[g.next], g.next = piece, (g.next+1)%len(g.pieces)
 	}
 	g.sent.Add(now, -units)
-	g.fresh += units
+	g.unreported += units
 	if near {
 		return
 	}
@@ -66,37 +66,37 @@
 
 // Shown returns what the node has shown this host, to be reported now.
 func (g *Guard[T]) Shown() Shown {
-	s := Shown{g.fresh, g.units, g.time}
-	g.fresh = 0
+	s := Shown{g.unreported, g.units, g.time}
+	g.unreported = 0
 	return s
 }
 
 // Granted takes in a grant that lasts until a time. What is left of the last one goes: it would last for longer than
 // the granter counts it.
 func (g *Guard[T]) Granted(now T, units float64, until T) {
-	g.granted, g.until, g.asked = units, until, now
+	g.granted, g.until, g.nextRequest = units, until, now
 }
 
 // ShouldRequest tells whether to ask for room now.
 func (g *Guard[T]) ShouldRequest(now T) bool {
-	if now < g.asked {
+	if now < g.nextRequest {
 		return false
 	}
-	g.asked = now + g.span/askParts
+	g.nextRequest = now + g.span/requestParts
 	return true
 }
 
 // ShouldReport tells whether the granter is to hear now of what was answered last.
 func (g *Guard[T]) ShouldReport(now T) bool {
-	if now < g.told {
+	if now < g.nextReport {
 		return false
 	}
-	g.told = now + g.span/tellParts
+	g.nextReport = now + g.span/reportParts
 	return true
 }
 
 // Clear forgets all, once the node is warm, or where it may begin anew: what was answered was its former self.
 func (g *Guard[T]) Clear() {
 	g.sent.Clear()
-	g.granted, g.asked, g.told, g.fresh, g.units, g.time = 0, 0, 0, 0, 0, 0
+	g.granted, g.nextRequest, g.nextReport, g.unreported, g.units, g.time = 0, 0, 0, 0, 0, 0
 }
--- a/rules/coldnodes.go
+++ b/rules/coldnodes.go
@@ -27,8 +27,8 @@
 	return r.Units <= n.cold.Room(s.now)
 }
 
-// wish asks for room at a cold node: the granter, which may be this host.
-func (s *Scheduler) wish(n *node, sh *shard, next *request) {
+// requestRoom asks for room at a cold node: the granter, which may be this host.
+func (s *Scheduler) requestRoom(n *node, sh *shard, next *request) {
 	granter, may := s.cold.Granter(n.Node, s.now)
 	own := granter == s.set.Number
 	if !own && !s.set.Peers || own && !may || !n.cold.ShouldRequest(s.now) {
@@ -40,10 +40,10 @@
 			w.Least = min(w.Least, r.Units)
 		}
 	}
-	s.ask(granter, n, w)
+	s.sendToGranter(granter, n, w)
 }
 
-func (s *Scheduler) ask(granter int, n *node, w cold.Wish) {
+func (s *Scheduler) sendToGranter(granter int, n *node, w cold.Wish) {
 	if granter == s.set.Number {
 		s.asked(Asked{From: granter, Node: n.Node, Since: n.Since, Wish: w})
 	} else {
@@ -57,7 +57,7 @@
 	n.cold.Answered(s.now, r.Key, r.Units, latency)
 	granter, _ := s.cold.Granter(n.Node, s.now)
 	if (s.set.Peers || granter == s.set.Number) && n.cold.ShouldReport(s.now) {
-		s.ask(granter, n, cold.Wish{Shown: n.cold.Shown()})
+		s.sendToGranter(granter, n, cold.Wish{Shown: n.cold.Shown()})
 	}
 }
 
@@ -146,8 +146,8 @@
 	n.cold.Granted(s.now, e.Units, e.Until)
 }
 
-// wishing tells that a host waits for room that this one grants.
-func (s *Scheduler) wishing() bool {
+// roomRequested reports that a host waits for room that this one grants.
+func (s *Scheduler) roomRequested() bool {
 	return slices.ContainsFunc(s.allocators, func(r allocator) bool { return r.Pending() })
 }
 
--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -100,7 +100,7 @@
 	s.volumes.Sweep(some, s.forgotten)
 	s.refused.Sweep(some, func(r *request) bool { return r.deadline < s.now })
 	s.agenda.Close(s.watchAt)
-	if (s.busy.Len() > 0 || s.wishing()) && !s.wakeSet {
+	if (s.busy.Len() > 0 || s.roomRequested()) && !s.wakeSet {
 		s.wakeSet = true
 		s.out = append(s.out, SetAlarm{At: now + wakeTicks*s.set.Tick})
 	}
--- a/rules/send.go
+++ b/rules/send.go
@@ -25,7 +25,7 @@
 				break
 			}
 			if !s.bears(n, r) {
-				s.wish(n, sh, r)
+				s.requestRoom(n, sh, r)
 				if r, rank = s.pick(n, sh, n.cold.Room(s.now)); r == nil || !s.takes(n, r, rank) {
 					break
 				}
