Give fronts addresses that were never tried: a fork in that moment kept them taken

The laboratory had opened and closed a listener to find a free port while another front was started: between fork and exec the child has that socket, too. The address is this process's alone, so that a port that was not given out before is free.

--- a/internal/lab/processes/front.go
+++ b/internal/lab/processes/front.go
@@ -31,13 +31,7 @@
 
 // start starts a front and waits until it serves. Nothing listens at its address before.
 func (l *Lab) start(ctx context.Context, c config) (*Front, error) {
-	for _, addr := range []*string{&c.listen, &c.control} {
-		free, err := freePort("tcp")
-		if err != nil {
-			return nil, err
-		}
-		*addr = free
-	}
+	c.listen, c.control = ownAddress(), ownAddress()
 	f := &Front{config: c, path: filepath.Join(l.dir, fmt.Sprintf("front-%d.json", l.started.Add(1))), log: &tail{}, ended: make(chan struct{})}
 	if err := f.write(); err != nil {
 		return nil, err
--- a/internal/lab/processes/idle.go
+++ b/internal/lab/processes/idle.go
@@ -77,11 +77,7 @@
 		return quietly{}, err
 	}
 	defer d.Close()
-	peer, err := freePort("udp")
-	if err != nil {
-		return quietly{}, err
-	}
-	front, err := l.start(ctx, config{discovery: d.Addr, asked: asked, fronts: sizeFronts, peerListen: peer, peers: elsewhere(sizeFronts),
+	front, err := l.start(ctx, config{discovery: d.Addr, asked: asked, fronts: sizeFronts, peerListen: ownAddress(), peers: elsewhere(sizeFronts),
 		memoryMB: int(budgetMemory), sockets: wideSockets, giveUp: patience, nodes: list, shards: many})
 	if err != nil {
 		return quietly{}, err
--- a/internal/lab/processes/meter.go
+++ b/internal/lab/processes/meter.go
@@ -1,9 +1,7 @@
 package processes
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -17,27 +15,15 @@
 	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
 }
 
-// Ports for fronts, which open them later: below those that the kernel hands out, and none twice.
+// Ports for fronts, which open them later: below those that the kernel hands out.
 const firstPort, lastPort = 12_000, 32_000
 
 var ports atomic.Int64
 
-// freePort is a port of this process's address that is free for a listener of a network, tcp or udp.
-func freePort(network string) (string, error) {
-	for range lastPort - firstPort {
-		addr := fmt.Sprintf("%s:%d", host(), firstPort+ports.Add(1)%(lastPort-firstPort))
-		var probe io.Closer
-		var err error
-		if network == "udp" {
-			probe, err = net.ListenPacket(network, addr)
-		} else {
-			probe, err = net.Listen(network, addr)
-		}
-		if err == nil {
-			return addr, probe.Close()
-		}
-	}
-	return "", errors.New("no free port on " + host())
+// ownAddress is an address that this process gives to one front alone. It isn't tried here: a process that is started
+// meanwhile would have the trial's socket for a moment, and the front find its address taken.
+func ownAddress() string {
+	return fmt.Sprintf("%s:%d", host(), firstPort+ports.Add(1)%(lastPort-firstPort))
 }
 
 // meter counts connections, and the bytes that pass over them. A counter that is nil is not kept.
--- a/internal/lab/processes/relay.go
+++ b/internal/lab/processes/relay.go
@@ -23,12 +23,7 @@
 func newRelay(many int) (*relay, error) {
 	r := &relay{sockets: make([][]*net.UDPConn, many)}
 	for i := range many {
-		addr, err := freePort("udp")
-		if err != nil {
-			r.close()
-			return nil, err
-		}
-		r.fronts = append(r.fronts, netip.MustParseAddrPort(addr))
+		r.fronts = append(r.fronts, netip.MustParseAddrPort(ownAddress()))
 		for range many {
 			c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(host())})
 			if err != nil {
