--- /dev/null
+++ b/internal/lab/hollow/attempts.go
@@ -0,0 +1,129 @@
+package hollow
+
+import (
+	"strconv"
+
+	"otterturn/rules"
+)
+
+// queue is what comes in the order in which it is due.
+type queue[T any] struct {
+	items []T
+	first int
+}
+
+func (q *queue[T]) push(item T) { q.items = append(q.items, item) }
+
+func (q *queue[T]) empty() bool { return q.first == len(q.items) }
+
+func (q *queue[T]) head() T { return q.items[q.first] }
+
+// pop takes the head out, and now and then moves the rest to the front.
+func (q *queue[T]) pop() {
+	var none T
+	q.items[q.first] = none
+	q.first++
+	if q.first*2 > len(q.items) {
+		kept := copy(q.items, q.items[q.first:])
+		clear(q.items[kept:])
+		q.items, q.first = q.items[:kept], 0
+	}
+}
+
+func (f *front) call(id string) *call {
+	number, err := strconv.ParseUint(id, 36, 64)
+	if err != nil {
+		return nil
+	}
+	return f.calls[number]
+}
+
+// attempt sends a request to a node.
+func (f *front) attempt(now rules.Micros, a rules.Send) {
+	c := f.call(a.ID)
+	if c == nil {
+		f.events = append(f.events, rules.Outcome{ID: a.ID, Result: rules.Moot})
+		return
+	}
+	node := f.numbers[a.Node]
+	c.out, c.node, c.sent = true, node, now
+	f.counts.now[attempts]++
+	f.digest.add(uint64(now), c.number, uint64(node))
+	sent := now
+	if f.idle[node] > 0 {
+		f.idle[node]--
+	} else {
+		f.counts.now[connections]++
+		sent += 2 * f.world.links.delay(f.id, f.world.nodeID(node))
+	}
+	if f.health != nil {
+		f.health.attemptStarted(a.Node, a.ID, int(c.attempt))
+	}
+	f.send(sent, message{to: f.world.nodeID(node), kind: kindAttempt, number: c.number, attempt: c.attempt, value: c.units})
+	c.attempt++
+}
+
+// replied takes in how an attempt ended.
+func (f *front) replied(m *message) {
+	c := f.calls[m.number]
+	if c == nil || !c.out || c.attempt-1 != m.attempt {
+		return
+	}
+	if m.result == rules.OK || m.result == rules.Full {
+		f.idle[c.node]++
+	} else {
+		f.idle[c.node] = 0
+	}
+	f.outcome(m.at, c, m.result)
+}
+
+func (f *front) outcome(at rules.Micros, c *call, result rules.Result) {
+	c.out = false
+	o := rules.Outcome{ID: c.id, Attempt: int(c.attempt - 1), Result: result, Latency: at - c.sent, Final: result == rules.OK}
+	if f.health != nil {
+		f.health.attemptEnded(f.names[c.node], o)
+	}
+	if o.Final {
+		f.close(c, served)
+	}
+	f.events = append(f.events, o)
+}
+
+// end is a final answer of the scheduler.
+func (f *front) end(id string, how figure) {
+	if c := f.call(id); c != nil {
+		f.close(c, how)
+	}
+}
+
+func (f *front) close(c *call, how figure) {
+	c.over = true
+	f.counts.now[how]++
+	if how != served {
+		f.world.watched.unserved(f, c, f.now)
+	}
+	delete(f.calls, c.number)
+}
+
+// expire ends the requests whose time is over, and the probes that had no answer.
+func (f *front) expire(end rules.Micros) {
+	for !f.deadlines.empty() && f.deadlines.head().deadline < end {
+		c := f.deadlines.head()
+		f.deadlines.pop()
+		switch {
+		case c.over:
+		case c.out:
+			f.counts.now[unanswered]++
+			f.world.watched.unanswered(f, c)
+			f.outcome(c.deadline, c, rules.TimedOut)
+		default:
+			f.close(c, failed)
+			f.events = append(f.events, rules.Lapsed{ID: c.id})
+		}
+	}
+	for !f.late.empty() && f.late.head().at < end {
+		p := f.late.head()
+		f.late.pop()
+		f.probeEnded(p.number, false, -1)
+	}
+}
--- /dev/null
+++ b/internal/lab/hollow/discovery.go
@@ -0,0 +1,219 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"otterturn/rules"
+)
+
+const (
+	callLines     = 30          // what a call that begins costs beside its entries, in lines (docs/fleet.md)
+	callPatience  = 2 * second  // a call that waited for longer is dropped, and its work lost
+	listCallBytes = 120 + 2*130 // a call's request line and headers, the answer's, and the headers of IP and TCP
+)
+
+// news is what an answer of discovery brings.
+type news struct {
+	whole   bool
+	entries []rules.Listing
+	bytes   int // of its body
+}
+
+// entry is a node's as it stands in discovery's answer, see protocol.ParseList.
+type entry struct {
+	Host   string `json:"host"`
+	Dial   string `json:"dial"`
+	Site   string `json:"site"`
+	Health string `json:"health"`
+	Block  int    `json:"block"`
+	BornMs int64  `json:"born_ms"`
+}
+
+type answer struct {
+	Seq   int64   `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []entry `json:"hosts"`
+}
+
+// discovery is the service that all fronts ask: calls wait in turn, and it answers so many lines a second.
+type discovery struct {
+	sender
+	version int64
+	changes []change
+	whole   *news     // of this version
+	held    []held    // of each front
+	turn    []message // calls that wait, in their order
+	ready   []ready   // answers that are made, in their order
+	freeAt  rules.Micros
+	counts  discoveryCounts
+}
+
+// held is a front's call that is held while there is nothing to tell.
+type held struct {
+	message
+	is bool
+}
+
+type ready struct {
+	at   rules.Micros
+	call message
+	news *news
+}
+
+// change is one version of the list.
+type change struct {
+	version int64
+	node    int32
+}
+
+func newDiscovery(s sender) *discovery {
+	return &discovery{sender: s, version: 1, held: make([]held, s.world.set.Fronts)}
+}
+
+// publish makes the present entries of nodes known, as one further version each. now is between two windows.
+func (d *discovery) publish(now rules.Micros, nodes ...int32) {
+	for _, n := range nodes {
+		d.version++
+		d.changes = append(d.changes, change{d.version, n})
+	}
+	d.whole = nil
+	for i := range d.held {
+		if h := &d.held[i]; h.is {
+			h.is, h.at, h.opens = false, now, false
+			d.turn = append(d.turn, h.message)
+		}
+	}
+}
+
+func (d *discovery) handle(end rules.Micros, in []message) {
+	for i := range in {
+		d.counts.calls++
+		d.call(&in[i])
+	}
+	d.release(end)
+	d.work(end)
+	d.deliver(end)
+}
+
+// call takes a call: it is held while there is nothing to tell, or waits in turn.
+func (d *discovery) call(m *message) {
+	if m.opens || m.hold == 0 || m.version != d.version {
+		d.turn = append(d.turn, *m)
+		return
+	}
+	d.hold(*m)
+}
+
+func (d *discovery) hold(m message) {
+	m.at += m.hold
+	d.held[m.from] = held{m, true}
+}
+
+// release answers the calls that were held for long enough.
+func (d *discovery) release(end rules.Micros) {
+	for i := range d.held {
+		if h := &d.held[i]; h.is && h.at < end {
+			h.is = false
+			d.answer(end-1, &h.message, &news{})
+		}
+	}
+}
+
+// work answers the calls that wait, one after the other.
+func (d *discovery) work(end rules.Micros) {
+	done := 0
+	for ; done < len(d.turn); done++ {
+		m := &d.turn[done]
+		began := max(m.at, d.freeAt)
+		if began >= end {
+			break
+		}
+		n := d.news(m.version)
+		lines := d.lines(m, n)
+		took := rules.Micros(lines / d.world.set.DiscoveryLines * float64(second))
+		if began-m.at > callPatience {
+			d.freeAt = min(began, m.at+callPatience) + took
+			d.counts.dropped++
+			continue
+		}
+		d.counts.lines += lines
+		d.freeAt = began + took
+		if m.hold > 0 && len(n.entries) == 0 {
+			d.hold(*m)
+			continue
+		}
+		d.ready = append(d.ready, ready{d.freeAt, *m, n})
+	}
+	d.turn = slices.Delete(d.turn, 0, done)
+}
+
+// deliver sends the answers that are made by now.
+func (d *discovery) deliver(end rules.Micros) {
+	done := 0
+	for ; done < len(d.ready) && d.ready[done].at < end; done++ {
+		r := &d.ready[done]
+		d.answer(max(r.at, end-tick), &r.call, r.news)
+	}
+	d.ready = slices.Delete(d.ready, 0, done)
+}
+
+func (d *discovery) lines(m *message, n *news) float64 {
+	lines := float64(len(n.entries))
+	if m.opens {
+		lines += callLines
+	}
+	return lines
+}
+
+func (d *discovery) answer(at rules.Micros, m *message, n *news) {
+	d.send(at, message{to: m.from, kind: kindListAnswer, number: m.number, version: d.version, news: n})
+}
+
+// news is what is newer than a version.
+func (d *discovery) news(version int64) *news {
+	if version == wholeList {
+		return d.wholeNews()
+	}
+	var nodes []int32
+	for _, c := range d.changes {
+		if c.version > version {
+			nodes = append(nodes, c.node)
+		}
+	}
+	return d.encode(false, nodes)
+}
+
+func (d *discovery) wholeNews() *news {
+	if d.whole == nil {
+		var nodes []int32
+		for i, l := range d.world.listed {
+			if l.State != rules.Gone {
+				nodes = append(nodes, int32(i))
+			}
+		}
+		d.whole = d.encode(true, nodes)
+	}
+	return d.whole
+}
+
+var healths = map[rules.NodeState]string{rules.Running: "up", rules.Draining: "draining", rules.Gone: "removed"}
+
+func (d *discovery) encode(whole bool, nodes []int32) *news {
+	out := &news{whole: whole}
+	body := answer{Seq: d.version, Whole: whole}
+	for _, n := range nodes {
+		l := d.world.listed[n]
+		out.entries = append(out.entries, l)
+		body.Hosts = append(body.Hosts, entry{Host: l.Node, Dial: fmt.Sprintf("10.%d.%d.%d:7000", l.Zone, n/250, n%250),
+			Site: fmt.Sprintf("region-%d/zone-%02d", d.world.links.regionOf(int32(l.Zone)), l.Zone), Health: healths[l.State],
+			Block: l.Shard, BornMs: int64(l.Since / millisecond)})
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // it has numbers and texts alone
+	}
+	out.bytes = len(text)
+	return out
+}
--- /dev/null
+++ b/internal/lab/hollow/front.go
@@ -0,0 +1,233 @@
+package hollow
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/rules"
+)
+
+// front is a hollow front: the real core, and what the program does around it, without sockets.
+type front struct {
+	sender
+	rng       *rand.Rand
+	scheduler *rules.Scheduler
+	health    *zoneHealth // nil where it is switched off
+	watch     watch
+	down      bool // the process has ended
+	now       rules.Micros
+	numbers   map[string]int32
+	names     []string
+	calls     map[uint64]*call
+	deadlines queue[*call]
+	probes    map[uint64]int32 // those that are out, with their nodes
+	late      queue[probeOut]
+	idle      []uint8       // connections that are kept, by node
+	alarm     rules.Micros  // 0 for none
+	arrival   rules.Micros  // of the next request
+	asked     uint64        // requests so far
+	probed    uint64        // probes so far
+	events    []rules.Event // of this window, for the next step
+	spare     []rules.Event
+	counts    counts
+	cost      cost
+	digest    digest
+	avoided   []rules.Micros // since when it avoids each watched node, 0 for not yet
+}
+
+// call is a request that is open.
+type call struct {
+	id       string
+	number   uint64
+	shard    int
+	node     int32 // of the attempt that is out
+	attempt  int32 // number of the next one
+	out      bool
+	over     bool
+	units    float64
+	sent     rules.Micros
+	deadline rules.Micros
+}
+
+type probeOut struct {
+	number uint64
+	at     rules.Micros // it counts as failed then
+}
+
+func newFront(s sender) (*front, error) {
+	f := &front{sender: s, rng: rand.New(rand.NewPCG(s.world.set.Seed, uint64(s.id)))}
+	f.arrival = begin + f.gap()
+	return f, nil
+}
+
+// start begins the front's process anew: it knows the list of nodes and nothing else.
+func (f *front) start(now rules.Micros) error {
+	w := f.world
+	scheduler, err := rules.New(w.set.rules(int(f.id)), f.rng.Int64())
+	if err != nil {
+		return err
+	}
+	f.scheduler, f.down, f.alarm = scheduler, false, 0
+	f.calls, f.probes = map[uint64]*call{}, map[uint64]int32{}
+	f.deadlines, f.late, f.events = queue[*call]{}, queue[probeOut]{}, nil
+	f.numbers, f.names = make(map[string]int32, len(w.nodes)), make([]string, len(w.nodes))
+	f.idle = make([]uint8, len(w.nodes))
+	list := rules.Nodes{Full: true}
+	for i, l := range w.listed {
+		f.names[i], f.numbers[l.Node] = l.Node, int32(i)
+		if l.State != rules.Gone {
+			list.List = append(list.List, l)
+		}
+	}
+	if w.set.Health {
+		if f.health, err = newZoneHealth(f, now); err != nil {
+			return err
+		}
+	}
+	f.watch = newWatch(f, now, w.discovery.version)
+	f.learn(now, list)
+	return nil
+}
+
+// stop ends the front's process: what it had open is lost.
+func (f *front) stop() {
+	for _, c := range f.calls {
+		if !c.over {
+			f.counts.now[lost]++
+		}
+	}
+	f.down = true
+}
+
+// gap is the time until the next request: they come at random, whatever became of those before.
+func (f *front) gap() rules.Micros {
+	if f.world.set.Rate == 0 {
+		return 1 << 60
+	}
+	return rules.Micros(f.rng.ExpFloat64()*float64(second)/f.world.set.Rate) + 1
+}
+
+func (f *front) handle(end rules.Micros, in []message) {
+	if f.down {
+		return
+	}
+	f.now = end
+	for i := range in {
+		f.take(&in[i])
+	}
+	f.arrive(end)
+	f.expire(end)
+	f.watch.pass(f, end)
+	if f.health != nil {
+		f.health.pass(f, end)
+	}
+	if f.alarm > 0 && f.alarm < end {
+		f.alarm = 0
+		f.events = append(f.events, rules.Alarm{})
+	}
+	if len(f.events) > 0 {
+		events := f.events
+		f.events = f.spare[:0]
+		f.step(end, events)
+		f.spare = events
+	}
+}
+
+func (f *front) take(m *message) {
+	switch m.kind {
+	case kindReply:
+		f.replied(m)
+	case kindProbeReply:
+		f.probeReplied(m)
+	case kindNote:
+		f.heard(m)
+	case kindHealth:
+		f.healthHeard(m)
+	case kindListAnswer:
+		f.watch.answered(f, m)
+	}
+}
+
+func (f *front) heard(m *message) {
+	f.counts.now[notesReceived]++
+	f.counts.now[noteBytes] += int64(len(m.data))
+	e, err := protocol.ParseNote(int(m.from), m.data)
+	if err != nil {
+		f.counts.now[unreadable]++
+		return
+	}
+	f.events = append(f.events, e)
+}
+
+// arrive takes the requests that come in the window.
+func (f *front) arrive(end rules.Micros) {
+	for ; f.arrival < end; f.arrival += f.gap() {
+		f.asked++
+		units := float64(1 + f.rng.IntN(mostUnits))
+		shard := f.rng.IntN(f.world.set.Nodes)
+		c := &call{id: strconv.FormatUint(f.asked, 36), number: f.asked, shard: shard, units: units, deadline: f.arrival + patience}
+		f.calls[c.number] = c
+		f.deadlines.push(c)
+		f.counts.now[requests]++
+		f.events = append(f.events, rules.Request{ID: c.id, Volume: volumeNames[shard%volumes], Units: units, Shard: shard, Hosts: 1,
+			Left: c.deadline - end})
+	}
+}
+
+// step hands the events of a window to the scheduler together, as the program's core does, and carries its actions out.
+func (f *front) step(now rules.Micros, events []rules.Event) {
+	began := time.Now()
+	actions := f.scheduler.Step(now, events)
+	f.cost.scheduler += time.Since(began)
+	f.cost.steps++
+	for _, a := range actions {
+		f.perform(now, a)
+	}
+}
+
+// learn hands news of the list to the scheduler ahead of all else.
+func (f *front) learn(now rules.Micros, list rules.Nodes) {
+	if f.health != nil {
+		f.health.learn(list)
+	}
+	f.step(now, []rules.Event{list})
+}
+
+func (f *front) perform(now rules.Micros, a rules.Action) {
+	switch a := a.(type) {
+	case rules.Send:
+		f.attempt(now, a)
+	case rules.Refuse:
+		f.end(a.ID, refused)
+	case rules.Fail:
+		f.end(a.ID, failed)
+	case rules.Probe:
+		f.wantProbe(now, a.Node)
+	case rules.Ask:
+		f.note(now, a.To, a)
+	case rules.Grant:
+		f.note(now, a.To, a)
+	case rules.SetAlarm:
+		f.alarm = a.At
+	}
+}
+
+func (f *front) note(now rules.Micros, to int, a rules.Action) {
+	text := protocol.FormatNote(a)
+	if text == nil || to < 0 || to >= f.world.set.Fronts {
+		return
+	}
+	f.counts.now[notesSent]++
+	f.counts.now[noteBytes] += int64(len(text))
+	f.digest.add(uint64(now), uint64(to), uint64(len(text)))
+	f.send(now, message{to: int32(to), kind: kindNote, data: text})
+}
+
+var volumeNames = func() (names [volumes]string) {
+	for i := range names {
+		names[i] = "volume-" + strconv.Itoa(i)
+	}
+	return names
+}()
--- /dev/null
+++ b/internal/lab/hollow/node.go
@@ -0,0 +1,99 @@
+package hollow
+
+import (
+	"otterturn/internal/lab/model"
+	"otterturn/rules"
+)
+
+// node is a storage node behind the network.
+type node struct {
+	sender
+	*model.Node
+	name   string
+	shard  int
+	counts nodeCounts
+}
+
+// job is an attempt that a node works on.
+type job struct {
+	from    int32
+	number  uint64
+	attempt int32
+}
+
+func newNode(s sender, name string, shard int) *node {
+	return &node{sender: s, Node: model.New(s.world.set.figures()), name: name, shard: shard}
+}
+
+func (n *node) handle(end rules.Micros, in []message) {
+	for i := range in {
+		n.work(in[i].at)
+		n.take(&in[i])
+	}
+	n.work(end - 1)
+}
+
+// work lets jobs end until a time.
+func (n *node) work(until rules.Micros) {
+	for {
+		at, any := n.Next()
+		if !any || rules.Micros(at) > until {
+			return
+		}
+		for _, d := range n.Finish(at) {
+			j := d.Tag.(*job)
+			n.counts.served++
+			n.reply(rules.Micros(d.At), j.from, j.number, j.attempt, rules.OK)
+		}
+	}
+}
+
+func (n *node) take(m *message) {
+	switch m.kind {
+	case kindAttempt:
+		n.counts.attempts++
+		n.attempt(m)
+	case kindProbe:
+		n.counts.probes++
+		n.probe(m)
+	}
+}
+
+func (n *node) attempt(m *message) {
+	switch {
+	case n.Dead:
+		n.reply(m.at, m.from, m.number, m.attempt, rules.Unreachable)
+	case n.Mute:
+	case !n.Arrive(int64(m.at), model.Job{Tag: &job{m.from, m.number, m.attempt}, Work: m.value * unitWork}):
+		n.reply(m.at, m.from, m.number, m.attempt, rules.Full)
+	}
+}
+
+func (n *node) reply(at rules.Micros, to int32, number uint64, attempt int32, result rules.Result) {
+	if n.Mute {
+		return
+	}
+	n.send(at, message{to: to, kind: kindReply, number: number, attempt: attempt, result: result})
+}
+
+func (n *node) probe(m *message) {
+	reply := message{to: m.from, kind: kindProbeReply, number: m.number, value: -1}
+	switch {
+	case n.Dead:
+		reply.result = rules.Unreachable
+	case n.Silent():
+		return
+	default:
+		reply.value = float64(n.Probe(int64(m.at)))
+	}
+	n.send(m.at, reply)
+}
+
+// kill ends the node's process: its connections break, and new ones are refused.
+func (n *node) kill(now rules.Micros) {
+	for _, lost := range n.Die() {
+		if j, waits := lost.Tag.(*job); waits {
+			n.reply(now, j.from, j.number, j.attempt, rules.Reset)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/hollow/run.go
@@ -0,0 +1,141 @@
+package hollow
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"otterturn/rules"
+)
+
+// Result is what a fleet did while a script was played.
+type Result struct {
+	Event    Event
+	Settings Settings
+	Digest   uint64
+	Seconds  []Second // from the event on
+	Watched  int      // nodes that the script was about
+	Fronts   int      // that run at the end
+
+	Paid     int64          // attempts at watched nodes that had no answer
+	Avoided  []rules.Micros // since the event, for each front that runs and node that it was to avoid; Never where it does not
+	Informed []rules.Micros // since the news, for each front that runs
+	Unserved rules.Micros   // since the event, the last request for a watched node's data that was not served
+
+	CPU       float64 // seconds of a processor for each front and second of virtual time, of these
+	Scheduler float64 // in the scheduler's steps,
+	Health    float64 // and in the health of nodes
+	Step      time.Duration
+	Start     int64 // bytes of a front that has just started
+	Heap      int64 // bytes of a front at the end
+	Took      time.Duration
+}
+
+// Never is the time of what did not come.
+const Never rules.Micros = 1<<63 - 1
+
+// Run plays an event to a fleet.
+func Run(set Settings, e Event) (Result, error) {
+	began, before := time.Now(), heap()
+	w, err := New(set, e.spares)
+	if err != nil {
+		return Result{}, err
+	}
+	r := Result{Event: e, Settings: w.set, Start: (heap() - before) / int64(set.Fronts)}
+	e.plan(w)
+	w.Run(warm)
+	w.spent()
+	cpu := processorTime()
+	w.Run(warm + e.Span)
+	r.CPU = (processorTime() - cpu).Seconds() / float64(set.Fronts) / seconds(e.Span)
+	r.cost(w, e.Span)
+	r.Digest, r.Seconds = w.Digest(), w.meter.seconds[warm/second:]
+	r.collect(w)
+	r.Heap = (heap() - before) / int64(set.Fronts)
+	r.Took = time.Since(began)
+	runtime.KeepAlive(w)
+	return r, nil
+}
+
+func seconds(m rules.Micros) float64 { return float64(m) / float64(second) }
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// processorTime is what this process has taken so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(fmt.Errorf("getrusage: %w", err)) // the arguments are good, so it can't
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// spent is the cost of all fronts since it was asked last.
+func (w *World) spent() (sum cost) {
+	for _, f := range w.fronts {
+		sum.scheduler += f.cost.scheduler
+		sum.health += f.cost.health
+		sum.steps += f.cost.steps
+		f.cost = cost{}
+	}
+	return sum
+}
+
+func (r *Result) cost(w *World, span rules.Micros) {
+	c := w.spent()
+	each := float64(w.set.Fronts) * seconds(span)
+	r.Scheduler, r.Health = c.scheduler.Seconds()/each, c.health.Seconds()/each
+	r.Step = c.scheduler / time.Duration(max(c.steps, 1))
+}
+
+func (r *Result) collect(w *World) {
+	x := &w.watched
+	r.Watched = len(x.nodes)
+	for _, f := range w.fronts {
+		r.Paid += f.counts.total[paid]
+		if f.down {
+			continue
+		}
+		r.Fronts++
+		for i, at := range f.avoided {
+			if w.concerns(f, x.nodes[i]) {
+				r.Avoided = append(r.Avoided, after(at, x.from))
+			}
+		}
+		if x.informedAt != nil {
+			r.Informed = append(r.Informed, after(x.informedAt[f.id], x.newsAt))
+		}
+		if x.refusedAt != nil && x.refusedAt[f.id] > 0 {
+			r.Unserved = max(r.Unserved, x.refusedAt[f.id]-x.from)
+		}
+	}
+	slices.Sort(r.Avoided)
+	slices.Sort(r.Informed)
+}
+
+// concerns tells that a front is to avoid a watched node: where the regions are cut, one of the other region.
+func (w *World) concerns(f *front, node int32) bool {
+	return !w.watched.across || w.links.region(f.id) != w.links.region(w.nodeID(node))
+}
+
+func after(at, from rules.Micros) rules.Micros {
+	if at == 0 {
+		return Never
+	}
+	return at - from
+}
+
+// Share is the time by which a share of sorted times has come.
+func Share(times []rules.Micros, share float64) rules.Micros {
+	if len(times) == 0 {
+		return 0
+	}
+	return times[min(len(times)-1, int(share*float64(len(times))))]
+}
--- /dev/null
+++ b/internal/lab/hollow/watch.go
@@ -0,0 +1,72 @@
+package hollow
+
+import (
+	"otterturn/internal/net/pace"
+	"otterturn/rules"
+)
+
+// wholeList in the place of a version asks for the whole list.
+const wholeList = -1
+
+// watch is a front's watch on discovery, call by call as the program makes them (transport.Watch).
+type watch struct {
+	pace    *pace.Pace
+	version int64
+	hold    rules.Micros // of the next call
+	opens   bool         // the next call begins a watch
+	at      rules.Micros // of the next call, or when the one that is out counts as failed
+	out     bool
+	number  uint64
+}
+
+func newWatch(f *front, now rules.Micros, version int64) watch {
+	l := f.world.limits
+	p := pace.New(pace.Figures{Least: l.WatchAgain, Most: l.WatchMost, Spread: l.WatchSpread}, f.rng.Int64())
+	return watch{pace: p, version: version, hold: micros(l.WatchHold), opens: true, at: now + micros(p.First()),
+		number: f.watch.number}
+}
+
+// pass makes the call that is due, and gives up one that had no answer.
+func (c *watch) pass(f *front, end rules.Micros) {
+	if c.at >= end {
+		return
+	}
+	if c.out {
+		c.out, c.hold, c.opens = false, 0, true
+		c.at = end + micros(c.pace.Failed())
+		f.counts.now[listFailures]++
+		return
+	}
+	c.number++
+	c.out, c.at = true, end+c.hold+micros(f.world.limits.WatchSilence)
+	f.counts.now[listCalls]++
+	f.counts.now[listBytes] += listCallBytes
+	f.send(end, message{to: f.world.discovery.id, kind: kindListCall, number: c.number, version: c.version, hold: c.hold, opens: c.opens})
+}
+
+// answered takes in an answer of discovery.
+func (c *watch) answered(f *front, m *message) {
+	if !c.out || m.number != c.number {
+		return
+	}
+	c.out = false
+	c.pace.Served()
+	news := m.news
+	f.counts.now[listBytes] += int64(news.bytes)
+	c.at = m.at
+	if c.hold > 0 && len(news.entries) == 0 {
+		c.at += micros(f.world.limits.WatchAgain)
+	}
+	c.version, c.hold, c.opens = m.version, micros(f.world.limits.WatchHold), false
+	if len(news.entries) > 0 {
+		f.learn(m.at, rules.Nodes{Full: news.whole, List: news.entries})
+	}
+	f.world.watched.informed(f, m.version, m.at)
+}
+
+// reload asks for the whole list anew, as the program does at SIGHUP.
+func (c *watch) reload(f *front, now rules.Micros) {
+	number := c.number
+	*c = newWatch(f, now, wholeList)
+	c.number = number
+}
--- /dev/null
+++ b/internal/lab/hollow/world.go
@@ -0,0 +1,169 @@
+package hollow
+
+import (
+	"slices"
+	"sync"
+
+	"otterturn/internal/limits"
+	"otterturn/rules"
+)
+
+// actor is a front, a node or discovery.
+type actor interface {
+	// handle lets a window pass, in which the messages arrive, in order. It ends ahead of end.
+	handle(end rules.Micros, in []message)
+}
+
+// step of a script happens between two windows.
+type step struct {
+	at rules.Micros // since the beginning
+	do func(*World)
+}
+
+// World is a fleet in virtual time.
+type World struct {
+	set       Settings
+	limits    limits.Limits
+	links     links
+	fronts    []*front
+	nodes     []*node
+	discovery *discovery
+	listed    []rules.Listing // the list as discovery has it, by number of the node
+
+	actors    []actor
+	mailboxes []mailbox
+	outboxes  []outbox // of each worker
+	script    []step
+	window    int64
+	meter     meter
+	watched   watched
+}
+
+// New returns a fleet in which every front has just started with the whole list. spares are nodes beyond those of the
+// settings, which are not on the list yet.
+func New(set Settings, spares int) (*World, error) {
+	if err := set.validate(); err != nil {
+		return nil, err
+	}
+	w := &World{set: set, limits: set.limits()}
+	count := set.Fronts + set.Nodes + spares + 1
+	w.mailboxes = make([]mailbox, count)
+	w.links = links{zones: set.Zones, regions: set.Regions, zone: make([]int32, count), gone: make([]bool, set.Zones)}
+	w.outboxes = make([]outbox, set.Workers)
+	for i := range w.outboxes {
+		w.outboxes[i] = make(outbox, set.Workers)
+	}
+	for i := range set.Fronts {
+		w.links.zone[i] = int32(i % set.Zones)
+	}
+	for i := range set.Nodes + spares {
+		w.addNode(i)
+	}
+	w.discovery = newDiscovery(w.sender(int32(count - 1)))
+	for i := range set.Fronts {
+		f, err := newFront(w.sender(int32(i)))
+		if err != nil {
+			return nil, err
+		}
+		w.fronts = append(w.fronts, f)
+	}
+	for _, f := range w.fronts {
+		w.actors = append(w.actors, f)
+	}
+	for _, n := range w.nodes {
+		w.actors = append(w.actors, n)
+	}
+	w.actors = append(w.actors, w.discovery)
+	return w, w.startAll()
+}
+
+func (w *World) startAll() error {
+	errs := make([]error, len(w.fronts))
+	w.parallel(func(worker int) {
+		for i := worker; i < len(w.fronts); i += w.set.Workers {
+			errs[i] = w.fronts[i].start(w.now())
+		}
+	})
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) addNode(i int) {
+	id := int32(w.set.Fronts + i)
+	zone := int32(i % w.set.Zones)
+	w.links.zone[id] = zone
+	n := newNode(w.sender(id), nodeName(i, int(zone), int(w.links.regionOf(zone))), i%w.set.Nodes)
+	w.nodes = append(w.nodes, n)
+	state := rules.Running
+	if i >= w.set.Nodes {
+		state = rules.Gone
+	}
+	w.listed = append(w.listed, rules.Listing{Node: n.name, Zone: int(zone), Shard: n.shard, State: state})
+}
+
+func (w *World) sender(id int32) sender {
+	return sender{world: w, id: id, out: &w.outboxes[w.shard(id)]}
+}
+
+// shard is the worker that has an actor.
+func (w *World) shard(id int32) int { return int(id) % w.set.Workers }
+
+// nodeID is the actor of a node.
+func (w *World) nodeID(node int32) int32 { return int32(w.set.Fronts) + node }
+
+// now is the time at which the next window begins.
+func (w *World) now() rules.Micros { return begin + rules.Micros(w.window)*tick }
+
+// At plans a step of the script for a time since the beginning, which must not be past.
+func (w *World) At(at rules.Micros, do func(*World)) {
+	w.script = append(w.script, step{at, do})
+	slices.SortStableFunc(w.script, func(a, b step) int { return int(a.at - b.at) })
+}
+
+// Run lets time pass up to a time since the beginning.
+func (w *World) Run(until rules.Micros) {
+	for ; w.now() < begin+until; w.window++ {
+		for len(w.script) > 0 && begin+w.script[0].at <= w.now() {
+			next := w.script[0]
+			w.script = w.script[1:]
+			next.do(w)
+		}
+		w.parallel(w.pass)
+		w.parallel(w.deliver)
+		if end := w.now() + tick; (end-begin)%second == 0 {
+			w.meter.close(w)
+		}
+	}
+}
+
+// pass has the actors of a worker handle the window.
+func (w *World) pass(worker int) {
+	end := w.now() + tick
+	for i := worker; i < len(w.actors); i += w.set.Workers {
+		w.actors[i].handle(end, w.mailboxes[i].take(w.window))
+	}
+}
+
+// deliver puts what was sent to the actors of a worker into their mailboxes.
+func (w *World) deliver(worker int) {
+	for _, from := range w.outboxes {
+		for _, m := range from[worker] {
+			w.mailboxes[m.to].put(m)
+		}
+		clear(from[worker])
+		from[worker] = from[worker][:0]
+	}
+}
+
+// parallel does something once for each worker.
+func (w *World) parallel(do func(worker int)) {
+	var all sync.WaitGroup
+	for worker := range w.set.Workers {
+		all.Go(func() { do(worker) })
+	}
+	all.Wait()
+}
