--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -30,6 +30,7 @@
 	Demo      demo     `cmd:"" help:"Emulated nodes, an appliance, a little load, a few console screens and a report, in under a minute."`
 	Speed     speed    `cmd:"" help:"Tell how fast virtual time goes, by the number of nodes."`
 	Histories years    `cmd:"" help:"Certificates' years against authorities that fail, in virtual time."`
+	Capacity  capacity `cmd:"" help:"What a fleet of hollow fronts costs, by its size and event: the table of the page on capacity."`
 	Authority issuer   `cmd:"" help:"A certificate authority that speaks ACME on loopback, until it is interrupted."`
 }
 
--- a/internal/lab/hollow/discovery.go
+++ b/internal/lab/hollow/discovery.go
@@ -82,6 +82,7 @@
 	for i := range d.held {
 		if h := &d.held[i]; h.is {
 			h.is, h.at, h.opens = false, now, false
+			d.counts.asked += float64(len(nodes))
 			d.turn = append(d.turn, h.message)
 		}
 	}
@@ -100,6 +101,7 @@
 // call takes a call: it is held while there is nothing to tell, or waits in turn.
 func (d *discovery) call(m *message) {
 	if m.opens || m.hold == 0 || m.version != d.version {
+		d.counts.asked += d.lines(m, d.news(m.version))
 		d.turn = append(d.turn, *m)
 		return
 	}
--- a/internal/lab/hollow/meter.go
+++ b/internal/lab/hollow/meter.go
@@ -31,8 +31,8 @@
 	figures // how many there are
 )
 
-// control are the figures whose sum is the traffic of control, in bytes.
-var control = []figure{probeTraffic, noteBytes, healthBytes, listBytes}
+// controlFigures are those whose sum is the traffic of control, in bytes.
+var controlFigures = []figure{probeTraffic, noteBytes, healthBytes, listBytes}
 
 // counts are those of a front.
 type counts struct {
@@ -42,7 +42,7 @@
 
 // controlBytes is the traffic of control in a second.
 func (c *counts) controlBytes() (sum int64) {
-	for _, f := range control {
+	for _, f := range controlFigures {
 		sum += c.now[f]
 	}
 	return sum
@@ -60,7 +60,8 @@
 
 type discoveryCounts struct {
 	calls, dropped int64
-	lines          float64
+	lines          float64 // answered
+	asked          float64
 }
 
 // Second is what a fleet did in a second of virtual time.
@@ -70,6 +71,7 @@
 	Control     int64          // bytes of all fronts
 	MostControl int64          // bytes at one front
 	Lines       float64        // that discovery answered
+	Asked       float64        // lines that calls asked it for
 	Calls       int64          // that it got
 	MostAtNode  int64          // attempts at one node
 }
@@ -95,7 +97,7 @@
 		f.counts.now = [figures]int64{}
 	}
 	d := w.discovery.counts
-	s.Lines, s.Calls = d.lines-m.discovery.lines, d.calls-m.discovery.calls
+	s.Lines, s.Asked, s.Calls = d.lines-m.discovery.lines, d.asked-m.discovery.asked, d.calls-m.discovery.calls
 	m.discovery = d
 	if m.attempts == nil {
 		m.attempts = make([]int64, len(w.nodes))
--- /dev/null
+++ b/internal/lab/hollow/report.go
@@ -0,0 +1,112 @@
+package hollow
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Plan is what is measured.
+type Plan struct {
+	Sizes   []int // numbers of fronts, in rising order
+	Small   int   // events that are not Large are played at sizes up to this
+	Events  []string
+	Health  []bool // without and with
+	Seed    uint64
+	Workers int
+}
+
+// Line is a row of the page with its figures.
+type Line struct {
+	Phase, Role, What, Unit, Formula, Mechanism string
+	Health                                      bool
+	Sizes, Values                               []float64
+	Fit                                         Fit
+	Full                                        float64 // value at FullFronts
+	Measured                                    bool    // it was measured there
+	Least                                       bool    // it took longer than the phase
+	Budget, Ratio                               float64 // 0 for none
+}
+
+// Measure plays the events of a plan and returns the page's rows. progress hears of each run.
+func Measure(p Plan, progress func(string)) ([]Line, error) {
+	results := map[string][]*Result{}
+	for _, e := range Events {
+		if len(p.Events) > 0 && !slices.Contains(p.Events, e.Name) {
+			continue
+		}
+		for _, size := range p.Sizes {
+			if !e.Large && size > p.Small {
+				continue
+			}
+			for _, health := range p.Health {
+				set := Default(size)
+				set.Health, set.Seed, set.Workers = health, p.Seed, p.Workers
+				played, err := Run(set, e)
+				if err != nil {
+					return nil, fmt.Errorf("%s at %d fronts: %w", e.Name, size, err)
+				}
+				for i := range played {
+					r := &played[i]
+					results[key(r.Phase.Name, health)] = append(results[key(r.Phase.Name, health)], r)
+					progress(fmt.Sprintf("%s at %d x %d, health %v, digest %016x, took %.1f s, a core's share a front %.4f (scheduler's wall %.4f)",
+						r.Phase.Name, size, set.Nodes, health, r.Digest, r.Took.Seconds(), r.CPU, r.Scheduler))
+				}
+			}
+		}
+	}
+	return lineUp(p, results), nil
+}
+
+func key(phase string, health bool) string { return fmt.Sprint(phase, " ", health) }
+
+func lineUp(p Plan, results map[string][]*Result) (out []Line) {
+	for _, row := range allRows() {
+		without := 0.0 // health of nodes
+		for _, health := range p.Health {
+			rs := results[key(row.phase, health)]
+			if len(rs) == 0 {
+				continue
+			}
+			l := row.line(health, rs)
+			if row.shared {
+				if !health {
+					without = l.Full
+				}
+				l.Budget = row.budget * without
+			}
+			if l.Budget > 0 && !math.IsNaN(l.Full) {
+				l.Ratio = l.Full / l.Budget
+			}
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (row *row) line(health bool, rs []*Result) Line {
+	l := Line{Phase: row.phase, Role: row.role, What: row.what, Unit: row.unit, Formula: row.formula, Mechanism: row.mechanism,
+		Health: health, Budget: row.budget}
+	if health {
+		l.Mechanism = row.healthy
+	}
+	for _, r := range rs {
+		l.Sizes = append(l.Sizes, float64(r.Settings.Fronts))
+		l.Values = append(l.Values, row.of(r))
+	}
+	l.Fit = fit(l.Sizes, l.Values)
+	l.Full, l.Measured = value(FullFronts, l.Sizes, l.Values, l.Fit)
+	final := rs[len(rs)-1]
+	l.Least = row.unit == "s" && l.Values[len(rs)-1] >= seconds(final.Phase.Span)
+	return l
+}
+
+// Worst is the line with the highest ratio, nil where none has a budget.
+func Worst(lines []Line, health bool) (worst *Line) {
+	for i := range lines {
+		if l := &lines[i]; l.Health == health && (worst == nil || l.Ratio > worst.Ratio) {
+			worst = l
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/lab/hollow/rows.go
@@ -0,0 +1,99 @@
+package hollow
+
+import "otterturn/rules"
+
+// Budgets of a front's control, and of the mechanisms.
+const (
+	controlBudget   = 16 << 10  // bytes a second
+	memoryBudget    = 256 << 20 // bytes
+	processorBudget = 0.05      // of a core
+	probeBudget     = 50.0      // a second at each silent node, of the whole fleet
+	avoidBudget     = 2.0       // seconds until all fronts that can be told avoid a node
+	changeBudget    = 4.0       // seconds until a change is in force everywhere
+	primaryBudget   = 19.0      // seconds that a change of primary takes
+	paidShare       = 0.1       // of the failed requests that are paid for each node without health of nodes
+)
+
+// row is a line of the page: a figure of a phase, by the number of fronts.
+type row struct {
+	phase, role, what, unit string
+	formula                 string
+	budget                  float64 // 0 for none
+	shared                  bool    // the budget is a share of what is measured without health of nodes
+	mechanism, healthy      string  // that carries it, without and with health of nodes
+	of                      func(*Result) float64
+}
+
+const (
+	byWatch   = "`internal/net/pace`"
+	byRules   = "`rules`"
+	byCold    = "`rules/cold`"
+	byHealth  = "`internal/fleet/health`"
+	byNothing = "missing"
+)
+
+func peak(r *Result, of func(*Second) float64) (most float64) {
+	for i := range r.Seconds {
+		most = max(most, of(&r.Seconds[i]))
+	}
+	return most
+}
+
+func last(r *Result, of func(*Second) float64) float64 { return of(&r.Seconds[len(r.Seconds)-1]) }
+
+func sum(f figure) func(*Second) float64 { return func(s *Second) float64 { return float64(s.Sum[f]) } }
+
+func most(f figure) func(*Second) float64 {
+	return func(s *Second) float64 { return float64(s.Most[f]) }
+}
+
+func control(s *Second) float64     { return float64(s.Control) }
+func mostControl(s *Second) float64 { return float64(s.MostControl) }
+func lines(s *Second) float64       { return s.Lines }
+
+// total is the sum of a figure over the phase and the fleet.
+func total(r *Result, f figure) (sum float64) {
+	for i := range r.Seconds {
+		sum += float64(r.Seconds[i].Sum[f])
+	}
+	return sum
+}
+
+// until is the time by which a share of sorted times has come, in seconds: the phase's length where it has not.
+func until(r *Result, times []rules.Micros, share float64) float64 {
+	return seconds(min(Share(times, share), r.Phase.Span))
+}
+
+// silent are the rows of phases in which nodes fall silent.
+func silent(phase string) []row {
+	return []row{
+		{phase: phase, role: "front, control", what: "messages of control, mean of the fronts in the worst second", unit: "B/s",
+			formula: "probes x 270 B + health + list calls", budget: controlBudget, mechanism: byNothing, healthy: byHealth,
+			of: func(r *Result) float64 { return peak(r, control) / float64(r.Fronts) }},
+		{phase: phase, role: "front, control", what: "the same, at the busiest front", unit: "B/s", formula: "as above",
+			budget: controlBudget, mechanism: byNothing, healthy: byHealth,
+			of: func(r *Result) float64 { return peak(r, mostControl) }},
+		{phase: phase, role: "front, control", what: "the same, mean in the last second", unit: "B/s", formula: "as above",
+			budget: controlBudget, mechanism: byNothing, healthy: byHealth,
+			of: func(r *Result) float64 { return last(r, control) / float64(r.Fronts) }},
+		{phase: phase, role: "node", what: "probes at each silent node in the worst second", unit: "/s",
+			formula: "fronts x min(5, 1 / probe time)", budget: probeBudget, mechanism: byNothing, healthy: byHealth,
+			of: func(r *Result) float64 { return peak(r, sum(probesWatched)) / float64(r.Watched) }},
+		{phase: phase, role: "node", what: "probes at each silent node in the last second", unit: "/s",
+			formula: "fronts x 8 / silence", budget: probeBudget, mechanism: byNothing, healthy: byHealth,
+			of: func(r *Result) float64 { return last(r, sum(probesWatched)) / float64(r.Watched) }},
+		{phase: phase, role: "fleet", what: "probes in the worst second", unit: "/s", formula: "fronts x silent nodes x the above",
+			mechanism: byNothing, healthy: byHealth, of: func(r *Result) float64 { return peak(r, sum(probesSent)) }},
+		{phase: phase, role: "fleet", what: "failed requests for each silent node", unit: "",
+			formula: "fronts x (1 + rate of a pair x 0.3 s)", budget: paidShare, shared: true, mechanism: byNothing, healthy: byHealth,
+			of: func(r *Result) float64 { return total(r, paid) / float64(r.Watched) }},
+		{phase: phase, role: "front, data path", what: "time until 99% of fronts and silent nodes are apart", unit: "s",
+			formula: "4.6 / rate of a pair + 0.3 s", budget: avoidBudget, mechanism: byNothing, healthy: byHealth,
+			of: func(r *Result) float64 { return until(r, r.Avoided, 0.99) }},
+		{phase: phase, role: "front, data path", what: "time until all are", unit: "s", formula: "ln(pairs) / rate of a pair + 0.3 s",
+			budget: avoidBudget, mechanism: byNothing, healthy: byHealth,
+			of: func(r *Result) float64 { return until(r, r.Avoided, 1) }},
+		{phase: phase, role: "front, control", what: "processor time of health", unit: "core", formula: "events x time of a step",
+			budget: processorBudget, mechanism: "none", healthy: byHealth, of: func(r *Result) float64 { return r.Health }},
+	}
+}
--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -10,26 +10,25 @@
 	"otterturn/rules"
 )
 
-// Result is what a fleet did while a script was played.
+// Result is what a fleet did in a phase of a script.
 type Result struct {
-	Event    Event
+	Phase    Phase
 	Settings Settings
-	Digest   uint64
-	Seconds  []Second // from the event on
-	Watched  int      // nodes that the script was about
-	Fronts   int      // that run at the end
+	Digest   uint64 // of all up to its end
+	Seconds  []Second
+	Watched  int // nodes that the phase was about
+	Fronts   int // that run at its end
 
-	Paid     int64          // attempts at watched nodes that had no answer
-	Avoided  []rules.Micros // since the event, for each front that runs and node that it was to avoid; Never where it does not
+	Avoided  []rules.Micros // since it began, for each front that runs and node that it is to avoid; Never where it does not
 	Informed []rules.Micros // since the news, for each front that runs
-	Unserved rules.Micros   // since the event, the last request for a watched node's data that was not served
+	Unserved rules.Micros   // since it began, the last request for a watched node's data that was not served
 
 	CPU       float64 // seconds of a processor for each front and second of virtual time, of these
 	Scheduler float64 // in the scheduler's steps,
 	Health    float64 // and in the health of nodes
 	Step      time.Duration
 	Start     int64 // bytes of a front that has just started
-	Heap      int64 // bytes of a front at the end
+	Heap      int64 // bytes of a front at the end of the event
 	Took      time.Duration
 }
 
@@ -37,26 +36,38 @@
 const Never rules.Micros = 1<<63 - 1
 
 // Run plays an event to a fleet.
-func Run(set Settings, e Event) (Result, error) {
-	began, before := time.Now(), heap()
+func Run(set Settings, e Event) ([]Result, error) {
+	before := heap()
 	w, err := New(set, e.spares)
 	if err != nil {
-		return Result{}, err
+		return nil, err
 	}
-	r := Result{Event: e, Settings: w.set, Start: (heap() - before) / int64(set.Fronts)}
-	e.plan(w)
+	start := (heap() - before) / int64(set.Fronts)
 	w.Run(warm)
+	var results []Result
+	for _, p := range e.Phases {
+		results = append(results, w.play(p))
+	}
+	end := (heap() - before) / int64(set.Fronts)
+	for i := range results {
+		results[i].Start, results[i].Heap = start, end
+	}
+	runtime.KeepAlive(w)
+	return results, nil
+}
+
+// play plays one phase.
+func (w *World) play(p Phase) Result {
+	began, cpu, from := time.Now(), processorTime(), len(w.meter.seconds)
 	w.spent()
-	cpu := processorTime()
-	w.Run(warm + e.Span)
-	r.CPU = (processorTime() - cpu).Seconds() / float64(set.Fronts) / seconds(e.Span)
-	r.cost(w, e.Span)
-	r.Digest, r.Seconds = w.Digest(), w.meter.seconds[warm/second:]
+	w.watched = watched{}
+	p.do(w)
+	w.Run(p.Span)
+	r := Result{Phase: p, Settings: w.set, Digest: w.Digest(), Seconds: w.meter.seconds[from:], Took: time.Since(began)}
+	r.CPU = (processorTime() - cpu).Seconds() / float64(w.set.Fronts) / seconds(p.Span)
+	r.cost(w, p.Span)
 	r.collect(w)
-	r.Heap = (heap() - before) / int64(set.Fronts)
-	r.Took = time.Since(began)
-	runtime.KeepAlive(w)
-	return r, nil
+	return r
 }
 
 func seconds(m rules.Micros) float64 { return float64(m) / float64(second) }
@@ -99,7 +110,6 @@
 	x := &w.watched
 	r.Watched = len(x.nodes)
 	for _, f := range w.fronts {
-		r.Paid += f.counts.total[paid]
 		if f.down {
 			continue
 		}
--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -16,7 +16,7 @@
 
 // step of a script happens between two windows.
 type step struct {
-	at rules.Micros // since the beginning
+	at rules.Micros
 	do func(*World)
 }
 
@@ -118,16 +118,16 @@
 // now is the time at which the next window begins.
 func (w *World) now() rules.Micros { return begin + rules.Micros(w.window)*tick }
 
-// At plans a step of the script for a time since the beginning, which must not be past.
-func (w *World) At(at rules.Micros, do func(*World)) {
-	w.script = append(w.script, step{at, do})
+// After plans a step of the script.
+func (w *World) After(wait rules.Micros, do func(*World)) {
+	w.script = append(w.script, step{w.now() + wait, do})
 	slices.SortStableFunc(w.script, func(a, b step) int { return int(a.at - b.at) })
 }
 
-// Run lets time pass up to a time since the beginning.
-func (w *World) Run(until rules.Micros) {
-	for ; w.now() < begin+until; w.window++ {
-		for len(w.script) > 0 && begin+w.script[0].at <= w.now() {
+// Run lets time pass.
+func (w *World) Run(span rules.Micros) {
+	for until := w.now() + span; w.now() < until; w.window++ {
+		for len(w.script) > 0 && w.script[0].at <= w.now() {
 			next := w.script[0]
 			w.script = w.script[1:]
 			next.do(w)
