--- a/internal/lab/hollow/health.go
+++ b/internal/lab/hollow/health.go
@@ -1,22 +1,108 @@
 package hollow
 
 import (
-	"errors"
+	"time"
 
+	"otterturn/internal/fleet/health"
 	"otterturn/rules"
 )
 
 // zoneHealth is a front's part in the health of nodes.
-type zoneHealth struct{}
+type zoneHealth struct {
+	monitor *health.Monitor
+	events  []health.Event // since the last step
+	alarm   rules.Micros   // 0 for none
+}
 
-func newZoneHealth(*front, rules.Micros) (*zoneHealth, error) {
-	return nil, errors.New("hollow: health of nodes is not wired yet")
+func newZoneHealth(f *front, now rules.Micros) (*zoneHealth, error) {
+	w := f.world
+	zones := make([]int, w.set.Fronts)
+	for i := range zones {
+		zones[i] = int(w.links.zone[i])
+	}
+	monitor, err := health.New(health.Defaults(int(f.id), int64(now), zones))
+	if err != nil {
+		return nil, err
+	}
+	return &zoneHealth{monitor: monitor}, nil
 }
 
-func (z *zoneHealth) learn(rules.Nodes)                  {}
-func (z *zoneHealth) attemptStarted(string, string, int) {}
-func (z *zoneHealth) attemptEnded(string, rules.Outcome) {}
-func (z *zoneHealth) probeWanted(string)                 {}
-func (z *zoneHealth) probeEnded(rules.Probed)            {}
-func (z *zoneHealth) pass(*front, rules.Micros)          {}
-func (f *front) healthHeard(*message)                    {}
+func (z *zoneHealth) hear(e health.Event) { z.events = append(z.events, e) }
+
+func (z *zoneHealth) learn(list rules.Nodes) {
+	z.hear(health.NodeList{Full: list.Full, Nodes: list.List})
+}
+
+func (z *zoneHealth) attemptStarted(node, id string, attempt int) {
+	z.hear(health.AttemptStarted{Node: node, ID: id, Attempt: attempt})
+}
+
+func (z *zoneHealth) attemptEnded(node string, o rules.Outcome) {
+	z.hear(health.AttemptEnded{Node: node, ID: o.ID, Attempt: o.Attempt, Result: o.Result, Alive: o.Alive})
+}
+
+func (z *zoneHealth) probeWanted(node string) { z.hear(health.ProbeWanted{Node: node}) }
+
+func (z *zoneHealth) probeEnded(p rules.Probed) { z.hear(health.ProbeEnded{Probed: p}) }
+
+// pass hands the events of a window to the monitor, and carries its actions out.
+func (z *zoneHealth) pass(f *front, now rules.Micros) {
+	if z.alarm > 0 && z.alarm < now {
+		z.alarm = 0
+		z.hear(health.Alarm{})
+	}
+	if len(z.events) == 0 {
+		return
+	}
+	began := time.Now()
+	actions := z.monitor.Step(now, z.events)
+	f.cost.health += time.Since(began)
+	clear(z.events)
+	z.events = z.events[:0]
+	for _, a := range actions {
+		z.perform(f, now, a)
+	}
+}
+
+func (z *zoneHealth) perform(f *front, now rules.Micros, a health.Action) {
+	switch a := a.(type) {
+	case health.StartProbe:
+		if node, known := f.numbers[a.Node]; known {
+			f.probe(now, node)
+		} else {
+			z.probeEnded(rules.Probed{Node: a.Node, Queue: -1})
+		}
+	case health.ProbeAnswered:
+		f.events = append(f.events, a.Probed)
+	case health.Report:
+		f.events = append(f.events, a.NodeSilent)
+	case health.Send:
+		z.send(f, now, a)
+	case health.SetAlarm:
+		z.alarm = a.At
+	}
+}
+
+func (z *zoneHealth) send(f *front, now rules.Micros, a health.Send) {
+	data := a.Message.Encode()
+	f.counts.now[healthSent]++
+	f.counts.now[healthBytes] += int64(len(data))
+	f.digest.add(uint64(now), uint64(a.To), uint64(len(data)), uint64(a.Message.Sequence))
+	f.send(now, message{to: int32(a.To), kind: kindHealth, data: data})
+}
+
+// healthHeard takes in a message of another front.
+func (f *front) healthHeard(m *message) {
+	if f.health == nil {
+		return
+	}
+	f.counts.now[healthReceived]++
+	f.counts.now[healthBytes] += int64(len(m.data))
+	in, err := health.Decode(m.data)
+	if err != nil {
+		f.counts.now[unreadable]++
+		f.health.monitor.Unreadable()
+		return
+	}
+	f.health.hear(health.Received{From: int(m.from), Message: in})
+}
--- a/internal/lab/hollow/probes.go
+++ b/internal/lab/hollow/probes.go
@@ -21,7 +21,7 @@
 func (f *front) probe(now rules.Micros, node int32) {
 	f.probed++
 	f.probes[f.probed] = node
-	f.late.push(probeOut{f.probed, now + micros(f.world.limits.Probe)})
+	f.late.push(probeOut{f.probed, now + micros(f.world.limits.Nodes.ProbeTimeout)})
 	f.counts.now[probesSent]++
 	f.counts.now[probeTraffic] += probeBytes
 	f.world.watched.probed(f, node)
--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -114,9 +114,9 @@
 			continue
 		}
 		r.Fronts++
-		for i, at := range f.avoided {
-			if w.concerns(f, x.nodes[i]) {
-				r.Avoided = append(r.Avoided, after(at, x.from))
+		for i, n := range x.nodes {
+			if w.concerns(f, n) {
+				r.Avoided = append(r.Avoided, after(f.avoided[i], x.from))
 			}
 		}
 		if x.informedAt != nil {
--- a/internal/lab/hollow/watch.go
+++ b/internal/lab/hollow/watch.go
@@ -21,8 +21,8 @@
 
 func newWatch(f *front, now rules.Micros, version int64) watch {
 	l := f.world.limits
-	p := pace.New(pace.Figures{Least: l.WatchAgain, Most: l.WatchMost, Spread: l.WatchSpread}, f.rng.Int64())
-	return watch{pace: p, version: version, hold: micros(l.WatchHold), opens: true, at: now + micros(p.First()),
+	p := pace.New(pace.Figures{Least: l.Discovery.RetryMin, Most: l.Discovery.RetryMax, Spread: l.Discovery.StartSpread}, f.rng.Int64())
+	return watch{pace: p, version: version, hold: micros(l.Discovery.WatchHold), opens: true, at: now + micros(p.First()),
 		number: f.watch.number}
 }
 
@@ -38,7 +38,7 @@
 		return
 	}
 	c.number++
-	c.out, c.at = true, end+c.hold+micros(f.world.limits.WatchSilence)
+	c.out, c.at = true, end+c.hold+micros(f.world.limits.Discovery.AnswerTimeout)
 	f.counts.now[listCalls]++
 	f.counts.now[listBytes] += listCallBytes
 	f.send(end, message{to: f.world.discovery.id, kind: kindListCall, number: c.number, version: c.version, hold: c.hold, opens: c.opens})
@@ -55,9 +55,9 @@
 	f.counts.now[listBytes] += int64(news.bytes)
 	c.at = m.at
 	if c.hold > 0 && len(news.entries) == 0 {
-		c.at += micros(f.world.limits.WatchAgain)
+		c.at += micros(f.world.limits.Discovery.RetryMin)
 	}
-	c.version, c.hold, c.opens = m.version, micros(f.world.limits.WatchHold), false
+	c.version, c.hold, c.opens = m.version, micros(f.world.limits.Discovery.WatchHold), false
 	if len(news.entries) > 0 {
 		f.learn(m.at, rules.Nodes{Full: news.whole, List: news.entries})
 	}
