--- a/internal/lab/hollow/events.go
+++ b/internal/lab/hollow/events.go
@@ -5,9 +5,6 @@
 	"otterturn/rules/cold"
 )
 
-// warm is how long a fleet serves ahead of an event: each front meets most nodes in it.
-const warm = 3 * second
-
 // Event is a script that is played to a fleet that serves, phase by phase.
 type Event struct {
 	Name   string
@@ -31,7 +28,7 @@
 		{"zone", "a zone's nodes and fronts fall silent; the list does not tell", 12 * second, zoneGone}}},
 	{Name: "region", Large: true, Phases: []Phase{
 		{"region", "the regions don't hear each other", 6 * second, regionCut},
-		{"healed", "they do again", 4 * second, func(w *World) { w.links.regionsCut = false }}}},
+		{"healed", "they do again", 4 * second, func(w *World) { w.links.partRegions(false) }}}},
 	{Name: "lists", Phases: []Phase{
 		{"change", "one entry of the list changes: a node drains", 3 * second, changeList},
 		{"front-restart", "one front's process begins anew", 4 * second, restartFronts(1)},
@@ -68,7 +65,7 @@
 func zoneGone(w *World) {
 	last := w.set.Zones - 1 // discovery stands in the first one
 	w.Watch(w.zoneNodes(last)...)
-	w.links.gone[last] = true
+	w.links.silence(last)
 	for _, f := range w.zoneFronts(last) {
 		f.stop()
 	}
@@ -83,7 +80,7 @@
 	}
 	w.Watch(far...)
 	w.watched.across = true
-	w.links.regionsCut = true
+	w.links.partRegions(true)
 }
 
 func restartFronts(many int) func(*World) {
--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	start := (heap() - before) / int64(set.Fronts)
-	w.Run(warm)
+	w.Run(set.Warm)
 	var results []Result
 	for _, p := range e.Phases {
 		results = append(results, w.play(p))
--- a/internal/lab/hollow/settings.go
+++ b/internal/lab/hollow/settings.go
@@ -37,14 +37,15 @@
 	Rate           float64 // requests a second at each front
 	Health         bool    // internal/fleet/health is switched on
 	Seed           uint64
-	Workers        int     // goroutines, 0 for one a processor
-	DiscoveryLines float64 // that discovery answers a second
+	Workers        int          // goroutines, 0 for one a processor
+	DiscoveryLines float64      // that discovery answers a second
+	Warm           rules.Micros // the fleet serves for so long ahead of an event
 }
 
 // Default returns the settings of a fleet of so many fronts, at the proportions of the size that decides the design.
 func Default(fronts int) Settings {
 	return Settings{Fronts: fronts, Nodes: fronts * FullNodes / FullFronts, Zones: 10, Regions: 2, Rate: FullRate,
-		Seed: 1, DiscoveryLines: 9_000}
+		Seed: 1, DiscoveryLines: 9_000, Warm: 3 * second}
 }
 
 // The size that decides the design.
--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -48,7 +48,7 @@
 	w := &World{set: set, limits: set.limits()}
 	count := set.Fronts + set.Nodes + spares + 1
 	w.mailboxes = make([]mailbox, count)
-	w.links = links{zones: set.Zones, regions: set.Regions, zone: make([]int32, count), gone: make([]bool, set.Zones)}
+	w.links = newLinks(set.Zones, set.Regions, set.Fronts, count)
 	w.outboxes = make([]outbox, set.Workers)
 	for i := range w.outboxes {
 		w.outboxes[i] = make(outbox, set.Workers)
