--- a/rules/scheduler.go
+++ b/rules/scheduler.go
@@ -7,9 +7,9 @@
 	"otterturn/rules/agenda"
 	"otterturn/rules/allowance"
 	"otterturn/rules/cold"
-	"otterturn/rules/fading"
-	"otterturn/rules/ranked"
-	"otterturn/rules/turns"
+	"otterturn/rules/expiring"
+	"otterturn/rules/fifo"
+	"otterturn/rules/orderedset"
 )
 
 // Figures of the design, the same for every deployment.
@@ -44,12 +44,12 @@
 	byName     map[string]*node
 	agenda     agenda.Agenda[Micros, *node] // nodes that something happened or is due at
 	shards     map[int]*shard
-	busy       ranked.Set[*shard] // those that something is held for, in the order of their first request
-	volumes    fading.Table[string, *volume]
-	flows      fading.Table[place, *flow]
+	busy       orderedset.Set[*shard] // those that something is held for, in the order of their first request
+	volumes    expiring.Table[string, *volume]
+	flows      expiring.Table[flowKey, *flow]
 	reqs       map[string]*request
-	turns      turns.Turns[Micros, *request]
-	refused    fading.Table[Request, *request] // what clients may bring again, until their time is up
+	byKey      fifo.Queues[Micros, *request]     // requests of classes that keep the order of a key
+	refused    expiring.Table[Request, *request] // what clients may bring again, until their time is up
 	wakeSet    bool
 	sweptAt    Micros                      // idle volumes and flows count as forgotten as of then
 	allowance  allowance.Allowance[Micros] // of further attempts
@@ -64,9 +64,9 @@
 		return nil, err
 	}
 	s := &Scheduler{rng: rand.New(rand.NewPCG(uint64(seed), 0)), byName: map[string]*node{},
-		shards: map[int]*shard{}, reqs: map[string]*request{}, turns: turns.New[Micros, *request](),
-		volumes: fading.Of[string, *volume](), flows: fading.Of[place, *flow](),
-		refused: fading.Of[Request, *request](),
+		shards: map[int]*shard{}, reqs: map[string]*request{}, byKey: fifo.New[Micros, *request](),
+		volumes: expiring.New[string, *volume](), flows: expiring.New[flowKey, *flow](),
+		refused: expiring.New[Request, *request](),
 		agenda:  agenda.Of[Micros, *node](fastInterval, slowInterval)}
 	s.cold = cold.Figures[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
 		Multiple: set.FallMultiple, Span: set.FallSpan, Units: set.ColdUnits, Peers: set.Peers}
