--- a/cmd/otterlab/capacity.go
+++ b/cmd/otterlab/capacity.go
@@ -7,19 +7,22 @@
 	"os"
 	"runtime/debug"
 	"slices"
+	"time"
 
 	"otterturn/internal/lab/hollow"
+	"otterturn/rules"
 )
 
 type capacity struct {
-	Sizes    []int    `help:"Fronts of the fleets that are played, with one and a half times as many nodes." default:"75,150,300,600,1200"`
-	Small    int      `help:"Events that are not about the whole fleet are played at sizes up to this; beyond it they are reckoned." default:"300"`
-	Events   []string `help:"Events that are played, all by default."`
-	Health   string   `help:"Without or with health of nodes, or both." enum:"on,off,both" default:"both"`
-	Seed     uint64   `help:"Of what is drawn." default:"1"`
-	Workers  int      `help:"Goroutines, 0 for one a processor." default:"0"`
-	Memory   int64    `help:"Soft bound, in gigabytes." default:"12"`
-	Markdown bool     `help:"Print the tables as Markdown."`
+	Sizes    []int         `help:"Fronts of the fleets that are played, with one and a half times as many nodes." default:"75,150,300,600,1200"`
+	Small    int           `help:"Events that are not about the whole fleet are played at sizes up to this; beyond it they are reckoned." default:"300"`
+	Events   []string      `help:"Events that are played, all by default."`
+	Health   string        `help:"Without or with health of nodes, or both." enum:"on,off,both" default:"both"`
+	Seed     uint64        `help:"Of what is drawn." default:"1"`
+	Workers  int           `help:"Goroutines, 0 for one a processor." default:"0"`
+	Memory   int64         `help:"Soft bound, in gigabytes." default:"12"`
+	Suspect  time.Duration `help:"After which health of nodes suspects an attempt that is out, 0 for its default." name:"suspect-after" default:"0s"`
+	Markdown bool          `help:"Print the tables as Markdown."`
 }
 
 // Run plays fleets of hollow fronts and prints the page's table. What a run says of itself goes to standard error.
@@ -35,7 +38,8 @@
 	}
 	debug.SetMemoryLimit(c.Memory << 30)
 	plan := hollow.Plan{Sizes: c.Sizes, Small: c.Small, Events: c.Events, Seed: c.Seed, Workers: c.Workers,
-		Health: map[string][]bool{"on": {true}, "off": {false}, "both": {false, true}}[c.Health]}
+		SuspectAfter: rules.Micros(c.Suspect / time.Microsecond),
+		Health:       map[string][]bool{"on": {true}, "off": {false}, "both": {false, true}}[c.Health]}
 	lines, err := hollow.Measure(plan, func(text string) { fmt.Fprintln(os.Stderr, text) })
 	if err != nil {
 		return err
--- a/internal/lab/hollow/health.go
+++ b/internal/lab/hollow/health.go
@@ -20,7 +20,11 @@
 	for i := range zones {
 		zones[i] = int(w.links.zone[i])
 	}
-	monitor, err := health.New(health.Defaults(int(f.id), int64(now), zones))
+	config := health.Defaults(int(f.id), int64(now), zones)
+	if w.set.SuspectAfter > 0 {
+		config.SuspectAfter = w.set.SuspectAfter
+	}
+	monitor, err := health.New(config)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/hollow/report.go
+++ b/internal/lab/hollow/report.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"otterturn/rules"
 )
 
 // Plan is what is measured.
@@ -14,6 +16,8 @@
 	Health  []bool // without and with
 	Seed    uint64
 	Workers int
+
+	SuspectAfter rules.Micros // of health.Config, 0 for its default
 }
 
 // Line is a row of the page with its figures.
@@ -41,7 +45,7 @@
 			}
 			for _, health := range p.Health {
 				set := Default(size)
-				set.Health, set.Seed, set.Workers = health, p.Seed, p.Workers
+				set.Health, set.Seed, set.Workers, set.SuspectAfter = health, p.Seed, p.Workers, p.SuspectAfter
 				played, err := Run(set, e)
 				if err != nil {
 					return nil, fmt.Errorf("%s at %d fronts: %w", e.Name, size, err)
--- a/internal/lab/hollow/rows.go
+++ b/internal/lab/hollow/rows.go
@@ -25,7 +25,7 @@
 }
 
 const (
-	byWatch   = "`internal/net/pace`"
+	byWatch   = "`internal/net/backoff`"
 	byRules   = "`rules`"
 	byCold    = "`rules/cold`"
 	byHealth  = "`internal/fleet/health`"
--- a/internal/lab/hollow/settings.go
+++ b/internal/lab/hollow/settings.go
@@ -1,5 +1,5 @@
 // Package hollow is the laboratory of large fleets: a thousand fronts and more in one process, each with the real
-// scheduler, message codec, pace of discovery and, where it is switched on, health of nodes. Sockets are left out, nodes
+// scheduler, message codec, backoff of discovery and, where it is switched on, health of nodes. Sockets are left out, nodes
 // and discovery are models, and time is virtual.
 //
 // It is a conservative parallel simulation. Time advances in windows of one tick, which is no longer than the least
@@ -34,8 +34,9 @@
 type Settings struct {
 	Fronts, Nodes  int
 	Zones, Regions int
-	Rate           float64 // requests a second at each front
-	Health         bool    // internal/fleet/health is switched on
+	Rate           float64      // requests a second at each front
+	Health         bool         // internal/fleet/health is switched on
+	SuspectAfter   rules.Micros // of health.Config, 0 for its default
 	Seed           uint64
 	Workers        int          // goroutines, 0 for one a processor
 	DiscoveryLines float64      // that discovery answers a second
