--- a/internal/lab/processes/report.go
+++ b/internal/lab/processes/report.go
@@ -84,6 +84,9 @@
 			worst = r
 		}
 	}
+	if worst.Budget == 0 {
+		return "worst ratio: none, as no row has a budget"
+	}
 	return fmt.Sprintf("worst ratio: %s, %s: %s %s of %s", short(worst.Ratio()), worst.Measure, short(worst.Value), worst.In, short(worst.Budget))
 }
 
@@ -108,16 +111,17 @@
 const pageHead = `# Measured: fronts as processes
 
 Written by "make processes MARKDOWN=docs/capacity/processes.md": the built program on loopback, before stand-in nodes and a
-stand-in discovery in the measuring process. Figures are from /proc: processor time is what the threads ran, so a busy machine
-adds little to it but what shared caches and cores cost. Slopes are those of a straight line by least squares, with the standard
+stand-in discovery in the measuring process. Figures are from /proc: processor time is what the threads ran, and no wait is among
+it; but shared caches and cores slow a busy machine's threads, so that the same measure came out up to 1.8 times as high under load.
+Memory, descriptors, lines and probes go by no clock. Slopes are those of a straight line by least squares, with the standard
 error; the residual is the points' standard deviation about the line, in bytes, milliseconds, or microseconds a second. MB and KB
 are 1,048,576 and 1,024 bytes.
 
 `
 
-// Page writes rows as the page of figures.
-func Page(out io.Writer, rows []Row) {
-	fmt.Fprint(out, pageHead)
+// Page writes rows as the page of figures. load tells how busy the machine was.
+func Page(out io.Writer, rows []Row, load string) {
+	fmt.Fprintf(out, "%s%s\n\n", pageHead, load)
 	Markdown(out, rows)
 	fmt.Fprintf(out, "\n%s.\n", strings.ToUpper(Worst(rows)[:1])+Worst(rows)[1:])
 }
