--- a/internal/lab/hollow/events.go
+++ b/internal/lab/hollow/events.go
@@ -43,8 +43,8 @@
 		{"node-restart-5", "five nodes' processes do so together", 8 * second, restartNodes(5)}}},
 	{Name: "primary", spares: 1, Phases: []Phase{
 		{"primary", "a node ends, and a successor of its data begins cold", 12 * second, successor}}},
-	{Name: "dealer", Phases: []Phase{
-		{"dealer", "a node begins anew, and 3 s later the front that deals it out ends", 14 * second, dealerDies}}},
+	{Name: "granter", Phases: []Phase{
+		{"granter", "a node begins anew, and 3 s later the front that grants room at it ends", 14 * second, granterDies}}},
 }
 
 // zoneNodes are the nodes of a zone, and zoneFronts its fronts.
@@ -162,12 +162,12 @@
 	w.Expect()
 }
 
-func dealerDies(w *World) {
+func granterDies(w *World) {
 	restartNodes(1)(w)
 	w.After(4*second, func(w *World) {
 		set := w.set.rules(0)
-		c := cold.Figures[rules.Micros]{Hosts: set.Hosts, Span: set.FallSpan, Peers: true}
-		dealer, _ := c.Dealer(w.listed[firstNode].Node, w.now())
-		w.fronts[dealer].stop()
+		c := cold.Config[rules.Micros]{Hosts: set.Hosts, Span: set.FallSpan, Peers: true}
+		granter, _ := c.Granter(w.listed[firstNode].Node, w.now())
+		w.fronts[granter].stop()
 	})
 }
--- a/internal/lab/hollow/pagerows.go
+++ b/internal/lab/hollow/pagerows.go
@@ -9,7 +9,7 @@
 	rows = append(rows, listRows()...)
 	rows = append(rows, silent("node")...)
 	rows = append(rows, silent("rack")...)
-	for _, phase := range []string{"node-restart", "node-restart-5", "primary", "dealer"} {
+	for _, phase := range []string{"node-restart", "node-restart-5", "primary", "granter"} {
 		rows = append(rows, coldRows(phase)...)
 	}
 	return rows
@@ -108,7 +108,7 @@
 		{phase: phase, role: "fleet", what: "messages about cold nodes in the worst second", unit: "/s",
 			formula: "2 x requests held + answers of the node", mechanism: byCold, healthy: byCold,
 			of: func(r *Result) float64 { return peak(r, sum(notesSent)) }},
-		{phase: phase, role: "dealer of a cold node", what: "messages of control at the busiest front", unit: "B/s",
+		{phase: phase, role: "granter of a cold node", what: "messages of control at the busiest front", unit: "B/s",
 			formula: "the above x 70 B", budget: controlBudget, mechanism: byCold, healthy: byCold,
 			of: func(r *Result) float64 { return peak(r, mostControl) }},
 		{phase: phase, role: "node", what: "probes at the node in the worst second", unit: "/s", formula: "fronts that met it x 5",
--- a/internal/lab/hollow/rows.go
+++ b/internal/lab/hollow/rows.go
@@ -43,10 +43,6 @@
 
 func sum(f figure) func(*Second) float64 { return func(s *Second) float64 { return float64(s.Sum[f]) } }
 
-func most(f figure) func(*Second) float64 {
-	return func(s *Second) float64 { return float64(s.Most[f]) }
-}
-
 func control(s *Second) float64     { return float64(s.Control) }
 func mostControl(s *Second) float64 { return float64(s.MostControl) }
 func lines(s *Second) float64       { return s.Lines }
