--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -31,6 +31,7 @@
 	Speed     speed    `cmd:"" help:"Tell how fast virtual time goes, by the number of nodes."`
 	Processes measured `cmd:"" help:"Measure fronts that run as processes of their own: processor time, memory, changes, probes; under four minutes."`
 	Histories years    `cmd:"" help:"Certificates' years against authorities that fail, in virtual time."`
+	Capacity  capacity `cmd:"" help:"What a fleet of hollow fronts costs, by its size and event: the table of the page on capacity."`
 	Authority issuer   `cmd:"" help:"A certificate authority that speaks ACME on loopback, until it is interrupted."`
 }
 
--- /dev/null
+++ b/internal/lab/hollow/events.go
@@ -0,0 +1,173 @@
+package hollow
+
+import (
+	"otterturn/rules"
+	"otterturn/rules/cold"
+)
+
+// Event is a script that is played to a fleet that serves, phase by phase.
+type Event struct {
+	Name   string
+	Phases []Phase
+	Large  bool // played at each size; others at small ones, and what they would be at the largest is reckoned
+	spares int  // nodes that come on the list
+}
+
+// Phase is a part of a script with figures of its own.
+type Phase struct {
+	Name string
+	What string
+	Span rules.Micros
+	do   func(*World) // happens as it begins
+}
+
+// Events are all there are, the most telling first.
+var Events = []Event{
+	{Name: "ordinary", Large: true, Phases: []Phase{{"ordinary", "nothing happens", 4 * second, func(*World) {}}}},
+	{Name: "zone", Large: true, Phases: []Phase{
+		{"zone", "a zone's nodes and fronts fall silent; the list does not tell", 12 * second, zoneGone}}},
+	{Name: "region", Large: true, Phases: []Phase{
+		{"region", "the regions don't hear each other", 6 * second, regionCut},
+		{"healed", "they do again", 4 * second, func(w *World) { w.links.partRegions(false) }}}},
+	{Name: "lists", Phases: []Phase{
+		{"change", "one entry of the list changes: a node drains", 3 * second, changeList},
+		{"front-restart", "one front's process begins anew", 4 * second, restartFronts(1)},
+		{"front-restart-5", "five fronts' processes begin anew together", 4 * second, restartFronts(5)},
+		{"start-all", "all fronts' processes begin anew together", 7 * second, restartFronts(1 << 30)},
+		{"reload", "all fronts ask for the whole list, as at SIGHUP", 8 * second, reloadAll}}},
+	{Name: "node", Phases: []Phase{{"node", "one node falls silent; the list does not tell", 12 * second, nodeDies}}},
+	{Name: "rack", Phases: []Phase{{"rack", "a hundredth of the nodes, of one zone, fall silent", 10 * second, rackDies}}},
+	{Name: "node-restart", Phases: []Phase{
+		{"node-restart", "one node's process ends, and begins anew a second later", 8 * second, restartNodes(1)}}},
+	{Name: "node-restart-5", Phases: []Phase{
+		{"node-restart-5", "five nodes' processes do so together", 8 * second, restartNodes(5)}}},
+	{Name: "primary", spares: 1, Phases: []Phase{
+		{"primary", "a node ends, and a successor of its data begins cold", 12 * second, successor}}},
+	{Name: "granter", Phases: []Phase{
+		{"granter", "a node begins anew, and 3 s later the front that grants room at it ends", 14 * second, granterDies}}},
+}
+
+// zoneNodes are the nodes of a zone, and zoneFronts its fronts.
+func (w *World) zoneNodes(zone int) (nodes []int32) {
+	for n := zone; n < w.set.Nodes; n += w.set.Zones {
+		nodes = append(nodes, int32(n))
+	}
+	return nodes
+}
+
+func (w *World) zoneFronts(zone int) (fronts []*front) {
+	for i := zone; i < w.set.Fronts; i += w.set.Zones {
+		fronts = append(fronts, w.fronts[i])
+	}
+	return fronts
+}
+
+func zoneGone(w *World) {
+	last := w.set.Zones - 1 // discovery stands in the first one
+	w.Watch(w.zoneNodes(last)...)
+	w.links.silence(last)
+	for _, f := range w.zoneFronts(last) {
+		f.stop()
+	}
+}
+
+func regionCut(w *World) {
+	var far []int32
+	for zone := range w.set.Zones {
+		if w.links.regionOf(int32(zone)) > 0 {
+			far = append(far, w.zoneNodes(zone)...)
+		}
+	}
+	w.Watch(far...)
+	w.watched.across = true
+	w.links.partRegions(true)
+}
+
+func restartFronts(many int) func(*World) {
+	return func(w *World) {
+		for i, f := range w.fronts {
+			if i < many {
+				f.stop()
+			}
+		}
+		w.Expect()
+		if err := w.startAll(); err != nil {
+			panic(err) // the settings were good as the world began
+		}
+	}
+}
+
+// firstNode is what scripts of one node are about.
+const firstNode = 7
+
+func nodeDies(w *World) {
+	w.Watch(firstNode)
+	w.nodes[firstNode].Mute = true
+}
+
+func rackDies(w *World) {
+	rack := w.zoneNodes(w.set.Zones - 1)[:max(1, w.set.Nodes/100)]
+	w.Watch(rack...)
+	for _, n := range rack {
+		w.nodes[n].Mute = true
+	}
+}
+
+func restartNodes(many int) func(*World) {
+	return func(w *World) {
+		var nodes []int32
+		for i := range int32(many) {
+			nodes = append(nodes, firstNode+i)
+		}
+		w.Watch(nodes...)
+		for _, n := range nodes {
+			w.nodes[n].kill(w.now())
+		}
+		w.After(second, func(w *World) { w.restart(nodes...) })
+	}
+}
+
+// restart has the processes of nodes begin anew, cold, and the list tell.
+func (w *World) restart(nodes ...int32) {
+	for _, n := range nodes {
+		w.nodes[n].Restart(int64(w.now()))
+		w.listed[n].Since = w.now()
+	}
+	w.discovery.publish(w.now(), nodes...)
+	w.Expect()
+}
+
+func changeList(w *World) {
+	w.listed[firstNode].State = rules.Draining
+	w.discovery.publish(w.now(), firstNode)
+	w.Expect()
+}
+
+func reloadAll(w *World) {
+	for _, f := range w.fronts {
+		f.watch.reload(f, w.now())
+	}
+	w.Expect()
+}
+
+func successor(w *World) {
+	next := int32(w.set.Nodes)
+	w.nodes[firstNode].kill(w.now())
+	w.listed[firstNode].State = rules.Gone
+	w.nodes[next].Restart(int64(w.now()))
+	l := &w.listed[next]
+	l.Shard, l.State, l.Since = w.nodes[firstNode].shard, rules.Running, w.now()
+	w.Watch(firstNode)
+	w.discovery.publish(w.now(), firstNode, next)
+	w.Expect()
+}
+
+func granterDies(w *World) {
+	restartNodes(1)(w)
+	w.After(4*second, func(w *World) {
+		set := w.set.rules(0)
+		c := cold.Config[rules.Micros]{Hosts: set.Hosts, Span: set.FallSpan, Peers: true}
+		granter, _ := c.Granter(w.listed[firstNode].Node, w.now())
+		w.fronts[granter].stop()
+	})
+}
