--- a/internal/limits/traffic.go
+++ b/internal/limits/traffic.go
@@ -66,6 +66,7 @@
 	nodeMinTimeout   = 250 * time.Millisecond // for an answer's head, and between its pieces, at the least
 	nodeBufferTime   = 250 * time.Millisecond
 	streamSilence    = 10 * time.Second
+	hedgesPerTimeout = 8 // so many delays before a further attempt make the time for connecting
 	connectsPerProbe = 2 // a probe takes as long as so many connections may
 )
 
@@ -77,6 +78,7 @@
 		ConnectTries:   attemptTries,
 		ProbeTries:     attemptTries,
 		ConnectTimeout: site.Connect,
+		HedgeDelay:     max(site.Connect/hedgesPerTimeout, time.Millisecond),
 		IdleTimeout:    site.ConnIdle * nodeIdlePercent / 100,
 		ReuseDelay:     nodeReuseDelay,
 		HeaderTimeout:  max(site.Connect, nodeMinTimeout),
