--- a/cmd/otterturn/fleet_nodes_test.go
+++ b/cmd/otterturn/fleet_nodes_test.go
@@ -92,10 +92,3 @@
 	slices.Sort(a.probing)
 	return a
 }
-
-// probed tells how many probes came from a front.
-func (n *auditedNode) probed(front int) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.probes[front]
-}
