--- /dev/null
+++ b/internal/lab/processes/beside_test.go
@@ -0,0 +1,37 @@
+package processes
+
+import (
+	"strings"
+	"testing"
+
+	"otterturn/internal/lab/hollow"
+)
+
+// Hollow fronts have each of the scenarios' events, and send in it what it is about.
+func TestScenariosAreHadHollow(t *testing.T) {
+	for _, s := range Scenarios {
+		s.Fronts, s.Rate = 3, 60
+		all, err := playHollow(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range all {
+			if s.Event == FallsSilent && p.Probes == 0 || s.Event == BeginsAnew && (p.Messages == 0 || p.MessageBytes < p.Messages) {
+				t.Errorf("%s: %+v", s.Name, p)
+			}
+		}
+	}
+}
+
+func TestAgreementIsATenth(t *testing.T) {
+	all := []hollow.PerFront{{Probes: 9}, {Probes: 11}}
+	for real, agree := range map[float64]bool{10: true, 10.9: true, 11.2: false, 8.8: false, 0: false} {
+		text := beside(real, all, func(p hollow.PerFront) float64 { return p.Probes })
+		if strings.Contains(text, "agree") != agree {
+			t.Errorf("%v beside 9 and 11: %s", real, text)
+		}
+	}
+	if text := beside(1, []hollow.PerFront{{}, {}}, func(p hollow.PerFront) float64 { return p.Probes }); strings.Contains(text, "agree") {
+		t.Errorf("1 beside nothing: %s", text)
+	}
+}
--- a/internal/lab/processes/compare.go
+++ b/internal/lab/processes/compare.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"otterturn/internal/lab/hollow"
 )
 
 // mostTries is how often a scenario is played until the machine had time for it.
@@ -27,7 +29,7 @@
 	}
 }
 
-// compare plays the scenarios, for the hollow fronts to be held against them.
+// compare plays the scenarios with real fronts and with hollow ones.
 func (l *Lab) compare(ctx context.Context) ([]Row, error) {
 	var rows []Row
 	for _, s := range Scenarios {
@@ -35,11 +37,20 @@
 		if err != nil {
 			return rows, err
 		}
-		sized := fmt.Sprintf("%d fronts, %d nodes, %.0f s", s.Fronts, s.Nodes, s.Span.Seconds())
-		note := fmt.Sprintf("%s attempts at it; %s; served %.0f, refused %.0f, failed %.1f", short(o.Attempts), played(late, tries), o.Served, o.Refused, o.Failed)
-		rows = append(rows, Row{Measure: "small scenario, " + s.Name + ": probes", Sizes: sized, Value: o.Probes, In: "a front", Note: note},
-			Row{Measure: "small scenario, " + s.Name + ": messages to other fronts", Sizes: sized, Value: o.Messages, In: "a front",
-				Note: fmt.Sprintf("%s bytes", short(o.MessageBytes))})
+		same, err := playHollow(s)
+		if err != nil {
+			return rows, err
+		}
+		row := func(what string, real float64, of func(hollow.PerFront) float64) Row {
+			return Row{Measure: "real beside hollow, " + s.Name + ": " + what, Sizes: fmt.Sprintf("%d fronts, %d nodes, %.0f s", s.Fronts, s.Nodes, s.Span.Seconds()),
+				Value: real, In: "a front", Note: beside(real, same, of) + "; " + played(late, tries)}
+		}
+		if s.Event == FallsSilent {
+			rows = append(rows, row("probes of it", o.Probes, func(p hollow.PerFront) float64 { return p.Probes }))
+			continue
+		}
+		rows = append(rows, row("messages to other fronts", o.Messages, func(p hollow.PerFront) float64 { return p.Messages }),
+			row("bytes of these", o.MessageBytes, func(p hollow.PerFront) float64 { return p.MessageBytes }))
 	}
 	return rows, nil
 }
