--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -53,10 +53,11 @@
 	Conns         int // connections, idle ones included
 	ResponseHeads int // heads of one answer: informational ones and the final one
 	WriteTries    int // connections tried for a request that could not be written whole
-	ConnectTries  int // attempts to connect while the node resets the connection
+	ConnectTries  int // attempts at one connection, beside each other or after a reset
 	ProbeTries    int // attempts to probe while the answer can't be parsed
 
 	ConnectTimeout time.Duration // for a connection to be up
+	HedgeDelay     time.Duration // after which a further attempt to connect begins beside those that are not up
 	IdleTimeout    time.Duration // after which an idle connection is closed
 	ReuseDelay     time.Duration // between an answer and the connection's next request
 	HeaderTimeout  time.Duration // for an answer's head, from its first byte
