--- a/cmd/otterturn/fleet_silence_test.go
+++ b/cmd/otterturn/fleet_silence_test.go
@@ -34,6 +34,9 @@
 		}
 	})
 	enough(node)
+	if has := first.figure("health.probes") >= 0; has != (fleetFile != "") {
+		t.Errorf("figures of the zone's health: %v, with the fleet's file %q", has, fleetFile)
+	}
 	paid := silencePaid{node.audit(), since(began)}
 	s.each(func(f *fleetFront) { f.serves(1) }) // the other node is none the worse
 	node.silence(false)
@@ -97,7 +100,8 @@
 	// Evidence of the dead lives for 12 s: past that the verdict stands on what the others saw.
 	standin.Until(t, "the end of the dead ones' evidence", func() bool { return since(killed) > 13 })
 	seen := node.audit()
-	t.Logf("probers %v were killed; others took over in %.1f s, with %d probes by fronts %v in %.1f s", probers, tookOver, seen.probes, seen.probing, since(killed))
+	t.Logf("probers %v were killed; others took over in %.1f s, with %d probes by fronts %v in %.1f s",
+		probers, tookOver, seen.probes, seen.probing, since(killed))
 	for _, f := range left {
 		if n := f.verdicts(); n != 1 || f.figure("health.condemned") != 1 {
 			t.Errorf("front %d: %d verdicts, want one that stands:\n%s", f.number, n, f.output)
--- a/internal/net/transport/peers_test.go
+++ b/internal/net/transport/peers_test.go
@@ -97,3 +97,66 @@
 		t.Errorf("heard %v", got)
 	}
 }
+
+// What another part takes is no note, and what is dropped is told to who counts it, in the place of the log.
+func TestPeersHandOnWhatIsNoNote(t *testing.T) {
+	var addrs []netip.AddrPort
+	for range 2 {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, netip.MustParseAddrPort(c.LocalAddr().String()))
+		c.Close()
+	}
+	var peers []*Peers
+	for _, a := range addrs {
+		p, err := ListenPeers(a, addrs, standin.Limits(), standin.Log(func(line string) { t.Error(line) }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		peers = append(peers, p)
+	}
+	type datagram struct {
+		from int
+		text string
+	}
+	taken, drops, heard := make(chan datagram, 16), make(chan error, 16), make(chan rules.Event, 16)
+	peers[1].Take = func(from int, text []byte) bool {
+		if text[0] != '!' {
+			return false
+		}
+		taken <- datagram{from, string(text)}
+		return true
+	}
+	peers[1].Drop = func(_ netip.AddrPort, why error) { drops <- why }
+	for _, p := range peers {
+		go p.Run(t.Context(), func(e rules.Event) { heard <- e })
+	}
+	peers[0].SendBytes(7, []byte("!nobody"))
+	peers[0].SendBytes(1, []byte("!mine"))
+	if got := standin.Await(t, "the datagram", taken); got != (datagram{0, "!mine"}) {
+		t.Errorf("%+v", got)
+	}
+	peers[0].SendBytes(1, []byte("odd"))
+	if err := standin.Await(t, "a drop", drops); !strings.Contains(err.Error(), "no kind") {
+		t.Error(err)
+	}
+	peers[0].SendBytes(1, make([]byte, protocol.LongestNote+40))
+	if err := standin.Await(t, "a drop", drops); err != ErrTooLong {
+		t.Error(err)
+	}
+	stranger, err := net.Dial("udp4", addrs[1].String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.Write([]byte("!mine"))
+	if err := standin.Await(t, "a drop", drops); err != ErrNoPeer {
+		t.Error(err)
+	}
+	peers[0].Send(1, rules.Grant{To: 1, Node: "s-1", Units: 2, Until: 17})
+	if got := standin.Await(t, "a grant", heard); got.(rules.Granted).Node != "s-1" {
+		t.Errorf("heard %v", got)
+	}
+}
--- a/rules/health_test.go
+++ b/rules/health_test.go
@@ -46,6 +46,25 @@
 	h.wantSends(h.after(ms, req("z", nil)), "z")
 }
 
+// A former silence made probes rare. Evidence of another one has the node probed at once all the same.
+func TestNodeFoundSilentAgainIsProbedAtOnce(t *testing.T) {
+	h := newHost(t, testSettings())
+	h.after(ms, silentAt("a", h.now))
+	for h.now < 1010*second {
+		h.after(ms, Probed{Node: "a", Queue: -1})
+		for len(probes(h.last)) == 0 {
+			h.after(5*ms, Alarm{})
+		}
+	}
+	h.after(ms, Probed{Node: "a", OK: true, Queue: -1})
+	if n := h.s.byName["a"]; n.probeAt <= h.now+2*ms {
+		t.Fatal("the next probe is not put off, so this shows nothing")
+	}
+	if got := probes(h.after(ms, silentAt("a", h.now+1))); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("probes of %q, want one of a", got)
+	}
+}
+
 // What this host knows better counts for more than what others tell.
 func TestOwnAnswerAndListCountForMoreThanHearsay(t *testing.T) {
 	avoided := func(h *host, e NodeSilent) int {
