--- a/cmd/otterturn/fleet_links_test.go
+++ b/cmd/otterturn/fleet_links_test.go
@@ -10,8 +10,7 @@
 
 // Messages are lost, repeated and reordered, and two fronts hear each other one way alone: the zone finds silent nodes
 // and their return all the same, and a node that answers is not condemned. Each node is silent once, and each front asks
-// for it once: one that is not told, as a prober that it can't hear counts for the others' quorum, finds out so. (A front
-// with two time-outs at a node sends it nothing more for long, with the mechanism or without.)
+// for it once: one that is not told, as a prober that it can't hear counts for the others' quorum, finds out so.
 func TestVerdictsOverBadLinks(t *testing.T) {
 	const fronts, healthy = 5, 2
 	s := newFleetSite(t, fronts, healthy+1, fleetText(t, fleetSettings, fronts))
