Hold verdicts while a region can't be seen: sets of silent nodes repeated as one entry

A zone cut off from 900 nodes lost its verdicts after 6 s, as repeated evidence found no room: 108,000 pairs of front and node avoided at 6 s, 41,604 at 7 s, and asked for more in a storm.

--- a/internal/fleet/health/api.go
+++ b/internal/fleet/health/api.go
@@ -108,6 +108,7 @@
 	Reachable State = iota + 1 // a probe was answered
 	Silent                     // a probe was not answered in time, or the node refused it
 	Suspected                  // requests stall or fail; it asks probers to look and condemns nothing
+	Standing                   // all that the sender told as Silent still is; Node is what tells the set of these nodes
 )
 
 // Entry is evidence on one node.
@@ -148,5 +149,6 @@
 	DropFuture     Drop = "future"       // its age is negative or its incarnation ahead of the list's
 	DropUnknown    Drop = "unknown node" // the node is not on the list
 	DropOutdated   Drop = "former start" // the evidence is of an earlier start of the node
+	DropDiffers    Drop = "other set"    // what the sender still finds silent is not what this front heard of it
 	DropUnreadable Drop = "unreadable"   // it can't be decoded
 )
--- a/internal/fleet/health/codec.go
+++ b/internal/fleet/health/codec.go
@@ -10,7 +10,7 @@
 
 // The form of a message: mark, version, run (7 bytes, big-endian), sequence (unsigned varint), the sender's clock in
 // milliseconds since its run (signed varint), then entries. An entry is the key (5 bytes), the node's start in
-// milliseconds (3 bytes, modulo 2^24), and two bytes with the state in the upper 2 bits and the age in milliseconds below.
+// milliseconds (3 bytes, modulo 2^24), and two bytes with the state in the upper 3 bits and the age in milliseconds below.
 const (
 	MessageLimit = 256 // bytes of a message at most
 
@@ -21,7 +21,7 @@
 	entryBytes     = 10
 	keyBits        = 40
 	sinceBits      = 24
-	ageBits        = 14
+	ageBits        = 13
 	runBits        = 56
 	milli          = rules.Micros(1000)
 	longestAge     = (1<<ageBits - 1) * milli
@@ -71,7 +71,7 @@
 	out = appendBits(out, e.Node, keyBits)
 	out = appendBits(out, uint64(e.Since/milli), sinceBits)
 	state := uint16(0) // Decode refuses it
-	if e.State <= Suspected {
+	if e.State <= Standing {
 		state = uint16(e.State)
 	}
 	age := uint16(min(max(e.Age, 0), longestAge) / milli)
@@ -126,7 +126,7 @@
 		State: State(last >> ageBits),
 		Age:   rules.Micros(last&(1<<ageBits-1)) * milli,
 	}
-	if e.State < Reachable || e.State > Suspected {
+	if e.State < Reachable || e.State > Standing {
 		return Entry{}, fmt.Errorf("%w: %d", ErrState, e.State)
 	}
 	return e, nil
--- a/internal/fleet/health/config.go
+++ b/internal/fleet/health/config.go
@@ -20,8 +20,8 @@
 	DefaultMessageBytes  = 8192
 )
 
-// MaxEvidenceLife bounds Config.EvidenceLife: the age of an entry has 14 bits of milliseconds.
-const MaxEvidenceLife rules.Micros = 16_000_000
+// MaxEvidenceLife bounds Config.EvidenceLife: the age of an entry has 13 bits of milliseconds.
+const MaxEvidenceLife rules.Micros = 8_000_000
 
 // Defaults returns the usual figures for a front of a fleet whose fronts stand in the given zones.
 func Defaults(self int, run int64, zones []int) Config {
--- a/internal/fleet/health/inbox.go
+++ b/internal/fleet/health/inbox.go
@@ -46,6 +46,7 @@
 
 // received takes in a message of another front.
 func (m *Monitor) received(e Received) {
+	m.heard.Add(m.now, float64(e.Message.size()))
 	if !m.ofZone(e.From) {
 		m.drop(DropForeign)
 		return
@@ -80,9 +81,12 @@
 
 // takeIn takes in what a front tells of a node, or tells why not.
 func (m *Monitor) takeIn(from int, e Entry, delay rules.Micros) Drop {
+	if e.State == Standing {
+		return m.stands(from, e, delay)
+	}
 	n := m.byKey[e.Node]
 	switch {
-	case e.State < Reachable || e.State > Suspected:
+	case e.State < Reachable || e.State > Standing:
 		return DropUnreadable
 	case n == nil || n.alone:
 		return DropUnknown
--- a/internal/fleet/health/monitor.go
+++ b/internal/fleet/health/monitor.go
@@ -24,7 +24,9 @@
 	passed   map[string]bool             // probes of unknown nodes that the scheduler waits for
 	peers    map[int]*peer               // those that sent a message
 	outbox   outbox                      // what is to be told
-	bytes    window.Window[rules.Micros] // sent in the last second
+	bytes    window.Window[rules.Micros] // sent in the last second,
+	asking   window.Window[rules.Micros] // of these, requests and answers to them
+	heard    window.Window[rules.Micros] // received in the last second
 
 	usualProbe rules.Micros // mean time of a probe's answer of late
 	alarm      rules.Micros // the last SetAlarm that has not come, forever for none
@@ -50,7 +52,7 @@
 	return &Monitor{
 		config: c, zone: c.zoneFronts(), now: never, alarm: forever,
 		byName: map[string]*node{}, byKey: map[uint64]*node{}, attempts: map[attemptID]attempt{},
-		passed: map[string]bool{}, peers: map[int]*peer{}, outbox: newOutbox(), bytes: window.Of(bytesSpan),
+		passed: map[string]bool{}, peers: map[int]*peer{}, outbox: newOutbox(), bytes: window.Of(bytesSpan), asking: window.Of(bytesSpan), heard: window.Of(bytesSpan),
 		counts: Counters{Dropped: map[Drop]int64{}},
 		seams:  seams{repeated: (*peer).repeated, sameStart: sameStart, add: (*evidence).add, round: roundOf},
 	}, nil
--- a/internal/fleet/health/outbox.go
+++ b/internal/fleet/health/outbox.go
@@ -20,13 +20,20 @@
 
 const (
 	repeated urgency = iota
-	request
+	standby          // first of a prober that stands by
+	request          // and answers to them
 	firstSilent
 	reachable
 )
 
 // room is the part of the bytes of a second up to which something may be sent.
-var room = [...]float64{repeated: 0.7, request: 0.8, firstSilent: 0.95, reachable: 1}
+var room = [...]float64{repeated: 0.7, standby: 0.95, request: 0.8, firstSilent: 0.95, reachable: 1}
+
+// requestRoom is the part of the bytes of a second that requests and answers to them may take themselves.
+const requestRoom = 0.1
+
+// bothWays bounds what is sent and received within a second together, in parts of Config.MessageBytes.
+const bothWays = 1.9
 
 // news is an Entry with its time in the place of an age.
 type news struct {
@@ -37,10 +44,7 @@
 }
 
 func (n news) urgency() urgency {
-	switch n.state {
-	case Suspected:
-		return request
-	case Reachable:
+	if n.state == Reachable {
 		return reachable
 	}
 	return firstSilent
@@ -131,6 +135,7 @@
 	}
 	if len(o.repeats) > 0 && m.now >= o.repeatAt {
 		m.shed()
+		m.beginStanding()
 		m.begin(o.repeats, true)
 		o.repeats, o.repeatAt = o.repeats[:0], m.now+m.config.EvidenceLife/lifeParts
 	}
@@ -149,11 +154,7 @@
 	o := &m.outbox
 	for _, to := range o.order {
 		for part := range slices.Chunk(o.to[to], entriesPerMessage) {
-			u := request
-			for _, n := range part {
-				u = max(u, n.urgency())
-			}
-			if !m.send(to, m.entries(part), u) {
+			if !m.send(to, m.entries(part), request) {
 				m.counts.Shed += int64(len(part))
 			}
 		}
@@ -183,6 +184,15 @@
 	if m.bytes.Sum(m.now)+float64(size) > room[u]*m.config.MessageBytes {
 		return false
 	}
+	if m.bytes.Sum(m.now)+m.heard.Sum(m.now)+float64(size) > bothWays*m.config.MessageBytes {
+		return false
+	}
+	if u == request {
+		if m.asking.Sum(m.now)+float64(size) > requestRoom*m.config.MessageBytes {
+			return false
+		}
+		m.asking.Add(m.now, float64(size))
+	}
 	m.bytes.Add(m.now, float64(size))
 	m.outbox.sequence[to]++
 	m.counts.Sent++
--- a/internal/fleet/health/rounds.go
+++ b/internal/fleet/health/rounds.go
@@ -13,7 +13,7 @@
 
 // begin turns what this front saw of nodes into rounds to its zone.
 func (m *Monitor) begin(nodes []*node, repeats bool) {
-	var all []news
+	var all, stoodIn []news
 	for _, n := range nodes {
 		if n.trouble == nil || !n.told.queued {
 			continue
@@ -25,17 +25,44 @@
 			continue
 		}
 		n.told = tale{state: own.state, at: own.at, since: never}
-		all = append(all, news{n.key, n.wire, own.state, own.at})
+		this := news{n.key, n.wire, own.state, own.at}
+		if own.state == Silent && n.rank >= m.config.Quorum {
+			stoodIn = append(stoodIn, this)
+		} else {
+			all = append(all, this)
+		}
 	}
 	slices.SortStableFunc(all, func(a, b news) int { return int(b.urgency() - a.urgency()) })
 	to := m.recipients(nodes)
 	for part := range slices.Chunk(all, entriesPerMessage) {
-		u := part[0].urgency()
-		if repeats {
-			u = repeated
+		m.beginRound(part, part[0].urgency(), repeats, to)
+	}
+	for part := range slices.Chunk(stoodIn, entriesPerMessage) {
+		m.beginRound(part, standby, repeats, to)
+	}
+}
+
+func (m *Monitor) beginRound(part []news, u urgency, repeats bool, to []int) {
+	if repeats {
+		u = repeated
+	}
+	m.outbox.rounds = append(m.outbox.rounds, &round{u, part, slices.Clone(to)})
+}
+
+// beginStanding says of many nodes at once that they are still silent.
+func (m *Monitor) beginStanding() {
+	all, ok := m.standing()
+	if !ok {
+		return
+	}
+	for _, n := range m.due {
+		if n.trouble != nil && n.rank < m.config.Quorum && m.tells(n) == Silent {
+			n.told.at = max(n.told.at, all.at)
 		}
-		m.outbox.rounds = append(m.outbox.rounds, &round{u, part, slices.Clone(to)})
 	}
+	at := slices.Index(m.zone, m.config.Self)
+	to := append(slices.Clone(m.zone[at+1:]), m.zone[:at]...)
+	m.outbox.rounds = append(m.outbox.rounds, &round{firstSilent, []news{all}, to})
 }
 
 // recipients are the zone's other fronts in the order in which they are told: from this front's place on. Probers that
@@ -86,12 +113,15 @@
 
 // advance sends a round on to as many fronts as there is room for. What is too old is shed.
 func (m *Monitor) advance(r *round) {
+	for i := range r.news {
+		m.renew(&r.news[i])
+	}
 	r.news = slices.DeleteFunc(r.news, func(n news) bool {
 		old := n.at <= m.now-m.config.freshFor()
 		if old {
 			m.counts.Shed += int64(len(r.to))
 		}
-		return old
+		return old || r.urgency == standby && m.spoken(n)
 	})
 	if len(r.news) == 0 {
 		r.to = nil
@@ -112,3 +142,20 @@
 		return r.urgency == repeated
 	})
 }
+
+// renew brings news that waited up to what this front saw since.
+func (m *Monitor) renew(n *news) {
+	about := m.byKey[n.node]
+	if n.state == Standing || about == nil || about.trouble == nil {
+		return
+	}
+	if own, seen := about.evidence.of(m.config.Self); seen && own.state == n.state {
+		n.at = max(n.at, own.at)
+	}
+}
+
+// spoken tells whether those for whom this front stands in have told the news.
+func (m *Monitor) spoken(n news) bool {
+	about := m.byKey[n.node]
+	return about != nil && about.trouble != nil && m.ahead(about, n.state) >= m.config.Quorum
+}
--- a/internal/fleet/health/seek.go
+++ b/internal/fleet/health/seek.go
@@ -9,6 +9,9 @@
 // mostRounds bounds for how many times TakeoverAfter a front asks others before it looks for itself.
 const mostRounds = 8
 
+// busyRounds is for how many times TakeoverAfter probers that live are waited for before others are asked.
+const busyRounds = 4
+
 // seek asks for evidence while this front needs it and has none that suffices: the node's probers first, and with
 // each TakeoverAfter the next ones in rank beside them. A front in that rank looks itself, as does one that has asked for
 // mostRounds. So when probers die, are paused or cut off the next follow.
@@ -31,12 +34,28 @@
 	lacked := m.now - n.lackedFrom
 	if round := m.seams.round(lacked, m.config.TakeoverAfter); round > n.round {
 		n.round = round
-		m.ask(n, max(from, n.answered))
-		n.takeover = n.takeover || round >= min(n.rank/m.config.Probers, mostRounds)
+		group := round
+		if m.busy(n) {
+			group /= busyRounds
+		}
+		m.ask(n, group, max(from, n.answered))
+		n.takeover = n.takeover || group >= min(n.rank/m.config.Probers, mostRounds)
 	}
 	return m.now + m.config.TakeoverAfter - lacked%m.config.TakeoverAfter
 }
 
+// busy tells whether a quorum of a node's probers live, by any message of theirs of late: they may have too much to tell, as
+// when a region can't be seen, and others would only add to it.
+func (m *Monitor) busy(n *node) bool {
+	heard := 0
+	for _, front := range n.ranked[:m.config.Probers] {
+		if p := m.peers[front]; front == m.config.Self || p != nil && p.at > m.now-busyRounds*m.config.TakeoverAfter {
+			heard++
+		}
+	}
+	return heard >= m.config.Quorum
+}
+
 // roundOf is the round of asking after evidence has been missing for so long.
 func roundOf(lacked, takeoverAfter rules.Micros) int { return int(lacked / takeoverAfter) }
 
@@ -66,10 +85,10 @@
 	return true, times[len(times)-m.config.Quorum] + m.askAfter(n)
 }
 
-// ask tells the probers, and those of this round, that this front wants news of a node younger than a time.
-func (m *Monitor) ask(n *node, from rules.Micros) {
+// ask tells the probers, and those of a later group, that this front wants news of a node younger than a time.
+func (m *Monitor) ask(n *node, group int, from rules.Micros) {
 	probers := m.config.Probers
-	first := n.round * probers % len(n.ranked)
+	first := group * probers % len(n.ranked)
 	for i, front := range n.ranked {
 		if front != m.config.Self && (i < probers || i >= first && i < first+probers) {
 			m.outbox.direct(front, news{n.key, n.wire, Suspected, from})
