--- a/internal/fleet/health/region_test.go
+++ b/internal/fleet/health/region_test.go
@@ -1,72 +1,69 @@
 package health
 
 import (
-	"slices"
 	"testing"
 
 	"otterturn/rules"
 )
 
-// One zone of fronts is cut off from the other region's 900 nodes for half a minute.
+// A zone of fronts is cut off from the other region's 900 nodes. There is more to tell than room for it, so it takes seconds
+// until all know; from then on verdicts hold, though their repetitions don't fit, and they end as the cut does.
 func TestRegionIsCutOffAndHeals(t *testing.T) {
-	const fronts, nodes, perPair = 120, 900, 0.39
-	w := newWorld(1, zonesOf(10, fronts), nodes, nil)
+	fronts, nodes, perPair := 60, 450, 0.78
+	if underRace {
+		fronts, nodes, perPair = 40, 200, 1
+	}
+	pairs := fronts * nodes
+	w := newWorld(1, zonesOf(10, fronts), nodes, func(c *Config) { // as many bytes for each front and node
+		c.MessageBytes = DefaultMessageBytes * float64(fronts) / 120
+	})
 	w.fronts = w.fronts[:fronts]
-	begin := w.now
-	cut, heal := begin+second, begin+21*second
-	var told []rules.Micros
+	cut := w.now + second
+	var reports int
 	probes := map[string][]rules.Micros{}
 	w.each = func(f *simFront, a Action) {
 		switch a := a.(type) {
 		case Report:
-			told = append(told, w.now-cut)
+			reports++
 		case StartProbe:
-			if w.now > cut && w.now < heal {
+			if w.now > cut {
 				probes[a.Node] = append(probes[a.Node], w.now)
 			}
 		}
 	}
-	w.load(perPair, w.nodes, begin+26*second)
+	w.load(perPair, w.nodes, cut+24*second)
 	w.at(cut, func() { w.setAll(true) })
-	w.at(heal, func() { w.setAll(false) })
-	for at := cut; at < begin+10*second; at += second {
+	least := pairs
+	for at := cut + second; at <= cut+10*second; at += second {
 		w.run(at)
-		var c Counters
-		c.Dropped = map[Drop]int64{}
-		old, fresh := 0, 0
-		for _, f := range w.fronts {
-			x := f.monitor.Counters()
-			c.Shed += x.Shed
-			c.Sent += x.Sent
-			c.SentBytes += x.SentBytes
-			for k, v := range x.Dropped {
-				c.Dropped[k] += v
-			}
-			for _, n := range f.monitor.due {
-				if n.trouble != nil {
-					for _, o := range n.evidence {
-						if o.at < w.now-3*second {
-							old++
-						} else {
-							fresh++
-						}
-					}
-				}
-			}
+		if at >= cut+6*second {
+			least = min(least, w.avoiding())
 		}
-		t.Logf("%d s: %d avoided %v shed %d sent %d bytes %d old %d fresh %d", (at-cut)/second, w.avoiding(), c.Dropped, c.Shed, c.Sent, c.SentBytes, old, fresh)
 	}
-	slices.Sort(told)
-	failed, worst := 0, 0
-	for _, f := range w.fronts {
-		worst = max(worst, f.mostBytes())
-		for _, n := range f.failed {
-			failed += n
-		}
+	// Some pairs may just have lost their evidence and ask for it; without Standing half of them had.
+	if least < pairs*97/100 || reports > pairs*103/100 {
+		t.Errorf("%d of %d pairs avoided at the least, %d reports", least, pairs, reports)
 	}
-	busiest := 0
+	busiest, worst := 0, 0
 	for _, times := range probes {
 		busiest = max(busiest, most(times, second))
 	}
-	t.Logf("%d reports, half %d ms, last %d; bytes %d; probes %d; failed a node %.1f", len(told), told[len(told)/2]/1000, told[len(told)-1]/1000, worst, busiest, float64(failed)/nodes)
+	if busiest > 15 { // the bound of the fleet is 50, and this is one of ten zones; asked by many, more look
+		t.Errorf("%d probes of a node in a second", busiest)
+	}
+	w.setAll(false)
+	w.run(cut + 18*second)
+	if left := w.avoiding(); left > 0 {
+		t.Errorf("%d pairs avoided 14 s after the cut", left)
+	}
+	for _, f := range w.fronts {
+		worst = max(worst, f.mostBytes())
+		for node, at := range f.wanted {
+			if w.now > at+DefaultEvidenceLife+(mostRounds+3)*DefaultTakeoverAfter+second {
+				t.Errorf("front %d has owed a probe of %s for %d ms", f.number, node, (w.now-at)/1000)
+			}
+		}
+	}
+	t.Logf("%d of %d pairs avoided at the least from 6 s on, %d reports, %d probes of a node in a second, %d bytes both ways at most",
+		least, pairs, reports, busiest, worst)
 }
--- a/internal/fleet/health/seek.go
+++ b/internal/fleet/health/seek.go
@@ -20,7 +20,7 @@
 	if n.suspecting {
 		from = max(from, n.suspected)
 	}
-	needed := n.avoided || n.suspecting || n.held && m.others(n, Silent) > 0
+	needed := n.avoided || n.suspecting || n.faded() || n.held && m.others(n, Silent) > 0
 	if enough, until := m.suffices(n, from); !needed || enough {
 		n.lacking, n.takeover = false, false
 		if !needed {
--- a/internal/fleet/health/verdict.go
+++ b/internal/fleet/health/verdict.go
@@ -20,11 +20,21 @@
 		n.avoided, n.ended = false, m.now
 		m.condemned--
 		if n.evidence.count(Reachable, never, nil) > 0 {
-			n.returnAt = m.now + 1 + rules.Micros(share(m.config.Self, n.key)*float64(returnSpread))
+			n.returnAt = m.returnsAt(n)
 		}
+	case n.faded() && n.returnAt == 0 && n.evidence.count(Reachable, n.ended, nil) > 0:
+		n.returnAt = m.returnsAt(n)
 	}
 }
 
+// returnsAt is when this front comes back to a node, if it does now.
+func (m *Monitor) returnsAt(n *node) rules.Micros {
+	return m.now + 1 + rules.Micros(share(m.config.Self, n.key)*float64(returnSpread))
+}
+
+// faded tells whether a verdict ended for want of evidence, and a probe still waits for news.
+func (n *node) faded() bool { return n.held && !n.avoided && n.ended > n.heldAt }
+
 // dispelled tells whether a suspicion of this front's is over: the node has answered it or a prober since, or nothing
 // came of it for as long as evidence lives.
 func (m *Monitor) dispelled(n *node) bool {
