--- a/internal/lab/processes/processes.go
+++ b/internal/lab/processes/processes.go
@@ -1,6 +1,6 @@
 // Package processes measures the built program: fronts that run as processes of their own on loopback, before stand-in
-// nodes and a stand-in discovery in the measuring process. What a front takes is read from /proc, so that a busy machine
-// lengthens a run and changes its figures little; caches and cores that others share still raise processor time. The
+// nodes and a stand-in discovery in the measuring process. What a front takes is read from /proc, so that no wait
+// of a busy machine is among it; caches and cores that others share still raise processor time. The
 // figures are laid on straight lines, which give what a front would take at the size of the whole fleet.
 package processes
 
@@ -49,7 +49,7 @@
 // Full is the plan behind the page of figures.
 func Full() Plan {
 	return Plan{Rates: []float64{100, 200, 400, sizeRate, 1000}, Nodes: sizeZoneNodes, Span: 6 * time.Second,
-		Connections: []int{0, 500, 1000, 2000, sizeConnections}, Fronts: []int{1, 2, 4, 8},
+		Connections: []int{0, 500, 1000, 2000, sizeConnections}, Fronts: []int{1, 2, 4, 8, 16, 32},
 		Lists: []int{112, 225, 450, 900, sizeNodes}, Silence: 10 * time.Second, Kept: sizeNodes}
 }
 
