--- a/internal/fleet/health/config_test.go
+++ b/internal/fleet/health/config_test.go
@@ -20,7 +20,7 @@
 		"suspect_after: must be above 0":             func(c *Config) { c.SuspectAfter = 0 },
 		"probe_late: must be above 0":                func(c *Config) { c.ProbeLate = -1 },
 		"evidence_life: must be above 0":             func(c *Config) { c.EvidenceLife = 0 },
-		"evidence_life: 17000 ms, must be 16000 ms":  func(c *Config) { c.EvidenceLife = 17 * second },
+		"evidence_life: 9000 ms, must be 8000 ms":    func(c *Config) { c.EvidenceLife = 9 * second },
 		"takeover_after: must be above 0":            func(c *Config) { c.TakeoverAfter = 0 },
 		"probes_per_node: must be above 0":           func(c *Config) { c.ProbesPerNode = math.NaN() },
 		"probes_per_node: 1, but the 6 probers of a": func(c *Config) { c.ProbesPerNode = 1 },
