--- a/internal/lab/hollow/meter.go
+++ b/internal/lab/hollow/meter.go
@@ -51,6 +51,7 @@
 // cost is wall-clock time that a front's parts took; it is no part of the digest.
 type cost struct {
 	scheduler, health time.Duration
+	busy              time.Duration // in all, of the workers
 	steps             int64
 }
 
--- a/internal/lab/hollow/report.go
+++ b/internal/lab/hollow/report.go
@@ -57,8 +57,8 @@
 				for i := range played {
 					r := &played[i]
 					results[key(r.Phase.Name, health)] = append(results[key(r.Phase.Name, health)], r)
-					progress(fmt.Sprintf("%s at %d x %d, health %v, digest %016x, took %.1f s, a core's share a front %.4f (scheduler's wall %.4f)",
-						r.Phase.Name, size, set.Nodes, health, r.Digest, r.Took.Seconds(), r.CPU, r.Scheduler))
+					progress(fmt.Sprintf("%s at %d x %d, health %v, digest %016x, took %.1f s, a core's share a front %.4f (scheduler %.4f, health %.4f)",
+						r.Phase.Name, size, set.Nodes, health, r.Digest, r.Took.Seconds(), r.CPU, r.Scheduler, r.Health))
 				}
 			}
 		}
--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -96,14 +96,21 @@
 		sum.steps += f.cost.steps
 		f.cost = cost{}
 	}
+	for i := range w.busy {
+		sum.busy += w.busy[i]
+		w.busy[i] = 0
+	}
 	return sum
 }
 
+// cost divides the processor time by the parts' shares of the wall-clock time: that is longer where the machine is busy
+// with other things.
 func (r *Result) cost(w *World, span rules.Micros) {
 	c := w.spent()
-	each := float64(w.set.Fronts) * seconds(span)
-	r.Scheduler, r.Health = c.scheduler.Seconds()/each, c.health.Seconds()/each
-	r.Step = c.scheduler / time.Duration(max(c.steps, 1))
+	each := r.CPU / max(c.busy.Seconds(), 1e-9)
+	r.Scheduler, r.Health = each*c.scheduler.Seconds(), each*c.health.Seconds()
+	steps := float64(max(c.steps, 1)) / float64(w.set.Fronts) / seconds(span)
+	r.Step = time.Duration(r.Scheduler / steps * float64(time.Second))
 }
 
 func (r *Result) collect(w *World) {
--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"otterturn/internal/limits"
 	"otterturn/rules"
@@ -32,7 +33,8 @@
 
 	actors    []actor
 	mailboxes []mailbox
-	outboxes  []outbox // of each worker
+	outboxes  []outbox        // of each worker
+	busy      []time.Duration // wall-clock time that each worker's actors took
 	script    []step
 	window    int64
 	meter     meter
@@ -49,7 +51,7 @@
 	count := set.Fronts + set.Nodes + spares + 1
 	w.mailboxes = make([]mailbox, count)
 	w.links = newLinks(set.Zones, set.Regions, set.Fronts, count)
-	w.outboxes = make([]outbox, set.Workers)
+	w.outboxes, w.busy = make([]outbox, set.Workers), make([]time.Duration, set.Workers)
 	for i := range w.outboxes {
 		w.outboxes[i] = make(outbox, set.Workers)
 	}
@@ -142,10 +144,11 @@
 
 // pass has the actors of a worker handle the window.
 func (w *World) pass(worker int) {
-	end := w.now() + tick
+	began, end := time.Now(), w.now()+tick
 	for i := worker; i < len(w.actors); i += w.set.Workers {
 		w.actors[i].handle(end, w.mailboxes[i].take(w.window))
 	}
+	w.busy[worker] += time.Since(began)
 }
 
 // deliver puts what was sent to the actors of a worker into their mailboxes.
