--- a/internal/lab/hollow/front.go
+++ b/internal/lab/hollow/front.go
@@ -57,7 +57,7 @@
 }
 
 func newFront(s sender) (*front, error) {
-	f := &front{sender: s, rng: rand.New(rand.NewPCG(s.world.set.Seed, uint64(s.id)))}
+	f := &front{sender: s, down: true, rng: rand.New(rand.NewPCG(s.world.set.Seed, uint64(s.id)))}
 	f.arrival = begin + f.gap()
 	return f, nil
 }
--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -79,11 +79,14 @@
 	return w, w.startAll()
 }
 
+// startAll starts the fronts that don't run.
 func (w *World) startAll() error {
 	errs := make([]error, len(w.fronts))
 	w.parallel(func(worker int) {
 		for i := worker; i < len(w.fronts); i += w.set.Workers {
-			errs[i] = w.fronts[i].start(w.now())
+			if f := w.fronts[i]; f.down {
+				errs[i] = f.start(w.now())
+			}
 		}
 	})
 	for _, err := range errs {
