Tell the scheduler of an empty queue where the zone finds a node back

Ruled out: votes that came late (all verdicts were over after 1 s) and the return's spread. Change: the answer tells of an empty queue; and while a quorum of others finds the node reachable, further probes that the scheduler wants of it are answered by that.

--- a/internal/fleet/health/held.go
+++ b/internal/fleet/health/held.go
@@ -21,6 +21,19 @@
 	m.touch(n)
 }
 
+// Queues that ProbeAnswered tells of a node that was not probed by this front.
+const (
+	unknownQueue = -1
+	// A node that was silent and answers probers again has served nobody of this zone meanwhile. The scheduler took its
+	// silence for latency, and with no word of the queue would find all requests too late for it.
+	returnedQueue = 0
+)
+
+// returnedLately tells whether the zone found a node reachable again not long ago: what it saw answers this front too.
+func (m *Monitor) returnedLately(n *node) bool {
+	return n.returnAt == 0 && !n.suspecting && m.now < n.ended+m.config.EvidenceLife && m.others(n, Reachable) >= m.config.Quorum
+}
+
 func (m *Monitor) answer(n *node, result rules.Probed) {
 	n.held = false
 	m.out = append(m.out, ProbeAnswered{result})
@@ -35,15 +48,14 @@
 	if !n.held {
 		return forever
 	}
-	unknown := rules.Probed{Node: n.name, Queue: -1}
-	reached := unknown
-	reached.OK = true
+	unknown := rules.Probed{Node: n.name, Queue: unknownQueue}
+	reached := rules.Probed{Node: n.name, OK: true, Queue: returnedQueue}
 	switch until := m.waitsUntil(n); {
 	case n.avoided && m.now >= n.heldAt+m.config.EvidenceLife: // it asks again
 		m.answer(n, unknown)
 	case n.avoided:
 		return n.heldAt + m.config.EvidenceLife
-	case n.answered > n.heldAt || returned:
+	case n.answered > n.heldAt || returned || m.returnedLately(n):
 		m.answer(n, reached)
 	case n.returnAt > 0:
 		return n.returnAt
--- a/internal/fleet/health/held_test.go
+++ b/internal/fleet/health/held_test.go
@@ -57,3 +57,26 @@
 		t.Errorf("%d of %d within a tenth of a second", worst, fronts)
 	}
 }
+
+// What the zone found of a node that is back answers a front's probes too: it comes with an empty queue, as the
+// scheduler has taken the silence for latency, and no further probe is sent while the evidence lives.
+func TestZonesWordOnAReturnAnswersProbes(t *testing.T) {
+	const now = 10 * second
+	m := front(t, 5, zonesOf(1, 50), now)
+	m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
+	back := now + second
+	m.Step(back, []Event{Received{1, tells(2, back, Reachable, 0)}, Received{2, tells(2, back, Reachable, 0)}})
+	spread := back + returnSpread + 1000
+	answers := of[ProbeAnswered](m.Step(spread, []Event{Alarm{}}))
+	if want := (rules.Probed{Node: "a", OK: true, Queue: returnedQueue}); len(answers) != 1 || answers[0].Probed != want {
+		t.Fatalf("%v, want %v", answers, want)
+	}
+	actions := m.Step(spread+second, []Event{ProbeWanted{"a"}})
+	if started, answers := of[StartProbe](actions), of[ProbeAnswered](actions); len(started) != 0 || len(answers) != 1 || !answers[0].OK {
+		t.Errorf("within the evidence's life: %d probes, answers %v", len(started), answers)
+	}
+	old := spread + m.config.EvidenceLife
+	if started := of[StartProbe](m.Step(old, []Event{ProbeWanted{"a"}})); len(started) != 1 {
+		t.Errorf("behind the evidence's life: %d probes, want one of this front's own", len(started))
+	}
+}
