--- a/cmd/otterturn/fleet_links_test.go
+++ b/cmd/otterturn/fleet_links_test.go
@@ -37,7 +37,8 @@
 		if text := f.output.String(); strings.Contains(text, `"node":"`+s.nodes[healthy].name+`"`) {
 			t.Errorf("front %d condemned a node that answers:\n%s", f.number, text)
 		}
-	}	if dropped == 0 {
+	}
+	if dropped == 0 {
 		t.Error("of all the messages that were repeated none was dropped")
 	}
 }
