--- a/internal/lab/processes/connections.go
+++ b/internal/lab/processes/connections.go
@@ -22,12 +22,7 @@
 
 // kept has a front open a connection to more and more nodes.
 func (l *Lab) kept(ctx context.Context) ([]Row, error) {
-	nodes, err := startNodes(l.Plan.Kept)
-	if err != nil {
-		return nil, err
-	}
-	defer closeNodes(nodes)
-	front, end, err := l.before(ctx, entries(nodes), wideMemoryMB, wideSockets)
+	front, _, end, err := l.beforeNodes(ctx, l.Plan.Kept)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/processes/requests.go
+++ b/internal/lab/processes/requests.go
@@ -49,12 +49,7 @@
 
 // rates has one front get each rate of the plan.
 func (l *Lab) rates(ctx context.Context) ([]point, error) {
-	nodes, err := startNodes(l.Plan.Nodes)
-	if err != nil {
-		return nil, err
-	}
-	defer closeNodes(nodes)
-	front, end, err := l.before(ctx, entries(nodes), wideMemoryMB, wideSockets)
+	front, nodes, end, err := l.beforeNodes(ctx, l.Plan.Nodes)
 	if err != nil {
 		return nil, err
 	}
@@ -93,6 +88,23 @@
 	return out, err
 }
 
+// beforeNodes starts so many nodes and a front with wide limits before them; end ends all of them.
+func (l *Lab) beforeNodes(ctx context.Context, many int) (front *Front, nodes []*Node, end func(), err error) {
+	nodes, err = startNodes(many)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	front, endFront, err := l.before(ctx, entries(nodes), wideMemoryMB, wideSockets)
+	if err != nil {
+		closeNodes(nodes)
+		return nil, nil, nil, err
+	}
+	return front, nodes, func() {
+		endFront()
+		closeNodes(nodes)
+	}, nil
+}
+
 // before starts one front before nodes, with a discovery that has the same list.
 func (l *Lab) before(ctx context.Context, nodes []Entry, memoryMB, sockets int) (*Front, func(), error) {
 	d, err := startDiscovery(nodes)
--- a/internal/lab/processes/whole.go
+++ b/internal/lab/processes/whole.go
@@ -13,12 +13,7 @@
 // whole measures a front at its size: all client connections, each with some requests behind it, before all nodes, to
 // which a connection each is kept.
 func (l *Lab) whole(ctx context.Context) ([]Row, error) {
-	nodes, err := startNodes(l.Plan.Kept)
-	if err != nil {
-		return nil, err
-	}
-	defer closeNodes(nodes)
-	front, end, err := l.before(ctx, entries(nodes), wideMemoryMB, wideSockets)
+	front, nodes, end, err := l.beforeNodes(ctx, l.Plan.Kept)
 	if err != nil {
 		return nil, err
 	}
