--- /dev/null
+++ b/internal/handover/golden_test.go
@@ -0,0 +1,76 @@
+package handover
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+
+	"otterturn/internal/net/protocol"
+	"otterturn/internal/net/routing"
+	"otterturn/rules"
+	"otterturn/rules/bucket"
+	"otterturn/rules/curve"
+)
+
+var update = flag.Bool("update", false, "write the state of this version anew")
+
+// goldenState has every field set, so that one that is not handed over shows.
+func goldenState() State {
+	return State{
+		Given: routing.Given{
+			Began: 1_799_999_000_000_000,
+			IDs:   []string{"id-1", "id-2"},
+			Learned: rules.Learned{
+				At: 1_800_000_000_000_000,
+				Nodes: []rules.Known{{
+					Listing: rules.Listing{Node: "node-a", Zone: 1, Shard: 2, State: rules.Draining, Since: 5},
+					Habits: rules.Habits{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
+						Usual: 30e3, Before: 31e3, Unit: 4e3, Errors: 0.25, Judged: 6, Answered: 7, Suspect: 8},
+				}},
+				Accounts: []rules.Account{{Volume: "riverside", Plan: 1, Hosts: 2, Reserve: 9.5,
+					Bucket: bucket.Bucket[rules.Micros]{Level: 30, At: 10, Lease: 4, Bound: 11}}},
+				Leads: []rules.Lead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, Last: 12}},
+			},
+		},
+		Plans: []string{"gold", "basic"},
+		List: protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: "127.0.0.1:3022",
+			Listing: rules.Listing{Node: "node-a", Zone: 1, Shard: 2, State: rules.Draining, Since: 5}}}},
+		Bans: map[string]string{"node-b": "on-call"},
+	}
+}
+
+// TestStateKeepsItsBytes holds what one process of a front gives to the next to the bytes of the build of 2026-12-02: an
+// upgrade hands over between two versions.
+func TestStateKeepsItsBytes(t *testing.T) {
+	const name = "testdata/version-1.handover"
+	text, err := Encode(goldenState())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if *update {
+		if err := os.WriteFile(name, text, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	golden, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(text, golden) {
+		t.Errorf("given as %x, want %x", text, golden)
+	}
+	if got, err := Decode(golden, []string{"gold", "basic"}); err != nil || !reflect.DeepEqual(got, goldenState()) {
+		t.Errorf("received %+v, %v", got, err)
+	}
+}
+
+// TestKindsKeepTheirNumbers holds the kinds of message to their numbers, which are their first byte.
+func TestKindsKeepTheirNumbers(t *testing.T) {
+	for want, kind := range []Kind{Ask, Part, End, Have, Go, Conn, ID, Out, Back} {
+		if int(kind) != want+1 {
+			t.Errorf("kind %d, want %d", kind, want+1)
+		}
+	}
+}
