Try a node again that late requests wait for in vain behind a long time-out

Cause: one time-out raises the usual latency past every objective, so each request is late; takes in rules/send.go lets late ones go to a calm node alone, and with nothing out no answer makes the node calm again. Ruled out: the probes, which were answered all the while. Change: where nothing was heard of a node's latency for 8 s (four slow intervals) the estimate is too old to hold a request back.

--- a/rules/send.go
+++ b/rules/send.go
@@ -45,7 +45,7 @@
 	// hurt where the minimum never comes down, though what is reserved or alone still leaves.
 	switch {
 	case rank != rankReserved && s.now < n.pausedTo,
-		rank == rankLate && (units > 0 || !n.calm && !s.set.LateWanted),
+		rank == rankLate && (units > 0 || !n.calm && !s.set.LateWanted && s.now < n.Judged+4*slowInterval),
 		rank == rankWeight && !n.calm && count > 0,
 		silent && (count > 0 || s.now > n.heard+fastInterval && s.set.Probing): // one trial, after a probe
 		return false
