Draw no limit twice behind an upgrade that was taken back

Cause: behind Resume a volume that the predecessor had not met began, in volume of rules/requests.go, with all that had flowed in since this front's start, which the successor may have drawn already; and each successor gave such a volume half of the slack anew. Change (rules/handover.go): where the other process decided anything, such buckets are empty as of Resume, and half of the slack is given by the first process alone.

--- a/rules/handover.go
+++ b/rules/handover.go
@@ -13,6 +13,16 @@
 type succession struct {
 	grantsFrom Micros // nothing is granted at cold nodes before: the other process may have
 	plans      []Plan // while the other one decides: those whose limits count
+	shared     bool   // another process of this host decided since began, and may have drawn from any limit
+}
+
+// initialLevel is what the limit's bucket of a volume that is new here holds of itself, in units, over all hosts: half the
+// slack, unless another process of this host may have drawn that already.
+func (s *Scheduler) initialLevel(p *Plan) float64 {
+	if s.shared {
+		return 0
+	}
+	return p.Slack / 2
 }
 
 // Yield gives what this host may promise to another process of the same host, which decides from now on, and returns
@@ -65,7 +75,8 @@
 }
 
 // Resume takes back what Yield gave, as the other process has ended: its levels too where it never decided anything,
-// else what flows in from now on.
+// else what flows in from now on. The other process may have drawn from volumes that this one has not met: then their
+// buckets are empty as of now.
 func (s *Scheduler) Resume(now Micros, unused Learned, peers bool) {
 	if s.plans == nil {
 		return
@@ -77,6 +88,9 @@
 	s.set.Plans, s.plans = s.plans, nil
 	s.set.Number, s.set.Peers, s.grantsFrom = -1-s.set.Number, peers, s.now
 	s.replan()
+	if decided := unused.At == 0; decided {
+		s.began, s.shared = s.now, true
+	}
 	for _, a := range unused.Accounts {
 		if v, has := s.volumes.Get(a.Volume); has && v.plan.Limit > 0 {
 			v.bucket.Level += a.Bucket.Level
@@ -96,4 +110,5 @@
 func (s *Scheduler) Succeed(now Micros, l Learned, began Micros) {
 	s.Recall(now, l)
 	s.began, s.grantsFrom = min(began, s.now), s.now
+	s.shared = true
 }
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -88,7 +88,7 @@
 func (s *Scheduler) volume(e Request) *volume {
 	v := s.volumes.GetOrCreate(e.Volume, s.forgotten, func() *volume {
 		v := &volume{name: e.Volume, index: e.Plan, plan: &s.set.Plans[e.Plan], hosts: 1, closed: s.now}
-		v.bucket.At, v.bucket.Level = s.began, v.plan.Slack/2/float64(max(e.Hosts, 1))
+		v.bucket.At, v.bucket.Level = s.began, s.initialLevel(v.plan)/float64(max(e.Hosts, 1))
 		return v
 	})
 	v.hosts = max(v.hosts, float64(e.Hosts))
