Tell a node what its client has left as the request is written

Cause: RoundTripper.RoundTrip set X-Time-Left and Nodes.attempt encoded the message ahead of Acquire, which may take 1.5 s where connections come up late, so a node was told that much more than its client had. Change: attemptOnce encodes for each connection, once it is up (encodeForNow in exchange.go). TestLongRequestTellsItsNodeNoMoreThanItsClientHas fails still: a long request's head goes out ahead of the decision on its end.

--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -92,18 +92,30 @@
 // attempt sends a request to a node once and tells how that ended. Where the connection breaks before the last
 // byte is written the request never ran, and it is written again to another: the node may just have closed it.
 func (s *Nodes) attempt(ctx context.Context, a routing.Attempt, r *http.Request) (*http.Response, rules.Outcome) {
-	message, err := encode(r)
-	if err != nil {
-		return nil, rules.Outcome{Result: rules.Moot}
-	}
 	for tries := 1; ; tries++ {
-		resp, out, written := s.once(ctx, a, r, message)
+		resp, out, written := s.once(ctx, a, r)
 		if written || tries == s.limits.Nodes.WriteTries || a.Begin.Err() != nil {
 			return resp, out
 		}
 	}
 }
 
+// encodeForNow encodes a request with the time that its client has left now: a connection may take long to come up, and a
+// node that was told the time from before would work for longer than anybody waits.
+func encodeForNow(ctx context.Context, r *http.Request) ([]byte, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		protocol.SetLeft(r.Header, time.Until(deadline))
+	}
+	if r.GetBody != nil { // an earlier connection may have taken it
+		body, err := r.GetBody()
+		if err != nil {
+			return nil, fmt.Errorf("encode: %w", err)
+		}
+		r.Body = body
+	}
+	return encode(r)
+}
+
 func encode(r *http.Request) ([]byte, error) {
 	var message bytes.Buffer
 	if err := r.Write(&message); err != nil {
@@ -113,7 +125,7 @@
 }
 
 // once makes an attempt on one connection. written is false only where another connection may do better.
-func (s *Nodes) once(ctx context.Context, a routing.Attempt, r *http.Request, message []byte) (resp *http.Response, out rules.Outcome, written bool) {
+func (s *Nodes) once(ctx context.Context, a routing.Attempt, r *http.Request) (resp *http.Response, out rules.Outcome, written bool) {
 	c, err := s.Acquire(a.Begin, a.Node, nodes.Running)
 	if err == nil && a.Begin.Err() != nil { // it came up in that moment
 		s.Release(c, false)
@@ -129,6 +141,11 @@
 	case err != nil:
 		return nil, rules.Outcome{Result: rules.Unreachable}, true
 	}
+	message, err := encodeForNow(ctx, r)
+	if err != nil {
+		s.Release(c, true)
+		return nil, rules.Outcome{Result: rules.Moot}, true
+	}
 	return s.outcome(ctx, a.Node, c, r, message)
 }
 
--- a/internal/net/transport/roundtrip.go
+++ b/internal/net/transport/roundtrip.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
@@ -53,15 +52,7 @@
 			if m.upload != nil {
 				return t.nodes.finish(ctx, a, m.upload)
 			}
-			out := r.Clone(ctx)
-			out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(m.Body)), int64(len(m.Body))
-			if len(m.Body) == 0 {
-				out.Body = http.NoBody
-			}
-			if deadline, ok := ctx.Deadline(); ok {
-				protocol.SetLeft(out.Header, time.Until(deadline))
-			}
-			return t.nodes.attempt(ctx, a, out)
+			return t.nodes.attempt(ctx, a, withBody(r.Clone(ctx), m.Body))
 		})
 	if err != nil {
 		answer.drop()
@@ -71,6 +62,18 @@
 	return resp, err
 }
 
+// withBody gives a request a body that can be read again for each connection on which it is written.
+func withBody(r *http.Request, body []byte) *http.Request {
+	r.ContentLength = int64(len(body))
+	r.GetBody = func() (io.ReadCloser, error) {
+		if len(body) == 0 {
+			return http.NoBody, nil
+		}
+		return io.NopCloser(bytes.NewReader(body)), nil
+	}
+	return r
+}
+
 // handed is an answer on its way to a client that may have left: nobody else would give its connection back.
 type handed struct {
 	mu      sync.Mutex
