Close no client connection under a request that has come, or over a last answer

Cause: past the bound on kept connections clients.closeLongest closed the one that had been reading longest from another goroutine, also where its request had just come whole or stood in the kernel: the request was read, and its connection closed with no answer (ServeHTTP finds take false). cutEnding closed a connection over bytes that were not read, which resets it and takes the last answer along. Change (clients.go, conn.go): a connection that is reading is woken like an idle one, and its reader alone ends it, where its request is neither complete nor waits in the kernel; one with unread bytes is not cut.

--- a/internal/net/transport/clients.go
+++ b/internal/net/transport/clients.go
@@ -66,20 +66,17 @@
 			longest = c
 		}
 	}
-	switch {
-	case longest == nil:
-	case longest.stage == reading: // its request has not come whole, and is not owed an answer
-		s.cut(longest)
-	default:
+	if longest != nil {
 		s.unmake(longest)
 		longest.wake()
 	}
 }
 
-// cutEnding makes room at once, at the cost of a client that may be reading its last answer yet. The lock is held.
+// cutEnding makes room at once: it closes a connection whose client has had its last answer written and may be reading it
+// yet. A connection with unread bytes is left, as closing it would reset it and take that answer along. The lock is held.
 func (s *clients) cutEnding() bool {
 	for c := range s.conns {
-		if c.stage == ending {
+		if c.stage == ending && !c.unread() {
 			s.cut(c)
 			return true
 		}
@@ -103,10 +100,14 @@
 	}
 }
 
-// ends tells whether a connection has nothing to read and is to end, or to be passed on.
+// ends tells whether a connection has nothing to read and is to end, or to be passed on. Its reader alone asks, so all that
+// was read is known to its framing: a request that came in this moment is either unread here, or complete.
 func (s *clients) ends(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.stage == reading && c.unmade && !c.framing.whole() && !c.unread() {
+		return true // its request is not complete, and no answer is owed
+	}
 	if c.stage == idle && !c.came.Load() {
 		if s.pass != nil { // what the kernel holds is passed on with it
 			c.passTo = s.pass
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -166,7 +166,10 @@
 }
 
 // crossed tells whether something has come that may be a request: read, or still in the kernel.
-func (c *clientConn) crossed() bool {
+func (c *clientConn) crossed() bool { return c.unread() || c.came.Load() }
+
+// unread reports whether the kernel holds bytes that were not read, or the client has ended the connection.
+func (c *clientConn) unread() bool {
 	s, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
@@ -177,7 +180,7 @@
 	}
 	waiting := true
 	err = raw.Control(func(fd uintptr) { waiting = !empty(fd) })
-	return err != nil || waiting || c.came.Load()
+	return err != nil || waiting
 }
 
 // empty tells whether a socket is open with nothing to read.
--- /dev/null
+++ b/internal/net/transport/evict_test.go
@@ -0,0 +1,102 @@
+package transport
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"otterturn/internal/standin"
+)
+
+// readAll reads from a connection as net/http does, until its end.
+func readAll(c *clientConn) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := c.Read(buffer); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}()
+	return ended
+}
+
+// evict closes the connection that has been longest without a request, however short that is.
+func evict(s *clients) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeLongest(time.Now().Add(time.Hour))
+}
+
+// The connection that has been reading longest makes room. A request that has come whole in that moment is owed its answer:
+// the connection was closed under it.
+func TestRequestThatIsCompleteKeepsItsConnection(t *testing.T) {
+	s, c, far := accept(t)
+	s.track(c, http.StateActive)
+	io.WriteString(far, fmt.Sprintf(request, "id")+"\r\n")
+	readAll(c)
+	standin.Until(t, "the request", c.framing.whole)
+	evict(s)
+	if _, err := c.Write([]byte("answer")); err != nil {
+		t.Fatalf("the answer: %v", err)
+	}
+	answer := make([]byte, len("answer"))
+	if _, err := io.ReadFull(far, answer); err != nil || string(answer) != "answer" {
+		t.Errorf("the client reads %q, %v", answer, err)
+	}
+}
+
+// A request whose rest the kernel holds already is read to its end.
+func TestRequestThatHasArrivedKeepsItsConnection(t *testing.T) {
+	s, c, far := accept(t)
+	s.track(c, http.StateActive)
+	io.WriteString(far, fmt.Sprintf(request, "id")+"\r\n")
+	standin.Until(t, "the request", c.crossed)
+	evict(s)
+	readAll(c)
+	standin.Until(t, "the request", c.framing.whole)
+	if _, err := c.Write([]byte("answer")); err != nil {
+		t.Errorf("the answer: %v", err)
+	}
+}
+
+// Half a request makes room: nothing is owed for it. Its own reader ends the connection.
+func TestIncompleteRequestMakesRoom(t *testing.T) {
+	s, c, far := accept(t)
+	s.track(c, http.StateActive)
+	io.WriteString(far, "GET /re")
+	ended := readAll(c)
+	standin.Until(t, "half a request", c.came.Load)
+	evict(s)
+	if err := standin.Await(t, "the end of the read", ended); err != io.EOF {
+		t.Errorf("the read ended with %v", err)
+	}
+}
+
+// A client reads its last answer and has sent more than was read: closing its connection for room would reset it, and take
+// that answer along.
+func TestLastAnswerIsNotCutOffForRoom(t *testing.T) {
+	s, c, far := accept(t)
+	s.end(c)
+	io.WriteString(far, "GET /behind")
+	standin.Until(t, "bytes behind the answer", c.crossed)
+	s.mu.Lock()
+	cut := s.cutEnding()
+	s.mu.Unlock()
+	if cut {
+		t.Error("a connection with unread bytes was closed")
+	}
+	if _, err := c.Conn.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	cut = s.cutEnding()
+	s.mu.Unlock()
+	if !cut {
+		t.Error("a connection with nothing to read made no room")
+	}
+}
