--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 
 # What a step of the decisions costs, by nodes and volumes, and what is kept of each, in bytes; half a minute.
 step-cost:
-	go test -run '^$$' -bench 'Step|Bytes|Replaced' -benchtime 2000x ./rules
+	go test -run '^$$' -bench 'Step|Bytes|Replaced' -benchtime 2000x ./scheduler
 
 # Certificates of 10 s are renewed 22 times under 50 long transfers, about three minutes; the last line has the figures.
 RENEWALS ?= 22
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -1,4 +1,4 @@
-// Command benchlink lets the scheduler of package rules decide on the bench: batches of events come in on
+// Command benchlink lets the scheduler of package scheduler decide on the bench: batches of events come in on
 // standard input, actions leave on standard output.
 package main
 
--- a/cmd/otterlab/capacity.go
+++ b/cmd/otterlab/capacity.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"otterturn/internal/lab/hollow"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // garbagePercent has memory collected less often than usual, within the bound: most of a fleet stays.
@@ -42,7 +42,7 @@
 	debug.SetMemoryLimit(c.Memory << 30)
 	debug.SetGCPercent(garbagePercent)
 	plan := hollow.Plan{Sizes: c.Sizes, Small: c.Small, Events: c.Events, Seed: c.Seed, Workers: c.Workers,
-		SuspectAfter: rules.Micros(c.Suspect / time.Microsecond),
+		SuspectAfter: scheduler.Micros(c.Suspect / time.Microsecond),
 		Health:       map[string][]bool{"on": {true}, "off": {false}, "both": {false, true}}[c.Health]}
 	lines, err := hollow.Measure(plan, func(text string) { fmt.Fprintln(os.Stderr, text) })
 	if err != nil {
--- a/cmd/otterturn/crash_test.go
+++ b/cmd/otterturn/crash_test.go
@@ -20,7 +20,7 @@
 	"otterturn/internal/standin"
 	"otterturn/internal/state/snapshot"
 	"otterturn/internal/state/store"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Figures of a limited project's uploads.
@@ -156,9 +156,9 @@
 	case "flipped":
 		file[rand.IntN(len(file))] ^= 1 << rand.IntN(8)
 	case "hours old":
-		snap.Saved -= rules.Micros(3 * time.Hour / time.Microsecond)
+		snap.Saved -= scheduler.Micros(3 * time.Hour / time.Microsecond)
 	case "of the future":
-		snap.Saved += rules.Micros(time.Hour / time.Microsecond)
+		snap.Saved += scheduler.Micros(time.Hour / time.Microsecond)
 	default:
 		snap.Front = "another"
 	}
--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -14,7 +14,7 @@
 
 // Arrive admits a request of a project and a client, queues it, or refuses it, or evicts one that waits in its place: the
 // last of the client that has most waiting in the project that has. Its cost is in the units that Release is told; the
-// weight is its plan's share beyond what is reserved (rules.Plan.Weight).
+// weight is its plan's share beyond what is reserved (scheduler.Plan.Weight).
 func (q *Queue) Arrive(now int64, name, by string, cost, weight float64) Arrival {
 	p, c := q.find(name, by)
 	a, step := Arrival{Evicted: none}, step(cost, weight)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -14,7 +14,7 @@
 	"math"
 	"math/rand/v2"
 
-	"otterturn/rules/timers"
+	"otterturn/scheduler/timers"
 )
 
 // Sizes of the set of queues.
--- a/internal/fleet/health/api.go
+++ b/internal/fleet/health/api.go
@@ -7,7 +7,7 @@
 // docs/fleet-health.md.
 package health
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // Config is what a Monitor gets at its start, and anew by Monitor.Reconfigure.
 type Config struct {
@@ -17,12 +17,12 @@
 	Probers int   // fronts of each zone that probe a node, 1 at least
 	Quorum  int   // distinct fronts of a zone whose probes must have failed before the zone avoids a node, 2 at least
 
-	SuspectAfter  rules.Micros // an attempt that is out for so long, and for 4 times the node's usual latency, is stalled
-	ProbeLate     rules.Micros // a probe without an answer for so long, and for 4 times the usual, counts as failed
-	EvidenceLife  rules.Micros // evidence older than this counts for nothing
-	TakeoverAfter rules.Micros // the next Probers fronts in rank take over after so long without sufficient evidence
-	ProbesPerNode float64      // probes a second that all fronts of all zones send one silent node at most
-	MessageBytes  float64      // bytes of messages a second that this front sends at most
+	SuspectAfter  scheduler.Micros // an attempt that is out for so long, and for 4 times the node's usual latency, is stalled
+	ProbeLate     scheduler.Micros // a probe without an answer for so long, and for 4 times the usual, counts as failed
+	EvidenceLife  scheduler.Micros // evidence older than this counts for nothing
+	TakeoverAfter scheduler.Micros // the next Probers fronts in rank take over after so long without sufficient evidence
+	ProbesPerNode float64          // probes a second that all fronts of all zones send one silent node at most
+	MessageBytes  float64          // bytes of messages a second that this front sends at most
 }
 
 // Event is something that a Monitor learns.
@@ -31,7 +31,7 @@
 // NodeList is news of the node list. A full list names every node there is.
 type NodeList struct {
 	Full  bool
-	Nodes []rules.Listing
+	Nodes []scheduler.Listing
 }
 
 // AttemptStarted tells that an attempt was sent to a node.
@@ -46,7 +46,7 @@
 	Node    string
 	ID      string
 	Attempt int
-	Result  rules.Result
+	Result  scheduler.Result
 	Alive   bool // after a reset: the node was found running right behind it
 }
 
@@ -54,7 +54,7 @@
 type ProbeWanted struct{ Node string }
 
 // ProbeEnded is the result of a StartProbe.
-type ProbeEnded struct{ rules.Probed }
+type ProbeEnded struct{ scheduler.Probed }
 
 // Received is a message of another front.
 type Received struct {
@@ -80,10 +80,10 @@
 type StartProbe struct{ Node string }
 
 // ProbeAnswered answers a ProbeWanted.
-type ProbeAnswered struct{ rules.Probed }
+type ProbeAnswered struct{ scheduler.Probed }
 
 // Report tells the scheduler that the zone found a node silent.
-type Report struct{ rules.NodeSilent }
+type Report struct{ scheduler.NodeSilent }
 
 // Send is a message to another front.
 type Send struct {
@@ -92,7 +92,7 @@
 }
 
 // SetAlarm asks for an Alarm; it takes the place of an earlier one.
-type SetAlarm struct{ At rules.Micros }
+type SetAlarm struct{ At scheduler.Micros }
 
 func (StartProbe) action()    {}
 func (ProbeAnswered) action() {}
@@ -113,17 +113,17 @@
 
 // Entry is evidence on one node.
 type Entry struct {
-	Node  uint64       // NodeKey of its name
-	Since rules.Micros // the node's start as the sender's list has it, in whole milliseconds
+	Node  uint64           // NodeKey of its name
+	Since scheduler.Micros // the node's start as the sender's list has it, in whole milliseconds
 	State State
-	Age   rules.Micros // time since it was observed, in whole milliseconds
+	Age   scheduler.Micros // time since it was observed, in whole milliseconds
 }
 
 // Message is what one front tells another. Its sender is known by its address.
 type Message struct {
-	Run      int64        // Config.Run of the sender
-	Sequence uint32       // counts the sender's messages of this run
-	Sent     rules.Micros // the sender's clock
+	Run      int64            // Config.Run of the sender
+	Sequence uint32           // counts the sender's messages of this run
+	Sent     scheduler.Micros // the sender's clock
 	Entries  []Entry
 }
 
--- a/internal/fleet/health/attempts.go
+++ b/internal/fleet/health/attempts.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 const (
@@ -20,8 +20,8 @@
 // attempt is one that is out.
 type attempt struct {
 	node  *node
-	start rules.Micros // of the node, as the list had it
-	sent  rules.Micros
+	start scheduler.Micros // of the node, as the list had it
+	sent  scheduler.Micros
 }
 
 func (m *Monitor) attemptStarted(e AttemptStarted) {
@@ -51,13 +51,13 @@
 	}
 	switch {
 	case answers(e):
-		if known && e.Result != rules.Reset {
+		if known && e.Result != scheduler.Reset {
 			n.learn(m.now - a.sent)
 		}
 		m.answeredBy(n)
-	case e.Result == rules.Unreachable, e.Result == rules.Reset:
+	case e.Result == scheduler.Unreachable, e.Result == scheduler.Reset:
 		m.suspect(n, m.now)
-	case e.Result == rules.TimedOut && known && m.now-owed >= m.stallAfter(n):
+	case e.Result == scheduler.TimedOut && known && m.now-owed >= m.stallAfter(n):
 		m.suspect(n, owed)
 	}
 	if n.out == 0 && n.trouble == nil {
@@ -68,9 +68,9 @@
 // answers tells whether an attempt's end shows that the node runs and can be reached.
 func answers(e AttemptEnded) bool {
 	switch e.Result {
-	case rules.OK, rules.Errored, rules.Full, rules.Expired:
+	case scheduler.OK, scheduler.Errored, scheduler.Full, scheduler.Expired:
 		return true
-	case rules.Reset:
+	case scheduler.Reset:
 		return e.Alive
 	}
 	return false
@@ -85,7 +85,7 @@
 	}
 }
 
-func (n *node) learn(latency rules.Micros) {
+func (n *node) learn(latency scheduler.Micros) {
 	if n.usual == 0 {
 		n.usual = latency
 		return
@@ -94,12 +94,12 @@
 }
 
 // stallAfter is for how long a node may owe an answer before it is suspected.
-func (m *Monitor) stallAfter(n *node) rules.Micros {
+func (m *Monitor) stallAfter(n *node) scheduler.Micros {
 	return max(m.config.SuspectAfter, stallUsuals*n.usual)
 }
 
 // stallsAt is when a node is to be suspected if it answers nothing more, forever where it owes nothing.
-func (m *Monitor) stallsAt(n *node) rules.Micros {
+func (m *Monitor) stallsAt(n *node) scheduler.Micros {
 	if n.out == 0 || !n.running() || n.trouble != nil && (n.avoided || n.suspecting) {
 		return forever
 	}
@@ -107,7 +107,7 @@
 }
 
 // watchStall suspects a node that has owed an answer for too long.
-func (m *Monitor) watchStall(n *node) (next rules.Micros) {
+func (m *Monitor) watchStall(n *node) (next scheduler.Micros) {
 	if m.stallsAt(n) <= m.now {
 		m.suspect(n, n.owing)
 	}
@@ -115,7 +115,7 @@
 }
 
 // suspect takes in that requests of this front stall or fail at a node, since a time.
-func (m *Monitor) suspect(n *node, since rules.Micros) {
+func (m *Monitor) suspect(n *node, since scheduler.Micros) {
 	if !n.running() || n.trouble != nil && (n.avoided || n.suspecting) || m.now < n.raised+m.config.TakeoverAfter {
 		return
 	}
--- a/internal/fleet/health/audit_test.go
+++ b/internal/fleet/health/audit_test.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // audit looks at each action from outside.
@@ -11,7 +11,7 @@
 	switch a := a.(type) {
 	case StartProbe:
 		if t.asked[f.number] == nil {
-			t.asked[f.number] = map[string]rules.Micros{}
+			t.asked[f.number] = map[string]scheduler.Micros{}
 		}
 		t.asked[f.number][a.Node] = t.now
 	case Send:
--- a/internal/fleet/health/breaks_test.go
+++ b/internal/fleet/health/breaks_test.go
@@ -3,14 +3,14 @@
 import (
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // breaks are faults made on purpose: the schedules must find each of them.
 var breaks = map[string]func(m *Monitor){
 	"no quorum":             func(m *Monitor) { m.config.Quorum = 1 },
-	"no takeover":           func(m *Monitor) { m.seams.round = func(_, _ rules.Micros) int { return 0 } },
-	"a former start counts": func(m *Monitor) { m.seams.sameStart = func(_, _ rules.Micros) bool { return true } },
+	"no takeover":           func(m *Monitor) { m.seams.round = func(_, _ scheduler.Micros) int { return 0 } },
+	"a former start counts": func(m *Monitor) { m.seams.sameStart = func(_, _ scheduler.Micros) bool { return true } },
 	"a front counts twice":  func(m *Monitor) { m.seams.add = func(e *evidence, o observation) { *e = append(*e, o) } },
 	"evidence never fades":  func(m *Monitor) { m.config.EvidenceLife = 1000 * second },
 }
--- a/internal/fleet/health/codec.go
+++ b/internal/fleet/health/codec.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // The form of a message: mark, version, run (7 bytes, big-endian), sequence (unsigned varint), the sender's clock in
@@ -23,7 +23,7 @@
 	sinceBits      = 24
 	ageBits        = 13
 	runBits        = 56
-	milli          = rules.Micros(1000)
+	milli          = scheduler.Micros(1000)
 	longestAge     = (1<<ageBits - 1) * milli
 )
 
@@ -49,7 +49,7 @@
 	out = append(out, messageMark, messageVersion)
 	out = appendBits(out, uint64(m.Run), runBits)
 	out = binary.AppendUvarint(out, uint64(m.Sequence))
-	out = binary.AppendVarint(out, floorMillis(m.Sent-rules.Micros(m.Run)))
+	out = binary.AppendVarint(out, floorMillis(m.Sent-scheduler.Micros(m.Run)))
 	for _, e := range m.Entries {
 		if len(out)+entryBytes > MessageLimit {
 			break
@@ -63,7 +63,7 @@
 func (m Message) size() int {
 	var scratch [binary.MaxVarintLen64]byte
 	header := fixedBytes + binary.PutUvarint(scratch[:], uint64(m.Sequence))
-	header += binary.PutVarint(scratch[:], floorMillis(m.Sent-rules.Micros(m.Run)))
+	header += binary.PutVarint(scratch[:], floorMillis(m.Sent-scheduler.Micros(m.Run)))
 	return header + entryBytes*min(len(m.Entries), (MessageLimit-header)/entryBytes)
 }
 
@@ -104,7 +104,7 @@
 		return Message{}, fmt.Errorf("clock: %w", err)
 	}
 	rest = rest[n:]
-	out.Sequence, out.Sent = uint32(sequence), rules.Micros(out.Run)+rules.Micros(sent)*milli
+	out.Sequence, out.Sent = uint32(sequence), scheduler.Micros(out.Run)+scheduler.Micros(sent)*milli
 	if len(rest)%entryBytes != 0 {
 		return Message{}, fmt.Errorf("%w: %d bytes of entries", ErrCut, len(rest))
 	}
@@ -122,9 +122,9 @@
 	last := binary.BigEndian.Uint16(data[8:])
 	e := Entry{
 		Node:  bits(data[:5]),
-		Since: rules.Micros(bits(data[5:8])) * milli,
+		Since: scheduler.Micros(bits(data[5:8])) * milli,
 		State: State(last >> ageBits),
-		Age:   rules.Micros(last&(1<<ageBits-1)) * milli,
+		Age:   scheduler.Micros(last&(1<<ageBits-1)) * milli,
 	}
 	if e.State < Reachable || e.State > Standing {
 		return Entry{}, fmt.Errorf("%w: %d", ErrState, e.State)
@@ -161,7 +161,7 @@
 }
 
 // floorMillis is a time in whole milliseconds, rounded down.
-func floorMillis(t rules.Micros) int64 {
+func floorMillis(t scheduler.Micros) int64 {
 	ms := int64(t / milli)
 	if t < 0 && t%milli != 0 {
 		ms--
@@ -170,12 +170,12 @@
 }
 
 // wireSince is a node's start as entries carry it.
-func wireSince(since rules.Micros) rules.Micros {
-	return rules.Micros(uint64(floorMillis(since))&(1<<sinceBits-1)) * milli
+func wireSince(since scheduler.Micros) scheduler.Micros {
+	return scheduler.Micros(uint64(floorMillis(since))&(1<<sinceBits-1)) * milli
 }
 
 // startedLater tells whether a start, as entries carry it, is later than another one, by the shorter way round.
-func startedLater(a, b rules.Micros) bool {
+func startedLater(a, b scheduler.Micros) bool {
 	ahead := uint64(a/milli-b/milli) & (1<<sinceBits - 1)
 	return ahead > 0 && ahead < 1<<(sinceBits-1)
 }
--- a/internal/fleet/health/codec_test.go
+++ b/internal/fleet/health/codec_test.go
@@ -7,16 +7,16 @@
 	"reflect"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 func randomMessage(random *rand.Rand, entries int) Message {
 	m := Message{Run: random.Int64N(1 << 52), Sequence: random.Uint32()}
-	m.Sent = rules.Micros(m.Run) + rules.Micros(random.Int64N(1<<40)-1<<30)*milli
+	m.Sent = scheduler.Micros(m.Run) + scheduler.Micros(random.Int64N(1<<40)-1<<30)*milli
 	for range entries {
 		m.Entries = append(m.Entries, Entry{
-			Node: random.Uint64N(1 << keyBits), Since: rules.Micros(random.Uint64N(1<<sinceBits)) * milli,
-			State: Reachable + State(random.IntN(3)), Age: rules.Micros(random.Uint64N(1<<ageBits)) * milli,
+			Node: random.Uint64N(1 << keyBits), Since: scheduler.Micros(random.Uint64N(1<<sinceBits)) * milli,
+			State: Reachable + State(random.IntN(3)), Age: scheduler.Micros(random.Uint64N(1<<ageBits)) * milli,
 		})
 	}
 	return m
@@ -131,7 +131,7 @@
 		t.Fatalf("%v: %+v, not %+v", err, again, message)
 	}
 	for from := range 4 {
-		m.Step(10*second+rules.Micros(from), []Event{Received{from, message}})
+		m.Step(10*second+scheduler.Micros(from), []Event{Received{from, message}})
 	}
 	if m.avoids("a") && len(message.Entries) == 0 {
 		t.Error("condemned by nothing")
--- a/internal/fleet/health/config.go
+++ b/internal/fleet/health/config.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Figures of Defaults. Times are microseconds.
@@ -21,7 +21,7 @@
 )
 
 // MaxEvidenceLife bounds Config.EvidenceLife: the age of an entry has 13 bits of milliseconds.
-const MaxEvidenceLife rules.Micros = 8_000_000
+const MaxEvidenceLife scheduler.Micros = 8_000_000
 
 // Defaults returns the usual figures for a front of a fleet whose fronts stand in the given zones.
 func Defaults(self int, run int64, zones []int) Config {
@@ -101,13 +101,13 @@
 
 // slowestProbe is the longest time between two probes of a node that a front is to watch: what it shows must come to all
 // fronts before what the last one showed is too old.
-func (c Config) slowestProbe() rules.Micros { return min(slowestProbe, c.EvidenceLife/lifeParts) }
+func (c Config) slowestProbe() scheduler.Micros { return min(slowestProbe, c.EvidenceLife/lifeParts) }
 
 // probePace is the time between two probes that ProbesPerNode leaves to each prober.
-func (c Config) probePace() rules.Micros {
-	return rules.Micros(float64(c.probersOfAllZones()) / c.ProbesPerNode * microsPerSecond)
+func (c Config) probePace() scheduler.Micros {
+	return scheduler.Micros(float64(c.probersOfAllZones()) / c.ProbesPerNode * microsPerSecond)
 }
 
 const microsPerSecond = 1e6
 
-func seconds(t rules.Micros) float64 { return float64(t) / microsPerSecond }
+func seconds(t scheduler.Micros) float64 { return float64(t) / microsPerSecond }
--- a/internal/fleet/health/cost_test.go
+++ b/internal/fleet/health/cost_test.go
@@ -5,7 +5,7 @@
 	"runtime"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // atFullSize is a Monitor of one front of 1,200 before 1,800 nodes.
@@ -18,7 +18,7 @@
 	var names []string
 	for i := range 1800 {
 		names = append(names, fmt.Sprintf("node-%d", i))
-		list.Nodes = append(list.Nodes, rules.Listing{Node: names[i], Since: rules.Micros(i) * second})
+		list.Nodes = append(list.Nodes, scheduler.Listing{Node: names[i], Since: scheduler.Micros(i) * second})
 	}
 	m.Step(second, []Event{list})
 	return m, names
@@ -40,7 +40,7 @@
 		now += 1400
 		id := fmt.Sprint(i)
 		m.Step(now, []Event{AttemptStarted{Node: names[i%1800], ID: id}})
-		m.Step(now+1000, []Event{AttemptEnded{Node: names[i%1800], ID: id, Result: rules.OK}})
+		m.Step(now+1000, []Event{AttemptEnded{Node: names[i%1800], ID: id, Result: scheduler.OK}})
 	}
 	took := int64(heapBytes()) - int64(before)
 	t.Logf("%d bytes, names included", took)
@@ -91,7 +91,7 @@
 		now += 1400
 		m.Step(now, []Event{AttemptStarted{Node: names[i%1800], ID: ids[i%4096]}})
 		if j := i - 35; j >= 0 {
-			m.Step(now+1, []Event{AttemptEnded{Node: names[j%1800], ID: ids[j%4096], Result: rules.OK}})
+			m.Step(now+1, []Event{AttemptEnded{Node: names[j%1800], ID: ids[j%4096], Result: scheduler.OK}})
 		}
 	}
 }
@@ -109,7 +109,7 @@
 		message := Message{Run: 1, Sequence: sequence, Sent: now}
 		for k := range 20 {
 			node := (i*20 + k) % 180
-			message.Entries = append(message.Entries, Entry{NodeKey(names[node]), wireSince(rules.Micros(node) * second), Silent, 0})
+			message.Entries = append(message.Entries, Entry{NodeKey(names[node]), wireSince(scheduler.Micros(node) * second), Silent, 0})
 		}
 		m.Step(now, []Event{Received{1, message}, Received{2, message}})
 		steps++
--- a/internal/fleet/health/due.go
+++ b/internal/fleet/health/due.go
@@ -3,7 +3,7 @@
 import (
 	"container/heap"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // dueQueue holds the nodes that have something to be looked at, by time.
@@ -33,7 +33,7 @@
 }
 
 // set puts a node where its time belongs, in the place of an earlier one.
-func (q *dueQueue) set(n *node, at rules.Micros) {
+func (q *dueQueue) set(n *node, at scheduler.Micros) {
 	if n.place > 0 && n.due == at {
 		return
 	}
@@ -53,7 +53,7 @@
 }
 
 // take removes and returns a node whose time has come, nil if there is none.
-func (q *dueQueue) take(now rules.Micros) *node {
+func (q *dueQueue) take(now scheduler.Micros) *node {
 	if len(*q) == 0 || (*q)[0].due > now {
 		return nil
 	}
--- a/internal/fleet/health/evidence.go
+++ b/internal/fleet/health/evidence.go
@@ -4,20 +4,20 @@
 	"math"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // never is earlier than any time, and forever later.
 const (
-	never   rules.Micros = math.MinInt64 / 4
-	forever rules.Micros = math.MaxInt64 / 4
+	never   scheduler.Micros = math.MinInt64 / 4
+	forever scheduler.Micros = math.MaxInt64 / 4
 )
 
 // observation is the latest that one front saw of a node.
 type observation struct {
 	front int
-	state State        // Reachable or Silent
-	at    rules.Micros // of the answer, or when the probe that was not answered was sent
+	state State            // Reachable or Silent
+	at    scheduler.Micros // of the answer, or when the probe that was not answered was sent
 }
 
 // evidence holds one observation of each front that told any.
@@ -47,12 +47,12 @@
 }
 
 // prune forgets what is not younger than a time.
-func (e *evidence) prune(after rules.Micros) {
+func (e *evidence) prune(after scheduler.Micros) {
 	*e = slices.DeleteFunc(*e, func(o observation) bool { return o.at <= after })
 }
 
 // count tells how many fronts saw a state after a time; keep may leave some out.
-func (e evidence) count(state State, after rules.Micros, keep func(front int) bool) int {
+func (e evidence) count(state State, after scheduler.Micros, keep func(front int) bool) int {
 	n := 0
 	for _, o := range e {
 		if o.state == state && o.at > after && (keep == nil || keep(o.front)) {
@@ -63,7 +63,7 @@
 }
 
 // oldest is the time of the oldest observation, and whether there is any.
-func (e evidence) oldest() (at rules.Micros, ok bool) {
+func (e evidence) oldest() (at scheduler.Micros, ok bool) {
 	for _, o := range e {
 		if !ok || o.at < at {
 			at, ok = o.at, true
@@ -74,8 +74,8 @@
 
 // verdict tells whether a node is to be avoided: at least quorum fronts saw it silent, later than this front was
 // answered, and more than saw it reachable. Then at is the time since which so many did.
-func (e evidence) verdict(quorum int, answered rules.Micros) (avoid bool, at rules.Micros) {
-	var silent []rules.Micros
+func (e evidence) verdict(quorum int, answered scheduler.Micros) (avoid bool, at scheduler.Micros) {
+	var silent []scheduler.Micros
 	reachable := 0
 	for _, o := range e {
 		switch {
--- a/internal/fleet/health/exhaustive_test.go
+++ b/internal/fleet/health/exhaustive_test.go
@@ -5,11 +5,11 @@
 	"slices"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // allMoves are all moves of a world with so many fronts and nodes.
-func allMoves(fronts, nodes int, wait rules.Micros) (moves []move) {
+func allMoves(fronts, nodes int, wait scheduler.Micros) (moves []move) {
 	for f := range faults {
 		places := 1
 		switch {
@@ -28,15 +28,15 @@
 // Every order of faults in small worlds, at three speeds: within the life of a probe, of a message held back, and of
 // evidence.
 func TestEveryInterleavingOfSmallCases(t *testing.T) {
-	const millisecond rules.Micros = 1000
+	const millisecond scheduler.Micros = 1000
 	for _, c := range []struct {
 		fronts, nodes, length int
-		waits                 []rules.Micros
+		waits                 []scheduler.Micros
 	}{
-		{2, 1, 3, []rules.Micros{150 * millisecond}},
-		{2, 2, 2, []rules.Micros{30 * millisecond, 150 * millisecond, 1100 * millisecond}},
-		{3, 1, 2, []rules.Micros{30 * millisecond, 150 * millisecond, 1100 * millisecond}},
-		{3, 2, 2, []rules.Micros{150 * millisecond}},
+		{2, 1, 3, []scheduler.Micros{150 * millisecond}},
+		{2, 2, 2, []scheduler.Micros{30 * millisecond, 150 * millisecond, 1100 * millisecond}},
+		{3, 1, 2, []scheduler.Micros{30 * millisecond, 150 * millisecond, 1100 * millisecond}},
+		{3, 2, 2, []scheduler.Micros{150 * millisecond}},
 	} {
 		t.Run(fmt.Sprintf("%d fronts, %d nodes, %d faults", c.fronts, c.nodes, c.length), func(t *testing.T) {
 			t.Parallel()
@@ -70,7 +70,7 @@
 	from     int
 	sequence uint32
 	state    State
-	at       rules.Micros
+	at       scheduler.Micros
 }
 
 // Whatever the order in which messages come, and whichever come twice, a front holds the same in the end.
--- a/internal/fleet/health/faults_test.go
+++ b/internal/fleet/health/faults_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // avoiding counts the fronts that avoid the first node.
@@ -46,7 +46,7 @@
 		"paused": func(w *world, f *simFront) { f.paused = true },
 		"cut": func(w *world, f *simFront) {
 			link := w.link
-			w.link = func(from, to int) []rules.Micros {
+			w.link = func(from, to int) []scheduler.Micros {
 				if from == f.number || to == f.number {
 					return nil
 				}
--- a/internal/fleet/health/front_test.go
+++ b/internal/fleet/health/front_test.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 type simFront struct {
@@ -17,28 +17,28 @@
 	gone    bool
 	late    []simEvent // what came while paused
 	mute    map[string]bool
-	known   map[string]rules.Micros // starts, by the list
-	wanted  map[string]rules.Micros // ProbeWanted without an answer
-	failed  map[string]int          // requests
-	bytes   []sentBytes             // sent and received
+	known   map[string]scheduler.Micros // starts, by the list
+	wanted  map[string]scheduler.Micros // ProbeWanted without an answer
+	failed  map[string]int              // requests
+	bytes   []sentBytes                 // sent and received
 }
 
 type sentBytes struct {
-	at    rules.Micros
+	at    scheduler.Micros
 	bytes int
 }
 
 type simNode struct {
 	name   string
 	index  int
-	start  rules.Micros
+	start  scheduler.Micros
 	dead   bool
 	refuse bool // a dead one refuses instead of being silent
-	probes []rules.Micros
+	probes []scheduler.Micros
 }
 
 type simEvent struct {
-	at    rules.Micros
+	at    scheduler.Micros
 	order int
 	front int // -1 for the world's own
 	life  int
--- a/internal/fleet/health/fullsize_test.go
+++ b/internal/fleet/health/fullsize_test.go
@@ -4,10 +4,10 @@
 	"slices"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
-const second rules.Micros = 1_000_000
+const second scheduler.Micros = 1_000_000
 
 // zonesOf are so many zones with so many fronts each.
 func zonesOf(zones, fronts int) []int {
@@ -19,7 +19,7 @@
 }
 
 // most is how many times lie within one span at most.
-func most(times []rules.Micros, span rules.Micros) int {
+func most(times []scheduler.Micros, span scheduler.Micros) int {
 	slices.Sort(times)
 	worst, from := 0, 0
 	for i, at := range times {
@@ -44,8 +44,8 @@
 	begin := w.now
 	death, back := begin+2*second, begin+12*second
 	reports := map[string]int{}
-	var told []rules.Micros
-	sent, received := map[int][]rules.Micros{}, 0
+	var told []scheduler.Micros
+	sent, received := map[int][]scheduler.Micros{}, 0
 	w.each = func(f *simFront, a Action) {
 		switch a := a.(type) {
 		case Report:
@@ -87,11 +87,11 @@
 	if last := told[len(told)-1]; last > 2*second {
 		t.Errorf("the last front heard after %d ms", last/1000)
 	}
-	sum := rules.Micros(0)
+	sum := scheduler.Micros(0)
 	for _, at := range told {
 		sum += at
 	}
-	mean := sum / rules.Micros(len(told))
+	mean := sum / scheduler.Micros(len(told))
 	worst := 0
 	for _, f := range w.fronts {
 		received = max(received, f.mostBytes())
@@ -122,7 +122,7 @@
 		w.load(0.39, w.nodes, begin+30*second)
 		w.at(begin+2*second, func() { w.setAll(true) })
 		w.run(begin + 30*second)
-		var silent []rules.Micros
+		var silent []scheduler.Micros
 		for _, at := range w.nodes[0].probes {
 			if at > begin+2*second {
 				silent = append(silent, at)
--- a/internal/fleet/health/held.go
+++ b/internal/fleet/health/held.go
@@ -1,6 +1,6 @@
 package health
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // probeWanted holds back what the scheduler wants of a node that is suspected or avoided; any other probe goes out at
 // once.
@@ -34,13 +34,13 @@
 	return n.returnAt == 0 && !n.suspecting && m.now < n.ended+m.config.EvidenceLife && m.others(n, Reachable) >= m.config.Quorum
 }
 
-func (m *Monitor) answer(n *node, result rules.Probed) {
+func (m *Monitor) answer(n *node, result scheduler.Probed) {
 	n.held = false
 	m.out = append(m.out, ProbeAnswered{result})
 }
 
 // release answers the probe that the scheduler waits for, or starts it, as soon as may be.
-func (m *Monitor) release(n *node) (next rules.Micros) {
+func (m *Monitor) release(n *node) (next scheduler.Micros) {
 	returned := n.returnAt > 0 && m.now >= n.returnAt
 	if returned {
 		n.returnAt = 0
@@ -48,8 +48,8 @@
 	if !n.held {
 		return forever
 	}
-	unknown := rules.Probed{Node: n.name, Queue: unknownQueue}
-	reached := rules.Probed{Node: n.name, OK: true, Queue: returnedQueue}
+	unknown := scheduler.Probed{Node: n.name, Queue: unknownQueue}
+	reached := scheduler.Probed{Node: n.name, OK: true, Queue: returnedQueue}
 	switch until := m.waitsUntil(n); {
 	case n.avoided && m.now >= n.heldAt+m.config.EvidenceLife: // it asks again
 		m.answer(n, unknown)
@@ -78,17 +78,17 @@
 
 // waitsUntil is when this front stops waiting for others and probes for its scheduler: at once where there is nothing
 // to be waited for, else the later the lower it ranks.
-func (m *Monitor) waitsUntil(n *node) rules.Micros {
+func (m *Monitor) waitsUntil(n *node) scheduler.Micros {
 	turn := (float64(min(n.rank/m.config.Probers, mostRounds)) + share(m.config.Self, n.key)) * float64(m.config.TakeoverAfter)
 	until := never
 	if n.out > 0 && n.owing+m.stallAfter(n) > m.now { // it may be suspected soon
 		until = min(n.owing+m.stallAfter(n), n.heldAt+m.config.SuspectAfter)
 	}
 	if n.suspecting || m.others(n, Silent) > 0 {
-		until = max(until, n.heldAt+m.config.TakeoverAfter+rules.Micros(turn))
+		until = max(until, n.heldAt+m.config.TakeoverAfter+scheduler.Micros(turn))
 	}
 	if n.ended > n.heldAt { // the evidence on which it was avoided has faded for all fronts
-		until = max(until, n.ended+rules.Micros(turn))
+		until = max(until, n.ended+scheduler.Micros(turn))
 	}
 	return until
 }
--- a/internal/fleet/health/held_test.go
+++ b/internal/fleet/health/held_test.go
@@ -4,7 +4,7 @@
 	"slices"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Wanted probes of nodes that nobody suspects, or that aren't on the list, go out at once and are answered by their end.
@@ -16,7 +16,7 @@
 			if started := of[StartProbe](m.Step(now, []Event{ProbeWanted{node}})); len(started) != 1 || started[0].Node != node {
 				t.Fatalf("%s: %v", node, started)
 			}
-			result := rules.Probed{Node: node, OK: ok, Queue: 3}
+			result := scheduler.Probed{Node: node, OK: ok, Queue: 3}
 			if answers := of[ProbeAnswered](m.Step(now+1000, []Event{ProbeEnded{result}})); len(answers) != 1 || answers[0].Probed != result {
 				t.Errorf("%s: %v", node, answers)
 			}
@@ -28,7 +28,7 @@
 func TestFrontsReturnOneByOne(t *testing.T) {
 	const now = 10 * second
 	const fronts = 50
-	var at []rules.Micros
+	var at []scheduler.Micros
 	for self := 5; self < fronts; self++ {
 		m := front(t, self, zonesOf(1, fronts), now)
 		m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
@@ -68,7 +68,7 @@
 	m.Step(back, []Event{Received{1, tells(2, back, Reachable, 0)}, Received{2, tells(2, back, Reachable, 0)}})
 	spread := back + returnSpread + 1000
 	answers := of[ProbeAnswered](m.Step(spread, []Event{Alarm{}}))
-	if want := (rules.Probed{Node: "a", OK: true, Queue: returnedQueue}); len(answers) != 1 || answers[0].Probed != want {
+	if want := (scheduler.Probed{Node: "a", OK: true, Queue: returnedQueue}); len(answers) != 1 || answers[0].Probed != want {
 		t.Fatalf("%v, want %v", answers, want)
 	}
 	actions := m.Step(spread+second, []Event{ProbeWanted{"a"}})
--- a/internal/fleet/health/inbox.go
+++ b/internal/fleet/health/inbox.go
@@ -1,6 +1,6 @@
 package health
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 const (
 	driftPart = 5000 // two clocks differ by one in so many parts of time more, 200 ppm
@@ -10,10 +10,10 @@
 // peer is what is kept of a front that sent messages.
 type peer struct {
 	run    int64
-	newest uint32       // sequence
-	seen   uint64       // bit i: newest - i came
-	offset rules.Micros // least difference of both clocks
-	at     rules.Micros // when that was seen last
+	newest uint32           // sequence
+	seen   uint64           // bit i: newest - i came
+	offset scheduler.Micros // least difference of both clocks
+	at     scheduler.Micros // when that was seen last
 }
 
 // repeated tells whether a message of the run came before, or can't be told from one that did. It counts as come from
@@ -34,7 +34,7 @@
 
 // delay is for how long a message was under way: by how much more both clocks differ than they did at the quickest
 // message of the run. The first of a run counts as quick.
-func (p *peer) delay(now, sent rules.Micros) rules.Micros {
+func (p *peer) delay(now, sent scheduler.Micros) scheduler.Micros {
 	difference := now - sent
 	if p.at == never {
 		p.offset, p.at = difference, now
@@ -80,7 +80,7 @@
 }
 
 // takeIn takes in what a front tells of a node, or tells why not.
-func (m *Monitor) takeIn(from int, e Entry, delay rules.Micros) Drop {
+func (m *Monitor) takeIn(from int, e Entry, delay scheduler.Micros) Drop {
 	if e.State == Standing {
 		return m.stands(from, e, delay)
 	}
@@ -123,4 +123,4 @@
 	m.seams.add(&n.evidence, o)
 }
 
-func sameStart(told, listed rules.Micros) bool { return told == listed }
+func sameStart(told, listed scheduler.Micros) bool { return told == listed }
--- a/internal/fleet/health/list.go
+++ b/internal/fleet/health/list.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // list takes in news of the node list. It counts for more than all evidence.
@@ -29,9 +29,9 @@
 	m.rekey()
 }
 
-func (m *Monitor) listed(l rules.Listing) {
+func (m *Monitor) listed(l scheduler.Listing) {
 	n := m.byName[l.Node]
-	if l.State == rules.Gone {
+	if l.State == scheduler.Gone {
 		if n != nil {
 			m.remove(n)
 		}
@@ -53,7 +53,7 @@
 	m.touch(n)
 }
 
-func (m *Monitor) insert(l rules.Listing) {
+func (m *Monitor) insert(l scheduler.Listing) {
 	n := &node{
 		name: l.Node, key: NodeKey(l.Node), start: l.Since, wire: wireSince(l.Since), state: l.State,
 		answered: never, owing: never, raised: never,
@@ -107,7 +107,7 @@
 		return
 	}
 	if n.held {
-		m.answer(n, rules.Probed{Node: n.name, Queue: -1})
+		m.answer(n, scheduler.Probed{Node: n.name, Queue: -1})
 	}
 	if n.avoided {
 		m.condemned--
--- a/internal/fleet/health/monitor.go
+++ b/internal/fleet/health/monitor.go
@@ -5,31 +5,31 @@
 	"slices"
 	"strings"
 
-	"otterturn/rules"
-	"otterturn/rules/window"
+	"otterturn/scheduler"
+	"otterturn/scheduler/window"
 )
 
 // Monitor is the core of one front. It belongs to one goroutine.
 type Monitor struct {
 	config Config
 	zone   []int // fronts of this front's zone
-	now    rules.Micros
+	now    scheduler.Micros
 	out    []Action
 
 	byName   map[string]*node
 	byKey    map[uint64]*node
 	attempts map[attemptID]attempt
 	due      dueQueue
-	touched  []*node                     // to be looked at in this step
-	passed   map[string]bool             // probes of unknown nodes that the scheduler waits for
-	peers    map[int]*peer               // those that sent a message
-	outbox   outbox                      // what is to be told
-	bytes    window.Window[rules.Micros] // sent in the last second,
-	asking   window.Window[rules.Micros] // of these, requests and answers to them
-	heard    window.Window[rules.Micros] // received in the last second
-
-	usualProbe rules.Micros // mean time of a probe's answer of late
-	alarm      rules.Micros // the last SetAlarm that has not come, forever for none
+	touched  []*node                         // to be looked at in this step
+	passed   map[string]bool                 // probes of unknown nodes that the scheduler waits for
+	peers    map[int]*peer                   // those that sent a message
+	outbox   outbox                          // what is to be told
+	bytes    window.Window[scheduler.Micros] // sent in the last second,
+	asking   window.Window[scheduler.Micros] // of these, requests and answers to them
+	heard    window.Window[scheduler.Micros] // received in the last second
+
+	usualProbe scheduler.Micros // mean time of a probe's answer of late
+	alarm      scheduler.Micros // the last SetAlarm that has not come, forever for none
 	counts     Counters
 	condemned  int
 	seams      seams
@@ -38,9 +38,9 @@
 // seams are the checks of what comes in, which tests break on purpose.
 type seams struct {
 	repeated  func(p *peer, sequence uint32) bool
-	sameStart func(told, listed rules.Micros) bool
+	sameStart func(told, listed scheduler.Micros) bool
 	add       func(e *evidence, o observation)
-	round     func(lacked, takeoverAfter rules.Micros) int
+	round     func(lacked, takeoverAfter scheduler.Micros) int
 }
 
 // New returns a Monitor that knows no node.
@@ -100,7 +100,7 @@
 func (m *Monitor) drop(why Drop) { m.counts.Dropped[why]++ }
 
 // Step takes events in and returns what is to be done. Times do not go back; one that does counts as the last one.
-func (m *Monitor) Step(now rules.Micros, events []Event) []Action {
+func (m *Monitor) Step(now scheduler.Micros, events []Event) []Action {
 	m.now, m.out = max(m.now, now), nil
 	m.doubt()
 	for _, e := range events {
@@ -146,7 +146,7 @@
 }
 
 // wake has a node looked at at a time at the latest.
-func (m *Monitor) wake(n *node, at rules.Micros) {
+func (m *Monitor) wake(n *node, at scheduler.Micros) {
 	if at < forever && (n.place == 0 || at < n.due) {
 		m.due.set(n, at)
 	}
@@ -171,7 +171,7 @@
 }
 
 // care reviews a node in trouble.
-func (m *Monitor) care(n *node) (next rules.Micros) {
+func (m *Monitor) care(n *node) (next scheduler.Micros) {
 	if !n.running() {
 		if !n.probe.out {
 			n.trouble = nil
--- a/internal/fleet/health/monitor_test.go
+++ b/internal/fleet/health/monitor_test.go
@@ -5,24 +5,24 @@
 	"slices"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // front is a Monitor that knows the running nodes a and b, which started at 1 s and 2 s.
-func front(t testing.TB, self int, zones []int, now rules.Micros) *Monitor {
+func front(t testing.TB, self int, zones []int, now scheduler.Micros) *Monitor {
 	t.Helper()
 	m, err := New(Defaults(self, 1, zones))
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.Step(now, []Event{NodeList{Full: true, Nodes: []rules.Listing{{Node: "a", Since: second}, {Node: "b", Since: 2 * second}}}})
+	m.Step(now, []Event{NodeList{Full: true, Nodes: []scheduler.Listing{{Node: "a", Since: second}, {Node: "b", Since: 2 * second}}}})
 	return m
 }
 
 func sprint(v any) string { return fmt.Sprintf("%v", v) }
 
 // tells is a message of one entry about node a.
-func tells(sequence uint32, sent rules.Micros, state State, age rules.Micros) Message {
+func tells(sequence uint32, sent scheduler.Micros, state State, age scheduler.Micros) Message {
 	return Message{Run: 1, Sequence: sequence, Sent: sent, Entries: []Entry{{NodeKey("a"), wireSince(second), state, age}}}
 }
 
@@ -52,7 +52,7 @@
 		t.Errorf("words of another zone count: %+v", m.Counters())
 	}
 	for sequence := range uint32(5) {
-		m.Step(now+rules.Micros(sequence), []Event{Received{1, tells(sequence+1, now, Silent, 0)}})
+		m.Step(now+scheduler.Micros(sequence), []Event{Received{1, tells(sequence+1, now, Silent, 0)}})
 	}
 	if m.avoids("a") {
 		t.Error("one front's word condemns")
@@ -74,7 +74,7 @@
 	if !m.avoids("a") {
 		t.Fatal("not avoided")
 	}
-	m.Step(now+second, []Event{AttemptEnded{Node: "a", ID: "x", Result: rules.OK}})
+	m.Step(now+second, []Event{AttemptEnded{Node: "a", ID: "x", Result: scheduler.OK}})
 	if m.avoids("a") {
 		t.Error("avoided though it was just answered")
 	}
@@ -94,12 +94,12 @@
 
 func TestListCountsForMoreThanEvidence(t *testing.T) {
 	const now = 10 * second
-	for name, l := range map[string]rules.Listing{
-		"drain": {Node: "a", Since: second, State: rules.Draining}, "start": {Node: "a", Since: 9 * second}, "gone": {Node: "a", State: rules.Gone},
+	for name, l := range map[string]scheduler.Listing{
+		"drain": {Node: "a", Since: second, State: scheduler.Draining}, "start": {Node: "a", Since: 9 * second}, "gone": {Node: "a", State: scheduler.Gone},
 	} {
 		m := front(t, 0, zonesOf(1, 4), now)
 		m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
-		actions := m.Step(now+1, []Event{NodeList{Nodes: []rules.Listing{l}}})
+		actions := m.Step(now+1, []Event{NodeList{Nodes: []scheduler.Listing{l}}})
 		if answers := of[ProbeAnswered](actions); m.avoids("a") || m.Counters().Condemned != 0 || len(answers) != 1 || answers[0].OK {
 			t.Errorf("%s: avoids %v, %v", name, m.avoids("a"), actions)
 		}
@@ -173,7 +173,7 @@
 	if len(alarm) != 1 || alarm[0].At != now+DefaultSuspectAfter {
 		t.Fatalf("%v", alarm)
 	}
-	m.Step(now+5000, []Event{AttemptEnded{Node: "b", ID: "y", Result: rules.OK}})
+	m.Step(now+5000, []Event{AttemptEnded{Node: "b", ID: "y", Result: scheduler.OK}})
 	var to []int
 	for _, s := range of[Send](m.Step(alarm[0].At, []Event{Alarm{}})) {
 		if len(s.Message.Entries) != 1 || s.Message.Entries[0].State != Suspected || s.Message.Entries[0].Node != NodeKey("a") {
@@ -196,7 +196,7 @@
 	prober := rankFronts(zonesOfFronts(4), NodeKey("a"))[0]
 	m := front(t, prober, zonesOf(1, 4), now)
 	m.Step(now, []Event{AttemptStarted{Node: "a", ID: "x"}})
-	m.Step(now+3000, []Event{AttemptEnded{Node: "a", ID: "x", Result: rules.OK}})
+	m.Step(now+3000, []Event{AttemptEnded{Node: "a", ID: "x", Result: scheduler.OK}})
 	other := (prober + 1) % 4
 	actions := m.Step(now+4000, []Event{Received{other, tells(1, now, Suspected, second)}})
 	sends := of[Send](actions)
--- a/internal/fleet/health/node.go
+++ b/internal/fleet/health/node.go
@@ -1,25 +1,25 @@
 package health
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // node is what is kept of every node on the list.
 type node struct {
 	name  string
 	key   uint64
-	start rules.Micros // as the list has it
-	wire  rules.Micros // the same as entries carry it
-	state rules.NodeState
+	start scheduler.Micros // as the list has it
+	wire  scheduler.Micros // the same as entries carry it
+	state scheduler.NodeState
 	alone bool // another node has the same key: nothing is shared of either
 
-	answered rules.Micros // this front's latest success
-	usual    rules.Micros // mean latency of late
-	out      int          // attempts without an end
-	owing    rules.Micros // since when it owes an answer, while any is out
-	raised   rules.Micros // when this front suspected it last
+	answered scheduler.Micros // this front's latest success
+	usual    scheduler.Micros // mean latency of late
+	out      int              // attempts without an end
+	owing    scheduler.Micros // since when it owes an answer, while any is out
+	raised   scheduler.Micros // when this front suspected it last
 
-	due     rules.Micros // when it is to be looked at
-	place   int          // in the queue, from 1; 0 while nothing is due
-	touched bool         // it is to be looked at in this step
+	due     scheduler.Micros // when it is to be looked at
+	place   int              // in the queue, from 1; 0 while nothing is due
+	touched bool             // it is to be looked at in this step
 	*trouble
 }
 
@@ -30,49 +30,49 @@
 
 	evidence evidence
 	avoided  bool
-	ended    rules.Micros // when it was avoided last
-	returnAt rules.Micros // when a held probe is answered after a return, 0 for none
+	ended    scheduler.Micros // when it was avoided last
+	returnAt scheduler.Micros // when a held probe is answered after a return, 0 for none
 
 	suspecting bool
-	suspected  rules.Micros // since when the node has owed this front an answer
-	lacking    bool         // sufficient evidence is missing,
-	lackedFrom rules.Micros // since then
-	round      int          // of asking for it
-	takeover   bool         // this front looks for want of others
+	suspected  scheduler.Micros // since when the node has owed this front an answer
+	lacking    bool             // sufficient evidence is missing,
+	lackedFrom scheduler.Micros // since then
+	round      int              // of asking for it
+	takeover   bool             // this front looks for want of others
 
 	askers []asker
 	duty   bool // this front probed for the zone, whatever its rank
 	probe  probe
-	silent rules.Micros // first of the unanswered probes in a row, never where the last was answered
+	silent scheduler.Micros // first of the unanswered probes in a row, never where the last was answered
 
 	told         tale
-	contradicted rules.Micros // when another front was first heard to reach the node since this one did not
+	contradicted scheduler.Micros // when another front was first heard to reach the node since this one did not
 
 	held   bool // a ProbeWanted waits for its answer,
-	heldAt rules.Micros
+	heldAt scheduler.Micros
 }
 
 // asker is a front that wants to be told what a node's probers see.
 type asker struct {
 	front int
-	at    rules.Micros // it wants news younger than this
+	at    scheduler.Micros // it wants news younger than this
 }
 
 // probe is the probe that is out, or when the next may start.
 type probe struct {
 	out     bool
-	sent    rules.Micros
-	counted bool         // it counted as failed already
-	void    bool         // a failure says nothing: this front was paused, or the node has started anew
-	wanted  bool         // sent for the scheduler: it is answered whatever comes of it
-	next    rules.Micros // when the next may start
+	sent    scheduler.Micros
+	counted bool             // it counted as failed already
+	void    bool             // a failure says nothing: this front was paused, or the node has started anew
+	wanted  bool             // sent for the scheduler: it is answered whatever comes of it
+	next    scheduler.Micros // when the next may start
 }
 
 // tale is what this front told its zone last.
 type tale struct {
 	state  State
-	at     rules.Micros // the observation
-	since  rules.Micros // when it had something new to tell, never while it has not
+	at     scheduler.Micros // the observation
+	since  scheduler.Micros // when it had something new to tell, never while it has not
 	queued bool
 }
 
@@ -88,4 +88,4 @@
 }
 
 // running tells whether the list lets requests go to the node.
-func (n *node) running() bool { return n.state == rules.Running && !n.alone }
+func (n *node) running() bool { return n.state == scheduler.Running && !n.alone }
--- a/internal/fleet/health/outbox.go
+++ b/internal/fleet/health/outbox.go
@@ -3,16 +3,16 @@
 import (
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 const (
-	batchFor  rules.Micros = 20_000    // news waits for so long for others,
-	batchMost rules.Micros = 50_000    // for so long while probes are out that may make some,
-	batchGap  rules.Micros = 100_000   // and for so long since the last went out
-	retryFor  rules.Micros = 50_000    // what finds no room is tried again
-	bytesSpan rules.Micros = 1_000_000 // of Config.MessageBytes
-	lifeParts              = 3         // evidence is repeated after one in so many parts of its life
+	batchFor  scheduler.Micros = 20_000    // news waits for so long for others,
+	batchMost scheduler.Micros = 50_000    // for so long while probes are out that may make some,
+	batchGap  scheduler.Micros = 100_000   // and for so long since the last went out
+	retryFor  scheduler.Micros = 50_000    // what finds no room is tried again
+	bytesSpan scheduler.Micros = 1_000_000 // of Config.MessageBytes
+	lifeParts                  = 3         // evidence is repeated after one in so many parts of its life
 )
 
 // urgency orders what is told; the lowest is shed first.
@@ -38,9 +38,9 @@
 // news is an Entry with its time in the place of an age.
 type news struct {
 	node  uint64
-	since rules.Micros
+	since scheduler.Micros
 	state State
-	at    rules.Micros
+	at    scheduler.Micros
 }
 
 func (n news) urgency() urgency {
@@ -52,16 +52,16 @@
 
 // outbox is what is to be told.
 type outbox struct {
-	to       map[int][]news // to single fronts
-	order    []int          // of these, as they came
-	news     []*node        // to the zone,
-	newsAt   rules.Micros   // at this time,
-	newsMost rules.Micros   // or until this one while probes are out
-	repeats  []*node        // to the zone, with the next repetition
-	repeatAt rules.Micros
-	sentAt   rules.Micros // when news went out last
-	rounds   []*round     // under way
-	retryAt  rules.Micros
+	to       map[int][]news   // to single fronts
+	order    []int            // of these, as they came
+	news     []*node          // to the zone,
+	newsAt   scheduler.Micros // at this time,
+	newsMost scheduler.Micros // or until this one while probes are out
+	repeats  []*node          // to the zone, with the next repetition
+	repeatAt scheduler.Micros
+	sentAt   scheduler.Micros // when news went out last
+	rounds   []*round         // under way
+	retryAt  scheduler.Micros
 	sequence map[int]uint32 // of the last message to each front
 }
 
@@ -78,7 +78,7 @@
 }
 
 // queue puts a node whose news the zone is to be told.
-func (o *outbox) queue(n *node, u urgency, now rules.Micros) {
+func (o *outbox) queue(n *node, u urgency, now scheduler.Micros) {
 	if u == repeated {
 		o.repeats = append(o.repeats, n)
 		return
@@ -100,7 +100,7 @@
 }
 
 // outboxDue is when something is to be sent.
-func (m *Monitor) outboxDue() rules.Micros {
+func (m *Monitor) outboxDue() scheduler.Micros {
 	o, next := &m.outbox, forever
 	switch {
 	case len(o.news) == 0:
@@ -175,10 +175,10 @@
 
 // send sends a message, if there is room for it.
 func (m *Monitor) send(to int, entries []Entry, u urgency) bool {
-	run := rules.Micros(m.config.Run)
+	run := scheduler.Micros(m.config.Run)
 	message := Message{
 		Run: m.config.Run, Sequence: m.outbox.sequence[to] + 1,
-		Sent: run + rules.Micros(floorMillis(m.now-run))*milli, Entries: entries,
+		Sent: run + scheduler.Micros(floorMillis(m.now-run))*milli, Entries: entries,
 	}
 	size := message.size()
 	if m.bytes.Sum(m.now)+float64(size) > room[u]*m.config.MessageBytes {
--- a/internal/fleet/health/probing.go
+++ b/internal/fleet/health/probing.go
@@ -1,19 +1,19 @@
 package health
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 const (
-	fastestProbe rules.Micros = 200_000   // between two probes of a node
-	slowestProbe rules.Micros = 2_000_000 // between two probes of a node that a front is to watch
-	silencePart               = 8         // a silent node is probed after one in so many parts of its silence
-	lateUsuals                = 4         // a probe that is out for so many times the usual may count as failed
-	mostLate                  = 4         // times ProbeLate, within which it counts as failed whatever is usual
-	pausedAfter  rules.Micros = 500_000   // an alarm that is later means that this front was paused
+	fastestProbe scheduler.Micros = 200_000   // between two probes of a node
+	slowestProbe scheduler.Micros = 2_000_000 // between two probes of a node that a front is to watch
+	silencePart                   = 8         // a silent node is probed after one in so many parts of its silence
+	lateUsuals                    = 4         // a probe that is out for so many times the usual may count as failed
+	mostLate                      = 4         // times ProbeLate, within which it counts as failed whatever is usual
+	pausedAfter  scheduler.Micros = 500_000   // an alarm that is later means that this front was paused
 )
 
 // pausedAfter is how late an alarm is at a front that was paused: half of the time that a probe has, as a pause of that
 // length would take an answer that waits to be read for none.
-func (c Config) pausedAfter() rules.Micros { return min(pausedAfter, c.ProbeLate/2) }
+func (c Config) pausedAfter() scheduler.Micros { return min(pausedAfter, c.ProbeLate/2) }
 
 // onDuty tells whether this front is to probe a node for its zone.
 func (m *Monitor) onDuty(n *node) bool {
@@ -31,14 +31,14 @@
 }
 
 // covered tells whether a quorum of fronts of lower rank saw the node after a time, and not long ago.
-func (m *Monitor) covered(n *node, after rules.Micros) bool {
+func (m *Monitor) covered(n *node, after scheduler.Micros) bool {
 	after = max(after, m.now-m.config.freshFor())
 	ahead := func(front int) bool { return m.ranksAhead(n, front) }
 	return n.evidence.count(Silent, after, ahead)+n.evidence.count(Reachable, after, ahead) >= m.config.Quorum
 }
 
 // look probes a node that this front is to probe, and takes a probe that is out for too long for failed.
-func (m *Monitor) look(n *node) (next rules.Micros) {
+func (m *Monitor) look(n *node) (next scheduler.Micros) {
 	if n.probe.out {
 		return m.lookLate(n)
 	}
@@ -62,7 +62,7 @@
 	m.out = append(m.out, StartProbe{Node: n.name})
 }
 
-func (m *Monitor) lookLate(n *node) (next rules.Micros) {
+func (m *Monitor) lookLate(n *node) (next scheduler.Micros) {
 	if n.probe.counted || n.probe.void {
 		return forever
 	}
@@ -88,7 +88,7 @@
 	n.probe.next = n.probe.sent + m.interval(n)
 	if first {
 		// All probers begin together: from their second probe on they are spread over an interval.
-		n.probe.next += rules.Micros(share(m.config.Self, n.key) * float64(m.interval(n)))
+		n.probe.next += scheduler.Micros(share(m.config.Self, n.key) * float64(m.interval(n)))
 	}
 	if !n.duty {
 		m.suspect(n, n.probe.sent)
@@ -97,13 +97,13 @@
 }
 
 // interval is the time between two probes of a silent node.
-func (m *Monitor) interval(n *node) rules.Micros {
+func (m *Monitor) interval(n *node) scheduler.Micros {
 	pace := max(m.config.probePace(), (m.now-n.silent)/silencePart, fastestProbe)
 	slowest := max(m.config.slowestProbe(), fastestProbe)
 	switch {
 	case n.rank >= m.config.Probers: // any number of fronts may do so, where they don't hear each other
 		all := float64(len(m.config.Zones)) / m.config.ProbesPerNode * microsPerSecond
-		return min(pace, max(rules.Micros(all), slowest))
+		return min(pace, max(scheduler.Micros(all), slowest))
 	case n.rank >= m.config.Quorum && m.ahead(n, Silent) >= m.config.Quorum: // stands by
 		return slowest
 	}
--- a/internal/fleet/health/random_test.go
+++ b/internal/fleet/health/random_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 	"pgregory.net/rapid"
 )
 
@@ -17,7 +17,7 @@
 	return 10_000
 }
 
-var waits = []rules.Micros{20_000, 120_000, 300_000, 1_100_000}
+var waits = []scheduler.Micros{20_000, 120_000, 300_000, 1_100_000}
 
 func moveOf(t *rapid.T, i int) move {
 	return move{
--- a/internal/fleet/health/region_test.go
+++ b/internal/fleet/health/region_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // A zone of fronts is cut off from the other region's 900 nodes. There is more to tell than room for it, so it takes seconds
@@ -20,7 +20,7 @@
 	w.fronts = w.fronts[:fronts]
 	cut := w.now + second
 	var reports int
-	probes := map[string][]rules.Micros{}
+	probes := map[string][]scheduler.Micros{}
 	w.each = func(f *simFront, a Action) {
 		switch a := a.(type) {
 		case Report:
--- a/internal/fleet/health/schedule_test.go
+++ b/internal/fleet/health/schedule_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // fault is one thing that goes wrong, or right again.
@@ -36,7 +36,7 @@
 type move struct {
 	fault fault
 	at    int
-	wait  rules.Micros
+	wait  scheduler.Micros
 }
 
 func (m move) String() string { return fmt.Sprintf("%v at %d, %d ms", m.fault, m.at, m.wait/1000) }
@@ -47,20 +47,20 @@
 	wrong    []string
 	cutLinks map[[2]int]bool
 	cutReach map[int]bool
-	lose     rules.Micros // until then
-	copies   rules.Micros
-	delay    rules.Micros
-	silent   map[sighting]rules.Micros // what a front was told, or saw itself, last
+	lose     scheduler.Micros // until then
+	copies   scheduler.Micros
+	delay    scheduler.Micros
+	silent   map[sighting]scheduler.Micros // what a front was told, or saw itself, last
 	sent     map[int][]sentBytes
-	asked    map[int]map[string]rules.Micros // probes started last
-	broken   func(m *Monitor)                // breaks each Monitor on purpose
+	asked    map[int]map[string]scheduler.Micros // probes started last
+	broken   func(m *Monitor)                    // breaks each Monitor on purpose
 }
 
 // sighting is a silent probe of a node's start, as a front knows it of another or of itself.
 type sighting struct {
 	front, origin int
 	node          uint64
-	start         rules.Micros
+	start         scheduler.Micros
 }
 
 // Figures of small worlds: shorter times than the usual ones, in the same order.
@@ -79,8 +79,8 @@
 
 func newTrial(seed uint64, fronts, nodes int, broken func(m *Monitor)) *trial {
 	t := &trial{
-		cutLinks: map[[2]int]bool{}, cutReach: map[int]bool{}, silent: map[sighting]rules.Micros{},
-		sent: map[int][]sentBytes{}, asked: map[int]map[string]rules.Micros{}, broken: broken,
+		cutLinks: map[[2]int]bool{}, cutReach: map[int]bool{}, silent: map[sighting]scheduler.Micros{},
+		sent: map[int][]sentBytes{}, asked: map[int]map[string]scheduler.Micros{}, broken: broken,
 	}
 	probers := 2 + int(seed%2)*min(1, fronts-2)
 	t.world = newWorld(seed, zonesOf(1, fronts), nodes, func(c *Config) {
@@ -97,7 +97,7 @@
 	return t
 }
 
-func (t *trial) fate(from, to int) []rules.Micros {
+func (t *trial) fate(from, to int) []scheduler.Micros {
 	const usual = 500
 	switch {
 	case t.cutLinks[[2]int{from, to}]:
@@ -105,11 +105,11 @@
 	case t.now < t.lose:
 		return nil
 	case t.now < t.copies:
-		return []rules.Micros{usual, usual + 30_000, usual + 400_000}
+		return []scheduler.Micros{usual, usual + 30_000, usual + 400_000}
 	case t.now < t.delay:
-		return []rules.Micros{700_000}
+		return []scheduler.Micros{700_000}
 	}
-	return []rules.Micros{usual + rules.Micros(t.random.IntN(1000))}
+	return []scheduler.Micros{usual + scheduler.Micros(t.random.IntN(1000))}
 }
 
 func (t *trial) reach(front int, _ *simNode) bool { return !t.cutReach[front] }
@@ -128,9 +128,9 @@
 		node.dead = false
 	case nodeRestarts:
 		node.dead, node.start = false, t.now
-		t.listAll(NodeList{Nodes: []rules.Listing{{Node: node.name, Since: node.start}}})
+		t.listAll(NodeList{Nodes: []scheduler.Listing{{Node: node.name, Since: node.start}}})
 	case nodeDrains:
-		t.listAll(NodeList{Nodes: []rules.Listing{{Node: node.name, Since: node.start, State: rules.Draining}}})
+		t.listAll(NodeList{Nodes: []scheduler.Listing{{Node: node.name, Since: node.start, State: scheduler.Draining}}})
 	case nodeRuns:
 		t.listAll(t.list())
 	case frontCrashes:
@@ -180,7 +180,7 @@
 // listAll tells each front of news of the list, 3 ms apart.
 func (t *trial) listAll(l NodeList) {
 	for i, f := range t.fronts {
-		t.at(t.now+rules.Micros(i)*3000, func() {
+		t.at(t.now+scheduler.Micros(i)*3000, func() {
 			if f.paused {
 				t.to(f, t.now, l)
 				return
--- a/internal/fleet/health/seek.go
+++ b/internal/fleet/health/seek.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // mostRounds bounds for how many times TakeoverAfter a front asks others before it looks for itself.
@@ -15,7 +15,7 @@
 // seek asks for evidence while this front needs it and has none that suffices: the node's probers first, and with
 // each TakeoverAfter the next ones in rank beside them. A front in that rank looks itself, as does one that has asked for
 // mostRounds. So when probers die, are paused or cut off the next follow.
-func (m *Monitor) seek(n *node) (next rules.Micros) {
+func (m *Monitor) seek(n *node) (next scheduler.Micros) {
 	from := m.now - m.askAfter(n)
 	if n.suspecting {
 		from = max(from, n.suspected)
@@ -57,12 +57,12 @@
 }
 
 // roundOf is the round of asking after evidence has been missing for so long.
-func roundOf(lacked, takeoverAfter rules.Micros) int { return int(lacked / takeoverAfter) }
+func roundOf(lacked, takeoverAfter scheduler.Micros) int { return int(lacked / takeoverAfter) }
 
 // askAfter is the age at which evidence no longer suffices: another one at each front, as all would ask at once.
-func (m *Monitor) askAfter(n *node) rules.Micros {
+func (m *Monitor) askAfter(n *node) scheduler.Micros {
 	spread := float64(m.config.EvidenceLife-m.config.freshFor()) / 2
-	return m.config.freshFor() + rules.Micros(share(m.config.Self, n.key)*spread)
+	return m.config.freshFor() + scheduler.Micros(share(m.config.Self, n.key)*spread)
 }
 
 // comesToAll tells whether the whole zone is told soon what this front saw, for the first time.
@@ -71,8 +71,8 @@
 }
 
 // suffices tells whether a quorum of fronts, whatever they saw, did so after a time, and until when it stays so.
-func (m *Monitor) suffices(n *node, from rules.Micros) (enough bool, until rules.Micros) {
-	var times []rules.Micros
+func (m *Monitor) suffices(n *node, from scheduler.Micros) (enough bool, until scheduler.Micros) {
+	var times []scheduler.Micros
 	for _, o := range n.evidence {
 		if o.at > from {
 			times = append(times, o.at)
@@ -86,7 +86,7 @@
 }
 
 // ask tells the probers, and those of a later group, that this front wants news of a node younger than a time.
-func (m *Monitor) ask(n *node, group int, from rules.Micros) {
+func (m *Monitor) ask(n *node, group int, from scheduler.Micros) {
 	probers := m.config.Probers
 	first := group * probers % len(n.ranked)
 	for i, front := range n.ranked {
@@ -97,7 +97,7 @@
 }
 
 // asked takes in that another front wants news of a node.
-func (m *Monitor) asked(n *node, from int, at rules.Micros) {
+func (m *Monitor) asked(n *node, from int, at scheduler.Micros) {
 	n.inTrouble()
 	if i := slices.IndexFunc(n.askers, func(a asker) bool { return a.front == from }); i >= 0 {
 		n.askers[i].at = max(n.askers[i].at, at)
@@ -109,7 +109,7 @@
 
 // serve answers those who asked, as soon as there is something younger than they want. What the whole zone is told they
 // hear with it.
-func (m *Monitor) serve(n *node) (next rules.Micros) {
+func (m *Monitor) serve(n *node) (next scheduler.Micros) {
 	if len(n.askers) == 0 {
 		return forever
 	}
--- a/internal/fleet/health/standing.go
+++ b/internal/fleet/health/standing.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // fewStanding is up to how many silent nodes a front repeats one by one. Of more, as when a region can't be seen, it also
@@ -41,7 +41,7 @@
 }
 
 // stands takes in that a front still finds all nodes silent that it told of, where these are those that this one heard of.
-func (m *Monitor) stands(from int, e Entry, delay rules.Micros) Drop {
+func (m *Monitor) stands(from int, e Entry, delay scheduler.Micros) Drop {
 	if e.Age < 0 {
 		return DropFuture
 	}
--- a/internal/fleet/health/telling.go
+++ b/internal/fleet/health/telling.go
@@ -1,12 +1,12 @@
 package health
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // standbyPatience is for how long a prober beyond the quorum waits before it tells what it saw: the others tell it.
-const standbyPatience rules.Micros = 60_000
+const standbyPatience scheduler.Micros = 60_000
 
 // tell tells the zone what this front saw of a node, where that is its part and news.
-func (m *Monitor) tell(n *node) (next rules.Micros) {
+func (m *Monitor) tell(n *node) (next scheduler.Micros) {
 	own, seen := n.evidence.of(m.config.Self)
 	if !seen || own.at <= n.told.at && own.state == n.told.state {
 		n.told.since = never
@@ -55,7 +55,7 @@
 }
 
 // patience is how long this front waits for others before it tells: not where it is to take back what it told.
-func (m *Monitor) patience(n *node) rules.Micros {
+func (m *Monitor) patience(n *node) scheduler.Micros {
 	if n.rank < m.config.Quorum || m.tells(n) != 0 {
 		return 0
 	}
--- a/internal/fleet/health/traffic_test.go
+++ b/internal/fleet/health/traffic_test.go
@@ -3,20 +3,20 @@
 import (
 	"fmt"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // probe ends at once where the node answers or refuses, and late where it is silent.
 func (w *world) probe(f *simFront, n *simNode) {
 	n.probes = append(n.probes, w.now)
-	ended := func(after rules.Micros, ok bool) {
-		w.to(f, w.now+after, ProbeEnded{rules.Probed{Node: n.name, OK: ok, Queue: -1}})
+	ended := func(after scheduler.Micros, ok bool) {
+		w.to(f, w.now+after, ProbeEnded{scheduler.Probed{Node: n.name, OK: ok, Queue: -1}})
 	}
 	switch {
 	case !w.reaches(f.number, n):
 		ended(w.shell, false)
 	case !n.dead:
-		ended(1_000+rules.Micros(w.random.IntN(1000)), true)
+		ended(1_000+scheduler.Micros(w.random.IntN(1000)), true)
 	case n.refuse:
 		ended(1_000, false)
 	default:
@@ -31,11 +31,11 @@
 		return
 	}
 	w.step(f, AttemptStarted{Node: n.name, ID: id})
-	end := func(after rules.Micros, result rules.Result) {
+	end := func(after scheduler.Micros, result scheduler.Result) {
 		life := f.life
 		w.push(simEvent{at: w.now + after, front: f.number, life: life, run: func() {
 			switch {
-			case result == rules.OK:
+			case result == scheduler.OK:
 				f.mute[n.name] = false
 			default:
 				f.failed[n.name]++
@@ -45,23 +45,23 @@
 				}
 			}
 			w.step(f, AttemptEnded{Node: n.name, ID: id, Result: result})
-			if result == rules.OK && w.succeeded != nil {
+			if result == scheduler.OK && w.succeeded != nil {
 				w.succeeded(f, n.name)
 			}
 		}})
 	}
 	switch {
 	case !w.reaches(f.number, n) || n.dead && !n.refuse:
-		end(400_000, rules.TimedOut)
+		end(400_000, scheduler.TimedOut)
 	case n.dead:
-		end(1_000, rules.Unreachable)
+		end(1_000, scheduler.Unreachable)
 	default:
-		end(2_000+rules.Micros(w.random.IntN(4000)), rules.OK)
+		end(2_000+scheduler.Micros(w.random.IntN(4000)), scheduler.OK)
 	}
 }
 
 // load sends requests at random, so many a second from each front to each node, until a time.
-func (w *world) load(perSecond float64, nodes []*simNode, until rules.Micros) {
+func (w *world) load(perSecond float64, nodes []*simNode, until scheduler.Micros) {
 	for _, f := range w.fronts {
 		for _, n := range nodes {
 			w.next(f, n, perSecond, until, 0)
@@ -69,8 +69,8 @@
 	}
 }
 
-func (w *world) next(f *simFront, n *simNode, perSecond float64, until rules.Micros, count int) {
-	at := w.now + 1 + rules.Micros(w.random.ExpFloat64()/perSecond*1_000_000)
+func (w *world) next(f *simFront, n *simNode, perSecond float64, until scheduler.Micros, count int) {
+	at := w.now + 1 + scheduler.Micros(w.random.ExpFloat64()/perSecond*1_000_000)
 	if at > until {
 		return
 	}
--- a/internal/fleet/health/verdict.go
+++ b/internal/fleet/health/verdict.go
@@ -1,9 +1,9 @@
 package health
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // returnSpread is the time over which the fronts of a fleet come back to a node.
-const returnSpread rules.Micros = 1_000_000
+const returnSpread scheduler.Micros = 1_000_000
 
 // judge brings what this front holds of a node up to its evidence.
 func (m *Monitor) judge(n *node) {
@@ -15,7 +15,7 @@
 	case avoid && !n.avoided:
 		n.avoided, n.returnAt = true, 0
 		m.condemned++
-		m.out = append(m.out, Report{rules.NodeSilent{Node: n.name, Since: n.start, At: at}})
+		m.out = append(m.out, Report{scheduler.NodeSilent{Node: n.name, Since: n.start, At: at}})
 	case !avoid && n.avoided:
 		n.avoided, n.ended = false, m.now
 		m.condemned--
@@ -28,8 +28,8 @@
 }
 
 // returnsAt is when this front comes back to a node, if it does now.
-func (m *Monitor) returnsAt(n *node) rules.Micros {
-	return m.now + 1 + rules.Micros(share(m.config.Self, n.key)*float64(returnSpread))
+func (m *Monitor) returnsAt(n *node) scheduler.Micros {
+	return m.now + 1 + scheduler.Micros(share(m.config.Self, n.key)*float64(returnSpread))
 }
 
 // faded tells whether a verdict ended for want of evidence, and a probe still waits for news.
@@ -43,7 +43,7 @@
 }
 
 // fades is when the next thing known of a node is too old.
-func (m *Monitor) fades(n *node) rules.Micros {
+func (m *Monitor) fades(n *node) scheduler.Micros {
 	next := forever
 	if at, ok := n.evidence.oldest(); ok {
 		next = at + m.config.EvidenceLife
@@ -58,7 +58,7 @@
 }
 
 // freshFor is the age up to which evidence is sufficient; beyond it this front asks for more, before it fades.
-func (c Config) freshFor() rules.Micros { return c.EvidenceLife * 3 / 4 }
+func (c Config) freshFor() scheduler.Micros { return c.EvidenceLife * 3 / 4 }
 
 // others counts the other fronts that saw a state of late.
 func (m *Monitor) others(n *node, state State) int {
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // world plays fronts before nodes in virtual time: what their Monitors do, a network between them, and of each
@@ -15,16 +15,16 @@
 	fronts    []*simFront
 	nodes     []*simNode
 	byName    map[string]*simNode
-	now       rules.Micros
+	now       scheduler.Micros
 	events    simQueue
 	order     int
 	random    *rand.Rand
-	link      func(from, to int) (delays []rules.Micros) // of each copy that arrives; none where it is lost
+	link      func(from, to int) (delays []scheduler.Micros) // of each copy that arrives; none where it is lost
 	reaches   func(front int, node *simNode) bool
 	each      func(front *simFront, action Action) // sees all actions
 	succeeded func(front *simFront, node string)   // sees each request that was answered
 	against   func(front *simFront, node string)   // sees each node that is avoided though the list bars it
-	shell     rules.Micros                         // a probe ends as failed after this
+	shell     scheduler.Micros                     // a probe ends as failed after this
 	encoded   bool                                 // messages pass Encode and Decode
 }
 
@@ -32,12 +32,12 @@
 func newWorld(seed uint64, zones []int, nodes int, change func(*Config)) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 28)), shell: 500_000, now: 1_000_000_000, byName: map[string]*simNode{},
-		link:    func(int, int) []rules.Micros { return []rules.Micros{500} },
+		link:    func(int, int) []scheduler.Micros { return []scheduler.Micros{500} },
 		reaches: func(int, *simNode) bool { return true },
 		each:    func(*simFront, Action) {},
 	}
 	for i := range nodes {
-		n := &simNode{name: fmt.Sprintf("node-%d", i), index: i, start: rules.Micros(i+1) * 1_000_000}
+		n := &simNode{name: fmt.Sprintf("node-%d", i), index: i, start: scheduler.Micros(i+1) * 1_000_000}
 		w.nodes, w.byName[n.name] = append(w.nodes, n), n
 	}
 	for i := range zones {
@@ -60,8 +60,8 @@
 		panic(err)
 	}
 	f.monitor, f.life, f.paused, f.late = monitor, f.life+1, false, nil
-	f.known = map[string]rules.Micros{}
-	f.mute, f.wanted = map[string]bool{}, map[string]rules.Micros{}
+	f.known = map[string]scheduler.Micros{}
+	f.mute, f.wanted = map[string]bool{}, map[string]scheduler.Micros{}
 	if f.failed == nil {
 		f.failed = map[string]int{}
 	}
@@ -71,7 +71,7 @@
 func (w *world) list() NodeList {
 	l := NodeList{Full: true}
 	for _, n := range w.nodes {
-		l.Nodes = append(l.Nodes, rules.Listing{Node: n.name, Since: n.start})
+		l.Nodes = append(l.Nodes, scheduler.Listing{Node: n.name, Since: n.start})
 	}
 	return l
 }
@@ -82,15 +82,15 @@
 	heap.Push(&w.events, &e)
 }
 
-func (w *world) at(at rules.Micros, run func()) { w.push(simEvent{at: at, front: -1, run: run}) }
+func (w *world) at(at scheduler.Micros, run func()) { w.push(simEvent{at: at, front: -1, run: run}) }
 
 // to has a front learn of an event at a time, if it still lives its present life.
-func (w *world) to(f *simFront, at rules.Micros, e Event) {
+func (w *world) to(f *simFront, at scheduler.Micros, e Event) {
 	w.push(simEvent{at: at, front: f.number, life: f.life, event: e})
 }
 
 // run plays until a time.
-func (w *world) run(until rules.Micros) {
+func (w *world) run(until scheduler.Micros) {
 	for len(w.events) > 0 && w.events[0].at <= until {
 		e := heap.Pop(&w.events).(*simEvent)
 		w.now = e.at
@@ -150,7 +150,7 @@
 			f.known[listed.Node], f.mute[listed.Node] = listed.Since, false
 		}
 		n := f.monitor.byName[listed.Node]
-		if n.trouble != nil && n.avoided && listed.State != rules.Running && w.against != nil {
+		if n.trouble != nil && n.avoided && listed.State != scheduler.Running && w.against != nil {
 			w.against(f, listed.Node)
 		}
 	}
@@ -186,7 +186,7 @@
 }
 
 // want is the scheduler's wish for a probe.
-func (w *world) want(f *simFront, node string, in rules.Micros) {
+func (w *world) want(f *simFront, node string, in scheduler.Micros) {
 	w.push(simEvent{at: w.now + in, front: f.number, life: f.life, run: func() {
 		if _, waits := f.wanted[node]; !waits && f.mute[node] {
 			f.wanted[node] = w.now
--- a/internal/fleet/health/wrong_test.go
+++ b/internal/fleet/health/wrong_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // None avoids a node that it can reach because of one wrong front: one that is cut off from all nodes, from other
@@ -18,22 +18,22 @@
 		},
 		"deaf": func(w *world, f *simFront) {
 			w.reaches = func(front int, _ *simNode) bool { return front != f.number }
-			w.link = func(_, to int) []rules.Micros { return delays(to != f.number) }
+			w.link = func(_, to int) []scheduler.Micros { return delays(to != f.number) }
 		},
 		"mute": func(w *world, f *simFront) {
 			w.reaches = func(front int, _ *simNode) bool { return front != f.number }
-			w.link = func(from, _ int) []rules.Micros { return delays(from != f.number) }
+			w.link = func(from, _ int) []scheduler.Micros { return delays(from != f.number) }
 		},
 		"slow": func(w *world, f *simFront) {
-			w.link = func(from, to int) []rules.Micros {
+			w.link = func(from, to int) []scheduler.Micros {
 				if from == f.number || to == f.number {
-					return []rules.Micros{100_000 + rules.Micros(w.random.IntN(900_000))}
+					return []scheduler.Micros{100_000 + scheduler.Micros(w.random.IntN(900_000))}
 				}
 				return delays(true)
 			}
 		},
 		"paused": func(w *world, f *simFront) {
-			for i := range rules.Micros(10) {
+			for i := range scheduler.Micros(10) {
 				w.at(w.now+i*second, func() { f.paused = true })
 				w.at(w.now+i*second+30_000+i*90_000, func() { w.resume(f) })
 			}
@@ -58,9 +58,9 @@
 	}
 }
 
-func delays(whole bool) []rules.Micros {
+func delays(whole bool) []scheduler.Micros {
 	if whole {
-		return []rules.Micros{500}
+		return []scheduler.Micros{500}
 	}
 	return nil
 }
--- a/internal/fleet/monitor/monitor_test.go
+++ b/internal/fleet/monitor/monitor_test.go
@@ -10,10 +10,10 @@
 
 	"otterturn/internal/fleet/health"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
-const ms rules.Micros = 1000
+const ms scheduler.Micros = 1000
 
 func testConfig(self int) health.Config {
 	return health.Config{Self: self, Run: 1, Zones: []int{0, 0}, Probers: 2, Quorum: 2, SuspectAfter: 50 * ms, ProbeLate: 100 * ms,
@@ -25,7 +25,7 @@
 // zone is two fronts' monitors that hear each other, with what they act through.
 type zone struct {
 	monitors [2]*Monitor
-	reports  [2]chan rules.Event
+	reports  [2]chan scheduler.Event
 	probes   chan string
 	answers  atomic.Bool // whether the nodes do
 	lines    chan string
@@ -37,20 +37,20 @@
 	z.answers.Store(true)
 	began := time.Now()
 	for i := range z.monitors {
-		z.reports[i] = make(chan rules.Event, 16)
+		z.reports[i] = make(chan scheduler.Event, 16)
 		m, err := New(testConfig(i), b, Hooks{
-			Now: func() rules.Micros { return rules.Micros(time.Since(began)/time.Microsecond) + 1 },
-			Probe: func(node string) rules.Probed {
+			Now: func() scheduler.Micros { return scheduler.Micros(time.Since(began)/time.Microsecond) + 1 },
+			Probe: func(node string) scheduler.Probed {
 				z.probes <- node
-				return rules.Probed{Node: node, OK: z.answers.Load(), Queue: -1}
+				return scheduler.Probed{Node: node, OK: z.answers.Load(), Queue: -1}
 			},
-			Report: func(e rules.Event) { z.reports[i] <- e },
+			Report: func(e scheduler.Event) { z.reports[i] <- e },
 			Send:   func(to int, message []byte) { z.monitors[to].Take(i, message) },
 			Log:    standin.Log(func(line string) { z.lines <- line })})
 		if err != nil {
 			t.Fatal(err)
 		}
-		m.Told(rules.Nodes{Full: true, List: []rules.Listing{{Node: "a"}}})
+		m.Told(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}})
 		z.monitors[i] = m
 	}
 	for _, m := range z.monitors {
@@ -78,13 +78,13 @@
 	if !z.monitors[0].AttemptStarted("a", "x", 0) {
 		t.Fatal("no room")
 	}
-	z.monitors[0].AttemptEnded("a", rules.Outcome{ID: "x", Result: rules.Unreachable})
+	z.monitors[0].AttemptEnded("a", scheduler.Outcome{ID: "x", Result: scheduler.Unreachable})
 	for _, reports := range z.reports {
-		if e := standin.Await(t, "a report", reports); e.(rules.NodeSilent).Node != "a" {
+		if e := standin.Await(t, "a report", reports); e.(scheduler.NodeSilent).Node != "a" {
 			t.Errorf("reported %+v", e)
 		}
 	}
-	answered := make(chan rules.Probed, 1)
+	answered := make(chan scheduler.Probed, 1)
 	go func() { answered <- z.monitors[1].Probe("a") }()
 	standin.Until(t, "further probes", func() bool { return len(z.probes) > 4 })
 	select {
@@ -104,7 +104,7 @@
 
 // Whoever waits for a probe is answered within the bound, and at the monitor's end.
 func TestProbeEnds(t *testing.T) {
-	blocked := Hooks{Now: func() rules.Micros { return 1 }, Probe: func(string) rules.Probed { select {} }, Log: standin.Log(func(string) {})}
+	blocked := Hooks{Now: func() scheduler.Micros { return 1 }, Probe: func(string) scheduler.Probed { select {} }, Log: standin.Log(func(string) {})}
 	for what, hold := range map[string]time.Duration{"the bound": time.Millisecond, "the monitor's end": time.Hour} {
 		m, err := New(testConfig(0), Bounds{Inbox: 16, Hold: hold}, blocked)
 		if err != nil {
@@ -112,7 +112,7 @@
 		}
 		ctx, end := context.WithCancel(t.Context())
 		go m.Run(ctx)
-		answered := make(chan rules.Probed, 1)
+		answered := make(chan scheduler.Probed, 1)
 		go func() { answered <- m.Probe("a") }()
 		if hold == time.Hour {
 			standin.Until(t, "the call", func() bool {
@@ -140,7 +140,7 @@
 
 // Nobody who observes is ever held up: what finds no room is counted, and the end of what found some has room.
 func TestFullInboxHoldsNobodyUp(t *testing.T) {
-	m, err := New(testConfig(0), Bounds{Inbox: 3, Hold: time.Hour}, Hooks{Now: func() rules.Micros { return 1 }, Log: standin.Log(func(string) {})})
+	m, err := New(testConfig(0), Bounds{Inbox: 3, Hold: time.Hour}, Hooks{Now: func() scheduler.Micros { return 1 }, Log: standin.Log(func(string) {})})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -151,7 +151,7 @@
 		}
 	}
 	for range taken {
-		m.AttemptEnded("a", rules.Outcome{ID: "x"})
+		m.AttemptEnded("a", scheduler.Outcome{ID: "x"})
 	}
 	message := health.Message{Run: 1, Sequence: 1, Sent: 1, Entries: []health.Entry{{Node: 1, State: health.Silent}}}
 	if !m.Take(1, message.Encode()) {
--- a/internal/fleet/monitor/waiters.go
+++ b/internal/fleet/monitor/waiters.go
@@ -4,29 +4,29 @@
 	"slices"
 	"sync"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // waiters are the calls of Probe that wait for an answer, by node. Each call leaves by itself.
 type waiters struct {
 	mu     sync.Mutex
-	byNode map[string][]chan rules.Probed
+	byNode map[string][]chan scheduler.Probed
 }
 
 // enter adds a call, which is answered over the channel.
-func (w *waiters) enter(node string) chan rules.Probed {
-	answer := make(chan rules.Probed, 1)
+func (w *waiters) enter(node string) chan scheduler.Probed {
+	answer := make(chan scheduler.Probed, 1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.byNode == nil {
-		w.byNode = map[string][]chan rules.Probed{}
+		w.byNode = map[string][]chan scheduler.Probed{}
 	}
 	w.byNode[node] = append(w.byNode[node], answer)
 	return answer
 }
 
 // answer answers all calls that wait for a node: what was asked again in the meantime is told the same.
-func (w *waiters) answer(p rules.Probed) {
+func (w *waiters) answer(p scheduler.Probed) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, c := range w.byNode[p.Node] {
@@ -36,10 +36,10 @@
 }
 
 // leave takes a call out that waits no more.
-func (w *waiters) leave(node string, answer chan rules.Probed) {
+func (w *waiters) leave(node string, answer chan scheduler.Probed) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	left := slices.DeleteFunc(w.byNode[node], func(c chan rules.Probed) bool { return c == answer })
+	left := slices.DeleteFunc(w.byNode[node], func(c chan scheduler.Probed) bool { return c == answer })
 	if w.byNode[node] = left; len(left) == 0 {
 		delete(w.byNode, node)
 	}
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -9,9 +9,9 @@
 
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
-	"otterturn/rules"
-	"otterturn/rules/bucket"
-	"otterturn/rules/curve"
+	"otterturn/scheduler"
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/tokenbucket"
 )
 
 var update = flag.Bool("update", false, "write the state of this version anew")
@@ -22,21 +22,21 @@
 		Given: routing.Given{
 			Began: 1_799_999_000_000_000,
 			IDs:   []string{"id-1", "id-2"},
-			Learned: rules.Learned{
+			Learned: scheduler.Learned{
 				At: 1_800_000_000_000_000,
-				Nodes: []rules.Known{{
-					Listing: rules.Listing{Node: "node-a", Zone: 1, Shard: 2, State: rules.Draining, Since: 5},
-					Habits: rules.Habits{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
+				Nodes: []scheduler.Known{{
+					Listing: scheduler.Listing{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, Since: 5},
+					Habits: scheduler.Habits{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
 						Usual: 30e3, Before: 31e3, Unit: 4e3, Errors: 0.25, Judged: 6, Answered: 7, Suspect: 8},
 				}},
-				Accounts: []rules.Account{{Volume: "riverside", Plan: 1, Hosts: 2, Reserve: 9.5,
-					Bucket: bucket.Bucket[rules.Micros]{Level: 30, At: 10, Lease: 4, Bound: 11}}},
-				Leads: []rules.Lead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, Last: 12}},
+				Accounts: []scheduler.Account{{Volume: "riverside", Plan: 1, Hosts: 2, Reserve: 9.5,
+					Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, Bound: 11}}},
+				Leads: []scheduler.Lead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, Last: 12}},
 			},
 		},
 		Plans: []string{"gold", "basic"},
 		List: protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: "127.0.0.1:3022",
-			Listing: rules.Listing{Node: "node-a", Zone: 1, Shard: 2, State: rules.Draining, Since: 5}}}},
+			Listing: scheduler.Listing{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, Since: 5}}}},
 		Bans: map[string]string{"node-b": "on-call"},
 	}
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -14,7 +14,7 @@
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/state/snapshot"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Version is that of the messages. Processes of other versions don't hand over.
@@ -90,7 +90,7 @@
 		}
 	}
 	s := State{Plans: f.Plans, Bans: f.Bans, List: protocol.List{Whole: true}}
-	s.Given = routing.Given{Began: rules.Micros(f.Began), IDs: f.IDs, Learned: rules.Learned{At: snap.Saved}}
+	s.Given = routing.Given{Began: scheduler.Micros(f.Began), IDs: f.IDs, Learned: scheduler.Learned{At: snap.Saved}}
 	for _, n := range snap.Nodes {
 		s.Given.Nodes = append(s.Given.Nodes, n.Known)
 	}
@@ -107,8 +107,8 @@
 		}
 	}
 	for _, h := range f.List {
-		s.List.Hosts = append(s.List.Hosts, protocol.Host{Dial: h.Dial, Listing: rules.Listing{Node: h.Name, Zone: h.Zone,
-			Shard: h.Shard, State: rules.NodeState(h.State), Since: rules.Micros(h.Since)}})
+		s.List.Hosts = append(s.List.Hosts, protocol.Host{Dial: h.Dial, Listing: scheduler.Listing{Node: h.Name, Zone: h.Zone,
+			Shard: h.Shard, State: scheduler.NodeState(h.State), Since: scheduler.Micros(h.Since)}})
 	}
 	return s, nil
 }
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -6,31 +6,31 @@
 	"cmp"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Decider decides for one front: each request goes at once to the node that holds its data, within this front's even
 // part of each limit, and with a window no more than so many are out at a node; what waits goes in turn.
 type Decider struct {
-	set    rules.Settings
+	set    scheduler.Settings
 	window int // requests out at a node at the most, 0 for no bound
 	nodes  map[int]*node
 	turn   int
 	open   map[string]*request
 	stores map[string]*store
-	now    rules.Micros
-	out    []rules.Action
+	now    scheduler.Micros
+	out    []scheduler.Action
 	wake   bool
 }
 
 type node struct {
-	rules.Listing
+	scheduler.Listing
 	out int
 }
 
 type request struct {
-	rules.Request
-	end   rules.Micros
+	scheduler.Request
+	end   scheduler.Micros
 	sent  *node // out there
 	tries int
 	ran   bool // an attempt may have run
@@ -38,16 +38,16 @@
 
 type store struct {
 	level float64
-	at    rules.Micros
+	at    scheduler.Micros
 }
 
 // New returns a decider; a window of 0 is for none.
-func New(set rules.Settings, window int) *Decider {
+func New(set scheduler.Settings, window int) *Decider {
 	return &Decider{set: set, window: window, nodes: map[int]*node{}, open: map[string]*request{}, stores: map[string]*store{}}
 }
 
 // Step takes events and returns what is to be done.
-func (d *Decider) Step(now rules.Micros, events []rules.Event) []rules.Action {
+func (d *Decider) Step(now scheduler.Micros, events []scheduler.Event) []scheduler.Action {
 	d.now, d.out = now, nil
 	for _, e := range events {
 		d.take(e)
@@ -56,17 +56,17 @@
 	return d.out
 }
 
-func (d *Decider) take(e rules.Event) {
+func (d *Decider) take(e scheduler.Event) {
 	switch e := e.(type) {
-	case rules.Nodes:
+	case scheduler.Nodes:
 		d.learn(e)
-	case rules.Request:
+	case scheduler.Request:
 		d.open[e.ID] = &request{Request: e, end: d.now + e.Left - 2*d.set.Tick}
-	case rules.Lapsed:
+	case scheduler.Lapsed:
 		delete(d.open, e.ID)
-	case rules.Alarm:
+	case scheduler.Alarm:
 		d.wake = false
-	case rules.Outcome:
+	case scheduler.Outcome:
 		r := d.open[e.ID]
 		if r == nil {
 			return
@@ -79,17 +79,17 @@
 			delete(d.open, e.ID)
 			return
 		}
-		r.ran = r.ran || e.Result == rules.Errored || e.Result == rules.TimedOut || e.Result == rules.Reset
-		if r.ran && d.set.Classes[r.Class].Repeat != rules.Safe || r.tries >= d.set.MaxTries {
+		r.ran = r.ran || e.Result == scheduler.Errored || e.Result == scheduler.TimedOut || e.Result == scheduler.Reset
+		if r.ran && d.set.Classes[r.Class].Repeat != scheduler.Safe || r.tries >= d.set.MaxTries {
 			d.finish(r)
 		}
 	}
 }
 
-func (d *Decider) learn(e rules.Nodes) {
+func (d *Decider) learn(e scheduler.Nodes) {
 	if e.Full {
 		for _, n := range d.nodes {
-			n.State = rules.Gone
+			n.State = scheduler.Gone
 		}
 	}
 	for _, l := range e.List {
@@ -97,7 +97,7 @@
 		switch {
 		case has != nil && has.Node == l.Node:
 			has.Listing = l
-		case l.State == rules.Running || has == nil:
+		case l.State == scheduler.Running || has == nil:
 			d.nodes[l.Shard] = &node{Listing: l}
 		}
 	}
@@ -120,10 +120,10 @@
 		switch {
 		case r.tries == 0 && d.now > r.end-r.Left/2 || d.now >= r.end:
 			d.finish(r)
-		case n != nil && n.State == rules.Running && (d.window == 0 || n.out < d.window) && d.draw(r):
+		case n != nil && n.State == scheduler.Running && (d.window == 0 || n.out < d.window) && d.draw(r):
 			n.out++
 			r.sent, r.tries = n, r.tries+1
-			d.out = append(d.out, rules.Send{ID: r.ID, Node: n.Node})
+			d.out = append(d.out, scheduler.Send{ID: r.ID, Node: n.Node})
 		case n == nil || d.window == 0: // nothing to wait for
 			d.finish(r)
 		default:
@@ -132,7 +132,7 @@
 	}
 	if held && !d.wake {
 		d.wake = true
-		d.out = append(d.out, rules.SetAlarm{At: d.now + 5*d.set.Tick})
+		d.out = append(d.out, scheduler.SetAlarm{At: d.now + 5*d.set.Tick})
 	}
 }
 
@@ -144,7 +144,7 @@
 	if !r.ran {
 		for range len(d.nodes) {
 			d.turn = (d.turn + 1) % len(d.nodes)
-			if n := d.nodes[d.turn]; n != nil && n.State == rules.Running {
+			if n := d.nodes[d.turn]; n != nil && n.State == scheduler.Running {
 				return n
 			}
 		}
@@ -175,9 +175,9 @@
 
 func (d *Decider) finish(r *request) {
 	delete(d.open, r.ID)
-	if r.ran && d.set.Classes[r.Class].Repeat != rules.Safe {
-		d.out = append(d.out, rules.Fail{ID: r.ID})
+	if r.ran && d.set.Classes[r.Class].Repeat != scheduler.Safe {
+		d.out = append(d.out, scheduler.Fail{ID: r.ID})
 		return
 	}
-	d.out = append(d.out, rules.Refuse{ID: r.ID})
+	d.out = append(d.out, scheduler.Refuse{ID: r.ID})
 }
--- a/internal/lab/hollow/attempts.go
+++ b/internal/lab/hollow/attempts.go
@@ -3,7 +3,7 @@
 import (
 	"strconv"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // queue is what comes in the order in which it is due.
@@ -39,10 +39,10 @@
 }
 
 // attempt sends a request to a node.
-func (f *front) attempt(now rules.Micros, a rules.Send) {
+func (f *front) attempt(now scheduler.Micros, a scheduler.Send) {
 	c := f.call(a.ID)
 	if c == nil {
-		f.events = append(f.events, rules.Outcome{ID: a.ID, Result: rules.Moot})
+		f.events = append(f.events, scheduler.Outcome{ID: a.ID, Result: scheduler.Moot})
 		return
 	}
 	node := f.numbers[a.Node]
@@ -69,7 +69,7 @@
 	if c == nil || !c.out || c.attempt-1 != m.attempt {
 		return
 	}
-	if m.result == rules.OK || m.result == rules.Full {
+	if m.result == scheduler.OK || m.result == scheduler.Full {
 		f.idle[c.node]++
 	} else {
 		f.idle[c.node] = 0
@@ -77,9 +77,9 @@
 	f.outcome(m.at, c, m.result)
 }
 
-func (f *front) outcome(at rules.Micros, c *call, result rules.Result) {
+func (f *front) outcome(at scheduler.Micros, c *call, result scheduler.Result) {
 	c.out = false
-	o := rules.Outcome{ID: c.id, Attempt: int(c.attempt - 1), Result: result, Latency: at - c.sent, Final: result == rules.OK}
+	o := scheduler.Outcome{ID: c.id, Attempt: int(c.attempt - 1), Result: result, Latency: at - c.sent, Final: result == scheduler.OK}
 	if f.health != nil {
 		f.health.attemptEnded(f.names[c.node], o)
 	}
@@ -106,7 +106,7 @@
 }
 
 // expire ends the requests whose time is over, and the probes that had no answer.
-func (f *front) expire(end rules.Micros) {
+func (f *front) expire(end scheduler.Micros) {
 	for !f.deadlines.empty() && f.deadlines.head().deadline < end {
 		c := f.deadlines.head()
 		f.deadlines.pop()
@@ -115,10 +115,10 @@
 		case c.out:
 			f.counts.now[unanswered]++
 			f.world.watched.unanswered(f, c)
-			f.outcome(c.deadline, c, rules.TimedOut)
+			f.outcome(c.deadline, c, scheduler.TimedOut)
 		default:
 			f.close(c, failed)
-			f.events = append(f.events, rules.Lapsed{ID: c.id})
+			f.events = append(f.events, scheduler.Lapsed{ID: c.id})
 		}
 	}
 	for !f.late.empty() && f.late.head().at < end {
--- a/internal/lab/hollow/discovery.go
+++ b/internal/lab/hollow/discovery.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 const (
@@ -17,7 +17,7 @@
 // news is what an answer of discovery brings.
 type news struct {
 	whole   bool
-	entries []rules.Listing
+	entries []scheduler.Listing
 	bytes   int // of its body
 }
 
@@ -46,7 +46,7 @@
 	held    []held    // of each front
 	turn    []message // calls that wait, in their order
 	ready   []ready   // answers that are made, in their order
-	freeAt  rules.Micros
+	freeAt  scheduler.Micros
 	counts  discoveryCounts
 }
 
@@ -57,7 +57,7 @@
 }
 
 type ready struct {
-	at   rules.Micros
+	at   scheduler.Micros
 	call message
 	news *news
 }
@@ -73,7 +73,7 @@
 }
 
 // publish makes the present entries of nodes known, as one further version each. now is between two windows.
-func (d *discovery) publish(now rules.Micros, nodes ...int32) {
+func (d *discovery) publish(now scheduler.Micros, nodes ...int32) {
 	for _, n := range nodes {
 		d.version++
 		d.changes = append(d.changes, change{d.version, n})
@@ -88,7 +88,7 @@
 	}
 }
 
-func (d *discovery) handle(end rules.Micros, in []message) {
+func (d *discovery) handle(end scheduler.Micros, in []message) {
 	for i := range in {
 		d.counts.calls++
 		d.call(&in[i])
@@ -114,7 +114,7 @@
 }
 
 // release answers the calls that were held for long enough.
-func (d *discovery) release(end rules.Micros) {
+func (d *discovery) release(end scheduler.Micros) {
 	for i := range d.held {
 		if h := &d.held[i]; h.is && h.at < end {
 			h.is = false
@@ -124,7 +124,7 @@
 }
 
 // work answers the calls that wait, one after the other.
-func (d *discovery) work(end rules.Micros) {
+func (d *discovery) work(end scheduler.Micros) {
 	done := 0
 	for ; done < len(d.turn); done++ {
 		m := &d.turn[done]
@@ -134,7 +134,7 @@
 		}
 		n := d.news(m.version)
 		lines := d.lines(m, n)
-		took := rules.Micros(lines / d.world.set.DiscoveryLines * float64(second))
+		took := scheduler.Micros(lines / d.world.set.DiscoveryLines * float64(second))
 		if began-m.at > callPatience {
 			d.freeAt = min(began, m.at+callPatience) + took
 			d.counts.dropped++
@@ -152,7 +152,7 @@
 }
 
 // deliver sends the answers that are made by now.
-func (d *discovery) deliver(end rules.Micros) {
+func (d *discovery) deliver(end scheduler.Micros) {
 	done := 0
 	for ; done < len(d.ready) && d.ready[done].at < end; done++ {
 		r := &d.ready[done]
@@ -169,7 +169,7 @@
 	return lines
 }
 
-func (d *discovery) answer(at rules.Micros, m *message, n *news) {
+func (d *discovery) answer(at scheduler.Micros, m *message, n *news) {
 	d.send(at, message{to: m.from, kind: kindListAnswer, number: m.number, version: d.version, news: n})
 }
 
@@ -191,7 +191,7 @@
 	if d.whole == nil {
 		var nodes []int32
 		for i, l := range d.world.listed {
-			if l.State != rules.Gone {
+			if l.State != scheduler.Gone {
 				nodes = append(nodes, int32(i))
 			}
 		}
@@ -200,7 +200,7 @@
 	return d.whole
 }
 
-var healths = map[rules.NodeState]string{rules.Running: "up", rules.Draining: "draining", rules.Gone: "removed"}
+var healths = map[scheduler.NodeState]string{scheduler.Running: "up", scheduler.Draining: "draining", scheduler.Gone: "removed"}
 
 func (d *discovery) encode(whole bool, nodes []int32) *news {
 	out := &news{whole: whole}
--- a/internal/lab/hollow/events.go
+++ b/internal/lab/hollow/events.go
@@ -1,8 +1,8 @@
 package hollow
 
 import (
-	"otterturn/rules"
-	"otterturn/rules/cold"
+	"otterturn/scheduler"
+	"otterturn/scheduler/slowstart"
 )
 
 // Event is a script that is played to a fleet that serves, phase by phase.
@@ -18,7 +18,7 @@
 type Phase struct {
 	Name string
 	What string
-	Span rules.Micros
+	Span scheduler.Micros
 	do   func(*World) // happens as it begins
 }
 
@@ -139,7 +139,7 @@
 }
 
 func changeList(w *World) {
-	w.listed[firstNode].State = rules.Draining
+	w.listed[firstNode].State = scheduler.Draining
 	w.discovery.publish(w.now(), firstNode)
 	w.Expect()
 }
@@ -154,10 +154,10 @@
 func successor(w *World) {
 	next := int32(w.set.Nodes)
 	w.nodes[firstNode].kill(w.now())
-	w.listed[firstNode].State = rules.Gone
+	w.listed[firstNode].State = scheduler.Gone
 	w.nodes[next].Restart(int64(w.now()))
 	l := &w.listed[next]
-	l.Shard, l.State, l.Since = w.nodes[firstNode].shard, rules.Running, w.now()
+	l.Shard, l.State, l.Since = w.nodes[firstNode].shard, scheduler.Running, w.now()
 	w.Watch(firstNode)
 	w.discovery.publish(w.now(), firstNode, next)
 	w.Expect()
@@ -167,7 +167,7 @@
 	restartNodes(1)(w)
 	w.After(4*second, func(w *World) {
 		set := w.set.rules(0)
-		c := cold.Config[rules.Micros]{Hosts: set.Hosts, Span: set.FallSpan, Peers: true}
+		c := slowstart.Config[scheduler.Micros]{Hosts: set.Hosts, Span: set.FallSpan, Peers: true}
 		granter, _ := c.Granter(w.listed[firstNode].Node, w.now())
 		w.fronts[granter].stop()
 	})
--- a/internal/lab/hollow/front.go
+++ b/internal/lab/hollow/front.go
@@ -6,35 +6,35 @@
 	"time"
 
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // front is a hollow front: the real core, and what the program does around it, without sockets.
 type front struct {
 	sender
 	rng       *rand.Rand
-	scheduler *rules.Scheduler
+	scheduler *scheduler.Scheduler
 	health    *zoneHealth // nil where it is switched off
 	watch     watch
 	down      bool // the process has ended
-	now       rules.Micros
+	now       scheduler.Micros
 	numbers   map[string]int32
 	names     []string
 	calls     map[uint64]*call
 	deadlines queue[*call]
 	probes    map[uint64]int32 // those that are out, with their nodes
 	late      queue[probeOut]
-	idle      []uint8       // connections that are kept, by node
-	alarm     rules.Micros  // 0 for none
-	arrival   rules.Micros  // of the next request
-	asked     uint64        // requests so far
-	probed    uint64        // probes so far
-	events    []rules.Event // of this window, for the next step
-	spare     []rules.Event
+	idle      []uint8           // connections that are kept, by node
+	alarm     scheduler.Micros  // 0 for none
+	arrival   scheduler.Micros  // of the next request
+	asked     uint64            // requests so far
+	probed    uint64            // probes so far
+	events    []scheduler.Event // of this window, for the next step
+	spare     []scheduler.Event
 	counts    counts
 	cost      cost
 	digest    digest
-	avoided   []rules.Micros // since when it avoids each watched node, 0 for not yet
+	avoided   []scheduler.Micros // since when it avoids each watched node, 0 for not yet
 }
 
 // call is a request that is open.
@@ -47,13 +47,13 @@
 	out      bool
 	over     bool
 	units    float64
-	sent     rules.Micros
-	deadline rules.Micros
+	sent     scheduler.Micros
+	deadline scheduler.Micros
 }
 
 type probeOut struct {
 	number uint64
-	at     rules.Micros // it counts as failed then
+	at     scheduler.Micros // it counts as failed then
 }
 
 func newFront(s sender) (*front, error) {
@@ -63,21 +63,21 @@
 }
 
 // start begins the front's process anew: it knows the list of nodes and nothing else.
-func (f *front) start(now rules.Micros) error {
+func (f *front) start(now scheduler.Micros) error {
 	w := f.world
-	scheduler, err := rules.New(w.set.rules(int(f.id)), f.rng.Int64())
+	decider, err := scheduler.New(w.set.rules(int(f.id)), f.rng.Int64())
 	if err != nil {
 		return err
 	}
-	f.scheduler, f.down, f.alarm = scheduler, false, 0
+	f.scheduler, f.down, f.alarm = decider, false, 0
 	f.calls, f.probes = map[uint64]*call{}, map[uint64]int32{}
 	f.deadlines, f.late, f.events = queue[*call]{}, queue[probeOut]{}, nil
 	f.numbers, f.names = make(map[string]int32, len(w.nodes)), make([]string, len(w.nodes))
 	f.idle = make([]uint8, len(w.nodes))
-	list := rules.Nodes{Full: true}
+	list := scheduler.Nodes{Full: true}
 	for i, l := range w.listed {
 		f.names[i], f.numbers[l.Node] = l.Node, int32(i)
-		if l.State != rules.Gone {
+		if l.State != scheduler.Gone {
 			list.List = append(list.List, l)
 		}
 	}
@@ -102,14 +102,14 @@
 }
 
 // gap is the time until the next request: they come at random, whatever became of those before.
-func (f *front) gap() rules.Micros {
+func (f *front) gap() scheduler.Micros {
 	if f.world.set.Rate == 0 {
 		return 1 << 60
 	}
-	return rules.Micros(f.rng.ExpFloat64()*float64(second)/f.world.set.Rate) + 1
+	return scheduler.Micros(f.rng.ExpFloat64()*float64(second)/f.world.set.Rate) + 1
 }
 
-func (f *front) handle(end rules.Micros, in []message) {
+func (f *front) handle(end scheduler.Micros, in []message) {
 	if f.down {
 		return
 	}
@@ -125,7 +125,7 @@
 	}
 	if f.alarm > 0 && f.alarm < end {
 		f.alarm = 0
-		f.events = append(f.events, rules.Alarm{})
+		f.events = append(f.events, scheduler.Alarm{})
 	}
 	if len(f.events) > 0 {
 		events := f.events
@@ -162,7 +162,7 @@
 }
 
 // arrive takes the requests that come in the window.
-func (f *front) arrive(end rules.Micros) {
+func (f *front) arrive(end scheduler.Micros) {
 	for ; f.arrival < end; f.arrival += f.gap() {
 		f.asked++
 		units := float64(1 + f.rng.IntN(mostUnits))
@@ -171,13 +171,13 @@
 		f.calls[c.number] = c
 		f.deadlines.push(c)
 		f.counts.now[requests]++
-		f.events = append(f.events, rules.Request{ID: c.id, Volume: volumeNames[shard%volumes], Units: units, Shard: shard, Hosts: 1,
+		f.events = append(f.events, scheduler.Request{ID: c.id, Volume: volumeNames[shard%volumes], Units: units, Shard: shard, Hosts: 1,
 			Left: c.deadline - end})
 	}
 }
 
 // step hands the events of a window to the scheduler together, as the program's core does, and carries its actions out.
-func (f *front) step(now rules.Micros, events []rules.Event) {
+func (f *front) step(now scheduler.Micros, events []scheduler.Event) {
 	began := time.Now()
 	actions := f.scheduler.Step(now, events)
 	f.cost.scheduler += time.Since(began)
@@ -188,33 +188,33 @@
 }
 
 // learn hands news of the list to the scheduler ahead of all else.
-func (f *front) learn(now rules.Micros, list rules.Nodes) {
+func (f *front) learn(now scheduler.Micros, list scheduler.Nodes) {
 	if f.health != nil {
 		f.health.learn(list)
 	}
-	f.step(now, []rules.Event{list})
+	f.step(now, []scheduler.Event{list})
 }
 
-func (f *front) perform(now rules.Micros, a rules.Action) {
+func (f *front) perform(now scheduler.Micros, a scheduler.Action) {
 	switch a := a.(type) {
-	case rules.Send:
+	case scheduler.Send:
 		f.attempt(now, a)
-	case rules.Refuse:
+	case scheduler.Refuse:
 		f.end(a.ID, refused)
-	case rules.Fail:
+	case scheduler.Fail:
 		f.end(a.ID, failed)
-	case rules.Probe:
+	case scheduler.Probe:
 		f.wantProbe(now, a.Node)
-	case rules.Ask:
+	case scheduler.Ask:
 		f.note(now, a.To, a)
-	case rules.Grant:
+	case scheduler.Grant:
 		f.note(now, a.To, a)
-	case rules.SetAlarm:
+	case scheduler.SetAlarm:
 		f.alarm = a.At
 	}
 }
 
-func (f *front) note(now rules.Micros, to int, a rules.Action) {
+func (f *front) note(now scheduler.Micros, to int, a scheduler.Action) {
 	text := protocol.FormatNote(a)
 	if text == nil || to < 0 || to >= f.world.set.Fronts {
 		return
--- a/internal/lab/hollow/health.go
+++ b/internal/lab/hollow/health.go
@@ -4,17 +4,17 @@
 	"time"
 
 	"otterturn/internal/fleet/health"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // zoneHealth is a front's part in the health of nodes.
 type zoneHealth struct {
 	monitor *health.Monitor
-	events  []health.Event // since the last step
-	alarm   rules.Micros   // 0 for none
+	events  []health.Event   // since the last step
+	alarm   scheduler.Micros // 0 for none
 }
 
-func newZoneHealth(f *front, now rules.Micros) (*zoneHealth, error) {
+func newZoneHealth(f *front, now scheduler.Micros) (*zoneHealth, error) {
 	w := f.world
 	zones := make([]int, w.set.Fronts)
 	for i := range zones {
@@ -33,7 +33,7 @@
 
 func (z *zoneHealth) hear(e health.Event) { z.events = append(z.events, e) }
 
-func (z *zoneHealth) learn(list rules.Nodes) {
+func (z *zoneHealth) learn(list scheduler.Nodes) {
 	z.hear(health.NodeList{Full: list.Full, Nodes: list.List})
 }
 
@@ -41,16 +41,16 @@
 	z.hear(health.AttemptStarted{Node: node, ID: id, Attempt: attempt})
 }
 
-func (z *zoneHealth) attemptEnded(node string, o rules.Outcome) {
+func (z *zoneHealth) attemptEnded(node string, o scheduler.Outcome) {
 	z.hear(health.AttemptEnded{Node: node, ID: o.ID, Attempt: o.Attempt, Result: o.Result, Alive: o.Alive})
 }
 
 func (z *zoneHealth) probeWanted(node string) { z.hear(health.ProbeWanted{Node: node}) }
 
-func (z *zoneHealth) probeEnded(p rules.Probed) { z.hear(health.ProbeEnded{Probed: p}) }
+func (z *zoneHealth) probeEnded(p scheduler.Probed) { z.hear(health.ProbeEnded{Probed: p}) }
 
 // pass hands the events of a window to the monitor, and carries its actions out.
-func (z *zoneHealth) pass(f *front, now rules.Micros) {
+func (z *zoneHealth) pass(f *front, now scheduler.Micros) {
 	if z.alarm > 0 && z.alarm < now {
 		z.alarm = 0
 		z.hear(health.Alarm{})
@@ -68,13 +68,13 @@
 	}
 }
 
-func (z *zoneHealth) perform(f *front, now rules.Micros, a health.Action) {
+func (z *zoneHealth) perform(f *front, now scheduler.Micros, a health.Action) {
 	switch a := a.(type) {
 	case health.StartProbe:
 		if node, known := f.numbers[a.Node]; known {
 			f.probe(now, node)
 		} else {
-			z.probeEnded(rules.Probed{Node: a.Node, Queue: -1})
+			z.probeEnded(scheduler.Probed{Node: a.Node, Queue: -1})
 		}
 	case health.ProbeAnswered:
 		f.events = append(f.events, a.Probed)
@@ -87,7 +87,7 @@
 	}
 }
 
-func (z *zoneHealth) send(f *front, now rules.Micros, a health.Send) {
+func (z *zoneHealth) send(f *front, now scheduler.Micros, a health.Send) {
 	data := a.Message.Encode()
 	f.counts.now[healthSent]++
 	f.counts.now[healthBytes] += int64(len(data))
--- a/internal/lab/hollow/links.go
+++ b/internal/lab/hollow/links.go
@@ -1,6 +1,6 @@
 package hollow
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // Delays of the network, one way. The least must not be below a tick.
 const (
@@ -28,7 +28,7 @@
 
 func (l *links) regionOf(zone int32) int32 { return zone * int32(l.regions) / int32(l.zones) }
 
-func (l *links) delay(from, to int32) rules.Micros {
+func (l *links) delay(from, to int32) scheduler.Micros {
 	if l.region(from) == l.region(to) {
 		return delayNear
 	}
--- a/internal/lab/hollow/message.go
+++ b/internal/lab/hollow/message.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // kind tells what a message is.
@@ -23,19 +23,19 @@
 
 // message is what one actor sends another. Which fields count goes by its kind.
 type message struct {
-	at       rules.Micros // when it arrives
-	from, to int32        // actors
-	sequence uint32       // counts what the sender sent
+	at       scheduler.Micros // when it arrives
+	from, to int32            // actors
+	sequence uint32           // counts what the sender sent
 	kind     kind
-	result   rules.Result // of an attempt or a probe
-	number   uint64       // of the request, probe or call, at its front
-	attempt  int32        // of the request
-	opens    bool         // a watch that begins
-	value    float64      // units of an attempt, queue of a probed node
-	version  int64        // of the list
-	hold     rules.Micros // for so long discovery may hold a call
-	data     []byte       // text of a note or a health message
-	news     *news        // of the list
+	result   scheduler.Result // of an attempt or a probe
+	number   uint64           // of the request, probe or call, at its front
+	attempt  int32            // of the request
+	opens    bool             // a watch that begins
+	value    float64          // units of an attempt, queue of a probed node
+	version  int64            // of the list
+	hold     scheduler.Micros // for so long discovery may hold a call
+	data     []byte           // text of a note or a health message
+	news     *news            // of the list
 }
 
 // before is the order in which an actor handles messages.
@@ -65,7 +65,7 @@
 	return in
 }
 
-func windowOf(at rules.Micros) int64 { return int64((at - begin) / tick) }
+func windowOf(at scheduler.Micros) int64 { return int64((at - begin) / tick) }
 
 // outbox holds what the actors of one worker sent in a window, by the worker of the receiver.
 type outbox [][]message
@@ -79,7 +79,7 @@
 }
 
 // send has a message arrive after the network's delay, unless the link is cut.
-func (s *sender) send(now rules.Micros, m message) {
+func (s *sender) send(now scheduler.Micros, m message) {
 	s.sequence++
 	links := &s.world.links
 	if links.cut(s.id, m.to) {
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -2,7 +2,7 @@
 
 import (
 	"otterturn/internal/lab/model"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // node is a storage node behind the network.
@@ -25,7 +25,7 @@
 	return &node{sender: s, Node: model.New(s.world.set.figures()), name: name, shard: shard}
 }
 
-func (n *node) handle(end rules.Micros, in []message) {
+func (n *node) handle(end scheduler.Micros, in []message) {
 	for i := range in {
 		n.work(in[i].at)
 		n.take(&in[i])
@@ -34,16 +34,16 @@
 }
 
 // work lets jobs end until a time.
-func (n *node) work(until rules.Micros) {
+func (n *node) work(until scheduler.Micros) {
 	for {
 		at, any := n.Next()
-		if !any || rules.Micros(at) > until {
+		if !any || scheduler.Micros(at) > until {
 			return
 		}
 		for _, d := range n.Finish(at) {
 			j := d.Tag.(*job)
 			n.counts.served++
-			n.reply(rules.Micros(d.At), j.from, j.number, j.attempt, rules.OK)
+			n.reply(scheduler.Micros(d.At), j.from, j.number, j.attempt, scheduler.OK)
 		}
 	}
 }
@@ -62,14 +62,14 @@
 func (n *node) attempt(m *message) {
 	switch {
 	case n.Dead:
-		n.reply(m.at, m.from, m.number, m.attempt, rules.Unreachable)
+		n.reply(m.at, m.from, m.number, m.attempt, scheduler.Unreachable)
 	case n.Mute:
 	case !n.Arrive(int64(m.at), model.Job{Tag: &job{m.from, m.number, m.attempt}, Work: m.value * unitWork}):
-		n.reply(m.at, m.from, m.number, m.attempt, rules.Full)
+		n.reply(m.at, m.from, m.number, m.attempt, scheduler.Full)
 	}
 }
 
-func (n *node) reply(at rules.Micros, to int32, number uint64, attempt int32, result rules.Result) {
+func (n *node) reply(at scheduler.Micros, to int32, number uint64, attempt int32, result scheduler.Result) {
 	if n.Mute {
 		return
 	}
@@ -80,7 +80,7 @@
 	reply := message{to: m.from, kind: kindProbeReply, number: m.number, value: -1}
 	switch {
 	case n.Dead:
-		reply.result = rules.Unreachable
+		reply.result = scheduler.Unreachable
 	case n.Silent():
 		return
 	default:
@@ -90,10 +90,10 @@
 }
 
 // kill ends the node's process: its connections break, and new ones are refused.
-func (n *node) kill(now rules.Micros) {
+func (n *node) kill(now scheduler.Micros) {
 	for _, lost := range n.Die() {
 		if j, waits := lost.Tag.(*job); waits {
-			n.reply(now, j.from, j.number, j.attempt, rules.Reset)
+			n.reply(now, j.from, j.number, j.attempt, scheduler.Reset)
 		}
 	}
 }
--- a/internal/lab/hollow/probes.go
+++ b/internal/lab/hollow/probes.go
@@ -1,13 +1,13 @@
 package hollow
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // probeBytes is what a probe on a connection of its own takes in both directions, with the headers of IP and TCP: the
 // handshake, the head of the request, the answer and the close.
 const probeBytes = 270
 
 // wantProbe is a probe that the scheduler asks for.
-func (f *front) wantProbe(now rules.Micros, name string) {
+func (f *front) wantProbe(now scheduler.Micros, name string) {
 	node := f.numbers[name]
 	f.world.watched.suspects(f, node, now)
 	if f.health != nil {
@@ -18,7 +18,7 @@
 }
 
 // probe sends one.
-func (f *front) probe(now rules.Micros, node int32) {
+func (f *front) probe(now scheduler.Micros, node int32) {
 	f.probed++
 	f.probes[f.probed] = node
 	f.late.push(probeOut{f.probed, now + micros(f.world.limits.Nodes.ProbeTimeout)})
@@ -30,7 +30,7 @@
 }
 
 func (f *front) probeReplied(m *message) {
-	f.probeEnded(m.number, m.result == rules.OK, m.value)
+	f.probeEnded(m.number, m.result == scheduler.OK, m.value)
 }
 
 // probeEnded takes in the result of a probe; one that came later than it may counts for nothing.
@@ -40,7 +40,7 @@
 		return
 	}
 	delete(f.probes, number)
-	result := rules.Probed{Node: f.names[node], OK: ok, Queue: waits}
+	result := scheduler.Probed{Node: f.names[node], OK: ok, Queue: waits}
 	if f.health != nil {
 		f.health.probeEnded(result)
 		return
--- a/internal/lab/hollow/report.go
+++ b/internal/lab/hollow/report.go
@@ -6,7 +6,7 @@
 	"math"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Plan is what is measured.
@@ -18,7 +18,7 @@
 	Seed    uint64
 	Workers int
 
-	SuspectAfter rules.Micros // of health.Config, 0 for its default
+	SuspectAfter scheduler.Micros // of health.Config, 0 for its default
 }
 
 // Line is a row of the page with its figures.
--- a/internal/lab/hollow/rows.go
+++ b/internal/lab/hollow/rows.go
@@ -1,6 +1,6 @@
 package hollow
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // Budgets of a front's control, and of the mechanisms.
 const (
@@ -27,8 +27,8 @@
 
 const (
 	byWatch   = "`internal/net/backoff`"
-	byRules   = "`rules`"
-	byCold    = "`rules/cold`"
+	byRules   = "`scheduler`"
+	byCold    = "`scheduler/slowstart`"
 	byHealth  = "`internal/fleet/health`"
 	byNothing = "missing"
 )
@@ -60,7 +60,7 @@
 }
 
 // until is the time by which a share of sorted times has come, in seconds: the phase's length where it has not.
-func until(r *Result, times []rules.Micros, share float64) float64 {
+func until(r *Result, times []scheduler.Micros, share float64) float64 {
 	return seconds(min(Share(times, share), r.Phase.Span))
 }
 
--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Result is what a fleet did in a phase of a script.
@@ -19,9 +19,9 @@
 	Watched  int // nodes that the phase was about
 	Fronts   int // that run at its end
 
-	Avoided  []rules.Micros // since it began, for each front that runs and node that it is to avoid; Never where it does not
-	Informed []rules.Micros // since the news, for each front that runs
-	Unserved rules.Micros   // since it began, the last request for a watched node's data that was not served
+	Avoided  []scheduler.Micros // since it began, for each front that runs and node that it is to avoid; Never where it does not
+	Informed []scheduler.Micros // since the news, for each front that runs
+	Unserved scheduler.Micros   // since it began, the last request for a watched node's data that was not served
 
 	CPU       float64 // seconds of a processor for each front and second of virtual time, of these
 	Scheduler float64 // in the scheduler's steps,
@@ -33,7 +33,7 @@
 }
 
 // Never is the time of what did not come.
-const Never rules.Micros = 1<<63 - 1
+const Never scheduler.Micros = 1<<63 - 1
 
 // Run plays an event to a fleet.
 func Run(set Settings, e Event) ([]Result, error) {
@@ -70,7 +70,7 @@
 	return r
 }
 
-func seconds(m rules.Micros) float64 { return float64(m) / float64(second) }
+func seconds(m scheduler.Micros) float64 { return float64(m) / float64(second) }
 
 func heap() int64 {
 	var m runtime.MemStats
@@ -105,7 +105,7 @@
 
 // cost divides the processor time by the parts' shares of the wall-clock time: that is longer where the machine is busy
 // with other things.
-func (r *Result) cost(w *World, span rules.Micros) {
+func (r *Result) cost(w *World, span scheduler.Micros) {
 	c := w.spent()
 	each := r.CPU / max(c.busy.Seconds(), 1e-9)
 	r.Scheduler, r.Health = each*c.scheduler.Seconds(), each*c.health.Seconds()
@@ -142,7 +142,7 @@
 	return !w.watched.across || w.links.region(f.id) != w.links.region(w.nodeID(node))
 }
 
-func after(at, from rules.Micros) rules.Micros {
+func after(at, from scheduler.Micros) scheduler.Micros {
 	if at == 0 {
 		return Never
 	}
@@ -150,7 +150,7 @@
 }
 
 // Share is the time by which a share of sorted times has come.
-func Share(times []rules.Micros, share float64) rules.Micros {
+func Share(times []scheduler.Micros, share float64) scheduler.Micros {
 	if len(times) == 0 {
 		return 0
 	}
--- a/internal/lab/hollow/settings.go
+++ b/internal/lab/hollow/settings.go
@@ -19,11 +19,11 @@
 
 	"otterturn/internal/lab/model"
 	"otterturn/internal/limits"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 const (
-	millisecond = rules.Micros(1_000)
+	millisecond = scheduler.Micros(1_000)
 	second      = 1_000 * millisecond
 
 	begin = 1_800_000_000 * second // virtual time begins here
@@ -34,13 +34,13 @@
 type Settings struct {
 	Fronts, Nodes  int
 	Zones, Regions int
-	Rate           float64      // requests a second at each front
-	Health         bool         // internal/fleet/health is switched on
-	SuspectAfter   rules.Micros // of health.Config, 0 for its default
+	Rate           float64          // requests a second at each front
+	Health         bool             // internal/fleet/health is switched on
+	SuspectAfter   scheduler.Micros // of health.Config, 0 for its default
 	Seed           uint64
-	Workers        int          // goroutines, 0 for one a processor
-	DiscoveryLines float64      // that discovery answers a second
-	Warm           rules.Micros // the fleet serves for so long ahead of an event
+	Workers        int              // goroutines, 0 for one a processor
+	DiscoveryLines float64          // that discovery answers a second
+	Warm           scheduler.Micros // the fleet serves for so long ahead of an event
 }
 
 // Default returns the settings of a fleet of so many fronts, at the proportions of the size that decides the design.
@@ -91,13 +91,13 @@
 )
 
 // rules are the settings of a front's scheduler.
-func (s *Settings) rules(number int) rules.Settings {
-	return rules.Settings{Hosts: s.Fronts, Number: number, Peers: true, Tick: tick, MeanUnits: meanUnits, MostUnits: mostUnits,
+func (s *Settings) rules(number int) scheduler.Settings {
+	return scheduler.Settings{Hosts: s.Fronts, Number: number, Peers: true, Tick: tick, MeanUnits: meanUnits, MostUnits: mostUnits,
 		MaxTries: 4, Probing: true, RetryAfter: true, MaxRetryAfter: second / 2,
 		ColdFrom: 0.2, Ramp: 17 * second, FallMultiple: 2.5, FallSpan: second, ColdUnits: 1,
 		RetrySpan: 10 * second, RetrySpare: 20, RetryShare: 0.1,
-		Classes: []rules.Class{{Aim: aim, Repeat: rules.Safe, Worth: 1}},
-		Plans:   []rules.Plan{{Weight: 1}}}
+		Classes: []scheduler.Class{{Aim: aim, Repeat: scheduler.Safe, Worth: 1}},
+		Plans:   []scheduler.Plan{{Weight: 1}}}
 }
 
 // figures are those of a node.
@@ -113,7 +113,7 @@
 		Deadline: 2500 * time.Millisecond, Askers: s.Fronts})
 }
 
-func micros(d time.Duration) rules.Micros { return rules.Micros(d / time.Microsecond) }
+func micros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
 
 // nodeName is about as long as names of machines are, with their zone and region.
 func nodeName(i, zone, region int) string {
--- a/internal/lab/hollow/watch.go
+++ b/internal/lab/hollow/watch.go
@@ -2,7 +2,7 @@
 
 import (
 	"otterturn/internal/net/backoff"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // wholeList in the place of a version asks for the whole list.
@@ -12,14 +12,14 @@
 type watch struct {
 	retry   *backoff.Backoff
 	version int64
-	hold    rules.Micros // of the next call
-	opens   bool         // the next call begins a watch
-	at      rules.Micros // of the next call, or when the one that is out counts as failed
+	hold    scheduler.Micros // of the next call
+	opens   bool             // the next call begins a watch
+	at      scheduler.Micros // of the next call, or when the one that is out counts as failed
 	out     bool
 	number  uint64
 }
 
-func newWatch(f *front, now rules.Micros, version int64) watch {
+func newWatch(f *front, now scheduler.Micros, version int64) watch {
 	l := f.world.limits
 	p := backoff.New(backoff.Config{Min: l.Discovery.RetryMin, Max: l.Discovery.RetryMax, Spread: l.Discovery.StartSpread}, f.rng.Int64())
 	return watch{retry: p, version: version, hold: micros(l.Discovery.WatchHold), opens: true, at: now + micros(p.InitialDelay()),
@@ -27,7 +27,7 @@
 }
 
 // pass makes the call that is due, and gives up one that had no answer.
-func (c *watch) pass(f *front, end rules.Micros) {
+func (c *watch) pass(f *front, end scheduler.Micros) {
 	if c.at >= end {
 		return
 	}
@@ -59,13 +59,13 @@
 	}
 	c.version, c.hold, c.opens = m.version, micros(f.world.limits.Discovery.WatchHold), false
 	if len(news.entries) > 0 {
-		f.learn(m.at, rules.Nodes{Full: news.whole, List: news.entries})
+		f.learn(m.at, scheduler.Nodes{Full: news.whole, List: news.entries})
 	}
 	f.world.watched.informed(f, m.version, m.at)
 }
 
 // reload asks for the whole list anew, as the program does at SIGHUP.
-func (c *watch) reload(f *front, now rules.Micros) {
+func (c *watch) reload(f *front, now scheduler.Micros) {
 	number := c.number
 	*c = newWatch(f, now, wholeList)
 	c.number = number
--- a/internal/lab/hollow/watched.go
+++ b/internal/lab/hollow/watched.go
@@ -3,19 +3,19 @@
 import (
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // watched are the nodes that a script does something to, and what becomes of them. Each front writes its own part alone.
 type watched struct {
 	index      []int32 // of each node among the watched ones, -1 for none; nil while there are none
 	nodes      []int32
-	from       rules.Micros   // what came before counts for nothing
-	across     bool           // a front is to avoid those of the other region alone
-	version    int64          // of the list, that fronts are to hear of
-	informedAt []rules.Micros // of each front, 0 for not yet
-	newsAt     rules.Micros
-	refusedAt  []rules.Micros // of each front, the last request that was not served by a watched node
+	from       scheduler.Micros   // what came before counts for nothing
+	across     bool               // a front is to avoid those of the other region alone
+	version    int64              // of the list, that fronts are to hear of
+	informedAt []scheduler.Micros // of each front, 0 for not yet
+	newsAt     scheduler.Micros
+	refusedAt  []scheduler.Micros // of each front, the last request that was not served by a watched node
 }
 
 // Watch has nodes watched from now on.
@@ -26,16 +26,16 @@
 		x.index[n] = int32(i)
 	}
 	x.nodes, x.from = nodes, w.now()
-	x.refusedAt = make([]rules.Micros, len(w.fronts))
+	x.refusedAt = make([]scheduler.Micros, len(w.fronts))
 	for _, f := range w.fronts {
-		f.avoided = make([]rules.Micros, len(nodes))
+		f.avoided = make([]scheduler.Micros, len(nodes))
 	}
 }
 
 // Expect notes when each front hears of the present version of the list.
 func (w *World) Expect() {
 	w.watched.version, w.watched.newsAt = w.discovery.version, w.now()
-	w.watched.informedAt = make([]rules.Micros, len(w.fronts))
+	w.watched.informedAt = make([]scheduler.Micros, len(w.fronts))
 }
 
 func (x *watched) of(node int32) int32 {
@@ -46,7 +46,7 @@
 }
 
 // suspects notes that a front's scheduler asked for a probe: it sends no more until that is answered.
-func (x *watched) suspects(f *front, node int32, now rules.Micros) {
+func (x *watched) suspects(f *front, node int32, now scheduler.Micros) {
 	if i := x.of(node); i >= 0 && f.avoided[i] == 0 {
 		f.avoided[i] = now
 	}
@@ -65,13 +65,13 @@
 }
 
 // unserved notes a request for a watched node's data that was refused or failed.
-func (x *watched) unserved(f *front, c *call, now rules.Micros) {
+func (x *watched) unserved(f *front, c *call, now scheduler.Micros) {
 	if x.index != nil && x.index[c.shard] >= 0 {
 		x.refusedAt[f.id] = now
 	}
 }
 
-func (x *watched) informed(f *front, version int64, now rules.Micros) {
+func (x *watched) informed(f *front, version int64, now scheduler.Micros) {
 	if x.informedAt != nil && x.informedAt[f.id] == 0 && version >= x.version {
 		x.informedAt[f.id] = now
 	}
--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -6,18 +6,18 @@
 	"time"
 
 	"otterturn/internal/limits"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // actor is a front, a node or discovery.
 type actor interface {
 	// handle lets a window pass, in which the messages arrive, in order. It ends ahead of end.
-	handle(end rules.Micros, in []message)
+	handle(end scheduler.Micros, in []message)
 }
 
 // step of a script happens between two windows.
 type step struct {
-	at rules.Micros
+	at scheduler.Micros
 	do func(*World)
 }
 
@@ -29,7 +29,7 @@
 	fronts    []*front
 	nodes     []*node
 	discovery *discovery
-	listed    []rules.Listing // the list as discovery has it, by number of the node
+	listed    []scheduler.Listing // the list as discovery has it, by number of the node
 
 	actors    []actor
 	mailboxes []mailbox
@@ -103,11 +103,11 @@
 	w.links.zone[id] = zone
 	n := newNode(w.sender(id), nodeName(i, int(zone), int(w.links.regionOf(zone))), i%w.set.Nodes)
 	w.nodes = append(w.nodes, n)
-	state := rules.Running
+	state := scheduler.Running
 	if i >= w.set.Nodes {
-		state = rules.Gone
+		state = scheduler.Gone
 	}
-	w.listed = append(w.listed, rules.Listing{Node: n.name, Zone: int(zone), Shard: n.shard, State: state})
+	w.listed = append(w.listed, scheduler.Listing{Node: n.name, Zone: int(zone), Shard: n.shard, State: state})
 }
 
 func (w *World) sender(id int32) sender {
@@ -121,16 +121,16 @@
 func (w *World) nodeID(node int32) int32 { return int32(w.set.Fronts) + node }
 
 // now is the time at which the next window begins.
-func (w *World) now() rules.Micros { return begin + rules.Micros(w.window)*tick }
+func (w *World) now() scheduler.Micros { return begin + scheduler.Micros(w.window)*tick }
 
 // After plans a step of the script.
-func (w *World) After(wait rules.Micros, do func(*World)) {
+func (w *World) After(wait scheduler.Micros, do func(*World)) {
 	w.script = append(w.script, step{w.now() + wait, do})
 	slices.SortStableFunc(w.script, func(a, b step) int { return int(a.at - b.at) })
 }
 
 // Run lets time pass.
-func (w *World) Run(span rules.Micros) {
+func (w *World) Run(span scheduler.Micros) {
 	for until := w.now() + span; w.now() < until; w.window++ {
 		for len(w.script) > 0 && w.script[0].at <= w.now() {
 			next := w.script[0]
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -19,7 +19,7 @@
 	"github.com/pkg/sftp"
 
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Verdict is how a request ended.
@@ -129,9 +129,9 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	return func(ctx context.Context, n int, rng *rand.Rand) Verdict {
 		class, project := rng.IntN(len(set.Classes)), rng.IntN(projects)
-		q := rules.Request{ID: fmt.Sprintf("load-%d-%d", time.Now().UnixNano(), n), Class: class, Plan: project % len(set.Plans), Volume: fmt.Sprintf("%016x", project),
+		q := scheduler.Request{ID: fmt.Sprintf("load-%d-%d", time.Now().UnixNano(), n), Class: class, Plan: project % len(set.Plans), Volume: fmt.Sprintf("%016x", project),
 			Key: fmt.Sprintf("%016x", rng.Uint32()), Units: float64(1 + rng.IntN(3)), Shard: rng.IntN(set.Shards), Hosts: 1,
-			Left: rules.Micros(set.LongestWait / time.Microsecond)}
+			Left: scheduler.Micros(set.LongestWait / time.Microsecond)}
 		v, _ := Send(ctx, client, addr, set, q)
 		return v
 	}
@@ -139,7 +139,7 @@
 
 // Send sends a request to a front by the platform's protocol, and tells how it was answered, and when a refused one should
 // come back.
-func Send(ctx context.Context, client *http.Client, addr string, set protocol.Settings, q rules.Request) (v Verdict, retryAfter rules.Micros) {
+func Send(ctx context.Context, client *http.Client, addr string, set protocol.Settings, q scheduler.Request) (v Verdict, retryAfter scheduler.Micros) {
 	r, err := protocol.FormatRequest(ctx, addr, set, q)
 	if err != nil {
 		return Failed, 0
--- a/internal/lab/processes/traffic.go
+++ b/internal/lab/processes/traffic.go
@@ -11,7 +11,7 @@
 
 	"otterturn/internal/lab/load"
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // mostOpen bounds the requests of one load that are open at once.
@@ -30,10 +30,10 @@
 }
 
 // request is one of a unit for a shard.
-func (f *Front) request(set protocol.Settings, class, shard int, piece uint64) rules.Request {
-	return rules.Request{ID: fmt.Sprintf("%s-%d-%d", f.mark(), time.Now().UnixNano(), sent.Add(1)), Class: class,
+func (f *Front) request(set protocol.Settings, class, shard int, piece uint64) scheduler.Request {
+	return scheduler.Request{ID: fmt.Sprintf("%s-%d-%d", f.mark(), time.Now().UnixNano(), sent.Add(1)), Class: class,
 		Volume: fmt.Sprintf("%016x", piece%volumes), Key: fmt.Sprintf("%016x", piece), Units: 1, Shard: shard, Hosts: 1,
-		Left: rules.Micros(set.LongestWait / time.Microsecond)}
+		Left: scheduler.Micros(set.LongestWait / time.Microsecond)}
 }
 
 // volumes are so many as are asked for.
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -11,12 +11,12 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"otterturn/internal/lab/world"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Stream is what one scheduler met.
 type Stream struct {
-	Settings rules.Settings
+	Settings scheduler.Settings
 	Seed     int64
 	Steps    []Step
 }
@@ -24,52 +24,52 @@
 // Step is one step: its time, its events, and the sum of the actions.
 type Step struct {
 	_      struct{} `cbor:",toarray"`
-	Now    rules.Micros
+	Now    scheduler.Micros
 	Events []Event
 	Sum    uint32
 }
 
-// Event is one of the kinds of rules.Event; the others are nil.
+// Event is one of the kinds of scheduler.Event; the others are nil.
 type Event struct {
-	Nodes   *rules.Nodes    `cbor:"1,keyasint,omitempty"`
-	Request *rules.Request  `cbor:"2,keyasint,omitempty"`
-	Outcome *rules.Outcome  `cbor:"3,keyasint,omitempty"`
-	Lapsed  *rules.Lapsed   `cbor:"4,keyasint,omitempty"`
-	Probed  *rules.Probed   `cbor:"5,keyasint,omitempty"`
-	Alarm   *rules.Alarm    `cbor:"6,keyasint,omitempty"`
-	Room    *rules.Room     `cbor:"7,keyasint,omitempty"`
-	Written *rules.Recorded `cbor:"8,keyasint,omitempty"`
-	Asked   *rules.Asked    `cbor:"9,keyasint,omitempty"`
-	Granted *rules.Granted  `cbor:"10,keyasint,omitempty"`
+	Nodes   *scheduler.Nodes    `cbor:"1,keyasint,omitempty"`
+	Request *scheduler.Request  `cbor:"2,keyasint,omitempty"`
+	Outcome *scheduler.Outcome  `cbor:"3,keyasint,omitempty"`
+	Lapsed  *scheduler.Lapsed   `cbor:"4,keyasint,omitempty"`
+	Probed  *scheduler.Probed   `cbor:"5,keyasint,omitempty"`
+	Alarm   *scheduler.Alarm    `cbor:"6,keyasint,omitempty"`
+	Room    *scheduler.Room     `cbor:"7,keyasint,omitempty"`
+	Written *scheduler.Recorded `cbor:"8,keyasint,omitempty"`
+	Asked   *scheduler.Asked    `cbor:"9,keyasint,omitempty"`
+	Granted *scheduler.Granted  `cbor:"10,keyasint,omitempty"`
 }
 
-func wrap(e rules.Event) (out Event) {
+func wrap(e scheduler.Event) (out Event) {
 	switch e := e.(type) {
-	case rules.Nodes:
+	case scheduler.Nodes:
 		out.Nodes = &e
-	case rules.Request:
+	case scheduler.Request:
 		out.Request = &e
-	case rules.Outcome:
+	case scheduler.Outcome:
 		out.Outcome = &e
-	case rules.Lapsed:
+	case scheduler.Lapsed:
 		out.Lapsed = &e
-	case rules.Probed:
+	case scheduler.Probed:
 		out.Probed = &e
-	case rules.Alarm:
+	case scheduler.Alarm:
 		out.Alarm = &e
-	case rules.Room:
+	case scheduler.Room:
 		out.Room = &e
-	case rules.Recorded:
+	case scheduler.Recorded:
 		out.Written = &e
-	case rules.Asked:
+	case scheduler.Asked:
 		out.Asked = &e
-	case rules.Granted:
+	case scheduler.Granted:
 		out.Granted = &e
 	}
 	return out
 }
 
-func (e Event) unwrap() rules.Event {
+func (e Event) unwrap() scheduler.Event {
 	switch {
 	case e.Nodes != nil:
 		return *e.Nodes
@@ -90,18 +90,43 @@
 	case e.Granted != nil:
 		return *e.Granted
 	}
-	return rules.Alarm{}
+	return scheduler.Alarm{}
 }
 
 // sum is that of actions, in their order.
-func sum(actions []rules.Action) uint32 {
+func sum(actions []scheduler.Action) uint32 {
 	d := xxhash.New()
 	for _, a := range actions {
-		fmt.Fprintf(d, "%T %v\n", a, a)
+		fmt.Fprintf(d, "%s %v\n", recordedName(a), a)
 	}
 	return uint32(d.Sum64())
 }
 
+// recordedName is the name of an action's kind in recorded sums. It stays when the type is renamed.
+func recordedName(a scheduler.Action) string {
+	switch a.(type) {
+	case scheduler.Send:
+		return "scheduler.Send"
+	case scheduler.Refuse:
+		return "rules.Refuse"
+	case scheduler.Fail:
+		return "rules.Fail"
+	case scheduler.Cancel:
+		return "rules.Cancel"
+	case scheduler.Probe:
+		return "rules.Probe"
+	case scheduler.SetAlarm:
+		return "rules.SetAlarm"
+	case scheduler.WriteDown:
+		return "rules.WriteDown"
+	case scheduler.Ask:
+		return "rules.Ask"
+	case scheduler.Grant:
+		return "rules.Grant"
+	}
+	return fmt.Sprintf("%T", a)
+}
+
 // Recorder records what a decider meets.
 type Recorder struct {
 	world.Decider
@@ -109,7 +134,7 @@
 }
 
 // Step has the decider decide.
-func (r *Recorder) Step(now rules.Micros, events []rules.Event) []rules.Action {
+func (r *Recorder) Step(now scheduler.Micros, events []scheduler.Event) []scheduler.Action {
 	step := Step{Now: now}
 	for _, e := range events {
 		step.Events = append(step.Events, wrap(e))
@@ -122,9 +147,9 @@
 
 // Replay gives a stream to a scheduler, and tells the first step at which it decides otherwise, below 0 for none, with
 // what it decides there.
-func (s Stream) Replay(to world.Decider) (step int, actions []rules.Action) {
+func (s Stream) Replay(to world.Decider) (step int, actions []scheduler.Action) {
 	for i, st := range s.Steps {
-		var events []rules.Event
+		var events []scheduler.Event
 		for _, e := range st.Events {
 			events = append(events, e.unwrap())
 		}
--- a/internal/lab/record/streams.go
+++ b/internal/lab/record/streams.go
@@ -5,7 +5,7 @@
 
 	"otterturn/internal/lab/scenario"
 	"otterturn/internal/lab/world"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Make plays a rough day and records its first front. The names are those of Streams.
@@ -21,9 +21,9 @@
 	set.Cancel, set.RetrySpan, set.RetrySpare, set.RetryShare = true, 10_000_000, 10, 0.2
 	d.edit(&s, &set)
 	var r Recorder
-	_, err = s.PlayWith(1, set, scenario.Variant{Name: name, Make: func(front int, set rules.Settings, seed int64) (world.Decider, error) {
+	_, err = s.PlayWith(1, set, scenario.Variant{Name: name, Make: func(front int, set scheduler.Settings, seed int64) (world.Decider, error) {
 		set.Number = front
-		made, err := rules.New(set, seed)
+		made, err := scheduler.New(set, seed)
 		if front > 0 || err != nil {
 			return made, err
 		}
@@ -37,27 +37,27 @@
 type day struct {
 	nodes, fronts int
 	length        time.Duration
-	edit          func(s *scenario.Scenario, set *rules.Settings)
+	edit          func(s *scenario.Scenario, set *scheduler.Settings)
 }
 
 // Streams are rough days: a rolling deploy, failures of all kinds, a flood beyond what there is room for with requests
 // that run in turn, and a long one with so little to do that what was learned is forgotten again.
 var Streams = map[string]day{
-	"deploy": {10, 3, 16 * time.Second, func(s *scenario.Scenario, _ *rules.Settings) {
+	"deploy": {10, 3, 16 * time.Second, func(s *scenario.Scenario, _ *scheduler.Settings) {
 		s.Happens = []scenario.Event{{At: 3 * time.Second, What: "replace", Share: 0.9, Over: 8 * time.Second, Drain: time.Second},
 			{At: 6 * time.Second, What: "surge", Times: 2.5, For: 4 * time.Second}}
 	}},
-	"failures": {8, 2, 16 * time.Second, func(s *scenario.Scenario, _ *rules.Settings) {
+	"failures": {8, 2, 16 * time.Second, func(s *scenario.Scenario, _ *scheduler.Settings) {
 		for i, what := range []string{"die", "silence", "break", "spoil", "pause", "slow"} {
 			s.Happens = append(s.Happens, scenario.Event{At: time.Duration(2*i+2) * time.Second, What: what, Share: 0.3, Back: 2 * time.Second,
 				For: 2500 * time.Millisecond, Times: 5})
 		}
 	}},
-	"flood": {4, 1, 7 * time.Second, func(s *scenario.Scenario, set *rules.Settings) {
+	"flood": {4, 1, 7 * time.Second, func(s *scenario.Scenario, set *scheduler.Settings) {
 		s.Load.Busy, s.Load.Pieces, s.Load.Comes = 0.9, 4, 0.2
 		s.Happens = []scenario.Event{{At: 2 * time.Second, What: "flood", Projects: 2, Times: 1, For: 3 * time.Second}}
 		set.MaxOpen, set.KeyRest = 60, 50_000
 		set.Classes[1].InOrder = true
 	}},
-	"idle": {30, 1, 110 * time.Second, func(s *scenario.Scenario, _ *rules.Settings) { s.Load.Busy = 0.01 }},
+	"idle": {30, 1, 110 * time.Second, func(s *scenario.Scenario, _ *scheduler.Settings) { s.Load.Busy = 0.01 }},
 }
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -14,12 +14,12 @@
 	"otterturn/internal/lab/world"
 	"otterturn/internal/state/ageing"
 	"otterturn/internal/state/snapshot"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Times of a play, in microseconds.
 const (
-	second  = rules.Micros(1_000_000)
+	second  = scheduler.Micros(1_000_000)
 	warmed  = 30 * second       // the front has learned for so long
 	down    = second / 2        // then it is away for so long
 	counted = 10 * second       // and what comes after that counts for so long
@@ -39,21 +39,21 @@
 }
 
 // settings are those of a site of one front.
-func settings() rules.Settings {
-	return rules.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 4, Probing: true,
+func settings() scheduler.Settings {
+	return scheduler.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 4, Probing: true,
 		RetryAfter: true, MaxRetryAfter: second / 2,
 		ColdFrom: 0.2, Ramp: 17 * second, FallMultiple: 2.5, FallSpan: second, ColdUnits: 8,
-		Classes: []rules.Class{
-			{Aim: 300_000, Repeat: rules.Safe, Worth: 2},
-			{Aim: 400_000, Repeat: rules.Keyed, Group: rules.SameShard, Window: 3 * second, Worth: 2},
-			{Aim: 2 * second, Repeat: rules.Safe, Worth: 1}},
-		Plans: []rules.Plan{{Weight: 1, Limit: 24, Burst: 72}, {Reservation: 8, Weight: 1}}}
+		Classes: []scheduler.Class{
+			{Aim: 300_000, Repeat: scheduler.Safe, Worth: 2},
+			{Aim: 400_000, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 3 * second, Worth: 2},
+			{Aim: 2 * second, Repeat: scheduler.Safe, Worth: 1}},
+		Plans: []scheduler.Plan{{Weight: 1, Limit: 24, Burst: 72}, {Reservation: 8, Weight: 1}}}
 }
 
 // Kinds of requests: share, mean work of a unit and the client's patience, by class.
 var kinds = []struct {
 	share, work float64
-	left        rules.Micros
+	left        scheduler.Micros
 }{{0.55, 20_000, 2_500_000}, {0.30, 35_000, 2_000_000}, {0.15, 60_000, 6_000_000}}
 
 // day draws nodes and requests: three nodes of ten are slow, one restarts shortly before the front does.
@@ -89,8 +89,8 @@
 		if class == 1 { // a new object, which any node may take
 			shard = -1
 		}
-		requests = append(requests, world.Request{At: rules.Micros(at), Work: units * kinds[class].work * (0.5 + rng.Float64()),
-			Request: rules.Request{ID: fmt.Sprint(n), Class: class, Plan: project % 2, Volume: fmt.Sprint("project-", project),
+		requests = append(requests, world.Request{At: scheduler.Micros(at), Work: units * kinds[class].work * (0.5 + rng.Float64()),
+			Request: scheduler.Request{ID: fmt.Sprint(n), Class: class, Plan: project % 2, Volume: fmt.Sprint("project-", project),
 				Units: units, Shard: shard, Hosts: 1, Left: kinds[class].left}})
 	}
 	return nodes, requests
@@ -103,7 +103,7 @@
 	for v := range variants {
 		nodes, requests := day(seed)
 		w := world.New(set, nodes, 1, 500, seed)
-		s, err := rules.New(set, int64(seed))
+		s, err := scheduler.New(set, int64(seed))
 		if err != nil {
 			return r, err
 		}
@@ -118,10 +118,10 @@
 			w.Tell(0)
 		})
 		var kept snapshot.Snapshot
-		w.At(warmed-saved+rules.Micros(seed%5)*second, func() { kept = save(w, s) })
+		w.At(warmed-saved+scheduler.Micros(seed%5)*second, func() { kept = save(w, s) })
 		if v > 0 {
 			w.At(warmed+down, func() {
-				again, _ := rules.New(set, int64(seed)+1) // of settings that were good before
+				again, _ := scheduler.New(set, int64(seed)+1) // of settings that were good before
 				w.Start(0, again)
 				if v == 1 {
 					again.Recall(w.Now, recall(w, s, kept))
@@ -151,7 +151,7 @@
 }
 
 // save is a snapshot of the front, by way of its file's bytes.
-func save(w *world.World, front *rules.Scheduler) snapshot.Snapshot {
+func save(w *world.World, front *scheduler.Scheduler) snapshot.Snapshot {
 	l, _ := front.Learned(w.Now, 0, math.MaxInt32)
 	s := snapshot.Snapshot{Front: "lab", Settings: snapshot.Fingerprint(w.Set), Saved: w.Now, Accounts: l.Accounts, Leads: l.Leads}
 	for _, k := range l.Nodes {
@@ -161,13 +161,13 @@
 }
 
 // recall is what still counts of a snapshot.
-func recall(w *world.World, front *rules.Scheduler, s snapshot.Snapshot) rules.Learned {
+func recall(w *world.World, front *scheduler.Scheduler, s snapshot.Snapshot) scheduler.Learned {
 	now := ageing.Now{At: w.Now, Front: "lab", Settings: snapshot.Fingerprint(w.Set), Fresh: front.Fresh()}
 	for _, l := range w.List().List {
-		now.Nodes = append(now.Nodes, snapshot.Node{Known: rules.Known{Listing: l}})
+		now.Nodes = append(now.Nodes, snapshot.Node{Known: scheduler.Known{Listing: l}})
 	}
 	if err := ageing.Judge(s, now); err != nil {
-		return rules.Learned{}
+		return scheduler.Learned{}
 	}
 	return ageing.Fade(s, now, false)
 }
--- a/internal/lab/scenario/build.go
+++ b/internal/lab/scenario/build.go
@@ -8,7 +8,7 @@
 
 	"otterturn/internal/lab/world"
 	"otterturn/internal/wire"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Build is another build of this program, an earlier one say: its benchlink, which decides behind a pipe. The variant
@@ -44,7 +44,7 @@
 		cmd, remote = next, wire.NewRemote(out, in)
 		return nil
 	}
-	return Variant{name, func(front int, set rules.Settings, seed int64) (world.Decider, error) {
+	return Variant{name, func(front int, set scheduler.Settings, seed int64) (world.Decider, error) {
 		if front == 0 {
 			if err := start(); err != nil {
 				return nil, fmt.Errorf("build %s: %w", path, err)
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"otterturn/internal/lab/world"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // captured is a line of a file of what was asked for: milliseconds since the beginning, kind, project, units, shard.
@@ -73,7 +73,7 @@
 	d := drawer{Scenario: s, rng: rng}
 	if s.captured != nil {
 		for _, c := range s.captured {
-			if at := rules.Micros(c.at * 1000); at < micros(s.Length) {
+			if at := scheduler.Micros(c.at * 1000); at < micros(s.Length) {
 				d.add(at, c.class, c.project, c.units, c.shard)
 			}
 		}
@@ -118,7 +118,7 @@
 		if s.mix.Kinds[class].New {
 			shard = -1
 		}
-		d.add(rules.Micros(at), class, project, units, shard)
+		d.add(scheduler.Micros(at), class, project, units, shard)
 	}
 }
 
@@ -133,11 +133,11 @@
 // fresh is how long ago a write was that is read again.
 const fresh = 2 * second
 
-func (d *drawer) add(at rules.Micros, class, project int, units float64, shard int) {
+func (d *drawer) add(at scheduler.Micros, class, project int, units float64, shard int) {
 	k, rng := d.mix.Kinds[class], d.rng
 	q := world.Request{At: at, Front: rng.IntN(d.Fronts), Work: units * float64(k.Costs.micros()) * (0.5 + rng.Float64()),
 		Write: k.Write(), Comes: rng.Float64() < d.Load.Comes, Heeds: rng.Float64() < d.Load.Heeds,
-		Request: rules.Request{ID: strconv.Itoa(len(d.out)), Class: class, Volume: fmt.Sprintf("%016x", project), Units: units,
+		Request: scheduler.Request{ID: strconv.Itoa(len(d.out)), Class: class, Volume: fmt.Sprintf("%016x", project), Units: units,
 			Shard: shard, Hosts: d.Fronts, Left: k.Waits.micros()}}
 	now := time.Duration(at) * time.Microsecond
 	for _, e := range d.Happens {
--- a/internal/lab/scenario/mix.go
+++ b/internal/lab/scenario/mix.go
@@ -9,7 +9,7 @@
 	"github.com/alecthomas/participle/v2/lexer"
 
 	"otterturn/internal/grammar"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // usualMix is what is asked for where a scenario says nothing else: the brief's classes.
@@ -45,7 +45,7 @@
 	return err
 }
 
-func (d duration) micros() rules.Micros { return micros(time.Duration(d)) }
+func (d duration) micros() scheduler.Micros { return micros(time.Duration(d)) }
 
 var mixParser = participle.MustBuild[Mix](participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "Span", Pattern: `\d+(\.\d+)?(us|ms|s|m)\b`}, {Name: "Number", Pattern: `\d+(\.\d+)?`},
@@ -78,13 +78,13 @@
 func (k Kind) Write() bool { return k.New || k.Keyed > 0 || k.Once }
 
 // class is what the decision module is told of a kind.
-func (k Kind) class() rules.Class {
-	c := rules.Class{Aim: k.Within.micros(), Worth: k.Worth}
+func (k Kind) class() scheduler.Class {
+	c := scheduler.Class{Aim: k.Within.micros(), Worth: k.Worth}
 	switch {
 	case k.Once:
-		c.Repeat = rules.Unsafe
+		c.Repeat = scheduler.Unsafe
 	case k.Keyed > 0:
-		c.Repeat, c.Group, c.Window = rules.Keyed, rules.SameShard, k.Keyed.micros()
+		c.Repeat, c.Group, c.Window = scheduler.Keyed, scheduler.SameShard, k.Keyed.micros()
 	}
 	return c
 }
--- a/internal/lab/scenario/page.go
+++ b/internal/lab/scenario/page.go
@@ -17,7 +17,7 @@
 	"gonum.org/v1/plot/vg/vgsvg"
 
 	"otterturn/internal/lab/world"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // mostTold bounds the traces of a variant's first day that are written.
@@ -132,8 +132,8 @@
 var page = template.Must(template.New("page").Funcs(template.FuncMap{
 	"percent": func(of map[string]float64, what string) string { return fmt.Sprintf("%.1f%%", 100*of[what]) },
 	"three":   func(x float64) string { return fmt.Sprintf("%.3f", x) },
-	"ms":      func(t rules.Micros) string { return fmt.Sprintf("%.0f", float64(t)/1000) },
-	"seconds": func(t rules.Micros) string { return fmt.Sprintf("%.3f", float64(t)/1e6) },
+	"ms":      func(t scheduler.Micros) string { return fmt.Sprintf("%.0f", float64(t)/1000) },
+	"seconds": func(t scheduler.Micros) string { return fmt.Sprintf("%.3f", float64(t)/1e6) },
 	"parts":   func(r Row) map[string]float64 { return r.parts },
 	"share":   func(n, of int) string { return fmt.Sprintf("%.1f%%", 100*float64(n)/float64(max(of, 1))) },
 }).Parse(`<!doctype html>
--- a/internal/lab/scenario/play.go
+++ b/internal/lab/scenario/play.go
@@ -7,22 +7,22 @@
 	"otterturn/internal/lab/baseline"
 	"otterturn/internal/lab/model"
 	"otterturn/internal/lab/world"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
-const second = rules.Micros(1_000_000)
+const second = scheduler.Micros(1_000_000)
 
 // mostUnits is the size of the largest request.
 const mostUnits = 8
 
-func micros(d time.Duration) rules.Micros { return rules.Micros(d / time.Microsecond) }
+func micros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
 
 // Settings are those of the site.
-func (s Scenario) Settings() rules.Settings {
-	set := rules.Settings{Hosts: s.Fronts, Peers: true, Tick: 2000, MeanUnits: 2, MostUnits: mostUnits, MaxTries: 4, Probing: true, Elsewhere: false,
+func (s Scenario) Settings() scheduler.Settings {
+	set := scheduler.Settings{Hosts: s.Fronts, Peers: true, Tick: 2000, MeanUnits: 2, MostUnits: mostUnits, MaxTries: 4, Probing: true, Elsewhere: false,
 		RetryAfter: true, MaxRetryAfter: second / 2,
 		ColdFrom: s.Nodes.ColdFrom, Ramp: micros(s.Nodes.Ramp), FallMultiple: 2.5, FallSpan: second, ColdUnits: 8,
-		Plans: []rules.Plan{{Reservation: 8, Weight: 1}, {Weight: 1}}}
+		Plans: []scheduler.Plan{{Reservation: 8, Weight: 1}, {Weight: 1}}}
 	for _, k := range s.mix.Kinds {
 		set.Classes = append(set.Classes, k.class())
 	}
@@ -35,20 +35,20 @@
 // Variant is a way to decide. The first one is the project's.
 type Variant struct {
 	Name string
-	Make func(front int, set rules.Settings, seed int64) (world.Decider, error)
+	Make func(front int, set scheduler.Settings, seed int64) (world.Decider, error)
 }
 
 // Ours is the decision module as it stands.
-var Ours = Variant{"rules", func(front int, set rules.Settings, seed int64) (world.Decider, error) {
+var Ours = Variant{"rules", func(front int, set scheduler.Settings, seed int64) (world.Decider, error) {
 	set.Number = front
-	return rules.New(set, seed)
+	return scheduler.New(set, seed)
 }}
 
 // Compared are the decision module, the settings that the scenario varies, and the baselines.
 func (s Scenario) Compared() []Variant {
 	out := []Variant{Ours}
 	for _, v := range s.Variants {
-		out = append(out, Variant{v.Name, func(front int, set rules.Settings, seed int64) (world.Decider, error) {
+		out = append(out, Variant{v.Name, func(front int, set scheduler.Settings, seed int64) (world.Decider, error) {
 			set.Number = front
 			if v.Tries > 0 {
 				set.MaxTries = v.Tries
@@ -57,12 +57,12 @@
 				set.MaxRetryAfter = micros(v.Advice)
 			}
 			set.RetryAfter, set.Probing = !v.Without, !v.Blind
-			return rules.New(set, seed)
+			return scheduler.New(set, seed)
 		}})
 	}
 	return append(out,
-		Variant{"at once", func(_ int, set rules.Settings, _ int64) (world.Decider, error) { return baseline.New(set, 0), nil }},
-		Variant{"window", func(_ int, set rules.Settings, _ int64) (world.Decider, error) { return baseline.New(set, 4), nil }})
+		Variant{"at once", func(_ int, set scheduler.Settings, _ int64) (world.Decider, error) { return baseline.New(set, 0), nil }},
+		Variant{"window", func(_ int, set scheduler.Settings, _ int64) (world.Decider, error) { return baseline.New(set, 4), nil }})
 }
 
 // Day is a scenario with its chances drawn.
@@ -105,7 +105,7 @@
 }
 
 // PlayWith plays one with other settings of the site.
-func (s Scenario) PlayWith(seed uint64, set rules.Settings, v Variant) (Result, error) {
+func (s Scenario) PlayWith(seed uint64, set scheduler.Settings, v Variant) (Result, error) {
 	d := s.Day(seed)
 	d.World.Set = set
 	for i := range s.Fronts {
@@ -128,7 +128,7 @@
 	for _, e := range d.Happens {
 		d.plan(e)
 	}
-	longest := rules.Micros(0)
+	longest := scheduler.Micros(0)
 	for _, k := range d.mix.Kinds {
 		longest = max(longest, k.Waits.micros())
 	}
@@ -142,7 +142,7 @@
 	chosen := func() []*world.Node {
 		var running []*world.Node
 		for _, n := range w.Nodes {
-			if n.State == rules.Running && !n.Silent() && (e.What != "cut" || n.Zone == e.Hall) {
+			if n.State == scheduler.Running && !n.Silent() && (e.What != "cut" || n.Zone == e.Hall) {
 				running = append(running, n)
 			}
 		}
@@ -181,9 +181,9 @@
 				n.Spoils = e.Share
 				w.At(over, func() { n.Spoils = 0 })
 			case "replace":
-				begins := micros(e.At) + micros(e.Over)*rules.Micros(i)/rules.Micros(max(1, int(e.Share*float64(d.Nodes.Count))))
+				begins := micros(e.At) + micros(e.Over)*scheduler.Micros(i)/scheduler.Micros(max(1, int(e.Share*float64(d.Nodes.Count))))
 				w.At(begins, func() {
-					n.State = rules.Draining
+					n.State = scheduler.Draining
 					w.Tell(late)
 				})
 				w.At(begins+micros(e.Drain), func() {
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 const folder = "../../../deploy/rehearsals"
@@ -56,7 +56,7 @@
 	if err := errors.Join(Page(&page, []Comparison{c}), JSON(&figures, []Comparison{c})); err != nil {
 		t.Fatal(err)
 	}
-	if n := strings.Count(page.String(), "<svg"); n != 2 || !strings.Contains(page.String(), string(rules.NotInTime)) {
+	if n := strings.Count(page.String(), "<svg"); n != 2 || !strings.Contains(page.String(), string(scheduler.NotInTime)) {
 		t.Errorf("%d plots, and the page is:\n%.2000s", n, &page)
 	}
 	if !json.Valid(figures.Bytes()) {
--- a/internal/lab/scenario/traces.go
+++ b/internal/lab/scenario/traces.go
@@ -13,7 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"otterturn/internal/lab/world"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // mostTraces bounds the requests of a day that are traced.
@@ -65,9 +65,9 @@
 func (t *traces) at() time.Time { return time.UnixMicro(int64(t.day.World.Now)) }
 
 // Told, Asked, Sent, Back and Answered hear what happens.
-func (t *traces) Told(int, rules.Nodes) {}
+func (t *traces) Told(int, scheduler.Nodes) {}
 
-func (t *traces) Asked(front int, r rules.Request) {
+func (t *traces) Asked(front int, r scheduler.Request) {
 	if xxhash.Sum64String(r.ID)%t.one != 0 {
 		return
 	}
@@ -83,7 +83,7 @@
 	}
 }
 
-func (t *traces) Back(id string, result rules.Result) {
+func (t *traces) Back(id string, result scheduler.Result) {
 	if r := t.open[id]; r != nil && r.attempt != nil {
 		r.attempt.SetAttributes(attribute.String("result", result.String()))
 		r.attempt.End(trace.WithTimestamp(t.at()))
@@ -91,7 +91,7 @@
 	}
 }
 
-func (t *traces) Answered(id string, v world.Verdict, why rules.Reason) {
+func (t *traces) Answered(id string, v world.Verdict, why scheduler.Reason) {
 	r := t.open[id]
 	if r == nil {
 		return
@@ -109,15 +109,15 @@
 	ID, Kind, Project, Verdict, Why string
 	Units                           float64
 	Front                           int64
-	At, Total                       rules.Micros // since the day's beginning; until its end
-	Held                            rules.Micros // at the front, before the first attempt and between them
+	At, Total                       scheduler.Micros // since the day's beginning; until its end
+	Held                            scheduler.Micros // at the front, before the first attempt and between them
 	Attempts                        []Attempt
 }
 
 // Attempt is one at a node.
 type Attempt struct {
 	Node, Result string
-	From, For    rules.Micros // since the request
+	From, For    scheduler.Micros // since the request
 }
 
 // all are the traces that have ended, in the order of their requests.
@@ -138,9 +138,9 @@
 		text := func(a attribute.Set, key attribute.Key) string { v, _ := a.Value(key); return v.AsString() }
 		units, _ := a.Value("units")
 		front, _ := a.Value("front")
-		span := func(from, to time.Time) rules.Micros { return rules.Micros(to.Sub(from).Microseconds()) }
+		span := func(from, to time.Time) scheduler.Micros { return scheduler.Micros(to.Sub(from).Microseconds()) }
 		tr := Trace{ID: text(a, "id"), Kind: text(a, "kind"), Project: text(a, "project"), Verdict: text(a, "verdict"), Why: text(a, "why"),
-			Units: units.AsFloat64(), Front: front.AsInt64(), At: rules.Micros(s.StartTime().UnixMicro()) - begin, Total: span(s.StartTime(), s.EndTime())}
+			Units: units.AsFloat64(), Front: front.AsInt64(), At: scheduler.Micros(s.StartTime().UnixMicro()) - begin, Total: span(s.StartTime(), s.EndTime())}
 		tr.Held = tr.Total
 		for _, x := range attempts[s.SpanContext().SpanID()] {
 			b := attribute.NewSet(x.Attributes()...)
@@ -157,10 +157,10 @@
 // Cause is what requests that were not served in time have in common.
 type Cause struct {
 	Verdict, Why string
-	Where        string       // the end of the longest attempt, and its node where it failed, or that none was made
-	Count        int          // of the traced ones
-	Held, Total  rules.Micros // means
-	Worst        Trace        // the longest
+	Where        string           // the end of the longest attempt, and its node where it failed, or that none was made
+	Count        int              // of the traced ones
+	Held, Total  scheduler.Micros // means
+	Worst        Trace            // the longest
 }
 
 // mostCauses bounds what is listed of a day.
@@ -174,10 +174,10 @@
 		if t.Verdict == world.Served.String() {
 			continue
 		}
-		where, longest := "never sent", rules.Micros(-1)
+		where, longest := "never sent", scheduler.Micros(-1)
 		for _, a := range t.Attempts {
 			if a.For > longest {
-				if where, longest = a.Result, a.For; a.Result != rules.OK.String() {
+				if where, longest = a.Result, a.For; a.Result != scheduler.OK.String() {
 					where = cmp.Or(a.Result, "no answer") + " at " + a.Node
 				}
 			}
@@ -194,7 +194,7 @@
 		}
 	}
 	for _, c := range by {
-		c.Held, c.Total = c.Held/rules.Micros(c.Count), c.Total/rules.Micros(c.Count)
+		c.Held, c.Total = c.Held/scheduler.Micros(c.Count), c.Total/scheduler.Micros(c.Count)
 		out = append(out, *c)
 	}
 	slices.SortFunc(out, func(a, b Cause) int {
--- a/internal/lab/sockets/node.go
+++ b/internal/lab/sockets/node.go
@@ -14,7 +14,7 @@
 	"otterturn/internal/lab/model"
 	"otterturn/internal/lab/world"
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // node is an emulated node that speaks the platform's protocol.
@@ -74,8 +74,8 @@
 }
 
 // results are what becomes of an attempt by a node's reply.
-var results = map[world.Reply]rules.Result{world.Answer: rules.OK, world.TurnedAway: rules.Full, world.Unreachable: rules.Unreachable,
-	world.Broken: rules.Reset, world.Garbled: rules.Reset}
+var results = map[world.Reply]scheduler.Result{world.Answer: scheduler.OK, world.TurnedAway: scheduler.Full, world.Unreachable: scheduler.Unreachable,
+	world.Broken: scheduler.Reset, world.Garbled: scheduler.Reset}
 
 // ServeHTTP is a node's answer: to a probe, or to an attempt.
 func (n *node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -113,7 +113,7 @@
 	})
 	select {
 	case <-r.Context().Done():
-		n.world.Do(func() { n.world.Left(m.ID, n.node, rules.TimedOut) })
+		n.world.Do(func() { n.world.Left(m.ID, n.node, scheduler.TimedOut) })
 	case got := <-reply:
 		switch got {
 		case world.Answer:
--- a/internal/lab/sockets/site.go
+++ b/internal/lab/sockets/site.go
@@ -17,7 +17,7 @@
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Site is a live world behind sockets.
@@ -140,7 +140,7 @@
 }
 
 // Submit has a client ask over a connection.
-func (f *front) Submit(r rules.Request) {
+func (f *front) Submit(r scheduler.Request) {
 	go func() {
 		ctx, end := context.WithTimeout(context.Background(), time.Duration(r.Left)*time.Microsecond+time.Second)
 		defer end()
@@ -150,7 +150,7 @@
 }
 
 // Tell hands the node list over, as discovery would.
-func (f *front) Tell(list rules.Nodes) {
+func (f *front) Tell(list scheduler.Nodes) {
 	out := protocol.List{Whole: list.Full}
 	for _, l := range list.List {
 		out.Hosts = append(out.Hosts, protocol.Host{Listing: l, Dial: f.site.nodes[l.Node].addr})
--- a/internal/lab/world/audit.go
+++ b/internal/lab/world/audit.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Audit holds the fronts to the rules, all of them together. It sees attempts as they leave; where fronts stand behind
@@ -12,38 +12,38 @@
 	world    *World
 	Breaks   []string // the first hundred
 	Count    int
-	Sockets  bool                            // a front's end of an attempt is not seen, so whether two are out at once isn't either
-	stores   map[string]*store               // of limits, by volume
-	leave    map[int]map[string]rules.Micros // since when a front knows that a node drains or is gone
-	requests map[string]*record              // without a final answer
+	Sockets  bool                                // a front's end of an attempt is not seen, so whether two are out at once isn't either
+	stores   map[string]*store                   // of limits, by volume
+	leave    map[int]map[string]scheduler.Micros // since when a front knows that a node drains or is gone
+	requests map[string]*record                  // without a final answer
 	answered map[string]bool
 }
 
 // Slack of the rules.
 const (
-	drainGrace  = rules.Micros(500_000)
-	windowGrace = rules.Micros(100_000)
+	drainGrace  = scheduler.Micros(500_000)
+	windowGrace = scheduler.Micros(100_000)
 	mostBreaks  = 100
 )
 
 type store struct {
 	level float64
-	at    rules.Micros
+	at    scheduler.Micros
 }
 
 // record is what the audit knows of a request.
 type record struct {
-	rules.Request
+	scheduler.Request
 	tries int
 	out   bool
-	node  *Node        // of the last attempt
-	sent  rules.Micros // when it left
-	ran   *Node        // the first that may have run, if any
-	ranAt rules.Micros
+	node  *Node            // of the last attempt
+	sent  scheduler.Micros // when it left
+	ran   *Node            // the first that may have run, if any
+	ranAt scheduler.Micros
 }
 
 func newAudit(w *World) *Audit {
-	return &Audit{world: w, stores: map[string]*store{}, leave: map[int]map[string]rules.Micros{}, requests: map[string]*record{},
+	return &Audit{world: w, stores: map[string]*store{}, leave: map[int]map[string]scheduler.Micros{}, requests: map[string]*record{},
 		answered: map[string]bool{}}
 }
 
@@ -54,14 +54,14 @@
 }
 
 // Told notes what a front knows of nodes that leave.
-func (a *Audit) Told(front int, list rules.Nodes) {
+func (a *Audit) Told(front int, list scheduler.Nodes) {
 	running, leaves := map[string]bool{}, a.leave[front]
 	if leaves == nil {
-		leaves = map[string]rules.Micros{}
+		leaves = map[string]scheduler.Micros{}
 		a.leave[front] = leaves
 	}
 	for _, l := range list.List {
-		running[l.Node] = l.State == rules.Running
+		running[l.Node] = l.State == scheduler.Running
 	}
 	for _, n := range a.world.Nodes {
 		if _, known := leaves[n.Name]; running[n.Name] {
@@ -73,7 +73,7 @@
 }
 
 // Asked notes a request.
-func (a *Audit) Asked(_ int, r rules.Request) { a.requests[r.ID] = &record{Request: r} }
+func (a *Audit) Asked(_ int, r scheduler.Request) { a.requests[r.ID] = &record{Request: r} }
 
 // Sent checks an attempt: one at a time, none after the final answer, repeats as their class allows, none to a node
 // that is known to leave, and the limit of its project over all fronts together.
@@ -91,13 +91,13 @@
 		a.broken("%s was sent to %s, %.3f s after it was known to leave", id, node, float64(now-at)/1e6)
 	}
 	class := a.world.Set.Classes[r.Class]
-	if r.ran != nil && class.Repeat != rules.Safe {
+	if r.ran != nil && class.Repeat != scheduler.Safe {
 		switch group := class.Group; {
-		case class.Repeat == rules.Unsafe:
+		case class.Repeat == scheduler.Unsafe:
 			a.broken("%s was sent again after an attempt that may have run", id)
 		case now > r.ranAt+class.Window+windowGrace:
 			a.broken("%s was sent again %.3f s after an attempt that may have run", id, float64(now-r.ranAt)/1e6)
-		case group == rules.SameShard && n.Shard != r.ran.Shard, group == rules.SameZone && n.Zone != r.ran.Zone:
+		case group == scheduler.SameShard && n.Shard != r.ran.Shard, group == scheduler.SameZone && n.Zone != r.ran.Zone:
 			a.broken("%s was sent again to %s, which doesn't drop repeats of what %s got", id, node, r.ran.Name)
 		}
 	}
@@ -108,7 +108,7 @@
 }
 
 // draw takes a request's units out of its project's limit.
-func (a *Audit) draw(r rules.Request) {
+func (a *Audit) draw(r scheduler.Request) {
 	plan := a.world.Set.Plans[r.Plan]
 	if plan.Limit <= 0 {
 		return
@@ -126,27 +126,27 @@
 }
 
 // Back notes how an attempt ended, as its front saw it.
-func (a *Audit) Back(id string, result rules.Result) {
+func (a *Audit) Back(id string, result scheduler.Result) {
 	r := a.requests[id]
 	if r == nil {
 		return
 	}
 	r.out = false
-	ran := result == rules.Errored || result == rules.TimedOut || result == rules.Reset || result == rules.Cancelled
+	ran := result == scheduler.Errored || result == scheduler.TimedOut || result == scheduler.Reset || result == scheduler.Cancelled
 	if ran && r.ran == nil {
 		r.ran, r.ranAt = r.node, r.sent
 	}
 }
 
 // Answered checks a final answer: there is one, and a refusal promises that nothing was done twice if it is sent again.
-func (a *Audit) Answered(id string, v Verdict, _ rules.Reason) {
+func (a *Audit) Answered(id string, v Verdict, _ scheduler.Reason) {
 	r := a.requests[id]
 	if r == nil || a.answered[id] {
 		a.broken("%s has a second final answer", id)
 		return
 	}
 	class := a.world.Set.Classes[r.Class]
-	if v == Refused && (r.ran != nil || r.out && !a.Sockets) && class.Repeat != rules.Safe && (class.Repeat == rules.Unsafe || class.Group != rules.AllNodes) {
+	if v == Refused && (r.ran != nil || r.out && !a.Sockets) && class.Repeat != scheduler.Safe && (class.Repeat == scheduler.Unsafe || class.Group != scheduler.AllNodes) {
 		a.broken("%s was refused though it may have run", id)
 	}
 	delete(a.requests, id)
--- a/internal/lab/world/audit_test.go
+++ b/internal/lab/world/audit_test.go
@@ -5,57 +5,57 @@
 	"testing"
 
 	"otterturn/internal/lab/model"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // naive sends each request to the node that it was told of first for its shard, and keeps the rules as long as nothing
 // goes wrong; with a fault it breaks one of them on purpose.
 type naive struct {
 	fault string
-	nodes map[int]rules.Listing
-	open  map[string]rules.Request
+	nodes map[int]scheduler.Listing
+	open  map[string]scheduler.Request
 }
 
-func (d *naive) Step(now rules.Micros, events []rules.Event) (out []rules.Action) {
+func (d *naive) Step(now scheduler.Micros, events []scheduler.Event) (out []scheduler.Action) {
 	for _, e := range events {
 		switch e := e.(type) {
-		case rules.Nodes:
+		case scheduler.Nodes:
 			known := d.nodes
-			d.nodes = map[int]rules.Listing{}
+			d.nodes = map[int]scheduler.Listing{}
 			for _, l := range e.List {
-				if l.State == rules.Running {
+				if l.State == scheduler.Running {
 					d.nodes[l.Shard] = l
 				} else if d.fault == "leaving" {
 					d.nodes[l.Shard] = known[l.Shard]
 				}
 			}
-		case rules.Request:
+		case scheduler.Request:
 			d.open[e.ID] = e
 			n, there := d.nodes[e.Shard]
 			switch {
 			case !there || e.Plan == 1 && d.fault != "limit":
-				out = append(out, rules.Refuse{ID: e.ID})
+				out = append(out, scheduler.Refuse{ID: e.ID})
 			default:
-				out = append(out, rules.Send{ID: e.ID, Node: n.Node})
+				out = append(out, scheduler.Send{ID: e.ID, Node: n.Node})
 			}
 			if d.fault == "twice at once" && e.ID == "read-1" {
-				out = append(out, rules.Send{ID: e.ID, Node: n.Node})
+				out = append(out, scheduler.Send{ID: e.ID, Node: n.Node})
 			}
 			if d.fault == "second answer" && e.ID == "plan-1" {
-				out = append(out, rules.Refuse{ID: e.ID})
+				out = append(out, scheduler.Refuse{ID: e.ID})
 			}
-		case rules.Outcome:
+		case scheduler.Outcome:
 			r := d.open[e.ID]
 			switch {
 			case e.Final:
 			case d.fault == "another shard" && r.Class == 1:
-				out = append(out, rules.Send{ID: e.ID, Node: d.nodes[1-r.Shard].Node})
+				out = append(out, scheduler.Send{ID: e.ID, Node: d.nodes[1-r.Shard].Node})
 			case d.fault == "once" && r.Class == 2:
-				out = append(out, rules.Send{ID: e.ID, Node: d.nodes[r.Shard].Node})
+				out = append(out, scheduler.Send{ID: e.ID, Node: d.nodes[r.Shard].Node})
 			case d.fault == "refused" && r.Class == 2 || r.Class == 0:
-				out = append(out, rules.Refuse{ID: e.ID})
+				out = append(out, scheduler.Refuse{ID: e.ID})
 			default:
-				out = append(out, rules.Fail{ID: e.ID})
+				out = append(out, scheduler.Fail{ID: e.ID})
 			}
 		}
 	}
@@ -65,16 +65,16 @@
 // silent is a front that answers nothing.
 type silent struct{}
 
-func (silent) Submit(rules.Request) {}
-func (silent) Tell(rules.Nodes)     {}
-func (silent) End()                 {}
+func (silent) Submit(scheduler.Request) {}
+func (silent) Tell(scheduler.Nodes)     {}
+func (silent) End()                     {}
 
 // Every judge notices: a front made to break one rule is caught at it, and one that breaks none is not.
 func TestAuditCatchesEveryBrokenRule(t *testing.T) {
-	set := rules.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8,
-		Classes: []rules.Class{{Aim: 300_000, Worth: 1}, {Aim: 300_000, Worth: 1, Repeat: rules.Keyed, Group: rules.SameShard, Window: 3_000_000},
-			{Aim: 300_000, Worth: 1, Repeat: rules.Unsafe}},
-		Plans: []rules.Plan{{Weight: 1}, {Weight: 1, Limit: 10, Burst: 20}}}
+	set := scheduler.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8,
+		Classes: []scheduler.Class{{Aim: 300_000, Worth: 1}, {Aim: 300_000, Worth: 1, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 3_000_000},
+			{Aim: 300_000, Worth: 1, Repeat: scheduler.Unsafe}},
+		Plans: []scheduler.Plan{{Weight: 1}, {Weight: 1, Limit: 10, Burst: 20}}}
 	for fault, want := range map[string]string{"": "", "second answer": "second final answer", "twice at once": "two attempts",
 		"after the answer": "after its final answer", "another shard": "doesn't drop repeats", "once": "may have run",
 		"refused": "though it may have run", "leaving": "after it was known to leave", "limit": "beyond its limit",
@@ -85,12 +85,12 @@
 		if fault == "silence" {
 			w.Put(0, silent{})
 		} else {
-			w.Start(0, &naive{fault: fault, open: map[string]rules.Request{}})
+			w.Start(0, &naive{fault: fault, open: map[string]scheduler.Request{}})
 		}
-		ask := func(at rules.Micros, id string, class, plan, count int) {
+		ask := func(at scheduler.Micros, id string, class, plan, count int) {
 			for i := range count {
-				w.At(at+rules.Micros(i), func() {
-					w.Ask(Request{Work: 20_000, Request: rules.Request{ID: id + string(rune('1'+i)), Class: class, Plan: plan, Volume: id, Units: 7,
+				w.At(at+scheduler.Micros(i), func() {
+					w.Ask(Request{Work: 20_000, Request: scheduler.Request{ID: id + string(rune('1'+i)), Class: class, Plan: plan, Volume: id, Units: 7,
 						Left: 2_000_000}})
 				})
 			}
@@ -101,12 +101,12 @@
 		ask(2_000_000, "write-", 1, 0, 1)
 		ask(2_100_000, "once-", 2, 0, 1)
 		w.At(3_000_000, func() {
-			w.Nodes[0].Spoils, w.Nodes[0].State = 0, rules.Draining
+			w.Nodes[0].Spoils, w.Nodes[0].State = 0, scheduler.Draining
 			w.Tell(0)
 		})
 		ask(4_000_000, "read-late-", 0, 0, 1)
 		w.At(8_000_000, func() {
-			w.Nodes[0].State = rules.Running
+			w.Nodes[0].State = scheduler.Running
 			if w.Tell(0); fault == "cold" {
 				w.Nodes[0].Restart(int64(w.Now))
 			}
--- a/internal/lab/world/client.go
+++ b/internal/lab/world/client.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"otterturn/internal/lab/model"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Verdict is how a request ended for its client.
@@ -27,32 +27,32 @@
 // End is the end of a request: of its last try, where the client came back.
 type End struct {
 	Verdict
-	After rules.Micros // since the client meant to send it
+	After scheduler.Micros // since the client meant to send it
 }
 
 // Request is one of a day's, drawn ahead.
 type Request struct {
-	At     rules.Micros // since the beginning
-	Front  int          // that it comes to
-	Work   float64      // microseconds on a core of speed 1
+	At     scheduler.Micros // since the beginning
+	Front  int              // that it comes to
+	Work   float64          // microseconds on a core of speed 1
 	Write  bool
 	Comes  bool   // its client comes back after a refusal
 	Heeds  bool   // and stays away for as long as it was told
 	Writes string // the name under which it is found, "" for none
 	Reads  string // it reads what was written under this name, where that is done
-	rules.Request
+	scheduler.Request
 }
 
 // rush is after how long clients that heed no advice come back.
-const rush = rules.Micros(20_000)
+const rush = scheduler.Micros(20_000)
 
 // try is one of a client's tries.
 type try struct {
 	Request
 	n     int
-	asked rules.Micros // when the first was meant to be sent
-	aimAt rules.Micros
-	leave rules.Micros
+	asked scheduler.Micros // when the first was meant to be sent
+	aimAt scheduler.Micros
+	leave scheduler.Micros
 }
 
 func (t *try) base() string { return t.Request.ID }
@@ -91,7 +91,7 @@
 		return j, false
 	}
 	j = model.Job{Work: t.Work, Write: t.Write, Piece: t.Key}
-	if w.Set.Classes[t.Class].Repeat == rules.Keyed {
+	if w.Set.Classes[t.Class].Repeat == scheduler.Keyed {
 		j.Key = id
 	}
 	return j, true
@@ -109,11 +109,11 @@
 }
 
 // Left has an attempt that reached a node come back from it.
-func (w *World) Left(id string, n *Node, r rules.Result) {
+func (w *World) Left(id string, n *Node, r scheduler.Result) {
 	for _, x := range w.watch {
 		x.Back(id, r)
 	}
-	if r == rules.OK {
+	if r == scheduler.OK {
 		w.Wrote(id, n.Shard)
 	}
 }
@@ -126,7 +126,7 @@
 }
 
 // Answer is a front's final answer to a try. A client that was refused may come back.
-func (w *World) Answer(id string, v Verdict, why rules.Reason, retryAfter rules.Micros) {
+func (w *World) Answer(id string, v Verdict, why scheduler.Reason, retryAfter scheduler.Micros) {
 	t := w.open[id]
 	if t != nil && v == Served && w.Now > t.aimAt {
 		v = Late
--- a/internal/lab/world/fleet_test.go
+++ b/internal/lab/world/fleet_test.go
@@ -8,16 +8,16 @@
 	"otterturn/internal/lab/model"
 	"otterturn/internal/lab/world"
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
-const second = rules.Micros(1_000_000)
+const second = scheduler.Micros(1_000_000)
 
 // fleet is many fronts before nodes that all start cold together, with a little traffic at each front. A unit is work
 // of 0.1 s, and a node does 10 a second once it is warm.
 type fleet struct {
 	*world.World
-	set    rules.Settings
+	set    scheduler.Settings
 	seed   int64
 	served int
 	asked  int            // first tries
@@ -28,10 +28,10 @@
 
 func newFleet(t *testing.T, fronts, nodes int, seed uint64, peers bool) *fleet {
 	t.Helper()
-	f := &fleet{seed: int64(seed), said: map[string]int{}, set: rules.Settings{Hosts: fronts, Peers: peers, Tick: 1000, MeanUnits: 2, MostUnits: 6, MaxTries: 4, Probing: true,
+	f := &fleet{seed: int64(seed), said: map[string]int{}, set: scheduler.Settings{Hosts: fronts, Peers: peers, Tick: 1000, MeanUnits: 2, MostUnits: 6, MaxTries: 4, Probing: true,
 		RetryAfter: true, MaxRetryAfter: second / 2, ColdFrom: 0.2, Ramp: 17 * second, FallMultiple: 2.5, FallSpan: second, ColdUnits: 1,
-		Classes: []rules.Class{{Aim: 700_000, Worth: 2}, {Aim: 900_000, Repeat: rules.Keyed, Group: rules.SameShard, Window: 7 * second, Worth: 2}},
-		Plans:   []rules.Plan{{Reservation: 3, Weight: 1}, {Weight: 1, Limit: 3, Burst: 36}}}}
+		Classes: []scheduler.Class{{Aim: 700_000, Worth: 2}, {Aim: 900_000, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 7 * second, Worth: 2}},
+		Plans:   []scheduler.Plan{{Reservation: 3, Weight: 1}, {Weight: 1, Limit: 3, Burst: 36}}}}
 	var models []*model.Node
 	for range nodes {
 		models = append(models, model.New(model.Figures{Cores: 2, Speed: 0.5, Room: 60, ColdFrom: f.set.ColdFrom, Ramp: int64(f.set.Ramp),
@@ -53,7 +53,7 @@
 	set := f.set
 	set.Number = place
 	f.seed++
-	s, err := rules.New(set, f.seed)
+	s, err := scheduler.New(set, f.seed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,17 +62,17 @@
 
 // counted is a scheduler whose paid actions are counted.
 type counted struct {
-	*rules.Scheduler
+	*scheduler.Scheduler
 	said map[string]int
 }
 
-func (c counted) Step(now rules.Micros, events []rules.Event) []rules.Action {
+func (c counted) Step(now scheduler.Micros, events []scheduler.Event) []scheduler.Action {
 	out := c.Scheduler.Step(now, events)
 	for _, a := range out {
 		switch a := a.(type) {
-		case rules.Probe:
+		case scheduler.Probe:
 			c.said["probes"]++
-		case rules.Ask, rules.Grant:
+		case scheduler.Ask, scheduler.Grant:
 			c.said["messages"]++
 			c.said["bytes"] += len(protocol.FormatNote(a))
 		}
@@ -81,17 +81,17 @@
 }
 
 // ask plans so many requests a second for each node, each from one of the fronts that use it.
-func (f *fleet) ask(rate float64, users int, until rules.Micros) {
+func (f *fleet) ask(rate float64, users int, until scheduler.Micros) {
 	rng := rand.New(rand.NewPCG(uint64(f.seed), 3))
 	id := 0
 	for shard := range f.Nodes {
-		for at := 0.0; rules.Micros(at) < until; at += rng.ExpFloat64() * 1e6 / rate {
+		for at := 0.0; scheduler.Micros(at) < until; at += rng.ExpFloat64() * 1e6 / rate {
 			id++
 			units := min(6, 1+int(rng.ExpFloat64()*1.2))
 			front := (shard*7 + rng.IntN(users)*13) % len(f.Fronts)
 			class := rng.IntN(2)
-			q := world.Request{At: rules.Micros(at), Front: front, Work: float64(units) * unitWork, Write: class == 1, Comes: true,
-				Request: rules.Request{ID: fmt.Sprint("r", id), Class: class, Plan: id % 2, Volume: fmt.Sprint("v", shard, "-", front, "-", id%2),
+			q := world.Request{At: scheduler.Micros(at), Front: front, Work: float64(units) * unitWork, Write: class == 1, Comes: true,
+				Request: scheduler.Request{ID: fmt.Sprint("r", id), Class: class, Plan: id % 2, Volume: fmt.Sprint("v", shard, "-", front, "-", id%2),
 					Key: fmt.Sprint("k", id), Units: float64(units), Shard: shard, Hosts: 1, Left: 4 * second}}
 			f.asked++
 			f.At(q.At, func() { f.Ask(q) })
@@ -99,11 +99,11 @@
 	}
 }
 
-func (f *fleet) Told(int, rules.Nodes)     {}
-func (f *fleet) Asked(int, rules.Request)  {}
-func (f *fleet) Sent(int, string, string)  {}
-func (f *fleet) Back(string, rules.Result) {}
-func (f *fleet) Answered(_ string, v world.Verdict, _ rules.Reason) {
+func (f *fleet) Told(int, scheduler.Nodes)     {}
+func (f *fleet) Asked(int, scheduler.Request)  {}
+func (f *fleet) Sent(int, string, string)      {}
+func (f *fleet) Back(string, scheduler.Result) {}
+func (f *fleet) Answered(_ string, v world.Verdict, _ scheduler.Reason) {
 	if v == world.Served || v == world.Late {
 		f.served++
 	}
@@ -142,7 +142,7 @@
 			for seed := range uint64(3) {
 				f := newFleet(t, fronts, 4, seed, peers)
 				f.ask(5, fronts, 12*second)
-				for _, at := range []rules.Micros{2 * second, 5 * second} {
+				for _, at := range []scheduler.Micros{2 * second, 5 * second} {
 					f.At(at, func() {
 						for i := 0; i < fronts; i += 2 {
 							f.begin(t, i)
--- a/internal/lab/world/front.go
+++ b/internal/lab/world/front.go
@@ -1,12 +1,12 @@
 package world
 
 import (
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Decider decides for a front: the decision module, or what it is compared with.
 type Decider interface {
-	Step(now rules.Micros, events []rules.Event) []rules.Action
+	Step(now scheduler.Micros, events []scheduler.Event) []scheduler.Action
 }
 
 // Simulated is a front in virtual time: a decider, and what the program does around it.
@@ -15,18 +15,18 @@
 	place int
 	d     Decider // nil once the front has ended
 	open  map[string]*call
-	inbox []rules.Event
+	inbox []scheduler.Event
 	due   bool
 	told  bool
 	idle  map[string]int // connections that are up
 }
 
 type call struct {
-	rules.Request
-	deadline rules.Micros
+	scheduler.Request
+	deadline scheduler.Micros
 	tries    int
 	out      bool
-	finish   func(o rules.Outcome, reusable bool) // the attempt that is out
+	finish   func(o scheduler.Outcome, reusable bool) // the attempt that is out
 }
 
 // Start puts a front that a decider decides for in a place.
@@ -40,30 +40,30 @@
 func (f *Simulated) End() { f.d = nil }
 
 // Submit takes a client's request.
-func (f *Simulated) Submit(r rules.Request) {
+func (f *Simulated) Submit(r scheduler.Request) {
 	w := f.world
 	f.open[r.ID] = &call{Request: r, deadline: w.Now + r.Left}
 	f.tell(r)
 	w.plan(w.Now+r.Left, func() { // the client gives up
 		if c := f.open[r.ID]; c != nil && f.d != nil && !c.out {
 			f.end(r.ID, Failed, "", 0)
-			f.tell(rules.Lapsed{ID: r.ID})
+			f.tell(scheduler.Lapsed{ID: r.ID})
 		}
 	})
 }
 
 // Tell hands the node list over: the first one ahead of all else.
-func (f *Simulated) Tell(list rules.Nodes) {
+func (f *Simulated) Tell(list scheduler.Nodes) {
 	if f.told {
 		f.tell(list)
 		return
 	}
 	f.told = true
-	f.d.Step(f.world.Now, []rules.Event{list})
+	f.d.Step(f.world.Now, []scheduler.Event{list})
 }
 
 // tell hands an event to the decider, together with all others of a tick.
-func (f *Simulated) tell(e rules.Event) {
+func (f *Simulated) tell(e scheduler.Event) {
 	f.inbox = append(f.inbox, e)
 	if f.due {
 		return
@@ -82,41 +82,41 @@
 	})
 }
 
-func (f *Simulated) end(id string, v Verdict, why rules.Reason, retryAfter rules.Micros) {
+func (f *Simulated) end(id string, v Verdict, why scheduler.Reason, retryAfter scheduler.Micros) {
 	delete(f.open, id)
 	f.world.Answer(id, v, why, retryAfter)
 }
 
-func (f *Simulated) perform(a rules.Action) {
+func (f *Simulated) perform(a scheduler.Action) {
 	w := f.world
 	switch a := a.(type) {
-	case rules.Send:
+	case scheduler.Send:
 		f.send(a)
-	case rules.Refuse:
+	case scheduler.Refuse:
 		f.end(a.ID, Refused, a.Why, a.RetryAfter)
-	case rules.Fail:
+	case scheduler.Fail:
 		f.end(a.ID, Failed, a.Why, 0)
-	case rules.Cancel:
+	case scheduler.Cancel:
 		if c := f.open[a.ID]; c != nil && c.out && c.tries-1 == a.Attempt {
-			c.finish(rules.Outcome{Result: rules.Cancelled}, false)
+			c.finish(scheduler.Outcome{Result: scheduler.Cancelled}, false)
 		}
-	case rules.Probe:
+	case scheduler.Probe:
 		n := w.Node(a.Node)
 		w.plan(w.Now+w.delay, func() {
 			p := w.Probe(n)
 			w.plan(w.Now+w.delay, func() { f.tell(p) })
 		})
-	case rules.Ask:
-		w.note(f, a.To, rules.Asked{From: f.place, Node: a.Node, Since: a.Since, Wish: a.Wish})
-	case rules.Grant:
-		w.note(f, a.To, rules.Granted{From: f.place, Node: a.Node, Units: a.Units, Until: a.Until})
-	case rules.SetAlarm:
-		w.plan(a.At, func() { f.tell(rules.Alarm{}) })
+	case scheduler.Ask:
+		w.note(f, a.To, scheduler.Asked{From: f.place, Node: a.Node, Since: a.Since, Wish: a.Wish})
+	case scheduler.Grant:
+		w.note(f, a.To, scheduler.Granted{From: f.place, Node: a.Node, Units: a.Units, Until: a.Until})
+	case scheduler.SetAlarm:
+		w.plan(a.At, func() { f.tell(scheduler.Alarm{}) })
 	}
 }
 
 // note carries a message from one front to another. Where one is cut off, or no simulated front, it is lost.
-func (w *World) note(from *Simulated, to int, e rules.Event) {
+func (w *World) note(from *Simulated, to int, e scheduler.Event) {
 	if to < 0 || to >= len(w.Fronts) || w.Cut != nil && w.Cut(from.place, to) {
 		return
 	}
@@ -128,14 +128,14 @@
 }
 
 // outcomes are what a front makes of a node's reply.
-var outcomes = map[Reply]rules.Outcome{Answer: {Result: rules.OK, Final: true}, TurnedAway: {Result: rules.Full},
-	Unreachable: {Result: rules.Unreachable}, Broken: {Result: rules.Reset}, Garbled: {Result: rules.Reset, Alive: true}}
+var outcomes = map[Reply]scheduler.Outcome{Answer: {Result: scheduler.OK, Final: true}, TurnedAway: {Result: scheduler.Full},
+	Unreachable: {Result: scheduler.Unreachable}, Broken: {Result: scheduler.Reset}, Garbled: {Result: scheduler.Reset, Alive: true}}
 
 // send is an attempt: to the node, there, and back, or silent until its deadline.
-func (f *Simulated) send(a rules.Send) {
+func (f *Simulated) send(a scheduler.Send) {
 	w, c := f.world, f.open[a.ID]
 	if c == nil {
-		f.tell(rules.Outcome{ID: a.ID, Result: rules.Moot})
+		f.tell(scheduler.Outcome{ID: a.ID, Result: scheduler.Moot})
 		return
 	}
 	for _, x := range w.watch {
@@ -144,7 +144,7 @@
 	attempt, sent, over := c.tries, w.Now, false
 	c.tries, c.out = c.tries+1, true
 	n := w.Node(a.Node)
-	finish := func(o rules.Outcome, reusable bool) {
+	finish := func(o scheduler.Outcome, reusable bool) {
 		if over || f.d == nil {
 			return
 		}
@@ -162,7 +162,7 @@
 		f.tell(o)
 	}
 	c.finish = finish
-	w.plan(c.deadline, func() { finish(rules.Outcome{Result: rules.TimedOut}, false) })
+	w.plan(c.deadline, func() { finish(scheduler.Outcome{Result: scheduler.TimedOut}, false) })
 	ready, up := f.connect(n)
 	w.plan(ready, func() {
 		reply := func(r Reply) {
@@ -179,7 +179,7 @@
 }
 
 // connect takes a connection to a node, and tells when what is written to it arrives. A new one costs two ways more.
-func (f *Simulated) connect(n *Node) (at rules.Micros, up bool) {
+func (f *Simulated) connect(n *Node) (at scheduler.Micros, up bool) {
 	at = f.world.Now + f.world.delay
 	if f.idle[n.Name] > 0 {
 		f.idle[n.Name]--
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -2,7 +2,7 @@
 
 import (
 	"otterturn/internal/lab/model"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Reply is what comes of an attempt at a node.
@@ -53,11 +53,11 @@
 }
 
 // Probe has a probe reach a node, and tells whether it answers, and how many jobs wait.
-func (w *World) Probe(n *Node) rules.Probed {
+func (w *World) Probe(n *Node) scheduler.Probed {
 	if n.Silent() {
-		return rules.Probed{Node: n.Name, Queue: -1}
+		return scheduler.Probed{Node: n.Name, Queue: -1}
 	}
-	return rules.Probed{Node: n.Name, OK: true, Queue: float64(n.Node.Probe(int64(w.Now)))}
+	return scheduler.Probed{Node: n.Name, OK: true, Queue: float64(n.Node.Probe(int64(w.Now)))}
 }
 
 // tend plans for a node's next end of a job.
@@ -67,7 +67,7 @@
 		return
 	}
 	life := n.Up
-	w.plan(rules.Micros(at), func() {
+	w.plan(scheduler.Micros(at), func() {
 		if n.Up != life || n.Dead { // another process by now
 			return
 		}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -10,28 +10,28 @@
 	"time"
 
 	"otterturn/internal/lab/model"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // begin is the time at which every virtual world begins, in Unix microseconds.
-const begin rules.Micros = 1_800_000_000_000_000
+const begin scheduler.Micros = 1_800_000_000_000_000
 
 // World is nodes, the fronts before them and the clients before these.
 type World struct {
-	Now     rules.Micros
-	Set     rules.Settings // that the fronts go by
+	Now     scheduler.Micros
+	Set     scheduler.Settings // that the fronts go by
 	Nodes   []*Node
 	Fronts  []Front
 	Audit   *Audit
 	Rand    *rand.Rand              // of what happens to the world
 	Changed func(*Node)             // hears of nodes that are added, die or begin anew, before any front does
 	Cut     func(from, to int) bool // messages between these fronts are lost; nil for none
-	begin   rules.Micros
-	delay   rules.Micros
+	begin   scheduler.Micros
+	delay   scheduler.Micros
 	queue   events
 	order   int
 	watch   []Watcher
-	deaf    map[int]rules.Micros
+	deaf    map[int]scheduler.Micros
 	open    map[string]*try
 	ended   map[string]End
 	placed  map[string]int // shards of what was written
@@ -42,18 +42,18 @@
 
 // Front takes requests, owes World.Answer for each, and hears of the nodes.
 type Front interface {
-	Submit(rules.Request)
-	Tell(rules.Nodes)
+	Submit(scheduler.Request)
+	Tell(scheduler.Nodes)
 	End() // what it had open is lost
 }
 
 // Watcher sees what happens.
 type Watcher interface {
-	Told(front int, list rules.Nodes)
-	Asked(front int, r rules.Request)
+	Told(front int, list scheduler.Nodes)
+	Asked(front int, r scheduler.Request)
 	Sent(front int, id, node string)
-	Back(id string, r rules.Result)
-	Answered(id string, v Verdict, why rules.Reason)
+	Back(id string, r scheduler.Result)
+	Answered(id string, v Verdict, why scheduler.Reason)
 }
 
 // Node is a node of the list.
@@ -62,14 +62,14 @@
 	Name   string
 	Shard  int
 	Zone   int // the hall that it stands in
-	State  rules.NodeState
+	State  scheduler.NodeState
 	Breaks float64 // share of the attempts that don't reach it, as the connection breaks
 	Spoils float64 // share of its answers that can't be used
 }
 
 // event is something that happens at a time; those of the same time in the order in which they were planned.
 type event struct {
-	at    rules.Micros
+	at    scheduler.Micros
 	order int
 	do    func()
 }
@@ -90,8 +90,8 @@
 
 // New returns a world with nodes, each of which holds the shard of its number, in so many halls, before any front.
 // delay is the network's, one way.
-func New(set rules.Settings, nodes []*model.Node, halls int, delay rules.Micros, seed uint64) *World {
-	w := &World{Now: begin, begin: begin, Set: set, delay: delay, Rand: rand.New(rand.NewPCG(seed, 2)), deaf: map[int]rules.Micros{},
+func New(set scheduler.Settings, nodes []*model.Node, halls int, delay scheduler.Micros, seed uint64) *World {
+	w := &World{Now: begin, begin: begin, Set: set, delay: delay, Rand: rand.New(rand.NewPCG(seed, 2)), deaf: map[int]scheduler.Micros{},
 		open: map[string]*try{}, ended: map[string]End{}, placed: map[string]int{}, Changed: func(*Node) {}}
 	w.Audit = newAudit(w)
 	w.Watch(w.Audit)
@@ -105,18 +105,18 @@
 func (w *World) Watch(x Watcher) { w.watch = append(w.watch, x) }
 
 // At plans something for a time since the beginning.
-func (w *World) At(at rules.Micros, do func()) { w.plan(w.begin+at, do) }
+func (w *World) At(at scheduler.Micros, do func()) { w.plan(w.begin+at, do) }
 
 // Since is the time since the beginning.
-func (w *World) Since() rules.Micros { return w.Now - w.begin }
+func (w *World) Since() scheduler.Micros { return w.Now - w.begin }
 
-func (w *World) plan(at rules.Micros, do func()) {
+func (w *World) plan(at scheduler.Micros, do func()) {
 	w.order++
 	heap.Push(&w.queue, event{max(at, w.Now), w.order, do})
 }
 
 // Run lets things happen until a time since the beginning, in virtual time or live.
-func (w *World) Run(to rules.Micros) {
+func (w *World) Run(to scheduler.Micros) {
 	if w.inbox != nil {
 		w.live(w.begin + to)
 		return
@@ -131,7 +131,7 @@
 
 // Live has the world go by the clock from now on. Nothing may have been planned yet.
 func (w *World) Live() {
-	w.begin = rules.Micros(time.Now().UnixMicro())
+	w.begin = scheduler.Micros(time.Now().UnixMicro())
 	w.Now = w.begin
 	w.inbox, w.over = make(chan func(), 1024), make(chan struct{})
 }
@@ -147,8 +147,8 @@
 // Halt ends a live world before its time.
 func (w *World) Halt() { w.Do(func() { w.halted = true }) }
 
-func (w *World) live(to rules.Micros) {
-	now := func() rules.Micros { return max(w.Now, rules.Micros(time.Now().UnixMicro())) }
+func (w *World) live(to scheduler.Micros) {
+	now := func() scheduler.Micros { return max(w.Now, scheduler.Micros(time.Now().UnixMicro())) }
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for w.Now = now(); w.Now < to && !w.halted; w.Now = now() {
@@ -181,11 +181,11 @@
 }
 
 // List is the node list as discovery has it.
-func (w *World) List() rules.Nodes {
-	out := rules.Nodes{Full: true}
+func (w *World) List() scheduler.Nodes {
+	out := scheduler.Nodes{Full: true}
 	for _, n := range w.Nodes {
-		if n.State != rules.Gone {
-			out.List = append(out.List, rules.Listing{Node: n.Name, Shard: n.Shard, Zone: n.Zone, State: n.State, Since: rules.Micros(n.Up)})
+		if n.State != scheduler.Gone {
+			out.List = append(out.List, scheduler.Listing{Node: n.Name, Shard: n.Shard, Zone: n.Zone, State: n.State, Since: scheduler.Micros(n.Up)})
 		}
 	}
 	return out
@@ -217,17 +217,17 @@
 }
 
 // Deafen has a front hear nothing of the nodes for a while.
-func (w *World) Deafen(place int, until rules.Micros) {
+func (w *World) Deafen(place int, until scheduler.Micros) {
 	w.deaf[place] = until
 	w.plan(until, func() { w.tell(place) })
 }
 
 // Tell has every front hear of the list, each after a while of its own up to late.
-func (w *World) Tell(late rules.Micros) {
+func (w *World) Tell(late scheduler.Micros) {
 	for place := range w.Fronts {
-		after := rules.Micros(0)
+		after := scheduler.Micros(0)
 		if late > 0 {
-			after = rules.Micros(w.Rand.Int64N(int64(late)))
+			after = scheduler.Micros(w.Rand.Int64N(int64(late)))
 		}
 		w.plan(w.Now+after, func() {
 			if w.Now >= w.deaf[place] {
@@ -257,7 +257,7 @@
 // is gone.
 func (w *World) Successor(old *Node) *Node {
 	w.Kill(old)
-	old.State = rules.Gone
+	old.State = scheduler.Gone
 	n := &Node{Node: model.New(old.Figures), Name: fmt.Sprintf("node-%02d", len(w.Nodes)), Shard: old.Shard, Zone: old.Zone}
 	n.Node.Restart(int64(w.Now))
 	w.Nodes = append(w.Nodes, n)
--- a/internal/net/protocol/change.go
+++ b/internal/net/protocol/change.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strconv"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // mostNames bounds the classes, and the plans, that a process may have met: each keeps its number while it runs.
@@ -125,7 +125,7 @@
 	for i, name := range next.Classes {
 		if !slices.Contains(s.Names, name) {
 			out.Names = append(out.Names, name)
-			out.Rules.Classes = append(out.Rules.Classes, rules.Class{})
+			out.Rules.Classes = append(out.Rules.Classes, scheduler.Class{})
 			out.add(next, i)
 		}
 	}
@@ -134,7 +134,7 @@
 		at := slices.Index(out.PlanNames, name)
 		if at < 0 {
 			at = len(out.PlanNames)
-			out.PlanNames, out.Rules.Plans = append(out.PlanNames, name), append(out.Rules.Plans, rules.Plan{})
+			out.PlanNames, out.Rules.Plans = append(out.PlanNames, name), append(out.Rules.Plans, scheduler.Plan{})
 		}
 		out.Rules.Plans[at] = next.Rules.Plans[i]
 	}
--- a/internal/net/protocol/fleet_test.go
+++ b/internal/net/protocol/fleet_test.go
@@ -6,13 +6,13 @@
 	"strings"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // bigConfig is the configuration of one of many fronts before many nodes.
 func bigConfig(t *testing.T, many int) string {
-	settings, err := json.Marshal(FormatSettings(rules.Settings{Hosts: many, Number: many - 1, Peers: true, Tick: 1000, MeanUnits: 2, MostUnits: 6,
-		Classes: []rules.Class{{Aim: 300_000, Worth: 1}}, Plans: []rules.Plan{{Weight: 1}}}))
+	settings, err := json.Marshal(FormatSettings(scheduler.Settings{Hosts: many, Number: many - 1, Peers: true, Tick: 1000, MeanUnits: 2, MostUnits: 6,
+		Classes: []scheduler.Class{{Aim: 300_000, Worth: 1}}, Plans: []scheduler.Plan{{Weight: 1}}}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +67,7 @@
 			t.Errorf("%q: %v, %v", c.text, e, err)
 		}
 	}
-	if FormatNote(rules.Ask{Node: strings.Repeat("x", 300)}) != nil || FormatNote(rules.SetAlarm{}) != nil {
+	if FormatNote(scheduler.Ask{Node: strings.Repeat("x", 300)}) != nil || FormatNote(scheduler.SetAlarm{}) != nil {
 		t.Error("a message that is too long, or none of ours, was written")
 	}
 }
--- a/internal/net/protocol/golden_test.go
+++ b/internal/net/protocol/golden_test.go
@@ -4,33 +4,33 @@
 	"reflect"
 	"testing"
 
-	"otterturn/rules"
-	"otterturn/rules/cold"
+	"otterturn/scheduler"
+	"otterturn/scheduler/slowstart"
 )
 
 // TestMessagesBetweenFrontsKeepTheirBytes holds the messages to those of the fronts that run already: during a rollout
 // both versions send them to each other.
 func TestMessagesBetweenFrontsKeepTheirBytes(t *testing.T) {
-	shown := cold.Shown{Served: 1.5, Units: 30.25, Time: 2}
+	shown := slowstart.Shown{Served: 1.5, Units: 30.25, Time: 2}
 	cases := map[string]struct {
-		action rules.Action
+		action scheduler.Action
 		bytes  string
-		event  rules.Event
+		event  scheduler.Event
 	}{
 		"request for room": {
-			rules.Ask{To: 3, Node: "node-1", Since: 1_800_000_000_000_001, Wish: cold.Wish{Units: 4, Least: 0.125, Shown: shown}},
+			scheduler.Ask{To: 3, Node: "node-1", Since: 1_800_000_000_000_001, Wish: slowstart.Wish{Units: 4, Least: 0.125, Shown: shown}},
 			"ask 4 0.125 1.5 30.25 2 1800000000000001 node-1",
-			rules.Asked{From: 2, Node: "node-1", Since: 1_800_000_000_000_001, Wish: cold.Wish{Units: 4, Least: 0.125, Shown: shown}},
+			scheduler.Asked{From: 2, Node: "node-1", Since: 1_800_000_000_000_001, Wish: slowstart.Wish{Units: 4, Least: 0.125, Shown: shown}},
 		},
 		"load report alone": {
-			rules.Ask{To: 3, Node: "node-1", Wish: cold.Wish{Shown: shown}},
+			scheduler.Ask{To: 3, Node: "node-1", Wish: slowstart.Wish{Shown: shown}},
 			"ask 0 0 1.5 30.25 2 0 node-1",
-			rules.Asked{From: 2, Node: "node-1", Wish: cold.Wish{Shown: shown}},
+			scheduler.Asked{From: 2, Node: "node-1", Wish: slowstart.Wish{Shown: shown}},
 		},
 		"grant": {
-			rules.Grant{To: 3, Node: "node-1", Units: 7.3, Until: 1_800_000_000_200_000},
+			scheduler.Grant{To: 3, Node: "node-1", Units: 7.3, Until: 1_800_000_000_200_000},
 			"grant 7.3 1800000000200000 node-1",
-			rules.Granted{From: 2, Node: "node-1", Units: 7.3, Until: 1_800_000_000_200_000},
+			scheduler.Granted{From: 2, Node: "node-1", Units: 7.3, Until: 1_800_000_000_200_000},
 		},
 	}
 	for name, c := range cases {
--- a/internal/net/protocol/list.go
+++ b/internal/net/protocol/list.go
@@ -7,7 +7,7 @@
 	"net/netip"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // List is discovery's list of nodes, or the entries of it that changed.
@@ -20,11 +20,11 @@
 
 // Host is one node's entry: what the scheduler is told of it, and the address for sockets.
 type Host struct {
-	rules.Listing
+	scheduler.Listing
 	Dial string
 }
 
-var healths = map[string]rules.NodeState{"up": rules.Running, "draining": rules.Draining, "removed": rules.Gone}
+var healths = map[string]scheduler.NodeState{"up": scheduler.Running, "draining": scheduler.Draining, "removed": scheduler.Gone}
 
 // zone numbers a zone. One that the settings do not name still differs from the others.
 func zone(zones []string, name string) int {
@@ -36,7 +36,7 @@
 
 // ParseList reads an answer of discovery. A list that can't be read anywhere is no list at all. No node has started
 // after the time given, 0 for any.
-func ParseList(text []byte, zones []string, now rules.Micros) (List, error) {
+func ParseList(text []byte, zones []string, now scheduler.Micros) (List, error) {
 	var in struct {
 		Seq   *int64
 		Whole bool
@@ -64,15 +64,15 @@
 			return List{}, fmt.Errorf("hosts[%d].host: missing", i)
 		case !ok:
 			return List{}, fmt.Errorf("hosts[%d].health: %q is unknown", i, h.Health)
-		case err != nil && state != rules.Gone:
+		case err != nil && state != scheduler.Gone:
 			return List{}, fmt.Errorf("hosts[%d].dial: %w", i, err)
 		}
 		if h.Block < 0 || h.BornMs < 0 || now > 0 && h.BornMs > int64(now/1000) {
 			out.Odd = append(out.Odd, h.Host)
 			continue
 		}
-		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Listing: rules.Listing{Node: h.Host,
-			Zone: zone(zones, h.Site), Shard: h.Block, State: state, Since: rules.Micros(h.BornMs * 1000)}})
+		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Listing: scheduler.Listing{Node: h.Host,
+			Zone: zone(zones, h.Site), Shard: h.Block, State: state, Since: scheduler.Micros(h.BornMs * 1000)}})
 	}
 	return out, nil
 }
--- a/internal/net/protocol/note.go
+++ b/internal/net/protocol/note.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // LongestNote is the longest message between fronts, in bytes.
@@ -18,13 +18,13 @@
 )
 
 // FormatNote writes what the scheduler has for another front, nil for what is not for one or too long.
-func FormatNote(a rules.Action) []byte {
+func FormatNote(a scheduler.Action) []byte {
 	var text []byte
 	switch a := a.(type) {
-	case rules.Ask:
+	case scheduler.Ask:
 		text = fmt.Appendf(nil, "%s %s %s %s %s %s %d %s", noteAsk, formatUnits(a.Units), formatUnits(a.Least),
 			formatUnits(a.Shown.Served), formatUnits(a.Shown.Units), formatUnits(a.Shown.Time), a.Since, a.Node)
-	case rules.Grant:
+	case scheduler.Grant:
 		text = fmt.Appendf(nil, "%s %s %d %s", noteGrant, formatUnits(a.Units), a.Until, a.Node)
 	}
 	if len(text) > LongestNote {
@@ -34,11 +34,11 @@
 }
 
 // ParseNote reads a message from the front of a number. One that is wrong anywhere is none at all.
-func ParseNote(from int, text []byte) (rules.Event, error) {
+func ParseNote(from int, text []byte) (scheduler.Event, error) {
 	words := strings.Split(string(text), " ")
 	switch {
 	case words[0] == noteAsk && len(words) == 8:
-		e := rules.Asked{From: from, Node: words[7]}
+		e := scheduler.Asked{From: from, Node: words[7]}
 		for i, to := range []*float64{&e.Units, &e.Least, &e.Shown.Served, &e.Shown.Units, &e.Shown.Time} {
 			units, err := parseUnits(words[i+1])
 			if err != nil {
@@ -61,18 +61,18 @@
 		if err != nil {
 			return nil, fmt.Errorf("note: grant: %w", err)
 		}
-		return rules.Granted{From: from, Node: words[3], Units: units, Until: until}, nil
+		return scheduler.Granted{From: from, Node: words[3], Units: units, Until: until}, nil
 	}
 	return nil, fmt.Errorf("note: %.40q is of no kind", text)
 }
 
 // parseTime reads Unix time in microseconds that is not before the least.
-func parseTime(field, text string, least rules.Micros) (rules.Micros, error) {
+func parseTime(field, text string, least scheduler.Micros) (scheduler.Micros, error) {
 	at, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || rules.Micros(at) < least {
+	if err != nil || scheduler.Micros(at) < least {
 		return 0, fmt.Errorf("%s: %.40q is no time", field, text)
 	}
-	return rules.Micros(at), nil
+	return scheduler.Micros(at), nil
 }
 
 // formatUnits writes units exactly: a grant that was rounded down would be too small for its request.
