--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Headers of the platform's messages.
@@ -66,7 +66,7 @@
 // Request is a client's request: what the scheduler is told of it. Method, path, query and other headers pass
 // on with the HTTP request; Body is set once it has come whole.
 type Request struct {
-	rules.Request
+	scheduler.Request
 	Body []byte
 }
 
@@ -83,9 +83,9 @@
 			return Request{}, fmt.Errorf("%s: more than one", name)
 		}
 	}
-	out := Request{Request: rules.Request{ID: r.Header.Get(headerID), Class: class,
+	out := Request{Request: scheduler.Request{ID: r.Header.Get(headerID), Class: class,
 		Plan: slices.Index(set.Plans, r.Header.Get(headerPlan)), Volume: parts[1], Key: parts[2]}}
-	key, keyed := r.Header.Get(headerKey), class < len(set.Rules.Classes) && set.Rules.Classes[class].Repeat == rules.Keyed
+	key, keyed := r.Header.Get(headerKey), class < len(set.Rules.Classes) && set.Rules.Classes[class].Repeat == scheduler.Keyed
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodPut:
 		return Request{}, fmt.Errorf("method %q", r.Method)
@@ -106,7 +106,7 @@
 	if err != nil {
 		return Request{}, fmt.Errorf("%s: %w", headerLeft, err)
 	}
-	out.Left = min(left, rules.Micros(set.LongestWait/time.Microsecond))
+	out.Left = min(left, scheduler.Micros(set.LongestWait/time.Microsecond))
 	if err := parseIO(r.Header.Get(headerIO), &out, set); err != nil {
 		return Request{}, fmt.Errorf("%s: %w", headerIO, err)
 	}
@@ -114,7 +114,7 @@
 }
 
 // FormatRequest writes a request to a front as ParseRequest reads it, for clients. Writes carry their id as their key.
-func FormatRequest(ctx context.Context, addr string, set Settings, q rules.Request) (*http.Request, error) {
+func FormatRequest(ctx context.Context, addr string, set Settings, q scheduler.Request) (*http.Request, error) {
 	method, body := http.MethodGet, io.Reader(nil)
 	if q.Class < len(set.Writes) && set.Writes[q.Class] {
 		method, body = http.MethodPut, strings.NewReader(q.ID)
@@ -136,17 +136,17 @@
 }
 
 // ParseRetryAfter reads the advice when to come back, 0 where there is none.
-func ParseRetryAfter(h http.Header) rules.Micros {
+func ParseRetryAfter(h http.Header) scheduler.Micros {
 	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
 	if err != nil || !(seconds > 0 && seconds < 1e6) {
 		return 0
 	}
-	return rules.Micros(seconds * 1e6)
+	return scheduler.Micros(seconds * 1e6)
 }
 
 // parseLeft reads a time with its unit: m for milliseconds, u for microseconds.
-func parseLeft(text string) (rules.Micros, error) {
-	unit := rules.Micros(1)
+func parseLeft(text string) (scheduler.Micros, error) {
+	unit := scheduler.Micros(1)
 	digits, micro := strings.CutSuffix(text, "u")
 	if !micro {
 		var milli bool
@@ -159,7 +159,7 @@
 	if err != nil || !(n > 0 && n < 1e12) {
 		return 0, fmt.Errorf("%q is no time", text)
 	}
-	return rules.Micros(n * float64(unit)), nil
+	return scheduler.Micros(n * float64(unit)), nil
 }
 
 // formatLeft writes a time as parseLeft reads it.
@@ -204,18 +204,18 @@
 func SetLeft(h http.Header, left time.Duration) { h.Set(headerLeft, formatLeft(left)) }
 
 // ParseOutcome tells from a node's answer how the attempt ended.
-func ParseOutcome(status int, h http.Header) rules.Outcome {
-	out := rules.Outcome{Result: rules.Errored}
+func ParseOutcome(status int, h http.Header) scheduler.Outcome {
+	out := scheduler.Outcome{Result: scheduler.Errored}
 	if n, err := strconv.ParseFloat(h.Get(headerElsewhere), 64); err == nil && n > 0 && n < 1e6 {
 		out.Elsewhere = n
 	}
 	switch {
 	case status == http.StatusOK:
-		out.Result = rules.OK
+		out.Result = scheduler.OK
 	case status == http.StatusGatewayTimeout && h.Get(headerUnprocessed) == "1":
-		out.Result = rules.Expired
+		out.Result = scheduler.Expired
 	case status == http.StatusServiceUnavailable && h.Get(headerUnprocessed) == "1":
-		out.Result = rules.Full
+		out.Result = scheduler.Full
 	}
 	return out
 }
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // settings mirrors the keys of the settings object that the program has a use for.
@@ -68,9 +68,9 @@
 	CeilingRate, FloorRate, LimitBurst, Shares, Slack float64
 }
 
-var repeats = map[string]rules.Repeat{"retryable": rules.Safe, "dedup": rules.Keyed, "fragile": rules.Unsafe}
-var groups = map[string]rules.Group{"": rules.AllNodes, "all": rules.AllNodes, "zone": rules.SameZone,
-	"cell": rules.SameShard}
+var repeats = map[string]scheduler.Repeat{"retryable": scheduler.Safe, "dedup": scheduler.Keyed, "fragile": scheduler.Unsafe}
+var groups = map[string]scheduler.Group{"": scheduler.AllNodes, "all": scheduler.AllNodes, "zone": scheduler.SameZone,
+	"cell": scheduler.SameShard}
 
 // registryAsked is the mode in which fronts hear only what they ask for.
 const registryAsked = "on_request"
@@ -80,7 +80,7 @@
 
 // Settings are the deployment's figures: those of the scheduler, and those of the sockets.
 type Settings struct {
-	Rules       rules.Settings
+	Rules       scheduler.Settings
 	Classes     []string        // by the scheduler's index; "" for one that is no more
 	Names       []string        // the same, with those that are no more
 	PlanNames   []string        // and so of plans
@@ -111,15 +111,15 @@
 
 func (in *settings) decode() (Settings, error) {
 	f, s := in.FamilyInfo, in.Safety
-	set := rules.Settings{
-		Hosts: in.Balancers, Number: in.SlotNo, Peers: in.Ceilings.Peers, Tick: rules.Micros(in.TickUs),
+	set := scheduler.Settings{
+		Hosts: in.Balancers, Number: in.SlotNo, Peers: in.Ceilings.Peers, Tick: scheduler.Micros(in.TickUs),
 		MeanUnits: f.MeanUnits, MostUnits: f.MostUnits, Elsewhere: f.SaysOthers,
 		MaxTries: in.Ceilings.TryLimit, Probing: in.Ceilings.Probing,
 		Cancel: in.Ceilings.Cancel, RetryAfter: in.Ceilings.RetryAfter,
-		MaxRetryAfter: rules.Micros(in.Ceilings.MaxRetryAfterUs),
-		ColdFrom:      s.ColdFrom, Ramp: rules.Micros(s.RampTimeUs),
-		FallMultiple: s.FallMultiple, FallSpan: rules.Micros(s.FallUs), ColdUnits: f.ColdUnits,
-		KeyRest: rules.Micros(s.KeyRestUs), RetrySpan: rules.Micros(s.BudgetSpanUs),
+		MaxRetryAfter: scheduler.Micros(in.Ceilings.MaxRetryAfterUs),
+		ColdFrom:      s.ColdFrom, Ramp: scheduler.Micros(s.RampTimeUs),
+		FallMultiple: s.FallMultiple, FallSpan: scheduler.Micros(s.FallUs), ColdUnits: f.ColdUnits,
+		KeyRest: scheduler.Micros(s.KeyRestUs), RetrySpan: scheduler.Micros(s.BudgetSpanUs),
 		RetrySpare: s.SpareAttempts, RetryShare: s.BudgetShare,
 	}
 	out := Settings{Zones: in.Zones, Writes: in.FamilyInfo.ClassWrites, LoadReports: in.Report.How != "" && in.Report.How != "off",
@@ -139,18 +139,18 @@
 		if !ok || !known {
 			return Settings{}, fmt.Errorf("classes[%d]: semantics %q, group %q", i, c.Semantics, c.Group)
 		}
-		window := rules.Micros(0)
+		window := scheduler.Micros(0)
 		if c.WindowUs != nil {
-			window = rules.Micros(*c.WindowUs)
+			window = scheduler.Micros(*c.WindowUs)
 		}
 		out.Classes, out.Waits = append(out.Classes, c.Name), append(out.Waits, micros(c.GiveUpUs))
 		out.LongestWait = max(out.LongestWait, micros(c.GiveUpUs))
-		set.Classes = append(set.Classes, rules.Class{Aim: rules.Micros(c.AimUs), Repeat: repeat, Group: group,
+		set.Classes = append(set.Classes, scheduler.Class{Aim: scheduler.Micros(c.AimUs), Repeat: repeat, Group: group,
 			Window: window, InOrder: c.ByArrival, Worth: c.Credit})
 	}
 	for _, p := range in.Contracts {
 		out.Plans = append(out.Plans, p.Name)
-		set.Plans = append(set.Plans, rules.Plan{Reservation: p.FloorRate, Weight: p.Shares,
+		set.Plans = append(set.Plans, scheduler.Plan{Reservation: p.FloorRate, Weight: p.Shares,
 			Limit: p.CeilingRate, Burst: p.LimitBurst, Slack: p.Slack})
 	}
 	out.Rules, out.Names, out.PlanNames = set, out.Classes, out.Plans
@@ -160,7 +160,7 @@
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 // FormatSettings writes the scheduler's settings so that ParseSettings reads them back: classes and plans by number.
-func FormatSettings(set rules.Settings) any {
+func FormatSettings(set scheduler.Settings) any {
 	var out settings
 	out.Balancers, out.SlotNo, out.TickUs = set.Hosts, set.Number, int64(set.Tick)
 	c := &out.Ceilings
--- a/internal/net/protocol/sftp/command.go
+++ b/internal/net/protocol/sftp/command.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"otterturn/internal/net/protocol/sftp/packet"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Op is what a command does at a node.
@@ -150,7 +150,7 @@
 func Clean(name string) string { return path.Clean("/" + name) }
 
 // Repeats tells what the classes of the four roles allow, given what the operator set for writes.
-func Repeats(write rules.Repeat) [Roles]rules.Repeat {
-	return [Roles]rules.Repeat{RoleRead: rules.Safe, RoleBulkRead: rules.Safe, RoleWrite: write,
-		RoleWriteOnce: rules.Unsafe}
+func Repeats(write scheduler.Repeat) [Roles]scheduler.Repeat {
+	return [Roles]scheduler.Repeat{RoleRead: scheduler.Safe, RoleBulkRead: scheduler.Safe, RoleWrite: write,
+		RoleWriteOnce: scheduler.Unsafe}
 }
--- a/internal/net/routing/ask_test.go
+++ b/internal/net/routing/ask_test.go
@@ -5,22 +5,22 @@
 	"testing"
 
 	"otterturn/internal/limits"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // What is asked of the scheduler is asked behind all that came ahead of it. Where news of the list and a question waited
 // together, the question was answered first: a long body was turned away, as no node was known.
 func TestQuestionsWaitForWhatCameAheadOfThem(t *testing.T) {
-	set := rules.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, Classes: []rules.Class{{Aim: 300_000}},
-		Plans: []rules.Plan{{Weight: 1}}}
+	set := scheduler.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, Classes: []scheduler.Class{{Aim: 300_000}},
+		Plans: []scheduler.Plan{{Weight: 1}}}
 	c, err := New(set, 1, limits.Limits{Requests: limits.RequestLimits{Inbox: 8, PastIDs: 1}}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Tell(rules.Nodes{Full: true, List: []rules.Listing{{Node: "a"}}})
+	c.Tell(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}})
 	placed := make(chan string)
 	go func() {
-		node, _, _ := c.Place(t.Context(), rules.Request{ID: "x", Volume: "v", Units: 1, Hosts: 1, Left: 1_000_000})
+		node, _, _ := c.Place(t.Context(), scheduler.Request{ID: "x", Volume: "v", Units: 1, Hosts: 1, Left: 1_000_000})
 		placed <- node
 	}()
 	for len(c.inbox) < 2 {
--- a/internal/net/routing/calls.go
+++ b/internal/net/routing/calls.go
@@ -3,14 +3,14 @@
 import (
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // call is a request that is owed an answer, or one that is over with an attempt still out. Its verdicts are
 // closed when nothing more is owed. The rest is the loop's.
 type call struct {
 	id       string
-	verdicts chan rules.Action
+	verdicts chan scheduler.Action
 	taken    chan struct{} // closed once the scheduler has it
 	over     bool
 	out      int      // sends without an outcome
@@ -23,7 +23,7 @@
 // admit keeps the table of calls in step with an event, and tells whether the scheduler is to hear of it.
 func (c *Core) admit(m message) bool {
 	switch e := m.event.(type) {
-	case rules.Request:
+	case scheduler.Request:
 		if m.until > 0 {
 			c.waiting = append(c.waiting, m)
 			return false
@@ -36,7 +36,7 @@
 			return false
 		}
 		c.calls[e.ID] = m.call
-	case rules.Outcome:
+	case scheduler.Outcome:
 		call := c.calls[e.ID]
 		if call == nil {
 			return false
@@ -46,7 +46,7 @@
 		if e.Final || call.over {
 			c.end(call)
 		}
-	case rules.Lapsed:
+	case scheduler.Lapsed:
 		if i := slices.IndexFunc(c.waiting, func(w message) bool { return w.call == m.call }); i >= 0 {
 			c.waiting = slices.Delete(c.waiting, i, i+1)
 			close(m.call.verdicts)
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -1,5 +1,5 @@
 // Package routing is the core of the program: requests, attempts and outcomes. It knows no wire. One goroutine
-// owns the scheduler of package rules; Do is the life of one request.
+// owns the scheduler of package scheduler; Do is the life of one request.
 package routing
 
 import (
@@ -12,7 +12,7 @@
 	"time"
 
 	"otterturn/internal/limits"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // ErrFailed is the final answer that promises nothing about a request's effect.
@@ -42,13 +42,13 @@
 func NewClock() Clock { return Clock{time.Now()} }
 
 // Now is the present time.
-func (c Clock) Now() rules.Micros {
-	return rules.Micros(c.start.UnixMicro()) + rules.Micros(time.Since(c.start)/time.Microsecond)
+func (c Clock) Now() scheduler.Micros {
+	return scheduler.Micros(c.start.UnixMicro()) + scheduler.Micros(time.Since(c.start)/time.Microsecond)
 }
 
 // at is when a time of this clock comes, or last if that is sooner or the time is 0.
-func (c Clock) at(t rules.Micros, last time.Time) time.Time {
-	if own := c.start.Add(time.Duration(t-rules.Micros(c.start.UnixMicro())) * time.Microsecond); t > 0 && own.Before(last) {
+func (c Clock) at(t scheduler.Micros, last time.Time) time.Time {
+	if own := c.start.Add(time.Duration(t-scheduler.Micros(c.start.UnixMicro())) * time.Microsecond); t > 0 && own.Before(last) {
 		return own
 	}
 	return last
@@ -57,17 +57,17 @@
 // message is an event on its way to the scheduler; call is set for a new request and for one that lapses. A
 // request with a time stays outside until the scheduler has room for it, or until that time.
 type message struct {
-	event rules.Event
+	event scheduler.Event
 	call  *call
-	until rules.Micros
-	ask   func(s *rules.Scheduler) // in the place of an event: run by the loop
+	until scheduler.Micros
+	ask   func(s *scheduler.Scheduler) // in the place of an event: run by the loop
 }
 
 // Core owns the scheduler.
 type Core struct {
 	clock     Clock
-	scheduler *rules.Scheduler
-	probe     func(node string) rules.Probed
+	scheduler *scheduler.Scheduler
+	probe     func(node string) scheduler.Probed
 	inbox     chan message
 	stopped   chan struct{}
 	calls     map[string]*call // of the loop alone, as are
@@ -75,7 +75,7 @@
 	waiting   []message        // requests that wait for room, the oldest first
 	writeDown chan struct{}    // holds one while a record of what is learned is wanted
 
-	Note func(to int, a rules.Action) // sends a message to another front; set before Run, none is sent without
+	Note func(to int, a scheduler.Action) // sends a message to another front; set before Run, none is sent without
 
 	Observer Observer // hears of attempts; set before Run, nil for none
 
@@ -86,24 +86,24 @@
 }
 
 // New returns a core. probe asks a node for its health and load, and returns within a bounded time.
-func New(set rules.Settings, seed int64, l limits.Limits, probe func(node string) rules.Probed) (*Core, error) {
-	scheduler, err := rules.New(set, seed)
+func New(set scheduler.Settings, seed int64, l limits.Limits, probe func(node string) scheduler.Probed) (*Core, error) {
+	decider, err := scheduler.New(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("scheduler: %w", err)
 	}
-	return &Core{clock: NewClock(), scheduler: scheduler, probe: probe, inbox: make(chan message, l.Requests.Inbox),
-		stopped: make(chan struct{}), calls: map[string]*call{}, taken: newTaken(rules.Micros(l.Requests.IDRetention/time.Microsecond), l.Requests.PastIDs),
-		writeDown: make(chan struct{}, 1), Note: func(int, rules.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
+	return &Core{clock: NewClock(), scheduler: decider, probe: probe, inbox: make(chan message, l.Requests.Inbox),
+		stopped: make(chan struct{}), calls: map[string]*call{}, taken: newTaken(scheduler.Micros(l.Requests.IDRetention/time.Microsecond), l.Requests.PastIDs),
+		writeDown: make(chan struct{}, 1), Note: func(int, scheduler.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
 }
 
 // Tell hands news of the node list to the scheduler, ahead of any request submitted later.
-func (c *Core) Tell(news rules.Nodes) { c.submit(message{event: news}) }
+func (c *Core) Tell(news scheduler.Nodes) { c.submit(message{event: news}) }
 
 // Hear hands a message of another front to the scheduler.
-func (c *Core) Hear(e rules.Event) { c.submit(message{event: e}) }
+func (c *Core) Hear(e scheduler.Event) { c.submit(message{event: e}) }
 
 // Room tells the scheduler for how many open requests there is room from now on.
-func (c *Core) Room(open int) { c.submit(message{event: rules.Room{Open: open}}) }
+func (c *Core) Room(open int) { c.submit(message{event: scheduler.Room{Open: open}}) }
 
 func (c *Core) submit(m message) bool {
 	select {
@@ -124,7 +124,7 @@
 	defer close(c.stopped)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
-	var events []rules.Event
+	var events []scheduler.Event
 	take := func(m message) {
 		if m.ask != nil { // what came ahead of it has to be known to the scheduler
 			c.step(c.clock.Now(), events, alarm)
@@ -140,7 +140,7 @@
 		case <-ctx.Done():
 			return
 		case <-alarm.C:
-			events = append(events, rules.Alarm{})
+			events = append(events, scheduler.Alarm{})
 		case m := <-c.inbox:
 			take(m)
 		}
@@ -153,7 +153,7 @@
 	}
 }
 
-func (c *Core) step(now rules.Micros, events []rules.Event, alarm *time.Timer) {
+func (c *Core) step(now scheduler.Micros, events []scheduler.Event, alarm *time.Timer) {
 	if len(events) == 0 {
 		return
 	}
@@ -163,15 +163,15 @@
 }
 
 // letIn takes the requests for which there is room by now, each before the next is looked at.
-func (c *Core) letIn(now rules.Micros, alarm *time.Timer) {
+func (c *Core) letIn(now scheduler.Micros, alarm *time.Timer) {
 	c.waiting = slices.DeleteFunc(c.waiting, func(m message) bool {
-		r := m.event.(rules.Request)
+		r := m.event.(scheduler.Request)
 		if now < m.until && !c.scheduler.Ready(now, r) {
 			return false
 		}
 		m.until = 0
 		if c.admit(m) {
-			c.step(now, []rules.Event{r}, alarm)
+			c.step(now, []scheduler.Event{r}, alarm)
 		}
 		return true
 	})
@@ -180,39 +180,39 @@
 	}
 }
 
-func (c *Core) perform(a rules.Action, now rules.Micros, alarm *time.Timer) {
+func (c *Core) perform(a scheduler.Action, now scheduler.Micros, alarm *time.Timer) {
 	switch a := a.(type) {
-	case rules.Send:
+	case scheduler.Send:
 		c.rule(a.ID, a, false)
-	case rules.Cancel:
+	case scheduler.Cancel:
 		c.rule(a.ID, a, false)
-	case rules.Refuse:
+	case scheduler.Refuse:
 		c.rule(a.ID, a, true)
-	case rules.Fail:
+	case scheduler.Fail:
 		c.rule(a.ID, a, true)
-	case rules.Probe:
+	case scheduler.Probe:
 		go func() { c.submit(message{event: c.probe(a.Node)}) }()
-	case rules.Ask:
+	case scheduler.Ask:
 		c.Note(a.To, a)
-	case rules.Grant:
+	case scheduler.Grant:
 		c.Note(a.To, a)
-	case rules.WriteDown:
+	case scheduler.WriteDown:
 		select {
 		case c.writeDown <- struct{}{}:
 		default:
 		}
-	case rules.SetAlarm:
+	case scheduler.SetAlarm:
 		alarm.Reset(time.Duration(a.At-now) * time.Microsecond)
 	}
 }
 
 // rule hands a verdict to the request that it is about; a final one ends it.
-func (c *Core) rule(id string, verdict rules.Action, final bool) {
+func (c *Core) rule(id string, verdict scheduler.Action, final bool) {
 	call := c.calls[id]
 	if call == nil || call.over {
 		return
 	}
-	if send, ok := verdict.(rules.Send); ok {
+	if send, ok := verdict.(scheduler.Send); ok {
 		call.out++
 		c.observeStart(call, send)
 	}
--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -9,29 +9,29 @@
 
 	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
-func request(id string) rules.Request {
-	return rules.Request{ID: id, Volume: "v", Units: 1, Hosts: 1, Left: 5_000_000}
+func request(id string) scheduler.Request {
+	return scheduler.Request{ID: id, Volume: "v", Units: 1, Hosts: 1, Left: 5_000_000}
 }
 
 func newCore(t *testing.T) *routing.Core {
 	core := standin.Core(t, standin.Settings(), nil)
-	core.Tell(rules.Nodes{Full: true, List: []rules.Listing{{Node: "a"}}})
+	core.Tell(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}})
 	return core
 }
 
 func TestAttemptsUntilTheAnswer(t *testing.T) {
-	core, results := newCore(t), []rules.Result{rules.Errored, rules.TimedOut, rules.OK}
+	core, results := newCore(t), []scheduler.Result{scheduler.Errored, scheduler.TimedOut, scheduler.OK}
 	tries := 0
 	got, err := routing.Do(t.Context(), core, request("x"),
-		func(ctx context.Context, a routing.Attempt) (string, rules.Outcome) {
+		func(ctx context.Context, a routing.Attempt) (string, scheduler.Outcome) {
 			tries++
 			if _, ok := ctx.Deadline(); !ok || a.Node != "a" {
 				t.Errorf("attempt %d at %q without a deadline", tries, a.Node)
 			}
-			return fmt.Sprint("answer ", tries), rules.Outcome{Result: results[tries-1]}
+			return fmt.Sprint("answer ", tries), scheduler.Outcome{Result: results[tries-1]}
 		})
 	if err != nil || got != "answer 3" || tries != 3 {
 		t.Errorf("%q, %v after %d attempts", got, err, tries)
@@ -42,17 +42,17 @@
 	core := newCore(t)
 	once := request("once")
 	once.Class = 2 // must not run twice
-	_, err := routing.Do(t.Context(), core, once, func(context.Context, routing.Attempt) (int, rules.Outcome) {
-		return 0, rules.Outcome{Result: rules.Errored}
+	_, err := routing.Do(t.Context(), core, once, func(context.Context, routing.Attempt) (int, scheduler.Outcome) {
+		return 0, scheduler.Outcome{Result: scheduler.Errored}
 	})
 	if !errors.Is(err, routing.ErrFailed) {
 		t.Errorf("an attempt that may have run, once: %v", err)
 	}
 	elsewhere := request("elsewhere")
 	elsewhere.Shard = 1 // no node holds it
-	_, err = routing.Do(t.Context(), core, elsewhere, func(context.Context, routing.Attempt) (int, rules.Outcome) {
+	_, err = routing.Do(t.Context(), core, elsewhere, func(context.Context, routing.Attempt) (int, scheduler.Outcome) {
 		t.Error("sent")
-		return 0, rules.Outcome{}
+		return 0, scheduler.Outcome{}
 	})
 	if refused := new(routing.Refused); !errors.As(err, &refused) {
 		t.Errorf("no node: %v", err)
@@ -72,13 +72,13 @@
 		done := make(chan error, 1)
 		go func() {
 			_, err := routing.Do(ctx, core, request(fmt.Sprint("left-", i)),
-				func(own context.Context, _ routing.Attempt) (int, rules.Outcome) {
+				func(own context.Context, _ routing.Attempt) (int, scheduler.Outcome) {
 					if tries++; tries == 1 {
-						return 0, rules.Outcome{Result: rules.Errored}
+						return 0, scheduler.Outcome{Result: scheduler.Errored}
 					}
 					out <- own
 					<-goOn
-					return 0, rules.Outcome{Result: rules.OK}
+					return 0, scheduler.Outcome{Result: scheduler.OK}
 				})
 			done <- err
 		}()
@@ -101,14 +101,14 @@
 func TestIdInUse(t *testing.T) {
 	core := newCore(t)
 	out, goOn := make(chan context.Context, 1), make(chan struct{})
-	wait := func(own context.Context, _ routing.Attempt) (int, rules.Outcome) {
+	wait := func(own context.Context, _ routing.Attempt) (int, scheduler.Outcome) {
 		out <- own
 		<-goOn
-		return 1, rules.Outcome{Result: rules.OK}
+		return 1, scheduler.Outcome{Result: scheduler.OK}
 	}
-	refuse := func(context.Context, routing.Attempt) (int, rules.Outcome) {
+	refuse := func(context.Context, routing.Attempt) (int, scheduler.Outcome) {
 		t.Error("a second request under the id was sent")
-		return 0, rules.Outcome{}
+		return 0, scheduler.Outcome{}
 	}
 	first, leave := context.WithCancel(t.Context())
 	done := make(chan error, 1)
@@ -146,10 +146,10 @@
 	set := standin.Settings()
 	set.Classes[1].Window = 1_000_000
 	core := standin.Core(t, set, nil)
-	core.Tell(rules.Nodes{Full: true, List: []rules.Listing{{Node: "a"}}})
+	core.Tell(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}})
 	keyed, began, tries := request("keyed"), time.Now(), 0
 	keyed.Class = 1
-	_, err := routing.Do(t.Context(), core, keyed, func(ctx context.Context, a routing.Attempt) (int, rules.Outcome) {
+	_, err := routing.Do(t.Context(), core, keyed, func(ctx context.Context, a routing.Attempt) (int, scheduler.Outcome) {
 		tries++
 		last, _ := ctx.Deadline()
 		begin, _ := a.Begin.Deadline()
@@ -160,10 +160,10 @@
 			t.Errorf("the second one may begin until %v behind the first", begin.Sub(began))
 		}
 		if tries < 2 {
-			return 0, rules.Outcome{Result: rules.Errored}
+			return 0, scheduler.Outcome{Result: scheduler.Errored}
 		}
 		<-a.Begin.Done() // its connection comes up too late
-		return 0, rules.Outcome{Result: rules.Moot}
+		return 0, scheduler.Outcome{Result: scheduler.Moot}
 	})
 	if !errors.Is(err, routing.ErrFailed) || tries != 2 {
 		t.Errorf("%v after %d attempts", err, tries)
@@ -174,7 +174,9 @@
 // attempt's end, or it would count it as out for good and send the node nothing more.
 func TestClientsThatLeaveAtAnyMoment(t *testing.T) {
 	core := newCore(t)
-	serve := func(context.Context, routing.Attempt) (int, rules.Outcome) { return 0, rules.Outcome{Result: rules.OK} }
+	serve := func(context.Context, routing.Attempt) (int, scheduler.Outcome) {
+		return 0, scheduler.Outcome{Result: scheduler.OK}
+	}
 	for i := range 5000 {
 		ctx, leave := context.WithTimeout(t.Context(), time.Duration(i%50)*time.Microsecond)
 		routing.Do(ctx, core, request(fmt.Sprint("gone-", i)), serve)
--- a/internal/net/routing/learned.go
+++ b/internal/net/routing/learned.go
@@ -4,60 +4,60 @@
 	"cmp"
 	"context"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Now is the core's present time.
-func (c *Core) Now() rules.Micros { return c.clock.Now() }
+func (c *Core) Now() scheduler.Micros { return c.clock.Now() }
 
 // Fresh is what a node is taken for that nothing is known of. The core must not run yet.
-func (c *Core) Fresh() rules.Habits { return c.scheduler.Fresh() }
+func (c *Core) Fresh() scheduler.Habits { return c.scheduler.Fresh() }
 
 // Recall takes over what a former self learned, given the nodes there are. The core must not run yet.
-func (c *Core) Recall(nodes rules.Nodes, l rules.Learned) {
-	c.scheduler.Step(c.Now(), []rules.Event{nodes})
+func (c *Core) Recall(nodes scheduler.Nodes, l scheduler.Learned) {
+	c.scheduler.Step(c.Now(), []scheduler.Event{nodes})
 	c.scheduler.Recall(c.Now(), l)
 }
 
-// Learned returns a part of what is known, and the place of the next one: see rules.Scheduler.Learned. It works
+// Learned returns a part of what is known, and the place of the next one: see scheduler.Scheduler.Learned. It works
 // after the core's end as well, for one caller.
-func (c *Core) Learned(ctx context.Context, from, n int) (l rules.Learned, next int, err error) {
-	err = c.ask(ctx, func(s *rules.Scheduler) { l, next = s.Learned(c.Now(), from, n) })
+func (c *Core) Learned(ctx context.Context, from, n int) (l scheduler.Learned, next int, err error) {
+	err = c.ask(ctx, func(s *scheduler.Scheduler) { l, next = s.Learned(c.Now(), from, n) })
 	return l, next, err
 }
 
 // Forget drops what was learned of a node or a project.
 func (c *Core) Forget(ctx context.Context, node, volume string) error {
-	return c.ask(ctx, func(s *rules.Scheduler) { s.Forget(node, volume) })
+	return c.ask(ctx, func(s *scheduler.Scheduler) { s.Forget(node, volume) })
 }
 
-// Retune takes over other settings, see rules.Scheduler.Retune: all of them, or none where they are wrong.
-func (c *Core) Retune(set rules.Settings) error {
+// Retune takes over other settings, see scheduler.Scheduler.Retune: all of them, or none where they are wrong.
+func (c *Core) Retune(set scheduler.Settings) error {
 	var wrong error
-	err := c.ask(context.Background(), func(s *rules.Scheduler) { wrong = s.Retune(set) })
+	err := c.ask(context.Background(), func(s *scheduler.Scheduler) { wrong = s.Retune(set) })
 	return cmp.Or(err, wrong)
 }
 
 // Place tells which node a request would be sent to now, and its shard; "" for none.
-func (c *Core) Place(ctx context.Context, r rules.Request) (node string, shard int, err error) {
-	err = c.ask(ctx, func(s *rules.Scheduler) { node, shard = s.Place(c.Now(), r) })
+func (c *Core) Place(ctx context.Context, r scheduler.Request) (node string, shard int, err error) {
+	err = c.ask(ctx, func(s *scheduler.Scheduler) { node, shard = s.Place(c.Now(), r) })
 	return node, shard, err
 }
 
 // Avoided tells how many nodes of the list get nothing new now.
 func (c *Core) Avoided(ctx context.Context) (n int, err error) {
-	err = c.ask(ctx, func(s *rules.Scheduler) { n = s.Avoided(c.Now()) })
+	err = c.ask(ctx, func(s *scheduler.Scheduler) { n = s.Avoided(c.Now()) })
 	return n, err
 }
 
 // Recorded tells the scheduler how the last record ended.
-func (c *Core) Recorded(r rules.Recorded) { c.submit(message{event: r}) }
+func (c *Core) Recorded(r scheduler.Recorded) { c.submit(message{event: r}) }
 
 // WriteDown delivers when a record is wanted before its time.
 func (c *Core) WriteDown() <-chan struct{} { return c.writeDown }
 
 // ask has the loop run a function, and waits for its end.
-func (c *Core) ask(ctx context.Context, f func(s *rules.Scheduler)) error {
+func (c *Core) ask(ctx context.Context, f func(s *scheduler.Scheduler)) error {
 	select {
 	case <-c.stopped:
 		f(c.scheduler) // nobody else owns it any more
@@ -65,7 +65,7 @@
 	default:
 	}
 	done := make(chan struct{})
-	ask := message{ask: func(s *rules.Scheduler) {
+	ask := message{ask: func(s *scheduler.Scheduler) {
 		f(s)
 		close(done)
 	}}
--- a/internal/net/routing/observer.go
+++ b/internal/net/routing/observer.go
@@ -1,6 +1,6 @@
 package routing
 
-import "otterturn/rules"
+import "otterturn/scheduler"
 
 // Observer hears of attempts as they are sent and as they end. It is called by the core's goroutine and must not block.
 type Observer interface {
@@ -8,11 +8,11 @@
 	// its end is not told then.
 	AttemptStarted(node, id string, attempt int) bool
 	// AttemptEnded tells how an attempt ended that AttemptStarted took.
-	AttemptEnded(node string, e rules.Outcome)
+	AttemptEnded(node string, e scheduler.Outcome)
 }
 
 // observeStart tells the observer, where there is one, of an attempt.
-func (c *Core) observeStart(call *call, send rules.Send) {
+func (c *Core) observeStart(call *call, send scheduler.Send) {
 	if c.Observer == nil {
 		return
 	}
@@ -24,7 +24,7 @@
 }
 
 // observeEnd tells the observer how an attempt ended.
-func (c *Core) observeEnd(call *call, e rules.Outcome) {
+func (c *Core) observeEnd(call *call, e scheduler.Outcome) {
 	if e.Attempt < 0 || e.Attempt >= len(call.nodes) || call.nodes[e.Attempt] == "" {
 		return
 	}
--- a/internal/net/routing/request.go
+++ b/internal/net/routing/request.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Attempt is one that the scheduler decided on.
@@ -20,13 +20,13 @@
 // Entry is a request that the core has taken and that Carry brings to its final answer.
 type Entry struct {
 	core     *Core
-	request  rules.Request
+	request  scheduler.Request
 	call     *call
 	deadline time.Time
 }
 
-func (c *Core) enter(r rules.Request, until rules.Micros) (*Entry, error) {
-	e := &Entry{core: c, request: r, call: &call{id: r.ID, verdicts: make(chan rules.Action, verdictRoom),
+func (c *Core) enter(r scheduler.Request, until scheduler.Micros) (*Entry, error) {
+	e := &Entry{core: c, request: r, call: &call{id: r.ID, verdicts: make(chan scheduler.Action, verdictRoom),
 		taken: make(chan struct{})}}
 	e.deadline = time.Now().Add(time.Duration(r.Left) * time.Microsecond)
 	if tell := c.announce.Load(); tell != nil {
@@ -41,8 +41,8 @@
 // EnterWhenReady submits a request once the scheduler would send it without a wait, or at the latest after the
 // time given. Until then it is not taken: nothing is owed for it, its time does not run, and it fails with the
 // cause of ctx where that ends first.
-func (c *Core) EnterWhenReady(ctx context.Context, r rules.Request, most time.Duration) (*Entry, error) {
-	e, err := c.enter(r, c.clock.Now()+rules.Micros(most/time.Microsecond))
+func (c *Core) EnterWhenReady(ctx context.Context, r scheduler.Request, most time.Duration) (*Entry, error) {
+	e, err := c.enter(r, c.clock.Now()+scheduler.Micros(most/time.Microsecond))
 	if err != nil {
 		return nil, err
 	}
@@ -59,8 +59,8 @@
 }
 
 // Do is the life of one request: it is submitted, and carried to its one final answer.
-func Do[T any](ctx context.Context, c *Core, r rules.Request,
-	attempt func(ctx context.Context, a Attempt) (T, rules.Outcome)) (T, error) {
+func Do[T any](ctx context.Context, c *Core, r scheduler.Request,
+	attempt func(ctx context.Context, a Attempt) (T, scheduler.Outcome)) (T, error) {
 	e, err := c.enter(r, 0)
 	if err != nil {
 		return *new(T), err
@@ -74,7 +74,7 @@
 // Where ctx ends first the client has left; an attempt that is out runs on to its outcome, since closing a
 // connection stops no work. One that was decided on and of which nothing is written yet is not begun.
 func Carry[T any](ctx context.Context, e *Entry,
-	attempt func(ctx context.Context, a Attempt) (T, rules.Outcome)) (T, error) {
+	attempt func(ctx context.Context, a Attempt) (T, scheduler.Outcome)) (T, error) {
 	var none T
 	c, r, call, deadline := e.core, e.request, e.call, e.deadline
 	c.counts.opened(1)
@@ -86,9 +86,9 @@
 		select {
 		case v, owed := <-verdicts:
 			switch v := v.(type) {
-			case rules.Send:
+			case scheduler.Send:
 				own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-				o := rules.Outcome{ID: r.ID, Attempt: tries}
+				o := scheduler.Outcome{ID: r.ID, Attempt: tries}
 				go func() {
 					// Both end only after the outcome is submitted: who sees the attempt's context end may use its
 					// id again.
@@ -103,21 +103,21 @@
 					if c.debugs() {
 						c.Log.Debug("attempt", "request", r.ID, "attempt", o.Attempt, "node", v.Node, "result", o.Result.String(), "us", o.Latency)
 					}
-					if o.Result == rules.OK {
+					if o.Result == scheduler.OK {
 						answers <- value
 					}
 				}()
 				takeBack = cancel
 				tries++
-			case rules.Cancel:
+			case scheduler.Cancel:
 				takeBack(errTakenBack)
-			case rules.Refuse:
+			case scheduler.Refuse:
 				c.counts.ended(r.Class, Rejected)
 				if c.debugs() {
 					c.Log.Debug("refused", "request", r.ID, "why", v.Why, "retry_after_us", v.RetryAfter, "attempts", tries)
 				}
 				return none, &Refused{RetryAfter: time.Duration(v.RetryAfter) * time.Microsecond}
-			case rules.Fail:
+			case scheduler.Fail:
 				c.counts.ended(r.Class, Failing)
 				if c.debugs() {
 					c.Log.Debug("failed", "request", r.ID, "why", v.Why, "attempts", tries)
@@ -145,15 +145,15 @@
 
 // try carries out one attempt and fills in its outcome.
 func try[T any](ctx context.Context, a Attempt,
-	attempt func(ctx context.Context, a Attempt) (T, rules.Outcome), o *rules.Outcome) T {
+	attempt func(ctx context.Context, a Attempt) (T, scheduler.Outcome), o *scheduler.Outcome) T {
 	began := time.Now()
 	value, got := attempt(ctx, a)
 	o.Result, o.Elsewhere, o.Alive = got.Result, got.Elsewhere, got.Alive
-	if o.Result == rules.TimedOut && context.Cause(ctx) == errTakenBack {
-		o.Result = rules.Cancelled
+	if o.Result == scheduler.TimedOut && context.Cause(ctx) == errTakenBack {
+		o.Result = scheduler.Cancelled
 	}
-	o.Latency = cmp.Or(got.Latency, rules.Micros(time.Since(began)/time.Microsecond))
-	o.Final = o.Result == rules.OK
+	o.Latency = cmp.Or(got.Latency, scheduler.Micros(time.Since(began)/time.Microsecond))
+	o.Final = o.Result == scheduler.OK
 	return value
 }
 
@@ -162,14 +162,14 @@
 
 // lapse ends a request whose client has left. A send that was decided but not begun never will be.
 func (c *Core) lapse(call *call, tries int) {
-	if !c.submit(message{event: rules.Lapsed{ID: call.id}, call: call}) {
+	if !c.submit(message{event: scheduler.Lapsed{ID: call.id}, call: call}) {
 		return
 	}
 	for {
 		select {
 		case v, owed := <-call.verdicts:
-			if _, send := v.(rules.Send); send {
-				c.submit(message{event: rules.Outcome{ID: call.id, Attempt: tries, Result: rules.Moot}})
+			if _, send := v.(scheduler.Send); send {
+				c.submit(message{event: scheduler.Outcome{ID: call.id, Attempt: tries, Result: scheduler.Moot}})
 			}
 			if !owed {
 				return
--- a/internal/net/routing/taken_test.go
+++ b/internal/net/routing/taken_test.go
@@ -4,14 +4,14 @@
 	"fmt"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Ids are remembered for as long as they must be, in bounded memory, and forgotten then.
 func TestIdsAreRememberedForAWhile(t *testing.T) {
-	const keep, most = rules.Micros(1000), 100
+	const keep, most = scheduler.Micros(1000), 100
 	ids := newTaken(keep, most)
-	for now := rules.Micros(0); now < 20*keep; now += 20 {
+	for now := scheduler.Micros(0); now < 20*keep; now += 20 {
 		ids.add(now, fmt.Sprint(now))
 		if now >= keep && !ids.has(fmt.Sprint(now-keep)) {
 			t.Fatalf("at %d the id of %d is forgotten", now, now-keep)
--- a/internal/net/transport/connections_test.go
+++ b/internal/net/transport/connections_test.go
@@ -12,17 +12,17 @@
 	"otterturn/internal/logs"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 func TestNodeThatIsNotThere(t *testing.T) {
 	l := standin.Listen(t)
 	l.Close()
-	if got := send(t, newNodes(nil, l.Addr().String()), standin.Patience); got.Result != rules.Unreachable {
+	if got := send(t, newNodes(nil, l.Addr().String()), standin.Patience); got.Result != scheduler.Unreachable {
 		t.Errorf("refused connection: %v", got.Result)
 	}
 	silent := standin.Peer(t, func(_ int, c net.Conn) { io.Copy(io.Discard, c) })
-	if got := send(t, newNodes(nil, silent), 50*time.Millisecond); got.Result != rules.TimedOut {
+	if got := send(t, newNodes(nil, silent), 50*time.Millisecond); got.Result != scheduler.TimedOut {
 		t.Errorf("silent node: %v", got.Result)
 	}
 }
@@ -40,7 +40,7 @@
 		}
 	})
 	for range 2000 {
-		if got := send(t, newNodes(nil, addr), standin.Patience); got.Result != rules.OK && !got.Alive {
+		if got := send(t, newNodes(nil, addr), standin.Patience); got.Result != scheduler.OK && !got.Alive {
 			t.Fatalf("%+v", got)
 		}
 	}
@@ -60,18 +60,18 @@
 	other, count := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
 	s := newNodes(func(l *limits.Limits) { l.Nodes.Conns = 1 }, addr, other)
 	probe := NewProber(s, protocol.Settings{}, logs.Quiet()).Probe
-	if got := send(t, s, standin.Patience); got.Result != rules.OK {
+	if got := send(t, s, standin.Patience); got.Result != scheduler.OK {
 		t.Errorf("the first: %v", got.Result)
 	}
 	if !probe("node-1").OK {
 		t.Error("no room where the other node's connection is idle")
 	}
-	first, second := make(chan rules.Outcome, 1), make(chan rules.Probed, 1)
+	first, second := make(chan scheduler.Outcome, 1), make(chan scheduler.Probed, 1)
 	go func() { first <- send(t, s, standin.Patience) }()
 	standin.Await(t, "the attempt", begun)
 	go func() { second <- probe("node-1") }()
 	close(goOn)
-	if got := standin.Await(t, "the outcome", first); got.Result != rules.OK {
+	if got := standin.Await(t, "the outcome", first); got.Result != scheduler.OK {
 		t.Errorf("the one that was in the way: %v", got.Result)
 	}
 	if !standin.Await(t, "the probe", second).OK || count.Load() != 2 {
@@ -93,7 +93,7 @@
 	s := newNodes(nil, addr)
 	send(t, s, standin.Patience)
 	standin.Await(t, "the end of the connection", ended)
-	if got := send(t, s, standin.Patience); got.Result != rules.OK {
+	if got := send(t, s, standin.Patience); got.Result != scheduler.OK {
 		t.Errorf("after the node closed an idle connection: %v", got.Result)
 	}
 }
@@ -117,13 +117,13 @@
 	anew := list(addr)
 	anew.Hosts[0].Since = 7
 	s.Apply(anew)
-	if got := send(t, s, standin.Patience); got.Result != rules.OK {
+	if got := send(t, s, standin.Patience); got.Result != scheduler.OK {
 		t.Errorf("after a restart: %v", got.Result)
 	}
 	standin.Await(t, "a connection to the restarted node", conns)
-	anew.Hosts[0].State = rules.Draining
+	anew.Hosts[0].State = scheduler.Draining
 	s.Apply(anew)
-	if got := send(t, s, standin.Patience); got.Result != rules.Full {
+	if got := send(t, s, standin.Patience); got.Result != scheduler.Full {
 		t.Errorf("draining: %v", got.Result)
 	}
 }
--- a/internal/net/transport/crossings_test.go
+++ b/internal/net/transport/crossings_test.go
@@ -14,7 +14,7 @@
 	"otterturn/internal/limits"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // The rows of docs/crossings.md that concern clients' connections and attempts. Each is forced by what a peer does.
@@ -69,7 +69,7 @@
 	over, end := context.WithCancel(t.Context())
 	end()
 	r, _ := http.NewRequest(http.MethodGet, "http://backend.local/read/00000000000000aa/00000000000000bb", nil)
-	if _, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", Begin: over}, r); out.Result != rules.Moot || count.Load() != 0 {
+	if _, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", Begin: over}, r); out.Result != scheduler.Moot || count.Load() != 0 {
 		t.Errorf("%v, %d requests", out.Result, count.Load())
 	}
 }
@@ -90,7 +90,7 @@
 	for i := range 2 {
 		r, _ := http.NewRequest(http.MethodGet, "http://backend.local/read/00000000000000aa/00000000000000bb", nil)
 		resp, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", Begin: t.Context()}, r)
-		if out.Result != rules.OK {
+		if out.Result != scheduler.OK {
 			t.Fatalf("attempt %d: %v", i, out.Result)
 		}
 		if body, _ := io.ReadAll(resp.Body); string(body) != "data" {
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -12,7 +12,7 @@
 	"otterturn/internal/limits"
 	"otterturn/internal/net/backoff"
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // WholeList in the place of a version has a watch begin with the whole list.
@@ -109,5 +109,5 @@
 	case resp.StatusCode != http.StatusOK || int64(len(text)) > l.Discovery.ListBytes:
 		return protocol.List{}, fmt.Errorf("status %d, %d bytes, %d may be read", resp.StatusCode, len(text), l.Discovery.ListBytes)
 	}
-	return protocol.ParseList(text, zones, rules.Micros(time.Now().Add(clockSlack).UnixMicro()))
+	return protocol.ParseList(text, zones, scheduler.Micros(time.Now().Add(clockSlack).UnixMicro()))
 }
--- a/internal/net/transport/door_test.go
+++ b/internal/net/transport/door_test.go
@@ -12,7 +12,7 @@
 	"otterturn/internal/admission/gate"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // frontBefore starts a front before one node, which does work for each request but a probe, and returns the front's
@@ -38,7 +38,7 @@
 	core := standin.Core(t, standin.Settings(), nil)
 	core.Tell(nodes.Apply(list(node)))
 	f := NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 1,
-		Rules: rules.Settings{Plans: []rules.Plan{{Weight: 1}}}, LongestWait: time.Minute, Retry: time.Second}, l,
+		Rules: scheduler.Settings{Plans: []scheduler.Plan{{Weight: 1}}}, LongestWait: time.Minute, Retry: time.Second}, l,
 		NewRoundTripper(core, nodes))
 	f.Admission = g
 	listener := standin.Listen(t)
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -16,7 +16,7 @@
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 const served = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Served-Elsewhere: 3\r\n\r\ndata"
@@ -31,11 +31,11 @@
 	})
 	s := newNodes(func(l *limits.Limits) { l.Nodes.BodySilence = 50 * time.Millisecond }, addr)
 	began := time.Now()
-	if got := send(t, s, standin.Patience); got.Result != rules.Errored || time.Since(began) > standin.Patience/2 {
+	if got := send(t, s, standin.Patience); got.Result != scheduler.Errored || time.Since(began) > standin.Patience/2 {
 		t.Errorf("an answer that stops short: %+v", got)
 	}
 	for range 2 {
-		if got := send(t, s, standin.Patience); got.Result != rules.OK {
+		if got := send(t, s, standin.Patience); got.Result != scheduler.OK {
 			t.Errorf("a good answer: %+v", got)
 		}
 	}
@@ -55,7 +55,7 @@
 		}
 	})
 	s := newNodes(nil, addr)
-	if got := send(t, s, standin.Patience); got.Result != rules.Reset || !got.Alive {
+	if got := send(t, s, standin.Patience); got.Result != scheduler.Reset || !got.Alive {
 		t.Errorf("a node that closes a connection: %+v", got)
 	}
 	standin.Await(t, "the first connection", conns)
@@ -68,7 +68,7 @@
 			c.Close()
 		}
 	}()
-	if got := send(t, newNodes(nil, l.Addr().String()), standin.Patience); got.Result != rules.Reset || got.Alive {
+	if got := send(t, newNodes(nil, l.Addr().String()), standin.Patience); got.Result != scheduler.Reset || got.Alive {
 		t.Errorf("a node that died: %+v", got)
 	}
 }
@@ -95,7 +95,7 @@
 	out := protocol.List{Whole: true}
 	for i, a := range addrs {
 		out.Hosts = append(out.Hosts, protocol.Host{Dial: a,
-			Listing: rules.Listing{Node: fmt.Sprint("node-", i), Shard: i}})
+			Listing: scheduler.Listing{Node: fmt.Sprint("node-", i), Shard: i}})
 	}
 	return out
 }
@@ -112,7 +112,7 @@
 }
 
 // send makes one attempt at node-0 with a request that http.Transport would send again by itself.
-func send(t *testing.T, s *Nodes, wait time.Duration) rules.Outcome {
+func send(t *testing.T, s *Nodes, wait time.Duration) scheduler.Outcome {
 	t.Helper()
 	ctx, release := context.WithTimeout(context.Background(), wait)
 	defer release()
@@ -130,26 +130,26 @@
 func TestHowAnAttemptEnds(t *testing.T) {
 	for _, c := range []struct {
 		name, text string // what a kept connection brings before it ends
-		want       rules.Result
+		want       scheduler.Result
 	}{
-		{"served", served, rules.OK},
-		{"word ahead of the answer", "HTTP/1.1 100 Continue\r\n\r\n" + served, rules.OK},
-		{"word ahead of a break", "HTTP/1.1 100 Continue\r\n\r\n", rules.Reset},
-		{"breaks before the answer", "", rules.Reset},
-		{"breaks within the head", "HTTP/1.1 200 OK\r\nContent-", rules.Reset},
-		{"breaks within the body", served[:len(served)-1], rules.Reset},
-		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", rules.Errored},
-		{"turned away", "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", rules.Full},
-		{"503 that may have run", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", rules.Errored},
-		{"long", "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("x", 400000), rules.OK},
-		{"passes the bound", "HTTP/1.1 200 OK\r\nContent-Length: 268435457\r\n\r\n", rules.Errored},
-		{"an error of any length", "HTTP/1.1 500 Oops\r\nContent-Length: 65537\r\n\r\n", rules.Errored},
-		{"its time was over", "HTTP/1.1 504 Over\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", rules.Expired},
-		{"noise", "\x00\x01 no answer\r\n\r\n", rules.Errored},
-		{"a head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: y\r\n", 10_000), rules.Errored},
-		{"words ahead without end", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100), rules.Errored},
-		{"a length of 3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", rules.Errored},
-		{"a use figure that can't be read", strings.Replace(served, "Elsewhere: 3", "Elsewhere: x", 1), rules.OK},
+		{"served", served, scheduler.OK},
+		{"word ahead of the answer", "HTTP/1.1 100 Continue\r\n\r\n" + served, scheduler.OK},
+		{"word ahead of a break", "HTTP/1.1 100 Continue\r\n\r\n", scheduler.Reset},
+		{"breaks before the answer", "", scheduler.Reset},
+		{"breaks within the head", "HTTP/1.1 200 OK\r\nContent-", scheduler.Reset},
+		{"breaks within the body", served[:len(served)-1], scheduler.Reset},
+		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", scheduler.Errored},
+		{"turned away", "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", scheduler.Full},
+		{"503 that may have run", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", scheduler.Errored},
+		{"long", "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("x", 400000), scheduler.OK},
+		{"passes the bound", "HTTP/1.1 200 OK\r\nContent-Length: 268435457\r\n\r\n", scheduler.Errored},
+		{"an error of any length", "HTTP/1.1 500 Oops\r\nContent-Length: 65537\r\n\r\n", scheduler.Errored},
+		{"its time was over", "HTTP/1.1 504 Over\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", scheduler.Expired},
+		{"noise", "\x00\x01 no answer\r\n\r\n", scheduler.Errored},
+		{"a head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: y\r\n", 10_000), scheduler.Errored},
+		{"words ahead without end", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100), scheduler.Errored},
+		{"a length of 3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", scheduler.Errored},
+		{"a use figure that can't be read", strings.Replace(served, "Elsewhere: 3", "Elsewhere: x", 1), scheduler.OK},
 	} {
 		addr, count := newNode(t, func(n int64, conn net.Conn, _ *http.Request) {
 			if n == 1 {
@@ -160,7 +160,7 @@
 			conn.Close()
 		})
 		s := newNodes(nil, addr)
-		if got := send(t, s, standin.Patience); got.Result != rules.OK || got.Elsewhere != 3 {
+		if got := send(t, s, standin.Patience); got.Result != scheduler.OK || got.Elsewhere != 3 {
 			t.Errorf("%s: first attempt %+v", c.name, got)
 		}
 		if got := send(t, s, standin.Patience); got.Result != c.want {
--- a/internal/net/transport/nodes/connect.go
+++ b/internal/net/transport/nodes/connect.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Renew opens a connection to a node on which another just broke, and keeps it. It tells whether the node took it:
@@ -32,7 +32,7 @@
 }
 
 // connect opens the connection that room was reserved for.
-func (s *Nodes[T]) connect(ctx context.Context, name string, to reserved[T], wanted func(rules.NodeState) bool) (c *Conn[T], err error) {
+func (s *Nodes[T]) connect(ctx context.Context, name string, to reserved[T], wanted func(scheduler.NodeState) bool) (c *Conn[T], err error) {
 	raw, err := s.dial(ctx, to.dial)
 	if err == nil {
 		c, err = s.start(ctx, raw)
--- a/internal/net/transport/nodes/dial_test.go
+++ b/internal/net/transport/nodes/dial_test.go
@@ -11,7 +11,7 @@
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // dials stands in for the network: the script says what becomes of each attempt to connect, numbered from 0.
@@ -43,7 +43,7 @@
 	change(&l)
 	s := New(l, Session[int]{Open: func(net.Conn) (int, error) { return 0, nil }, Alive: func(net.Conn, int) bool { return true }})
 	s.dialer = d.dial
-	s.Apply(protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: addr, Listing: rules.Listing{Node: "a"}}}})
+	s.Apply(protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: addr, Listing: scheduler.Listing{Node: "a"}}}})
 	return s, taken
 }
 
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -12,7 +12,7 @@
 
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // ErrNotTaking tells that nothing may be sent to a node: it is not in the list, or drains.
@@ -62,22 +62,22 @@
 }
 
 // Apply takes over a list, or changes of one, and returns the same news for the scheduler.
-func (s *Nodes[T]) Apply(list protocol.List) rules.Nodes {
+func (s *Nodes[T]) Apply(list protocol.List) scheduler.Nodes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	news := rules.Nodes{Full: list.Whole}
+	news := scheduler.Nodes{Full: list.Whole}
 	named := map[string]bool{}
 	for _, h := range list.Hosts {
 		news.List = append(news.List, h.Listing)
 		named[h.Node] = true
 		old := s.byName[h.Node]
-		if old != nil && old.Dial == h.Dial && old.Since == h.Since && h.State != rules.Gone {
+		if old != nil && old.Dial == h.Dial && old.Since == h.Since && h.State != scheduler.Gone {
 			old.Host = h
 			continue
 		}
 		s.drop(old)
 		s.byName[h.Node] = &node[T]{Host: h}
-		if h.State == rules.Gone {
+		if h.State == scheduler.Gone {
 			delete(s.byName, h.Node)
 		}
 	}
@@ -122,7 +122,7 @@
 // Acquire returns a connection to a node, an idle one where there is one. Where all sockets are in use it waits
 // for one: that is no news of the node. wanted tells whether the node may still be used in the state it is in now
 // that the connection is up.
-func (s *Nodes[T]) Acquire(ctx context.Context, name string, wanted func(rules.NodeState) bool) (*Conn[T], error) {
+func (s *Nodes[T]) Acquire(ctx context.Context, name string, wanted func(scheduler.NodeState) bool) (*Conn[T], error) {
 	got, err := s.reserve(name, wanted)
 	for got.freed != nil || got.settled != nil {
 		select {
@@ -150,7 +150,7 @@
 }
 
 // reserve takes an idle connection that is still good, or the room for a new one.
-func (s *Nodes[T]) reserve(name string, wanted func(rules.NodeState) bool) (reserved[T], error) {
+func (s *Nodes[T]) reserve(name string, wanted func(scheduler.NodeState) bool) (reserved[T], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.byName[name]
--- a/internal/net/transport/nodes/state.go
+++ b/internal/net/transport/nodes/state.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // States lists the nodes by name.
@@ -20,7 +20,7 @@
 }
 
 // Running is the condition under which a node gets new work.
-func Running(state rules.NodeState) bool { return state == rules.Running }
+func Running(state scheduler.NodeState) bool { return state == scheduler.Running }
 
 // AnyState is the condition for probes.
-func AnyState(rules.NodeState) bool { return true }
+func AnyState(scheduler.NodeState) bool { return true }
--- a/internal/net/transport/peers.go
+++ b/internal/net/transport/peers.go
@@ -12,7 +12,7 @@
 
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Peers carries short messages between fronts. They may be lost, so nothing waits for one, and what can't be read is
@@ -75,7 +75,7 @@
 }
 
 // Send sends what the scheduler has for the front of a number.
-func (p *Peers) Send(to int, a rules.Action) {
+func (p *Peers) Send(to int, a scheduler.Action) {
 	if text := protocol.FormatNote(a); text != nil {
 		p.SendBytes(to, text)
 	}
@@ -89,7 +89,7 @@
 }
 
 // Run hands what comes to hear until ctx ends.
-func (p *Peers) Run(ctx context.Context, hear func(rules.Event)) {
+func (p *Peers) Run(ctx context.Context, hear func(scheduler.Event)) {
 	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
 	buffer := make([]byte, protocol.LongestNote+1)
 	for ctx.Err() == nil {
@@ -113,7 +113,7 @@
 }
 
 // receive hands on one datagram.
-func (p *Peers) receive(from netip.AddrPort, text []byte, hear func(rules.Event)) {
+func (p *Peers) receive(from netip.AddrPort, text []byte, hear func(scheduler.Event)) {
 	number, known := p.numbers[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 	switch {
 	case !known:
--- a/internal/net/transport/peers_test.go
+++ b/internal/net/transport/peers_test.go
@@ -11,8 +11,8 @@
 
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/standin"
-	"otterturn/rules"
-	"otterturn/rules/cold"
+	"otterturn/scheduler"
+	"otterturn/scheduler/slowstart"
 )
 
 // An answer of discovery that names some 450 nodes was longer than what was read of it, so the list froze. Fleets have
@@ -43,7 +43,7 @@
 }
 
 // newPeers opens sockets for fronts, all of which know each other.
-func newPeers(t *testing.T, n int, line func(string)) (peers []*Peers, heard []chan rules.Event) {
+func newPeers(t *testing.T, n int, line func(string)) (peers []*Peers, heard []chan scheduler.Event) {
 	var addrs []netip.AddrPort
 	for range n { // a port that is free now is free a moment later, as nobody else has this address
 		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
@@ -60,8 +60,8 @@
 		}
 		ctx, end := context.WithCancel(context.Background())
 		t.Cleanup(end)
-		events := make(chan rules.Event, 16)
-		go p.Run(ctx, func(e rules.Event) { events <- e })
+		events := make(chan scheduler.Event, 16)
+		go p.Run(ctx, func(e scheduler.Event) { events <- e })
 		peers, heard = append(peers, p), append(heard, events)
 	}
 	return peers, heard
@@ -70,17 +70,17 @@
 func TestPeersHearEachOther(t *testing.T) {
 	logged := make(chan string, 1)
 	peers, heard := newPeers(t, 2, func(line string) { logged <- line })
-	wish := cold.Wish{Units: 2, Least: 1, Shown: cold.Shown{Served: 3.5, Units: 7.25, Time: 0.125}}
-	peers[0].Send(1, rules.Ask{To: 1, Node: "s-1", Wish: wish})
-	if got, want := standin.Await(t, "an ask", heard[1]), (rules.Asked{From: 0, Node: "s-1", Wish: wish}); got != want {
+	wish := slowstart.Wish{Units: 2, Least: 1, Shown: slowstart.Shown{Served: 3.5, Units: 7.25, Time: 0.125}}
+	peers[0].Send(1, scheduler.Ask{To: 1, Node: "s-1", Wish: wish})
+	if got, want := standin.Await(t, "an ask", heard[1]), (scheduler.Asked{From: 0, Node: "s-1", Wish: wish}); got != want {
 		t.Errorf("heard %v, want %v", got, want)
 	}
-	peers[1].Send(0, rules.Grant{To: 0, Node: "s-1", Units: 2, Until: 17})
-	if got, want := standin.Await(t, "a grant", heard[0]), (rules.Granted{From: 1, Node: "s-1", Units: 2, Until: 17}); got != want {
+	peers[1].Send(0, scheduler.Grant{To: 0, Node: "s-1", Units: 2, Until: 17})
+	if got, want := standin.Await(t, "a grant", heard[0]), (scheduler.Granted{From: 1, Node: "s-1", Units: 2, Until: 17}); got != want {
 		t.Errorf("heard %v, want %v", got, want)
 	}
 	// What can't be read, comes from elsewhere or is too long ends nothing.
-	peers[0].Send(7, rules.Ask{To: 7, Node: "s-1"})
+	peers[0].Send(7, scheduler.Ask{To: 7, Node: "s-1"})
 	peers[0].conn.WriteToUDPAddrPort([]byte("ask x 1 1 1 1 5 s-1"), peers[1].addrs[1])
 	if line := standin.Await(t, "a line", logged); !strings.Contains(line, "units") {
 		t.Errorf("logged %q, which names no field", line)
@@ -92,8 +92,8 @@
 	defer stranger.Close()
 	stranger.Write([]byte("grant 2.000 17 s-1"))
 	peers[0].conn.WriteToUDPAddrPort(make([]byte, 400), peers[1].addrs[1])
-	peers[0].Send(1, rules.Ask{To: 1, Node: "s-2", Wish: wish})
-	if got := standin.Await(t, "the next ask", heard[1]); got.(rules.Asked).Node != "s-2" {
+	peers[0].Send(1, scheduler.Ask{To: 1, Node: "s-2", Wish: wish})
+	if got := standin.Await(t, "the next ask", heard[1]); got.(scheduler.Asked).Node != "s-2" {
 		t.Errorf("heard %v", got)
 	}
 }
@@ -121,7 +121,7 @@
 		from int
 		text string
 	}
-	taken, drops, heard := make(chan datagram, 16), make(chan error, 16), make(chan rules.Event, 16)
+	taken, drops, heard := make(chan datagram, 16), make(chan error, 16), make(chan scheduler.Event, 16)
 	peers[1].Take = func(from int, text []byte) bool {
 		if text[0] != '!' {
 			return false
@@ -131,7 +131,7 @@
 	}
 	peers[1].Drop = func(_ netip.AddrPort, why error) { drops <- why }
 	for _, p := range peers {
-		go p.Run(t.Context(), func(e rules.Event) { heard <- e })
+		go p.Run(t.Context(), func(e scheduler.Event) { heard <- e })
 	}
 	peers[0].SendBytes(7, []byte("!nobody"))
 	peers[0].SendBytes(1, []byte("!mine"))
@@ -155,8 +155,8 @@
 	if err := standin.Await(t, "a drop", drops); err != ErrNoPeer {
 		t.Error(err)
 	}
-	peers[0].Send(1, rules.Grant{To: 1, Node: "s-1", Units: 2, Until: 17})
-	if got := standin.Await(t, "a grant", heard); got.(rules.Granted).Node != "s-1" {
+	peers[0].Send(1, scheduler.Grant{To: 1, Node: "s-1", Units: 2, Until: 17})
+	if got := standin.Await(t, "a grant", heard); got.(scheduler.Granted).Node != "s-1" {
 		t.Errorf("heard %v", got)
 	}
 }
--- a/internal/net/transport/roundtrip.go
+++ b/internal/net/transport/roundtrip.go
@@ -10,7 +10,7 @@
 
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // RoundTripper carries a client's request through the core to the nodes. http.Transport would send a GET or a
@@ -47,7 +47,7 @@
 	}
 	var answer handed
 	resp, err := routing.Do(r.Context(), t.core, m.Request.Request,
-		func(ctx context.Context, a routing.Attempt) (resp *http.Response, outcome rules.Outcome) {
+		func(ctx context.Context, a routing.Attempt) (resp *http.Response, outcome scheduler.Outcome) {
 			defer func() { answer.put(resp) }()
 			if m.upload != nil {
 				return t.nodes.finish(ctx, a, m.upload)
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -12,11 +12,11 @@
 	"otterturn/internal/limits"
 	files "otterturn/internal/net/protocol/sftp"
 	"otterturn/internal/net/routing"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Attempter carries out a command at a node once.
-type Attempter func(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, rules.Outcome)
+type Attempter func(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, scheduler.Outcome)
 
 // Site is what the operator set up for the front.
 type Site struct {
@@ -128,18 +128,18 @@
 
 // request is a command as the core sees it, and the project that it belongs to. Commands that no node can carry
 // out are an error.
-func (f *Front) request(cmd files.Command) (rules.Request, *tally, error) {
+func (f *Front) request(cmd files.Command) (scheduler.Request, *tally, error) {
 	project, ok := files.Find(f.site.Projects, cmd.Path)
 	if !ok {
-		return rules.Request{}, nil, files.NoSuchFile(cmd.Path)
+		return scheduler.Request{}, nil, files.NoSuchFile(cmd.Path)
 	}
 	if cmd.Target != "" {
 		if to, _ := files.Find(f.site.Projects, cmd.Target); to.Name != project.Name {
-			return rules.Request{}, nil, files.Unsupported("a rename between projects")
+			return scheduler.Request{}, nil, files.Unsupported("a rename between projects")
 		}
 	}
 	role := cmd.Role(f.site.Sizes)
-	return rules.Request{ID: "sftp-" + strconv.FormatInt(f.ids.Add(1), 10), Class: f.site.Classes[role],
+	return scheduler.Request{ID: "sftp-" + strconv.FormatInt(f.ids.Add(1), 10), Class: f.site.Classes[role],
 		Plan: project.Plan, Volume: project.Name, Key: cmd.Path, Units: cmd.Units(f.site.Sizes), Shard: project.Shard,
-		Hosts: 1, Left: rules.Micros(f.site.Wait[role] / time.Microsecond)}, f.tallies[project.Name], nil
+		Hosts: 1, Left: scheduler.Micros(f.site.Wait[role] / time.Microsecond)}, f.tallies[project.Name], nil
 }
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -19,7 +19,7 @@
 	files "otterturn/internal/net/protocol/sftp"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // bench is a front before nodes on loopback. Projects /a and /b lie on shards 0 and 1.
@@ -44,7 +44,7 @@
 	b.core = standin.Core(t, set, b.client.Probe(l))
 	list := protocol.List{Whole: true}
 	for i, addr := range nodes {
-		list.Hosts = append(list.Hosts, host(i, addr, rules.Running))
+		list.Hosts = append(list.Hosts, host(i, addr, scheduler.Running))
 	}
 	b.tell(list)
 	b.front = NewFront(Site{
@@ -67,8 +67,8 @@
 	return b
 }
 
-func host(shard int, addr string, state rules.NodeState) protocol.Host {
-	return protocol.Host{Dial: addr, Listing: rules.Listing{Node: "node-" + string(rune('a'+shard)), Shard: shard,
+func host(shard int, addr string, state scheduler.NodeState) protocol.Host {
+	return protocol.Host{Dial: addr, Listing: scheduler.Listing{Node: "node-" + string(rune('a'+shard)), Shard: shard,
 		State: state}}
 }
 
@@ -261,7 +261,7 @@
 		out <- err
 	}()
 	standin.Await(t, "the listing at the node", begun)
-	b.tell(protocol.List{Hosts: []protocol.Host{host(0, node.Addr, rules.Draining)}})
+	b.tell(protocol.List{Hosts: []protocol.Host{host(0, node.Addr, scheduler.Draining)}})
 	began := time.Now()
 	_, err := c.ReadDir("/a")
 	if err == nil || !strings.Contains(err.Error(), "try again in") {
@@ -271,7 +271,7 @@
 		t.Errorf("answered after %v, at its deadline", took)
 	}
 	successor := standin.NewFileServer(t)
-	next := host(0, successor.Addr, rules.Running)
+	next := host(0, successor.Addr, scheduler.Running)
 	next.Node = "node-a2" // holds the same shard
 	b.tell(protocol.List{Hosts: []protocol.Host{next}})
 	if _, err := c.ReadDir("/a"); !errors.Is(err, os.ErrNotExist) || successor.Count("List", "/a") != 1 {
--- a/internal/net/transport/sftp/transfer.go
+++ b/internal/net/transport/sftp/transfer.go
@@ -10,7 +10,7 @@
 	files "otterturn/internal/net/protocol/sftp"
 	"otterturn/internal/net/protocol/sftp/packet"
 	"otterturn/internal/net/routing"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // handle is what a client has open.
@@ -107,7 +107,7 @@
 		cmd.Op, cmd.Length, cmd.Data = files.Write, 0, slices.Clone(r.Data) // the packet's bytes are read over
 		err = h.intact()
 	}
-	var request rules.Request
+	var request scheduler.Request
 	var count *tally
 	if err == nil {
 		cmd.Path = h.path
@@ -177,8 +177,8 @@
 }
 
 // tried is the attempt of a command.
-func (f *Front) tried(cmd files.Command) func(context.Context, routing.Attempt) (files.Reply, rules.Outcome) {
-	return func(ctx context.Context, a routing.Attempt) (files.Reply, rules.Outcome) {
+func (f *Front) tried(cmd files.Command) func(context.Context, routing.Attempt) (files.Reply, scheduler.Outcome) {
+	return func(ctx context.Context, a routing.Attempt) (files.Reply, scheduler.Outcome) {
 		return f.attempt(ctx, a, cmd)
 	}
 }
--- a/internal/net/transport/sftp/upload_test.go
+++ b/internal/net/transport/sftp/upload_test.go
@@ -17,7 +17,7 @@
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // upload sends a file as OpenSSH's client does: many writes ahead, and of their answers it keeps the last status
@@ -185,11 +185,11 @@
 	if raw.status(standin.Command(6, 1, handle, uint64(0), "a")) != 0 {
 		t.Fatal("a write was not served")
 	}
-	b.tell(protocol.List{Hosts: []protocol.Host{host(0, node.Addr, rules.Draining)}})
+	b.tell(protocol.List{Hosts: []protocol.Host{host(0, node.Addr, scheduler.Draining)}})
 	if raw.status(standin.Command(6, 2, handle, uint64(1), "b")) == 0 {
 		t.Error("a write to a draining node was served")
 	}
-	b.tell(protocol.List{Hosts: []protocol.Host{host(0, node.Addr, rules.Running)}})
+	b.tell(protocol.List{Hosts: []protocol.Host{host(0, node.Addr, scheduler.Running)}})
 	if raw.status(standin.Command(6, 3, handle, uint64(2), "c")) == 0 {
 		t.Error("a write behind the hole was served")
 	}
--- a/internal/net/transport/upload.go
+++ b/internal/net/transport/upload.go
@@ -15,7 +15,7 @@
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport/nodes"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // pieces are the buffers of bodies under way.
@@ -137,15 +137,15 @@
 }
 
 // finish writes the end of a long request, and reads the answer. It can do so once.
-func (s *Nodes) finish(ctx context.Context, a routing.Attempt, u *upload) (*http.Response, rules.Outcome) {
+func (s *Nodes) finish(ctx context.Context, a routing.Attempt, u *upload) (*http.Response, scheduler.Outcome) {
 	if u.node != a.Node || u.release == nil || a.Begin.Err() != nil {
-		return nil, rules.Outcome{Result: rules.Moot}
+		return nil, scheduler.Outcome{Result: scheduler.Moot}
 	}
 	u.release = nil
 	resp, out, written := s.outcome(ctx, a.Node, u.conn, u.request, u.end)
-	if !written && out.Result == rules.Unreachable {
+	if !written && out.Result == scheduler.Unreachable {
 		// The connection had stood open for long: that it broke says little of the node, which a new one tells.
-		out = rules.Outcome{Result: rules.Reset, Alive: s.Renew(a.Node)}
+		out = scheduler.Outcome{Result: scheduler.Reset, Alive: s.Renew(a.Node)}
 	}
 	return resp, out
 }
--- a/internal/net/transport/watch_test.go
+++ b/internal/net/transport/watch_test.go
@@ -13,7 +13,7 @@
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/roster"
 	"otterturn/internal/standin"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // watched runs a watch before a discovery that answers as the script says, nothing for "", and gives the calls and lists.
@@ -59,7 +59,7 @@
 			t.Errorf("behind silence: %s", query)
 		}
 	}
-	if got := standin.Await(t, "the list", lists); got.Seq != 42 || got.Hosts[0].State != rules.Draining {
+	if got := standin.Await(t, "the list", lists); got.Seq != 42 || got.Hosts[0].State != scheduler.Draining {
 		t.Errorf("%+v", got)
 	}
 	if query := standin.Await(t, "the next watch", calls); strings.HasSuffix(query, "hold_ms=0") {
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -24,7 +24,7 @@
 	"otterturn/internal/net/transport"
 	"otterturn/internal/net/transport/sftp"
 	"otterturn/internal/state/keeper"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Appliance is one site's front as the operator's file sets it up.
@@ -227,7 +227,7 @@
 	list := a.listed.list(dial)
 	for i, h := range list.Hosts {
 		if a.drained[h.Node] {
-			list.Hosts[i].State = rules.Draining
+			list.Hosts[i].State = scheduler.Draining
 		}
 	}
 	return list
--- a/internal/program/console.go
+++ b/internal/program/console.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"otterturn/internal/net/routing"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Bounds of the console.
@@ -134,7 +134,7 @@
 
 func (c *console) nodes() string {
 	var out strings.Builder
-	states := map[rules.NodeState]string{rules.Running: "running", rules.Draining: "draining"}
+	states := map[scheduler.NodeState]string{scheduler.Running: "running", scheduler.Draining: "draining"}
 	for _, n := range c.appliance.client.States() {
 		fmt.Fprintf(&out, "%s shard %d %s\n", n.Node, n.Shard, states[n.State])
 	}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/BurntSushi/toml"
 
 	"otterturn/internal/fleet/health"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // fleetVariable names the operator's file of what the fronts do together. Where it is not set each acts for itself.
@@ -190,4 +190,4 @@
 	return first, last, nil
 }
 
-func inMicros(d time.Duration) rules.Micros { return rules.Micros(d / time.Microsecond) }
+func inMicros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
--- a/internal/program/fleet_health.go
+++ b/internal/program/fleet_health.go
@@ -11,7 +11,7 @@
 	"otterturn/internal/fleet/monitor"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/transport"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Bounds of the monitor of the zone's health.
@@ -31,7 +31,7 @@
 
 // newMonitor sets up the monitor of the zone's health as the operator's file tells. It is nil where that is off. The
 // figures of the start, which the file has to fit, hold while the process runs.
-func (p *platform) newMonitor(probe func(string) rules.Probed) (*monitor.Monitor, error) {
+func (p *platform) newMonitor(probe func(string) scheduler.Probed) (*monitor.Monitor, error) {
 	path := os.Getenv(fleetVariable)
 	if path == "" {
 		return nil, nil
@@ -52,9 +52,9 @@
 		return nil, misuse{fmt.Errorf("%s: %w", path, err)}
 	}
 	return monitor.New(config, monitor.Bounds{Inbox: max(leastInbox, p.limits.Requests.Inbox), Hold: longestProbe}, monitor.Hooks{
-		Now:    func() rules.Micros { return p.core.Now() },
+		Now:    func() scheduler.Micros { return p.core.Now() },
 		Probe:  probe,
-		Report: func(e rules.Event) { p.core.Hear(e) },
+		Report: func(e scheduler.Event) { p.core.Hear(e) },
 		Send:   p.sendToFront,
 		Log:    p.log})
 }
@@ -91,7 +91,7 @@
 }
 
 // tellMonitor hands news of the node list on, where anybody wants it.
-func (p *platform) tellMonitor(news rules.Nodes) {
+func (p *platform) tellMonitor(news scheduler.Nodes) {
 	if p.monitor != nil {
 		p.monitor.Told(news)
 	}
@@ -99,7 +99,7 @@
 
 // changedFleet reads the fleet's file anew, for settings that are about to hold. What it brings holds once the returned
 // function was called, which does not fail for what the file says. Whether health is shared holds from a start on.
-func (p *platform) changedFleet(set rules.Settings) (apply func() error, err error) {
+func (p *platform) changedFleet(set scheduler.Settings) (apply func() error, err error) {
 	if p.fleetPath == "" {
 		return func() error { return nil }, nil
 	}
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -11,7 +11,7 @@
 	"otterturn/internal/handover"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // handoverSocket stands in $TMPDIR, which the processes of a front share.
@@ -59,7 +59,7 @@
 			socket.Close()
 		}
 	}
-	if err := p.core.Resume(rules.Learned{}, p.talks); err != nil {
+	if err := p.core.Resume(scheduler.Learned{}, p.talks); err != nil {
 		p.log.Error("limits let nothing flow in", "error", err)
 		return
 	}
@@ -169,7 +169,7 @@
 	p.nodes.CloseIdle()
 	p.log.Info("handed over")
 	p.hearBeside(c)
-	p.takeBack(rules.Learned{})
+	p.takeBack(scheduler.Learned{})
 	return errors.New("it has ended")
 }
 
@@ -198,7 +198,7 @@
 }
 
 // takeBack has this process serve again, as the successor is gone. unused is what that one never used.
-func (p *platform) takeBack(unused rules.Learned) {
+func (p *platform) takeBack(unused scheduler.Learned) {
 	p.beside.Store(nil)
 	p.core.Announce(nil)
 	if p.peers != nil {
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -15,7 +15,7 @@
 	"otterturn/internal/net/protocol"
 	files "otterturn/internal/net/protocol/sftp"
 	"otterturn/internal/net/transport/sftp"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Operator is the operator's file: an appliance's nodes, projects, fronts and limits.
@@ -318,29 +318,29 @@
 // Settings are the figures of the scheduler and of the HTTP front.
 func (o *Operator) Settings() protocol.Settings {
 	out := protocol.Settings{Classes: classNames, MaxOpen: o.Limits.Open, ConnIdle: o.Limits.NodeIdle,
-		Connect: o.Limits.Connect, Retry: o.Limits.RetryAfter, Rules: rules.Settings{
+		Connect: o.Limits.Connect, Retry: o.Limits.RetryAfter, Rules: scheduler.Settings{
 			Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: mostUnits, MaxTries: o.Limits.Tries, Probing: true, LateWanted: true,
-			RetryAfter: true, MaxRetryAfter: rules.Micros(o.Limits.RetryAfter / time.Microsecond)}}
+			RetryAfter: true, MaxRetryAfter: scheduler.Micros(o.Limits.RetryAfter / time.Microsecond)}}
 	if k := o.Learned; k.Folder != "" {
-		out.Rules.Lease = rules.Micros(k.Lease / time.Microsecond)
-		out.Rules.LeaseLast = rules.Micros(recordLasts * k.Interval / time.Microsecond)
+		out.Rules.Lease = scheduler.Micros(k.Lease / time.Microsecond)
+		out.Rules.LeaseLast = scheduler.Micros(recordLasts * k.Interval / time.Microsecond)
 	}
-	write := rules.Keyed
+	write := scheduler.Keyed
 	if o.Classes["write"].Repeat == "never" {
-		write = rules.Unsafe
+		write = scheduler.Unsafe
 	}
 	for role, repeat := range files.Repeats(write) {
 		c := o.Classes[classNames[min(role, int(files.RoleWrite))]]
 		out.LongestWait = max(out.LongestWait, c.Wait)
-		out.Rules.Classes = append(out.Rules.Classes, rules.Class{Aim: rules.Micros(c.Within / time.Microsecond),
-			Repeat: repeat, Group: rules.SameShard, Window: rules.Micros(c.Window / time.Microsecond), Worth: c.Worth})
+		out.Rules.Classes = append(out.Rules.Classes, scheduler.Class{Aim: scheduler.Micros(c.Within / time.Microsecond),
+			Repeat: repeat, Group: scheduler.SameShard, Window: scheduler.Micros(c.Window / time.Microsecond), Worth: c.Worth})
 	}
 	for _, n := range o.Nodes {
 		out.Shards = max(out.Shards, n.Shard+1)
 	}
 	for _, p := range o.Plans {
 		out.Plans = append(out.Plans, p.Name)
-		out.Rules.Plans = append(out.Rules.Plans, rules.Plan{Reservation: p.Reservation, Weight: p.Weight,
+		out.Rules.Plans = append(out.Rules.Plans, scheduler.Plan{Reservation: p.Reservation, Weight: p.Weight,
 			Limit: p.Limit, Burst: p.Burst})
 	}
 	return out
@@ -366,7 +366,7 @@
 	out := protocol.List{Whole: true}
 	for _, n := range o.Nodes {
 		out.Hosts = append(out.Hosts, protocol.Host{Dial: dial(n.SFTP, n.HTTP),
-			Listing: rules.Listing{Node: n.Name, Shard: n.Shard}})
+			Listing: scheduler.Listing{Node: n.Name, Shard: n.Shard}})
 	}
 	return out
 }
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -12,7 +12,7 @@
 	"otterturn/internal/state/keeper"
 	"otterturn/internal/state/snapshot"
 	"otterturn/internal/state/store"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Bounds of saving.
@@ -38,7 +38,7 @@
 		Rules: a.operator.Settings().Rules, Log: a.log, Nodes: a.listing,
 		Shutdown: saveLast}, a.core, s)
 	for _, n := range a.keeper.Recall() {
-		if n.State == rules.Draining && a.knows(n.Node) {
+		if n.State == scheduler.Draining && a.knows(n.Node) {
 			a.drained[n.Node] = true
 			a.log.Info("a node still drains, as the operator had it", "node", n.Node)
 		}
@@ -70,7 +70,7 @@
 	defer a.mu.Unlock()
 	var out []snapshot.Node
 	for _, h := range a.hosts(func(sftp, http string) string { return sftp + " " + http }).Hosts {
-		out = append(out, snapshot.Node{Known: rules.Known{Listing: h.Listing}, Addr: strings.TrimSpace(h.Dial)})
+		out = append(out, snapshot.Node{Known: scheduler.Known{Listing: h.Listing}, Addr: strings.TrimSpace(h.Dial)})
 	}
 	return out
 }
--- a/internal/program/state_command.go
+++ b/internal/program/state_command.go
@@ -13,7 +13,7 @@
 	"otterturn/internal/state/ageing"
 	"otterturn/internal/state/snapshot"
 	"otterturn/internal/state/store"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Kept carries out an operator's command on what is kept: show, check, or forget. Where an appliance runs on the
@@ -59,7 +59,7 @@
 
 // check tells of each file in the folder whether a start would use it. It fails if one would not be used.
 func check(o Operator, out io.Writer) error {
-	now := ageing.Now{At: rules.Micros(time.Now().UnixMicro()), Front: o.Learned.Front,
+	now := ageing.Now{At: scheduler.Micros(time.Now().UnixMicro()), Front: o.Learned.Front,
 		Settings: snapshot.Fingerprint(o.Settings().Rules)}
 	var failed error
 	for i, name := range []string{"the last one", "the one before"} {
@@ -101,8 +101,8 @@
 		return hit
 	}
 	snap.Nodes = slices.DeleteFunc(snap.Nodes, func(n snapshot.Node) bool { return drop("node", n.Node) })
-	snap.Accounts = slices.DeleteFunc(snap.Accounts, func(a rules.Account) bool { return drop("project", a.Volume) })
-	snap.Leads = slices.DeleteFunc(snap.Leads, func(l rules.Lead) bool { return drop("project", l.Volume) })
+	snap.Accounts = slices.DeleteFunc(snap.Accounts, func(a scheduler.Account) bool { return drop("project", a.Volume) })
+	snap.Leads = slices.DeleteFunc(snap.Leads, func(l scheduler.Lead) bool { return drop("project", l.Volume) })
 	if !known {
 		return fmt.Errorf("nothing is kept of a %s %q", what[0], what[1])
 	}
@@ -127,7 +127,7 @@
 	if len(s.Nodes) > 0 {
 		fmt.Fprintln(w, "node\tshard\tstate\taddress\tusual\ttarget\tbudget\terrors\tlast heard")
 	}
-	states := map[rules.NodeState]string{rules.Running: "running", rules.Draining: "draining", rules.Gone: "gone"}
+	states := map[scheduler.NodeState]string{scheduler.Running: "running", scheduler.Draining: "draining", scheduler.Gone: "gone"}
 	for _, n := range s.Nodes {
 		heard := "never"
 		if n.Answered > 0 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Roster is the list. A ban is a node's name, not its process: it outlasts restarts of the node and whatever the
@@ -36,7 +36,7 @@
 		}
 	}
 	for i, h := range out.Hosts {
-		if h.State == rules.Gone {
+		if h.State == scheduler.Gone {
 			delete(r.hosts, h.Node)
 		} else {
 			r.hosts[h.Node] = h
@@ -48,8 +48,8 @@
 
 // seen is a node's entry as it is acted on: one that is banned takes nothing new, as one that drains.
 func (r *Roster) seen(h protocol.Host) protocol.Host {
-	if _, banned := r.bans[h.Node]; banned && h.State == rules.Running {
-		h.State = rules.Draining
+	if _, banned := r.bans[h.Node]; banned && h.State == scheduler.Running {
+		h.State = scheduler.Draining
 	}
 	return h
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -14,7 +14,7 @@
 
 	"otterturn/internal/limits"
 	"otterturn/internal/net/routing"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Patience is how long a test waits for what must come.
@@ -27,23 +27,23 @@
 }
 
 // Settings have three classes: safe, keyed within the shard, and not to be repeated.
-func Settings() rules.Settings {
-	aim := rules.Micros(300_000)
-	return rules.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 4,
+func Settings() scheduler.Settings {
+	aim := scheduler.Micros(300_000)
+	return scheduler.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 4,
 		RetryAfter: true, MaxRetryAfter: 2_000_000,
-		Classes: []rules.Class{
-			{Aim: aim, Repeat: rules.Safe, Worth: 1},
-			{Aim: aim, Repeat: rules.Keyed, Group: rules.SameShard, Window: 60_000_000, Worth: 1},
-			{Aim: aim, Repeat: rules.Unsafe, Worth: 1},
+		Classes: []scheduler.Class{
+			{Aim: aim, Repeat: scheduler.Safe, Worth: 1},
+			{Aim: aim, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 60_000_000, Worth: 1},
+			{Aim: aim, Repeat: scheduler.Unsafe, Worth: 1},
 		},
-		Plans: []rules.Plan{{Weight: 1}}}
+		Plans: []scheduler.Plan{{Weight: 1}}}
 }
 
 // Core starts a core that ends with the test.
-func Core(t *testing.T, set rules.Settings, probe func(string) rules.Probed) *routing.Core {
+func Core(t *testing.T, set scheduler.Settings, probe func(string) scheduler.Probed) *routing.Core {
 	t.Helper()
 	if probe == nil {
-		probe = func(node string) rules.Probed { return rules.Probed{Node: node, OK: true, Queue: -1} }
+		probe = func(node string) scheduler.Probed { return scheduler.Probed{Node: node, OK: true, Queue: -1} }
 	}
 	l := Limits()
 	l.Requests.Inbox = 64
--- a/internal/state/ageing/ageing.go
+++ b/internal/state/ageing/ageing.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"otterturn/internal/state/snapshot"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Rates at which knowledge fades.
@@ -44,10 +44,10 @@
 
 // Now is what a snapshot is held against.
 type Now struct {
-	At       rules.Micros
+	At       scheduler.Micros
 	Front    string
 	Settings uint64
-	Fresh    rules.Habits // what a fresh front assumes of a node
+	Fresh    scheduler.Habits // what a fresh front assumes of a node
 	Nodes    []snapshot.Node
 }
 
@@ -64,12 +64,12 @@
 	return nil
 }
 
-func duration(m rules.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
+func duration(m scheduler.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
 
 // Fade returns what still counts. older tells that a later snapshot was written and can't be read: what projects
 // drew since is unknown then, so their limits' stores start empty.
-func Fade(s snapshot.Snapshot, now Now, older bool) rules.Learned {
-	out := rules.Learned{At: now.At}
+func Fade(s snapshot.Snapshot, now Now, older bool) scheduler.Learned {
+	out := scheduler.Learned{At: now.At}
 	age := duration(now.At - s.Saved)
 	if age >= horizon {
 		return out
@@ -80,7 +80,7 @@
 	}
 	for _, n := range now.Nodes {
 		if old, ok := learned[n.Node]; ok {
-			out.Nodes = append(out.Nodes, rules.Known{Listing: n.Listing, Habits: node(old, n, now, age)})
+			out.Nodes = append(out.Nodes, scheduler.Known{Listing: n.Listing, Habits: node(old, n, now, age)})
 		}
 	}
 	for _, a := range s.Accounts {
@@ -88,7 +88,7 @@
 			a.Bucket.Level, a.Bucket.Lease, a.Bucket.Bound = 0, 0, 0
 			a.Bucket.At = now.At
 		}
-		a.Reserve = min(a.Reserve, float64(now.At+rules.Micros(reserveAhead/time.Microsecond)))
+		a.Reserve = min(a.Reserve, float64(now.At+scheduler.Micros(reserveAhead/time.Microsecond)))
 		out.Accounts = append(out.Accounts, a)
 	}
 	for _, l := range s.Leads {
@@ -101,7 +101,7 @@
 }
 
 // node is what is left of a node's habits. One that started anew or moved is not the node that was learned.
-func node(old, listed snapshot.Node, now Now, age time.Duration) rules.Habits {
+func node(old, listed snapshot.Node, now Now, age time.Duration) scheduler.Habits {
 	fresh := now.Fresh
 	if old.Since != listed.Since {
 		return fresh // the list's own start time has it guarded as cold
--- a/internal/state/ageing/ageing_test.go
+++ b/internal/state/ageing/ageing_test.go
@@ -9,26 +9,26 @@
 	"pgregory.net/rapid"
 
 	"otterturn/internal/state/snapshot"
-	"otterturn/rules"
-	"otterturn/rules/bucket"
-	"otterturn/rules/curve"
+	"otterturn/scheduler"
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/tokenbucket"
 )
 
-var fresh = rules.Habits{Budget: 8, Target: 150e3}
+var fresh = scheduler.Habits{Budget: 8, Target: 150e3}
 
-const at = rules.Micros(1_800_000_000_000_000)
+const at = scheduler.Micros(1_800_000_000_000_000)
 
-func micros(d time.Duration) rules.Micros { return rules.Micros(d / time.Microsecond) }
+func micros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
 
-func listed(name, addr string, since rules.Micros) snapshot.Node {
-	return snapshot.Node{Addr: addr, Known: rules.Known{Listing: rules.Listing{Node: name, Since: since}}}
+func listed(name, addr string, since scheduler.Micros) snapshot.Node {
+	return snapshot.Node{Addr: addr, Known: scheduler.Known{Listing: scheduler.Listing{Node: name, Since: since}}}
 }
 
 // learned is a snapshot of an age that knows a node as slow and failing.
 func learned(age time.Duration, nodes ...snapshot.Node) snapshot.Snapshot {
 	s := snapshot.Snapshot{Front: "a", Settings: 1, Saved: at - micros(age)}
 	for _, n := range nodes {
-		n.Habits = rules.Habits{Budget: 3, Target: 900e3, Usual: 700e3, Before: 800e3, Unit: 90e3, Errors: 0.8,
+		n.Habits = scheduler.Habits{Budget: 3, Target: 900e3, Usual: 700e3, Before: 800e3, Unit: 90e3, Errors: 0.8,
 			Curve: make(curve.Curve, 16), Judged: s.Saved, Answered: s.Saved, Suspect: s.Saved}
 		s.Nodes = append(s.Nodes, n)
 	}
@@ -108,7 +108,7 @@
 		time := rapid.Int64Range(0, 2*int64(at))
 		h := &s.Nodes[0].Habits
 		h.Budget, h.Target, h.Usual = value.Draw(t, "budget"), value.Draw(t, "target"), value.Draw(t, "usual")
-		h.Answered, h.Judged = rules.Micros(time.Draw(t, "answered")), rules.Micros(time.Draw(t, "judged"))
+		h.Answered, h.Judged = scheduler.Micros(time.Draw(t, "answered")), scheduler.Micros(time.Draw(t, "judged"))
 		for _, k := range Fade(s, now(n), rapid.Bool().Draw(t, "older")).Nodes {
 			if k.Budget > fresh.Budget || k.Answered > at || k.Judged > at || k.Suspect > at || k.Usual < 0 {
 				t.Fatalf("%+v", k)
@@ -119,14 +119,14 @@
 
 func TestAccounts(t *testing.T) {
 	s := learned(time.Second)
-	record := bucket.Bucket[rules.Micros]{Level: 20, At: s.Saved, Lease: 5, Bound: at + 1}
-	s.Accounts = []rules.Account{{Volume: "v", Hosts: 1, Reserve: float64(at) + 1e9, Bucket: record}}
+	record := tokenbucket.Bucket[scheduler.Micros]{Level: 20, At: s.Saved, Lease: 5, Bound: at + 1}
+	s.Accounts = []scheduler.Account{{Volume: "v", Hosts: 1, Reserve: float64(at) + 1e9, Bucket: record}}
 	got := Fade(s, now(), false).Accounts
 	if len(got) != 1 || got[0].Bucket != record || got[0].Reserve != float64(at)+1e6 {
 		t.Errorf("%+v", got)
 	}
 	// Once its time is over the front may have drawn without a lease, and so it may have behind a later record.
-	empty := bucket.Bucket[rules.Micros]{At: at}
+	empty := tokenbucket.Bucket[scheduler.Micros]{At: at}
 	if got := Fade(s, now(), true).Accounts[0].Bucket; got != empty {
 		t.Errorf("of an older snapshot: %+v", got)
 	}
@@ -138,7 +138,7 @@
 
 func TestLeadsAreForgottenWithTheirFlows(t *testing.T) {
 	s := learned(8 * time.Second)
-	s.Leads = []rules.Lead{{Volume: "v", Units: 10, Last: s.Saved}, {Volume: "w", Units: 10, Last: s.Saved - micros(leadLife)}}
+	s.Leads = []scheduler.Lead{{Volume: "v", Units: 10, Last: s.Saved}, {Volume: "w", Units: 10, Last: s.Saved - micros(leadLife)}}
 	got := Fade(s, now(), false).Leads
 	if len(got) != 1 || got[0].Volume != "v" || got[0].Units != 5 {
 		t.Errorf("%+v", got)
--- a/internal/state/keeper/cost_test.go
+++ b/internal/state/keeper/cost_test.go
@@ -8,36 +8,36 @@
 
 	"otterturn/internal/standin"
 	"otterturn/internal/state/snapshot"
-	"otterturn/rules"
-	"otterturn/rules/bucket"
-	"otterturn/rules/curve"
+	"otterturn/scheduler"
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/tokenbucket"
 )
 
 // large is a scheduler that knows much of as many nodes and of ten projects for each, all of them with a limit.
-func large(tb testing.TB, nodes int) (*rules.Scheduler, rules.Micros) {
+func large(tb testing.TB, nodes int) (*scheduler.Scheduler, scheduler.Micros) {
 	set := standin.Settings()
-	set.Plans = []rules.Plan{{Weight: 1, Limit: 12, Burst: 36}}
+	set.Plans = []scheduler.Plan{{Weight: 1, Limit: 12, Burst: 36}}
 	set.Lease, set.LeaseLast = 500_000, 30_000_000
-	s, err := rules.New(set, 1)
+	s, err := scheduler.New(set, 1)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	now := rules.Micros(1_800_000_000_000_000)
-	list, l := rules.Nodes{Full: true}, rules.Learned{At: now}
+	now := scheduler.Micros(1_800_000_000_000_000)
+	list, l := scheduler.Nodes{Full: true}, scheduler.Learned{At: now}
 	for i := range nodes {
-		k := rules.Known{Listing: rules.Listing{Node: fmt.Sprint("node-", i), Shard: i}}
+		k := scheduler.Known{Listing: scheduler.Listing{Node: fmt.Sprint("node-", i), Shard: i}}
 		list.List = append(list.List, k.Listing)
-		k.Habits = rules.Habits{Budget: 5, Target: 150e3, Usual: 31e3, Before: 33e3, Unit: 12e3, Answered: now}
+		k.Habits = scheduler.Habits{Budget: 5, Target: 150e3, Usual: 31e3, Before: 33e3, Unit: 12e3, Answered: now}
 		for p := range 16 {
 			k.Curve = append(k.Curve, curve.Point{Throughput: float64(100 + p), Latency: 30e3, Low: 20e3})
 		}
 		l.Nodes = append(l.Nodes, k)
 	}
 	for i := range 10 * nodes {
-		l.Accounts = append(l.Accounts, rules.Account{Volume: fmt.Sprint("project-", i), Hosts: 1,
-			Bucket: bucket.Bucket[rules.Micros]{Level: 3, At: now, Bound: now + 6_000_000}})
+		l.Accounts = append(l.Accounts, scheduler.Account{Volume: fmt.Sprint("project-", i), Hosts: 1,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 3, At: now, Bound: now + 6_000_000}})
 	}
-	s.Step(now, []rules.Event{list})
+	s.Step(now, []scheduler.Event{list})
 	s.Recall(now, l)
 	return s, now
 }
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -13,7 +13,7 @@
 	"otterturn/internal/state/ageing"
 	"otterturn/internal/state/snapshot"
 	"otterturn/internal/state/store"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // part is how many entries are taken from the scheduler at a time, so that a large fleet doesn't make it pause.
@@ -24,7 +24,7 @@
 	Front    string
 	Every    time.Duration // between two saves
 	Least    time.Duration // and at the least, however low leases run
-	Rules    rules.Settings
+	Rules    scheduler.Settings
 	Log      *slog.Logger
 	Nodes    func() []snapshot.Node // the list as last told, with addresses
 	Shutdown time.Duration          // the last save may take so long
@@ -77,8 +77,8 @@
 	return found.Nodes
 }
 
-func listings(nodes []snapshot.Node) rules.Nodes {
-	out := rules.Nodes{Full: true}
+func listings(nodes []snapshot.Node) scheduler.Nodes {
+	out := scheduler.Nodes{Full: true}
 	for _, n := range nodes {
 		out.List = append(out.List, n.Listing)
 	}
@@ -150,7 +150,7 @@
 		return err // the core has ended, or ctx
 	}
 	r, err := k.store.Save(snap)
-	k.core.Recorded(rules.Recorded{There: r.There, Sure: r.Sure})
+	k.core.Recorded(scheduler.Recorded{There: r.There, Sure: r.Sure})
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	before := k.status.Error
--- a/internal/state/keeper/limit_test.go
+++ b/internal/state/keeper/limit_test.go
@@ -8,32 +8,32 @@
 	"otterturn/internal/standin"
 	"otterturn/internal/state/ageing"
 	"otterturn/internal/state/snapshot"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // front is a scheduler in virtual time before a node that answers at once, with its file.
 type front struct {
 	t       *testing.T
 	rng     *rand.Rand
-	set     rules.Settings
-	now     rules.Micros
-	s       *rules.Scheduler
-	disk    []byte       // the file
-	before  []byte       // and the one before
-	writing []byte       // a save under way
-	level   float64      // of the limit's store, as nobody forgets it
-	at      rules.Micros // and when
-	drawn   float64      // units sent
-	wanted  bool         // a save before its time
+	set     scheduler.Settings
+	now     scheduler.Micros
+	s       *scheduler.Scheduler
+	disk    []byte           // the file
+	before  []byte           // and the one before
+	writing []byte           // a save under way
+	level   float64          // of the limit's store, as nobody forgets it
+	at      scheduler.Micros // and when
+	drawn   float64          // units sent
+	wanted  bool             // a save before its time
 	ids     int
-	out     []rules.Event // outcomes to come
+	out     []scheduler.Event // outcomes to come
 }
 
 const volume = "limited"
 
 func newFront(t *testing.T, seed uint64) *front {
 	set := standin.Settings()
-	set.Plans = []rules.Plan{{Weight: 1, Limit: 12, Burst: 36}}
+	set.Plans = []scheduler.Plan{{Weight: 1, Limit: 12, Burst: 36}}
 	set.Lease, set.LeaseLast = 500_000, 6_000_000
 	f := &front{t: t, rng: rand.New(rand.NewPCG(seed, 1)), set: set, now: 1_800_000_000_000_000}
 	f.at = f.now
@@ -44,14 +44,14 @@
 // start is a process that begins: it reads the file, as far as that still counts.
 func (f *front) start() {
 	var err error
-	if f.s, err = rules.New(f.set, f.rng.Int64()); err != nil {
+	if f.s, err = scheduler.New(f.set, f.rng.Int64()); err != nil {
 		f.t.Fatal(err)
 	}
 	f.out, f.writing = nil, nil
-	list := rules.Nodes{Full: true, List: []rules.Listing{{Node: "a"}}}
-	f.s.Step(f.now, []rules.Event{list})
+	list := scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}}
+	f.s.Step(f.now, []scheduler.Event{list})
 	now := ageing.Now{At: f.now, Front: "f", Settings: snapshot.Fingerprint(f.set), Fresh: f.s.Fresh(),
-		Nodes: []snapshot.Node{{Known: rules.Known{Listing: list.List[0]}}}}
+		Nodes: []snapshot.Node{{Known: scheduler.Known{Listing: list.List[0]}}}}
 	for i, file := range [][]byte{f.disk, f.before} {
 		if snap, err := snapshot.Decode(file); err == nil && ageing.Judge(snap, now) == nil {
 			f.s.Recall(f.now, ageing.Fade(snap, now, i > 0))
@@ -64,12 +64,12 @@
 }
 
 // step hands events to the scheduler and checks what it sends against the limit.
-func (f *front) step(events ...rules.Event) {
+func (f *front) step(events ...scheduler.Event) {
 	for _, a := range f.s.Step(f.now, append(f.out, events...)) {
-		if _, ok := a.(rules.WriteDown); ok {
+		if _, ok := a.(scheduler.WriteDown); ok {
 			f.wanted = true
 		}
-		if send, ok := a.(rules.Send); ok {
+		if send, ok := a.(scheduler.Send); ok {
 			const units = 3
 			plan := f.set.Plans[0]
 			f.level = min(plan.Burst, f.level+plan.Limit*float64(f.now-f.at)/1e6) - units
@@ -78,7 +78,7 @@
 				f.t.Fatalf("%.3f units beyond the limit", -f.level)
 			}
 			defer func() {
-				f.out = append(f.out, rules.Outcome{ID: send.ID, Result: rules.OK, Latency: 1000, Final: true})
+				f.out = append(f.out, scheduler.Outcome{ID: send.ID, Result: scheduler.OK, Latency: 1000, Final: true})
 			}()
 		}
 	}
@@ -87,7 +87,7 @@
 
 func (f *front) ask() {
 	f.ids++
-	f.step(rules.Request{ID: fmt.Sprint(f.ids), Volume: volume, Units: 3, Left: 500_000})
+	f.step(scheduler.Request{ID: fmt.Sprint(f.ids), Volume: volume, Units: 3, Left: 500_000})
 }
 
 func (f *front) save() {
@@ -115,7 +115,7 @@
 
 // saved ends the save under way as it may end: well, ahead of the rename, or behind it and perhaps undone.
 func (f *front) saved() {
-	switch r := (rules.Recorded{There: f.rng.IntN(4) > 0, Sure: f.rng.IntN(4) > 0}); {
+	switch r := (scheduler.Recorded{There: f.rng.IntN(4) > 0, Sure: f.rng.IntN(4) > 0}); {
 	case f.writing == nil:
 		return
 	case r.There && r.Sure:
@@ -127,7 +127,7 @@
 		}
 		f.step(r)
 	default:
-		f.step(rules.Recorded{})
+		f.step(scheduler.Recorded{})
 	}
 	f.writing = nil
 }
@@ -140,7 +140,7 @@
 	if f.rng.IntN(8) == 0 && len(f.disk) > 0 {
 		f.disk = f.disk[:f.rng.IntN(len(f.disk))]
 	}
-	f.now += rules.Micros(f.rng.Int64N([]int64{1, 100_000, 2_000_000, 10_000_000}[f.rng.IntN(4)]))
+	f.now += scheduler.Micros(f.rng.Int64N([]int64{1, 100_000, 2_000_000, 10_000_000}[f.rng.IntN(4)]))
 	f.start()
 }
 
@@ -151,7 +151,7 @@
 	for seed := range uint64(300) {
 		f := newFront(t, seed)
 		for range 600 {
-			f.now += rules.Micros(f.rng.Int64N([]int64{1000, 20_000, 400_000}[f.rng.IntN(3)]))
+			f.now += scheduler.Micros(f.rng.Int64N([]int64{1000, 20_000, 400_000}[f.rng.IntN(3)]))
 			switch n := f.rng.IntN(100); {
 			case n < 70:
 				for range 1 + f.rng.IntN(4) {
@@ -178,7 +178,7 @@
 
 // What a crash costs of the limit of a project that works in bursts, against a front that never crashed.
 func TestCostOfALease(t *testing.T) {
-	run := func(every rules.Micros, keep bool) float64 {
+	run := func(every scheduler.Micros, keep bool) float64 {
 		f := newFront(t, 1)
 		if !keep {
 			f.set.Lease, f.set.LeaseLast = 0, 0
@@ -194,7 +194,7 @@
 				f.save()
 				f.moved()
 				f.writing = nil
-				f.step(rules.Recorded{There: true, Sure: true})
+				f.step(scheduler.Recorded{There: true, Sure: true})
 			}
 			if every > 0 && f.now >= crash {
 				crash, save = crash+every, f.now
@@ -204,7 +204,7 @@
 		return f.drawn
 	}
 	never := run(0, true)
-	for _, every := range []rules.Micros{30_000_000, 11_000_000, 5_000_000} {
+	for _, every := range []scheduler.Micros{30_000_000, 11_000_000, 5_000_000} {
 		with, without := run(every, true), run(every, false)
 		t.Logf("killed every %d s: %.1f%% of the units of a front that never was, with records; %.1f%% without", every/1e6,
 			100*with/never, 100*without/never)
--- a/internal/state/snapshot/golden_test.go
+++ b/internal/state/snapshot/golden_test.go
@@ -4,18 +4,18 @@
 	"reflect"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // goldenFingerprint is that of goldenSettings, as the build of 2026-12-02 wrote it into the files that it left.
 const goldenFingerprint = 0x3045f963c0cb8316
 
 // goldenSettings has every field set, so that one whose stored name changes shows.
-func goldenSettings() rules.Settings {
-	return rules.Settings{
+func goldenSettings() scheduler.Settings {
+	return scheduler.Settings{
 		Hosts: 2, Number: 1, Peers: true, Tick: 1000,
-		Classes:   []rules.Class{{Aim: 400_000, Repeat: rules.Keyed, Group: rules.SameShard, Window: 1_000_000, InOrder: true, Worth: 3}},
-		Plans:     []rules.Plan{{Reservation: 100, Weight: 2, Limit: 10, Burst: 20, Slack: 3}},
+		Classes:   []scheduler.Class{{Aim: 400_000, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 1_000_000, InOrder: true, Worth: 3}},
+		Plans:     []scheduler.Plan{{Reservation: 100, Weight: 2, Limit: 10, Burst: 20, Slack: 3}},
 		MeanUnits: 2, MostUnits: 8, Elsewhere: true, MaxOpen: 100, MaxTries: 3, Probing: true, Cancel: true, LateWanted: true,
 		RetryAfter: true, MaxRetryAfter: 2_000_000,
 		ColdFrom: 0.25, Ramp: 10_000_000, FallMultiple: 3, FallSpan: 1_000_000, ColdUnits: 8, KeyRest: 200_000,
--- a/internal/state/snapshot/snapshot.go
+++ b/internal/state/snapshot/snapshot.go
@@ -5,32 +5,32 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
-	"otterturn/rules"
-	"otterturn/rules/bucket"
-	"otterturn/rules/curve"
+	"otterturn/scheduler"
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/tokenbucket"
 )
 
 // Snapshot is what was known at a time. Times are Unix microseconds, sizes units.
 type Snapshot struct {
 	Front    string // name of the front that learned it
 	Settings uint64 // fingerprint of the settings that it learned it under
-	Saved    rules.Micros
+	Saved    scheduler.Micros
 	Count    uint64 // snapshots before this one, over all starts
 	Closed   bool   // the front ended after it, in order
 	List     int64  // version of the node list, 0 where it has none, as an operator's file
 	Nodes    []Node
-	Accounts []rules.Account
-	Leads    []rules.Lead
+	Accounts []scheduler.Account
+	Leads    []scheduler.Lead
 }
 
 // Node is a node as it was listed, with the address under which it was learned.
 type Node struct {
-	rules.Known
+	scheduler.Known
 	Addr string
 }
 
 // Fingerprint tells settings apart: what was learned under others may mean something else now.
-func Fingerprint(set rules.Settings) uint64 {
+func Fingerprint(set scheduler.Settings) uint64 {
 	set.MaxOpen, set.Lease, set.LeaseLast = 0, 0, 0 // what is learned does not depend on them
 	text, err := encoder.Marshal(set)
 	if err != nil {
@@ -121,23 +121,23 @@
 }
 
 func (f fileForm) snapshot() Snapshot {
-	out := Snapshot{Front: f.Front, Settings: f.Settings, Saved: rules.Micros(f.Saved), Count: f.Count, Closed: f.Closed, List: f.List}
+	out := Snapshot{Front: f.Front, Settings: f.Settings, Saved: scheduler.Micros(f.Saved), Count: f.Count, Closed: f.Closed, List: f.List}
 	for _, n := range f.Nodes {
-		k := rules.Known{
-			Listing: rules.Listing{Node: n.Name, Zone: n.Zone, Shard: n.Shard, State: rules.NodeState(n.State), Since: rules.Micros(n.Since)},
-			Habits: rules.Habits{Budget: n.Budget, Target: n.Target, Usual: n.Usual, Before: n.Before, Unit: n.Unit, Errors: n.Errors,
-				Judged: rules.Micros(n.Judged), Answered: rules.Micros(n.Answered), Suspect: rules.Micros(n.Suspect)}}
+		k := scheduler.Known{
+			Listing: scheduler.Listing{Node: n.Name, Zone: n.Zone, Shard: n.Shard, State: scheduler.NodeState(n.State), Since: scheduler.Micros(n.Since)},
+			Habits: scheduler.Habits{Budget: n.Budget, Target: n.Target, Usual: n.Usual, Before: n.Before, Unit: n.Unit, Errors: n.Errors,
+				Judged: scheduler.Micros(n.Judged), Answered: scheduler.Micros(n.Answered), Suspect: scheduler.Micros(n.Suspect)}}
 		for _, p := range n.Curve {
 			k.Curve = append(k.Curve, curve.Point{Throughput: p.Throughput, Latency: p.Latency, Low: p.Low})
 		}
 		out.Nodes = append(out.Nodes, Node{k, n.Addr})
 	}
 	for _, a := range f.Accounts {
-		out.Accounts = append(out.Accounts, rules.Account{Volume: a.Volume, Plan: a.Plan, Hosts: a.Hosts, Reserve: a.Reserve,
-			Bucket: bucket.Bucket[rules.Micros]{Level: a.Level, At: rules.Micros(a.At), Lease: a.Lease, Bound: rules.Micros(a.Bound)}})
+		out.Accounts = append(out.Accounts, scheduler.Account{Volume: a.Volume, Plan: a.Plan, Hosts: a.Hosts, Reserve: a.Reserve,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: a.Level, At: scheduler.Micros(a.At), Lease: a.Lease, Bound: scheduler.Micros(a.Bound)}})
 	}
 	for _, l := range f.Leads {
-		out.Leads = append(out.Leads, rules.Lead{Volume: l.Volume, Plan: l.Plan, Shard: l.Shard, Units: l.Units, Last: rules.Micros(l.Last)})
+		out.Leads = append(out.Leads, scheduler.Lead{Volume: l.Volume, Plan: l.Plan, Shard: l.Shard, Units: l.Units, Last: scheduler.Micros(l.Last)})
 	}
 	return out
 }
--- a/internal/state/snapshot/snapshot_test.go
+++ b/internal/state/snapshot/snapshot_test.go
@@ -9,9 +9,9 @@
 	"reflect"
 	"testing"
 
-	"otterturn/rules"
-	"otterturn/rules/bucket"
-	"otterturn/rules/curve"
+	"otterturn/scheduler"
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/tokenbucket"
 )
 
 var update = flag.Bool("update", false, "write the file of this version anew")
@@ -19,13 +19,13 @@
 // sample has every field set, so that one that is not kept shows.
 func sample() Snapshot {
 	return Snapshot{Front: "files-1", Settings: 7, Saved: 1_800_000_000_000_000, Count: 3, Closed: true, List: 41,
-		Nodes: []Node{{Addr: "127.0.0.1:3022", Known: rules.Known{
-			Listing: rules.Listing{Node: "node-a", Zone: 1, Shard: 2, State: rules.Draining, Since: 5},
-			Habits: rules.Habits{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
+		Nodes: []Node{{Addr: "127.0.0.1:3022", Known: scheduler.Known{
+			Listing: scheduler.Listing{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, Since: 5},
+			Habits: scheduler.Habits{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
 				Usual: 30e3, Before: 31e3, Unit: 4e3, Errors: 0.25, Judged: 6, Answered: 7, Suspect: 8}}}},
-		Accounts: []rules.Account{{Volume: "riverside", Plan: 1, Hosts: 2, Reserve: 9.5,
-			Bucket: bucket.Bucket[rules.Micros]{Level: 30, At: 10, Lease: 4, Bound: 11}}},
-		Leads: []rules.Lead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, Last: 12}}}
+		Accounts: []scheduler.Account{{Volume: "riverside", Plan: 1, Hosts: 2, Reserve: 9.5,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, Bound: 11}}},
+		Leads: []scheduler.Lead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, Last: 12}}}
 }
 
 func TestFileHoldsAllOfASnapshot(t *testing.T) {
@@ -94,10 +94,10 @@
 }
 
 func TestFingerprintTellsSettingsApart(t *testing.T) {
-	a := rules.Settings{Hosts: 1, Plans: []rules.Plan{{Limit: 12}}}
+	a := scheduler.Settings{Hosts: 1, Plans: []scheduler.Plan{{Limit: 12}}}
 	b, c := a, a
 	b.Lease, b.MaxOpen = 5, 5 // what is learned does not depend on them
-	c.Plans = []rules.Plan{{Limit: 13}}
+	c.Plans = []scheduler.Plan{{Limit: 13}}
 	if Fingerprint(a) != Fingerprint(b) || Fingerprint(a) == Fingerprint(c) {
 		t.Error("fingerprints don't follow the settings")
 	}
--- a/internal/wire/remote.go
+++ b/internal/wire/remote.go
@@ -9,7 +9,7 @@
 	"strings"
 
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // Remote is the other end of the line protocol: schedulers of another build of this program, which run behind a pipe.
@@ -33,7 +33,7 @@
 }
 
 // Launch starts a scheduler.
-func (r *Remote) Launch(name string, set rules.Settings, seed int64) (*Instance, error) {
+func (r *Remote) Launch(name string, set scheduler.Settings, seed int64) (*Instance, error) {
 	facts, err := json.Marshal(protocol.FormatSettings(set))
 	if err != nil {
 		return nil, fmt.Errorf("facts: %w", err)
@@ -47,7 +47,7 @@
 func (i *Instance) Err() error { return i.err }
 
 // Step has the scheduler take events.
-func (i *Instance) Step(now rules.Micros, events []rules.Event) []rules.Action {
+func (i *Instance) Step(now scheduler.Micros, events []scheduler.Event) []scheduler.Action {
 	if i.err != nil {
 		return nil
 	}
@@ -56,7 +56,7 @@
 		i.write(&text, e)
 	}
 	lines, err := i.remote.batch(now, text.String())
-	var out []rules.Action
+	var out []scheduler.Action
 	for _, l := range lines {
 		if a := l.action(); a != nil {
 			out = append(out, a)
@@ -72,7 +72,7 @@
 }
 
 // batch sends one batch and returns what is answered to it.
-func (r *Remote) batch(now rules.Micros, text string) (lines []*line, err error) {
+func (r *Remote) batch(now scheduler.Micros, text string) (lines []*line, err error) {
 	r.seq++
 	fmt.Fprintf(r.out, "BEGIN_BATCH\ttimeUs=%d\tseq=%d\n%sEOB\n", now, r.seq, text)
 	if err := r.out.Flush(); err != nil {
@@ -105,9 +105,9 @@
 
 var stateWords, resultWords = words(states), words(results)
 
-func (i *Instance) write(w io.Writer, e rules.Event) {
+func (i *Instance) write(w io.Writer, e scheduler.Event) {
 	switch e := e.(type) {
-	case rules.Nodes:
+	case scheduler.Nodes:
 		how := "delta"
 		if e.Full {
 			how = "full"
@@ -118,61 +118,61 @@
 				stateWords[l.State], l.Since)
 		}
 		fmt.Fprintf(w, "PEERS_KNOWN\ti=%s\thow=%s\tbank=%s\n", i.name, how, i.name)
-	case rules.Request:
+	case scheduler.Request:
 		fmt.Fprintf(w, "JOB_IN\ti=%s\trequestId=%s\tgrade=%d\tplan=%d\tvol=%s\tchunk=%s\tquotaUnits=%v\tliesIn=%d\tsetSize=%d\tleftUs=%d\n",
 			i.name, e.ID, e.Class, e.Plan, e.Volume, e.Key, e.Units, e.Shard, e.Hosts, e.Left)
-	case rules.Outcome:
+	case scheduler.Outcome:
 		final := 0
 		if e.Final {
 			final = 1
 		}
 		fmt.Fprintf(w, "RESULT\ti=%s\trequestId=%s\tseqNo=%d\tstateCode=%s\tlatencyUs=%d\tfinal=%d\telsewhere=%v\n", i.name, e.ID,
 			e.Attempt, resultWords[e.Result], e.Latency, final, e.Elsewhere)
-	case rules.Lapsed:
+	case scheduler.Lapsed:
 		fmt.Fprintf(w, "LAPSED\ti=%s\trequestId=%s\n", i.name, e.ID)
-	case rules.Probed:
+	case scheduler.Probed:
 		code, feedback := 14, ""
 		if e.OK {
 			code, feedback = 0, fmt.Sprintf("\tfeedback=backlog:%v", e.Queue)
 		}
 		fmt.Fprintf(w, "PROBE_RESULT\ti=%s\ttarget=%s\tstateCode=%d%s\n", i.name, e.Node, code, feedback)
-	case rules.Asked:
-		i.writeNote(w, e.From, rules.Ask{Node: e.Node, Since: e.Since, Wish: e.Wish})
-	case rules.Granted:
-		i.writeNote(w, e.From, rules.Grant{Node: e.Node, Units: e.Units, Until: e.Until})
-	case rules.Alarm:
+	case scheduler.Asked:
+		i.writeNote(w, e.From, scheduler.Ask{Node: e.Node, Since: e.Since, Wish: e.Wish})
+	case scheduler.Granted:
+		i.writeNote(w, e.From, scheduler.Grant{Node: e.Node, Units: e.Units, Until: e.Until})
+	case scheduler.Alarm:
 		fmt.Fprintf(w, "REMINDER\ti=%s\tctx=0\n", i.name)
 	}
 }
 
-func (i *Instance) writeNote(w io.Writer, from int, a rules.Action) {
+func (i *Instance) writeNote(w io.Writer, from int, a scheduler.Action) {
 	fmt.Fprintf(w, "NOTE_FROM\ti=%s\toriginPeer=%d\toctets=%s\n", i.name, from, base64.StdEncoding.EncodeToString(protocol.FormatNote(a)))
 }
 
 // action reads an action.
-func (l *line) action() rules.Action {
+func (l *line) action() scheduler.Action {
 	id := l.fields["requestId"]
 	switch l.name {
 	case "TRY":
-		return rules.Send{ID: id, Node: l.text("target")}
+		return scheduler.Send{ID: id, Node: l.text("target")}
 	case "SHED":
-		return rules.Refuse{ID: id, RetryAfter: rules.Micros(l.integer("comeBackUs"))}
+		return scheduler.Refuse{ID: id, RetryAfter: scheduler.Micros(l.integer("comeBackUs"))}
 	case "END_FAILED":
-		return rules.Fail{ID: id}
+		return scheduler.Fail{ID: id}
 	case "CANCEL":
-		return rules.Cancel{ID: id, Attempt: int(l.integer("seqNo"))}
+		return scheduler.Cancel{ID: id, Attempt: int(l.integer("seqNo"))}
 	case "TEST":
-		return rules.Probe{Node: l.text("target")}
+		return scheduler.Probe{Node: l.text("target")}
 	case "SHARE":
 		switch e := l.note("recipient").(type) {
-		case rules.Asked:
-			return rules.Ask{To: e.From, Node: e.Node, Since: e.Since, Wish: e.Wish}
-		case rules.Granted:
-			return rules.Grant{To: e.From, Node: e.Node, Units: e.Units, Until: e.Until}
+		case scheduler.Asked:
+			return scheduler.Ask{To: e.From, Node: e.Node, Since: e.Since, Wish: e.Wish}
+		case scheduler.Granted:
+			return scheduler.Grant{To: e.From, Node: e.Node, Units: e.Units, Until: e.Until}
 		}
 		return nil
 	case "TIMER":
-		return rules.SetAlarm{At: rules.Micros(l.integer("atUs"))}
+		return scheduler.SetAlarm{At: scheduler.Micros(l.integer("atUs"))}
 	}
 	l.fail("unknown message")
 	return nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,19 +11,19 @@
 	"strings"
 
 	"otterturn/internal/net/protocol"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
-var states = map[string]rules.NodeState{"Running": rules.Running, "Stopping": rules.Draining,
-	"Deleted": rules.Gone}
-var results = map[string]rules.Result{"0": rules.OK, "13": rules.Errored, "8": rules.Full, "4": rules.TimedOut,
-	"14": rules.Unreachable, "10": rules.Reset, "1": rules.Cancelled, "9": rules.Moot}
+var states = map[string]scheduler.NodeState{"Running": scheduler.Running, "Stopping": scheduler.Draining,
+	"Deleted": scheduler.Gone}
+var results = map[string]scheduler.Result{"0": scheduler.OK, "13": scheduler.Errored, "8": scheduler.Full, "4": scheduler.TimedOut,
+	"14": scheduler.Unreachable, "10": scheduler.Reset, "1": scheduler.Cancelled, "9": scheduler.Moot}
 
 // parseFacts reads the settings object of a LAUNCH.
-func parseFacts(text string) (rules.Settings, error) {
+func parseFacts(text string) (scheduler.Settings, error) {
 	set, err := protocol.ParseSettings([]byte(text))
 	if err != nil {
-		return rules.Settings{}, fmt.Errorf("facts: %w", err)
+		return scheduler.Settings{}, fmt.Errorf("facts: %w", err)
 	}
 	return set.Rules, nil
 }
@@ -95,24 +95,24 @@
 	return l.number(key)
 }
 
-func (l *line) request() rules.Request {
-	return rules.Request{ID: l.text("requestId"), Class: int(l.integer("grade")), Plan: int(l.integer("plan")),
+func (l *line) request() scheduler.Request {
+	return scheduler.Request{ID: l.text("requestId"), Class: int(l.integer("grade")), Plan: int(l.integer("plan")),
 		Volume: l.fields["vol"], Key: l.fields["chunk"], Units: l.optional("quotaUnits"),
-		Shard: int(l.number("liesIn")), Hosts: int(l.optional("setSize")), Left: rules.Micros(l.integer("leftUs"))}
+		Shard: int(l.number("liesIn")), Hosts: int(l.optional("setSize")), Left: scheduler.Micros(l.integer("leftUs"))}
 }
 
-func (l *line) outcome() rules.Outcome {
+func (l *line) outcome() scheduler.Outcome {
 	result, ok := results[l.text("stateCode")]
 	if !ok {
 		l.fail("unknown stateCode " + l.fields["stateCode"])
 	}
-	return rules.Outcome{ID: l.text("requestId"), Attempt: int(l.integer("seqNo")), Result: result,
-		Latency: rules.Micros(l.optional("latencyUs")), Final: l.fields["final"] == "1",
+	return scheduler.Outcome{ID: l.text("requestId"), Attempt: int(l.integer("seqNo")), Result: result,
+		Latency: scheduler.Micros(l.optional("latencyUs")), Final: l.fields["final"] == "1",
 		Elsewhere: l.optional("elsewhere")}
 }
 
 // note reads a message between instances; the field named tells the other one's number.
-func (l *line) note(other string) rules.Event {
+func (l *line) note(other string) scheduler.Event {
 	text, err := base64.StdEncoding.DecodeString(l.text("octets"))
 	if err != nil {
 		l.fail(err.Error())
@@ -125,17 +125,17 @@
 	return e
 }
 
-func (l *line) listing() rules.Listing {
+func (l *line) listing() scheduler.Listing {
 	state, ok := states[l.text("availability")]
 	if !ok {
 		l.fail("unknown availability " + l.fields["availability"])
 	}
-	return rules.Listing{Node: l.text("target"), Zone: int(l.optional("regionPart")), Shard: int(l.integer("cohort")),
-		State: state, Since: rules.Micros(l.optional("cameUpUs"))}
+	return scheduler.Listing{Node: l.text("target"), Zone: int(l.optional("regionPart")), Shard: int(l.integer("cohort")),
+		State: state, Since: scheduler.Micros(l.optional("cameUpUs"))}
 }
 
-func (l *line) probed() rules.Probed {
-	p := rules.Probed{Node: l.text("target"), OK: l.text("stateCode") == "0", Queue: -1}
+func (l *line) probed() scheduler.Probed {
+	p := scheduler.Probed{Node: l.text("target"), OK: l.text("stateCode") == "0", Queue: -1}
 	for pair := range strings.SplitSeq(l.fields["feedback"], ",") {
 		k, v, ok := strings.Cut(pair, ":")
 		if x, err := strconv.ParseFloat(v, 64); ok && err == nil && k == "backlog" {
@@ -147,17 +147,17 @@
 
 // Link hosts the schedulers of many instances behind one stream of batches.
 type Link struct {
-	banks     map[string][]rules.Listing
-	instances map[string]*rules.Scheduler
-	pending   map[string][]rules.Event
+	banks     map[string][]scheduler.Listing
+	instances map[string]*scheduler.Scheduler
+	pending   map[string][]scheduler.Event
 	order     []string // instances with an event, in the order of their first
 	log       io.Writer
 }
 
 // Serve answers batches until the input ends.
 func Serve(in io.Reader, out, log io.Writer) error {
-	link := &Link{banks: map[string][]rules.Listing{}, instances: map[string]*rules.Scheduler{},
-		pending: map[string][]rules.Event{}, log: log}
+	link := &Link{banks: map[string][]scheduler.Listing{}, instances: map[string]*scheduler.Scheduler{},
+		pending: map[string][]scheduler.Event{}, log: log}
 	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
 	for {
 		text, err := r.ReadString('\n')
@@ -182,7 +182,7 @@
 func (k *Link) complain(err error) { fmt.Fprintln(k.log, "benchlink:", err) }
 
 func (k *Link) batch(head *line, r *bufio.Reader, w *bufio.Writer) error {
-	now, seq := rules.Micros(head.integer("timeUs")), head.text("seq")
+	now, seq := scheduler.Micros(head.integer("timeUs")), head.text("seq")
 	if head.err != nil {
 		k.complain(head.err)
 	}
@@ -203,7 +203,7 @@
 			return w.Flush()
 		case "REGISTER":
 			bank, rows = l.text("bank"), l.integer("rows")
-			k.banks[bank] = make([]rules.Listing, 0, max(0, min(rows, 1<<16)))
+			k.banks[bank] = make([]scheduler.Listing, 0, max(0, min(rows, 1<<16)))
 		case "ENTRY":
 			if e := l.listing(); l.err == nil {
 				k.banks[bank] = append(k.banks[bank], e)
@@ -218,7 +218,7 @@
 }
 
 // instanceLine handles a message of one instance; a bad one is reported and left out.
-func (k *Link) instanceLine(w io.Writer, now rules.Micros, l *line) {
+func (k *Link) instanceLine(w io.Writer, now scheduler.Micros, l *line) {
 	inst := l.text("i")
 	if l.err != nil {
 		return
@@ -226,9 +226,9 @@
 	switch l.name {
 	case "LAUNCH":
 		set, err := parseFacts(l.text("facts"))
-		var s *rules.Scheduler
+		var s *scheduler.Scheduler
 		if err == nil {
-			s, err = rules.New(set, l.integer("seed"))
+			s, err = scheduler.New(set, l.integer("seed"))
 		}
 		if err != nil {
 			fmt.Fprintf(w, "INTERNAL_ERROR\ti=%s\ttext=%s\n", inst, err)
@@ -259,7 +259,7 @@
 }
 
 // event translates a message; ok is false where there is nothing to tell the scheduler.
-func (k *Link) event(l *line) (e rules.Event, ok bool) {
+func (k *Link) event(l *line) (e scheduler.Event, ok bool) {
 	switch l.name {
 	case "PEERS_KNOWN":
 		how := l.text("how")
@@ -270,17 +270,17 @@
 		if !known {
 			l.fail("bank " + l.fields["bank"] + " was never registered")
 		}
-		return rules.Nodes{Full: how != "delta", List: list}, true
+		return scheduler.Nodes{Full: how != "delta", List: list}, true
 	case "JOB_IN":
 		return l.request(), true
 	case "RESULT":
 		return l.outcome(), true
 	case "LAPSED":
-		return rules.Lapsed{ID: l.text("requestId")}, true
+		return scheduler.Lapsed{ID: l.text("requestId")}, true
 	case "PROBE_RESULT":
 		return l.probed(), true
 	case "REMINDER":
-		return rules.Alarm{}, true
+		return scheduler.Alarm{}, true
 	case "NOTE_FROM":
 		return l.note("originPeer"), true
 	case "BEGUN":
@@ -291,7 +291,7 @@
 }
 
 // flush steps each instance that has events and writes its actions.
-func (k *Link) flush(w io.Writer, now rules.Micros) {
+func (k *Link) flush(w io.Writer, now scheduler.Micros) {
 	for _, inst := range k.order {
 		events, s := k.pending[inst], k.instances[inst]
 		k.pending[inst] = nil
@@ -305,27 +305,27 @@
 	k.order = k.order[:0]
 }
 
-func writeAction(w io.Writer, inst string, a rules.Action) {
+func writeAction(w io.Writer, inst string, a scheduler.Action) {
 	switch a := a.(type) {
-	case rules.Send:
+	case scheduler.Send:
 		fmt.Fprintf(w, "TRY\ti=%s\trequestId=%s\ttarget=%s\n", inst, a.ID, a.Node)
-	case rules.Refuse:
+	case scheduler.Refuse:
 		fmt.Fprintf(w, "SHED\ti=%s\trequestId=%s\tcomeBackUs=%d\n", inst, a.ID, a.RetryAfter)
-	case rules.Fail:
+	case scheduler.Fail:
 		fmt.Fprintf(w, "END_FAILED\ti=%s\trequestId=%s\n", inst, a.ID)
-	case rules.Cancel:
+	case scheduler.Cancel:
 		fmt.Fprintf(w, "CANCEL\ti=%s\trequestId=%s\tseqNo=%d\n", inst, a.ID, a.Attempt)
-	case rules.Probe:
+	case scheduler.Probe:
 		fmt.Fprintf(w, "TEST\ti=%s\ttarget=%s\n", inst, a.Node)
-	case rules.Ask:
+	case scheduler.Ask:
 		writeNote(w, inst, a.To, a)
-	case rules.Grant:
+	case scheduler.Grant:
 		writeNote(w, inst, a.To, a)
-	case rules.SetAlarm:
+	case scheduler.SetAlarm:
 		fmt.Fprintf(w, "TIMER\ti=%s\tatUs=%d\tctx=0\n", inst, a.At)
 	}
 }
 
-func writeNote(w io.Writer, inst string, to int, a rules.Action) {
+func writeNote(w io.Writer, inst string, to int, a scheduler.Action) {
 	fmt.Fprintf(w, "SHARE\ti=%s\trecipient=%d\toctets=%s\n", inst, to, base64.StdEncoding.EncodeToString(protocol.FormatNote(a)))
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 const facts = `{"balancers":1,"tickUs":1000,"unknown":[1],"classes":[{"aimUs":400000,"semantics":"retryable","group":"all"}],` +
@@ -102,7 +102,7 @@
 	set, err := parseFacts(`{"balancers":3,"classes":[{"semantics":"dedup","group":"cell","windowUs":4000000,"byArrival":true}],
 		"contracts":[{"ceilingRate":17,"limitBurst":48}],"safety":{"keyRestUs":200,"budgetSpanUs":5}}`)
 	c := set.Classes[0]
-	if err != nil || set.Hosts != 3 || c.Repeat != rules.Keyed || c.Group != rules.SameShard || !c.InOrder ||
+	if err != nil || set.Hosts != 3 || c.Repeat != scheduler.Keyed || c.Group != scheduler.SameShard || !c.InOrder ||
 		set.Plans[0].Limit != 17 || set.KeyRest != 200 || set.RetrySpan != 5 {
 		t.Errorf("%+v, %v", set, err)
 	}
--- a/rules/actions.go
+++ b/scheduler/actions.go
@@ -1,6 +1,6 @@
-package rules
+package scheduler
 
-import "otterturn/rules/cold"
+import "otterturn/scheduler/slowstart"
 
 // Action is something that the scheduler wants done, in the order given.
 type Action interface{ action() }
@@ -53,7 +53,7 @@
 	To    int
 	Node  string
 	Since Micros
-	cold.Wish
+	slowstart.Wish
 }
 
 // Grant is Granted, on its way to the host of a number.
--- a/rules/api.go
+++ b/scheduler/api.go
@@ -1,6 +1,6 @@
 // Package rules decides when each request of a host's volumes is sent to the storage node that holds
 // its data. This file has its settings; events, actions and what is learned stand beside it.
-package rules
+package scheduler
 
 import (
 	"fmt"
--- a/rules/coldnodes.go
+++ b/scheduler/coldnodes.go
@@ -1,15 +1,15 @@
-package rules
+package scheduler
 
 import (
 	"slices"
 
-	"otterturn/rules/cold"
+	"otterturn/scheduler/slowstart"
 )
 
 // allocator grants room at one cold node, where this host is its granter, see package cold.
 type allocator struct {
 	node string
-	*cold.Allocator[Micros]
+	*slowstart.Allocator[Micros]
 }
 
 // isCold tells whether a node may still be warming up.
@@ -34,7 +34,7 @@
 	if !own && !s.set.Peers || own && !may || !n.cold.ShouldRequest(s.now) {
 		return
 	}
-	w := cold.Wish{Units: next.Units, Least: next.Units, Shown: n.cold.Shown()}
+	w := slowstart.Wish{Units: next.Units, Least: next.Units, Shown: n.cold.Shown()}
 	for f := range sh.busy.All {
 		for _, r := range f.held {
 			w.Least = min(w.Least, r.Units)
@@ -43,7 +43,7 @@
 	s.sendToGranter(granter, n, w)
 }
 
-func (s *Scheduler) sendToGranter(granter int, n *node, w cold.Wish) {
+func (s *Scheduler) sendToGranter(granter int, n *node, w slowstart.Wish) {
 	if granter == s.set.Number {
 		s.asked(Asked{From: granter, Node: n.Node, Since: n.Since, Wish: w})
 	} else {
@@ -57,7 +57,7 @@
 	n.cold.Answered(s.now, r.Key, r.Units, latency)
 	granter, _ := s.cold.Granter(n.Node, s.now)
 	if (s.set.Peers || granter == s.set.Number) && n.cold.ShouldReport(s.now) {
-		s.sendToGranter(granter, n, cold.Wish{Shown: n.cold.Shown()})
+		s.sendToGranter(granter, n, slowstart.Wish{Shown: n.cold.Shown()})
 	}
 }
 
@@ -91,7 +91,7 @@
 		return
 	}
 	if e.Since != n.Since {
-		e.Shown = cold.Shown{}
+		e.Shown = slowstart.Shown{}
 	}
 	i := slices.IndexFunc(s.allocators, func(r allocator) bool { return r.node == e.Node })
 	if i < 0 {
--- a/rules/coldnodes_test.go
+++ b/scheduler/coldnodes_test.go
@@ -1,4 +1,4 @@
-package rules
+package scheduler
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"slices"
 	"testing"
 
-	"otterturn/rules/cold"
+	"otterturn/scheduler/slowstart"
 )
 
 // checkCold offers small requests at a cold node for a while, answers each after the delay (never for 0), and
@@ -99,7 +99,7 @@
 		asks = append(asks, slices.DeleteFunc(a, func(a Action) bool { _, is := a.(Ask); return !is })...)
 	}
 	granter, _ := h.s.cold.Granter("a", h.now)
-	if want := []Action{Ask{To: granter, Node: "a", Since: h.s.byName["a"].Since, Wish: cold.Wish{Units: 2, Least: 2}}}; !reflect.DeepEqual(asks, want) {
+	if want := []Action{Ask{To: granter, Node: "a", Since: h.s.byName["a"].Since, Wish: slowstart.Wish{Units: 2, Least: 2}}}; !reflect.DeepEqual(asks, want) {
 		t.Errorf("asks %v in half a second, want %v", asks, want)
 	}
 	until := h.now + 100*ms
@@ -128,11 +128,11 @@
 	if len(told) != 1 || told[0].(Ask).To != granter || told[0].(Ask).Since != since || told[0].(Ask).Units != 0 || told[0].(Ask).Shown.Units != 2 {
 		t.Errorf("told %+v", told)
 	}
-	h.s.asked(Asked{From: 1, Node: "a", Since: since - 1, Wish: cold.Wish{Shown: cold.Shown{Units: 9, Time: 0.1}}})
+	h.s.asked(Asked{From: 1, Node: "a", Since: since - 1, Wish: slowstart.Wish{Shown: slowstart.Shown{Units: 9, Time: 0.1}}})
 	if !h.s.allocators[0].Idle(h.now) {
 		t.Error("what was seen of an earlier start counts")
 	}
-	h.s.asked(Asked{From: 1, Node: "a", Since: since, Wish: cold.Wish{Shown: cold.Shown{Units: 9, Time: 0.1}}})
+	h.s.asked(Asked{From: 1, Node: "a", Since: since, Wish: slowstart.Wish{Shown: slowstart.Shown{Units: 9, Time: 0.1}}})
 	if h.s.allocators[0].Idle(h.now) {
 		t.Error("what was seen of this start is forgotten at once")
 	}
--- a/rules/digest_test.go
+++ b/scheduler/digest_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package scheduler_test
 
 import (
 	"cmp"
@@ -11,8 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"otterturn/rules"
-	"otterturn/rules/cold"
+	"otterturn/scheduler"
+	"otterturn/scheduler/slowstart"
 )
 
 // digestEvents is how many events the schedule of TestActionsDigest has.
@@ -43,14 +43,14 @@
 	id     string
 	number int
 	node   string
-	sent   rules.Micros
-	endsAt rules.Micros
-	result rules.Result
+	sent   scheduler.Micros
+	endsAt scheduler.Micros
+	result scheduler.Result
 }
 
 // openRequest is a request that the scheduler has and has not answered.
 type openRequest struct {
-	deadline rules.Micros
+	deadline scheduler.Micros
 	attempts int
 }
 
@@ -58,13 +58,13 @@
 type digestWorld struct {
 	t         *testing.T
 	rng       *rand.Rand
-	scheduler *rules.Scheduler
-	now       rules.Micros
-	nodes     []rules.Listing
+	scheduler *scheduler.Scheduler
+	now       scheduler.Micros
+	nodes     []scheduler.Listing
 	requests  map[string]*openRequest
 	attempts  []openAttempt
 	probes    []string
-	alarmAt   rules.Micros
+	alarmAt   scheduler.Micros
 	created   int
 
 	digest  hash.Hash
@@ -87,18 +87,18 @@
 	digestKinds
 )
 
-func digestSettings() rules.Settings {
-	const ms = rules.Micros(1000)
-	return rules.Settings{
+func digestSettings() scheduler.Settings {
+	const ms = scheduler.Micros(1000)
+	return scheduler.Settings{
 		Hosts: 3, Number: 1, Peers: true, Tick: ms,
-		Classes: []rules.Class{
-			{Aim: 150 * ms, Repeat: rules.Safe, Worth: 3},
-			{Aim: 300 * ms, Repeat: rules.Keyed, Group: rules.SameZone, Window: 2500 * ms, Worth: 2},
-			{Aim: 750 * ms, Repeat: rules.Unsafe, Worth: 1},
-			{Aim: 200 * ms, Repeat: rules.Keyed, Group: rules.SameShard, Window: 900 * ms, Worth: 2, InOrder: true},
-			{Aim: 400 * ms, Repeat: rules.Keyed, Group: rules.AllNodes, Window: 2000 * ms, Worth: 0.5},
+		Classes: []scheduler.Class{
+			{Aim: 150 * ms, Repeat: scheduler.Safe, Worth: 3},
+			{Aim: 300 * ms, Repeat: scheduler.Keyed, Group: scheduler.SameZone, Window: 2500 * ms, Worth: 2},
+			{Aim: 750 * ms, Repeat: scheduler.Unsafe, Worth: 1},
+			{Aim: 200 * ms, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 900 * ms, Worth: 2, InOrder: true},
+			{Aim: 400 * ms, Repeat: scheduler.Keyed, Group: scheduler.AllNodes, Window: 2000 * ms, Worth: 0.5},
 		},
-		Plans: []rules.Plan{
+		Plans: []scheduler.Plan{
 			{Weight: 1},
 			{Weight: 2, Reservation: 40},
 			{Weight: 1, Limit: 60, Burst: 90, Slack: 9},
@@ -113,26 +113,26 @@
 
 func newDigestWorld(t *testing.T) *digestWorld {
 	t.Helper()
-	s, err := rules.New(digestSettings(), 11)
+	s, err := scheduler.New(digestSettings(), 11)
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &digestWorld{t: t, rng: rand.New(rand.NewPCG(7, 0)), scheduler: s, now: 1_800_000_000_000_000,
 		requests: map[string]*openRequest{}, digest: xxhash.New()}
 	for i := range 12 {
-		w.nodes = append(w.nodes, rules.Listing{Node: fmt.Sprint("node-", i), Zone: i % 3, Shard: i % 9})
+		w.nodes = append(w.nodes, scheduler.Listing{Node: fmt.Sprint("node-", i), Zone: i % 3, Shard: i % 9})
 	}
-	w.step(rules.Nodes{Full: true, List: slices.Clone(w.nodes)})
+	w.step(scheduler.Nodes{Full: true, List: slices.Clone(w.nodes)})
 	return w
 }
 
 // advance lets some time pass and brings what is due then, with something new beside it.
 func (w *digestWorld) advance() {
-	w.now += rules.Micros(1 + w.rng.IntN(4000))
-	var events []rules.Event
+	w.now += scheduler.Micros(1 + w.rng.IntN(4000))
+	var events []scheduler.Event
 	if w.alarmAt > 0 && w.now >= w.alarmAt {
 		w.alarmAt = 0
-		events = append(events, rules.Alarm{})
+		events = append(events, scheduler.Alarm{})
 	}
 	events = append(events, w.endedAttempts()...)
 	events = append(events, w.answeredProbes()...)
@@ -141,14 +141,14 @@
 }
 
 // endedAttempts are the outcomes that are due.
-func (w *digestWorld) endedAttempts() (events []rules.Event) {
+func (w *digestWorld) endedAttempts() (events []scheduler.Event) {
 	w.attempts = slices.DeleteFunc(w.attempts, func(a openAttempt) bool {
 		if a.endsAt > w.now {
 			return false
 		}
 		_, owed := w.requests[a.id]
-		e := rules.Outcome{ID: a.id, Attempt: a.number, Result: a.result, Latency: w.now - a.sent,
-			Final: a.result == rules.OK || !owed, Alive: w.rng.IntN(2) == 0}
+		e := scheduler.Outcome{ID: a.id, Attempt: a.number, Result: a.result, Latency: w.now - a.sent,
+			Final: a.result == scheduler.OK || !owed, Alive: w.rng.IntN(2) == 0}
 		if w.rng.IntN(4) == 0 {
 			e.Elsewhere = float64(w.rng.IntN(20))
 		}
@@ -161,46 +161,46 @@
 	return events
 }
 
-func (w *digestWorld) answeredProbes() (events []rules.Event) {
+func (w *digestWorld) answeredProbes() (events []scheduler.Event) {
 	for _, node := range w.probes {
-		events = append(events, rules.Probed{Node: node, OK: w.rng.IntN(5) > 0, Queue: float64(w.rng.IntN(12) - 1)})
+		events = append(events, scheduler.Probed{Node: node, OK: w.rng.IntN(5) > 0, Queue: float64(w.rng.IntN(12) - 1)})
 	}
 	w.probes = nil
 	return events
 }
 
 // something is an event at random: mostly a request.
-func (w *digestWorld) something() []rules.Event {
+func (w *digestWorld) something() []scheduler.Event {
 	switch n := w.rng.IntN(1000); {
 	case n < 700:
-		return []rules.Event{w.newRequest()}
+		return []scheduler.Event{w.newRequest()}
 	case n < 720:
 		return w.departure()
 	case n < 735:
-		return []rules.Event{w.changedNode()}
+		return []scheduler.Event{w.changedNode()}
 	case n < 740:
-		return []rules.Event{rules.Room{Open: 20 + w.rng.IntN(200)}}
+		return []scheduler.Event{scheduler.Room{Open: 20 + w.rng.IntN(200)}}
 	case n < 760:
-		return []rules.Event{rules.Asked{From: w.rng.IntN(4), Node: w.anyNode(), Wish: cold.Wish{
-			Units: float64(w.rng.IntN(9)), Least: 1, Shown: cold.Shown{Served: 1, Units: 5, Time: 1}}}}
+		return []scheduler.Event{scheduler.Asked{From: w.rng.IntN(4), Node: w.anyNode(), Wish: slowstart.Wish{
+			Units: float64(w.rng.IntN(9)), Least: 1, Shown: slowstart.Shown{Served: 1, Units: 5, Time: 1}}}}
 	case n < 780:
-		return []rules.Event{rules.Granted{From: w.rng.IntN(3), Node: w.anyNode(), Units: float64(w.rng.IntN(9)),
-			Until: w.now + rules.Micros(w.rng.IntN(100_000))}}
+		return []scheduler.Event{scheduler.Granted{From: w.rng.IntN(3), Node: w.anyNode(), Units: float64(w.rng.IntN(9)),
+			Until: w.now + scheduler.Micros(w.rng.IntN(100_000))}}
 	case n < 784:
-		return []rules.Event{rules.NodeSilent{Node: w.anyNode(), At: w.now}}
+		return []scheduler.Event{scheduler.NodeSilent{Node: w.anyNode(), At: w.now}}
 	case n < 794:
 		w.learned()
-		return []rules.Event{rules.Recorded{There: true, Sure: w.rng.IntN(2) == 0}}
+		return []scheduler.Event{scheduler.Recorded{There: true, Sure: w.rng.IntN(2) == 0}}
 	}
 	return nil
 }
 
-func (w *digestWorld) newRequest() rules.Event {
+func (w *digestWorld) newRequest() scheduler.Event {
 	w.created++
 	set := digestSettings()
-	r := rules.Request{ID: fmt.Sprint("request-", w.created), Class: w.rng.IntN(len(set.Classes)),
+	r := scheduler.Request{ID: fmt.Sprint("request-", w.created), Class: w.rng.IntN(len(set.Classes)),
 		Plan: w.rng.IntN(len(set.Plans)), Units: float64(1 + w.rng.IntN(8)), Shard: w.rng.IntN(11) - 1, Hosts: 1 + w.rng.IntN(3),
-		Left: rules.Micros(100_000 + w.rng.IntN(2_000_000))}
+		Left: scheduler.Micros(100_000 + w.rng.IntN(2_000_000))}
 	r.Volume = fmt.Sprint("volume-", r.Plan, "-", w.rng.IntN(6))
 	r.Key = fmt.Sprint("key-", w.rng.IntN(40))
 	w.requests[r.ID] = &openRequest{deadline: w.now + r.Left}
@@ -208,7 +208,7 @@
 }
 
 // departure is a client that leaves.
-func (w *digestWorld) departure() []rules.Event {
+func (w *digestWorld) departure() []scheduler.Event {
 	if len(w.requests) == 0 {
 		return nil
 	}
@@ -219,21 +219,21 @@
 	slices.Sort(ids)
 	id := ids[w.rng.IntN(len(ids))]
 	delete(w.requests, id)
-	return []rules.Event{rules.Lapsed{ID: id}}
+	return []scheduler.Event{scheduler.Lapsed{ID: id}}
 }
 
 // changedNode drains a node, starts it again, or takes it from the list and brings it back.
-func (w *digestWorld) changedNode() rules.Event {
+func (w *digestWorld) changedNode() scheduler.Event {
 	n := &w.nodes[w.rng.IntN(len(w.nodes))]
 	switch {
-	case n.State != rules.Running:
-		n.State, n.Since = rules.Running, w.now
+	case n.State != scheduler.Running:
+		n.State, n.Since = scheduler.Running, w.now
 	case w.rng.IntN(2) == 0:
-		n.State = rules.Draining
+		n.State = scheduler.Draining
 	default:
-		n.State = rules.Gone
+		n.State = scheduler.Gone
 	}
-	return rules.Nodes{List: []rules.Listing{*n}}
+	return scheduler.Nodes{List: []scheduler.Listing{*n}}
 }
 
 func (w *digestWorld) anyNode() string { return w.nodes[w.rng.IntN(len(w.nodes))].Node }
@@ -241,7 +241,7 @@
 // learned reads what the scheduler knows, which also prepares the limits' records.
 func (w *digestWorld) learned() {
 	for from := 0; ; {
-		var l rules.Learned
+		var l scheduler.Learned
 		l, from = w.scheduler.Learned(w.now, from, 16)
 		fmt.Fprintf(w.digest, "%d %d %d;", len(l.Nodes), len(l.Accounts), len(l.Leads))
 		if from == 0 {
@@ -250,7 +250,7 @@
 	}
 }
 
-func (w *digestWorld) step(events ...rules.Event) {
+func (w *digestWorld) step(events ...scheduler.Event) {
 	w.events += len(events)
 	for _, a := range w.scheduler.Step(w.now, events) {
 		w.actions++
@@ -259,30 +259,30 @@
 }
 
 // perform adds an action to the digest and carries it out.
-func (w *digestWorld) perform(a rules.Action) {
+func (w *digestWorld) perform(a scheduler.Action) {
 	switch a := a.(type) {
-	case rules.Send:
+	case scheduler.Send:
 		w.add(kindSend, a.ID, a.Node, a.Until)
 		w.start(a)
-	case rules.Refuse:
+	case scheduler.Refuse:
 		w.add(kindRefuse, a.ID, a.RetryAfter, string(a.Why))
 		delete(w.requests, a.ID)
-	case rules.Fail:
+	case scheduler.Fail:
 		w.add(kindFail, a.ID, string(a.Why))
 		delete(w.requests, a.ID)
-	case rules.Cancel:
+	case scheduler.Cancel:
 		w.add(kindCancel, a.ID, a.Attempt)
 		w.cancel(a)
-	case rules.Probe:
+	case scheduler.Probe:
 		w.add(kindProbe, a.Node)
 		w.probes = append(w.probes, a.Node)
-	case rules.WriteDown:
+	case scheduler.WriteDown:
 		w.add(kindWriteDown)
-	case rules.Ask:
+	case scheduler.Ask:
 		w.add(kindAsk, a.To, a.Node, a.Since, a.Units, a.Least, a.Shown.Served, a.Shown.Units, a.Shown.Time)
-	case rules.Grant:
+	case scheduler.Grant:
 		w.add(kindGrant, a.To, a.Node, a.Units, a.Until)
-	case rules.SetAlarm:
+	case scheduler.SetAlarm:
 		w.add(kindAlarm, a.At)
 		w.alarmAt = a.At
 	default:
@@ -296,21 +296,21 @@
 }
 
 // start has an attempt end some time later, most of them well; one node of four is slow.
-func (w *digestWorld) start(a rules.Send) {
+func (w *digestWorld) start(a scheduler.Send) {
 	r := w.requests[a.ID]
 	if r == nil {
 		w.t.Fatalf("%s is sent without being owed an answer", a.ID)
 	}
-	latency := rules.Micros(3000 + w.rng.IntN(60_000))
+	latency := scheduler.Micros(3000 + w.rng.IntN(60_000))
 	if slow := a.Node[len(a.Node)-1]%4 == 0; slow {
 		latency *= 6
 	}
-	result := rules.OK
+	result := scheduler.OK
 	if w.rng.IntN(6) == 0 {
-		result = []rules.Result{rules.Errored, rules.Full, rules.TimedOut, rules.Unreachable, rules.Reset, rules.Moot,
-			rules.Expired}[w.rng.IntN(7)]
+		result = []scheduler.Result{scheduler.Errored, scheduler.Full, scheduler.TimedOut, scheduler.Unreachable, scheduler.Reset, scheduler.Moot,
+			scheduler.Expired}[w.rng.IntN(7)]
 	}
-	if result == rules.TimedOut {
+	if result == scheduler.TimedOut {
 		latency = max(latency, r.deadline-w.now)
 	}
 	w.attempts = append(w.attempts, openAttempt{id: a.ID, number: r.attempts, node: a.Node, sent: w.now,
@@ -319,10 +319,10 @@
 }
 
 // cancel ends an attempt that the scheduler gave up.
-func (w *digestWorld) cancel(c rules.Cancel) {
+func (w *digestWorld) cancel(c scheduler.Cancel) {
 	for i := range w.attempts {
 		if a := &w.attempts[i]; a.id == c.ID && a.number == c.Attempt {
-			a.endsAt, a.result = cmp.Or(min(a.endsAt, w.now+1000), w.now), rules.Cancelled
+			a.endsAt, a.result = cmp.Or(min(a.endsAt, w.now+1000), w.now), scheduler.Cancelled
 		}
 	}
 }
--- a/rules/events.go
+++ b/scheduler/events.go
@@ -1,6 +1,6 @@
-package rules
+package scheduler
 
-import "otterturn/rules/cold"
+import "otterturn/scheduler/slowstart"
 
 // NodeState is what the node list says of a node.
 type NodeState int
@@ -98,7 +98,7 @@
 	From  int
 	Node  string
 	Since Micros // the node's last start, as far as that host knows
-	cold.Wish
+	slowstart.Wish
 }
 
 // Granted tells that units may be sent to a cold node until a time, on top of what it answers.
--- a/rules/expiring/expiring.go
+++ b/scheduler/expirymap/expirymap.go
@@ -1,7 +1,7 @@
-// Package expiring implements a table whose entries expire by a condition of the caller's. They are removed by an
+// Package expirymap implements a table whose entries expire by a condition of the caller's. They are removed by an
 // incremental sweep, a few in each call, so that no call takes long and the table stays in proportion to what is in use.
 // It reads no clock.
-package expiring
+package expirymap
 
 // Table maps keys to values that may expire. New returns an empty one.
 type Table[K comparable, V any] struct {
--- a/rules/expiring/expiring_test.go
+++ b/scheduler/expirymap/expirymap_test.go
@@ -1,4 +1,4 @@
-package expiring
+package expirymap
 
 import (
 	"math/rand/v2"
--- a/rules/flow.go
+++ b/scheduler/flow.go
@@ -1,9 +1,9 @@
-package rules // What is held, by shard and volume.
+package scheduler // What is held, by shard and volume.
 
 import (
 	"slices"
 
-	"otterturn/rules/orderedset"
+	"otterturn/scheduler/orderedset"
 )
 
 // flow is what is held of one volume for one shard.
--- a/rules/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -1,4 +1,4 @@
-package rules
+package scheduler
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"otterturn/rules/cold"
+	"otterturn/scheduler/slowstart"
 )
 
 // peer plays everything around a scheduler by the rules of the interface, at random, and holds it to what it promises.
@@ -199,7 +199,7 @@
 		},
 		"asked": func(t *rapid.T) {
 			p.step(Asked{From: rapid.IntRange(-1, 9).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
-				Wish: cold.Wish{Units: float64(rapid.IntRange(0, 9).Draw(t, "units")), Least: 1, Shown: cold.Shown{Units: 5, Time: 1}}})
+				Wish: slowstart.Wish{Units: float64(rapid.IntRange(0, 9).Draw(t, "units")), Least: 1, Shown: slowstart.Shown{Units: 5, Time: 1}}})
 		},
 		"granted": func(t *rapid.T) {
 			p.step(Granted{From: rapid.IntRange(0, 4).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
--- a/rules/giveup.go
+++ b/scheduler/giveup.go
@@ -1,4 +1,4 @@
-package rules // Giving requests up: what is refused or failed, when, and which first.
+package scheduler // Giving requests up: what is refused or failed, when, and which first.
 
 import (
 	"cmp"
--- a/rules/handover.go
+++ b/scheduler/handover.go
@@ -1,9 +1,9 @@
-package rules
+package scheduler
 
 import (
 	"slices"
 
-	"otterturn/rules/bucket"
+	"otterturn/scheduler/tokenbucket"
 )
 
 // trickle is what a limit lets flow in, in units a second, where another process draws from it: as good as nothing.
@@ -49,7 +49,7 @@
 		a := Account{Volume: v.name, Plan: v.index, Hosts: v.hosts, Reserve: v.reserve}
 		if v.plan.Limit > 0 {
 			keep := min(v.bucket.Level, needs[v])
-			a.Bucket = bucket.Bucket[Micros]{Level: v.bucket.Level - keep, At: s.now}
+			a.Bucket = tokenbucket.Bucket[Micros]{Level: v.bucket.Level - keep, At: s.now}
 			v.bucket.Level = keep
 		}
 		l.Accounts = append(l.Accounts, a)
--- a/rules/health.go
+++ b/scheduler/health.go
@@ -1,4 +1,4 @@
-package rules
+package scheduler
 
 // NodeSilent tells that other hosts found a node silent, as of a start and a time.
 type NodeSilent struct {
--- a/rules/known.go
+++ b/scheduler/known.go
@@ -1,8 +1,8 @@
-package rules
+package scheduler
 
 import (
-	"otterturn/rules/bucket"
-	"otterturn/rules/curve"
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/tokenbucket"
 )
 
 // Habits are what a node showed over time. Latencies are in microseconds, sizes in units.
@@ -25,7 +25,7 @@
 	Plan    int
 	Hosts   float64 // hosts through which its requests come
 	Reserve float64 // reservation tag, as a time
-	Bucket  bucket.Bucket[Micros]
+	Bucket  tokenbucket.Bucket[Micros]
 }
 
 // Lead is how far a volume's weight tag is ahead of its shard's virtual time.
--- a/rules/learned.go
+++ b/scheduler/learned.go
@@ -1,9 +1,9 @@
-package rules
+package scheduler
 
 import (
 	"slices"
 
-	"otterturn/rules/bucket"
+	"otterturn/scheduler/tokenbucket"
 )
 
 // Fresh are the habits of a node that nothing is known of.
@@ -98,7 +98,7 @@
 		v := s.volume(Request{Volume: a.Volume, Plan: a.Plan, Hosts: int(a.Hosts)})
 		v.reserve = a.Reserve
 		if v.plan.Limit > 0 {
-			v.bucket = bucket.Recovered(a.Bucket, s.now, v.rate(), v.plan.Burst/v.hosts)
+			v.bucket = tokenbucket.Recovered(a.Bucket, s.now, v.rate(), v.plan.Burst/v.hosts)
 		}
 	}
 	for _, ahead := range l.Leads {
--- a/rules/loops.go
+++ b/scheduler/loops.go
@@ -1,10 +1,10 @@
-package rules // The two loops of SlowFast CoDel, and what they are fed.
+package scheduler // The two loops of SlowFast CoDel, and what they are fed.
 
 import (
 	"cmp"
 
-	"otterturn/rules/curve"
-	"otterturn/rules/quantile"
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/quantile"
 )
 
 // sample feeds an outcome to the loops and to the judgement of the node's health.
--- a/rules/loops_test.go
+++ b/scheduler/loops_test.go
@@ -1,4 +1,4 @@
-package rules
+package scheduler
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 	"slices"
 	"testing"
 
-	"otterturn/rules/curve"
-	"otterturn/rules/interval"
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/interval"
 )
 
 // Without it one request of each of dozens of hosts fills a node again as soon as it has answered.
--- a/rules/nodes.go
+++ b/scheduler/nodes.go
@@ -1,17 +1,17 @@
-package rules // Nodes: the list, their health, and the guard of those that may be cold.
+package scheduler // Nodes: the list, their health, and the guard of those that may be cold.
 
 import (
 	"cmp"
 	"slices"
 
-	"otterturn/rules/agenda"
-	"otterturn/rules/cold"
+	"otterturn/scheduler/slowstart"
+	"otterturn/scheduler/worklist"
 )
 
 type node struct {
 	Listing
 	Habits
-	entry           agenda.Entry[Micros, *node]
+	entry           worklist.Entry[Micros, *node]
 	outUnits        float64
 	pending         []*request // sent, without an outcome, oldest first
 	minLatency      float64    // of this fast interval, 0 without an answer
@@ -20,16 +20,16 @@
 	lastSend        Micros
 	served, latency float64 // units and summed latencies of this slow interval
 	answers, low    float64
-	mute            Micros             // silent since then, after a failure or time-out
-	lossAt          Micros             // last attempt that timed out though later ones were answered
-	scouted         Micros             // last answer or failure of a probe
-	heard           Micros             // last answer to a probe
-	probing         bool               // a probe is out
-	probed, probeAt Micros             // last probe sent; not to be probed before
-	broke, former   Micros             // a connection broke, unprobed yet; suspect before
-	pausedTo        Micros             // what is not reserved waits until then
-	fullTo          Micros             // turned a request away not long before
-	cold            cold.Guard[Micros] // what may be sent while it is cold
+	mute            Micros                  // silent since then, after a failure or time-out
+	lossAt          Micros                  // last attempt that timed out though later ones were answered
+	scouted         Micros                  // last answer or failure of a probe
+	heard           Micros                  // last answer to a probe
+	probing         bool                    // a probe is out
+	probed, probeAt Micros                  // last probe sent; not to be probed before
+	broke, former   Micros                  // a connection broke, unprobed yet; suspect before
+	pausedTo        Micros                  // what is not reserved waits until then
+	fullTo          Micros                  // turned a request away not long before
+	cold            slowstart.Guard[Micros] // what may be sent while it is cold
 }
 
 // learn takes over the node list. A node that is missing from a full list is gone.
@@ -77,7 +77,7 @@
 
 // watchAt is when a node is to be watched next.
 func (s *Scheduler) watchAt(n *node) Micros {
-	at := Micros(agenda.Never)
+	at := Micros(worklist.Never)
 	if s.set.Probing && n.mute > 0 && n.State == Running {
 		at = n.probeAt
 	}
--- a/rules/order.go
+++ b/scheduler/order.go
@@ -1,4 +1,4 @@
-package rules // mClock order of what is held, and the guards of each request.
+package scheduler // mClock order of what is held, and the guards of each request.
 
 import "cmp"
 
--- a/rules/place.go
+++ b/scheduler/place.go
@@ -1,4 +1,4 @@
-package rules // Where new objects go, whose shard is this host's choice.
+package scheduler // Where new objects go, whose shard is this host's choice.
 
 import (
 	"cmp"
--- a/rules/repeats_test.go
+++ b/scheduler/repeats_test.go
@@ -1,4 +1,4 @@
-package rules
+package scheduler
 
 import (
 	"reflect"
--- a/rules/replay_test.go
+++ b/scheduler/replay_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package scheduler_test
 
 import (
 	"os"
@@ -6,7 +6,7 @@
 	"testing"
 
 	"otterturn/internal/lab/record"
-	"otterturn/rules"
+	"otterturn/scheduler"
 )
 
 // The decisions are those of the scheduler that walked all nodes and flows in every step: what it decided on rough days
@@ -40,7 +40,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			to, err := rules.New(s.Settings, s.Seed)
+			to, err := scheduler.New(s.Settings, s.Seed)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/rules/requests.go
+++ b/scheduler/requests.go
@@ -1,10 +1,10 @@
-package rules // The life of a request: taken, sent again or not, given up on, refused.
+package scheduler // The life of a request: taken, sent again or not, given up on, refused.
 
 import (
 	"cmp"
 	"slices"
 
-	"otterturn/rules/bucket"
+	"otterturn/scheduler/tokenbucket"
 )
 
 type request struct {
@@ -44,7 +44,7 @@
 	plan    *Plan
 	hosts   float64
 	reserve float64 // reservation tag: due once it is not after now
-	bucket  bucket.Bucket[Micros]
+	bucket  tokenbucket.Bucket[Micros]
 	away    float64 // units drawn that no node may have counted yet
 	open    int     // requests that are not over
 	closed  Micros  // none since then
--- a/rules/allowance/allowance.go
+++ b/scheduler/retrybudget/retrybudget.go
@@ -1,8 +1,8 @@
-// Package allowance bounds further attempts by a share of the requests that came, within a sliding span. It reads no
+// Package retrybudget bounds further attempts by a share of the requests that came, within a sliding span. It reads no
 // clock.
-package allowance
+package retrybudget
 
-import "otterturn/rules/window"
+import "otterturn/scheduler/window"
 
 // Allowance is so many further attempts, and a share of the requests. Without a span there is no bound.
 type Allowance[T ~int64] struct {
--- a/rules/retune.go
+++ b/scheduler/retune.go
@@ -1,11 +1,11 @@
-package rules
+package scheduler
 
 import (
 	"fmt"
 	"math"
 	"slices"
 
-	"otterturn/rules/allowance"
+	"otterturn/scheduler/retrybudget"
 )
 
 // tune takes over what settings say of classes and plans. Each class keeps the number of attempts of its time, so that
@@ -17,7 +17,7 @@
 		set.Classes[i].Window = set.Classes[i].repeats()
 	}
 	if old := s.set; len(old.Classes) == 0 || set.RetrySpan != old.RetrySpan || set.RetrySpare != old.RetrySpare || set.RetryShare != old.RetryShare {
-		s.allowance = allowance.Of(set.RetrySpan, set.RetrySpare, set.RetryShare)
+		s.allowance = retrybudget.Of(set.RetrySpan, set.RetrySpare, set.RetryShare)
 	}
 	s.set = set
 	s.aim, s.worth = set.Classes[0].Aim, math.SmallestNonzeroFloat64
--- a/rules/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,15 +1,15 @@
-package rules // The scheduler: its state, and a step from events to actions.
+package scheduler // The scheduler: its state, and a step from events to actions.
 
 import (
 	"cmp"
 	"math/rand/v2"
 
-	"otterturn/rules/agenda"
-	"otterturn/rules/allowance"
-	"otterturn/rules/cold"
-	"otterturn/rules/expiring"
-	"otterturn/rules/fifo"
-	"otterturn/rules/orderedset"
+	"otterturn/scheduler/expirymap"
+	"otterturn/scheduler/fifo"
+	"otterturn/scheduler/orderedset"
+	"otterturn/scheduler/retrybudget"
+	"otterturn/scheduler/slowstart"
+	"otterturn/scheduler/worklist"
 )
 
 // Figures of the design, the same for every deployment.
@@ -42,18 +42,18 @@
 	nodes      []*node
 	pool       *node // all nodes together, as new objects meet them
 	byName     map[string]*node
-	agenda     agenda.Agenda[Micros, *node] // nodes that something happened or is due at
+	agenda     worklist.Agenda[Micros, *node] // nodes that something happened or is due at
 	shards     map[int]*shard
 	busy       orderedset.Set[*shard] // those that something is held for, in the order of their first request
-	volumes    expiring.Table[string, *volume]
-	flows      expiring.Table[flowKey, *flow]
+	volumes    expirymap.Table[string, *volume]
+	flows      expirymap.Table[flowKey, *flow]
 	reqs       map[string]*request
-	byKey      fifo.Queues[Micros, *request]     // requests of classes that keep the order of a key
-	refused    expiring.Table[Request, *request] // what clients may bring again, until their time is up
+	byKey      fifo.Queues[Micros, *request]      // requests of classes that keep the order of a key
+	refused    expirymap.Table[Request, *request] // what clients may bring again, until their time is up
 	wakeSet    bool
-	sweptAt    Micros                      // idle volumes and flows count as forgotten as of then
-	allowance  allowance.Allowance[Micros] // of further attempts
-	cold       cold.Config[Micros]
+	sweptAt    Micros                        // idle volumes and flows count as forgotten as of then
+	allowance  retrybudget.Allowance[Micros] // of further attempts
+	cold       slowstart.Config[Micros]
 	allocators []allocator // of cold nodes, where this host grants room
 	succession
 }
@@ -65,10 +65,10 @@
 	}
 	s := &Scheduler{rng: rand.New(rand.NewPCG(uint64(seed), 0)), byName: map[string]*node{},
 		shards: map[int]*shard{}, reqs: map[string]*request{}, byKey: fifo.New[Micros, *request](),
-		volumes: expiring.New[string, *volume](), flows: expiring.New[flowKey, *flow](),
-		refused: expiring.New[Request, *request](),
-		agenda:  agenda.Of[Micros, *node](fastInterval, slowInterval)}
-	s.cold = cold.Config[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
+		volumes: expirymap.New[string, *volume](), flows: expirymap.New[flowKey, *flow](),
+		refused: expirymap.New[Request, *request](),
+		agenda:  worklist.Of[Micros, *node](fastInterval, slowInterval)}
+	s.cold = slowstart.Config[Micros]{Hosts: set.Hosts, From: cmp.Or(set.ColdFrom, 1), Ramp: set.Ramp,
 		Multiple: set.FallMultiple, Span: set.FallSpan, Units: set.ColdUnits, Peers: set.Peers}
 	s.tune(set)
 	s.pool = &node{Habits: s.Fresh(), calm: true}
--- a/rules/send.go
+++ b/scheduler/send.go
@@ -1,4 +1,4 @@
-package rules // What is sent, and when.
+package scheduler // What is sent, and when.
 
 import (
 	"math"
--- a/rules/cold/allocator.go
+++ b/scheduler/slowstart/allocator.go
@@ -1,9 +1,9 @@
-package cold
+package slowstart
 
 import (
 	"slices"
 
-	"otterturn/rules/window"
+	"otterturn/scheduler/window"
 )
 
 // Allocator grants room at one node, while this host is its granter.
--- a/rules/cold/allocator_test.go
+++ b/scheduler/slowstart/allocator_test.go
@@ -1,4 +1,4 @@
-package cold
+package slowstart
 
 import (
 	"fmt"
--- a/rules/cold/config.go
+++ b/scheduler/slowstart/config.go
@@ -1,4 +1,4 @@
-// Package cold guards nodes that have just started against what all hosts send them together. It does no I/O and reads
+// Package slowstart guards nodes that have just started against what all hosts send them together. It does no I/O and reads
 // no clock.
 //
 // A cold node falls over once it is sent more than Multiple times its present capacity within Span; Units are always
@@ -22,7 +22,7 @@
 // period, but grants nothing before a span of it has passed, nor before a span since its own start: by then what others
 // granted, or a former process of its own, counts no more. A lost message, a dead granter or a cut costs service and
 // breaks nothing. Where hosts may not send each other messages each asks itself, in short periods.
-package cold
+package slowstart
 
 import (
 	"math"
--- a/rules/cold/guard.go
+++ b/scheduler/slowstart/guard.go
@@ -1,9 +1,9 @@
-package cold
+package slowstart
 
 import (
 	"slices"
 
-	"otterturn/rules/window"
+	"otterturn/scheduler/window"
 )
 
 // Guard is what one host knows of a node's room while it is cold.
--- a/rules/bucket/bucket.go
+++ b/scheduler/tokenbucket/tokenbucket.go
@@ -1,10 +1,10 @@
-// Package bucket is a token bucket that holds across a crash of its owner. What may be drawn is written down before
+// Package tokenbucket is a token bucket that holds across a crash of its owner. What may be drawn is written down before
 // it is drawn, as a lease that counts as spent if the owner dies. It reads no clock and does no I/O.
 //
 // A record says: at a time the level was so much, and at most the lease was drawn since. Without draws the level
 // would now be min(burst, level + rate x age). Each draw lowers it by its units at most, as the burst cuts off what
 // flows in and not what flows out. So it is at least that less the lease, and never below 0.
-package bucket
+package tokenbucket
 
 // Bucket holds units. The zero value is empty since time 0, and free: no record of it binds its draws.
 type Bucket[T ~int64] struct {
--- a/rules/bucket/bucket_test.go
+++ b/scheduler/tokenbucket/tokenbucket_test.go
@@ -1,4 +1,4 @@
-package bucket
+package tokenbucket
 
 import (
 	"flag"
--- a/rules/agenda/agenda.go
+++ b/scheduler/worklist/worklist.go
@@ -1,13 +1,13 @@
-// Package agenda tells which members are to be looked at in a step: those that something happened at, and those that
+// Package worklist tells which members are to be looked at in a step: those that something happened at, and those that
 // something is due at. The others cost nothing. It reads no clock.
-package agenda
+package worklist
 
 import (
 	"math"
 	"slices"
 
-	"otterturn/rules/interval"
-	"otterturn/rules/timers"
+	"otterturn/scheduler/interval"
+	"otterturn/scheduler/timers"
 )
 
 // Agenda keeps members with two recurring intervals each, a fast one and a slow one.
--- a/rules/agenda/agenda_test.go
+++ b/scheduler/worklist/worklist_test.go
@@ -1,4 +1,4 @@
-package agenda
+package worklist
 
 import "testing"
 
