--- a/internal/fleet/health/api.go
+++ b/internal/fleet/health/api.go
@@ -31,7 +31,7 @@
 // NodeList is news of the node list. A full list names every node there is.
 type NodeList struct {
 	Full  bool
-	Nodes []scheduler.Listing
+	Nodes []scheduler.Endpoint
 }
 
 // AttemptStarted tells that an attempt was sent to a node.
@@ -54,7 +54,7 @@
 type ProbeWanted struct{ Node string }
 
 // ProbeEnded is the result of a StartProbe.
-type ProbeEnded struct{ scheduler.Probed }
+type ProbeEnded struct{ scheduler.HealthChecked }
 
 // Received is a message of another front.
 type Received struct {
@@ -80,7 +80,7 @@
 type StartProbe struct{ Node string }
 
 // ProbeAnswered answers a ProbeWanted.
-type ProbeAnswered struct{ scheduler.Probed }
+type ProbeAnswered struct{ scheduler.HealthChecked }
 
 // Report tells the scheduler that the zone found a node silent.
 type Report struct{ scheduler.NodeSilent }
--- a/internal/fleet/health/attempts.go
+++ b/internal/fleet/health/attempts.go
@@ -68,7 +68,7 @@
 // answers tells whether an attempt's end shows that the node runs and can be reached.
 func answers(e AttemptEnded) bool {
 	switch e.Result {
-	case scheduler.OK, scheduler.Errored, scheduler.Full, scheduler.Expired:
+	case scheduler.OK, scheduler.Errored, scheduler.QueueFull, scheduler.Expired:
 		return true
 	case scheduler.Reset:
 		return e.Alive
--- a/internal/fleet/health/audit_test.go
+++ b/internal/fleet/health/audit_test.go
@@ -50,7 +50,7 @@
 
 // auditReport counts the fronts whose probes of this start were not answered lately.
 func (t *trial) auditReport(f *simFront, a Report) {
-	key, start := NodeKey(a.Node), wireSince(a.Since)
+	key, start := NodeKey(a.Node), wireSince(a.StartedAt)
 	origins := 0
 	for _, other := range t.fronts {
 		at, told := t.silent[sighting{f.number, other.number, key, start}]
@@ -64,7 +64,7 @@
 	if origins < f.config.Quorum {
 		t.say("front %d condemns %s by the probes of %d fronts", f.number, a.Node, origins)
 	}
-	if a.Since != f.known[a.Node] {
+	if a.StartedAt != f.known[a.Node] {
 		t.say("front %d condemns a former start", f.number)
 	}
 }
--- a/internal/fleet/health/cost_test.go
+++ b/internal/fleet/health/cost_test.go
@@ -18,7 +18,7 @@
 	var names []string
 	for i := range 1800 {
 		names = append(names, fmt.Sprintf("node-%d", i))
-		list.Nodes = append(list.Nodes, scheduler.Listing{Node: names[i], Since: scheduler.Micros(i) * second})
+		list.Nodes = append(list.Nodes, scheduler.Endpoint{Node: names[i], StartedAt: scheduler.Micros(i) * second})
 	}
 	m.Step(second, []Event{list})
 	return m, names
--- a/internal/fleet/health/held.go
+++ b/internal/fleet/health/held.go
@@ -34,7 +34,7 @@
 	return n.returnAt == 0 && !n.suspecting && m.now < n.ended+m.config.EvidenceLife && m.others(n, Reachable) >= m.config.Quorum
 }
 
-func (m *Monitor) answer(n *node, result scheduler.Probed) {
+func (m *Monitor) answer(n *node, result scheduler.HealthChecked) {
 	n.held = false
 	m.out = append(m.out, ProbeAnswered{result})
 }
@@ -48,8 +48,8 @@
 	if !n.held {
 		return forever
 	}
-	unknown := scheduler.Probed{Node: n.name, Queue: unknownQueue}
-	reached := scheduler.Probed{Node: n.name, OK: true, Queue: returnedQueue}
+	unknown := scheduler.HealthChecked{Node: n.name, Queue: unknownQueue}
+	reached := scheduler.HealthChecked{Node: n.name, OK: true, Queue: returnedQueue}
 	switch until := m.waitsUntil(n); {
 	case n.avoided && m.now >= n.heldAt+m.config.EvidenceLife: // it asks again
 		m.answer(n, unknown)
--- a/internal/fleet/health/held_test.go
+++ b/internal/fleet/health/held_test.go
@@ -16,8 +16,8 @@
 			if started := of[StartProbe](m.Step(now, []Event{ProbeWanted{node}})); len(started) != 1 || started[0].Node != node {
 				t.Fatalf("%s: %v", node, started)
 			}
-			result := scheduler.Probed{Node: node, OK: ok, Queue: 3}
-			if answers := of[ProbeAnswered](m.Step(now+1000, []Event{ProbeEnded{result}})); len(answers) != 1 || answers[0].Probed != result {
+			result := scheduler.HealthChecked{Node: node, OK: ok, Queue: 3}
+			if answers := of[ProbeAnswered](m.Step(now+1000, []Event{ProbeEnded{result}})); len(answers) != 1 || answers[0].HealthChecked != result {
 				t.Errorf("%s: %v", node, answers)
 			}
 		}
@@ -68,7 +68,7 @@
 	m.Step(back, []Event{Received{1, tells(2, back, Reachable, 0)}, Received{2, tells(2, back, Reachable, 0)}})
 	spread := back + returnSpread + 1000
 	answers := of[ProbeAnswered](m.Step(spread, []Event{Alarm{}}))
-	if want := (scheduler.Probed{Node: "a", OK: true, Queue: returnedQueue}); len(answers) != 1 || answers[0].Probed != want {
+	if want := (scheduler.HealthChecked{Node: "a", OK: true, Queue: returnedQueue}); len(answers) != 1 || answers[0].HealthChecked != want {
 		t.Fatalf("%v, want %v", answers, want)
 	}
 	actions := m.Step(spread+second, []Event{ProbeWanted{"a"}})
--- a/internal/fleet/health/list.go
+++ b/internal/fleet/health/list.go
@@ -29,9 +29,9 @@
 	m.rekey()
 }
 
-func (m *Monitor) listed(l scheduler.Listing) {
+func (m *Monitor) listed(l scheduler.Endpoint) {
 	n := m.byName[l.Node]
-	if l.State == scheduler.Gone {
+	if l.State == scheduler.Removed {
 		if n != nil {
 			m.remove(n)
 		}
@@ -41,8 +41,8 @@
 		m.insert(l)
 		return
 	}
-	if l.Since != n.start {
-		n.start, n.wire = l.Since, wireSince(l.Since)
+	if l.StartedAt != n.start {
+		n.start, n.wire = l.StartedAt, wireSince(l.StartedAt)
 		n.out, n.usual, n.raised = 0, 0, never
 		m.clear(n)
 	}
@@ -53,9 +53,9 @@
 	m.touch(n)
 }
 
-func (m *Monitor) insert(l scheduler.Listing) {
+func (m *Monitor) insert(l scheduler.Endpoint) {
 	n := &node{
-		name: l.Node, key: NodeKey(l.Node), start: l.Since, wire: wireSince(l.Since), state: l.State,
+		name: l.Node, key: NodeKey(l.Node), start: l.StartedAt, wire: wireSince(l.StartedAt), state: l.State,
 		answered: never, owing: never, raised: never,
 	}
 	m.byName[n.name] = n
@@ -107,7 +107,7 @@
 		return
 	}
 	if n.held {
-		m.answer(n, scheduler.Probed{Node: n.name, Queue: -1})
+		m.answer(n, scheduler.HealthChecked{Node: n.name, Queue: -1})
 	}
 	if n.avoided {
 		m.condemned--
--- a/internal/fleet/health/monitor.go
+++ b/internal/fleet/health/monitor.go
@@ -53,7 +53,7 @@
 		config: c, zone: c.zoneFronts(), now: never, alarm: forever,
 		byName: map[string]*node{}, byKey: map[uint64]*node{}, attempts: map[attemptID]attempt{},
 		passed: map[string]bool{}, peers: map[int]*peer{}, outbox: newOutbox(),
-		bytes: window.Of(bytesSpan), asking: window.Of(bytesSpan), heard: window.Of(bytesSpan),
+		bytes: window.New(bytesSpan), asking: window.New(bytesSpan), heard: window.New(bytesSpan),
 		counts: Counters{Dropped: map[Drop]int64{}},
 		seams:  seams{repeated: (*peer).repeated, sameStart: sameStart, add: (*evidence).add, round: roundOf},
 	}, nil
--- a/internal/fleet/health/monitor_test.go
+++ b/internal/fleet/health/monitor_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.Step(now, []Event{NodeList{Full: true, Nodes: []scheduler.Listing{{Node: "a", Since: second}, {Node: "b", Since: 2 * second}}}})
+	m.Step(now, []Event{NodeList{Full: true, Nodes: []scheduler.Endpoint{{Node: "a", StartedAt: second}, {Node: "b", StartedAt: 2 * second}}}})
 	return m
 }
 
@@ -59,7 +59,7 @@
 	}
 	actions := m.Step(now+10, []Event{Received{2, tells(1, now+10, Silent, 0)}})
 	reports := of[Report](actions)
-	if !m.avoids("a") || len(reports) != 1 || reports[0].Since != second || reports[0].Node != "a" {
+	if !m.avoids("a") || len(reports) != 1 || reports[0].StartedAt != second || reports[0].Node != "a" {
 		t.Errorf("two fronts' words: %v", actions)
 	}
 	if m.Step(now+20, []Event{Received{3, tells(1, now+20, Silent, 0)}}); m.Counters().Condemned != 1 {
@@ -94,12 +94,12 @@
 
 func TestListCountsForMoreThanEvidence(t *testing.T) {
 	const now = 10 * second
-	for name, l := range map[string]scheduler.Listing{
-		"drain": {Node: "a", Since: second, State: scheduler.Draining}, "start": {Node: "a", Since: 9 * second}, "gone": {Node: "a", State: scheduler.Gone},
+	for name, l := range map[string]scheduler.Endpoint{
+		"drain": {Node: "a", StartedAt: second, State: scheduler.Draining}, "start": {Node: "a", StartedAt: 9 * second}, "gone": {Node: "a", State: scheduler.Removed},
 	} {
 		m := front(t, 0, zonesOf(1, 4), now)
 		m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
-		actions := m.Step(now+1, []Event{NodeList{Nodes: []scheduler.Listing{l}}})
+		actions := m.Step(now+1, []Event{NodeList{Nodes: []scheduler.Endpoint{l}}})
 		if answers := of[ProbeAnswered](actions); m.avoids("a") || m.Counters().Condemned != 0 || len(answers) != 1 || answers[0].OK {
 			t.Errorf("%s: avoids %v, %v", name, m.avoids("a"), actions)
 		}
--- a/internal/fleet/health/probing.go
+++ b/internal/fleet/health/probing.go
@@ -130,7 +130,7 @@
 		n.probe.next = m.now
 	}
 	if n.held && !n.avoided && (e.OK || n.probe.wanted) {
-		m.answer(n, e.Probed)
+		m.answer(n, e.HealthChecked)
 	}
 	n.probe.wanted = false
 	m.touch(n)
--- a/internal/fleet/health/schedule_test.go
+++ b/internal/fleet/health/schedule_test.go
@@ -128,9 +128,9 @@
 		node.dead = false
 	case nodeRestarts:
 		node.dead, node.start = false, t.now
-		t.listAll(NodeList{Nodes: []scheduler.Listing{{Node: node.name, Since: node.start}}})
+		t.listAll(NodeList{Nodes: []scheduler.Endpoint{{Node: node.name, StartedAt: node.start}}})
 	case nodeDrains:
-		t.listAll(NodeList{Nodes: []scheduler.Listing{{Node: node.name, Since: node.start, State: scheduler.Draining}}})
+		t.listAll(NodeList{Nodes: []scheduler.Endpoint{{Node: node.name, StartedAt: node.start, State: scheduler.Draining}}})
 	case nodeRuns:
 		t.listAll(t.list())
 	case frontCrashes:
--- a/internal/fleet/health/traffic_test.go
+++ b/internal/fleet/health/traffic_test.go
@@ -10,7 +10,7 @@
 func (w *world) probe(f *simFront, n *simNode) {
 	n.probes = append(n.probes, w.now)
 	ended := func(after scheduler.Micros, ok bool) {
-		w.to(f, w.now+after, ProbeEnded{scheduler.Probed{Node: n.name, OK: ok, Queue: -1}})
+		w.to(f, w.now+after, ProbeEnded{scheduler.HealthChecked{Node: n.name, OK: ok, Queue: -1}})
 	}
 	switch {
 	case !w.reaches(f.number, n):
--- a/internal/fleet/health/verdict.go
+++ b/internal/fleet/health/verdict.go
@@ -15,7 +15,7 @@
 	case avoid && !n.avoided:
 		n.avoided, n.returnAt = true, 0
 		m.condemned++
-		m.out = append(m.out, Report{scheduler.NodeSilent{Node: n.name, Since: n.start, At: at}})
+		m.out = append(m.out, Report{scheduler.NodeSilent{Node: n.name, StartedAt: n.start, ObservedAt: at}})
 	case !avoid && n.avoided:
 		n.avoided, n.ended = false, m.now
 		m.condemned--
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -71,7 +71,7 @@
 func (w *world) list() NodeList {
 	l := NodeList{Full: true}
 	for _, n := range w.nodes {
-		l.Nodes = append(l.Nodes, scheduler.Listing{Node: n.name, Since: n.start})
+		l.Nodes = append(l.Nodes, scheduler.Endpoint{Node: n.name, StartedAt: n.start})
 	}
 	return l
 }
@@ -146,8 +146,8 @@
 // listed has a front's scheduler forget what it held of a former start.
 func (w *world) listed(f *simFront, l NodeList) {
 	for _, listed := range l.Nodes {
-		if f.known[listed.Node] != listed.Since {
-			f.known[listed.Node], f.mute[listed.Node] = listed.Since, false
+		if f.known[listed.Node] != listed.StartedAt {
+			f.known[listed.Node], f.mute[listed.Node] = listed.StartedAt, false
 		}
 		n := f.monitor.byName[listed.Node]
 		if n.trouble != nil && n.avoided && listed.State != scheduler.Running && w.against != nil {
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -19,10 +19,10 @@
 
 // Hooks are what a Monitor acts through. All must be set.
 type Hooks struct {
-	Now    func() scheduler.Micros            // the scheduler's clock
-	Probe  func(node string) scheduler.Probed // asks a node itself, and returns within a bounded time
-	Report func(scheduler.Event)              // tells the scheduler
-	Send   func(to int, message []byte)       // sends a datagram to the front of a number, without waiting
+	Now    func() scheduler.Micros                   // the scheduler's clock
+	Probe  func(node string) scheduler.HealthChecked // asks a node itself, and returns within a bounded time
+	Report func(scheduler.Event)                     // tells the scheduler
+	Send   func(to int, message []byte)              // sends a datagram to the front of a number, without waiting
 	Log    *slog.Logger
 }
 
@@ -104,9 +104,9 @@
 func (m *Monitor) perform(a health.Action, now scheduler.Micros, alarm *time.Timer) {
 	switch a := a.(type) {
 	case health.StartProbe:
-		go func() { m.inbox.put(health.ProbeEnded{Probed: m.hooks.Probe(a.Node)}) }()
+		go func() { m.inbox.put(health.ProbeEnded{HealthChecked: m.hooks.Probe(a.Node)}) }()
 	case health.ProbeAnswered:
-		m.waiters.answer(a.Probed)
+		m.waiters.answer(a.HealthChecked)
 	case health.Report:
 		m.hooks.Report(a.NodeSilent)
 		m.hooks.Log.Info("the zone found a node silent", "node", a.Node)
@@ -119,8 +119,8 @@
 
 // Probe has a node probed for the scheduler: by this front, or by others of its zone. It returns within the bound, and
 // at the monitor's end.
-func (m *Monitor) Probe(node string) scheduler.Probed {
-	failed := scheduler.Probed{Node: node, Queue: -1}
+func (m *Monitor) Probe(node string) scheduler.HealthChecked {
+	failed := scheduler.HealthChecked{Node: node, Queue: -1}
 	answer := m.waiters.enter(node)
 	m.inbox.put(health.ProbeWanted{Node: node})
 	late := time.NewTimer(m.hold)
@@ -136,8 +136,8 @@
 }
 
 // Told takes in news of the node list.
-func (m *Monitor) Told(news scheduler.Nodes) {
-	m.inbox.put(health.NodeList{Full: news.Full, Nodes: news.List})
+func (m *Monitor) Told(news scheduler.EndpointsChanged) {
+	m.inbox.put(health.NodeList{Full: news.Full, Nodes: news.Endpoints})
 }
 
 // AttemptStarted takes in that an attempt was sent, unless there is no room for it.
@@ -146,7 +146,7 @@
 }
 
 // AttemptEnded takes in how an attempt ended whose start was taken in. There is room for it.
-func (m *Monitor) AttemptEnded(node string, e scheduler.Outcome) {
+func (m *Monitor) AttemptEnded(node string, e scheduler.AttemptEnded) {
 	m.inbox.put(health.AttemptEnded{Node: node, ID: e.ID, Attempt: e.Attempt, Result: e.Result, Alive: e.Alive})
 }
 
--- a/internal/fleet/monitor/monitor_test.go
+++ b/internal/fleet/monitor/monitor_test.go
@@ -40,9 +40,9 @@
 		z.reports[i] = make(chan scheduler.Event, 16)
 		m, err := New(testConfig(i), b, Hooks{
 			Now: func() scheduler.Micros { return scheduler.Micros(time.Since(began)/time.Microsecond) + 1 },
-			Probe: func(node string) scheduler.Probed {
+			Probe: func(node string) scheduler.HealthChecked {
 				z.probes <- node
-				return scheduler.Probed{Node: node, OK: z.answers.Load(), Queue: -1}
+				return scheduler.HealthChecked{Node: node, OK: z.answers.Load(), Queue: -1}
 			},
 			Report: func(e scheduler.Event) { z.reports[i] <- e },
 			Send:   func(to int, message []byte) { z.monitors[to].Take(i, message) },
@@ -50,7 +50,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		m.Told(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}})
+		m.Told(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
 		z.monitors[i] = m
 	}
 	for _, m := range z.monitors {
@@ -78,13 +78,13 @@
 	if !z.monitors[0].AttemptStarted("a", "x", 0) {
 		t.Fatal("no room")
 	}
-	z.monitors[0].AttemptEnded("a", scheduler.Outcome{ID: "x", Result: scheduler.Unreachable})
+	z.monitors[0].AttemptEnded("a", scheduler.AttemptEnded{ID: "x", Result: scheduler.Unreachable})
 	for _, reports := range z.reports {
 		if e := standin.Await(t, "a report", reports); e.(scheduler.NodeSilent).Node != "a" {
 			t.Errorf("reported %+v", e)
 		}
 	}
-	answered := make(chan scheduler.Probed, 1)
+	answered := make(chan scheduler.HealthChecked, 1)
 	go func() { answered <- z.monitors[1].Probe("a") }()
 	standin.Until(t, "further probes", func() bool { return len(z.probes) > 4 })
 	select {
@@ -104,7 +104,7 @@
 
 // Whoever waits for a probe is answered within the bound, and at the monitor's end.
 func TestProbeEnds(t *testing.T) {
-	blocked := Hooks{Now: func() scheduler.Micros { return 1 }, Probe: func(string) scheduler.Probed { select {} }, Log: standin.Log(func(string) {})}
+	blocked := Hooks{Now: func() scheduler.Micros { return 1 }, Probe: func(string) scheduler.HealthChecked { select {} }, Log: standin.Log(func(string) {})}
 	for what, hold := range map[string]time.Duration{"the bound": time.Millisecond, "the monitor's end": time.Hour} {
 		m, err := New(testConfig(0), Bounds{Inbox: 16, Hold: hold}, blocked)
 		if err != nil {
@@ -112,7 +112,7 @@
 		}
 		ctx, end := context.WithCancel(t.Context())
 		go m.Run(ctx)
-		answered := make(chan scheduler.Probed, 1)
+		answered := make(chan scheduler.HealthChecked, 1)
 		go func() { answered <- m.Probe("a") }()
 		if hold == time.Hour {
 			standin.Until(t, "the call", func() bool {
@@ -151,7 +151,7 @@
 		}
 	}
 	for range taken {
-		m.AttemptEnded("a", scheduler.Outcome{ID: "x"})
+		m.AttemptEnded("a", scheduler.AttemptEnded{ID: "x"})
 	}
 	message := health.Message{Run: 1, Sequence: 1, Sent: 1, Entries: []health.Entry{{Node: 1, State: health.Silent}}}
 	if !m.Take(1, message.Encode()) {
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -24,19 +24,19 @@
 			IDs:   []string{"id-1", "id-2"},
 			Learned: scheduler.Learned{
 				At: 1_800_000_000_000_000,
-				Nodes: []scheduler.Known{{
-					Listing: scheduler.Listing{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, Since: 5},
-					Habits: scheduler.Habits{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
-						Usual: 30e3, Before: 31e3, Unit: 4e3, Errors: 0.25, Judged: 6, Answered: 7, Suspect: 8},
+				Nodes: []scheduler.LearnedNode{{
+					Endpoint: scheduler.Endpoint{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, StartedAt: 5},
+					NodeStats: scheduler.NodeStats{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
+						SmoothedLatency: 30e3, PreviousLatency: 31e3, UnitTime: 4e3, ErrorRate: 0.25, LatencyUpdated: 6, LastAnswer: 7, SuspectedRestart: 8},
 				}},
-				Accounts: []scheduler.Account{{Volume: "riverside", Plan: 1, Hosts: 2, Reserve: 9.5,
-					Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, Bound: 11}}},
-				Leads: []scheduler.Lead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, Last: 12}},
+				Volumes: []scheduler.VolumeUsage{{Volume: "riverside", Plan: 1, Fronts: 2, ReservationTag: 9.5,
+					Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, BoundUntil: 11}}},
+				Flows: []scheduler.FlowLead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, LastSend: 12}},
 			},
 		},
 		Plans: []string{"gold", "basic"},
 		List: protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: "127.0.0.1:3022",
-			Listing: scheduler.Listing{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, Since: 5}}}},
+			Endpoint: scheduler.Endpoint{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, StartedAt: 5}}}},
 		Bans: map[string]string{"node-b": "on-call"},
 	}
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -52,9 +52,9 @@
 
 // Encode writes a state.
 func Encode(s State) ([]byte, error) {
-	snap := snapshot.Snapshot{Saved: s.Given.At, Accounts: s.Given.Accounts, Leads: s.Given.Leads}
+	snap := snapshot.Snapshot{Saved: s.Given.At, Accounts: s.Given.Volumes, Leads: s.Given.Flows}
 	for _, k := range s.Given.Nodes {
-		snap.Nodes = append(snap.Nodes, snapshot.Node{Known: k})
+		snap.Nodes = append(snap.Nodes, snapshot.Node{LearnedNode: k})
 	}
 	kept, err := snapshot.Encode(snap)
 	if err != nil {
@@ -62,7 +62,7 @@
 	}
 	f := form{Version: Version, Snapshot: kept, Began: int64(s.Given.Began), IDs: s.Given.IDs, Plans: s.Plans, Bans: s.Bans}
 	for _, h := range s.List.Hosts {
-		f.List = append(f.List, hostForm{h.Node, h.Dial, h.Zone, h.Shard, int(h.State), int64(h.Since)})
+		f.List = append(f.List, hostForm{h.Node, h.Dial, h.Zone, h.Shard, int(h.State), int64(h.StartedAt)})
 	}
 	return cbor.Marshal(f)
 }
@@ -92,23 +92,23 @@
 	s := State{Plans: f.Plans, Bans: f.Bans, List: protocol.List{Whole: true}}
 	s.Given = routing.Given{Began: scheduler.Micros(f.Began), IDs: f.IDs, Learned: scheduler.Learned{At: snap.Saved}}
 	for _, n := range snap.Nodes {
-		s.Given.Nodes = append(s.Given.Nodes, n.Known)
+		s.Given.Nodes = append(s.Given.Nodes, n.LearnedNode)
 	}
 	for _, a := range snap.Accounts {
 		if at, has := numbers[a.Plan]; has {
 			a.Plan = at
-			s.Given.Accounts = append(s.Given.Accounts, a)
+			s.Given.Volumes = append(s.Given.Volumes, a)
 		}
 	}
 	for _, l := range snap.Leads {
 		if at, has := numbers[l.Plan]; has {
 			l.Plan = at
-			s.Given.Leads = append(s.Given.Leads, l)
+			s.Given.Flows = append(s.Given.Flows, l)
 		}
 	}
 	for _, h := range f.List {
-		s.List.Hosts = append(s.List.Hosts, protocol.Host{Dial: h.Dial, Listing: scheduler.Listing{Node: h.Name, Zone: h.Zone,
-			Shard: h.Shard, State: scheduler.NodeState(h.State), Since: scheduler.Micros(h.Since)}})
+		s.List.Hosts = append(s.List.Hosts, protocol.Host{Dial: h.Dial, Endpoint: scheduler.Endpoint{Node: h.Name, Zone: h.Zone,
+			Shard: h.Shard, State: scheduler.NodeState(h.State), StartedAt: scheduler.Micros(h.Since)}})
 	}
 	return s, nil
 }
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -24,7 +24,7 @@
 }
 
 type node struct {
-	scheduler.Listing
+	scheduler.Endpoint
 	out int
 }
 
@@ -58,15 +58,15 @@
 
 func (d *Decider) take(e scheduler.Event) {
 	switch e := e.(type) {
-	case scheduler.Nodes:
+	case scheduler.EndpointsChanged:
 		d.learn(e)
 	case scheduler.Request:
-		d.open[e.ID] = &request{Request: e, end: d.now + e.Left - 2*d.set.Tick}
-	case scheduler.Lapsed:
+		d.open[e.ID] = &request{Request: e, end: d.now + e.TimeLeft - 2*d.set.Tick}
+	case scheduler.ClientLeft:
 		delete(d.open, e.ID)
-	case scheduler.Alarm:
+	case scheduler.TimerFired:
 		d.wake = false
-	case scheduler.Outcome:
+	case scheduler.AttemptEnded:
 		r := d.open[e.ID]
 		if r == nil {
 			return
@@ -80,25 +80,25 @@
 			return
 		}
 		r.ran = r.ran || e.Result == scheduler.Errored || e.Result == scheduler.TimedOut || e.Result == scheduler.Reset
-		if r.ran && d.set.Classes[r.Class].Repeat != scheduler.Safe || r.tries >= d.set.MaxTries {
+		if r.ran && d.set.Classes[r.Class].Idempotency != scheduler.Idempotent || r.tries >= d.set.MaxAttempts {
 			d.finish(r)
 		}
 	}
 }
 
-func (d *Decider) learn(e scheduler.Nodes) {
+func (d *Decider) learn(e scheduler.EndpointsChanged) {
 	if e.Full {
 		for _, n := range d.nodes {
-			n.State = scheduler.Gone
+			n.State = scheduler.Removed
 		}
 	}
-	for _, l := range e.List {
+	for _, l := range e.Endpoints {
 		has := d.nodes[l.Shard]
 		switch {
 		case has != nil && has.Node == l.Node:
-			has.Listing = l
+			has.Endpoint = l
 		case l.State == scheduler.Running || has == nil:
-			d.nodes[l.Shard] = &node{Listing: l}
+			d.nodes[l.Shard] = &node{Endpoint: l}
 		}
 	}
 }
@@ -112,18 +112,18 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *request) int {
-		return cmp.Or(cmp.Compare(a.end-a.Left, b.end-b.Left), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.end-a.TimeLeft, b.end-b.TimeLeft), cmp.Compare(a.ID, b.ID))
 	})
 	held := false
 	for _, r := range waiting {
 		n := d.place(r)
 		switch {
-		case r.tries == 0 && d.now > r.end-r.Left/2 || d.now >= r.end:
+		case r.tries == 0 && d.now > r.end-r.TimeLeft/2 || d.now >= r.end:
 			d.finish(r)
 		case n != nil && n.State == scheduler.Running && (d.window == 0 || n.out < d.window) && d.draw(r):
 			n.out++
 			r.sent, r.tries = n, r.tries+1
-			d.out = append(d.out, scheduler.Send{ID: r.ID, Node: n.Node})
+			d.out = append(d.out, scheduler.StartAttempt{ID: r.ID, Node: n.Node})
 		case n == nil || d.window == 0: // nothing to wait for
 			d.finish(r)
 		default:
@@ -132,7 +132,7 @@
 	}
 	if held && !d.wake {
 		d.wake = true
-		d.out = append(d.out, scheduler.SetAlarm{At: d.now + 5*d.set.Tick})
+		d.out = append(d.out, scheduler.SetTimer{At: d.now + 5*d.set.Tick})
 	}
 }
 
@@ -158,7 +158,7 @@
 	if p.Limit <= 0 || r.tries > 0 {
 		return true
 	}
-	hosts := float64(max(r.Hosts, 1))
+	hosts := float64(max(r.Fronts, 1))
 	s := d.stores[r.Volume]
 	if s == nil {
 		s = &store{p.Burst / hosts, d.now}
@@ -175,9 +175,9 @@
 
 func (d *Decider) finish(r *request) {
 	delete(d.open, r.ID)
-	if r.ran && d.set.Classes[r.Class].Repeat != scheduler.Safe {
+	if r.ran && d.set.Classes[r.Class].Idempotency != scheduler.Idempotent {
 		d.out = append(d.out, scheduler.Fail{ID: r.ID})
 		return
 	}
-	d.out = append(d.out, scheduler.Refuse{ID: r.ID})
+	d.out = append(d.out, scheduler.Reject{ID: r.ID})
 }
--- a/internal/lab/hollow/attempts.go
+++ b/internal/lab/hollow/attempts.go
@@ -39,10 +39,10 @@
 }
 
 // attempt sends a request to a node.
-func (f *front) attempt(now scheduler.Micros, a scheduler.Send) {
+func (f *front) attempt(now scheduler.Micros, a scheduler.StartAttempt) {
 	c := f.call(a.ID)
 	if c == nil {
-		f.events = append(f.events, scheduler.Outcome{ID: a.ID, Result: scheduler.Moot})
+		f.events = append(f.events, scheduler.AttemptEnded{ID: a.ID, Result: scheduler.NotStarted})
 		return
 	}
 	node := f.numbers[a.Node]
@@ -69,7 +69,7 @@
 	if c == nil || !c.out || c.attempt-1 != m.attempt {
 		return
 	}
-	if m.result == scheduler.OK || m.result == scheduler.Full {
+	if m.result == scheduler.OK || m.result == scheduler.QueueFull {
 		f.idle[c.node]++
 	} else {
 		f.idle[c.node] = 0
@@ -79,7 +79,7 @@
 
 func (f *front) outcome(at scheduler.Micros, c *call, result scheduler.Result) {
 	c.out = false
-	o := scheduler.Outcome{ID: c.id, Attempt: int(c.attempt - 1), Result: result, Latency: at - c.sent, Final: result == scheduler.OK}
+	o := scheduler.AttemptEnded{ID: c.id, Attempt: int(c.attempt - 1), Result: result, Latency: at - c.sent, Final: result == scheduler.OK}
 	if f.health != nil {
 		f.health.attemptEnded(f.names[c.node], o)
 	}
@@ -118,7 +118,7 @@
 			f.outcome(c.deadline, c, scheduler.TimedOut)
 		default:
 			f.close(c, failed)
-			f.events = append(f.events, scheduler.Lapsed{ID: c.id})
+			f.events = append(f.events, scheduler.ClientLeft{ID: c.id})
 		}
 	}
 	for !f.late.empty() && f.late.head().at < end {
--- a/internal/lab/hollow/discovery.go
+++ b/internal/lab/hollow/discovery.go
@@ -17,7 +17,7 @@
 // news is what an answer of discovery brings.
 type news struct {
 	whole   bool
-	entries []scheduler.Listing
+	entries []scheduler.Endpoint
 	bytes   int // of its body
 }
 
@@ -191,7 +191,7 @@
 	if d.whole == nil {
 		var nodes []int32
 		for i, l := range d.world.listed {
-			if l.State != scheduler.Gone {
+			if l.State != scheduler.Removed {
 				nodes = append(nodes, int32(i))
 			}
 		}
@@ -200,7 +200,7 @@
 	return d.whole
 }
 
-var healths = map[scheduler.NodeState]string{scheduler.Running: "up", scheduler.Draining: "draining", scheduler.Gone: "removed"}
+var healths = map[scheduler.NodeState]string{scheduler.Running: "up", scheduler.Draining: "draining", scheduler.Removed: "removed"}
 
 func (d *discovery) encode(whole bool, nodes []int32) *news {
 	out := &news{whole: whole}
@@ -210,7 +210,7 @@
 		out.entries = append(out.entries, l)
 		body.Hosts = append(body.Hosts, entry{Host: l.Node, Dial: fmt.Sprintf("10.%d.%d.%d:7000", l.Zone, n/250, n%250),
 			Site: fmt.Sprintf("region-%d/zone-%02d", d.world.links.regionOf(int32(l.Zone)), l.Zone), Health: healths[l.State],
-			Block: l.Shard, BornMs: int64(l.Since / millisecond)})
+			Block: l.Shard, BornMs: int64(l.StartedAt / millisecond)})
 	}
 	text, err := json.Marshal(body)
 	if err != nil {
--- a/internal/lab/hollow/events.go
+++ b/internal/lab/hollow/events.go
@@ -132,7 +132,7 @@
 func (w *World) restart(nodes ...int32) {
 	for _, n := range nodes {
 		w.nodes[n].Restart(int64(w.now()))
-		w.listed[n].Since = w.now()
+		w.listed[n].StartedAt = w.now()
 	}
 	w.discovery.publish(w.now(), nodes...)
 	w.Expect()
@@ -154,10 +154,10 @@
 func successor(w *World) {
 	next := int32(w.set.Nodes)
 	w.nodes[firstNode].kill(w.now())
-	w.listed[firstNode].State = scheduler.Gone
+	w.listed[firstNode].State = scheduler.Removed
 	w.nodes[next].Restart(int64(w.now()))
 	l := &w.listed[next]
-	l.Shard, l.State, l.Since = w.nodes[firstNode].shard, scheduler.Running, w.now()
+	l.Shard, l.State, l.StartedAt = w.nodes[firstNode].shard, scheduler.Running, w.now()
 	w.Watch(firstNode)
 	w.discovery.publish(w.now(), firstNode, next)
 	w.Expect()
@@ -167,7 +167,7 @@
 	restartNodes(1)(w)
 	w.After(4*second, func(w *World) {
 		set := w.set.rules(0)
-		c := slowstart.Config[scheduler.Micros]{Hosts: set.Hosts, Span: set.FallSpan, Peers: true}
+		c := slowstart.Config[scheduler.Micros]{Fronts: set.Fronts, OverloadSpan: set.OverloadSpan, PeerMessages: true}
 		granter, _ := c.Granter(w.listed[firstNode].Node, w.now())
 		w.fronts[granter].stop()
 	})
--- a/internal/lab/hollow/front.go
+++ b/internal/lab/hollow/front.go
@@ -74,11 +74,11 @@
 	f.deadlines, f.late, f.events = queue[*call]{}, queue[probeOut]{}, nil
 	f.numbers, f.names = make(map[string]int32, len(w.nodes)), make([]string, len(w.nodes))
 	f.idle = make([]uint8, len(w.nodes))
-	list := scheduler.Nodes{Full: true}
+	list := scheduler.EndpointsChanged{Full: true}
 	for i, l := range w.listed {
 		f.names[i], f.numbers[l.Node] = l.Node, int32(i)
-		if l.State != scheduler.Gone {
-			list.List = append(list.List, l)
+		if l.State != scheduler.Removed {
+			list.Endpoints = append(list.Endpoints, l)
 		}
 	}
 	if w.set.Health {
@@ -125,7 +125,7 @@
 	}
 	if f.alarm > 0 && f.alarm < end {
 		f.alarm = 0
-		f.events = append(f.events, scheduler.Alarm{})
+		f.events = append(f.events, scheduler.TimerFired{})
 	}
 	if len(f.events) > 0 {
 		events := f.events
@@ -171,8 +171,8 @@
 		f.calls[c.number] = c
 		f.deadlines.push(c)
 		f.counts.now[requests]++
-		f.events = append(f.events, scheduler.Request{ID: c.id, Volume: volumeNames[shard%volumes], Units: units, Shard: shard, Hosts: 1,
-			Left: c.deadline - end})
+		f.events = append(f.events, scheduler.Request{ID: c.id, Volume: volumeNames[shard%volumes], Units: units, Shard: shard, Fronts: 1,
+			TimeLeft: c.deadline - end})
 	}
 }
 
@@ -188,7 +188,7 @@
 }
 
 // learn hands news of the list to the scheduler ahead of all else.
-func (f *front) learn(now scheduler.Micros, list scheduler.Nodes) {
+func (f *front) learn(now scheduler.Micros, list scheduler.EndpointsChanged) {
 	if f.health != nil {
 		f.health.learn(list)
 	}
@@ -197,19 +197,19 @@
 
 func (f *front) perform(now scheduler.Micros, a scheduler.Action) {
 	switch a := a.(type) {
-	case scheduler.Send:
+	case scheduler.StartAttempt:
 		f.attempt(now, a)
-	case scheduler.Refuse:
+	case scheduler.Reject:
 		f.end(a.ID, refused)
 	case scheduler.Fail:
 		f.end(a.ID, failed)
-	case scheduler.Probe:
+	case scheduler.CheckHealth:
 		f.wantProbe(now, a.Node)
-	case scheduler.Ask:
+	case scheduler.RequestCapacity:
 		f.note(now, a.To, a)
-	case scheduler.Grant:
+	case scheduler.GrantCapacity:
 		f.note(now, a.To, a)
-	case scheduler.SetAlarm:
+	case scheduler.SetTimer:
 		f.alarm = a.At
 	}
 }
--- a/internal/lab/hollow/health.go
+++ b/internal/lab/hollow/health.go
@@ -33,21 +33,23 @@
 
 func (z *zoneHealth) hear(e health.Event) { z.events = append(z.events, e) }
 
-func (z *zoneHealth) learn(list scheduler.Nodes) {
-	z.hear(health.NodeList{Full: list.Full, Nodes: list.List})
+func (z *zoneHealth) learn(list scheduler.EndpointsChanged) {
+	z.hear(health.NodeList{Full: list.Full, Nodes: list.Endpoints})
 }
 
 func (z *zoneHealth) attemptStarted(node, id string, attempt int) {
 	z.hear(health.AttemptStarted{Node: node, ID: id, Attempt: attempt})
 }
 
-func (z *zoneHealth) attemptEnded(node string, o scheduler.Outcome) {
+func (z *zoneHealth) attemptEnded(node string, o scheduler.AttemptEnded) {
 	z.hear(health.AttemptEnded{Node: node, ID: o.ID, Attempt: o.Attempt, Result: o.Result, Alive: o.Alive})
 }
 
 func (z *zoneHealth) probeWanted(node string) { z.hear(health.ProbeWanted{Node: node}) }
 
-func (z *zoneHealth) probeEnded(p scheduler.Probed) { z.hear(health.ProbeEnded{Probed: p}) }
+func (z *zoneHealth) probeEnded(p scheduler.HealthChecked) {
+	z.hear(health.ProbeEnded{HealthChecked: p})
+}
 
 // pass hands the events of a window to the monitor, and carries its actions out.
 func (z *zoneHealth) pass(f *front, now scheduler.Micros) {
@@ -74,10 +76,10 @@
 		if node, known := f.numbers[a.Node]; known {
 			f.probe(now, node)
 		} else {
-			z.probeEnded(scheduler.Probed{Node: a.Node, Queue: -1})
+			z.probeEnded(scheduler.HealthChecked{Node: a.Node, Queue: -1})
 		}
 	case health.ProbeAnswered:
-		f.events = append(f.events, a.Probed)
+		f.events = append(f.events, a.HealthChecked)
 	case health.Report:
 		f.events = append(f.events, a.NodeSilent)
 	case health.Send:
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -65,7 +65,7 @@
 		n.reply(m.at, m.from, m.number, m.attempt, scheduler.Unreachable)
 	case n.Mute:
 	case !n.Arrive(int64(m.at), model.Job{Tag: &job{m.from, m.number, m.attempt}, Work: m.value * unitWork}):
-		n.reply(m.at, m.from, m.number, m.attempt, scheduler.Full)
+		n.reply(m.at, m.from, m.number, m.attempt, scheduler.QueueFull)
 	}
 }
 
--- a/internal/lab/hollow/probes.go
+++ b/internal/lab/hollow/probes.go
@@ -40,7 +40,7 @@
 		return
 	}
 	delete(f.probes, number)
-	result := scheduler.Probed{Node: f.names[node], OK: ok, Queue: waits}
+	result := scheduler.HealthChecked{Node: f.names[node], OK: ok, Queue: waits}
 	if f.health != nil {
 		f.health.probeEnded(result)
 		return
--- a/internal/lab/hollow/settings.go
+++ b/internal/lab/hollow/settings.go
@@ -92,19 +92,19 @@
 
 // rules are the settings of a front's scheduler.
 func (s *Settings) rules(number int) scheduler.Settings {
-	return scheduler.Settings{Hosts: s.Fronts, Number: number, Peers: true, Tick: tick, MeanUnits: meanUnits, MostUnits: mostUnits,
-		MaxTries: 4, Probing: true, RetryAfter: true, MaxRetryAfter: second / 2,
-		ColdFrom: 0.2, Ramp: 17 * second, FallMultiple: 2.5, FallSpan: second, ColdUnits: 1,
-		RetrySpan: 10 * second, RetrySpare: 20, RetryShare: 0.1,
-		Classes: []scheduler.Class{{Aim: aim, Repeat: scheduler.Safe, Worth: 1}},
+	return scheduler.Settings{Fronts: s.Fronts, FrontIndex: number, PeerMessages: true, Tick: tick, MeanUnits: meanUnits, MaxUnits: mostUnits,
+		MaxAttempts: 4, HealthChecks: true, RetryAfter: true, MaxRetryAfter: second / 2,
+		InitialCapacity: 0.2, SlowStart: 17 * second, OverloadMultiple: 2.5, OverloadSpan: second, SlowStartUnits: 1,
+		RetryBudgetSpan: 10 * second, RetryBudgetMin: 20, RetryBudgetShare: 0.1,
+		Classes: []scheduler.Class{{LatencyObjective: aim, Idempotency: scheduler.Idempotent, Priority: 1}},
 		Plans:   []scheduler.Plan{{Weight: 1}}}
 }
 
 // figures are those of a node.
 func (s *Settings) figures() model.Figures {
 	set := s.rules(0)
-	return model.Figures{Cores: 8, Speed: 1, Room: 200, ColdFrom: set.ColdFrom, Ramp: int64(set.Ramp),
-		FallTimes: set.FallMultiple, FallSpan: int64(set.FallSpan), FallFree: set.ColdUnits * unitWork, MostMemory: 1}
+	return model.Figures{Cores: 8, Speed: 1, Room: 200, ColdFrom: set.InitialCapacity, Ramp: int64(set.SlowStart),
+		FallTimes: set.OverloadMultiple, FallSpan: int64(set.OverloadSpan), FallFree: set.SlowStartUnits * unitWork, MostMemory: 1}
 }
 
 // limits are those of a front of the platform whose discovery all fronts ask.
--- a/internal/lab/hollow/watch.go
+++ b/internal/lab/hollow/watch.go
@@ -59,7 +59,7 @@
 	}
 	c.version, c.hold, c.opens = m.version, micros(f.world.limits.Discovery.WatchHold), false
 	if len(news.entries) > 0 {
-		f.learn(m.at, scheduler.Nodes{Full: news.whole, List: news.entries})
+		f.learn(m.at, scheduler.EndpointsChanged{Full: news.whole, Endpoints: news.entries})
 	}
 	f.world.watched.informed(f, m.version, m.at)
 }
--- a/internal/lab/hollow/world.go
+++ b/internal/lab/hollow/world.go
@@ -29,7 +29,7 @@
 	fronts    []*front
 	nodes     []*node
 	discovery *discovery
-	listed    []scheduler.Listing // the list as discovery has it, by number of the node
+	listed    []scheduler.Endpoint // the list as discovery has it, by number of the node
 
 	actors    []actor
 	mailboxes []mailbox
@@ -105,9 +105,9 @@
 	w.nodes = append(w.nodes, n)
 	state := scheduler.Running
 	if i >= w.set.Nodes {
-		state = scheduler.Gone
+		state = scheduler.Removed
 	}
-	w.listed = append(w.listed, scheduler.Listing{Node: n.name, Zone: int(zone), Shard: n.shard, State: state})
+	w.listed = append(w.listed, scheduler.Endpoint{Node: n.name, Zone: int(zone), Shard: n.shard, State: state})
 }
 
 func (w *World) sender(id int32) sender {
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -31,39 +31,39 @@
 
 // Event is one of the kinds of scheduler.Event; the others are nil.
 type Event struct {
-	Nodes   *scheduler.Nodes    `cbor:"1,keyasint,omitempty"`
-	Request *scheduler.Request  `cbor:"2,keyasint,omitempty"`
-	Outcome *scheduler.Outcome  `cbor:"3,keyasint,omitempty"`
-	Lapsed  *scheduler.Lapsed   `cbor:"4,keyasint,omitempty"`
-	Probed  *scheduler.Probed   `cbor:"5,keyasint,omitempty"`
-	Alarm   *scheduler.Alarm    `cbor:"6,keyasint,omitempty"`
-	Room    *scheduler.Room     `cbor:"7,keyasint,omitempty"`
-	Written *scheduler.Recorded `cbor:"8,keyasint,omitempty"`
-	Asked   *scheduler.Asked    `cbor:"9,keyasint,omitempty"`
-	Granted *scheduler.Granted  `cbor:"10,keyasint,omitempty"`
+	Nodes   *scheduler.EndpointsChanged  `cbor:"1,keyasint,omitempty"`
+	Request *scheduler.Request           `cbor:"2,keyasint,omitempty"`
+	Outcome *scheduler.AttemptEnded      `cbor:"3,keyasint,omitempty"`
+	Lapsed  *scheduler.ClientLeft        `cbor:"4,keyasint,omitempty"`
+	Probed  *scheduler.HealthChecked     `cbor:"5,keyasint,omitempty"`
+	Alarm   *scheduler.TimerFired        `cbor:"6,keyasint,omitempty"`
+	Room    *scheduler.OpenLimitChanged  `cbor:"7,keyasint,omitempty"`
+	Written *scheduler.StateSaved        `cbor:"8,keyasint,omitempty"`
+	Asked   *scheduler.CapacityRequested `cbor:"9,keyasint,omitempty"`
+	Granted *scheduler.CapacityGranted   `cbor:"10,keyasint,omitempty"`
 }
 
 func wrap(e scheduler.Event) (out Event) {
 	switch e := e.(type) {
-	case scheduler.Nodes:
+	case scheduler.EndpointsChanged:
 		out.Nodes = &e
 	case scheduler.Request:
 		out.Request = &e
-	case scheduler.Outcome:
+	case scheduler.AttemptEnded:
 		out.Outcome = &e
-	case scheduler.Lapsed:
+	case scheduler.ClientLeft:
 		out.Lapsed = &e
-	case scheduler.Probed:
+	case scheduler.HealthChecked:
 		out.Probed = &e
-	case scheduler.Alarm:
+	case scheduler.TimerFired:
 		out.Alarm = &e
-	case scheduler.Room:
+	case scheduler.OpenLimitChanged:
 		out.Room = &e
-	case scheduler.Recorded:
+	case scheduler.StateSaved:
 		out.Written = &e
-	case scheduler.Asked:
+	case scheduler.CapacityRequested:
 		out.Asked = &e
-	case scheduler.Granted:
+	case scheduler.CapacityGranted:
 		out.Granted = &e
 	}
 	return out
@@ -90,7 +90,7 @@
 	case e.Granted != nil:
 		return *e.Granted
 	}
-	return scheduler.Alarm{}
+	return scheduler.TimerFired{}
 }
 
 // sum is that of actions, in their order.
@@ -105,23 +105,23 @@
 // recordedName is the name of an action's kind in recorded sums. It stays when the type is renamed.
 func recordedName(a scheduler.Action) string {
 	switch a.(type) {
-	case scheduler.Send:
-		return "scheduler.Send"
-	case scheduler.Refuse:
+	case scheduler.StartAttempt:
+		return "rules.Send"
+	case scheduler.Reject:
 		return "rules.Refuse"
 	case scheduler.Fail:
 		return "rules.Fail"
-	case scheduler.Cancel:
+	case scheduler.CancelAttempt:
 		return "rules.Cancel"
-	case scheduler.Probe:
+	case scheduler.CheckHealth:
 		return "rules.Probe"
-	case scheduler.SetAlarm:
+	case scheduler.SetTimer:
 		return "rules.SetAlarm"
-	case scheduler.WriteDown:
+	case scheduler.SaveState:
 		return "rules.WriteDown"
-	case scheduler.Ask:
+	case scheduler.RequestCapacity:
 		return "rules.Ask"
-	case scheduler.Grant:
+	case scheduler.GrantCapacity:
 		return "rules.Grant"
 	}
 	return fmt.Sprintf("%T", a)
--- a/internal/lab/record/streams.go
+++ b/internal/lab/record/streams.go
@@ -18,11 +18,11 @@
 	s.Load.Limited, s.Load.Limit, s.Load.Burst, s.Load.Projects = 0.33, 24, 72, 5*d.nodes
 	s.Load.Comes, s.Load.Heeds = 0.5, 0.5
 	set := s.Settings()
-	set.Cancel, set.RetrySpan, set.RetrySpare, set.RetryShare = true, 10_000_000, 10, 0.2
+	set.CancelAttempts, set.RetryBudgetSpan, set.RetryBudgetMin, set.RetryBudgetShare = true, 10_000_000, 10, 0.2
 	d.edit(&s, &set)
 	var r Recorder
 	_, err = s.PlayWith(1, set, scenario.Variant{Name: name, Make: func(front int, set scheduler.Settings, seed int64) (world.Decider, error) {
-		set.Number = front
+		set.FrontIndex = front
 		made, err := scheduler.New(set, seed)
 		if front > 0 || err != nil {
 			return made, err
@@ -56,7 +56,7 @@
 	"flood": {4, 1, 7 * time.Second, func(s *scenario.Scenario, set *scheduler.Settings) {
 		s.Load.Busy, s.Load.Pieces, s.Load.Comes = 0.9, 4, 0.2
 		s.Happens = []scenario.Event{{At: 2 * time.Second, What: "flood", Projects: 2, Times: 1, For: 3 * time.Second}}
-		set.MaxOpen, set.KeyRest = 60, 50_000
+		set.MaxOpen, set.KeyPause = 60, 50_000
 		set.Classes[1].InOrder = true
 	}},
 	"idle": {30, 1, 110 * time.Second, func(s *scenario.Scenario, _ *scheduler.Settings) { s.Load.Busy = 0.01 }},
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -40,13 +40,13 @@
 
 // settings are those of a site of one front.
 func settings() scheduler.Settings {
-	return scheduler.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 4, Probing: true,
+	return scheduler.Settings{Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, MaxAttempts: 4, HealthChecks: true,
 		RetryAfter: true, MaxRetryAfter: second / 2,
-		ColdFrom: 0.2, Ramp: 17 * second, FallMultiple: 2.5, FallSpan: second, ColdUnits: 8,
+		InitialCapacity: 0.2, SlowStart: 17 * second, OverloadMultiple: 2.5, OverloadSpan: second, SlowStartUnits: 8,
 		Classes: []scheduler.Class{
-			{Aim: 300_000, Repeat: scheduler.Safe, Worth: 2},
-			{Aim: 400_000, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 3 * second, Worth: 2},
-			{Aim: 2 * second, Repeat: scheduler.Safe, Worth: 1}},
+			{LatencyObjective: 300_000, Idempotency: scheduler.Idempotent, Priority: 2},
+			{LatencyObjective: 400_000, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 3 * second, Priority: 2},
+			{LatencyObjective: 2 * second, Idempotency: scheduler.Idempotent, Priority: 1}},
 		Plans: []scheduler.Plan{{Weight: 1, Limit: 24, Burst: 72}, {Reservation: 8, Weight: 1}}}
 }
 
@@ -91,7 +91,7 @@
 		}
 		requests = append(requests, world.Request{At: scheduler.Micros(at), Work: units * kinds[class].work * (0.5 + rng.Float64()),
 			Request: scheduler.Request{ID: fmt.Sprint(n), Class: class, Plan: project % 2, Volume: fmt.Sprint("project-", project),
-				Units: units, Shard: shard, Hosts: 1, Left: kinds[class].left}})
+				Units: units, Shard: shard, Fronts: 1, TimeLeft: kinds[class].left}})
 	}
 	return nodes, requests
 }
@@ -124,7 +124,7 @@
 				again, _ := scheduler.New(set, int64(seed)+1) // of settings that were good before
 				w.Start(0, again)
 				if v == 1 {
-					again.Recall(w.Now, recall(w, s, kept))
+					again.ImportLearned(w.Now, recall(w, s, kept))
 				}
 			})
 		}
@@ -134,7 +134,7 @@
 			if q.At < warmed+down {
 				continue
 			}
-			worth := set.Classes[q.Class].Worth * q.Units
+			worth := set.Classes[q.Class].Priority * q.Units
 			asked += worth
 			if w.Ended(q.ID).Verdict == world.Served {
 				r.Served[v] += worth
@@ -152,19 +152,19 @@
 
 // save is a snapshot of the front, by way of its file's bytes.
 func save(w *world.World, front *scheduler.Scheduler) snapshot.Snapshot {
-	l, _ := front.Learned(w.Now, 0, math.MaxInt32)
-	s := snapshot.Snapshot{Front: "lab", Settings: snapshot.Fingerprint(w.Set), Saved: w.Now, Accounts: l.Accounts, Leads: l.Leads}
+	l, _ := front.ExportLearned(w.Now, 0, math.MaxInt32)
+	s := snapshot.Snapshot{Front: "lab", Settings: snapshot.Fingerprint(w.Set), Saved: w.Now, Accounts: l.Volumes, Leads: l.Flows}
 	for _, k := range l.Nodes {
-		s.Nodes = append(s.Nodes, snapshot.Node{Known: k})
+		s.Nodes = append(s.Nodes, snapshot.Node{LearnedNode: k})
 	}
 	return s
 }
 
 // recall is what still counts of a snapshot.
 func recall(w *world.World, front *scheduler.Scheduler, s snapshot.Snapshot) scheduler.Learned {
-	now := ageing.Now{At: w.Now, Front: "lab", Settings: snapshot.Fingerprint(w.Set), Fresh: front.Fresh()}
-	for _, l := range w.List().List {
-		now.Nodes = append(now.Nodes, snapshot.Node{Known: scheduler.Known{Listing: l}})
+	now := ageing.Now{At: w.Now, Front: "lab", Settings: snapshot.Fingerprint(w.Set), Fresh: front.NewNodeStats()}
+	for _, l := range w.List().Endpoints {
+		now.Nodes = append(now.Nodes, snapshot.Node{LearnedNode: scheduler.LearnedNode{Endpoint: l}})
 	}
 	if err := ageing.Judge(s, now); err != nil {
 		return scheduler.Learned{}
--- a/internal/lab/scenario/judge.go
+++ b/internal/lab/scenario/judge.go
@@ -53,7 +53,7 @@
 		if q.At < second {
 			continue
 		}
-		worth := w.Set.Classes[q.Class].Worth * q.Units
+		worth := w.Set.Classes[q.Class].Priority * q.Units
 		r.Ended[end.String()]++
 		r.Requests++
 		r.Asked += worth
--- a/internal/lab/scenario/mix.go
+++ b/internal/lab/scenario/mix.go
@@ -79,12 +79,12 @@
 
 // class is what the decision module is told of a kind.
 func (k Kind) class() scheduler.Class {
-	c := scheduler.Class{Aim: k.Within.micros(), Worth: k.Worth}
+	c := scheduler.Class{LatencyObjective: k.Within.micros(), Priority: k.Worth}
 	switch {
 	case k.Once:
-		c.Repeat = scheduler.Unsafe
+		c.Idempotency = scheduler.NotIdempotent
 	case k.Keyed > 0:
-		c.Repeat, c.Group, c.Window = scheduler.Keyed, scheduler.SameShard, k.Keyed.micros()
+		c.Idempotency, c.DedupScope, c.DedupWindow = scheduler.IdempotentByKey, scheduler.SameShard, k.Keyed.micros()
 	}
 	return c
 }
--- a/internal/lab/scenario/play.go
+++ b/internal/lab/scenario/play.go
@@ -19,9 +19,9 @@
 
 // Settings are those of the site.
 func (s Scenario) Settings() scheduler.Settings {
-	set := scheduler.Settings{Hosts: s.Fronts, Peers: true, Tick: 2000, MeanUnits: 2, MostUnits: mostUnits, MaxTries: 4, Probing: true, Elsewhere: false,
+	set := scheduler.Settings{Fronts: s.Fronts, PeerMessages: true, Tick: 2000, MeanUnits: 2, MaxUnits: mostUnits, MaxAttempts: 4, HealthChecks: true, ServedElsewhereTold: false,
 		RetryAfter: true, MaxRetryAfter: second / 2,
-		ColdFrom: s.Nodes.ColdFrom, Ramp: micros(s.Nodes.Ramp), FallMultiple: 2.5, FallSpan: second, ColdUnits: 8,
+		InitialCapacity: s.Nodes.ColdFrom, SlowStart: micros(s.Nodes.Ramp), OverloadMultiple: 2.5, OverloadSpan: second, SlowStartUnits: 8,
 		Plans: []scheduler.Plan{{Reservation: 8, Weight: 1}, {Weight: 1}}}
 	for _, k := range s.mix.Kinds {
 		set.Classes = append(set.Classes, k.class())
@@ -40,7 +40,7 @@
 
 // Ours is the decision module as it stands.
 var Ours = Variant{"rules", func(front int, set scheduler.Settings, seed int64) (world.Decider, error) {
-	set.Number = front
+	set.FrontIndex = front
 	return scheduler.New(set, seed)
 }}
 
@@ -49,14 +49,14 @@
 	out := []Variant{Ours}
 	for _, v := range s.Variants {
 		out = append(out, Variant{v.Name, func(front int, set scheduler.Settings, seed int64) (world.Decider, error) {
-			set.Number = front
+			set.FrontIndex = front
 			if v.Tries > 0 {
-				set.MaxTries = v.Tries
+				set.MaxAttempts = v.Tries
 			}
 			if v.Advice > 0 {
 				set.MaxRetryAfter = micros(v.Advice)
 			}
-			set.RetryAfter, set.Probing = !v.Without, !v.Blind
+			set.RetryAfter, set.HealthChecks = !v.Without, !v.Blind
 			return scheduler.New(set, seed)
 		}})
 	}
@@ -80,15 +80,15 @@
 	n := s.Nodes
 	for range n.Count {
 		f := model.Figures{Cores: n.Cores, Speed: n.Speed[0] + (n.Speed[1]-n.Speed[0])*rng.Float64(),
-			Room: n.Room, ColdFrom: n.ColdFrom, Ramp: int64(micros(n.Ramp)), FallTimes: set.FallMultiple,
-			FallSpan: int64(set.FallSpan), FallFree: set.ColdUnits * 60_000, Overfull: n.Overfull, PutOff: n.PutOff,
+			Room: n.Room, ColdFrom: n.ColdFrom, Ramp: int64(micros(n.Ramp)), FallTimes: set.OverloadMultiple,
+			FallSpan: int64(set.OverloadSpan), FallFree: set.SlowStartUnits * 60_000, Overfull: n.Overfull, PutOff: n.PutOff,
 			PutOffFor: int64(micros(n.PutFor)), ProbeWork: float64(micros(n.Probe)), ConnWork: float64(micros(n.Connect)),
 			MostConns: n.Conns, MostMemory: 10_000}
 		if n.Near > 0 {
 			f.Near, f.NearSpan = n.Near, int64(second)
 		}
 		for _, c := range set.Classes {
-			f.KeyWindow = max(f.KeyWindow, int64(c.Window))
+			f.KeyWindow = max(f.KeyWindow, int64(c.DedupWindow))
 		}
 		power += f.Speed * float64(f.Cores)
 		nodes = append(nodes, model.New(f))
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -56,7 +56,7 @@
 	if err := errors.Join(Page(&page, []Comparison{c}), JSON(&figures, []Comparison{c})); err != nil {
 		t.Fatal(err)
 	}
-	if n := strings.Count(page.String(), "<svg"); n != 2 || !strings.Contains(page.String(), string(scheduler.NotInTime)) {
+	if n := strings.Count(page.String(), "<svg"); n != 2 || !strings.Contains(page.String(), string(scheduler.DeadlineUnreachable)) {
 		t.Errorf("%d plots, and the page is:\n%.2000s", n, &page)
 	}
 	if !json.Valid(figures.Bytes()) {
--- a/internal/lab/scenario/traces.go
+++ b/internal/lab/scenario/traces.go
@@ -65,7 +65,7 @@
 func (t *traces) at() time.Time { return time.UnixMicro(int64(t.day.World.Now)) }
 
 // Told, Asked, Sent, Back and Answered hear what happens.
-func (t *traces) Told(int, scheduler.Nodes) {}
+func (t *traces) Told(int, scheduler.EndpointsChanged) {}
 
 func (t *traces) Asked(front int, r scheduler.Request) {
 	if xxhash.Sum64String(r.ID)%t.one != 0 {
--- a/internal/lab/sockets/emulate.go
+++ b/internal/lab/sockets/emulate.go
@@ -35,7 +35,7 @@
 	for range nodes {
 		models = append(models, model.New(f))
 	}
-	w := world.New(set.Rules, models, 1, 0, 1)
+	w := world.New(set.Scheduler, models, 1, 0, 1)
 	var servers []*node
 	var listeners []net.Listener
 	defer func() {
--- a/internal/lab/sockets/node.go
+++ b/internal/lab/sockets/node.go
@@ -74,7 +74,7 @@
 }
 
 // results are what becomes of an attempt by a node's reply.
-var results = map[world.Reply]scheduler.Result{world.Answer: scheduler.OK, world.TurnedAway: scheduler.Full, world.Unreachable: scheduler.Unreachable,
+var results = map[world.Reply]scheduler.Result{world.Answer: scheduler.OK, world.TurnedAway: scheduler.QueueFull, world.Unreachable: scheduler.Unreachable,
 	world.Broken: scheduler.Reset, world.Garbled: scheduler.Reset}
 
 // ServeHTTP is a node's answer: to a probe, or to an attempt.
--- a/internal/lab/sockets/site.go
+++ b/internal/lab/sockets/site.go
@@ -38,7 +38,7 @@
 
 // settings are what the platform's protocol needs to know of a world: kinds are its classes' names, by class.
 func settings(w *world.World, kinds []string, writes []bool) protocol.Settings {
-	return protocol.Settings{Rules: w.Set, Classes: kinds, Writes: writes, Plans: []string{"reserved", "limited"}, Shards: len(w.Nodes),
+	return protocol.Settings{Scheduler: w.Set, Classes: kinds, Writes: writes, Plans: []string{"reserved", "limited"}, Shards: len(w.Nodes),
 		LongestWait: time.Minute, Retry: time.Duration(w.Set.MaxRetryAfter) * time.Microsecond}
 }
 
@@ -113,10 +113,10 @@
 	l.Stop.Accept, l.Stop.Serve, l.Stop.AtMost = 0, 0, time.Millisecond // there is no one left to wait for
 	f := &front{site: s, nodes: transport.NewNodes(l), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 	set := s.set
-	set.Rules.MaxOpen = l.Requests.Scheduled
-	set.Rules.Number, set.Rules.Peers = i, false // no messages go between these fronts
+	set.Scheduler.MaxOpen = l.Requests.Scheduled
+	set.Scheduler.FrontIndex, set.Scheduler.PeerMessages = i, false // no messages go between these fronts
 	var err error
-	if f.core, err = routing.New(set.Rules, int64(i), l, transport.NewProber(f.nodes, set, logs.Quiet()).Probe); err != nil {
+	if f.core, err = routing.New(set.Scheduler, int64(i), l, transport.NewProber(f.nodes, set, logs.Quiet()).Probe); err != nil {
 		return nil, err
 	}
 	listener, err := net.Listen("tcp", host()+":0")
@@ -142,7 +142,7 @@
 // Submit has a client ask over a connection.
 func (f *front) Submit(r scheduler.Request) {
 	go func() {
-		ctx, end := context.WithTimeout(context.Background(), time.Duration(r.Left)*time.Microsecond+time.Second)
+		ctx, end := context.WithTimeout(context.Background(), time.Duration(r.TimeLeft)*time.Microsecond+time.Second)
 		defer end()
 		v, after := load.Send(ctx, f.client, f.addr, f.site.set, r)
 		f.site.world.Do(func() { f.site.world.Answer(r.ID, verdicts[v], "", after) })
@@ -150,10 +150,10 @@
 }
 
 // Tell hands the node list over, as discovery would.
-func (f *front) Tell(list scheduler.Nodes) {
+func (f *front) Tell(list scheduler.EndpointsChanged) {
 	out := protocol.List{Whole: list.Full}
-	for _, l := range list.List {
-		out.Hosts = append(out.Hosts, protocol.Host{Listing: l, Dial: f.site.nodes[l.Node].addr})
+	for _, l := range list.Endpoints {
+		out.Hosts = append(out.Hosts, protocol.Host{Endpoint: l, Dial: f.site.nodes[l.Node].addr})
 	}
 	f.core.Tell(f.nodes.Apply(out))
 }
--- a/internal/lab/world/audit.go
+++ b/internal/lab/world/audit.go
@@ -54,13 +54,13 @@
 }
 
 // Told notes what a front knows of nodes that leave.
-func (a *Audit) Told(front int, list scheduler.Nodes) {
+func (a *Audit) Told(front int, list scheduler.EndpointsChanged) {
 	running, leaves := map[string]bool{}, a.leave[front]
 	if leaves == nil {
 		leaves = map[string]scheduler.Micros{}
 		a.leave[front] = leaves
 	}
-	for _, l := range list.List {
+	for _, l := range list.Endpoints {
 		running[l.Node] = l.State == scheduler.Running
 	}
 	for _, n := range a.world.Nodes {
@@ -91,11 +91,11 @@
 		a.broken("%s was sent to %s, %.3f s after it was known to leave", id, node, float64(now-at)/1e6)
 	}
 	class := a.world.Set.Classes[r.Class]
-	if r.ran != nil && class.Repeat != scheduler.Safe {
-		switch group := class.Group; {
-		case class.Repeat == scheduler.Unsafe:
+	if r.ran != nil && class.Idempotency != scheduler.Idempotent {
+		switch group := class.DedupScope; {
+		case class.Idempotency == scheduler.NotIdempotent:
 			a.broken("%s was sent again after an attempt that may have run", id)
-		case now > r.ranAt+class.Window+windowGrace:
+		case now > r.ranAt+class.DedupWindow+windowGrace:
 			a.broken("%s was sent again %.3f s after an attempt that may have run", id, float64(now-r.ranAt)/1e6)
 		case group == scheduler.SameShard && n.Shard != r.ran.Shard, group == scheduler.SameZone && n.Zone != r.ran.Zone:
 			a.broken("%s was sent again to %s, which doesn't drop repeats of what %s got", id, node, r.ran.Name)
@@ -120,7 +120,7 @@
 	}
 	s.level = min(plan.Burst, s.level+plan.Limit*float64(a.world.Now-s.at)/1e6) - r.Units
 	s.at = a.world.Now
-	if slack := max(plan.Burst/10, a.world.Set.MostUnits); s.level < -slack {
+	if slack := max(plan.Burst/10, a.world.Set.MaxUnits); s.level < -slack {
 		a.broken("%s is %.1f units beyond its limit", r.Volume, -s.level)
 	}
 }
@@ -146,7 +146,7 @@
 		return
 	}
 	class := a.world.Set.Classes[r.Class]
-	if v == Refused && (r.ran != nil || r.out && !a.Sockets) && class.Repeat != scheduler.Safe && (class.Repeat == scheduler.Unsafe || class.Group != scheduler.AllNodes) {
+	if v == Refused && (r.ran != nil || r.out && !a.Sockets) && class.Idempotency != scheduler.Idempotent && (class.Idempotency == scheduler.NotIdempotent || class.DedupScope != scheduler.AllNodes) {
 		a.broken("%s was refused though it may have run", id)
 	}
 	delete(a.requests, id)
--- a/internal/lab/world/audit_test.go
+++ b/internal/lab/world/audit_test.go
@@ -12,17 +12,17 @@
 // goes wrong; with a fault it breaks one of them on purpose.
 type naive struct {
 	fault string
-	nodes map[int]scheduler.Listing
+	nodes map[int]scheduler.Endpoint
 	open  map[string]scheduler.Request
 }
 
 func (d *naive) Step(now scheduler.Micros, events []scheduler.Event) (out []scheduler.Action) {
 	for _, e := range events {
 		switch e := e.(type) {
-		case scheduler.Nodes:
+		case scheduler.EndpointsChanged:
 			known := d.nodes
-			d.nodes = map[int]scheduler.Listing{}
-			for _, l := range e.List {
+			d.nodes = map[int]scheduler.Endpoint{}
+			for _, l := range e.Endpoints {
 				if l.State == scheduler.Running {
 					d.nodes[l.Shard] = l
 				} else if d.fault == "leaving" {
@@ -34,26 +34,26 @@
 			n, there := d.nodes[e.Shard]
 			switch {
 			case !there || e.Plan == 1 && d.fault != "limit":
-				out = append(out, scheduler.Refuse{ID: e.ID})
+				out = append(out, scheduler.Reject{ID: e.ID})
 			default:
-				out = append(out, scheduler.Send{ID: e.ID, Node: n.Node})
+				out = append(out, scheduler.StartAttempt{ID: e.ID, Node: n.Node})
 			}
 			if d.fault == "twice at once" && e.ID == "read-1" {
-				out = append(out, scheduler.Send{ID: e.ID, Node: n.Node})
+				out = append(out, scheduler.StartAttempt{ID: e.ID, Node: n.Node})
 			}
 			if d.fault == "second answer" && e.ID == "plan-1" {
-				out = append(out, scheduler.Refuse{ID: e.ID})
+				out = append(out, scheduler.Reject{ID: e.ID})
 			}
-		case scheduler.Outcome:
+		case scheduler.AttemptEnded:
 			r := d.open[e.ID]
 			switch {
 			case e.Final:
 			case d.fault == "another shard" && r.Class == 1:
-				out = append(out, scheduler.Send{ID: e.ID, Node: d.nodes[1-r.Shard].Node})
+				out = append(out, scheduler.StartAttempt{ID: e.ID, Node: d.nodes[1-r.Shard].Node})
 			case d.fault == "once" && r.Class == 2:
-				out = append(out, scheduler.Send{ID: e.ID, Node: d.nodes[r.Shard].Node})
+				out = append(out, scheduler.StartAttempt{ID: e.ID, Node: d.nodes[r.Shard].Node})
 			case d.fault == "refused" && r.Class == 2 || r.Class == 0:
-				out = append(out, scheduler.Refuse{ID: e.ID})
+				out = append(out, scheduler.Reject{ID: e.ID})
 			default:
 				out = append(out, scheduler.Fail{ID: e.ID})
 			}
@@ -65,15 +65,15 @@
 // silent is a front that answers nothing.
 type silent struct{}
 
-func (silent) Submit(scheduler.Request) {}
-func (silent) Tell(scheduler.Nodes)     {}
-func (silent) End()                     {}
+func (silent) Submit(scheduler.Request)        {}
+func (silent) Tell(scheduler.EndpointsChanged) {}
+func (silent) End()                            {}
 
 // Every judge notices: a front made to break one rule is caught at it, and one that breaks none is not.
 func TestAuditCatchesEveryBrokenRule(t *testing.T) {
-	set := scheduler.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8,
-		Classes: []scheduler.Class{{Aim: 300_000, Worth: 1}, {Aim: 300_000, Worth: 1, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 3_000_000},
-			{Aim: 300_000, Worth: 1, Repeat: scheduler.Unsafe}},
+	set := scheduler.Settings{Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8,
+		Classes: []scheduler.Class{{LatencyObjective: 300_000, Priority: 1}, {LatencyObjective: 300_000, Priority: 1, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 3_000_000},
+			{LatencyObjective: 300_000, Priority: 1, Idempotency: scheduler.NotIdempotent}},
 		Plans: []scheduler.Plan{{Weight: 1}, {Weight: 1, Limit: 10, Burst: 20}}}
 	for fault, want := range map[string]string{"": "", "second answer": "second final answer", "twice at once": "two attempts",
 		"after the answer": "after its final answer", "another shard": "doesn't drop repeats", "once": "may have run",
@@ -91,7 +91,7 @@
 			for i := range count {
 				w.At(at+scheduler.Micros(i), func() {
 					w.Ask(Request{Work: 20_000, Request: scheduler.Request{ID: id + string(rune('1'+i)), Class: class, Plan: plan, Volume: id, Units: 7,
-						Left: 2_000_000}})
+						TimeLeft: 2_000_000}})
 				})
 			}
 		}
--- a/internal/lab/world/client.go
+++ b/internal/lab/world/client.go
@@ -70,12 +70,12 @@
 		q.Request.Shard = shard
 	}
 	class := w.Set.Classes[q.Class]
-	w.ask(&try{Request: q, asked: w.Now, aimAt: w.Now + class.Aim, leave: w.Now + q.Left})
+	w.ask(&try{Request: q, asked: w.Now, aimAt: w.Now + class.LatencyObjective, leave: w.Now + q.TimeLeft})
 }
 
 func (w *World) ask(t *try) {
 	r := t.Request.Request
-	r.ID, r.Left = t.id(), t.leave-w.Now
+	r.ID, r.TimeLeft = t.id(), t.leave-w.Now
 	w.open[r.ID] = t
 	w.ended[t.base()] = End{Open, 0}
 	for _, x := range w.watch {
@@ -91,7 +91,7 @@
 		return j, false
 	}
 	j = model.Job{Work: t.Work, Write: t.Write, Piece: t.Key}
-	if w.Set.Classes[t.Class].Repeat == scheduler.Keyed {
+	if w.Set.Classes[t.Class].Idempotency == scheduler.IdempotentByKey {
 		j.Key = id
 	}
 	return j, true
--- a/internal/lab/world/fleet_test.go
+++ b/internal/lab/world/fleet_test.go
@@ -28,14 +28,14 @@
 
 func newFleet(t *testing.T, fronts, nodes int, seed uint64, peers bool) *fleet {
 	t.Helper()
-	f := &fleet{seed: int64(seed), said: map[string]int{}, set: scheduler.Settings{Hosts: fronts, Peers: peers, Tick: 1000, MeanUnits: 2, MostUnits: 6, MaxTries: 4, Probing: true,
-		RetryAfter: true, MaxRetryAfter: second / 2, ColdFrom: 0.2, Ramp: 17 * second, FallMultiple: 2.5, FallSpan: second, ColdUnits: 1,
-		Classes: []scheduler.Class{{Aim: 700_000, Worth: 2}, {Aim: 900_000, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 7 * second, Worth: 2}},
+	f := &fleet{seed: int64(seed), said: map[string]int{}, set: scheduler.Settings{Fronts: fronts, PeerMessages: peers, Tick: 1000, MeanUnits: 2, MaxUnits: 6, MaxAttempts: 4, HealthChecks: true,
+		RetryAfter: true, MaxRetryAfter: second / 2, InitialCapacity: 0.2, SlowStart: 17 * second, OverloadMultiple: 2.5, OverloadSpan: second, SlowStartUnits: 1,
+		Classes: []scheduler.Class{{LatencyObjective: 700_000, Priority: 2}, {LatencyObjective: 900_000, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 7 * second, Priority: 2}},
 		Plans:   []scheduler.Plan{{Reservation: 3, Weight: 1}, {Weight: 1, Limit: 3, Burst: 36}}}}
 	var models []*model.Node
 	for range nodes {
-		models = append(models, model.New(model.Figures{Cores: 2, Speed: 0.5, Room: 60, ColdFrom: f.set.ColdFrom, Ramp: int64(f.set.Ramp),
-			FallTimes: f.set.FallMultiple, FallSpan: int64(f.set.FallSpan), FallFree: f.set.ColdUnits * unitWork, KeyWindow: int64(7 * second), MostMemory: 10_000}))
+		models = append(models, model.New(model.Figures{Cores: 2, Speed: 0.5, Room: 60, ColdFrom: f.set.InitialCapacity, Ramp: int64(f.set.SlowStart),
+			FallTimes: f.set.OverloadMultiple, FallSpan: int64(f.set.OverloadSpan), FallFree: f.set.SlowStartUnits * unitWork, KeyWindow: int64(7 * second), MostMemory: 10_000}))
 	}
 	f.World = world.New(f.set, models, 1, 5_000, seed)
 	for _, n := range f.Nodes {
@@ -51,7 +51,7 @@
 // begin starts a front that knows nothing.
 func (f *fleet) begin(t *testing.T, place int) {
 	set := f.set
-	set.Number = place
+	set.FrontIndex = place
 	f.seed++
 	s, err := scheduler.New(set, f.seed)
 	if err != nil {
@@ -70,9 +70,9 @@
 	out := c.Scheduler.Step(now, events)
 	for _, a := range out {
 		switch a := a.(type) {
-		case scheduler.Probe:
+		case scheduler.CheckHealth:
 			c.said["probes"]++
-		case scheduler.Ask, scheduler.Grant:
+		case scheduler.RequestCapacity, scheduler.GrantCapacity:
 			c.said["messages"]++
 			c.said["bytes"] += len(protocol.FormatNote(a))
 		}
@@ -92,17 +92,17 @@
 			class := rng.IntN(2)
 			q := world.Request{At: scheduler.Micros(at), Front: front, Work: float64(units) * unitWork, Write: class == 1, Comes: true,
 				Request: scheduler.Request{ID: fmt.Sprint("r", id), Class: class, Plan: id % 2, Volume: fmt.Sprint("v", shard, "-", front, "-", id%2),
-					Key: fmt.Sprint("k", id), Units: float64(units), Shard: shard, Hosts: 1, Left: 4 * second}}
+					Key: fmt.Sprint("k", id), Units: float64(units), Shard: shard, Fronts: 1, TimeLeft: 4 * second}}
 			f.asked++
 			f.At(q.At, func() { f.Ask(q) })
 		}
 	}
 }
 
-func (f *fleet) Told(int, scheduler.Nodes)     {}
-func (f *fleet) Asked(int, scheduler.Request)  {}
-func (f *fleet) Sent(int, string, string)      {}
-func (f *fleet) Back(string, scheduler.Result) {}
+func (f *fleet) Told(int, scheduler.EndpointsChanged) {}
+func (f *fleet) Asked(int, scheduler.Request)         {}
+func (f *fleet) Sent(int, string, string)             {}
+func (f *fleet) Back(string, scheduler.Result)        {}
 func (f *fleet) Answered(_ string, v world.Verdict, _ scheduler.Reason) {
 	if v == world.Served || v == world.Late {
 		f.served++
--- a/internal/lab/world/front.go
+++ b/internal/lab/world/front.go
@@ -26,7 +26,7 @@
 	deadline scheduler.Micros
 	tries    int
 	out      bool
-	finish   func(o scheduler.Outcome, reusable bool) // the attempt that is out
+	finish   func(o scheduler.AttemptEnded, reusable bool) // the attempt that is out
 }
 
 // Start puts a front that a decider decides for in a place.
@@ -42,18 +42,18 @@
 // Submit takes a client's request.
 func (f *Simulated) Submit(r scheduler.Request) {
 	w := f.world
-	f.open[r.ID] = &call{Request: r, deadline: w.Now + r.Left}
+	f.open[r.ID] = &call{Request: r, deadline: w.Now + r.TimeLeft}
 	f.tell(r)
-	w.plan(w.Now+r.Left, func() { // the client gives up
+	w.plan(w.Now+r.TimeLeft, func() { // the client gives up
 		if c := f.open[r.ID]; c != nil && f.d != nil && !c.out {
 			f.end(r.ID, Failed, "", 0)
-			f.tell(scheduler.Lapsed{ID: r.ID})
+			f.tell(scheduler.ClientLeft{ID: r.ID})
 		}
 	})
 }
 
 // Tell hands the node list over: the first one ahead of all else.
-func (f *Simulated) Tell(list scheduler.Nodes) {
+func (f *Simulated) Tell(list scheduler.EndpointsChanged) {
 	if f.told {
 		f.tell(list)
 		return
@@ -90,28 +90,28 @@
 func (f *Simulated) perform(a scheduler.Action) {
 	w := f.world
 	switch a := a.(type) {
-	case scheduler.Send:
+	case scheduler.StartAttempt:
 		f.send(a)
-	case scheduler.Refuse:
-		f.end(a.ID, Refused, a.Why, a.RetryAfter)
+	case scheduler.Reject:
+		f.end(a.ID, Refused, a.Reason, a.RetryAfter)
 	case scheduler.Fail:
-		f.end(a.ID, Failed, a.Why, 0)
-	case scheduler.Cancel:
+		f.end(a.ID, Failed, a.Reason, 0)
+	case scheduler.CancelAttempt:
 		if c := f.open[a.ID]; c != nil && c.out && c.tries-1 == a.Attempt {
-			c.finish(scheduler.Outcome{Result: scheduler.Cancelled}, false)
+			c.finish(scheduler.AttemptEnded{Result: scheduler.Cancelled}, false)
 		}
-	case scheduler.Probe:
+	case scheduler.CheckHealth:
 		n := w.Node(a.Node)
 		w.plan(w.Now+w.delay, func() {
 			p := w.Probe(n)
 			w.plan(w.Now+w.delay, func() { f.tell(p) })
 		})
-	case scheduler.Ask:
-		w.note(f, a.To, scheduler.Asked{From: f.place, Node: a.Node, Since: a.Since, Wish: a.Wish})
-	case scheduler.Grant:
-		w.note(f, a.To, scheduler.Granted{From: f.place, Node: a.Node, Units: a.Units, Until: a.Until})
-	case scheduler.SetAlarm:
-		w.plan(a.At, func() { f.tell(scheduler.Alarm{}) })
+	case scheduler.RequestCapacity:
+		w.note(f, a.To, scheduler.CapacityRequested{From: f.place, Node: a.Node, StartedAt: a.StartedAt, CapacityRequest: a.CapacityRequest})
+	case scheduler.GrantCapacity:
+		w.note(f, a.To, scheduler.CapacityGranted{From: f.place, Node: a.Node, Units: a.Units, ValidUntil: a.ValidUntil})
+	case scheduler.SetTimer:
+		w.plan(a.At, func() { f.tell(scheduler.TimerFired{}) })
 	}
 }
 
@@ -128,14 +128,14 @@
 }
 
 // outcomes are what a front makes of a node's reply.
-var outcomes = map[Reply]scheduler.Outcome{Answer: {Result: scheduler.OK, Final: true}, TurnedAway: {Result: scheduler.Full},
+var outcomes = map[Reply]scheduler.AttemptEnded{Answer: {Result: scheduler.OK, Final: true}, TurnedAway: {Result: scheduler.QueueFull},
 	Unreachable: {Result: scheduler.Unreachable}, Broken: {Result: scheduler.Reset}, Garbled: {Result: scheduler.Reset, Alive: true}}
 
 // send is an attempt: to the node, there, and back, or silent until its deadline.
-func (f *Simulated) send(a scheduler.Send) {
+func (f *Simulated) send(a scheduler.StartAttempt) {
 	w, c := f.world, f.open[a.ID]
 	if c == nil {
-		f.tell(scheduler.Outcome{ID: a.ID, Result: scheduler.Moot})
+		f.tell(scheduler.AttemptEnded{ID: a.ID, Result: scheduler.NotStarted})
 		return
 	}
 	for _, x := range w.watch {
@@ -144,7 +144,7 @@
 	attempt, sent, over := c.tries, w.Now, false
 	c.tries, c.out = c.tries+1, true
 	n := w.Node(a.Node)
-	finish := func(o scheduler.Outcome, reusable bool) {
+	finish := func(o scheduler.AttemptEnded, reusable bool) {
 		if over || f.d == nil {
 			return
 		}
@@ -162,7 +162,7 @@
 		f.tell(o)
 	}
 	c.finish = finish
-	w.plan(c.deadline, func() { finish(scheduler.Outcome{Result: scheduler.TimedOut}, false) })
+	w.plan(c.deadline, func() { finish(scheduler.AttemptEnded{Result: scheduler.TimedOut}, false) })
 	ready, up := f.connect(n)
 	w.plan(ready, func() {
 		reply := func(r Reply) {
--- a/internal/lab/world/node.go
+++ b/internal/lab/world/node.go
@@ -53,11 +53,11 @@
 }
 
 // Probe has a probe reach a node, and tells whether it answers, and how many jobs wait.
-func (w *World) Probe(n *Node) scheduler.Probed {
+func (w *World) Probe(n *Node) scheduler.HealthChecked {
 	if n.Silent() {
-		return scheduler.Probed{Node: n.Name, Queue: -1}
+		return scheduler.HealthChecked{Node: n.Name, Queue: -1}
 	}
-	return scheduler.Probed{Node: n.Name, OK: true, Queue: float64(n.Node.Probe(int64(w.Now)))}
+	return scheduler.HealthChecked{Node: n.Name, OK: true, Queue: float64(n.Node.Probe(int64(w.Now)))}
 }
 
 // tend plans for a node's next end of a job.
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -43,13 +43,13 @@
 // Front takes requests, owes World.Answer for each, and hears of the nodes.
 type Front interface {
 	Submit(scheduler.Request)
-	Tell(scheduler.Nodes)
+	Tell(scheduler.EndpointsChanged)
 	End() // what it had open is lost
 }
 
 // Watcher sees what happens.
 type Watcher interface {
-	Told(front int, list scheduler.Nodes)
+	Told(front int, list scheduler.EndpointsChanged)
 	Asked(front int, r scheduler.Request)
 	Sent(front int, id, node string)
 	Back(id string, r scheduler.Result)
@@ -181,11 +181,11 @@
 }
 
 // List is the node list as discovery has it.
-func (w *World) List() scheduler.Nodes {
-	out := scheduler.Nodes{Full: true}
+func (w *World) List() scheduler.EndpointsChanged {
+	out := scheduler.EndpointsChanged{Full: true}
 	for _, n := range w.Nodes {
-		if n.State != scheduler.Gone {
-			out.List = append(out.List, scheduler.Listing{Node: n.Name, Shard: n.Shard, Zone: n.Zone, State: n.State, Since: scheduler.Micros(n.Up)})
+		if n.State != scheduler.Removed {
+			out.Endpoints = append(out.Endpoints, scheduler.Endpoint{Node: n.Name, Shard: n.Shard, Zone: n.Zone, State: n.State, StartedAt: scheduler.Micros(n.Up)})
 		}
 	}
 	return out
@@ -257,7 +257,7 @@
 // is gone.
 func (w *World) Successor(old *Node) *Node {
 	w.Kill(old)
-	old.State = scheduler.Gone
+	old.State = scheduler.Removed
 	n := &Node{Node: model.New(old.Figures), Name: fmt.Sprintf("node-%02d", len(w.Nodes)), Shard: old.Shard, Zone: old.Zone}
 	n.Node.Restart(int64(w.Now))
 	w.Nodes = append(w.Nodes, n)
--- a/internal/net/protocol/change.go
+++ b/internal/net/protocol/change.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return Config{}, err
 	}
-	if out.Settings.Rules.MaxTries <= 0 { // a start takes that for no bound; here it is what a broken file has
+	if out.Settings.Scheduler.MaxAttempts <= 0 { // a start takes that for no bound; here it is what a broken file has
 		return Config{}, errors.New("settings: ceilings.tryLimit: must be above 0")
 	}
 	if out.Settings, err = former.Settings.followedBy(out.Settings); err != nil {
@@ -116,7 +116,7 @@
 	out.Classes, out.Plans, out.Waits = nil, nil, nil
 	// Which classes write is told by place, in the order of the start: a changed file keeps that list as it was.
 	out.Writes = s.Writes
-	out.Rules.Classes, out.Rules.Plans = slices.Clone(s.Rules.Classes), slices.Clone(s.Rules.Plans)
+	out.Scheduler.Classes, out.Scheduler.Plans = slices.Clone(s.Scheduler.Classes), slices.Clone(s.Scheduler.Plans)
 	for _, name := range s.Names {
 		i := slices.Index(next.Classes, name)
 		out.add(next, i)
@@ -125,7 +125,7 @@
 	for i, name := range next.Classes {
 		if !slices.Contains(s.Names, name) {
 			out.Names = append(out.Names, name)
-			out.Rules.Classes = append(out.Rules.Classes, scheduler.Class{})
+			out.Scheduler.Classes = append(out.Scheduler.Classes, scheduler.Class{})
 			out.add(next, i)
 		}
 	}
@@ -134,9 +134,9 @@
 		at := slices.Index(out.PlanNames, name)
 		if at < 0 {
 			at = len(out.PlanNames)
-			out.PlanNames, out.Rules.Plans = append(out.PlanNames, name), append(out.Rules.Plans, scheduler.Plan{})
+			out.PlanNames, out.Scheduler.Plans = append(out.PlanNames, name), append(out.Scheduler.Plans, scheduler.Plan{})
 		}
-		out.Rules.Plans[at] = next.Rules.Plans[i]
+		out.Scheduler.Plans[at] = next.Scheduler.Plans[i]
 	}
 	for _, name := range out.PlanNames {
 		if !slices.Contains(next.Plans, name) {
@@ -158,5 +158,5 @@
 		return
 	}
 	s.Classes, s.Waits = append(s.Classes, from.Classes[i]), append(s.Waits, from.Waits[i])
-	s.Rules.Classes[at] = from.Rules.Classes[i]
+	s.Scheduler.Classes[at] = from.Scheduler.Classes[i]
 }
--- a/internal/net/protocol/check_test.go
+++ b/internal/net/protocol/check_test.go
@@ -15,7 +15,7 @@
 // Each field that can't be is named, ahead of any client; a file with several names them all.
 func TestSettingsThatCannotBeAreNamed(t *testing.T) {
 	good, err := ParseConfig([]byte(goodConfig))
-	if err != nil || good.Settings.Rules.Classes[0].Window != 3000 {
+	if err != nil || good.Settings.Scheduler.Classes[0].DedupWindow != 3000 {
 		t.Fatal(err)
 	}
 	for _, c := range [][3]string{
@@ -43,7 +43,7 @@
 		}
 	}
 	none := strings.Replace(goodConfig, `"windowUs":3000,`, "", 1)
-	if got, err := ParseConfig([]byte(none)); err != nil || got.Settings.Rules.Classes[0].Window != 0 {
+	if got, err := ParseConfig([]byte(none)); err != nil || got.Settings.Scheduler.Classes[0].DedupWindow != 0 {
 		t.Errorf("a class without a window: %v", err)
 	}
 }
--- a/internal/net/protocol/config.go
+++ b/internal/net/protocol/config.go
@@ -67,14 +67,14 @@
 	if out.Settings, err = in.Settings.decode(); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
-	if set := &out.Settings.Rules; in.PeerListen == "" || len(in.Peers) == 0 {
-		set.Peers = false
-	} else if set.Peers {
+	if set := &out.Settings.Scheduler; in.PeerListen == "" || len(in.Peers) == 0 {
+		set.PeerMessages = false
+	} else if set.PeerMessages {
 		if out.PeerListen, err = netip.ParseAddrPort(in.PeerListen); err != nil {
 			return Config{}, fmt.Errorf("peer_listen: %w", err)
 		}
-		if len(in.Peers) != set.Hosts {
-			return Config{}, fmt.Errorf("peers: %d, but settings.balancers is %d", len(in.Peers), set.Hosts)
+		if len(in.Peers) != set.Fronts {
+			return Config{}, fmt.Errorf("peers: %d, but settings.balancers is %d", len(in.Peers), set.Fronts)
 		}
 		for i, text := range in.Peers {
 			addr, err := netip.ParseAddrPort(text)
--- a/internal/net/protocol/fleet_test.go
+++ b/internal/net/protocol/fleet_test.go
@@ -11,8 +11,8 @@
 
 // bigConfig is the configuration of one of many fronts before many nodes.
 func bigConfig(t *testing.T, many int) string {
-	settings, err := json.Marshal(FormatSettings(scheduler.Settings{Hosts: many, Number: many - 1, Peers: true, Tick: 1000, MeanUnits: 2, MostUnits: 6,
-		Classes: []scheduler.Class{{Aim: 300_000, Worth: 1}}, Plans: []scheduler.Plan{{Weight: 1}}}))
+	settings, err := json.Marshal(FormatSettings(scheduler.Settings{Fronts: many, FrontIndex: many - 1, PeerMessages: true, Tick: 1000, MeanUnits: 2, MaxUnits: 6,
+		Classes: []scheduler.Class{{LatencyObjective: 300_000, Priority: 1}}, Plans: []scheduler.Plan{{Weight: 1}}}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,8 +34,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if set := got.Settings.Rules; len(got.Peers) != many || len(got.Known.Hosts) != many || set.Hosts != many || set.Number != many-1 || !set.Peers {
-		t.Errorf("%d peers, %d nodes, %d hosts, number %d, peers %v", len(got.Peers), len(got.Known.Hosts), set.Hosts, set.Number, set.Peers)
+	if set := got.Settings.Scheduler; len(got.Peers) != many || len(got.Known.Hosts) != many || set.Fronts != many || set.FrontIndex != many-1 || !set.PeerMessages {
+		t.Errorf("%d peers, %d nodes, %d hosts, number %d, peers %v", len(got.Peers), len(got.Known.Hosts), set.Fronts, set.FrontIndex, set.PeerMessages)
 	}
 }
 
@@ -53,7 +53,7 @@
 		}
 	}
 	silent, err := ParseConfig([]byte(strings.Replace(good, `"peer_listen":"10.0.0.4:7946",`, "", 1)))
-	if err != nil || silent.Settings.Rules.Peers || len(silent.Peers) > 0 {
+	if err != nil || silent.Settings.Scheduler.PeerMessages || len(silent.Peers) > 0 {
 		t.Errorf("without an address to listen at: %v, peers %v", err, silent.Peers)
 	}
 }
@@ -67,7 +67,7 @@
 			t.Errorf("%q: %v, %v", c.text, e, err)
 		}
 	}
-	if FormatNote(scheduler.Ask{Node: strings.Repeat("x", 300)}) != nil || FormatNote(scheduler.SetAlarm{}) != nil {
+	if FormatNote(scheduler.RequestCapacity{Node: strings.Repeat("x", 300)}) != nil || FormatNote(scheduler.SetTimer{}) != nil {
 		t.Error("a message that is too long, or none of ours, was written")
 	}
 }
--- a/internal/net/protocol/golden_test.go
+++ b/internal/net/protocol/golden_test.go
@@ -11,26 +11,26 @@
 // TestMessagesBetweenFrontsKeepTheirBytes holds the messages to those of the fronts that run already: during a rollout
 // both versions send them to each other.
 func TestMessagesBetweenFrontsKeepTheirBytes(t *testing.T) {
-	shown := slowstart.Shown{Served: 1.5, Units: 30.25, Time: 2}
+	shown := slowstart.LoadReport{Served: 1.5, Units: 30.25, Time: 2}
 	cases := map[string]struct {
 		action scheduler.Action
 		bytes  string
 		event  scheduler.Event
 	}{
 		"request for room": {
-			scheduler.Ask{To: 3, Node: "node-1", Since: 1_800_000_000_000_001, Wish: slowstart.Wish{Units: 4, Least: 0.125, Shown: shown}},
+			scheduler.RequestCapacity{To: 3, Node: "node-1", StartedAt: 1_800_000_000_000_001, CapacityRequest: slowstart.CapacityRequest{Units: 4, MinUnits: 0.125, Report: shown}},
 			"ask 4 0.125 1.5 30.25 2 1800000000000001 node-1",
-			scheduler.Asked{From: 2, Node: "node-1", Since: 1_800_000_000_000_001, Wish: slowstart.Wish{Units: 4, Least: 0.125, Shown: shown}},
+			scheduler.CapacityRequested{From: 2, Node: "node-1", StartedAt: 1_800_000_000_000_001, CapacityRequest: slowstart.CapacityRequest{Units: 4, MinUnits: 0.125, Report: shown}},
 		},
 		"load report alone": {
-			scheduler.Ask{To: 3, Node: "node-1", Wish: slowstart.Wish{Shown: shown}},
+			scheduler.RequestCapacity{To: 3, Node: "node-1", CapacityRequest: slowstart.CapacityRequest{Report: shown}},
 			"ask 0 0 1.5 30.25 2 0 node-1",
-			scheduler.Asked{From: 2, Node: "node-1", Wish: slowstart.Wish{Shown: shown}},
+			scheduler.CapacityRequested{From: 2, Node: "node-1", CapacityRequest: slowstart.CapacityRequest{Report: shown}},
 		},
 		"grant": {
-			scheduler.Grant{To: 3, Node: "node-1", Units: 7.3, Until: 1_800_000_000_200_000},
+			scheduler.GrantCapacity{To: 3, Node: "node-1", Units: 7.3, ValidUntil: 1_800_000_000_200_000},
 			"grant 7.3 1800000000200000 node-1",
-			scheduler.Granted{From: 2, Node: "node-1", Units: 7.3, Until: 1_800_000_000_200_000},
+			scheduler.CapacityGranted{From: 2, Node: "node-1", Units: 7.3, ValidUntil: 1_800_000_000_200_000},
 		},
 	}
 	for name, c := range cases {
--- a/internal/net/protocol/list.go
+++ b/internal/net/protocol/list.go
@@ -20,11 +20,11 @@
 
 // Host is one node's entry: what the scheduler is told of it, and the address for sockets.
 type Host struct {
-	scheduler.Listing
+	scheduler.Endpoint
 	Dial string
 }
 
-var healths = map[string]scheduler.NodeState{"up": scheduler.Running, "draining": scheduler.Draining, "removed": scheduler.Gone}
+var healths = map[string]scheduler.NodeState{"up": scheduler.Running, "draining": scheduler.Draining, "removed": scheduler.Removed}
 
 // zone numbers a zone. One that the settings do not name still differs from the others.
 func zone(zones []string, name string) int {
@@ -64,15 +64,15 @@
 			return List{}, fmt.Errorf("hosts[%d].host: missing", i)
 		case !ok:
 			return List{}, fmt.Errorf("hosts[%d].health: %q is unknown", i, h.Health)
-		case err != nil && state != scheduler.Gone:
+		case err != nil && state != scheduler.Removed:
 			return List{}, fmt.Errorf("hosts[%d].dial: %w", i, err)
 		}
 		if h.Block < 0 || h.BornMs < 0 || now > 0 && h.BornMs > int64(now/1000) {
 			out.Odd = append(out.Odd, h.Host)
 			continue
 		}
-		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Listing: scheduler.Listing{Node: h.Host,
-			Zone: zone(zones, h.Site), Shard: h.Block, State: state, Since: scheduler.Micros(h.BornMs * 1000)}})
+		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Endpoint: scheduler.Endpoint{Node: h.Host,
+			Zone: zone(zones, h.Site), Shard: h.Block, State: state, StartedAt: scheduler.Micros(h.BornMs * 1000)}})
 	}
 	return out, nil
 }
--- a/internal/net/protocol/note.go
+++ b/internal/net/protocol/note.go
@@ -21,11 +21,11 @@
 func FormatNote(a scheduler.Action) []byte {
 	var text []byte
 	switch a := a.(type) {
-	case scheduler.Ask:
-		text = fmt.Appendf(nil, "%s %s %s %s %s %s %d %s", noteAsk, formatUnits(a.Units), formatUnits(a.Least),
-			formatUnits(a.Shown.Served), formatUnits(a.Shown.Units), formatUnits(a.Shown.Time), a.Since, a.Node)
-	case scheduler.Grant:
-		text = fmt.Appendf(nil, "%s %s %d %s", noteGrant, formatUnits(a.Units), a.Until, a.Node)
+	case scheduler.RequestCapacity:
+		text = fmt.Appendf(nil, "%s %s %s %s %s %s %d %s", noteAsk, formatUnits(a.Units), formatUnits(a.MinUnits),
+			formatUnits(a.Report.Served), formatUnits(a.Report.Units), formatUnits(a.Report.Time), a.StartedAt, a.Node)
+	case scheduler.GrantCapacity:
+		text = fmt.Appendf(nil, "%s %s %d %s", noteGrant, formatUnits(a.Units), a.ValidUntil, a.Node)
 	}
 	if len(text) > LongestNote {
 		return nil
@@ -38,8 +38,8 @@
 	words := strings.Split(string(text), " ")
 	switch {
 	case words[0] == noteAsk && len(words) == 8:
-		e := scheduler.Asked{From: from, Node: words[7]}
-		for i, to := range []*float64{&e.Units, &e.Least, &e.Shown.Served, &e.Shown.Units, &e.Shown.Time} {
+		e := scheduler.CapacityRequested{From: from, Node: words[7]}
+		for i, to := range []*float64{&e.Units, &e.MinUnits, &e.Report.Served, &e.Report.Units, &e.Report.Time} {
 			units, err := parseUnits(words[i+1])
 			if err != nil {
 				return nil, fmt.Errorf("note: ask: %w", err)
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("note: ask: %w", err)
 		}
-		e.Since = since
+		e.StartedAt = since
 		return e, nil
 	case words[0] == noteGrant && len(words) == 4:
 		units, err := parseUnits(words[1])
@@ -61,7 +61,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("note: grant: %w", err)
 		}
-		return scheduler.Granted{From: from, Node: words[3], Units: units, Until: until}, nil
+		return scheduler.CapacityGranted{From: from, Node: words[3], Units: units, ValidUntil: until}, nil
 	}
 	return nil, fmt.Errorf("note: %.40q is of no kind", text)
 }
--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -85,7 +85,7 @@
 	}
 	out := Request{Request: scheduler.Request{ID: r.Header.Get(headerID), Class: class,
 		Plan: slices.Index(set.Plans, r.Header.Get(headerPlan)), Volume: parts[1], Key: parts[2]}}
-	key, keyed := r.Header.Get(headerKey), class < len(set.Rules.Classes) && set.Rules.Classes[class].Repeat == scheduler.Keyed
+	key, keyed := r.Header.Get(headerKey), class < len(set.Scheduler.Classes) && set.Scheduler.Classes[class].Idempotency == scheduler.IdempotentByKey
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodPut:
 		return Request{}, fmt.Errorf("method %q", r.Method)
@@ -106,7 +106,7 @@
 	if err != nil {
 		return Request{}, fmt.Errorf("%s: %w", headerLeft, err)
 	}
-	out.Left = min(left, scheduler.Micros(set.LongestWait/time.Microsecond))
+	out.TimeLeft = min(left, scheduler.Micros(set.LongestWait/time.Microsecond))
 	if err := parseIO(r.Header.Get(headerIO), &out, set); err != nil {
 		return Request{}, fmt.Errorf("%s: %w", headerIO, err)
 	}
@@ -127,8 +127,8 @@
 	r.Header.Set(headerID, q.ID)
 	r.Header.Set(headerClass, class)
 	r.Header.Set(headerPlan, set.Plans[q.Plan])
-	r.Header.Set(headerLeft, formatLeft(time.Duration(q.Left)*time.Microsecond))
-	r.Header.Set(headerIO, fmt.Sprintf("units=%v,shard=%d,hosts=%d", q.Units, q.Shard, max(q.Hosts, 1)))
+	r.Header.Set(headerLeft, formatLeft(time.Duration(q.TimeLeft)*time.Microsecond))
+	r.Header.Set(headerIO, fmt.Sprintf("units=%v,shard=%d,hosts=%d", q.Units, q.Shard, max(q.Fronts, 1)))
 	if method == http.MethodPut {
 		r.Header.Set(headerKey, q.ID)
 	}
@@ -184,11 +184,11 @@
 		good, whole := true, n == math.Trunc(n)
 		switch name {
 		case "units":
-			good, out.Units = n > 0 && n <= cmp.Or(set.Rules.MostUnits, 1e6), n
+			good, out.Units = n > 0 && n <= cmp.Or(set.Scheduler.MaxUnits, 1e6), n
 		case "shard":
 			good, out.Shard = whole && n >= -1 && n < float64(set.Shards), int(n)
 		case "hosts":
-			good, out.Hosts = whole && n >= 1 && n <= float64(cmp.Or(set.Rules.Hosts, 1e6)), int(n)
+			good, out.Fronts = whole && n >= 1 && n <= float64(cmp.Or(set.Scheduler.Fronts, 1e6)), int(n)
 		}
 		if !good {
 			return fmt.Errorf("%s %q is out of range", name, value)
@@ -204,10 +204,10 @@
 func SetLeft(h http.Header, left time.Duration) { h.Set(headerLeft, formatLeft(left)) }
 
 // ParseOutcome tells from a node's answer how the attempt ended.
-func ParseOutcome(status int, h http.Header) scheduler.Outcome {
-	out := scheduler.Outcome{Result: scheduler.Errored}
+func ParseOutcome(status int, h http.Header) scheduler.AttemptEnded {
+	out := scheduler.AttemptEnded{Result: scheduler.Errored}
 	if n, err := strconv.ParseFloat(h.Get(headerElsewhere), 64); err == nil && n > 0 && n < 1e6 {
-		out.Elsewhere = n
+		out.ServedElsewhere = n
 	}
 	switch {
 	case status == http.StatusOK:
@@ -215,7 +215,7 @@
 	case status == http.StatusGatewayTimeout && h.Get(headerUnprocessed) == "1":
 		out.Result = scheduler.Expired
 	case status == http.StatusServiceUnavailable && h.Get(headerUnprocessed) == "1":
-		out.Result = scheduler.Full
+		out.Result = scheduler.QueueFull
 	}
 	return out
 }
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -68,8 +68,8 @@
 	CeilingRate, FloorRate, LimitBurst, Shares, Slack float64
 }
 
-var repeats = map[string]scheduler.Repeat{"retryable": scheduler.Safe, "dedup": scheduler.Keyed, "fragile": scheduler.Unsafe}
-var groups = map[string]scheduler.Group{"": scheduler.AllNodes, "all": scheduler.AllNodes, "zone": scheduler.SameZone,
+var repeats = map[string]scheduler.Idempotency{"retryable": scheduler.Idempotent, "dedup": scheduler.IdempotentByKey, "fragile": scheduler.NotIdempotent}
+var groups = map[string]scheduler.DedupScope{"": scheduler.AllNodes, "all": scheduler.AllNodes, "zone": scheduler.SameZone,
 	"cell": scheduler.SameShard}
 
 // registryAsked is the mode in which fronts hear only what they ask for.
@@ -80,7 +80,7 @@
 
 // Settings are the deployment's figures: those of the scheduler, and those of the sockets.
 type Settings struct {
-	Rules       scheduler.Settings
+	Scheduler   scheduler.Settings
 	Classes     []string        // by the scheduler's index; "" for one that is no more
 	Names       []string        // the same, with those that are no more
 	PlanNames   []string        // and so of plans
@@ -112,15 +112,15 @@
 func (in *settings) decode() (Settings, error) {
 	f, s := in.FamilyInfo, in.Safety
 	set := scheduler.Settings{
-		Hosts: in.Balancers, Number: in.SlotNo, Peers: in.Ceilings.Peers, Tick: scheduler.Micros(in.TickUs),
-		MeanUnits: f.MeanUnits, MostUnits: f.MostUnits, Elsewhere: f.SaysOthers,
-		MaxTries: in.Ceilings.TryLimit, Probing: in.Ceilings.Probing,
-		Cancel: in.Ceilings.Cancel, RetryAfter: in.Ceilings.RetryAfter,
-		MaxRetryAfter: scheduler.Micros(in.Ceilings.MaxRetryAfterUs),
-		ColdFrom:      s.ColdFrom, Ramp: scheduler.Micros(s.RampTimeUs),
-		FallMultiple: s.FallMultiple, FallSpan: scheduler.Micros(s.FallUs), ColdUnits: f.ColdUnits,
-		KeyRest: scheduler.Micros(s.KeyRestUs), RetrySpan: scheduler.Micros(s.BudgetSpanUs),
-		RetrySpare: s.SpareAttempts, RetryShare: s.BudgetShare,
+		Fronts: in.Balancers, FrontIndex: in.SlotNo, PeerMessages: in.Ceilings.Peers, Tick: scheduler.Micros(in.TickUs),
+		MeanUnits: f.MeanUnits, MaxUnits: f.MostUnits, ServedElsewhereTold: f.SaysOthers,
+		MaxAttempts: in.Ceilings.TryLimit, HealthChecks: in.Ceilings.Probing,
+		CancelAttempts: in.Ceilings.Cancel, RetryAfter: in.Ceilings.RetryAfter,
+		MaxRetryAfter:   scheduler.Micros(in.Ceilings.MaxRetryAfterUs),
+		InitialCapacity: s.ColdFrom, SlowStart: scheduler.Micros(s.RampTimeUs),
+		OverloadMultiple: s.FallMultiple, OverloadSpan: scheduler.Micros(s.FallUs), SlowStartUnits: f.ColdUnits,
+		KeyPause: scheduler.Micros(s.KeyRestUs), RetryBudgetSpan: scheduler.Micros(s.BudgetSpanUs),
+		RetryBudgetMin: s.SpareAttempts, RetryBudgetShare: s.BudgetShare,
 	}
 	out := Settings{Zones: in.Zones, Writes: in.FamilyInfo.ClassWrites, LoadReports: in.Report.How != "" && in.Report.How != "off",
 		Shards: in.FamilyInfo.Shards, MaxOpen: in.Ceilings.MaxOpen, ConnIdle: micros(in.Ceilings.ConnIdleUs),
@@ -145,15 +145,15 @@
 		}
 		out.Classes, out.Waits = append(out.Classes, c.Name), append(out.Waits, micros(c.GiveUpUs))
 		out.LongestWait = max(out.LongestWait, micros(c.GiveUpUs))
-		set.Classes = append(set.Classes, scheduler.Class{Aim: scheduler.Micros(c.AimUs), Repeat: repeat, Group: group,
-			Window: window, InOrder: c.ByArrival, Worth: c.Credit})
+		set.Classes = append(set.Classes, scheduler.Class{LatencyObjective: scheduler.Micros(c.AimUs), Idempotency: repeat, DedupScope: group,
+			DedupWindow: window, InOrder: c.ByArrival, Priority: c.Credit})
 	}
 	for _, p := range in.Contracts {
 		out.Plans = append(out.Plans, p.Name)
 		set.Plans = append(set.Plans, scheduler.Plan{Reservation: p.FloorRate, Weight: p.Shares,
 			Limit: p.CeilingRate, Burst: p.LimitBurst, Slack: p.Slack})
 	}
-	out.Rules, out.Names, out.PlanNames = set, out.Classes, out.Plans
+	out.Scheduler, out.Names, out.PlanNames = set, out.Classes, out.Plans
 	return out, nil
 }
 
@@ -162,28 +162,28 @@
 // FormatSettings writes the scheduler's settings so that ParseSettings reads them back: classes and plans by number.
 func FormatSettings(set scheduler.Settings) any {
 	var out settings
-	out.Balancers, out.SlotNo, out.TickUs = set.Hosts, set.Number, int64(set.Tick)
+	out.Balancers, out.SlotNo, out.TickUs = set.Fronts, set.FrontIndex, int64(set.Tick)
 	c := &out.Ceilings
-	c.Peers = set.Peers
-	c.TryLimit, c.Probing, c.Cancel, c.RetryAfter, c.MaxRetryAfterUs = set.MaxTries, set.Probing, set.Cancel, set.RetryAfter, int64(set.MaxRetryAfter)
+	c.Peers = set.PeerMessages
+	c.TryLimit, c.Probing, c.Cancel, c.RetryAfter, c.MaxRetryAfterUs = set.MaxAttempts, set.HealthChecks, set.CancelAttempts, set.RetryAfter, int64(set.MaxRetryAfter)
 	f := &out.FamilyInfo
-	f.ColdUnits, f.MeanUnits, f.MostUnits, f.SaysOthers = set.ColdUnits, set.MeanUnits, set.MostUnits, set.Elsewhere
+	f.ColdUnits, f.MeanUnits, f.MostUnits, f.SaysOthers = set.SlowStartUnits, set.MeanUnits, set.MaxUnits, set.ServedElsewhereTold
 	s := &out.Safety
-	s.BudgetShare, s.BudgetSpanUs, s.ColdFrom, s.FallMultiple = set.RetryShare, int64(set.RetrySpan), set.ColdFrom, set.FallMultiple
-	s.FallUs, s.RampTimeUs, s.SpareAttempts, s.KeyRestUs = int64(set.FallSpan), int64(set.Ramp), set.RetrySpare, int64(set.KeyRest)
+	s.BudgetShare, s.BudgetSpanUs, s.ColdFrom, s.FallMultiple = set.RetryBudgetShare, int64(set.RetryBudgetSpan), set.InitialCapacity, set.OverloadMultiple
+	s.FallUs, s.RampTimeUs, s.SpareAttempts, s.KeyRestUs = int64(set.OverloadSpan), int64(set.SlowStart), set.RetryBudgetMin, int64(set.KeyPause)
 	for i, c := range set.Classes {
-		in := class{Name: strconv.Itoa(i), AimUs: int64(c.Aim), ByArrival: c.InOrder, Credit: c.Worth}
-		if c.Window > 0 {
+		in := class{Name: strconv.Itoa(i), AimUs: int64(c.LatencyObjective), ByArrival: c.InOrder, Credit: c.Priority}
+		if c.DedupWindow > 0 {
 			in.WindowUs = new(int64)
-			*in.WindowUs = int64(c.Window)
+			*in.WindowUs = int64(c.DedupWindow)
 		}
 		for word, repeat := range repeats {
-			if repeat == c.Repeat {
+			if repeat == c.Idempotency {
 				in.Semantics = word
 			}
 		}
 		for word, group := range groups {
-			if group == c.Group && word != "" {
+			if group == c.DedupScope && word != "" {
 				in.Group = word
 			}
 		}
--- a/internal/net/protocol/sftp/command.go
+++ b/internal/net/protocol/sftp/command.go
@@ -150,7 +150,7 @@
 func Clean(name string) string { return path.Clean("/" + name) }
 
 // Repeats tells what the classes of the four roles allow, given what the operator set for writes.
-func Repeats(write scheduler.Repeat) [Roles]scheduler.Repeat {
-	return [Roles]scheduler.Repeat{RoleRead: scheduler.Safe, RoleBulkRead: scheduler.Safe, RoleWrite: write,
-		RoleWriteOnce: scheduler.Unsafe}
+func Repeats(write scheduler.Idempotency) [Roles]scheduler.Idempotency {
+	return [Roles]scheduler.Idempotency{RoleRead: scheduler.Idempotent, RoleBulkRead: scheduler.Idempotent, RoleWrite: write,
+		RoleWriteOnce: scheduler.NotIdempotent}
 }
--- a/internal/net/routing/ask_test.go
+++ b/internal/net/routing/ask_test.go
@@ -11,16 +11,16 @@
 // What is asked of the scheduler is asked behind all that came ahead of it. Where news of the list and a question waited
 // together, the question was answered first: a long body was turned away, as no node was known.
 func TestQuestionsWaitForWhatCameAheadOfThem(t *testing.T) {
-	set := scheduler.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, Classes: []scheduler.Class{{Aim: 300_000}},
+	set := scheduler.Settings{Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, Classes: []scheduler.Class{{LatencyObjective: 300_000}},
 		Plans: []scheduler.Plan{{Weight: 1}}}
 	c, err := New(set, 1, limits.Limits{Requests: limits.RequestLimits{Inbox: 8, PastIDs: 1}}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Tell(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}})
+	c.Tell(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
 	placed := make(chan string)
 	go func() {
-		node, _, _ := c.Place(t.Context(), scheduler.Request{ID: "x", Volume: "v", Units: 1, Hosts: 1, Left: 1_000_000})
+		node, _, _ := c.Place(t.Context(), scheduler.Request{ID: "x", Volume: "v", Units: 1, Fronts: 1, TimeLeft: 1_000_000})
 		placed <- node
 	}()
 	for len(c.inbox) < 2 {
--- a/internal/net/routing/calls.go
+++ b/internal/net/routing/calls.go
@@ -36,7 +36,7 @@
 			return false
 		}
 		c.calls[e.ID] = m.call
-	case scheduler.Outcome:
+	case scheduler.AttemptEnded:
 		call := c.calls[e.ID]
 		if call == nil {
 			return false
@@ -46,7 +46,7 @@
 		if e.Final || call.over {
 			c.end(call)
 		}
-	case scheduler.Lapsed:
+	case scheduler.ClientLeft:
 		if i := slices.IndexFunc(c.waiting, func(w message) bool { return w.call == m.call }); i >= 0 {
 			c.waiting = slices.Delete(c.waiting, i, i+1)
 			close(m.call.verdicts)
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -67,7 +67,7 @@
 type Core struct {
 	clock     Clock
 	scheduler *scheduler.Scheduler
-	probe     func(node string) scheduler.Probed
+	probe     func(node string) scheduler.HealthChecked
 	inbox     chan message
 	stopped   chan struct{}
 	calls     map[string]*call // of the loop alone, as are
@@ -86,7 +86,7 @@
 }
 
 // New returns a core. probe asks a node for its health and load, and returns within a bounded time.
-func New(set scheduler.Settings, seed int64, l limits.Limits, probe func(node string) scheduler.Probed) (*Core, error) {
+func New(set scheduler.Settings, seed int64, l limits.Limits, probe func(node string) scheduler.HealthChecked) (*Core, error) {
 	decider, err := scheduler.New(set, seed)
 	if err != nil {
 		return nil, fmt.Errorf("scheduler: %w", err)
@@ -97,13 +97,13 @@
 }
 
 // Tell hands news of the node list to the scheduler, ahead of any request submitted later.
-func (c *Core) Tell(news scheduler.Nodes) { c.submit(message{event: news}) }
+func (c *Core) Tell(news scheduler.EndpointsChanged) { c.submit(message{event: news}) }
 
 // Hear hands a message of another front to the scheduler.
 func (c *Core) Hear(e scheduler.Event) { c.submit(message{event: e}) }
 
 // Room tells the scheduler for how many open requests there is room from now on.
-func (c *Core) Room(open int) { c.submit(message{event: scheduler.Room{Open: open}}) }
+func (c *Core) Room(open int) { c.submit(message{event: scheduler.OpenLimitChanged{MaxOpen: open}}) }
 
 func (c *Core) submit(m message) bool {
 	select {
@@ -140,7 +140,7 @@
 		case <-ctx.Done():
 			return
 		case <-alarm.C:
-			events = append(events, scheduler.Alarm{})
+			events = append(events, scheduler.TimerFired{})
 		case m := <-c.inbox:
 			take(m)
 		}
@@ -182,26 +182,26 @@
 
 func (c *Core) perform(a scheduler.Action, now scheduler.Micros, alarm *time.Timer) {
 	switch a := a.(type) {
-	case scheduler.Send:
+	case scheduler.StartAttempt:
 		c.rule(a.ID, a, false)
-	case scheduler.Cancel:
+	case scheduler.CancelAttempt:
 		c.rule(a.ID, a, false)
-	case scheduler.Refuse:
+	case scheduler.Reject:
 		c.rule(a.ID, a, true)
 	case scheduler.Fail:
 		c.rule(a.ID, a, true)
-	case scheduler.Probe:
+	case scheduler.CheckHealth:
 		go func() { c.submit(message{event: c.probe(a.Node)}) }()
-	case scheduler.Ask:
+	case scheduler.RequestCapacity:
 		c.Note(a.To, a)
-	case scheduler.Grant:
+	case scheduler.GrantCapacity:
 		c.Note(a.To, a)
-	case scheduler.WriteDown:
+	case scheduler.SaveState:
 		select {
 		case c.writeDown <- struct{}{}:
 		default:
 		}
-	case scheduler.SetAlarm:
+	case scheduler.SetTimer:
 		alarm.Reset(time.Duration(a.At-now) * time.Microsecond)
 	}
 }
@@ -212,7 +212,7 @@
 	if call == nil || call.over {
 		return
 	}
-	if send, ok := verdict.(scheduler.Send); ok {
+	if send, ok := verdict.(scheduler.StartAttempt); ok {
 		call.out++
 		c.observeStart(call, send)
 	}
--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -13,12 +13,12 @@
 )
 
 func request(id string) scheduler.Request {
-	return scheduler.Request{ID: id, Volume: "v", Units: 1, Hosts: 1, Left: 5_000_000}
+	return scheduler.Request{ID: id, Volume: "v", Units: 1, Fronts: 1, TimeLeft: 5_000_000}
 }
 
 func newCore(t *testing.T) *routing.Core {
 	core := standin.Core(t, standin.Settings(), nil)
-	core.Tell(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}})
+	core.Tell(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
 	return core
 }
 
@@ -26,12 +26,12 @@
 	core, results := newCore(t), []scheduler.Result{scheduler.Errored, scheduler.TimedOut, scheduler.OK}
 	tries := 0
 	got, err := routing.Do(t.Context(), core, request("x"),
-		func(ctx context.Context, a routing.Attempt) (string, scheduler.Outcome) {
+		func(ctx context.Context, a routing.Attempt) (string, scheduler.AttemptEnded) {
 			tries++
 			if _, ok := ctx.Deadline(); !ok || a.Node != "a" {
 				t.Errorf("attempt %d at %q without a deadline", tries, a.Node)
 			}
-			return fmt.Sprint("answer ", tries), scheduler.Outcome{Result: results[tries-1]}
+			return fmt.Sprint("answer ", tries), scheduler.AttemptEnded{Result: results[tries-1]}
 		})
 	if err != nil || got != "answer 3" || tries != 3 {
 		t.Errorf("%q, %v after %d attempts", got, err, tries)
@@ -42,17 +42,17 @@
 	core := newCore(t)
 	once := request("once")
 	once.Class = 2 // must not run twice
-	_, err := routing.Do(t.Context(), core, once, func(context.Context, routing.Attempt) (int, scheduler.Outcome) {
-		return 0, scheduler.Outcome{Result: scheduler.Errored}
+	_, err := routing.Do(t.Context(), core, once, func(context.Context, routing.Attempt) (int, scheduler.AttemptEnded) {
+		return 0, scheduler.AttemptEnded{Result: scheduler.Errored}
 	})
 	if !errors.Is(err, routing.ErrFailed) {
 		t.Errorf("an attempt that may have run, once: %v", err)
 	}
 	elsewhere := request("elsewhere")
 	elsewhere.Shard = 1 // no node holds it
-	_, err = routing.Do(t.Context(), core, elsewhere, func(context.Context, routing.Attempt) (int, scheduler.Outcome) {
+	_, err = routing.Do(t.Context(), core, elsewhere, func(context.Context, routing.Attempt) (int, scheduler.AttemptEnded) {
 		t.Error("sent")
-		return 0, scheduler.Outcome{}
+		return 0, scheduler.AttemptEnded{}
 	})
 	if refused := new(routing.Refused); !errors.As(err, &refused) {
 		t.Errorf("no node: %v", err)
@@ -72,13 +72,13 @@
 		done := make(chan error, 1)
 		go func() {
 			_, err := routing.Do(ctx, core, request(fmt.Sprint("left-", i)),
-				func(own context.Context, _ routing.Attempt) (int, scheduler.Outcome) {
+				func(own context.Context, _ routing.Attempt) (int, scheduler.AttemptEnded) {
 					if tries++; tries == 1 {
-						return 0, scheduler.Outcome{Result: scheduler.Errored}
+						return 0, scheduler.AttemptEnded{Result: scheduler.Errored}
 					}
 					out <- own
 					<-goOn
-					return 0, scheduler.Outcome{Result: scheduler.OK}
+					return 0, scheduler.AttemptEnded{Result: scheduler.OK}
 				})
 			done <- err
 		}()
@@ -101,14 +101,14 @@
 func TestIdInUse(t *testing.T) {
 	core := newCore(t)
 	out, goOn := make(chan context.Context, 1), make(chan struct{})
-	wait := func(own context.Context, _ routing.Attempt) (int, scheduler.Outcome) {
+	wait := func(own context.Context, _ routing.Attempt) (int, scheduler.AttemptEnded) {
 		out <- own
 		<-goOn
-		return 1, scheduler.Outcome{Result: scheduler.OK}
+		return 1, scheduler.AttemptEnded{Result: scheduler.OK}
 	}
-	refuse := func(context.Context, routing.Attempt) (int, scheduler.Outcome) {
+	refuse := func(context.Context, routing.Attempt) (int, scheduler.AttemptEnded) {
 		t.Error("a second request under the id was sent")
-		return 0, scheduler.Outcome{}
+		return 0, scheduler.AttemptEnded{}
 	}
 	first, leave := context.WithCancel(t.Context())
 	done := make(chan error, 1)
@@ -144,12 +144,12 @@
 // on in time, and written whenever a connection came up.
 func TestRepeatBeginsWithinItsWindow(t *testing.T) {
 	set := standin.Settings()
-	set.Classes[1].Window = 1_000_000
+	set.Classes[1].DedupWindow = 1_000_000
 	core := standin.Core(t, set, nil)
-	core.Tell(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}})
+	core.Tell(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
 	keyed, began, tries := request("keyed"), time.Now(), 0
 	keyed.Class = 1
-	_, err := routing.Do(t.Context(), core, keyed, func(ctx context.Context, a routing.Attempt) (int, scheduler.Outcome) {
+	_, err := routing.Do(t.Context(), core, keyed, func(ctx context.Context, a routing.Attempt) (int, scheduler.AttemptEnded) {
 		tries++
 		last, _ := ctx.Deadline()
 		begin, _ := a.Begin.Deadline()
@@ -160,10 +160,10 @@
 			t.Errorf("the second one may begin until %v behind the first", begin.Sub(began))
 		}
 		if tries < 2 {
-			return 0, scheduler.Outcome{Result: scheduler.Errored}
+			return 0, scheduler.AttemptEnded{Result: scheduler.Errored}
 		}
 		<-a.Begin.Done() // its connection comes up too late
-		return 0, scheduler.Outcome{Result: scheduler.Moot}
+		return 0, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	})
 	if !errors.Is(err, routing.ErrFailed) || tries != 2 {
 		t.Errorf("%v after %d attempts", err, tries)
@@ -174,8 +174,8 @@
 // attempt's end, or it would count it as out for good and send the node nothing more.
 func TestClientsThatLeaveAtAnyMoment(t *testing.T) {
 	core := newCore(t)
-	serve := func(context.Context, routing.Attempt) (int, scheduler.Outcome) {
-		return 0, scheduler.Outcome{Result: scheduler.OK}
+	serve := func(context.Context, routing.Attempt) (int, scheduler.AttemptEnded) {
+		return 0, scheduler.AttemptEnded{Result: scheduler.OK}
 	}
 	for i := range 5000 {
 		ctx, leave := context.WithTimeout(t.Context(), time.Duration(i%50)*time.Microsecond)
--- a/internal/net/routing/handover.go
+++ b/internal/net/routing/handover.go
@@ -34,9 +34,9 @@
 }
 
 // Succeed takes over what another process gave. The core must not run yet.
-func (c *Core) Succeed(nodes scheduler.Nodes, g Given) {
+func (c *Core) Succeed(nodes scheduler.EndpointsChanged, g Given) {
 	c.scheduler.Step(c.Now(), []scheduler.Event{nodes})
-	c.scheduler.Succeed(c.Now(), g.Learned, g.Began)
+	c.scheduler.TakeOver(c.Now(), g.Learned, g.Began)
 	for _, id := range g.IDs {
 		c.taken.add(c.Now(), id)
 	}
--- a/internal/net/routing/learned.go
+++ b/internal/net/routing/learned.go
@@ -11,18 +11,18 @@
 func (c *Core) Now() scheduler.Micros { return c.clock.Now() }
 
 // Fresh is what a node is taken for that nothing is known of. The core must not run yet.
-func (c *Core) Fresh() scheduler.Habits { return c.scheduler.Fresh() }
+func (c *Core) Fresh() scheduler.NodeStats { return c.scheduler.NewNodeStats() }
 
 // Recall takes over what a former self learned, given the nodes there are. The core must not run yet.
-func (c *Core) Recall(nodes scheduler.Nodes, l scheduler.Learned) {
+func (c *Core) Recall(nodes scheduler.EndpointsChanged, l scheduler.Learned) {
 	c.scheduler.Step(c.Now(), []scheduler.Event{nodes})
-	c.scheduler.Recall(c.Now(), l)
+	c.scheduler.ImportLearned(c.Now(), l)
 }
 
 // Learned returns a part of what is known, and the place of the next one: see scheduler.Scheduler.Learned. It works
 // after the core's end as well, for one caller.
 func (c *Core) Learned(ctx context.Context, from, n int) (l scheduler.Learned, next int, err error) {
-	err = c.ask(ctx, func(s *scheduler.Scheduler) { l, next = s.Learned(c.Now(), from, n) })
+	err = c.ask(ctx, func(s *scheduler.Scheduler) { l, next = s.ExportLearned(c.Now(), from, n) })
 	return l, next, err
 }
 
@@ -34,24 +34,24 @@
 // Retune takes over other settings, see scheduler.Scheduler.Retune: all of them, or none where they are wrong.
 func (c *Core) Retune(set scheduler.Settings) error {
 	var wrong error
-	err := c.ask(context.Background(), func(s *scheduler.Scheduler) { wrong = s.Retune(set) })
+	err := c.ask(context.Background(), func(s *scheduler.Scheduler) { wrong = s.Reconfigure(set) })
 	return cmp.Or(err, wrong)
 }
 
 // Place tells which node a request would be sent to now, and its shard; "" for none.
 func (c *Core) Place(ctx context.Context, r scheduler.Request) (node string, shard int, err error) {
-	err = c.ask(ctx, func(s *scheduler.Scheduler) { node, shard = s.Place(c.Now(), r) })
+	err = c.ask(ctx, func(s *scheduler.Scheduler) { node, shard = s.NodeFor(c.Now(), r) })
 	return node, shard, err
 }
 
 // Avoided tells how many nodes of the list get nothing new now.
 func (c *Core) Avoided(ctx context.Context) (n int, err error) {
-	err = c.ask(ctx, func(s *scheduler.Scheduler) { n = s.Avoided(c.Now()) })
+	err = c.ask(ctx, func(s *scheduler.Scheduler) { n = s.AvoidedNodes(c.Now()) })
 	return n, err
 }
 
 // Recorded tells the scheduler how the last record ended.
-func (c *Core) Recorded(r scheduler.Recorded) { c.submit(message{event: r}) }
+func (c *Core) Recorded(r scheduler.StateSaved) { c.submit(message{event: r}) }
 
 // WriteDown delivers when a record is wanted before its time.
 func (c *Core) WriteDown() <-chan struct{} { return c.writeDown }
--- a/internal/net/routing/observer.go
+++ b/internal/net/routing/observer.go
@@ -8,11 +8,11 @@
 	// its end is not told then.
 	AttemptStarted(node, id string, attempt int) bool
 	// AttemptEnded tells how an attempt ended that AttemptStarted took.
-	AttemptEnded(node string, e scheduler.Outcome)
+	AttemptEnded(node string, e scheduler.AttemptEnded)
 }
 
 // observeStart tells the observer, where there is one, of an attempt.
-func (c *Core) observeStart(call *call, send scheduler.Send) {
+func (c *Core) observeStart(call *call, send scheduler.StartAttempt) {
 	if c.Observer == nil {
 		return
 	}
@@ -24,7 +24,7 @@
 }
 
 // observeEnd tells the observer how an attempt ended.
-func (c *Core) observeEnd(call *call, e scheduler.Outcome) {
+func (c *Core) observeEnd(call *call, e scheduler.AttemptEnded) {
 	if e.Attempt < 0 || e.Attempt >= len(call.nodes) || call.nodes[e.Attempt] == "" {
 		return
 	}
--- a/internal/net/routing/observer_test.go
+++ b/internal/net/routing/observer_test.go
@@ -18,15 +18,15 @@
 	return node != "b"
 }
 
-func (o *observed) AttemptEnded(node string, e scheduler.Outcome) {
+func (o *observed) AttemptEnded(node string, e scheduler.AttemptEnded) {
 	o.lines <- fmt.Sprint("end ", node, " ", e.ID, " ", e.Attempt, " ", e.Result, " ", e.Alive)
 }
 
 // Each attempt is told at its start and at its end, with its node and number; one that was not taken has no end.
 func TestObserverHearsOfEachAttempt(t *testing.T) {
 	set := standin.Settings()
-	core, err := routing.New(set, 1, standin.Limits(), func(node string) scheduler.Probed {
-		return scheduler.Probed{Node: node, OK: true, Queue: -1}
+	core, err := routing.New(set, 1, standin.Limits(), func(node string) scheduler.HealthChecked {
+		return scheduler.HealthChecked{Node: node, OK: true, Queue: -1}
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -36,9 +36,9 @@
 	ctx, end := context.WithCancel(t.Context())
 	defer end()
 	go core.Run(ctx)
-	core.Tell(scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}, {Node: "b", Shard: 1}}})
-	outcomes := []scheduler.Outcome{{Result: scheduler.Reset, Alive: true}, {Result: scheduler.OK}}
-	serve := func(_ context.Context, _ routing.Attempt) (int, scheduler.Outcome) {
+	core.Tell(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}, {Node: "b", Shard: 1}}})
+	outcomes := []scheduler.AttemptEnded{{Result: scheduler.Reset, Alive: true}, {Result: scheduler.OK}}
+	serve := func(_ context.Context, _ routing.Attempt) (int, scheduler.AttemptEnded) {
 		o := outcomes[0]
 		outcomes = outcomes[1:]
 		return 1, o
@@ -46,7 +46,7 @@
 	if _, err := routing.Do(t.Context(), core, request("x"), serve); err != nil {
 		t.Fatal(err)
 	}
-	outcomes = []scheduler.Outcome{{Result: scheduler.OK}}
+	outcomes = []scheduler.AttemptEnded{{Result: scheduler.OK}}
 	untaken := request("y")
 	untaken.Shard = 1
 	if _, err := routing.Do(t.Context(), core, untaken, serve); err != nil {
--- a/internal/net/routing/request.go
+++ b/internal/net/routing/request.go
@@ -28,7 +28,7 @@
 func (c *Core) enter(r scheduler.Request, until scheduler.Micros) (*Entry, error) {
 	e := &Entry{core: c, request: r, call: &call{id: r.ID, verdicts: make(chan scheduler.Action, verdictRoom),
 		taken: make(chan struct{})}}
-	e.deadline = time.Now().Add(time.Duration(r.Left) * time.Microsecond)
+	e.deadline = time.Now().Add(time.Duration(r.TimeLeft) * time.Microsecond)
 	if tell := c.announce.Load(); tell != nil {
 		(*tell)(r.ID)
 	}
@@ -48,7 +48,7 @@
 	}
 	select {
 	case <-e.call.taken:
-		e.deadline = time.Now().Add(time.Duration(r.Left) * time.Microsecond)
+		e.deadline = time.Now().Add(time.Duration(r.TimeLeft) * time.Microsecond)
 		return e, nil
 	case <-ctx.Done():
 		c.lapse(e.call, 0)
@@ -60,7 +60,7 @@
 
 // Do is the life of one request: it is submitted, and carried to its one final answer.
 func Do[T any](ctx context.Context, c *Core, r scheduler.Request,
-	attempt func(ctx context.Context, a Attempt) (T, scheduler.Outcome)) (T, error) {
+	attempt func(ctx context.Context, a Attempt) (T, scheduler.AttemptEnded)) (T, error) {
 	e, err := c.enter(r, 0)
 	if err != nil {
 		return *new(T), err
@@ -74,7 +74,7 @@
 // Where ctx ends first the client has left; an attempt that is out runs on to its outcome, since closing a
 // connection stops no work. One that was decided on and of which nothing is written yet is not begun.
 func Carry[T any](ctx context.Context, e *Entry,
-	attempt func(ctx context.Context, a Attempt) (T, scheduler.Outcome)) (T, error) {
+	attempt func(ctx context.Context, a Attempt) (T, scheduler.AttemptEnded)) (T, error) {
 	var none T
 	c, r, call, deadline := e.core, e.request, e.call, e.deadline
 	c.counts.opened(1)
@@ -86,16 +86,16 @@
 		select {
 		case v, owed := <-verdicts:
 			switch v := v.(type) {
-			case scheduler.Send:
+			case scheduler.StartAttempt:
 				own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-				o := scheduler.Outcome{ID: r.ID, Attempt: tries}
+				o := scheduler.AttemptEnded{ID: r.ID, Attempt: tries}
 				go func() {
 					// Both end only after the outcome is submitted: who sees the attempt's context end may use its
 					// id again.
 					defer cancel(nil)
 					limited, release := context.WithDeadline(own, deadline)
 					defer release()
-					begin, release := context.WithDeadline(ctx, c.clock.at(v.Until, deadline))
+					begin, release := context.WithDeadline(ctx, c.clock.at(v.BeginBy, deadline))
 					defer release()
 					defer context.AfterFunc(own, release)()
 					value := try(limited, Attempt{v.Node, begin}, attempt, &o)
@@ -109,18 +109,18 @@
 				}()
 				takeBack = cancel
 				tries++
-			case scheduler.Cancel:
+			case scheduler.CancelAttempt:
 				takeBack(errTakenBack)
-			case scheduler.Refuse:
+			case scheduler.Reject:
 				c.counts.ended(r.Class, Rejected)
 				if c.debugs() {
-					c.Log.Debug("refused", "request", r.ID, "why", v.Why, "retry_after_us", v.RetryAfter, "attempts", tries)
+					c.Log.Debug("refused", "request", r.ID, "why", v.Reason, "retry_after_us", v.RetryAfter, "attempts", tries)
 				}
 				return none, &Refused{RetryAfter: time.Duration(v.RetryAfter) * time.Microsecond}
 			case scheduler.Fail:
 				c.counts.ended(r.Class, Failing)
 				if c.debugs() {
-					c.Log.Debug("failed", "request", r.ID, "why", v.Why, "attempts", tries)
+					c.Log.Debug("failed", "request", r.ID, "why", v.Reason, "attempts", tries)
 				}
 				return none, ErrFailed
 			}
@@ -145,10 +145,10 @@
 
 // try carries out one attempt and fills in its outcome.
 func try[T any](ctx context.Context, a Attempt,
-	attempt func(ctx context.Context, a Attempt) (T, scheduler.Outcome), o *scheduler.Outcome) T {
+	attempt func(ctx context.Context, a Attempt) (T, scheduler.AttemptEnded), o *scheduler.AttemptEnded) T {
 	began := time.Now()
 	value, got := attempt(ctx, a)
-	o.Result, o.Elsewhere, o.Alive = got.Result, got.Elsewhere, got.Alive
+	o.Result, o.ServedElsewhere, o.Alive = got.Result, got.ServedElsewhere, got.Alive
 	if o.Result == scheduler.TimedOut && context.Cause(ctx) == errTakenBack {
 		o.Result = scheduler.Cancelled
 	}
@@ -162,14 +162,14 @@
 
 // lapse ends a request whose client has left. A send that was decided but not begun never will be.
 func (c *Core) lapse(call *call, tries int) {
-	if !c.submit(message{event: scheduler.Lapsed{ID: call.id}, call: call}) {
+	if !c.submit(message{event: scheduler.ClientLeft{ID: call.id}, call: call}) {
 		return
 	}
 	for {
 		select {
 		case v, owed := <-call.verdicts:
-			if _, send := v.(scheduler.Send); send {
-				c.submit(message{event: scheduler.Outcome{ID: call.id, Attempt: tries, Result: scheduler.Moot}})
+			if _, send := v.(scheduler.StartAttempt); send {
+				c.submit(message{event: scheduler.AttemptEnded{ID: call.id, Attempt: tries, Result: scheduler.NotStarted}})
 			}
 			if !owed {
 				return
--- a/internal/net/transport/connections_test.go
+++ b/internal/net/transport/connections_test.go
@@ -66,7 +66,7 @@
 	if !probe("node-1").OK {
 		t.Error("no room where the other node's connection is idle")
 	}
-	first, second := make(chan scheduler.Outcome, 1), make(chan scheduler.Probed, 1)
+	first, second := make(chan scheduler.AttemptEnded, 1), make(chan scheduler.HealthChecked, 1)
 	go func() { first <- send(t, s, standin.Patience) }()
 	standin.Await(t, "the attempt", begun)
 	go func() { second <- probe("node-1") }()
@@ -115,7 +115,7 @@
 	send(t, s, standin.Patience)
 	standin.Await(t, "the first connection", conns)
 	anew := list(addr)
-	anew.Hosts[0].Since = 7
+	anew.Hosts[0].StartedAt = 7
 	s.Apply(anew)
 	if got := send(t, s, standin.Patience); got.Result != scheduler.OK {
 		t.Errorf("after a restart: %v", got.Result)
@@ -123,7 +123,7 @@
 	standin.Await(t, "a connection to the restarted node", conns)
 	anew.Hosts[0].State = scheduler.Draining
 	s.Apply(anew)
-	if got := send(t, s, standin.Patience); got.Result != scheduler.Full {
+	if got := send(t, s, standin.Patience); got.Result != scheduler.QueueFull {
 		t.Errorf("draining: %v", got.Result)
 	}
 }
--- a/internal/net/transport/crossings_test.go
+++ b/internal/net/transport/crossings_test.go
@@ -69,7 +69,7 @@
 	over, end := context.WithCancel(t.Context())
 	end()
 	r, _ := http.NewRequest(http.MethodGet, "http://backend.local/read/00000000000000aa/00000000000000bb", nil)
-	if _, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", Begin: over}, r); out.Result != scheduler.Moot || count.Load() != 0 {
+	if _, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", Begin: over}, r); out.Result != scheduler.NotStarted || count.Load() != 0 {
 		t.Errorf("%v, %d requests", out.Result, count.Load())
 	}
 }
--- a/internal/net/transport/door_test.go
+++ b/internal/net/transport/door_test.go
@@ -38,7 +38,7 @@
 	core := standin.Core(t, standin.Settings(), nil)
 	core.Tell(nodes.Apply(list(node)))
 	f := NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 1,
-		Rules: scheduler.Settings{Plans: []scheduler.Plan{{Weight: 1}}}, LongestWait: time.Minute, Retry: time.Second}, l,
+		Scheduler: scheduler.Settings{Plans: []scheduler.Plan{{Weight: 1}}}, LongestWait: time.Minute, Retry: time.Second}, l,
 		NewRoundTripper(core, nodes))
 	f.Admission = g
 	listener := standin.Listen(t)
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -91,7 +91,7 @@
 
 // attempt sends a request to a node once and tells how that ended. Where the connection breaks before the last
 // byte is written the request never ran, and it is written again to another: the node may just have closed it.
-func (s *Nodes) attempt(ctx context.Context, a routing.Attempt, r *http.Request) (*http.Response, scheduler.Outcome) {
+func (s *Nodes) attempt(ctx context.Context, a routing.Attempt, r *http.Request) (*http.Response, scheduler.AttemptEnded) {
 	for tries := 1; ; tries++ {
 		resp, out, written := s.once(ctx, a, r)
 		if written || tries == s.limits.Nodes.WriteTries || a.Begin.Err() != nil {
@@ -125,7 +125,7 @@
 }
 
 // once makes an attempt on one connection. written is false only where another connection may do better.
-func (s *Nodes) once(ctx context.Context, a routing.Attempt, r *http.Request) (resp *http.Response, out scheduler.Outcome, written bool) {
+func (s *Nodes) once(ctx context.Context, a routing.Attempt, r *http.Request) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
 	c, err := s.Acquire(a.Begin, a.Node, nodes.Running)
 	if err == nil && a.Begin.Err() != nil { // it came up in that moment
 		s.Release(c, false)
@@ -133,24 +133,24 @@
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return nil, scheduler.Outcome{Result: scheduler.TimedOut}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.TimedOut}, true
 	case err != nil && a.Begin.Err() != nil:
-		return nil, scheduler.Outcome{Result: scheduler.Moot}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}, true
 	case errors.Is(err, nodes.ErrNotTaking):
-		return nil, scheduler.Outcome{Result: scheduler.Full}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.QueueFull}, true
 	case err != nil:
-		return nil, scheduler.Outcome{Result: scheduler.Unreachable}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.Unreachable}, true
 	}
 	message, err := encodeForNow(ctx, r)
 	if err != nil {
 		s.Release(c, true)
-		return nil, scheduler.Outcome{Result: scheduler.Moot}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}, true
 	}
 	return s.outcome(ctx, a.Node, c, r, message)
 }
 
 // outcome writes the last bytes of a request and tells what came of it.
-func (s *Nodes) outcome(ctx context.Context, node string, c *nodes.Conn[*stream], r *http.Request, message []byte) (resp *http.Response, out scheduler.Outcome, written bool) {
+func (s *Nodes) outcome(ctx context.Context, node string, c *nodes.Conn[*stream], r *http.Request, message []byte) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
 	began := time.Now()
 	resp, first, written, err := s.exchange(ctx, c, r, message)
 	if written {
@@ -159,13 +159,13 @@
 	switch {
 	case errors.Is(err, errSpoilt):
 		// As with an error of the node's own, its latency is what came before the answer.
-		return nil, scheduler.Outcome{Result: scheduler.Errored, Latency: micros(first.Sub(began))}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.Errored, Latency: micros(first.Sub(began))}, true
 	case err != nil && ctx.Err() != nil:
-		return nil, scheduler.Outcome{Result: scheduler.TimedOut}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.TimedOut}, true
 	case err != nil && !written:
-		return nil, scheduler.Outcome{Result: scheduler.Unreachable}, false
+		return nil, scheduler.AttemptEnded{Result: scheduler.Unreachable}, false
 	case err != nil:
-		return nil, scheduler.Outcome{Result: scheduler.Reset, Alive: s.Renew(node)}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Renew(node)}, true
 	}
 	// The node's work is over with its first byte: how long the rest took to come says nothing of its queue, and as
 	// latencies answers that come slowly closed every budget.
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -95,7 +95,7 @@
 	out := protocol.List{Whole: true}
 	for i, a := range addrs {
 		out.Hosts = append(out.Hosts, protocol.Host{Dial: a,
-			Listing: scheduler.Listing{Node: fmt.Sprint("node-", i), Shard: i}})
+			Endpoint: scheduler.Endpoint{Node: fmt.Sprint("node-", i), Shard: i}})
 	}
 	return out
 }
@@ -112,7 +112,7 @@
 }
 
 // send makes one attempt at node-0 with a request that http.Transport would send again by itself.
-func send(t *testing.T, s *Nodes, wait time.Duration) scheduler.Outcome {
+func send(t *testing.T, s *Nodes, wait time.Duration) scheduler.AttemptEnded {
 	t.Helper()
 	ctx, release := context.WithTimeout(context.Background(), wait)
 	defer release()
@@ -139,7 +139,7 @@
 		{"breaks within the head", "HTTP/1.1 200 OK\r\nContent-", scheduler.Reset},
 		{"breaks within the body", served[:len(served)-1], scheduler.Reset},
 		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", scheduler.Errored},
-		{"turned away", "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", scheduler.Full},
+		{"turned away", "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", scheduler.QueueFull},
 		{"503 that may have run", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", scheduler.Errored},
 		{"long", "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("x", 400000), scheduler.OK},
 		{"passes the bound", "HTTP/1.1 200 OK\r\nContent-Length: 268435457\r\n\r\n", scheduler.Errored},
@@ -160,7 +160,7 @@
 			conn.Close()
 		})
 		s := newNodes(nil, addr)
-		if got := send(t, s, standin.Patience); got.Result != scheduler.OK || got.Elsewhere != 3 {
+		if got := send(t, s, standin.Patience); got.Result != scheduler.OK || got.ServedElsewhere != 3 {
 			t.Errorf("%s: first attempt %+v", c.name, got)
 		}
 		if got := send(t, s, standin.Patience); got.Result != c.want {
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -138,7 +138,7 @@
 		return
 	}
 	if stopping { // what comes now must be over when the process may be killed
-		m.Left = min(m.Left, micros(f.limits.Stop.Answer-since))
+		m.TimeLeft = min(m.TimeLeft, micros(f.limits.Stop.Answer-since))
 	}
 	if !f.clients.take(connOf(r.Context())) { // it ended for want of room before it was whole
 		return
@@ -147,14 +147,14 @@
 		came := time.Now()
 		client, _, _ := net.SplitHostPort(r.RemoteAddr)
 		// Half of its time: what is taken later could hardly be answered, and its client can still come again.
-		weight := set.Rules.Plans[m.Plan].Weight // a plan that the settings don't name was turned away in read
-		leave, err := f.Admission.Enter(r.Context(), m.Volume, client, m.Units, weight, time.Duration(m.Left)*time.Microsecond/2)
+		weight := set.Scheduler.Plans[m.Plan].Weight // a plan that the settings don't name was turned away in read
+		leave, err := f.Admission.Enter(r.Context(), m.Volume, client, m.Units, weight, time.Duration(m.TimeLeft)*time.Microsecond/2)
 		if err != nil {
 			answerError(w, r, err)
 			return
 		}
 		defer leave()
-		m.Left = max(1, m.Left-micros(time.Since(came)))
+		m.TimeLeft = max(1, m.TimeLeft-micros(time.Since(came)))
 	}
 	r = r.WithContext(withMessage(r.Context(), m))
 	r.Body, r.ContentLength, r.TransferEncoding, r.Trailer = http.NoBody, 0, nil, nil
--- a/internal/net/transport/nodes/dial_test.go
+++ b/internal/net/transport/nodes/dial_test.go
@@ -43,7 +43,7 @@
 	change(&l)
 	s := New(l, Session[int]{Open: func(net.Conn) (int, error) { return 0, nil }, Alive: func(net.Conn, int) bool { return true }})
 	s.dialer = d.dial
-	s.Apply(protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: addr, Listing: scheduler.Listing{Node: "a"}}}})
+	s.Apply(protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: addr, Endpoint: scheduler.Endpoint{Node: "a"}}}})
 	return s, taken
 }
 
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -62,22 +62,22 @@
 }
 
 // Apply takes over a list, or changes of one, and returns the same news for the scheduler.
-func (s *Nodes[T]) Apply(list protocol.List) scheduler.Nodes {
+func (s *Nodes[T]) Apply(list protocol.List) scheduler.EndpointsChanged {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	news := scheduler.Nodes{Full: list.Whole}
+	news := scheduler.EndpointsChanged{Full: list.Whole}
 	named := map[string]bool{}
 	for _, h := range list.Hosts {
-		news.List = append(news.List, h.Listing)
+		news.Endpoints = append(news.Endpoints, h.Endpoint)
 		named[h.Node] = true
 		old := s.byName[h.Node]
-		if old != nil && old.Dial == h.Dial && old.Since == h.Since && h.State != scheduler.Gone {
+		if old != nil && old.Dial == h.Dial && old.StartedAt == h.StartedAt && h.State != scheduler.Removed {
 			old.Host = h
 			continue
 		}
 		s.drop(old)
 		s.byName[h.Node] = &node[T]{Host: h}
-		if h.State == scheduler.Gone {
+		if h.State == scheduler.Removed {
 			delete(s.byName, h.Node)
 		}
 	}
--- a/internal/net/transport/nodes/nodes_test.go
+++ b/internal/net/transport/nodes/nodes_test.go
@@ -23,7 +23,7 @@
 	l := standin.Limits()
 	l.Nodes.ReuseDelay = 20 * time.Millisecond
 	s := New(l, Session[int]{Open: func(net.Conn) (int, error) { return 0, nil }, Alive: func(net.Conn, int) bool { return true }})
-	s.Apply(protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: addr, Listing: scheduler.Listing{Node: "a"}}}})
+	s.Apply(protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: addr, Endpoint: scheduler.Endpoint{Node: "a"}}}})
 	first, err := s.Acquire(context.Background(), "a", Running)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/net/transport/peers_test.go
+++ b/internal/net/transport/peers_test.go
@@ -70,17 +70,17 @@
 func TestPeersHearEachOther(t *testing.T) {
 	logged := make(chan string, 1)
 	peers, heard := newPeers(t, 2, func(line string) { logged <- line })
-	wish := slowstart.Wish{Units: 2, Least: 1, Shown: slowstart.Shown{Served: 3.5, Units: 7.25, Time: 0.125}}
-	peers[0].Send(1, scheduler.Ask{To: 1, Node: "s-1", Wish: wish})
-	if got, want := standin.Await(t, "an ask", heard[1]), (scheduler.Asked{From: 0, Node: "s-1", Wish: wish}); got != want {
+	wish := slowstart.CapacityRequest{Units: 2, MinUnits: 1, Report: slowstart.LoadReport{Served: 3.5, Units: 7.25, Time: 0.125}}
+	peers[0].Send(1, scheduler.RequestCapacity{To: 1, Node: "s-1", CapacityRequest: wish})
+	if got, want := standin.Await(t, "an ask", heard[1]), (scheduler.CapacityRequested{From: 0, Node: "s-1", CapacityRequest: wish}); got != want {
 		t.Errorf("heard %v, want %v", got, want)
 	}
-	peers[1].Send(0, scheduler.Grant{To: 0, Node: "s-1", Units: 2, Until: 17})
-	if got, want := standin.Await(t, "a grant", heard[0]), (scheduler.Granted{From: 1, Node: "s-1", Units: 2, Until: 17}); got != want {
+	peers[1].Send(0, scheduler.GrantCapacity{To: 0, Node: "s-1", Units: 2, ValidUntil: 17})
+	if got, want := standin.Await(t, "a grant", heard[0]), (scheduler.CapacityGranted{From: 1, Node: "s-1", Units: 2, ValidUntil: 17}); got != want {
 		t.Errorf("heard %v, want %v", got, want)
 	}
 	// What can't be read, comes from elsewhere or is too long ends nothing.
-	peers[0].Send(7, scheduler.Ask{To: 7, Node: "s-1"})
+	peers[0].Send(7, scheduler.RequestCapacity{To: 7, Node: "s-1"})
 	peers[0].conn.WriteToUDPAddrPort([]byte("ask x 1 1 1 1 5 s-1"), peers[1].addrs[1])
 	if line := standin.Await(t, "a line", logged); !strings.Contains(line, "units") {
 		t.Errorf("logged %q, which names no field", line)
@@ -92,8 +92,8 @@
 	defer stranger.Close()
 	stranger.Write([]byte("grant 2.000 17 s-1"))
 	peers[0].conn.WriteToUDPAddrPort(make([]byte, 400), peers[1].addrs[1])
-	peers[0].Send(1, scheduler.Ask{To: 1, Node: "s-2", Wish: wish})
-	if got := standin.Await(t, "the next ask", heard[1]); got.(scheduler.Asked).Node != "s-2" {
+	peers[0].Send(1, scheduler.RequestCapacity{To: 1, Node: "s-2", CapacityRequest: wish})
+	if got := standin.Await(t, "the next ask", heard[1]); got.(scheduler.CapacityRequested).Node != "s-2" {
 		t.Errorf("heard %v", got)
 	}
 }
@@ -155,8 +155,8 @@
 	if err := standin.Await(t, "a drop", drops); err != ErrNoPeer {
 		t.Error(err)
 	}
-	peers[0].Send(1, scheduler.Grant{To: 1, Node: "s-1", Units: 2, Until: 17})
-	if got := standin.Await(t, "a grant", heard); got.(scheduler.Granted).Node != "s-1" {
+	peers[0].Send(1, scheduler.GrantCapacity{To: 1, Node: "s-1", Units: 2, ValidUntil: 17})
+	if got := standin.Await(t, "a grant", heard); got.(scheduler.CapacityGranted).Node != "s-1" {
 		t.Errorf("heard %v", got)
 	}
 }
--- a/internal/net/transport/probe.go
+++ b/internal/net/transport/probe.go
@@ -32,8 +32,8 @@
 
 // Probe asks one node. An answer that is spoilt, or a connection that breaks under the probe, says nothing of the
 // node that another connection would not tell better, so it is asked again.
-func (p *Prober) Probe(node string) scheduler.Probed {
-	out := scheduler.Probed{Node: node, Queue: -1}
+func (p *Prober) Probe(node string) scheduler.HealthChecked {
+	out := scheduler.HealthChecked{Node: node, Queue: -1}
 	ctx, release := context.WithTimeout(context.Background(), p.nodes.limits.Nodes.ProbeTimeout)
 	defer release()
 	resp, again, err := p.ask(ctx, node)
--- a/internal/net/transport/probe_test.go
+++ b/internal/net/transport/probe_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for text, want := range map[string]scheduler.Probed{
+	for text, want := range map[string]scheduler.HealthChecked{
 		"TEXT backlog=2.5, outstanding=7": {Node: "node-0", OK: true, Queue: 2.5},
 		"TEXT outstanding=7":              {Node: "node-0", OK: true, Queue: -1},
 		"TEXT backlog=NaN":                {Node: "node-0", OK: true, Queue: -1},
@@ -70,8 +70,8 @@
 		<-ctx.Done()
 	}, standin.Log(func(line string) { logged <- line }))
 	got := standin.Await(t, "the list", lists)
-	want := protocol.Host{Dial: "127.0.0.1:1", Listing: scheduler.Listing{Node: "x", Zone: 1, Shard: 3,
-		State: scheduler.Draining, Since: 5000}}
+	want := protocol.Host{Dial: "127.0.0.1:1", Endpoint: scheduler.Endpoint{Node: "x", Zone: 1, Shard: 3,
+		State: scheduler.Draining, StartedAt: 5000}}
 	if len(got.Hosts) != 1 || got.Hosts[0] != want || got.Seq != 42 {
 		t.Errorf("list %+v", got)
 	}
--- a/internal/net/transport/roundtrip.go
+++ b/internal/net/transport/roundtrip.go
@@ -47,7 +47,7 @@
 	}
 	var answer handed
 	resp, err := routing.Do(r.Context(), t.core, m.Request.Request,
-		func(ctx context.Context, a routing.Attempt) (resp *http.Response, outcome scheduler.Outcome) {
+		func(ctx context.Context, a routing.Attempt) (resp *http.Response, outcome scheduler.AttemptEnded) {
 			defer func() { answer.put(resp) }()
 			if m.upload != nil {
 				return t.nodes.finish(ctx, a, m.upload)
--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -83,7 +83,7 @@
 }
 
 // Attempt carries out a command at a node once and tells how that ended.
-func (c *Client) Attempt(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, scheduler.Outcome) {
+func (c *Client) Attempt(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, scheduler.AttemptEnded) {
 	conn, err := c.Acquire(a.Begin, a.Node, nodes.Running)
 	if err == nil && a.Begin.Err() != nil { // it came up in that moment
 		c.Release(conn, false)
@@ -91,13 +91,13 @@
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return files.Reply{}, scheduler.Outcome{Result: scheduler.TimedOut}
+		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.TimedOut}
 	case err != nil && a.Begin.Err() != nil:
-		return files.Reply{}, scheduler.Outcome{Result: scheduler.Moot}
+		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	case errors.Is(err, nodes.ErrNotTaking):
-		return files.Reply{}, scheduler.Outcome{Result: scheduler.Full}
+		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.QueueFull}
 	case err != nil:
-		return files.Reply{}, scheduler.Outcome{Result: scheduler.Unreachable}
+		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Unreachable}
 	}
 	w := conn.Session.wire
 	w.written.Store(0)
@@ -110,13 +110,13 @@
 	switch {
 	case !broken:
 		reply.Err = cmp.Or(reply.Err, said)
-		return reply, scheduler.Outcome{Result: scheduler.OK}
+		return reply, scheduler.AttemptEnded{Result: scheduler.OK}
 	case ctx.Err() != nil:
-		return files.Reply{}, scheduler.Outcome{Result: scheduler.TimedOut}
+		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.TimedOut}
 	case w.written.Load() == 0:
-		return files.Reply{}, scheduler.Outcome{Result: scheduler.Unreachable}
+		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Unreachable}
 	}
-	return files.Reply{}, scheduler.Outcome{Result: scheduler.Reset, Alive: c.Renew(a.Node)}
+	return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Reset, Alive: c.Renew(a.Node)}
 }
 
 // carryOut runs a command on a session.
@@ -219,9 +219,9 @@
 }
 
 // Probe asks a node whether it answers at all; SFTP has no word for load.
-func (c *Client) Probe(l limits.Limits) func(node string) scheduler.Probed {
-	return func(node string) scheduler.Probed {
-		out := scheduler.Probed{Node: node, Queue: -1}
+func (c *Client) Probe(l limits.Limits) func(node string) scheduler.HealthChecked {
+	return func(node string) scheduler.HealthChecked {
+		out := scheduler.HealthChecked{Node: node, Queue: -1}
 		ctx, release := context.WithTimeout(context.Background(), l.Nodes.ProbeTimeout)
 		defer release()
 		conn, err := c.Acquire(ctx, node, nodes.AnyState)
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -16,7 +16,7 @@
 )
 
 // Attempter carries out a command at a node once.
-type Attempter func(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, scheduler.Outcome)
+type Attempter func(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, scheduler.AttemptEnded)
 
 // Site is what the operator set up for the front.
 type Site struct {
@@ -141,5 +141,5 @@
 	role := cmd.Role(f.site.Sizes)
 	return scheduler.Request{ID: "sftp-" + strconv.FormatInt(f.ids.Add(1), 10), Class: f.site.Classes[role],
 		Plan: project.Plan, Volume: project.Name, Key: cmd.Path, Units: cmd.Units(f.site.Sizes), Shard: project.Shard,
-		Hosts: 1, Left: scheduler.Micros(f.site.Wait[role] / time.Microsecond)}, f.tallies[project.Name], nil
+		Fronts: 1, TimeLeft: scheduler.Micros(f.site.Wait[role] / time.Microsecond)}, f.tallies[project.Name], nil
 }
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -40,7 +40,7 @@
 	}
 	b := &bench{t: t, client: NewClient(l)}
 	set := standin.Settings()
-	set.Probing = true
+	set.HealthChecks = true
 	b.core = standin.Core(t, set, b.client.Probe(l))
 	list := protocol.List{Whole: true}
 	for i, addr := range nodes {
@@ -68,7 +68,7 @@
 }
 
 func host(shard int, addr string, state scheduler.NodeState) protocol.Host {
-	return protocol.Host{Dial: addr, Listing: scheduler.Listing{Node: "node-" + string(rune('a'+shard)), Shard: shard,
+	return protocol.Host{Dial: addr, Endpoint: scheduler.Endpoint{Node: "node-" + string(rune('a'+shard)), Shard: shard,
 		State: state}}
 }
 
--- a/internal/net/transport/sftp/transfer.go
+++ b/internal/net/transport/sftp/transfer.go
@@ -177,8 +177,8 @@
 }
 
 // tried is the attempt of a command.
-func (f *Front) tried(cmd files.Command) func(context.Context, routing.Attempt) (files.Reply, scheduler.Outcome) {
-	return func(ctx context.Context, a routing.Attempt) (files.Reply, scheduler.Outcome) {
+func (f *Front) tried(cmd files.Command) func(context.Context, routing.Attempt) (files.Reply, scheduler.AttemptEnded) {
+	return func(ctx context.Context, a routing.Attempt) (files.Reply, scheduler.AttemptEnded) {
 		return f.attempt(ctx, a, cmd)
 	}
 }
--- a/internal/net/transport/upload.go
+++ b/internal/net/transport/upload.go
@@ -137,15 +137,15 @@
 }
 
 // finish writes the end of a long request, and reads the answer. It can do so once.
-func (s *Nodes) finish(ctx context.Context, a routing.Attempt, u *upload) (*http.Response, scheduler.Outcome) {
+func (s *Nodes) finish(ctx context.Context, a routing.Attempt, u *upload) (*http.Response, scheduler.AttemptEnded) {
 	if u.node != a.Node || u.release == nil || a.Begin.Err() != nil {
-		return nil, scheduler.Outcome{Result: scheduler.Moot}
+		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	}
 	u.release = nil
 	resp, out, written := s.outcome(ctx, a.Node, u.conn, u.request, u.end)
 	if !written && out.Result == scheduler.Unreachable {
 		// The connection had stood open for long: that it broke says little of the node, which a new one tells.
-		out = scheduler.Outcome{Result: scheduler.Reset, Alive: s.Renew(a.Node)}
+		out = scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Renew(a.Node)}
 	}
 	return resp, out
 }
@@ -160,7 +160,7 @@
 		return errNoNode
 	}
 	out := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: protocol.Forwarded(r.Header), ContentLength: r.ContentLength}
-	protocol.SetLeft(out.Header, time.Duration(m.Left)*time.Microsecond)
+	protocol.SetLeft(out.Header, time.Duration(m.TimeLeft)*time.Microsecond)
 	held := m.Body
 	m.Body = nil
 	if m.upload, err = t.nodes.begin(r.Context(), node, out, held, next); err != nil {
--- a/internal/net/transport/watch_test.go
+++ b/internal/net/transport/watch_test.go
@@ -81,7 +81,7 @@
 	if got := standin.Await(t, "the first list", lists); got.Seq != 45 {
 		t.Errorf("%+v", got)
 	}
-	if got := standin.Await(t, "the whole list", lists); got.Seq != 7 || got.Hosts[0].Since != 6000 {
+	if got := standin.Await(t, "the whole list", lists); got.Seq != 7 || got.Hosts[0].StartedAt != 6000 {
 		t.Errorf("what was taken behind it: %+v", got)
 	}
 	if line := standin.Await(t, "a line", logged); !strings.Contains(line, "goes back") {
@@ -103,7 +103,7 @@
 	for i := range texts {
 		standin.Await(t, "a call", calls)
 		got := known.Told(standin.Await(t, "a list", lists))
-		if len(got.Hosts) != 1 || got.Hosts[0].Shard != 3 || got.Hosts[0].Since != 5000 || known.Listed() != 1 {
+		if len(got.Hosts) != 1 || got.Hosts[0].Shard != 3 || got.Hosts[0].StartedAt != 5000 || known.Listed() != 1 {
 			t.Errorf("list %d: %+v", i, got)
 		}
 	}
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -111,7 +111,7 @@
 		probe = transport.NewProber(a.nodes, protocol.Settings{}, a.log).Probe
 	}
 	var err error
-	set := o.Settings().Rules
+	set := o.Settings().Scheduler
 	set.MaxOpen = l.Requests.Scheduled
 	a.core, err = routing.New(set, rand.Int64(), l, probe)
 	if err != nil {
--- a/internal/program/fleet_health.go
+++ b/internal/program/fleet_health.go
@@ -31,14 +31,14 @@
 
 // newMonitor sets up the monitor of the zone's health as the operator's file tells. It is nil where that is off. The
 // figures of the start, which the file has to fit, hold while the process runs.
-func (p *platform) newMonitor(probe func(string) scheduler.Probed) (*monitor.Monitor, error) {
+func (p *platform) newMonitor(probe func(string) scheduler.HealthChecked) (*monitor.Monitor, error) {
 	path := os.Getenv(fleetVariable)
 	if path == "" {
 		return nil, nil
 	}
-	set := p.config.Settings.Rules
+	set := p.config.Settings.Scheduler
 	p.began = time.Now().UnixMicro()
-	p.fleetPath, p.site = path, frontSite{self: set.Number, fronts: set.Hosts, peers: len(p.config.Peers) > 0, probing: set.Probing}
+	p.fleetPath, p.site = path, frontSite{self: set.FrontIndex, fronts: set.Fronts, peers: len(p.config.Peers) > 0, probing: set.HealthChecks}
 	fleet, err := loadFleet(path, p.site)
 	if err != nil {
 		return nil, misuse{err}
@@ -91,7 +91,7 @@
 }
 
 // tellMonitor hands news of the node list on, where anybody wants it.
-func (p *platform) tellMonitor(news scheduler.Nodes) {
+func (p *platform) tellMonitor(news scheduler.EndpointsChanged) {
 	if p.monitor != nil {
 		p.monitor.Told(news)
 	}
@@ -104,7 +104,7 @@
 		return func() error { return nil }, nil
 	}
 	site := p.site
-	site.probing = set.Probing
+	site.probing = set.HealthChecks
 	fleet, err := loadFleet(p.fleetPath, site)
 	if err != nil {
 		return nil, err
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -93,7 +93,7 @@
 			p.peers = transport.PeersOn(conn.(*net.UDPConn), p.config.Peers, p.limits, p.log)
 		}
 	}
-	p.log.Info("taken over", "nodes", len(state.List.Hosts), "projects", len(state.Given.Accounts), "by_hand", len(state.Bans))
+	p.log.Info("taken over", "nodes", len(state.List.Hosts), "projects", len(state.Given.Volumes), "by_hand", len(state.Bans))
 	p.succeeded = true
 	p.beside.Store(c)
 	if err := c.Within(0); err != nil {
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -318,29 +318,29 @@
 // Settings are the figures of the scheduler and of the HTTP front.
 func (o *Operator) Settings() protocol.Settings {
 	out := protocol.Settings{Classes: classNames, MaxOpen: o.Limits.Open, ConnIdle: o.Limits.NodeIdle,
-		Connect: o.Limits.Connect, Retry: o.Limits.RetryAfter, Rules: scheduler.Settings{
-			Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: mostUnits, MaxTries: o.Limits.Tries, Probing: true, LateWanted: true,
+		Connect: o.Limits.Connect, Retry: o.Limits.RetryAfter, Scheduler: scheduler.Settings{
+			Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: mostUnits, MaxAttempts: o.Limits.Tries, HealthChecks: true, ServeLate: true,
 			RetryAfter: true, MaxRetryAfter: scheduler.Micros(o.Limits.RetryAfter / time.Microsecond)}}
 	if k := o.Learned; k.Folder != "" {
-		out.Rules.Lease = scheduler.Micros(k.Lease / time.Microsecond)
-		out.Rules.LeaseLast = scheduler.Micros(recordLasts * k.Interval / time.Microsecond)
+		out.Scheduler.Lease = scheduler.Micros(k.Lease / time.Microsecond)
+		out.Scheduler.RecordLifetime = scheduler.Micros(recordLasts * k.Interval / time.Microsecond)
 	}
-	write := scheduler.Keyed
+	write := scheduler.IdempotentByKey
 	if o.Classes["write"].Repeat == "never" {
-		write = scheduler.Unsafe
+		write = scheduler.NotIdempotent
 	}
 	for role, repeat := range files.Repeats(write) {
 		c := o.Classes[classNames[min(role, int(files.RoleWrite))]]
 		out.LongestWait = max(out.LongestWait, c.Wait)
-		out.Rules.Classes = append(out.Rules.Classes, scheduler.Class{Aim: scheduler.Micros(c.Within / time.Microsecond),
-			Repeat: repeat, Group: scheduler.SameShard, Window: scheduler.Micros(c.Window / time.Microsecond), Worth: c.Worth})
+		out.Scheduler.Classes = append(out.Scheduler.Classes, scheduler.Class{LatencyObjective: scheduler.Micros(c.Within / time.Microsecond),
+			Idempotency: repeat, DedupScope: scheduler.SameShard, DedupWindow: scheduler.Micros(c.Window / time.Microsecond), Priority: c.Worth})
 	}
 	for _, n := range o.Nodes {
 		out.Shards = max(out.Shards, n.Shard+1)
 	}
 	for _, p := range o.Plans {
 		out.Plans = append(out.Plans, p.Name)
-		out.Rules.Plans = append(out.Rules.Plans, scheduler.Plan{Reservation: p.Reservation, Weight: p.Weight,
+		out.Scheduler.Plans = append(out.Scheduler.Plans, scheduler.Plan{Reservation: p.Reservation, Weight: p.Weight,
 			Limit: p.Limit, Burst: p.Burst})
 	}
 	return out
@@ -366,7 +366,7 @@
 	out := protocol.List{Whole: true}
 	for _, n := range o.Nodes {
 		out.Hosts = append(out.Hosts, protocol.Host{Dial: dial(n.SFTP, n.HTTP),
-			Listing: scheduler.Listing{Node: n.Name, Shard: n.Shard}})
+			Endpoint: scheduler.Endpoint{Node: n.Name, Shard: n.Shard}})
 	}
 	return out
 }
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -108,8 +108,8 @@
 		Askers: set.Askers})
 	bound(l)
 	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
-		nodes: transport.NewNodes(l), roster: roster.New(), talks: set.Rules.Peers}
-	set.Rules.MaxOpen = l.Requests.Scheduled
+		nodes: transport.NewNodes(l), roster: roster.New(), talks: set.Scheduler.PeerMessages}
+	set.Scheduler.MaxOpen = l.Requests.Scheduled
 	probe := transport.NewProber(p.nodes, set, p.log).Probe
 	var err error
 	if p.monitor, err = p.newMonitor(probe); err != nil {
@@ -118,7 +118,7 @@
 	if p.monitor != nil {
 		probe = p.monitor.Probe
 	}
-	core, err := routing.New(set.Rules, config.Seed, l, probe)
+	core, err := routing.New(set.Scheduler, config.Seed, l, probe)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -60,7 +60,7 @@
 		return config, err
 	}
 	p.reloaded.Add(1)
-	p.log.Info("the configuration was read anew", "classes", len(config.Settings.Rules.Classes))
+	p.log.Info("the configuration was read anew", "classes", len(config.Settings.Scheduler.Classes))
 	return config, nil
 }
 
@@ -73,12 +73,12 @@
 	if err != nil {
 		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
 	}
-	changeFleet, err := p.changedFleet(config.Settings.Rules)
+	changeFleet, err := p.changedFleet(config.Settings.Scheduler)
 	if err != nil {
 		return protocol.Config{}, err
 	}
 	// The scheduler has a class before the first request of it comes. A class that is no more has its number kept.
-	if err := p.core.Retune(config.Settings.Rules); err != nil {
+	if err := p.core.Retune(config.Settings.Scheduler); err != nil {
 		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
 	}
 	if err := changeFleet(); err != nil {
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	a.keeper = keeper.New(keeper.Settings{Front: set.Front, Every: set.Interval, Least: saveLeast,
-		Rules: a.operator.Settings().Rules, Log: a.log, Nodes: a.listing,
+		Rules: a.operator.Settings().Scheduler, Log: a.log, Nodes: a.listing,
 		Shutdown: saveLast}, a.core, s)
 	for _, n := range a.keeper.Recall() {
 		if n.State == scheduler.Draining && a.knows(n.Node) {
@@ -70,7 +70,7 @@
 	defer a.mu.Unlock()
 	var out []snapshot.Node
 	for _, h := range a.hosts(func(sftp, http string) string { return sftp + " " + http }).Hosts {
-		out = append(out, snapshot.Node{Known: scheduler.Known{Listing: h.Listing}, Addr: strings.TrimSpace(h.Dial)})
+		out = append(out, snapshot.Node{LearnedNode: scheduler.LearnedNode{Endpoint: h.Endpoint}, Addr: strings.TrimSpace(h.Dial)})
 	}
 	return out
 }
--- a/internal/program/state_command.go
+++ b/internal/program/state_command.go
@@ -60,7 +60,7 @@
 // check tells of each file in the folder whether a start would use it. It fails if one would not be used.
 func check(o Operator, out io.Writer) error {
 	now := ageing.Now{At: scheduler.Micros(time.Now().UnixMicro()), Front: o.Learned.Front,
-		Settings: snapshot.Fingerprint(o.Settings().Rules)}
+		Settings: snapshot.Fingerprint(o.Settings().Scheduler)}
 	var failed error
 	for i, name := range []string{"the last one", "the one before"} {
 		snap, err := store.Read(o.Learned.Folder, i > 0)
@@ -101,8 +101,8 @@
 		return hit
 	}
 	snap.Nodes = slices.DeleteFunc(snap.Nodes, func(n snapshot.Node) bool { return drop("node", n.Node) })
-	snap.Accounts = slices.DeleteFunc(snap.Accounts, func(a scheduler.Account) bool { return drop("project", a.Volume) })
-	snap.Leads = slices.DeleteFunc(snap.Leads, func(l scheduler.Lead) bool { return drop("project", l.Volume) })
+	snap.Accounts = slices.DeleteFunc(snap.Accounts, func(a scheduler.VolumeUsage) bool { return drop("project", a.Volume) })
+	snap.Leads = slices.DeleteFunc(snap.Leads, func(l scheduler.FlowLead) bool { return drop("project", l.Volume) })
 	if !known {
 		return fmt.Errorf("nothing is kept of a %s %q", what[0], what[1])
 	}
@@ -127,14 +127,14 @@
 	if len(s.Nodes) > 0 {
 		fmt.Fprintln(w, "node\tshard\tstate\taddress\tusual\ttarget\tbudget\terrors\tlast heard")
 	}
-	states := map[scheduler.NodeState]string{scheduler.Running: "running", scheduler.Draining: "draining", scheduler.Gone: "gone"}
+	states := map[scheduler.NodeState]string{scheduler.Running: "running", scheduler.Draining: "draining", scheduler.Removed: "gone"}
 	for _, n := range s.Nodes {
 		heard := "never"
-		if n.Answered > 0 {
-			heard = (time.Duration(s.Saved-n.Answered) * time.Microsecond).Round(time.Millisecond).String() + " before"
+		if n.LastAnswer > 0 {
+			heard = (time.Duration(s.Saved-n.LastAnswer) * time.Microsecond).Round(time.Millisecond).String() + " before"
 		}
 		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%.1f ms\t%.1f ms\t%.1f\t%.0f%%\t%s\n", n.Node, n.Shard, states[n.State], n.Addr,
-			n.Usual/1000, n.Target/1000, n.Budget, 100*n.Errors, heard)
+			n.SmoothedLatency/1000, n.Target/1000, n.Budget, 100*n.ErrorRate, heard)
 	}
 	if len(s.Accounts) > 0 {
 		fmt.Fprintln(w, "project\tlimit's store\tof it leased")
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -36,7 +36,7 @@
 		}
 	}
 	for i, h := range out.Hosts {
-		if h.State == scheduler.Gone {
+		if h.State == scheduler.Removed {
 			delete(r.hosts, h.Node)
 		} else {
 			r.hosts[h.Node] = h
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -29,21 +29,23 @@
 // Settings have three classes: safe, keyed within the shard, and not to be repeated.
 func Settings() scheduler.Settings {
 	aim := scheduler.Micros(300_000)
-	return scheduler.Settings{Hosts: 1, Tick: 2000, MeanUnits: 2, MostUnits: 8, MaxTries: 4,
+	return scheduler.Settings{Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, MaxAttempts: 4,
 		RetryAfter: true, MaxRetryAfter: 2_000_000,
 		Classes: []scheduler.Class{
-			{Aim: aim, Repeat: scheduler.Safe, Worth: 1},
-			{Aim: aim, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 60_000_000, Worth: 1},
-			{Aim: aim, Repeat: scheduler.Unsafe, Worth: 1},
+			{LatencyObjective: aim, Idempotency: scheduler.Idempotent, Priority: 1},
+			{LatencyObjective: aim, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 60_000_000, Priority: 1},
+			{LatencyObjective: aim, Idempotency: scheduler.NotIdempotent, Priority: 1},
 		},
 		Plans: []scheduler.Plan{{Weight: 1}}}
 }
 
 // Core starts a core that ends with the test.
-func Core(t *testing.T, set scheduler.Settings, probe func(string) scheduler.Probed) *routing.Core {
+func Core(t *testing.T, set scheduler.Settings, probe func(string) scheduler.HealthChecked) *routing.Core {
 	t.Helper()
 	if probe == nil {
-		probe = func(node string) scheduler.Probed { return scheduler.Probed{Node: node, OK: true, Queue: -1} }
+		probe = func(node string) scheduler.HealthChecked {
+			return scheduler.HealthChecked{Node: node, OK: true, Queue: -1}
+		}
 	}
 	l := Limits()
 	l.Requests.Inbox = 64
--- a/internal/state/ageing/ageing.go
+++ b/internal/state/ageing/ageing.go
@@ -47,7 +47,7 @@
 	At       scheduler.Micros
 	Front    string
 	Settings uint64
-	Fresh    scheduler.Habits // what a fresh front assumes of a node
+	Fresh    scheduler.NodeStats // what a fresh front assumes of a node
 	Nodes    []snapshot.Node
 }
 
@@ -80,47 +80,47 @@
 	}
 	for _, n := range now.Nodes {
 		if old, ok := learned[n.Node]; ok {
-			out.Nodes = append(out.Nodes, scheduler.Known{Listing: n.Listing, Habits: node(old, n, now, age)})
+			out.Nodes = append(out.Nodes, scheduler.LearnedNode{Endpoint: n.Endpoint, NodeStats: node(old, n, now, age)})
 		}
 	}
 	for _, a := range s.Accounts {
-		if older || a.Bucket.Bound < now.At {
-			a.Bucket.Level, a.Bucket.Lease, a.Bucket.Bound = 0, 0, 0
+		if older || a.Bucket.BoundUntil < now.At {
+			a.Bucket.Level, a.Bucket.Lease, a.Bucket.BoundUntil = 0, 0, 0
 			a.Bucket.At = now.At
 		}
-		a.Reserve = min(a.Reserve, float64(now.At+scheduler.Micros(reserveAhead/time.Microsecond)))
-		out.Accounts = append(out.Accounts, a)
+		a.ReservationTag = min(a.ReservationTag, float64(now.At+scheduler.Micros(reserveAhead/time.Microsecond)))
+		out.Volumes = append(out.Volumes, a)
 	}
 	for _, l := range s.Leads {
-		if since := duration(now.At - l.Last); since >= 0 && since < leadLife {
+		if since := duration(now.At - l.LastSend); since >= 0 && since < leadLife {
 			l.Units = half(l.Units, 0, age, leadHalf)
-			out.Leads = append(out.Leads, l)
+			out.Flows = append(out.Flows, l)
 		}
 	}
 	return out
 }
 
 // node is what is left of a node's habits. One that started anew or moved is not the node that was learned.
-func node(old, listed snapshot.Node, now Now, age time.Duration) scheduler.Habits {
+func node(old, listed snapshot.Node, now Now, age time.Duration) scheduler.NodeStats {
 	fresh := now.Fresh
-	if old.Since != listed.Since {
+	if old.StartedAt != listed.StartedAt {
 		return fresh // the list's own start time has it guarded as cold
 	}
 	if old.Addr != listed.Addr {
-		fresh.Suspect = now.At
+		fresh.SuspectedRestart = now.At
 		return fresh
 	}
-	h := old.Habits
+	h := old.NodeStats
 	h.Budget = min(fresh.Budget, half(h.Budget, fresh.Budget, age, speedHalf))
 	h.Target = half(h.Target, fresh.Target, age, speedHalf)
-	h.Usual, h.Before = half(h.Usual, 0, age, speedHalf), half(h.Before, 0, age, speedHalf)
-	h.Errors = half(h.Errors, 0, age, errorHalf)
+	h.SmoothedLatency, h.PreviousLatency = half(h.SmoothedLatency, 0, age, speedHalf), half(h.PreviousLatency, 0, age, speedHalf)
+	h.ErrorRate = half(h.ErrorRate, 0, age, errorHalf)
 	if age >= unitLife {
-		h.Unit = 0
+		h.UnitTime = 0
 	}
 	gone := min(int(age/pointLife), len(h.Curve))
 	h.Curve = h.Curve[gone:]
-	h.Judged, h.Answered, h.Suspect = min(h.Judged, now.At), min(h.Answered, now.At), min(h.Suspect, now.At)
+	h.LatencyUpdated, h.LastAnswer, h.SuspectedRestart = min(h.LatencyUpdated, now.At), min(h.LastAnswer, now.At), min(h.SuspectedRestart, now.At)
 	return h
 }
 
--- a/internal/state/ageing/ageing_test.go
+++ b/internal/state/ageing/ageing_test.go
@@ -14,22 +14,22 @@
 	"otterturn/scheduler/tokenbucket"
 )
 
-var fresh = scheduler.Habits{Budget: 8, Target: 150e3}
+var fresh = scheduler.NodeStats{Budget: 8, Target: 150e3}
 
 const at = scheduler.Micros(1_800_000_000_000_000)
 
 func micros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
 
 func listed(name, addr string, since scheduler.Micros) snapshot.Node {
-	return snapshot.Node{Addr: addr, Known: scheduler.Known{Listing: scheduler.Listing{Node: name, Since: since}}}
+	return snapshot.Node{Addr: addr, LearnedNode: scheduler.LearnedNode{Endpoint: scheduler.Endpoint{Node: name, StartedAt: since}}}
 }
 
 // learned is a snapshot of an age that knows a node as slow and failing.
 func learned(age time.Duration, nodes ...snapshot.Node) snapshot.Snapshot {
 	s := snapshot.Snapshot{Front: "a", Settings: 1, Saved: at - micros(age)}
 	for _, n := range nodes {
-		n.Habits = scheduler.Habits{Budget: 3, Target: 900e3, Usual: 700e3, Before: 800e3, Unit: 90e3, Errors: 0.8,
-			Curve: make(curve.Curve, 16), Judged: s.Saved, Answered: s.Saved, Suspect: s.Saved}
+		n.NodeStats = scheduler.NodeStats{Budget: 3, Target: 900e3, SmoothedLatency: 700e3, PreviousLatency: 800e3, UnitTime: 90e3, ErrorRate: 0.8,
+			Curve: make(curve.Curve, 16), LatencyUpdated: s.Saved, LastAnswer: s.Saved, SuspectedRestart: s.Saved}
 		s.Nodes = append(s.Nodes, n)
 	}
 	return s
@@ -63,21 +63,21 @@
 		if len(l.Nodes) != 1 {
 			t.Fatalf("%v: %d nodes", age, len(l.Nodes))
 		}
-		h := l.Nodes[0].Habits
-		off := math.Abs(h.Target-fresh.Target) + math.Abs(h.Budget-fresh.Budget) + h.Usual + h.Before + h.Unit + h.Errors +
+		h := l.Nodes[0].NodeStats
+		off := math.Abs(h.Target-fresh.Target) + math.Abs(h.Budget-fresh.Budget) + h.SmoothedLatency + h.PreviousLatency + h.UnitTime + h.ErrorRate +
 			float64(len(h.Curve))
 		if off >= last || off < 0 || h.Target < fresh.Target {
 			t.Errorf("%v: %+v is not nearer to a fresh node than before", age, h)
 		}
 		last = off
-		if age == 0 && (h.Usual != 700e3 || h.Errors != 0.8 || h.Budget != 3 || len(h.Curve) != 16) {
+		if age == 0 && (h.SmoothedLatency != 700e3 || h.ErrorRate != 0.8 || h.Budget != 3 || len(h.Curve) != 16) {
 			t.Errorf("without an age: %+v", h)
 		}
-		if age == 10*time.Second && (math.Abs(h.Errors-0.4) > 1e-9 || len(h.Curve) != 11) {
-			t.Errorf("after 10 s: errors %v, %d points", h.Errors, len(h.Curve))
+		if age == 10*time.Second && (math.Abs(h.ErrorRate-0.4) > 1e-9 || len(h.Curve) != 11) {
+			t.Errorf("after 10 s: errors %v, %d points", h.ErrorRate, len(h.Curve))
 		}
 	}
-	if l := Fade(learned(3*time.Hour, n), now(n), false); len(l.Nodes)+len(l.Accounts)+len(l.Leads) > 0 {
+	if l := Fade(learned(3*time.Hour, n), now(n), false); len(l.Nodes)+len(l.Volumes)+len(l.Flows) > 0 {
 		t.Errorf("hours later: %+v", l)
 	}
 }
@@ -86,12 +86,12 @@
 func TestAnotherNodeUnderTheName(t *testing.T) {
 	old := listed("a", "x:1", 5)
 	moved, restarted := listed("a", "x:2", 5), listed("a", "x:1", 6)
-	if got := Fade(learned(time.Second, old), now(moved), false).Nodes[0].Habits; got.Suspect != at || got.Usual != 0 ||
-		got.Budget != fresh.Budget || got.Errors != 0 {
+	if got := Fade(learned(time.Second, old), now(moved), false).Nodes[0].NodeStats; got.SuspectedRestart != at || got.SmoothedLatency != 0 ||
+		got.Budget != fresh.Budget || got.ErrorRate != 0 {
 		t.Errorf("moved: %+v, want a fresh node that may be cold", got)
 	}
-	if got := Fade(learned(time.Second, old), now(restarted), false).Nodes[0]; got.Since != 6 || got.Usual != 0 ||
-		got.Suspect != 0 || got.Budget != fresh.Budget {
+	if got := Fade(learned(time.Second, old), now(restarted), false).Nodes[0]; got.StartedAt != 6 || got.SmoothedLatency != 0 ||
+		got.SuspectedRestart != 0 || got.Budget != fresh.Budget {
 		t.Errorf("restarted: %+v, want a fresh node with its own start", got)
 	}
 	if got := Fade(learned(time.Second, old), now(listed("b", "x:1", 5)), false).Nodes; len(got) > 0 {
@@ -106,11 +106,11 @@
 		s := learned(time.Duration(rapid.Int64Range(0, int64(2*horizon)).Draw(t, "age")), n)
 		value := rapid.Float64Range(0, 1e7)
 		time := rapid.Int64Range(0, 2*int64(at))
-		h := &s.Nodes[0].Habits
-		h.Budget, h.Target, h.Usual = value.Draw(t, "budget"), value.Draw(t, "target"), value.Draw(t, "usual")
-		h.Answered, h.Judged = scheduler.Micros(time.Draw(t, "answered")), scheduler.Micros(time.Draw(t, "judged"))
+		h := &s.Nodes[0].NodeStats
+		h.Budget, h.Target, h.SmoothedLatency = value.Draw(t, "budget"), value.Draw(t, "target"), value.Draw(t, "usual")
+		h.LastAnswer, h.LatencyUpdated = scheduler.Micros(time.Draw(t, "answered")), scheduler.Micros(time.Draw(t, "judged"))
 		for _, k := range Fade(s, now(n), rapid.Bool().Draw(t, "older")).Nodes {
-			if k.Budget > fresh.Budget || k.Answered > at || k.Judged > at || k.Suspect > at || k.Usual < 0 {
+			if k.Budget > fresh.Budget || k.LastAnswer > at || k.LatencyUpdated > at || k.SuspectedRestart > at || k.SmoothedLatency < 0 {
 				t.Fatalf("%+v", k)
 			}
 		}
@@ -119,27 +119,27 @@
 
 func TestAccounts(t *testing.T) {
 	s := learned(time.Second)
-	record := tokenbucket.Bucket[scheduler.Micros]{Level: 20, At: s.Saved, Lease: 5, Bound: at + 1}
-	s.Accounts = []scheduler.Account{{Volume: "v", Hosts: 1, Reserve: float64(at) + 1e9, Bucket: record}}
-	got := Fade(s, now(), false).Accounts
-	if len(got) != 1 || got[0].Bucket != record || got[0].Reserve != float64(at)+1e6 {
+	record := tokenbucket.Bucket[scheduler.Micros]{Level: 20, At: s.Saved, Lease: 5, BoundUntil: at + 1}
+	s.Accounts = []scheduler.VolumeUsage{{Volume: "v", Fronts: 1, ReservationTag: float64(at) + 1e9, Bucket: record}}
+	got := Fade(s, now(), false).Volumes
+	if len(got) != 1 || got[0].Bucket != record || got[0].ReservationTag != float64(at)+1e6 {
 		t.Errorf("%+v", got)
 	}
 	// Once its time is over the front may have drawn without a lease, and so it may have behind a later record.
 	empty := tokenbucket.Bucket[scheduler.Micros]{At: at}
-	if got := Fade(s, now(), true).Accounts[0].Bucket; got != empty {
+	if got := Fade(s, now(), true).Volumes[0].Bucket; got != empty {
 		t.Errorf("of an older snapshot: %+v", got)
 	}
-	s.Accounts[0].Bucket.Bound = at - 1
-	if got := Fade(s, now(), false).Accounts[0].Bucket; got != empty {
+	s.Accounts[0].Bucket.BoundUntil = at - 1
+	if got := Fade(s, now(), false).Volumes[0].Bucket; got != empty {
 		t.Errorf("beyond its time: %+v", got)
 	}
 }
 
 func TestLeadsAreForgottenWithTheirFlows(t *testing.T) {
 	s := learned(8 * time.Second)
-	s.Leads = []scheduler.Lead{{Volume: "v", Units: 10, Last: s.Saved}, {Volume: "w", Units: 10, Last: s.Saved - micros(leadLife)}}
-	got := Fade(s, now(), false).Leads
+	s.Leads = []scheduler.FlowLead{{Volume: "v", Units: 10, LastSend: s.Saved}, {Volume: "w", Units: 10, LastSend: s.Saved - micros(leadLife)}}
+	got := Fade(s, now(), false).Flows
 	if len(got) != 1 || got[0].Volume != "v" || got[0].Units != 5 {
 		t.Errorf("%+v", got)
 	}
--- a/internal/state/keeper/cost_test.go
+++ b/internal/state/keeper/cost_test.go
@@ -17,28 +17,28 @@
 func large(tb testing.TB, nodes int) (*scheduler.Scheduler, scheduler.Micros) {
 	set := standin.Settings()
 	set.Plans = []scheduler.Plan{{Weight: 1, Limit: 12, Burst: 36}}
-	set.Lease, set.LeaseLast = 500_000, 30_000_000
+	set.Lease, set.RecordLifetime = 500_000, 30_000_000
 	s, err := scheduler.New(set, 1)
 	if err != nil {
 		tb.Fatal(err)
 	}
 	now := scheduler.Micros(1_800_000_000_000_000)
-	list, l := scheduler.Nodes{Full: true}, scheduler.Learned{At: now}
+	list, l := scheduler.EndpointsChanged{Full: true}, scheduler.Learned{At: now}
 	for i := range nodes {
-		k := scheduler.Known{Listing: scheduler.Listing{Node: fmt.Sprint("node-", i), Shard: i}}
-		list.List = append(list.List, k.Listing)
-		k.Habits = scheduler.Habits{Budget: 5, Target: 150e3, Usual: 31e3, Before: 33e3, Unit: 12e3, Answered: now}
+		k := scheduler.LearnedNode{Endpoint: scheduler.Endpoint{Node: fmt.Sprint("node-", i), Shard: i}}
+		list.Endpoints = append(list.Endpoints, k.Endpoint)
+		k.NodeStats = scheduler.NodeStats{Budget: 5, Target: 150e3, SmoothedLatency: 31e3, PreviousLatency: 33e3, UnitTime: 12e3, LastAnswer: now}
 		for p := range 16 {
 			k.Curve = append(k.Curve, curve.Point{Throughput: float64(100 + p), Latency: 30e3, Low: 20e3})
 		}
 		l.Nodes = append(l.Nodes, k)
 	}
 	for i := range 10 * nodes {
-		l.Accounts = append(l.Accounts, scheduler.Account{Volume: fmt.Sprint("project-", i), Hosts: 1,
-			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 3, At: now, Bound: now + 6_000_000}})
+		l.Volumes = append(l.Volumes, scheduler.VolumeUsage{Volume: fmt.Sprint("project-", i), Fronts: 1,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 3, At: now, BoundUntil: now + 6_000_000}})
 	}
 	s.Step(now, []scheduler.Event{list})
-	s.Recall(now, l)
+	s.ImportLearned(now, l)
 	return s, now
 }
 
@@ -55,12 +55,12 @@
 				snap := snapshot.Snapshot{Front: "a", Saved: now}
 				for from := 0; ; {
 					began := time.Now()
-					l, next := s.Learned(now, from, part)
+					l, next := s.ExportLearned(now, from, part)
 					pauses = append(pauses, time.Since(began))
 					for _, k := range l.Nodes {
-						snap.Nodes = append(snap.Nodes, snapshot.Node{Known: k})
+						snap.Nodes = append(snap.Nodes, snapshot.Node{LearnedNode: k})
 					}
-					snap.Accounts = append(snap.Accounts, l.Accounts...)
+					snap.Accounts = append(snap.Accounts, l.Volumes...)
 					if from = next; from == 0 {
 						break
 					}
@@ -87,8 +87,8 @@
 		s, now := large(t, nodes)
 		entries, parts := 0, 0
 		for from := 0; ; parts++ {
-			l, next := s.Learned(now, from, part)
-			n := len(l.Nodes) + len(l.Accounts) + len(l.Leads)
+			l, next := s.ExportLearned(now, from, part)
+			n := len(l.Nodes) + len(l.Volumes) + len(l.Flows)
 			if entries += n; n > part {
 				t.Errorf("%d entries in a part, at most %d", n, part)
 			}
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -72,15 +72,15 @@
 	l := ageing.Fade(found.Snapshot, now, found.Older)
 	k.core.Recall(listings(now.Nodes), l)
 	age := time.Duration(now.At-found.Saved) * time.Microsecond
-	k.set.Log.Info("recalled what was learned", "snapshot", found.Count, "nodes", len(l.Nodes), "projects", len(l.Accounts),
+	k.set.Log.Info("recalled what was learned", "snapshot", found.Count, "nodes", len(l.Nodes), "projects", len(l.Volumes),
 		"age", age.Round(time.Millisecond).String(), "previous", found.Older)
 	return found.Nodes
 }
 
-func listings(nodes []snapshot.Node) scheduler.Nodes {
-	out := scheduler.Nodes{Full: true}
+func listings(nodes []snapshot.Node) scheduler.EndpointsChanged {
+	out := scheduler.EndpointsChanged{Full: true}
 	for _, n := range nodes {
-		out.List = append(out.List, n.Listing)
+		out.Endpoints = append(out.Endpoints, n.Endpoint)
 	}
 	return out
 }
@@ -150,7 +150,7 @@
 		return err // the core has ended, or ctx
 	}
 	r, err := k.store.Save(snap)
-	k.core.Recorded(scheduler.Recorded{There: r.There, Sure: r.Sure})
+	k.core.Recorded(scheduler.StateSaved{Readable: r.There, Latest: r.Sure})
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	before := k.status.Error
@@ -186,10 +186,10 @@
 			return snapshot.Snapshot{}, fmt.Errorf("ask what is learned: %w", err)
 		}
 		for _, n := range l.Nodes {
-			snap.Nodes = append(snap.Nodes, snapshot.Node{Known: n, Addr: addrs[n.Node]})
+			snap.Nodes = append(snap.Nodes, snapshot.Node{LearnedNode: n, Addr: addrs[n.Node]})
 		}
-		snap.Accounts = append(snap.Accounts, l.Accounts...)
-		snap.Leads = append(snap.Leads, l.Leads...)
+		snap.Accounts = append(snap.Accounts, l.Volumes...)
+		snap.Leads = append(snap.Leads, l.Flows...)
 		snap.Saved = l.At
 		if from = next; from == 0 {
 			return snap, nil
--- a/internal/state/keeper/limit_test.go
+++ b/internal/state/keeper/limit_test.go
@@ -34,7 +34,7 @@
 func newFront(t *testing.T, seed uint64) *front {
 	set := standin.Settings()
 	set.Plans = []scheduler.Plan{{Weight: 1, Limit: 12, Burst: 36}}
-	set.Lease, set.LeaseLast = 500_000, 6_000_000
+	set.Lease, set.RecordLifetime = 500_000, 6_000_000
 	f := &front{t: t, rng: rand.New(rand.NewPCG(seed, 1)), set: set, now: 1_800_000_000_000_000}
 	f.at = f.now
 	f.start()
@@ -48,13 +48,13 @@
 		f.t.Fatal(err)
 	}
 	f.out, f.writing = nil, nil
-	list := scheduler.Nodes{Full: true, List: []scheduler.Listing{{Node: "a"}}}
+	list := scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}}
 	f.s.Step(f.now, []scheduler.Event{list})
-	now := ageing.Now{At: f.now, Front: "f", Settings: snapshot.Fingerprint(f.set), Fresh: f.s.Fresh(),
-		Nodes: []snapshot.Node{{Known: scheduler.Known{Listing: list.List[0]}}}}
+	now := ageing.Now{At: f.now, Front: "f", Settings: snapshot.Fingerprint(f.set), Fresh: f.s.NewNodeStats(),
+		Nodes: []snapshot.Node{{LearnedNode: scheduler.LearnedNode{Endpoint: list.Endpoints[0]}}}}
 	for i, file := range [][]byte{f.disk, f.before} {
 		if snap, err := snapshot.Decode(file); err == nil && ageing.Judge(snap, now) == nil {
-			f.s.Recall(f.now, ageing.Fade(snap, now, i > 0))
+			f.s.ImportLearned(f.now, ageing.Fade(snap, now, i > 0))
 			return
 		}
 		if i == 0 {
@@ -66,10 +66,10 @@
 // step hands events to the scheduler and checks what it sends against the limit.
 func (f *front) step(events ...scheduler.Event) {
 	for _, a := range f.s.Step(f.now, append(f.out, events...)) {
-		if _, ok := a.(scheduler.WriteDown); ok {
+		if _, ok := a.(scheduler.SaveState); ok {
 			f.wanted = true
 		}
-		if send, ok := a.(scheduler.Send); ok {
+		if send, ok := a.(scheduler.StartAttempt); ok {
 			const units = 3
 			plan := f.set.Plans[0]
 			f.level = min(plan.Burst, f.level+plan.Limit*float64(f.now-f.at)/1e6) - units
@@ -78,7 +78,7 @@
 				f.t.Fatalf("%.3f units beyond the limit", -f.level)
 			}
 			defer func() {
-				f.out = append(f.out, scheduler.Outcome{ID: send.ID, Result: scheduler.OK, Latency: 1000, Final: true})
+				f.out = append(f.out, scheduler.AttemptEnded{ID: send.ID, Result: scheduler.OK, Latency: 1000, Final: true})
 			}()
 		}
 	}
@@ -87,14 +87,14 @@
 
 func (f *front) ask() {
 	f.ids++
-	f.step(scheduler.Request{ID: fmt.Sprint(f.ids), Volume: volume, Units: 3, Left: 500_000})
+	f.step(scheduler.Request{ID: fmt.Sprint(f.ids), Volume: volume, Units: 3, TimeLeft: 500_000})
 }
 
 func (f *front) save() {
 	snap := snapshot.Snapshot{Front: "f", Settings: snapshot.Fingerprint(f.set), Saved: f.now}
 	for from := 0; ; {
-		l, next := f.s.Learned(f.now, from, 1)
-		snap.Accounts = append(snap.Accounts, l.Accounts...)
+		l, next := f.s.ExportLearned(f.now, from, 1)
+		snap.Accounts = append(snap.Accounts, l.Volumes...)
 		if from = next; from == 0 {
 			break
 		}
@@ -115,19 +115,19 @@
 
 // saved ends the save under way as it may end: well, ahead of the rename, or behind it and perhaps undone.
 func (f *front) saved() {
-	switch r := (scheduler.Recorded{There: f.rng.IntN(4) > 0, Sure: f.rng.IntN(4) > 0}); {
+	switch r := (scheduler.StateSaved{Readable: f.rng.IntN(4) > 0, Latest: f.rng.IntN(4) > 0}); {
 	case f.writing == nil:
 		return
-	case r.There && r.Sure:
+	case r.Readable && r.Latest:
 		f.moved()
 		f.step(r)
-	case r.There:
+	case r.Readable:
 		if f.rng.IntN(2) == 0 {
 			f.moved()
 		}
 		f.step(r)
 	default:
-		f.step(scheduler.Recorded{})
+		f.step(scheduler.StateSaved{})
 	}
 	f.writing = nil
 }
@@ -181,7 +181,7 @@
 	run := func(every scheduler.Micros, keep bool) float64 {
 		f := newFront(t, 1)
 		if !keep {
-			f.set.Lease, f.set.LeaseLast = 0, 0
+			f.set.Lease, f.set.RecordLifetime = 0, 0
 			f.start()
 		}
 		end, crash, save := f.now+60_000_000, f.now+every, f.now
@@ -194,7 +194,7 @@
 				f.save()
 				f.moved()
 				f.writing = nil
-				f.step(scheduler.Recorded{There: true, Sure: true})
+				f.step(scheduler.StateSaved{Readable: true, Latest: true})
 			}
 			if every > 0 && f.now >= crash {
 				crash, save = crash+every, f.now
--- a/internal/state/snapshot/snapshot.go
+++ b/internal/state/snapshot/snapshot.go
@@ -19,19 +19,19 @@
 	Closed   bool   // the front ended after it, in order
 	List     int64  // version of the node list, 0 where it has none, as an operator's file
 	Nodes    []Node
-	Accounts []scheduler.Account
-	Leads    []scheduler.Lead
+	Accounts []scheduler.VolumeUsage
+	Leads    []scheduler.FlowLead
 }
 
 // Node is a node as it was listed, with the address under which it was learned.
 type Node struct {
-	scheduler.Known
+	scheduler.LearnedNode
 	Addr string
 }
 
 // Fingerprint tells settings apart: what was learned under others may mean something else now.
 func Fingerprint(set scheduler.Settings) uint64 {
-	set.MaxOpen, set.Lease, set.LeaseLast = 0, 0, 0 // what is learned does not depend on them
+	set.MaxOpen, set.Lease, set.RecordLifetime = 0, 0, 0 // what is learned does not depend on them
 	text, err := encoder.Marshal(set)
 	if err != nil {
 		panic(err) // a plain value
@@ -102,20 +102,20 @@
 func (s Snapshot) form() fileForm {
 	out := fileForm{Front: s.Front, Settings: s.Settings, Saved: int64(s.Saved), Count: s.Count, Closed: s.Closed, List: s.List}
 	for _, n := range s.Nodes {
-		f := nodeForm{Name: n.Node, Addr: n.Addr, Zone: n.Zone, Shard: n.Shard, State: int(n.State), Since: int64(n.Since),
-			Budget: n.Budget, Target: n.Target, Usual: n.Usual, Before: n.Before, Unit: n.Unit, Errors: n.Errors,
-			Judged: int64(n.Judged), Answered: int64(n.Answered), Suspect: int64(n.Suspect)}
+		f := nodeForm{Name: n.Node, Addr: n.Addr, Zone: n.Zone, Shard: n.Shard, State: int(n.State), Since: int64(n.StartedAt),
+			Budget: n.Budget, Target: n.Target, Usual: n.SmoothedLatency, Before: n.PreviousLatency, Unit: n.UnitTime, Errors: n.ErrorRate,
+			Judged: int64(n.LatencyUpdated), Answered: int64(n.LastAnswer), Suspect: int64(n.SuspectedRestart)}
 		for _, p := range n.Curve {
 			f.Curve = append(f.Curve, pointForm{Throughput: p.Throughput, Latency: p.Latency, Low: p.Low})
 		}
 		out.Nodes = append(out.Nodes, f)
 	}
 	for _, a := range s.Accounts {
-		out.Accounts = append(out.Accounts, accountForm{a.Volume, a.Plan, a.Hosts, a.Reserve, a.Bucket.Level,
-			int64(a.Bucket.At), a.Bucket.Lease, int64(a.Bucket.Bound)})
+		out.Accounts = append(out.Accounts, accountForm{a.Volume, a.Plan, a.Fronts, a.ReservationTag, a.Bucket.Level,
+			int64(a.Bucket.At), a.Bucket.Lease, int64(a.Bucket.BoundUntil)})
 	}
 	for _, l := range s.Leads {
-		out.Leads = append(out.Leads, leadForm{l.Volume, l.Plan, l.Shard, l.Units, int64(l.Last)})
+		out.Leads = append(out.Leads, leadForm{l.Volume, l.Plan, l.Shard, l.Units, int64(l.LastSend)})
 	}
 	return out
 }
@@ -123,21 +123,21 @@
 func (f fileForm) snapshot() Snapshot {
 	out := Snapshot{Front: f.Front, Settings: f.Settings, Saved: scheduler.Micros(f.Saved), Count: f.Count, Closed: f.Closed, List: f.List}
 	for _, n := range f.Nodes {
-		k := scheduler.Known{
-			Listing: scheduler.Listing{Node: n.Name, Zone: n.Zone, Shard: n.Shard, State: scheduler.NodeState(n.State), Since: scheduler.Micros(n.Since)},
-			Habits: scheduler.Habits{Budget: n.Budget, Target: n.Target, Usual: n.Usual, Before: n.Before, Unit: n.Unit, Errors: n.Errors,
-				Judged: scheduler.Micros(n.Judged), Answered: scheduler.Micros(n.Answered), Suspect: scheduler.Micros(n.Suspect)}}
+		k := scheduler.LearnedNode{
+			Endpoint: scheduler.Endpoint{Node: n.Name, Zone: n.Zone, Shard: n.Shard, State: scheduler.NodeState(n.State), StartedAt: scheduler.Micros(n.Since)},
+			NodeStats: scheduler.NodeStats{Budget: n.Budget, Target: n.Target, SmoothedLatency: n.Usual, PreviousLatency: n.Before, UnitTime: n.Unit, ErrorRate: n.Errors,
+				LatencyUpdated: scheduler.Micros(n.Judged), LastAnswer: scheduler.Micros(n.Answered), SuspectedRestart: scheduler.Micros(n.Suspect)}}
 		for _, p := range n.Curve {
 			k.Curve = append(k.Curve, curve.Point{Throughput: p.Throughput, Latency: p.Latency, Low: p.Low})
 		}
 		out.Nodes = append(out.Nodes, Node{k, n.Addr})
 	}
 	for _, a := range f.Accounts {
-		out.Accounts = append(out.Accounts, scheduler.Account{Volume: a.Volume, Plan: a.Plan, Hosts: a.Hosts, Reserve: a.Reserve,
-			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: a.Level, At: scheduler.Micros(a.At), Lease: a.Lease, Bound: scheduler.Micros(a.Bound)}})
+		out.Accounts = append(out.Accounts, scheduler.VolumeUsage{Volume: a.Volume, Plan: a.Plan, Fronts: a.Hosts, ReservationTag: a.Reserve,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: a.Level, At: scheduler.Micros(a.At), Lease: a.Lease, BoundUntil: scheduler.Micros(a.Bound)}})
 	}
 	for _, l := range f.Leads {
-		out.Leads = append(out.Leads, scheduler.Lead{Volume: l.Volume, Plan: l.Plan, Shard: l.Shard, Units: l.Units, Last: scheduler.Micros(l.Last)})
+		out.Leads = append(out.Leads, scheduler.FlowLead{Volume: l.Volume, Plan: l.Plan, Shard: l.Shard, Units: l.Units, LastSend: scheduler.Micros(l.Last)})
 	}
 	return out
 }
--- a/internal/state/snapshot/snapshot_test.go
+++ b/internal/state/snapshot/snapshot_test.go
@@ -19,13 +19,13 @@
 // sample has every field set, so that one that is not kept shows.
 func sample() Snapshot {
 	return Snapshot{Front: "files-1", Settings: 7, Saved: 1_800_000_000_000_000, Count: 3, Closed: true, List: 41,
-		Nodes: []Node{{Addr: "127.0.0.1:3022", Known: scheduler.Known{
-			Listing: scheduler.Listing{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, Since: 5},
-			Habits: scheduler.Habits{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
-				Usual: 30e3, Before: 31e3, Unit: 4e3, Errors: 0.25, Judged: 6, Answered: 7, Suspect: 8}}}},
-		Accounts: []scheduler.Account{{Volume: "riverside", Plan: 1, Hosts: 2, Reserve: 9.5,
-			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, Bound: 11}}},
-		Leads: []scheduler.Lead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, Last: 12}}}
+		Nodes: []Node{{Addr: "127.0.0.1:3022", LearnedNode: scheduler.LearnedNode{
+			Endpoint: scheduler.Endpoint{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, StartedAt: 5},
+			NodeStats: scheduler.NodeStats{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
+				SmoothedLatency: 30e3, PreviousLatency: 31e3, UnitTime: 4e3, ErrorRate: 0.25, LatencyUpdated: 6, LastAnswer: 7, SuspectedRestart: 8}}}},
+		Accounts: []scheduler.VolumeUsage{{Volume: "riverside", Plan: 1, Fronts: 2, ReservationTag: 9.5,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, BoundUntil: 11}}},
+		Leads: []scheduler.FlowLead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, LastSend: 12}}}
 }
 
 func TestFileHoldsAllOfASnapshot(t *testing.T) {
@@ -94,7 +94,7 @@
 }
 
 func TestFingerprintTellsSettingsApart(t *testing.T) {
-	a := scheduler.Settings{Hosts: 1, Plans: []scheduler.Plan{{Limit: 12}}}
+	a := scheduler.Settings{Fronts: 1, Plans: []scheduler.Plan{{Limit: 12}}}
 	b, c := a, a
 	b.Lease, b.MaxOpen = 5, 5 // what is learned does not depend on them
 	c.Plans = []scheduler.Plan{{Limit: 13}}
--- a/internal/wire/remote.go
+++ b/internal/wire/remote.go
@@ -107,40 +107,40 @@
 
 func (i *Instance) write(w io.Writer, e scheduler.Event) {
 	switch e := e.(type) {
-	case scheduler.Nodes:
+	case scheduler.EndpointsChanged:
 		how := "delta"
 		if e.Full {
 			how = "full"
 		}
-		fmt.Fprintf(w, "REGISTER\tbank=%s\trows=%d\n", i.name, len(e.List))
-		for _, l := range e.List {
+		fmt.Fprintf(w, "REGISTER\tbank=%s\trows=%d\n", i.name, len(e.Endpoints))
+		for _, l := range e.Endpoints {
 			fmt.Fprintf(w, "ENTRY\ttarget=%s\tregionPart=%d\tcohort=%d\tavailability=%s\tcameUpUs=%d\n", l.Node, l.Zone, l.Shard,
-				stateWords[l.State], l.Since)
+				stateWords[l.State], l.StartedAt)
 		}
 		fmt.Fprintf(w, "PEERS_KNOWN\ti=%s\thow=%s\tbank=%s\n", i.name, how, i.name)
 	case scheduler.Request:
 		fmt.Fprintf(w, "JOB_IN\ti=%s\trequestId=%s\tgrade=%d\tplan=%d\tvol=%s\tchunk=%s\tquotaUnits=%v\tliesIn=%d\tsetSize=%d\tleftUs=%d\n",
-			i.name, e.ID, e.Class, e.Plan, e.Volume, e.Key, e.Units, e.Shard, e.Hosts, e.Left)
-	case scheduler.Outcome:
+			i.name, e.ID, e.Class, e.Plan, e.Volume, e.Key, e.Units, e.Shard, e.Fronts, e.TimeLeft)
+	case scheduler.AttemptEnded:
 		final := 0
 		if e.Final {
 			final = 1
 		}
 		fmt.Fprintf(w, "RESULT\ti=%s\trequestId=%s\tseqNo=%d\tstateCode=%s\tlatencyUs=%d\tfinal=%d\telsewhere=%v\n", i.name, e.ID,
-			e.Attempt, resultWords[e.Result], e.Latency, final, e.Elsewhere)
-	case scheduler.Lapsed:
+			e.Attempt, resultWords[e.Result], e.Latency, final, e.ServedElsewhere)
+	case scheduler.ClientLeft:
 		fmt.Fprintf(w, "LAPSED\ti=%s\trequestId=%s\n", i.name, e.ID)
-	case scheduler.Probed:
+	case scheduler.HealthChecked:
 		code, feedback := 14, ""
 		if e.OK {
 			code, feedback = 0, fmt.Sprintf("\tfeedback=backlog:%v", e.Queue)
 		}
 		fmt.Fprintf(w, "PROBE_RESULT\ti=%s\ttarget=%s\tstateCode=%d%s\n", i.name, e.Node, code, feedback)
-	case scheduler.Asked:
-		i.writeNote(w, e.From, scheduler.Ask{Node: e.Node, Since: e.Since, Wish: e.Wish})
-	case scheduler.Granted:
-		i.writeNote(w, e.From, scheduler.Grant{Node: e.Node, Units: e.Units, Until: e.Until})
-	case scheduler.Alarm:
+	case scheduler.CapacityRequested:
+		i.writeNote(w, e.From, scheduler.RequestCapacity{Node: e.Node, StartedAt: e.StartedAt, CapacityRequest: e.CapacityRequest})
+	case scheduler.CapacityGranted:
+		i.writeNote(w, e.From, scheduler.GrantCapacity{Node: e.Node, Units: e.Units, ValidUntil: e.ValidUntil})
+	case scheduler.TimerFired:
 		fmt.Fprintf(w, "REMINDER\ti=%s\tctx=0\n", i.name)
 	}
 }
@@ -154,25 +154,25 @@
 	id := l.fields["requestId"]
 	switch l.name {
 	case "TRY":
-		return scheduler.Send{ID: id, Node: l.text("target")}
+		return scheduler.StartAttempt{ID: id, Node: l.text("target")}
 	case "SHED":
-		return scheduler.Refuse{ID: id, RetryAfter: scheduler.Micros(l.integer("comeBackUs"))}
+		return scheduler.Reject{ID: id, RetryAfter: scheduler.Micros(l.integer("comeBackUs"))}
 	case "END_FAILED":
 		return scheduler.Fail{ID: id}
 	case "CANCEL":
-		return scheduler.Cancel{ID: id, Attempt: int(l.integer("seqNo"))}
+		return scheduler.CancelAttempt{ID: id, Attempt: int(l.integer("seqNo"))}
 	case "TEST":
-		return scheduler.Probe{Node: l.text("target")}
+		return scheduler.CheckHealth{Node: l.text("target")}
 	case "SHARE":
 		switch e := l.note("recipient").(type) {
-		case scheduler.Asked:
-			return scheduler.Ask{To: e.From, Node: e.Node, Since: e.Since, Wish: e.Wish}
-		case scheduler.Granted:
-			return scheduler.Grant{To: e.From, Node: e.Node, Units: e.Units, Until: e.Until}
+		case scheduler.CapacityRequested:
+			return scheduler.RequestCapacity{To: e.From, Node: e.Node, StartedAt: e.StartedAt, CapacityRequest: e.CapacityRequest}
+		case scheduler.CapacityGranted:
+			return scheduler.GrantCapacity{To: e.From, Node: e.Node, Units: e.Units, ValidUntil: e.ValidUntil}
 		}
 		return nil
 	case "TIMER":
-		return scheduler.SetAlarm{At: scheduler.Micros(l.integer("atUs"))}
+		return scheduler.SetTimer{At: scheduler.Micros(l.integer("atUs"))}
 	}
 	l.fail("unknown message")
 	return nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -15,9 +15,9 @@
 )
 
 var states = map[string]scheduler.NodeState{"Running": scheduler.Running, "Stopping": scheduler.Draining,
-	"Deleted": scheduler.Gone}
-var results = map[string]scheduler.Result{"0": scheduler.OK, "13": scheduler.Errored, "8": scheduler.Full, "4": scheduler.TimedOut,
-	"14": scheduler.Unreachable, "10": scheduler.Reset, "1": scheduler.Cancelled, "9": scheduler.Moot}
+	"Deleted": scheduler.Removed}
+var results = map[string]scheduler.Result{"0": scheduler.OK, "13": scheduler.Errored, "8": scheduler.QueueFull, "4": scheduler.TimedOut,
+	"14": scheduler.Unreachable, "10": scheduler.Reset, "1": scheduler.Cancelled, "9": scheduler.NotStarted}
 
 // parseFacts reads the settings object of a LAUNCH.
 func parseFacts(text string) (scheduler.Settings, error) {
@@ -25,7 +25,7 @@
 	if err != nil {
 		return scheduler.Settings{}, fmt.Errorf("facts: %w", err)
 	}
-	return set.Rules, nil
+	return set.Scheduler, nil
 }
 
 // line is one message: its name and its fields.
@@ -98,17 +98,17 @@
 func (l *line) request() scheduler.Request {
 	return scheduler.Request{ID: l.text("requestId"), Class: int(l.integer("grade")), Plan: int(l.integer("plan")),
 		Volume: l.fields["vol"], Key: l.fields["chunk"], Units: l.optional("quotaUnits"),
-		Shard: int(l.number("liesIn")), Hosts: int(l.optional("setSize")), Left: scheduler.Micros(l.integer("leftUs"))}
+		Shard: int(l.number("liesIn")), Fronts: int(l.optional("setSize")), TimeLeft: scheduler.Micros(l.integer("leftUs"))}
 }
 
-func (l *line) outcome() scheduler.Outcome {
+func (l *line) outcome() scheduler.AttemptEnded {
 	result, ok := results[l.text("stateCode")]
 	if !ok {
 		l.fail("unknown stateCode " + l.fields["stateCode"])
 	}
-	return scheduler.Outcome{ID: l.text("requestId"), Attempt: int(l.integer("seqNo")), Result: result,
+	return scheduler.AttemptEnded{ID: l.text("requestId"), Attempt: int(l.integer("seqNo")), Result: result,
 		Latency: scheduler.Micros(l.optional("latencyUs")), Final: l.fields["final"] == "1",
-		Elsewhere: l.optional("elsewhere")}
+		ServedElsewhere: l.optional("elsewhere")}
 }
 
 // note reads a message between instances; the field named tells the other one's number.
@@ -125,17 +125,17 @@
 	return e
 }
 
-func (l *line) listing() scheduler.Listing {
+func (l *line) listing() scheduler.Endpoint {
 	state, ok := states[l.text("availability")]
 	if !ok {
 		l.fail("unknown availability " + l.fields["availability"])
 	}
-	return scheduler.Listing{Node: l.text("target"), Zone: int(l.optional("regionPart")), Shard: int(l.integer("cohort")),
-		State: state, Since: scheduler.Micros(l.optional("cameUpUs"))}
+	return scheduler.Endpoint{Node: l.text("target"), Zone: int(l.optional("regionPart")), Shard: int(l.integer("cohort")),
+		State: state, StartedAt: scheduler.Micros(l.optional("cameUpUs"))}
 }
 
-func (l *line) probed() scheduler.Probed {
-	p := scheduler.Probed{Node: l.text("target"), OK: l.text("stateCode") == "0", Queue: -1}
+func (l *line) probed() scheduler.HealthChecked {
+	p := scheduler.HealthChecked{Node: l.text("target"), OK: l.text("stateCode") == "0", Queue: -1}
 	for pair := range strings.SplitSeq(l.fields["feedback"], ",") {
 		k, v, ok := strings.Cut(pair, ":")
 		if x, err := strconv.ParseFloat(v, 64); ok && err == nil && k == "backlog" {
@@ -147,7 +147,7 @@
 
 // Link hosts the schedulers of many instances behind one stream of batches.
 type Link struct {
-	banks     map[string][]scheduler.Listing
+	banks     map[string][]scheduler.Endpoint
 	instances map[string]*scheduler.Scheduler
 	pending   map[string][]scheduler.Event
 	order     []string // instances with an event, in the order of their first
@@ -156,7 +156,7 @@
 
 // Serve answers batches until the input ends.
 func Serve(in io.Reader, out, log io.Writer) error {
-	link := &Link{banks: map[string][]scheduler.Listing{}, instances: map[string]*scheduler.Scheduler{},
+	link := &Link{banks: map[string][]scheduler.Endpoint{}, instances: map[string]*scheduler.Scheduler{},
 		pending: map[string][]scheduler.Event{}, log: log}
 	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
 	for {
@@ -203,7 +203,7 @@
 			return w.Flush()
 		case "REGISTER":
 			bank, rows = l.text("bank"), l.integer("rows")
-			k.banks[bank] = make([]scheduler.Listing, 0, max(0, min(rows, 1<<16)))
+			k.banks[bank] = make([]scheduler.Endpoint, 0, max(0, min(rows, 1<<16)))
 		case "ENTRY":
 			if e := l.listing(); l.err == nil {
 				k.banks[bank] = append(k.banks[bank], e)
@@ -270,17 +270,17 @@
 		if !known {
 			l.fail("bank " + l.fields["bank"] + " was never registered")
 		}
-		return scheduler.Nodes{Full: how != "delta", List: list}, true
+		return scheduler.EndpointsChanged{Full: how != "delta", Endpoints: list}, true
 	case "JOB_IN":
 		return l.request(), true
 	case "RESULT":
 		return l.outcome(), true
 	case "LAPSED":
-		return scheduler.Lapsed{ID: l.text("requestId")}, true
+		return scheduler.ClientLeft{ID: l.text("requestId")}, true
 	case "PROBE_RESULT":
 		return l.probed(), true
 	case "REMINDER":
-		return scheduler.Alarm{}, true
+		return scheduler.TimerFired{}, true
 	case "NOTE_FROM":
 		return l.note("originPeer"), true
 	case "BEGUN":
@@ -307,21 +307,21 @@
 
 func writeAction(w io.Writer, inst string, a scheduler.Action) {
 	switch a := a.(type) {
-	case scheduler.Send:
+	case scheduler.StartAttempt:
 		fmt.Fprintf(w, "TRY\ti=%s\trequestId=%s\ttarget=%s\n", inst, a.ID, a.Node)
-	case scheduler.Refuse:
+	case scheduler.Reject:
 		fmt.Fprintf(w, "SHED\ti=%s\trequestId=%s\tcomeBackUs=%d\n", inst, a.ID, a.RetryAfter)
 	case scheduler.Fail:
 		fmt.Fprintf(w, "END_FAILED\ti=%s\trequestId=%s\n", inst, a.ID)
-	case scheduler.Cancel:
+	case scheduler.CancelAttempt:
 		fmt.Fprintf(w, "CANCEL\ti=%s\trequestId=%s\tseqNo=%d\n", inst, a.ID, a.Attempt)
-	case scheduler.Probe:
+	case scheduler.CheckHealth:
 		fmt.Fprintf(w, "TEST\ti=%s\ttarget=%s\n", inst, a.Node)
-	case scheduler.Ask:
+	case scheduler.RequestCapacity:
 		writeNote(w, inst, a.To, a)
-	case scheduler.Grant:
+	case scheduler.GrantCapacity:
 		writeNote(w, inst, a.To, a)
-	case scheduler.SetAlarm:
+	case scheduler.SetTimer:
 		fmt.Fprintf(w, "TIMER\ti=%s\tatUs=%d\tctx=0\n", inst, a.At)
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -102,8 +102,8 @@
 	set, err := parseFacts(`{"balancers":3,"classes":[{"semantics":"dedup","group":"cell","windowUs":4000000,"byArrival":true}],
 		"contracts":[{"ceilingRate":17,"limitBurst":48}],"safety":{"keyRestUs":200,"budgetSpanUs":5}}`)
 	c := set.Classes[0]
-	if err != nil || set.Hosts != 3 || c.Repeat != scheduler.Keyed || c.Group != scheduler.SameShard || !c.InOrder ||
-		set.Plans[0].Limit != 17 || set.KeyRest != 200 || set.RetrySpan != 5 {
+	if err != nil || set.Fronts != 3 || c.Idempotency != scheduler.IdempotentByKey || c.DedupScope != scheduler.SameShard || !c.InOrder ||
+		set.Plans[0].Limit != 17 || set.KeyPause != 200 || set.RetryBudgetSpan != 5 {
 		t.Errorf("%+v, %v", set, err)
 	}
 	if _, err := parseFacts(`{"classes":[{"semantics":"odd"}]}`); err == nil {
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -2,77 +2,78 @@
 
 import "otterturn/scheduler/slowstart"
 
-// Action is something that the scheduler wants done, in the order given.
+// Action is something that the scheduler wants done. Actions are carried out in the order given.
 type Action interface{ action() }
 
-// Send starts an attempt. Attempts of a request are numbered from 0 in the order of their sends.
-type Send struct {
-	ID    string
-	Node  string
-	Until Micros // it must not begin later, 0 for no bound beside the request's time
+// StartAttempt sends a request to a node. AttemptEnded is to follow. Attempts of a request are numbered from 0 in the order
+// in which they start.
+type StartAttempt struct {
+	ID      string // of the request
+	Node    string
+	BeginBy Micros // the first byte must not be sent later; 0 for no bound beside the request's deadline
 }
 
-// Refuse is a final answer: the client may harmlessly try again.
-type Refuse struct {
+// Reject is a final answer: the client may harmlessly retry.
+type Reject struct {
 	ID         string
-	RetryAfter Micros // the client should stay away so long, 0 for no advice
-	Why        Reason
+	RetryAfter Micros // the client should stay away for so long, 0 for no advice
+	Reason     Reason
 }
 
-// Fail is a final answer that promises nothing.
+// Fail is a final answer that promises nothing: the request may have run.
 type Fail struct {
-	ID  string
-	Why Reason
+	ID     string
+	Reason Reason
 }
 
-// Reason is why a request is given up on, for those who look for causes.
+// Reason is why a request was given up, for logs.
 type Reason string
 
-// The kinds of Reason.
+// The kinds of Reason. Their texts are in logs, and in recorded digests.
 const (
-	Unusable  Reason = "unusable"    // its class or plan is unknown
-	NoRepeat  Reason = "no repeat"   // the attempt failed, and there is no time left or none may follow
-	NotInTime Reason = "not in time" // what it waits for won't come before its client leaves, or leaves no time to come again
-	NoRoom    Reason = "no room"     // more is open than there is room for, and it earns least
+	InvalidRequest      Reason = "unusable"    // its class or plan is unknown
+	NotRetryable        Reason = "no repeat"   // the attempt failed, and no retry is allowed or in time
+	DeadlineUnreachable Reason = "not in time" // no answer is expected before the client leaves, or while it can still retry
+	OverCapacity        Reason = "no room"     // too many requests are open, and this one is worth least
 )
 
-// Cancel ends the wait for an attempt.
-type Cancel struct {
+// CancelAttempt ends the wait for an attempt.
+type CancelAttempt struct {
 	ID      string
 	Attempt int
 }
 
-// Probe asks a node for its health and load.
-type Probe struct{ Node string }
+// CheckHealth asks for a health check of a node. HealthChecked is to follow.
+type CheckHealth struct{ Node string }
 
-// WriteDown asks for a record of what is learned, as a volume's lease runs low.
-type WriteDown struct{}
+// SaveState asks for a record of what was learned, as a volume's lease runs low. StateSaved is to follow.
+type SaveState struct{}
 
-// Ask is Asked, on its way to the host of a number.
-type Ask struct {
-	To    int
-	Node  string
-	Since Micros
-	slowstart.Wish
+// RequestCapacity asks the front of a number for capacity at a node in slow start, where it arrives as CapacityRequested.
+type RequestCapacity struct {
+	To        int
+	Node      string
+	StartedAt Micros
+	slowstart.CapacityRequest
 }
 
-// Grant is Granted, on its way to the host of a number.
-type Grant struct {
-	To    int
-	Node  string
-	Units float64
-	Until Micros
+// GrantCapacity answers the front of a number, where it arrives as CapacityGranted.
+type GrantCapacity struct {
+	To         int
+	Node       string
+	Units      float64
+	ValidUntil Micros
 }
 
-// SetAlarm asks for an Alarm.
-type SetAlarm struct{ At Micros }
+// SetTimer asks for a TimerFired at a time. It takes the place of an earlier one.
+type SetTimer struct{ At Micros }
 
-func (Send) action()      {}
-func (Refuse) action()    {}
-func (Fail) action()      {}
-func (Cancel) action()    {}
-func (Probe) action()     {}
-func (SetAlarm) action()  {}
-func (WriteDown) action() {}
-func (Ask) action()       {}
-func (Grant) action()     {}
+func (StartAttempt) action()    {}
+func (Reject) action()          {}
+func (Fail) action()            {}
+func (CancelAttempt) action()   {}
+func (CheckHealth) action()     {}
+func (SaveState) action()       {}
+func (RequestCapacity) action() {}
+func (GrantCapacity) action()   {}
+func (SetTimer) action()        {}
