--- a/scheduler/coldnodes_test.go
+++ b/scheduler/coldnodes_test.go
@@ -36,7 +36,7 @@
 			due[x], order, log = h.now+delay, append(order, x), append(log, entry{h.now, 1})
 			sum := 0.0
 			for _, e := range log {
-				if e.at >= h.now-h.s.set.FallSpan {
+				if e.at >= h.now-h.s.settings.OverloadSpan {
 					sum += e.units
 				}
 			}
@@ -57,8 +57,8 @@
 func coldHostOf(t *testing.T, set Settings) *host {
 	h := newHost(t, set)
 	l := running("a", 0)
-	l.Since = h.now
-	h.step(Nodes{List: []Listing{l}})
+	l.StartedAt = h.now
+	h.step(EndpointsChanged{Endpoints: []Endpoint{l}})
 	return h
 }
 
@@ -78,8 +78,8 @@
 	for _, result := range []Result{Reset, Unreachable} {
 		h := newHost(t, testSettings())
 		h.step(req("x", func(r *Request) { r.Class = 2 }))
-		h.after(10*ms, h.end("x", result, 10*ms), Lapsed{ID: "x"})
-		h.after(500*ms, Probed{Node: "a", OK: true})
+		h.after(10*ms, h.end("x", result, 10*ms), ClientLeft{ID: "x"})
+		h.after(500*ms, HealthChecked{Node: "a", OK: true})
 		checkCold(h, 1000*ms, 50*ms, coldPart)
 	}
 }
@@ -88,55 +88,55 @@
 // that of hundreds of others. It sends nothing there that it was not granted, however often its clients come again.
 func TestHostThatJustBeganAsksBeforeItSendsToAColdNode(t *testing.T) {
 	set := testSettings()
-	set.Hosts, set.Peers = 300, true
-	set.Number = -1 // never the granter
+	set.Fronts, set.PeerMessages = 300, true
+	set.FrontIndex = -1 // never the granter
 	h := coldHostOf(t, set)
 	asks := []Action{}
 	for i := range 20 {
 		id := fmt.Sprintf("x%d", i)
-		a := h.after(25*ms, req(id, nil), Lapsed{ID: fmt.Sprintf("x%d", i-1)})
+		a := h.after(25*ms, req(id, nil), ClientLeft{ID: fmt.Sprintf("x%d", i-1)})
 		h.wantSends(a)
-		asks = append(asks, slices.DeleteFunc(a, func(a Action) bool { _, is := a.(Ask); return !is })...)
+		asks = append(asks, slices.DeleteFunc(a, func(a Action) bool { _, is := a.(RequestCapacity); return !is })...)
 	}
-	granter, _ := h.s.cold.Granter("a", h.now)
-	if want := []Action{Ask{To: granter, Node: "a", Since: h.s.byName["a"].Since, Wish: slowstart.Wish{Units: 2, Least: 2}}}; !reflect.DeepEqual(asks, want) {
+	granter, _ := h.s.slowStart.Granter("a", h.now)
+	if want := []Action{RequestCapacity{To: granter, Node: "a", StartedAt: h.s.nodesByName["a"].StartedAt, CapacityRequest: slowstart.CapacityRequest{Units: 2, MinUnits: 2}}}; !reflect.DeepEqual(asks, want) {
 		t.Errorf("asks %v in half a second, want %v", asks, want)
 	}
 	until := h.now + 100*ms
-	if _, may := h.s.cold.Granter("a", until-100*ms); !may {
+	if _, may := h.s.slowStart.Granter("a", until-100*ms); !may {
 		t.Fatal("no granter may grant at the time of this test")
 	}
-	h.wantSends(h.step(Granted{From: granter + 1, Node: "a", Units: 2, Until: until}))
-	h.wantSends(h.step(Granted{From: granter, Node: "a", Units: 2, Until: until}), "x19")
+	h.wantSends(h.step(CapacityGranted{From: granter + 1, Node: "a", Units: 2, ValidUntil: until}))
+	h.wantSends(h.step(CapacityGranted{From: granter, Node: "a", Units: 2, ValidUntil: until}), "x19")
 }
 
 // One of many hosts meets a cold node seldom: what it saw there helps the others only if the granter hears of it
 // at once. What was seen of another start of the node counts for none.
 func TestGranterHearsOfEachAnswerOfAColdNode(t *testing.T) {
 	set := testSettings()
-	set.Hosts, set.Peers, set.Number = 300, true, -1
+	set.Fronts, set.PeerMessages, set.FrontIndex = 300, true, -1
 	h := coldHostOf(t, set)
-	for may := false; !may; _, may = h.s.cold.Granter("a", h.now) {
+	for may := false; !may; _, may = h.s.slowStart.Granter("a", h.now) {
 		h.after(100 * ms)
 	}
 	h.after(25*ms, req("x", nil))
-	granter, _ := h.s.cold.Granter("a", h.now)
-	since := h.s.byName["a"].Since
-	h.wantSends(h.step(Granted{From: granter, Node: "a", Units: 2, Until: h.now + 100*ms}), "x")
-	told := slices.DeleteFunc(h.after(50*ms, Outcome{ID: "x", Result: OK, Latency: 50 * ms, Final: true}),
-		func(a Action) bool { _, is := a.(Ask); return !is })
-	if len(told) != 1 || told[0].(Ask).To != granter || told[0].(Ask).Since != since || told[0].(Ask).Units != 0 || told[0].(Ask).Shown.Units != 2 {
+	granter, _ := h.s.slowStart.Granter("a", h.now)
+	since := h.s.nodesByName["a"].StartedAt
+	h.wantSends(h.step(CapacityGranted{From: granter, Node: "a", Units: 2, ValidUntil: h.now + 100*ms}), "x")
+	told := slices.DeleteFunc(h.after(50*ms, AttemptEnded{ID: "x", Result: OK, Latency: 50 * ms, Final: true}),
+		func(a Action) bool { _, is := a.(RequestCapacity); return !is })
+	if len(told) != 1 || told[0].(RequestCapacity).To != granter || told[0].(RequestCapacity).StartedAt != since || told[0].(RequestCapacity).Units != 0 || told[0].(RequestCapacity).Report.Units != 2 {
 		t.Errorf("told %+v", told)
 	}
-	h.s.asked(Asked{From: 1, Node: "a", Since: since - 1, Wish: slowstart.Wish{Shown: slowstart.Shown{Units: 9, Time: 0.1}}})
+	h.s.capacityRequested(CapacityRequested{From: 1, Node: "a", StartedAt: since - 1, CapacityRequest: slowstart.CapacityRequest{Report: slowstart.LoadReport{Units: 9, Time: 0.1}}})
 	if !h.s.allocators[0].Idle(h.now) {
 		t.Error("what was seen of an earlier start counts")
 	}
-	h.s.asked(Asked{From: 1, Node: "a", Since: since, Wish: slowstart.Wish{Shown: slowstart.Shown{Units: 9, Time: 0.1}}})
+	h.s.capacityRequested(CapacityRequested{From: 1, Node: "a", StartedAt: since, CapacityRequest: slowstart.CapacityRequest{Report: slowstart.LoadReport{Units: 9, Time: 0.1}}})
 	if h.s.allocators[0].Idle(h.now) {
 		t.Error("what was seen of this start is forgotten at once")
 	}
-	h.step(Nodes{List: []Listing{{Node: "a", Since: h.now}}})
+	h.step(EndpointsChanged{Endpoints: []Endpoint{{Node: "a", StartedAt: h.now}}})
 	if len(h.s.allocators) > 0 {
 		t.Error("what was seen counts for the next start")
 	}
@@ -145,15 +145,15 @@
 // Hosts that share a cold node, each with a part far below a request, together bring it to its capacity.
 func TestColdNodeGrowsByItsAnswersAmongManyHosts(t *testing.T) {
 	set := testSettings()
-	set.Hosts, set.Peers = 100, true
+	set.Fronts, set.PeerMessages = 100, true
 	var hosts []*host
-	for i := range set.Hosts {
-		set.Number = i
+	for i := range set.Fronts {
+		set.FrontIndex = i
 		h := newHost(t, set)
 		h.s.rng = rand.New(rand.NewPCG(uint64(i), 0))
 		l := running("c", 2)
-		l.Since = h.now
-		h.step(Nodes{List: []Listing{l}})
+		l.StartedAt = h.now
+		h.step(EndpointsChanged{Endpoints: []Endpoint{l}})
 		hosts = append(hosts, h)
 	}
 	// The node serves 20 units a second at its start, of which it always bears 8 and three times as much in
@@ -175,11 +175,11 @@
 			delete(notes, k)
 			if i%50 == k%50 {
 				id := fmt.Sprintf("r%d.%d", k, i)
-				events = append(events, req(id, func(r *Request) { r.Shard, r.Units, r.Left = 2, 1, 3*second }))
+				events = append(events, req(id, func(r *Request) { r.Shard, r.Units, r.TimeLeft = 2, 1, 3*second }))
 			}
 			if len(queue) > 0 && queue[0].h == h && !served {
 				served, credit = true, 0
-				events = append(events, Outcome{ID: queue[0].id, Result: OK, Latency: 50 * ms, Final: true})
+				events = append(events, AttemptEnded{ID: queue[0].id, Result: OK, Latency: 50 * ms, Final: true})
 				queue = queue[1:]
 			}
 			actions := h.after(5*ms, events...)
@@ -188,16 +188,16 @@
 			}
 			for _, a := range actions {
 				switch a := a.(type) {
-				case Ask:
-					notes[a.To] = append(notes[a.To], Asked{From: k, Node: a.Node, Wish: a.Wish})
-				case Grant:
-					notes[a.To] = append(notes[a.To], Granted{From: k, Node: a.Node, Units: a.Units, Until: a.Until})
+				case RequestCapacity:
+					notes[a.To] = append(notes[a.To], CapacityRequested{From: k, Node: a.Node, CapacityRequest: a.CapacityRequest})
+				case GrantCapacity:
+					notes[a.To] = append(notes[a.To], CapacityGranted{From: k, Node: a.Node, Units: a.Units, ValidUntil: a.ValidUntil})
 				}
 			}
 		}
 		last := Micros(0)
 		for _, at := range sent {
-			if at > hosts[0].now-set.FallSpan {
+			if at > hosts[0].now-set.OverloadSpan {
 				last++
 			}
 		}
--- a/scheduler/cost_test.go
+++ b/scheduler/cost_test.go
@@ -24,9 +24,9 @@
 		t.Fatal(err)
 	}
 	l := &load{s: s, now: 1_800_000_000_000_000, nodes: nodes, volumes: volumes, out: out}
-	list := Nodes{Full: true}
+	list := EndpointsChanged{Full: true}
 	for i := range nodes {
-		list.List = append(list.List, Listing{Node: "n" + strconv.Itoa(i), Shard: i})
+		list.Endpoints = append(list.Endpoints, Endpoint{Node: "n" + strconv.Itoa(i), Shard: i})
 	}
 	s.Step(l.now, []Event{list})
 	for range volumes + 3*out + 1000 {
@@ -40,13 +40,13 @@
 	l.now += 1000
 	id := strconv.Itoa(l.asked)
 	l.asked++
-	events := []Event{Request{ID: id, Volume: "v" + strconv.Itoa(l.asked%l.volumes), Units: 2, Shard: l.asked * 7 % l.nodes, Hosts: 1, Left: 2_000_000}}
+	events := []Event{Request{ID: id, Volume: "v" + strconv.Itoa(l.asked%l.volumes), Units: 2, Shard: l.asked * 7 % l.nodes, Fronts: 1, TimeLeft: 2_000_000}}
 	if len(l.open) > l.out {
-		events = append(events, Outcome{ID: l.open[0], Result: OK, Latency: 20_000, Final: true})
+		events = append(events, AttemptEnded{ID: l.open[0], Result: OK, Latency: 20_000, Final: true})
 		l.open = l.open[1:]
 	}
 	for _, a := range l.s.Step(l.now, events) {
-		if a, ok := a.(Send); ok {
+		if a, ok := a.(StartAttempt); ok {
 			l.open = append(l.open, a.ID)
 		}
 	}
@@ -123,9 +123,9 @@
 	now := Micros(1_800_000_000_000_000)
 	for n := 0; b.Loop(); n++ {
 		b.StopTimer()
-		list := Nodes{Full: true}
+		list := EndpointsChanged{Full: true}
 		for i := range 10_000 {
-			list.List = append(list.List, Listing{Node: fmt.Sprint("n", n, "-", i), Shard: i, Since: 1})
+			list.Endpoints = append(list.Endpoints, Endpoint{Node: fmt.Sprint("n", n, "-", i), Shard: i, StartedAt: 1})
 		}
 		now += 1_000_000
 		b.StartTimer()
@@ -140,11 +140,11 @@
 		make func(l *load, i int)
 	}{
 		{"node", func(l *load, i int) {
-			l.s.Step(l.now, []Event{Nodes{List: []Listing{{Node: fmt.Sprint("new", i), Shard: i}}}})
+			l.s.Step(l.now, []Event{EndpointsChanged{Endpoints: []Endpoint{{Node: fmt.Sprint("new", i), Shard: i}}}})
 		}},
 		{"volume", func(l *load, _ int) { l.one() }},
 		{"held", func(l *load, i int) {
-			l.s.Step(l.now, []Event{Request{ID: fmt.Sprint("held", i), Volume: fmt.Sprint("u", i), Units: 2, Shard: 1 << 30, Hosts: 1, Left: 1 << 40}})
+			l.s.Step(l.now, []Event{Request{ID: fmt.Sprint("held", i), Volume: fmt.Sprint("u", i), Units: 2, Shard: 1 << 30, Fronts: 1, TimeLeft: 1 << 40}})
 		}},
 	} {
 		b.Run(c.what, func(b *testing.B) {
--- a/scheduler/curve/curve.go
+++ b/scheduler/curve/curve.go
@@ -23,7 +23,7 @@
 // Meets fits throughput = a + b x ln(latency) and returns the latency at which its slope, relative to the highest
 // throughput and the lowest latency, comes down to the one given, and the lowest latency. A curve that tells no
 // slope meets it at 0. It must not be empty.
-func (c Curve) Meets(slope float64) (latency, low float64) {
+func (c Curve) LatencyAtSlope(slope float64) (latency, low float64) {
 	var n, x, y, xx, xy, top float64
 	low = c[0].Low
 	for _, p := range c {
--- a/scheduler/curve/curve_test.go
+++ b/scheduler/curve/curve_test.go
@@ -15,11 +15,11 @@
 	if len(c) != 4 || c[0].Latency != 10e3 {
 		t.Fatalf("kept %v, want the last four", c)
 	}
-	at, low := c.Meets(0.1)
+	at, low := c.LatencyAtSlope(0.1)
 	if want := 60 * 10e3 / (0.1 * c[3].Throughput); math.Abs(at-want) > 1 || low != 10e3 {
 		t.Errorf("met at %v with a low of %v, want %v and 10000", at, low, want)
 	}
-	if at, low := c[:1].Meets(0.1); at != 0 || low != 10e3 {
+	if at, low := c[:1].LatencyAtSlope(0.1); at != 0 || low != 10e3 {
 		t.Errorf("a single point: %v, %v", at, low)
 	}
 }
--- a/scheduler/digest_test.go
+++ b/scheduler/digest_test.go
@@ -60,7 +60,7 @@
 	rng       *rand.Rand
 	scheduler *scheduler.Scheduler
 	now       scheduler.Micros
-	nodes     []scheduler.Listing
+	nodes     []scheduler.Endpoint
 	requests  map[string]*openRequest
 	attempts  []openAttempt
 	probes    []string
@@ -90,24 +90,24 @@
 func digestSettings() scheduler.Settings {
 	const ms = scheduler.Micros(1000)
 	return scheduler.Settings{
-		Hosts: 3, Number: 1, Peers: true, Tick: ms,
+		Fronts: 3, FrontIndex: 1, PeerMessages: true, Tick: ms,
 		Classes: []scheduler.Class{
-			{Aim: 150 * ms, Repeat: scheduler.Safe, Worth: 3},
-			{Aim: 300 * ms, Repeat: scheduler.Keyed, Group: scheduler.SameZone, Window: 2500 * ms, Worth: 2},
-			{Aim: 750 * ms, Repeat: scheduler.Unsafe, Worth: 1},
-			{Aim: 200 * ms, Repeat: scheduler.Keyed, Group: scheduler.SameShard, Window: 900 * ms, Worth: 2, InOrder: true},
-			{Aim: 400 * ms, Repeat: scheduler.Keyed, Group: scheduler.AllNodes, Window: 2000 * ms, Worth: 0.5},
+			{LatencyObjective: 150 * ms, Idempotency: scheduler.Idempotent, Priority: 3},
+			{LatencyObjective: 300 * ms, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameZone, DedupWindow: 2500 * ms, Priority: 2},
+			{LatencyObjective: 750 * ms, Idempotency: scheduler.NotIdempotent, Priority: 1},
+			{LatencyObjective: 200 * ms, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 900 * ms, Priority: 2, InOrder: true},
+			{LatencyObjective: 400 * ms, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.AllNodes, DedupWindow: 2000 * ms, Priority: 0.5},
 		},
 		Plans: []scheduler.Plan{
 			{Weight: 1},
 			{Weight: 2, Reservation: 40},
 			{Weight: 1, Limit: 60, Burst: 90, Slack: 9},
 		},
-		MeanUnits: 2.5, MostUnits: 8, Elsewhere: true, MaxOpen: 150, MaxTries: 3, Probing: true, Cancel: true,
+		MeanUnits: 2.5, MaxUnits: 8, ServedElsewhereTold: true, MaxOpen: 150, MaxAttempts: 3, HealthChecks: true, CancelAttempts: true,
 		RetryAfter: true, MaxRetryAfter: 2000 * ms,
-		ColdFrom: 0.25, Ramp: 10_000 * ms, FallMultiple: 4, FallSpan: 1000 * ms, ColdUnits: 12, KeyRest: 200 * ms,
-		RetrySpan: 5000 * ms, RetrySpare: 10, RetryShare: 0.3,
-		Lease: 2000 * ms, LeaseLast: 30_000 * ms,
+		InitialCapacity: 0.25, SlowStart: 10_000 * ms, OverloadMultiple: 4, OverloadSpan: 1000 * ms, SlowStartUnits: 12, KeyPause: 200 * ms,
+		RetryBudgetSpan: 5000 * ms, RetryBudgetMin: 10, RetryBudgetShare: 0.3,
+		Lease: 2000 * ms, RecordLifetime: 30_000 * ms,
 	}
 }
 
@@ -120,9 +120,9 @@
 	w := &digestWorld{t: t, rng: rand.New(rand.NewPCG(7, 0)), scheduler: s, now: 1_800_000_000_000_000,
 		requests: map[string]*openRequest{}, digest: xxhash.New()}
 	for i := range 12 {
-		w.nodes = append(w.nodes, scheduler.Listing{Node: fmt.Sprint("node-", i), Zone: i % 3, Shard: i % 9})
+		w.nodes = append(w.nodes, scheduler.Endpoint{Node: fmt.Sprint("node-", i), Zone: i % 3, Shard: i % 9})
 	}
-	w.step(scheduler.Nodes{Full: true, List: slices.Clone(w.nodes)})
+	w.step(scheduler.EndpointsChanged{Full: true, Endpoints: slices.Clone(w.nodes)})
 	return w
 }
 
@@ -132,7 +132,7 @@
 	var events []scheduler.Event
 	if w.alarmAt > 0 && w.now >= w.alarmAt {
 		w.alarmAt = 0
-		events = append(events, scheduler.Alarm{})
+		events = append(events, scheduler.TimerFired{})
 	}
 	events = append(events, w.endedAttempts()...)
 	events = append(events, w.answeredProbes()...)
@@ -147,10 +147,10 @@
 			return false
 		}
 		_, owed := w.requests[a.id]
-		e := scheduler.Outcome{ID: a.id, Attempt: a.number, Result: a.result, Latency: w.now - a.sent,
+		e := scheduler.AttemptEnded{ID: a.id, Attempt: a.number, Result: a.result, Latency: w.now - a.sent,
 			Final: a.result == scheduler.OK || !owed, Alive: w.rng.IntN(2) == 0}
 		if w.rng.IntN(4) == 0 {
-			e.Elsewhere = float64(w.rng.IntN(20))
+			e.ServedElsewhere = float64(w.rng.IntN(20))
 		}
 		if e.Final {
 			delete(w.requests, a.id)
@@ -163,7 +163,7 @@
 
 func (w *digestWorld) answeredProbes() (events []scheduler.Event) {
 	for _, node := range w.probes {
-		events = append(events, scheduler.Probed{Node: node, OK: w.rng.IntN(5) > 0, Queue: float64(w.rng.IntN(12) - 1)})
+		events = append(events, scheduler.HealthChecked{Node: node, OK: w.rng.IntN(5) > 0, Queue: float64(w.rng.IntN(12) - 1)})
 	}
 	w.probes = nil
 	return events
@@ -179,18 +179,18 @@
 	case n < 735:
 		return []scheduler.Event{w.changedNode()}
 	case n < 740:
-		return []scheduler.Event{scheduler.Room{Open: 20 + w.rng.IntN(200)}}
+		return []scheduler.Event{scheduler.OpenLimitChanged{MaxOpen: 20 + w.rng.IntN(200)}}
 	case n < 760:
-		return []scheduler.Event{scheduler.Asked{From: w.rng.IntN(4), Node: w.anyNode(), Wish: slowstart.Wish{
-			Units: float64(w.rng.IntN(9)), Least: 1, Shown: slowstart.Shown{Served: 1, Units: 5, Time: 1}}}}
+		return []scheduler.Event{scheduler.CapacityRequested{From: w.rng.IntN(4), Node: w.anyNode(), CapacityRequest: slowstart.CapacityRequest{
+			Units: float64(w.rng.IntN(9)), MinUnits: 1, Report: slowstart.LoadReport{Served: 1, Units: 5, Time: 1}}}}
 	case n < 780:
-		return []scheduler.Event{scheduler.Granted{From: w.rng.IntN(3), Node: w.anyNode(), Units: float64(w.rng.IntN(9)),
-			Until: w.now + scheduler.Micros(w.rng.IntN(100_000))}}
+		return []scheduler.Event{scheduler.CapacityGranted{From: w.rng.IntN(3), Node: w.anyNode(), Units: float64(w.rng.IntN(9)),
+			ValidUntil: w.now + scheduler.Micros(w.rng.IntN(100_000))}}
 	case n < 784:
-		return []scheduler.Event{scheduler.NodeSilent{Node: w.anyNode(), At: w.now}}
+		return []scheduler.Event{scheduler.NodeSilent{Node: w.anyNode(), ObservedAt: w.now}}
 	case n < 794:
 		w.learned()
-		return []scheduler.Event{scheduler.Recorded{There: true, Sure: w.rng.IntN(2) == 0}}
+		return []scheduler.Event{scheduler.StateSaved{Readable: true, Latest: w.rng.IntN(2) == 0}}
 	}
 	return nil
 }
@@ -199,11 +199,11 @@
 	w.created++
 	set := digestSettings()
 	r := scheduler.Request{ID: fmt.Sprint("request-", w.created), Class: w.rng.IntN(len(set.Classes)),
-		Plan: w.rng.IntN(len(set.Plans)), Units: float64(1 + w.rng.IntN(8)), Shard: w.rng.IntN(11) - 1, Hosts: 1 + w.rng.IntN(3),
-		Left: scheduler.Micros(100_000 + w.rng.IntN(2_000_000))}
+		Plan: w.rng.IntN(len(set.Plans)), Units: float64(1 + w.rng.IntN(8)), Shard: w.rng.IntN(11) - 1, Fronts: 1 + w.rng.IntN(3),
+		TimeLeft: scheduler.Micros(100_000 + w.rng.IntN(2_000_000))}
 	r.Volume = fmt.Sprint("volume-", r.Plan, "-", w.rng.IntN(6))
 	r.Key = fmt.Sprint("key-", w.rng.IntN(40))
-	w.requests[r.ID] = &openRequest{deadline: w.now + r.Left}
+	w.requests[r.ID] = &openRequest{deadline: w.now + r.TimeLeft}
 	return r
 }
 
@@ -219,7 +219,7 @@
 	slices.Sort(ids)
 	id := ids[w.rng.IntN(len(ids))]
 	delete(w.requests, id)
-	return []scheduler.Event{scheduler.Lapsed{ID: id}}
+	return []scheduler.Event{scheduler.ClientLeft{ID: id}}
 }
 
 // changedNode drains a node, starts it again, or takes it from the list and brings it back.
@@ -227,13 +227,13 @@
 	n := &w.nodes[w.rng.IntN(len(w.nodes))]
 	switch {
 	case n.State != scheduler.Running:
-		n.State, n.Since = scheduler.Running, w.now
+		n.State, n.StartedAt = scheduler.Running, w.now
 	case w.rng.IntN(2) == 0:
 		n.State = scheduler.Draining
 	default:
-		n.State = scheduler.Gone
+		n.State = scheduler.Removed
 	}
-	return scheduler.Nodes{List: []scheduler.Listing{*n}}
+	return scheduler.EndpointsChanged{Endpoints: []scheduler.Endpoint{*n}}
 }
 
 func (w *digestWorld) anyNode() string { return w.nodes[w.rng.IntN(len(w.nodes))].Node }
@@ -242,8 +242,8 @@
 func (w *digestWorld) learned() {
 	for from := 0; ; {
 		var l scheduler.Learned
-		l, from = w.scheduler.Learned(w.now, from, 16)
-		fmt.Fprintf(w.digest, "%d %d %d;", len(l.Nodes), len(l.Accounts), len(l.Leads))
+		l, from = w.scheduler.ExportLearned(w.now, from, 16)
+		fmt.Fprintf(w.digest, "%d %d %d;", len(l.Nodes), len(l.Volumes), len(l.Flows))
 		if from == 0 {
 			return
 		}
@@ -261,28 +261,28 @@
 // perform adds an action to the digest and carries it out.
 func (w *digestWorld) perform(a scheduler.Action) {
 	switch a := a.(type) {
-	case scheduler.Send:
-		w.add(kindSend, a.ID, a.Node, a.Until)
+	case scheduler.StartAttempt:
+		w.add(kindSend, a.ID, a.Node, a.BeginBy)
 		w.start(a)
-	case scheduler.Refuse:
-		w.add(kindRefuse, a.ID, a.RetryAfter, string(a.Why))
+	case scheduler.Reject:
+		w.add(kindRefuse, a.ID, a.RetryAfter, string(a.Reason))
 		delete(w.requests, a.ID)
 	case scheduler.Fail:
-		w.add(kindFail, a.ID, string(a.Why))
+		w.add(kindFail, a.ID, string(a.Reason))
 		delete(w.requests, a.ID)
-	case scheduler.Cancel:
+	case scheduler.CancelAttempt:
 		w.add(kindCancel, a.ID, a.Attempt)
 		w.cancel(a)
-	case scheduler.Probe:
+	case scheduler.CheckHealth:
 		w.add(kindProbe, a.Node)
 		w.probes = append(w.probes, a.Node)
-	case scheduler.WriteDown:
+	case scheduler.SaveState:
 		w.add(kindWriteDown)
-	case scheduler.Ask:
-		w.add(kindAsk, a.To, a.Node, a.Since, a.Units, a.Least, a.Shown.Served, a.Shown.Units, a.Shown.Time)
-	case scheduler.Grant:
-		w.add(kindGrant, a.To, a.Node, a.Units, a.Until)
-	case scheduler.SetAlarm:
+	case scheduler.RequestCapacity:
+		w.add(kindAsk, a.To, a.Node, a.StartedAt, a.Units, a.MinUnits, a.Report.Served, a.Report.Units, a.Report.Time)
+	case scheduler.GrantCapacity:
+		w.add(kindGrant, a.To, a.Node, a.Units, a.ValidUntil)
+	case scheduler.SetTimer:
 		w.add(kindAlarm, a.At)
 		w.alarmAt = a.At
 	default:
@@ -296,7 +296,7 @@
 }
 
 // start has an attempt end some time later, most of them well; one node of four is slow.
-func (w *digestWorld) start(a scheduler.Send) {
+func (w *digestWorld) start(a scheduler.StartAttempt) {
 	r := w.requests[a.ID]
 	if r == nil {
 		w.t.Fatalf("%s is sent without being owed an answer", a.ID)
@@ -307,7 +307,7 @@
 	}
 	result := scheduler.OK
 	if w.rng.IntN(6) == 0 {
-		result = []scheduler.Result{scheduler.Errored, scheduler.Full, scheduler.TimedOut, scheduler.Unreachable, scheduler.Reset, scheduler.Moot,
+		result = []scheduler.Result{scheduler.Errored, scheduler.QueueFull, scheduler.TimedOut, scheduler.Unreachable, scheduler.Reset, scheduler.NotStarted,
 			scheduler.Expired}[w.rng.IntN(7)]
 	}
 	if result == scheduler.TimedOut {
@@ -319,7 +319,7 @@
 }
 
 // cancel ends an attempt that the scheduler gave up.
-func (w *digestWorld) cancel(c scheduler.Cancel) {
+func (w *digestWorld) cancel(c scheduler.CancelAttempt) {
 	for i := range w.attempts {
 		if a := &w.attempts[i]; a.id == c.ID && a.number == c.Attempt {
 			a.endsAt, a.result = cmp.Or(min(a.endsAt, w.now+1000), w.now), scheduler.Cancelled
--- /dev/null
+++ b/scheduler/dispatch.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+)
+
+// This file decides what is sent, and when.
+
+// dispatch starts the attempts that budgets, order and guards allow.
+func (s *Scheduler) dispatch() {
+	s.rechoosePlacements()
+	var ready []*node
+	for sh := range s.busyShards.All {
+		ready = append(ready, sh.nodes...)
+	}
+	slices.SortFunc(ready, func(a, b *node) int { return a.work.Compare(&b.work) })
+	for _, n := range ready {
+		sh := s.shardFor(n.Shard)
+		for s.dispatchNext(n, sh) {
+		}
+	}
+}
+
+// dispatchNext starts the attempt that is next for a node. It is false where the node gets nothing more
+// now.
+func (s *Scheduler) dispatchNext(n *node, sh *shard) bool {
+	if n.State != Running || sh.queuedUnits <= 0 || n.silentSince != 0 || s.now < n.backoffUntil {
+		return false
+	}
+	r, rank := s.nextRequest(n, sh, math.Inf(1))
+	if r == nil {
+		return false
+	}
+	if s.checkFirst(n) {
+		s.checkHealth(n)
+		return false
+	}
+	if !s.nodeAccepts(n, r, rank) {
+		return false
+	}
+	if !s.slowStartAllows(n, r) {
+		s.requestCapacity(n, sh, r)
+		r, rank = s.nextRequest(n, sh, n.slowStart.Capacity(s.now))
+		if r == nil || !s.nodeAccepts(n, r, rank) {
+			return false
+		}
+	}
+	s.startAttempt(n, sh, r, rank == rankReserved)
+	return true
+}
+
+// nodeAccepts reports whether a node may be sent the request that is next for it. The node's own queue
+// knows no order, so requests of a low rank wait here until that queue is short.
+func (s *Scheduler) nodeAccepts(n *node, r *request, rank int) bool {
+	if n.isOutlier() { // whatever the rank: waiting makes a request late, and late ones wait for others
+		return len(n.pending) == 0
+	}
+	units, count, silent := s.outstanding(n)
+	trialAllowed := count == 0 && (!s.settings.HealthChecks || s.now <= n.lastCheckOK+fastInterval)
+	switch {
+	case rank != rankReserved && s.now < n.throttledUntil,
+		rank == rankLate && (units > 0 || !s.acceptsLate(n)),
+		rank == rankWeight && !n.lowLatency && count > 0,
+		silent && !trialAllowed:
+		return false
+	case len(n.pending) >= maxBudgetRequests, count > 0 && units+r.Units > n.Budget:
+		n.budgetExhausted = true
+		return false
+	}
+	return true
+}
+
+// acceptsLate reports whether a node without outstanding requests may be sent one that misses its
+// objective.
+func (s *Scheduler) acceptsLate(n *node) bool {
+	return n.lowLatency || s.settings.ServeLate || s.now >= n.LatencyUpdated+staleAfter
+}
+
+// Ready reports whether a request that came now would be sent at once, for callers that can wait before
+// they submit it. It is also true where the node is gone or silent, as waiting brings no capacity, and for
+// one request of each volume while others are queued for the shard, or it would never be sent.
+func (s *Scheduler) Ready(now Micros, e Request) bool {
+	s.now = now
+	sh, r := s.shardFor(e.Shard), s.newRequest(e)
+	n := sh.activeNode
+	f, found := s.flows.Get(flowKey{sh, r.volume})
+	if n == nil || n.silentSince > 0 {
+		return true
+	}
+	full := s.settings.MaxOpen > 0 && len(s.requests) >= s.settings.MaxOpen
+	if full || s.now < n.backoffUntil || !s.mayStart(n, r) || !s.slowStartAllows(n, r) {
+		return false
+	}
+	firstOfVolume := sh.queuedUnits > 0 && (!found || len(f.queued) == 0)
+	return firstOfVolume || s.checkFirst(n) || s.nodeAccepts(n, r, s.rankOf(r, s.missesObjective(n, r)))
+}
+
+// startAttempt sends a request to a node, draws its units from the limit and advances the tags.
+func (s *Scheduler) startAttempt(n *node, sh *shard, r *request, reserved bool) {
+	f := r.flow
+	s.dequeue(r)
+	s.drawTokens(r)
+	s.advanceReservation(r, reserved)
+	sh.virtualTime = max(sh.virtualTime, f.weightTag)
+	f.weightTag += r.Units / max(r.volume.plan.Weight, minWeight)
+	f.lastSentAt = s.now
+	if len(r.attempts) > 0 {
+		s.retryBudget.AddRetry(s.now)
+	}
+	if s.inSlowStart(n) {
+		n.slowStart.Sent(s.now, r.Units)
+	}
+	r.attempts = append(r.attempts, attempt{n, s.now})
+	r.outstanding++
+	r.overtaken = 0
+	n.lastSend = s.now
+	s.work.Queue(&n.work)
+	n.pending = append(n.pending, r)
+	for _, controller := range s.latencyControllers(n, r) {
+		controller.outstandingUnits += r.Units
+	}
+	s.actions = append(s.actions, StartAttempt{ID: r.ID, Node: n.Node, BeginBy: r.retryUntil})
+}
--- a/scheduler/example_test.go
+++ b/scheduler/example_test.go
@@ -9,32 +9,32 @@
 // A caller's loop: events go in with the time, actions come out to be carried out.
 func Example() {
 	s, err := scheduler.New(scheduler.Settings{
-		Hosts: 1, Tick: 1000, MeanUnits: 2, MostUnits: 8,
-		Classes: []scheduler.Class{{Aim: 300_000, Worth: 1}},
+		Fronts: 1, Tick: 1000, MeanUnits: 2, MaxUnits: 8,
+		Classes: []scheduler.Class{{LatencyObjective: 300_000, Priority: 1}},
 		Plans:   []scheduler.Plan{{Weight: 1}},
 	}, 1)
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	node := scheduler.Listing{Node: "node-a", Shard: 0}
-	read := scheduler.Request{ID: "read-1", Volume: "vol-1", Units: 2, Hosts: 1, Left: 2_000_000}
+	node := scheduler.Endpoint{Node: "node-a", Shard: 0}
+	read := scheduler.Request{ID: "read-1", Volume: "vol-1", Units: 2, Fronts: 1, TimeLeft: 2_000_000}
 	batches := []struct {
 		now    scheduler.Micros
 		events []scheduler.Event
 	}{
-		{1_000, []scheduler.Event{scheduler.Nodes{Full: true, List: []scheduler.Listing{node}}, read}},
-		{21_000, []scheduler.Event{scheduler.Outcome{ID: "read-1", Latency: 20_000, Final: true}}},
-		{22_000, []scheduler.Event{scheduler.Request{ID: "read-2", Volume: "vol-1", Units: 2, Hosts: 1}}}, // no time left
+		{1_000, []scheduler.Event{scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{node}}, read}},
+		{21_000, []scheduler.Event{scheduler.AttemptEnded{ID: "read-1", Latency: 20_000, Final: true}}},
+		{22_000, []scheduler.Event{scheduler.Request{ID: "read-2", Volume: "vol-1", Units: 2, Fronts: 1}}}, // no time left
 	}
 	for _, b := range batches {
 		for _, action := range s.Step(b.now, b.events) {
 			switch a := action.(type) {
-			case scheduler.Send:
+			case scheduler.StartAttempt:
 				fmt.Println("send", a.ID, "to", a.Node)
-			case scheduler.Refuse:
+			case scheduler.Reject:
 				fmt.Println("refuse", a.ID)
-			case scheduler.Fail, scheduler.Cancel, scheduler.Probe, scheduler.SetAlarm:
+			case scheduler.Fail, scheduler.CancelAttempt, scheduler.CheckHealth, scheduler.SetTimer:
 			}
 		}
 	}
--- a/scheduler/expirymap/expirymap.go
+++ b/scheduler/expirymap/expirymap.go
@@ -4,7 +4,7 @@
 package expirymap
 
 // Table maps keys to values that may expire. New returns an empty one.
-type Table[K comparable, V any] struct {
+type Map[K comparable, V any] struct {
 	byKey   map[K]*entry[K, V]
 	entries []*entry[K, V]
 	next    int // index at which the next sweep goes on
@@ -17,16 +17,16 @@
 }
 
 // New returns an empty table.
-func New[K comparable, V any]() Table[K, V] { return Table[K, V]{byKey: map[K]*entry[K, V]{}} }
+func New[K comparable, V any]() Map[K, V] { return Map[K, V]{byKey: map[K]*entry[K, V]{}} }
 
 // Len returns the number of entries, expired ones that were not swept yet included.
-func (t *Table[K, V]) Len() int { return len(t.entries) }
+func (t *Map[K, V]) Len() int { return len(t.entries) }
 
 // At returns the value at an index from 0 to Len()-1. Indexes change when an entry is removed.
-func (t *Table[K, V]) At(index int) V { return t.entries[index].value }
+func (t *Map[K, V]) At(index int) V { return t.entries[index].value }
 
 // GetOrCreate returns the value of a key. Where there is none, or it has expired, create makes a new one.
-func (t *Table[K, V]) GetOrCreate(key K, expired func(V) bool, create func() V) V {
+func (t *Map[K, V]) GetOrCreate(key K, expired func(V) bool, create func() V) V {
 	e := t.byKey[key]
 	if e != nil && expired(e.value) {
 		t.remove(e)
@@ -40,7 +40,7 @@
 }
 
 // Get returns the value of a key, expired or not, and whether there is one.
-func (t *Table[K, V]) Get(key K) (value V, found bool) {
+func (t *Map[K, V]) Get(key K) (value V, found bool) {
 	if e := t.byKey[key]; e != nil {
 		return e.value, true
 	}
@@ -48,7 +48,7 @@
 }
 
 // Put sets the value of a key.
-func (t *Table[K, V]) Put(key K, value V) {
+func (t *Map[K, V]) Put(key K, value V) {
 	if e := t.byKey[key]; e != nil {
 		e.value = value
 		return
@@ -58,7 +58,7 @@
 }
 
 // Sweep checks the next entries, at most limit of them, and removes those that have expired.
-func (t *Table[K, V]) Sweep(limit int, expired func(V) bool) {
+func (t *Map[K, V]) Sweep(limit int, expired func(V) bool) {
 	for range min(limit, len(t.entries)) {
 		if t.next >= len(t.entries) {
 			t.next = 0
@@ -71,7 +71,7 @@
 	}
 }
 
-func (t *Table[K, V]) remove(e *entry[K, V]) {
+func (t *Map[K, V]) remove(e *entry[K, V]) {
 	last := len(t.entries) - 1
 	t.entries[e.index], t.entries[last].index = t.entries[last], e.index
 	t.entries[last] = nil
--- a/scheduler/expirymap/expirymap_test.go
+++ b/scheduler/expirymap/expirymap_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-func has(t Table[int, int], key int, gone func(int) bool) bool {
+func has(t Map[int, int], key int, gone func(int) bool) bool {
 	v, there := t.Get(key)
 	return there && !gone(v)
 }
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -14,7 +14,7 @@
 	t     *rapid.T
 	s     *Scheduler
 	now   Micros
-	known []Listing
+	known []Endpoint
 	open  map[string]*asked
 	ids   []string // of open, in turn, so that a draw repeats
 	sent  int
@@ -37,44 +37,44 @@
 func (p *peer) step(events ...Event) {
 	for _, a := range p.s.Step(p.now, events) {
 		switch a := a.(type) {
-		case Send:
+		case StartAttempt:
 			r := p.open[a.ID]
 			switch {
 			case r == nil || r.final:
 				p.t.Fatalf("%s is sent after its final answer", a.ID)
 			case r.out:
 				p.t.Fatalf("%s is sent while an attempt is out", a.ID)
-			case r.ran && p.s.set.Classes[r.Class].Repeat == Unsafe:
+			case r.ran && p.s.settings.Classes[r.Class].Idempotency == NotIdempotent:
 				p.t.Fatalf("%s is sent again, it may have run", a.ID)
 			case p.state(a.Node) != Running:
 				p.t.Fatalf("%s is sent to %s, which does not run", a.ID, a.Node)
 			}
-			if r.attempts == 0 && p.s.set.Plans[r.Plan].Limit > 0 {
+			if r.attempts == 0 && p.s.settings.Plans[r.Plan].Limit > 0 {
 				p.spent[r.Volume] += r.Units
-				plan := p.s.set.Plans[r.Plan]
+				plan := p.s.settings.Plans[r.Plan]
 				if most := plan.Burst + plan.Limit*float64(p.now-p.began)/1e6; p.spent[r.Volume] > most+1e-6 {
 					p.t.Fatalf("%s drew %v units, its limit let %v flow in", r.Volume, p.spent[r.Volume], most)
 				}
 			}
 			r.out, r.node, r.attempts = true, a.Node, r.attempts+1
-			if n := len(p.s.byName[a.Node].pending); n > capRequests {
+			if n := len(p.s.nodesByName[a.Node].pending); n > maxBudgetRequests {
 				p.t.Fatalf("%d requests are out at %s", n, a.Node)
 			}
-		case Refuse:
+		case Reject:
 			p.end(a.ID)
 		case Fail:
 			p.end(a.ID)
-		case Cancel:
+		case CancelAttempt:
 			if r := p.open[a.ID]; r == nil || !r.out || a.Attempt != r.attempts-1 {
 				p.t.Fatalf("%s: attempt %d is taken back, which is not out", a.ID, a.Attempt)
 			}
-		case Probe:
+		case CheckHealth:
 			p.probe = append(p.probe, a.Node)
-		case SetAlarm:
+		case SetTimer:
 			p.alarm = a.At
 		}
 	}
-	late := (wakeTicks + 2) * p.s.set.Tick
+	late := (timerTicks + 2) * p.s.settings.Tick
 	for id, r := range p.open {
 		if !r.out && !r.final && p.now > r.deadline+late {
 			p.t.Fatalf("%s is held %v us after its deadline", id, p.now-r.deadline)
@@ -88,7 +88,7 @@
 			return l.State
 		}
 	}
-	return Gone
+	return Removed
 }
 
 // end is a final answer of the scheduler's.
@@ -126,7 +126,7 @@
 
 func (p *peer) answer(id string, result Result) {
 	r := p.open[id]
-	o := Outcome{ID: id, Attempt: r.attempts - 1, Result: result, Latency: 20_000, Final: result == OK && !r.final,
+	o := AttemptEnded{ID: id, Attempt: r.attempts - 1, Result: result, Latency: 20_000, Final: result == OK && !r.final,
 		Alive: result == Reset && p.now%2 == 0}
 	if r.final {
 		o.Final = true
@@ -142,10 +142,10 @@
 // any legal stream of events keeps the promises, and leaves nothing behind once all is over.
 func promises(t *rapid.T) {
 	set := testSettings()
-	set.Peers, set.Hosts = rapid.Bool().Draw(t, "peers"), rapid.SampledFrom([]int{1, 2, 5}).Draw(t, "hosts")
-	set.Cancel, set.MaxOpen = rapid.Bool().Draw(t, "cancel"), rapid.SampledFrom([]int{0, 8, 40}).Draw(t, "most open")
+	set.PeerMessages, set.Fronts = rapid.Bool().Draw(t, "peers"), rapid.SampledFrom([]int{1, 2, 5}).Draw(t, "hosts")
+	set.CancelAttempts, set.MaxOpen = rapid.Bool().Draw(t, "cancel"), rapid.SampledFrom([]int{0, 8, 40}).Draw(t, "most open")
 	if rapid.Bool().Draw(t, "allowance") {
-		set.RetrySpan, set.RetrySpare, set.RetryShare = 5_000_000, 2, 0.2
+		set.RetryBudgetSpan, set.RetryBudgetMin, set.RetryBudgetShare = 5_000_000, 2, 0.2
 	}
 	s, err := New(set, rapid.Int64().Draw(t, "seed"))
 	if err != nil {
@@ -156,13 +156,13 @@
 	list := func(t *rapid.T) {
 		p.known = nil
 		for i := range rapid.IntRange(0, 5).Draw(t, "nodes") {
-			l := Listing{Node: fmt.Sprint("n", i), Shard: i % 4, Zone: i % 2, State: rapid.SampledFrom([]NodeState{Running, Running, Draining}).Draw(t, "state")}
+			l := Endpoint{Node: fmt.Sprint("n", i), Shard: i % 4, Zone: i % 2, State: rapid.SampledFrom([]NodeState{Running, Running, Draining}).Draw(t, "state")}
 			if rapid.IntRange(0, 3).Draw(t, "starts") == 0 {
-				l.Since = p.now
+				l.StartedAt = p.now
 			}
 			p.known = append(p.known, l)
 		}
-		p.step(Nodes{Full: true, List: append([]Listing{}, p.known...)})
+		p.step(EndpointsChanged{Full: true, Endpoints: append([]Endpoint{}, p.known...)})
 	}
 	list(t)
 	t.Repeat(map[string]func(*rapid.T){
@@ -171,10 +171,10 @@
 			p.sent++
 			r := &asked{Request: Request{ID: fmt.Sprint("r", p.sent), Class: rapid.IntRange(0, len(set.Classes)-1).Draw(t, "class"),
 				Plan: rapid.IntRange(0, len(set.Plans)-1).Draw(t, "plan"), Key: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "key"),
-				Units: float64(rapid.IntRange(1, int(set.MostUnits)).Draw(t, "units")), Shard: rapid.IntRange(-1, 4).Draw(t, "shard"),
-				Hosts: 1, Left: Micros(rapid.IntRange(1000, 3_000_000).Draw(t, "left"))}}
+				Units: float64(rapid.IntRange(1, int(set.MaxUnits)).Draw(t, "units")), Shard: rapid.IntRange(-1, 4).Draw(t, "shard"),
+				Fronts: 1, TimeLeft: Micros(rapid.IntRange(1000, 3_000_000).Draw(t, "left"))}}
 			r.Volume = fmt.Sprint("v", r.Plan, rapid.IntRange(0, 2).Draw(t, "volume"))
-			r.deadline = p.now + r.Left
+			r.deadline = p.now + r.TimeLeft
 			p.open[r.ID], p.ids = r, append(p.ids, r.ID)
 			p.step(r.Request)
 		},
@@ -187,28 +187,28 @@
 			if len(p.ids) > 0 {
 				id := rapid.SampledFrom(p.ids).Draw(t, "which")
 				p.forget(id)
-				p.step(Lapsed{ID: id})
+				p.step(ClientLeft{ID: id})
 			}
 		},
 		"probed": func(t *rapid.T) {
 			if len(p.probe) > 0 {
 				node := p.probe[0]
 				p.probe = p.probe[1:]
-				p.step(Probed{Node: node, OK: rapid.Bool().Draw(t, "alive"), Queue: float64(rapid.IntRange(-1, 9).Draw(t, "queue"))})
+				p.step(HealthChecked{Node: node, OK: rapid.Bool().Draw(t, "alive"), Queue: float64(rapid.IntRange(-1, 9).Draw(t, "queue"))})
 			}
 		},
 		"asked": func(t *rapid.T) {
-			p.step(Asked{From: rapid.IntRange(-1, 9).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
-				Wish: slowstart.Wish{Units: float64(rapid.IntRange(0, 9).Draw(t, "units")), Least: 1, Shown: slowstart.Shown{Units: 5, Time: 1}}})
+			p.step(CapacityRequested{From: rapid.IntRange(-1, 9).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
+				CapacityRequest: slowstart.CapacityRequest{Units: float64(rapid.IntRange(0, 9).Draw(t, "units")), MinUnits: 1, Report: slowstart.LoadReport{Units: 5, Time: 1}}})
 		},
 		"granted": func(t *rapid.T) {
-			p.step(Granted{From: rapid.IntRange(0, 4).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
-				Units: rapid.Float64Range(0, 9).Draw(t, "units"), Until: p.now + Micros(rapid.IntRange(-1000, 200_000).Draw(t, "lasts"))})
+			p.step(CapacityGranted{From: rapid.IntRange(0, 4).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
+				Units: rapid.Float64Range(0, 9).Draw(t, "units"), ValidUntil: p.now + Micros(rapid.IntRange(-1000, 200_000).Draw(t, "lasts"))})
 		},
 		"wait": func(t *rapid.T) { p.wait(Micros(rapid.IntRange(1, 700_000).Draw(t, "wait"))) },
 	})
 	for _, id := range p.outs() {
-		p.answer(id, Moot)
+		p.answer(id, NotStarted)
 	}
 	p.wait(4_000_000)
 	if len(p.open) > 0 {
@@ -217,13 +217,13 @@
 	for range 40 {
 		p.wait(2_000_000)
 	}
-	if left := len(s.reqs) + s.volumes.Len() + s.flows.Len() + s.refused.Len() + s.busy.Len() + len(s.allocators); left > 0 {
-		t.Fatalf("%d requests, %d volumes, %d flows, %d refused, %d shards with something held and %d allocators stay", len(s.reqs), s.volumes.Len(),
-			s.flows.Len(), s.refused.Len(), s.busy.Len(), len(s.allocators))
+	if left := len(s.requests) + s.volumes.Len() + s.flows.Len() + s.rejected.Len() + s.busyShards.Len() + len(s.allocators); left > 0 {
+		t.Fatalf("%d requests, %d volumes, %d flows, %d refused, %d shards with something held and %d allocators stay", len(s.requests), s.volumes.Len(),
+			s.flows.Len(), s.rejected.Len(), s.busyShards.Len(), len(s.allocators))
 	}
 	for _, n := range s.nodes {
-		if len(n.pending) > 0 || n.outUnits != 0 {
-			t.Fatalf("%s: %d requests and %v units stay out", n.Node, len(n.pending), n.outUnits)
+		if len(n.pending) > 0 || n.outstandingUnits != 0 {
+			t.Fatalf("%s: %d requests and %v units stay out", n.Node, len(n.pending), n.outstandingUnits)
 		}
 	}
 }
@@ -242,7 +242,7 @@
 			}
 		}
 		p.alarm = 0
-		p.step(Alarm{})
+		p.step(TimerFired{})
 	}
 }
 
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -11,7 +11,7 @@
 // yields, whatever it holds then, and if the successor ends again, before it sent anything or later.
 func TestTwoProcessesDrawAsOne(t *testing.T) {
 	const rate, burst, slack, units = 10.0, 36.0, 6.0, 2.0
-	set := Settings{Hosts: 1, Tick: 1000, MeanUnits: units, MostUnits: 6, Classes: []Class{{Aim: 300_000, Worth: 1}},
+	set := Settings{Fronts: 1, Tick: 1000, MeanUnits: units, MaxUnits: 6, Classes: []Class{{LatencyObjective: 300_000, Priority: 1}},
 		Plans: []Plan{{Weight: 1, Limit: rate, Burst: burst, Slack: slack}}}
 	rapid.Check(t, func(t *rapid.T) {
 		process := func() *Scheduler {
@@ -22,26 +22,26 @@
 			return s
 		}
 		now := Micros(1_000_000)
-		list := Nodes{Full: true, List: []Listing{{Node: "n"}}}
+		list := EndpointsChanged{Full: true, Endpoints: []Endpoint{{Node: "n"}}}
 		sent, n := 0.0, 0
 		level, at := slack/2, now // of the bucket that both have together, which may start with as much
 		step := func(s *Scheduler, events ...Event) {
 			for _, a := range s.Step(now, events) {
-				if send, ok := a.(Send); ok {
+				if send, ok := a.(StartAttempt); ok {
 					sent += units
 					level = min(burst, level+rate*float64(now-at)/float64(second)) - units
 					at = now
 					if level < -slack {
 						t.Fatalf("%v units sent at %d, the bucket stands at %v", sent, now, level)
 					}
-					s.Step(now, []Event{Outcome{ID: send.ID, Result: OK, Final: true, Latency: 1000}})
+					s.Step(now, []Event{AttemptEnded{ID: send.ID, Result: OK, Final: true, Latency: 1000}})
 				}
 			}
 		}
 		ask := func(s *Scheduler, many int) {
 			for range many {
 				n++
-				step(s, Request{ID: fmt.Sprint(n), Volume: "v", Units: units, Hosts: 1, Left: 2_000_000})
+				step(s, Request{ID: fmt.Sprint(n), Volume: "v", Units: units, Fronts: 1, TimeLeft: 2_000_000})
 			}
 		}
 		predecessor := process()
@@ -65,7 +65,7 @@
 					given, began = predecessor.Yield(now)
 					successor, used = process(), false
 					step(successor, list)
-					successor.Succeed(now, given, began)
+					successor.TakeOver(now, given, began)
 				}
 			case 4:
 				if successor != nil {
@@ -76,9 +76,9 @@
 					successor = nil
 				}
 			}
-			step(predecessor, Alarm{})
+			step(predecessor, TimerFired{})
 			if successor != nil {
-				step(successor, Alarm{})
+				step(successor, TimerFired{})
 			}
 		}
 	})
@@ -86,37 +86,37 @@
 
 // A request that is open keeps the attempts that it came with; one that comes later has those of the new settings.
 func TestOpenRequestsKeepTheirClass(t *testing.T) {
-	set := Settings{Hosts: 1, Tick: 1000, MeanUnits: 2, MostUnits: 6, MaxTries: 2, Classes: []Class{{Aim: 300_000, Worth: 1}},
+	set := Settings{Fronts: 1, Tick: 1000, MeanUnits: 2, MaxUnits: 6, MaxAttempts: 2, Classes: []Class{{LatencyObjective: 300_000, Priority: 1}},
 		Plans: []Plan{{Weight: 1}}}
 	s, err := New(set, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	now := Micros(1_000_000)
-	s.Step(now, []Event{Nodes{Full: true, List: []Listing{{Node: "n"}}}})
+	s.Step(now, []Event{EndpointsChanged{Full: true, Endpoints: []Endpoint{{Node: "n"}}}})
 	tries := func(id string, again func()) (sends int) {
-		actions := s.Step(now, []Event{Request{ID: id, Volume: "v", Left: 9_000_000}})
+		actions := s.Step(now, []Event{Request{ID: id, Volume: "v", TimeLeft: 9_000_000}})
 		for sent := true; sent; {
 			sent = false
 			for _, a := range actions {
-				if _, ok := a.(Send); ok {
+				if _, ok := a.(StartAttempt); ok {
 					sends, sent = sends+1, true
 				}
 			}
 			again()
 			now += 1_000_000
-			actions = s.Step(now, []Event{Outcome{ID: id, Attempt: sends - 1, Result: Errored, Latency: 1000}, Alarm{}})
+			actions = s.Step(now, []Event{AttemptEnded{ID: id, Attempt: sends - 1, Result: Errored, Latency: 1000}, TimerFired{}})
 		}
 		return sends
 	}
-	set.MaxTries = 1
-	if got := tries("old", func() { s.Retune(set) }); got != 2 {
+	set.MaxAttempts = 1
+	if got := tries("old", func() { s.Reconfigure(set) }); got != 2 {
 		t.Errorf("a request that was open had %d attempts", got)
 	}
 	if got := tries("new", func() {}); got != 1 {
 		t.Errorf("a later one had %d", got)
 	}
-	if err := s.Retune(Settings{}); err == nil {
+	if err := s.Reconfigure(Settings{}); err == nil {
 		t.Error("settings of nothing were taken")
 	}
 }
--- a/scheduler/helpers_test.go
+++ b/scheduler/helpers_test.go
@@ -10,13 +10,13 @@
 // testSettings are round figures of no deployment.
 func testSettings() Settings {
 	return Settings{
-		Hosts: 2, Tick: ms,
+		Fronts: 2, Tick: ms,
 		Classes: []Class{
-			{Aim: 400 * ms, Repeat: Safe, Worth: 1},
-			{Aim: 400 * ms, Repeat: Keyed, Group: SameShard, Window: 1000 * ms, Worth: 1},
-			{Aim: 400 * ms, Repeat: Unsafe, Worth: 1},
-			{Aim: 400 * ms, Repeat: Safe, InOrder: true, Worth: 1},
-			{Aim: 400 * ms, Repeat: Keyed, Group: AllNodes, Window: 1000 * ms, Worth: 1},
+			{LatencyObjective: 400 * ms, Idempotency: Idempotent, Priority: 1},
+			{LatencyObjective: 400 * ms, Idempotency: IdempotentByKey, DedupScope: SameShard, DedupWindow: 1000 * ms, Priority: 1},
+			{LatencyObjective: 400 * ms, Idempotency: NotIdempotent, Priority: 1},
+			{LatencyObjective: 400 * ms, Idempotency: Idempotent, InOrder: true, Priority: 1},
+			{LatencyObjective: 400 * ms, Idempotency: IdempotentByKey, DedupScope: AllNodes, DedupWindow: 1000 * ms, Priority: 1},
 		},
 		Plans: []Plan{
 			{Weight: 1},
@@ -24,9 +24,9 @@
 			{Weight: 1, Reservation: 100},
 			{Weight: 1, Limit: 10, Burst: 20},
 		},
-		MeanUnits: 2, MostUnits: 8, MaxTries: 3, Probing: true,
-		ColdFrom: 0.25, Ramp: 10000 * ms, FallMultiple: 3, FallSpan: 1000 * ms,
-		ColdUnits: 8, KeyRest: 200 * ms,
+		MeanUnits: 2, MaxUnits: 8, MaxAttempts: 3, HealthChecks: true,
+		InitialCapacity: 0.25, SlowStart: 10000 * ms, OverloadMultiple: 3, OverloadSpan: 1000 * ms,
+		SlowStartUnits: 8, KeyPause: 200 * ms,
 	}
 }
 
@@ -47,16 +47,16 @@
 		t.Fatal(err)
 	}
 	h := &host{t: t, s: s, now: 1000 * second, tries: map[string]int{}}
-	h.step(Nodes{Full: true, List: []Listing{running("a", 0), running("b", 1)}})
+	h.step(EndpointsChanged{Full: true, Endpoints: []Endpoint{running("a", 0), running("b", 1)}})
 	return h
 }
 
-func running(name string, shard int) Listing { return Listing{Node: name, Shard: shard} }
+func running(name string, shard int) Endpoint { return Endpoint{Node: name, Shard: shard} }
 
 func (h *host) step(events ...Event) []Action {
 	h.last = h.s.Step(h.now, events)
 	for _, a := range h.last {
-		if a, ok := a.(Send); ok {
+		if a, ok := a.(StartAttempt); ok {
 			h.tries[a.ID]++
 		}
 	}
@@ -71,17 +71,17 @@
 // idle lets time pass with a wake-up every few milliseconds and gathers the actions.
 func (h *host) idle(d Micros) (all []Action) {
 	for end := h.now + d; h.now < end; {
-		all = append(all, h.after(5*ms, Alarm{})...)
+		all = append(all, h.after(5*ms, TimerFired{})...)
 	}
 	return all
 }
 
-func (h *host) end(id string, result Result, latency Micros) Outcome {
-	return Outcome{ID: id, Attempt: h.tries[id] - 1, Result: result, Latency: latency, Final: result == OK}
+func (h *host) end(id string, result Result, latency Micros) AttemptEnded {
+	return AttemptEnded{ID: id, Attempt: h.tries[id] - 1, Result: result, Latency: latency, Final: result == OK}
 }
 
 func req(id string, edit func(*Request)) Request {
-	r := Request{ID: id, Volume: "v" + id, Units: 2, Hosts: 1, Left: 2000 * ms}
+	r := Request{ID: id, Volume: "v" + id, Units: 2, Fronts: 1, TimeLeft: 2000 * ms}
 	if edit != nil {
 		edit(&r)
 	}
@@ -90,7 +90,7 @@
 
 func sends(actions []Action) (ids []string) {
 	for _, a := range actions {
-		if a, ok := a.(Send); ok {
+		if a, ok := a.(StartAttempt); ok {
 			ids = append(ids, a.ID)
 		}
 	}
@@ -100,7 +100,7 @@
 func finals(actions []Action) (refused, failed []string) {
 	for _, a := range actions {
 		switch a := a.(type) {
-		case Refuse:
+		case Reject:
 			refused = append(refused, a.ID)
 		case Fail:
 			failed = append(failed, a.ID)
--- a/scheduler/late_test.go
+++ b/scheduler/late_test.go
@@ -17,12 +17,12 @@
 		h.after(30*ms, req(id, nil))
 		h.after(latency, h.end(id, OK, latency))
 	}
-	h.wantSends(h.after(50*ms, req("lost", func(r *Request) { r.Left = 4 * second })), "lost")
+	h.wantSends(h.after(50*ms, req("lost", func(r *Request) { r.TimeLeft = 4 * second })), "lost")
 	answerProbes(h, 4*second)
-	h.after(0, Outcome{ID: "lost", Result: TimedOut, Latency: 4 * second, Final: true})
+	h.after(0, AttemptEnded{ID: "lost", Result: TimedOut, Latency: 4 * second, Final: true})
 	for i := range 50 {
 		id := fmt.Sprint("after-", i)
-		h.step(req(id, func(r *Request) { r.Left = second }))
+		h.step(req(id, func(r *Request) { r.TimeLeft = second }))
 		answerProbes(h, 200*ms)
 		if h.tries[id] > 0 {
 			return
@@ -36,8 +36,8 @@
 	for end := h.now + span; h.now < end; {
 		var events []Event
 		for _, node := range probes(h.last) {
-			events = append(events, Probed{Node: node, OK: true, Queue: -1})
+			events = append(events, HealthChecked{Node: node, OK: true, Queue: -1})
 		}
-		h.after(5*ms, append(events, Alarm{})...)
+		h.after(5*ms, append(events, TimerFired{})...)
 	}
 }
--- /dev/null
+++ b/scheduler/latency.go
@@ -0,0 +1,192 @@
+package scheduler
+
+import (
+	"cmp"
+
+	"otterturn/scheduler/curve"
+	"otterturn/scheduler/quantile"
+)
+
+// This file is the latency controller of a node: the two loops of SlowFast CoDel, and what they are fed.
+
+// observe feeds an outcome to the loops and to the judgement of the node's health.
+func (s *Scheduler) observe(n *node, r *request, e AttemptEnded) {
+	switch e.Result {
+	case OK, Errored:
+		s.observeAnswer(n, r, e)
+	case Expired:
+		n.answered(s.now)
+	case QueueFull:
+		// A full queue takes long to empty: what is sent before is rejected again, or late.
+		n.answered(s.now)
+		n.backoffUntil = s.now + queueFullObjectives*s.minObjective
+		n.Budget = max(n.Budget/2, s.settings.MeanUnits)
+	case TimedOut:
+		s.observeTimeout(n, r, e)
+	case Unreachable, Reset:
+		if !e.Alive {
+			s.suspectRestart(n, e.Result)
+		}
+	}
+}
+
+// answered notes that the node showed that it serves.
+func (n *node) answered(now Micros) {
+	n.LastAnswer = now
+	n.silentSince = 0
+}
+
+func (s *Scheduler) observeAnswer(n *node, r *request, e AttemptEnded) {
+	n.answered(s.now)
+	if s.inSlowStart(n) {
+		s.slowStartAnswered(n, r, e.Latency)
+	}
+	if e.Result == Errored {
+		n.ErrorRate += (1 - n.ErrorRate) / errorRateSpan
+	} else {
+		n.ErrorRate -= n.ErrorRate / errorRateSpan
+	}
+	if n.isOutlier() && e.Result == Errored {
+		// What fails does so quickly: as a latency it drew ever more to a node that serves nothing.
+		n.backoffUntil = s.now + s.minObjective/2
+		return
+	}
+	latency := n.normalizeLatency(float64(e.Latency), r.Units, s.settings.MeanUnits)
+	for _, controller := range s.latencyControllers(n, r) {
+		s.work.Activate(&controller.work)
+		s.updateLatency(controller, latency)
+		controller.addAnswer(latency, r.Units)
+	}
+}
+
+// addAnswer adds an answer to the current intervals of the loops.
+func (n *node) addAnswer(latency, units float64) {
+	n.slowMinLatency = min(latency, cmp.Or(n.slowMinLatency, latency))
+	n.fastMinLatency = min(latency, cmp.Or(n.fastMinLatency, latency))
+	n.slowServed += units
+	n.slowLatency += latency
+	n.slowAnswers++
+}
+
+// observeTimeout takes an attempt that timed out for lost if later ones were answered, else for slow.
+func (s *Scheduler) observeTimeout(n *node, r *request, e AttemptEnded) {
+	if r.overtaken >= lostAfterAnswers {
+		n.lastLoss = s.now
+	} else {
+		for _, controller := range s.latencyControllers(n, r) {
+			s.updateLatency(controller, float64(e.Latency))
+		}
+	}
+	if n.LastAnswer < s.now-s.silenceTimeout(n) {
+		n.silentSince = cmp.Or(n.silentSince, s.now)
+	}
+}
+
+// suspectRestart takes a failed connection for the end of the node's process: what answers next may be in
+// slow start before the endpoint list says so. An answer may also be lost, or a connection break, without
+// that: a health check that is due at once will tell.
+func (s *Scheduler) suspectRestart(n *node, result Result) {
+	switch {
+	case result == Unreachable:
+		n.brokenAt = 0
+	case n.brokenAt == 0:
+		n.suspectedBefore = n.SuspectedRestart
+		n.brokenAt = s.now
+	}
+	n.silentSince = cmp.Or(n.silentSince, s.now)
+	n.SuspectedRestart = s.now
+	n.nextCheck = s.now
+	s.resetSlowStart(n)
+}
+
+// latencyControllers are those of the queues that an attempt waits in: the node's, and for a new object
+// that of the pool of all nodes too. One of many fronts meets a node too seldom to see an overload: some
+// node always seems quick, and all fronts overload it.
+func (s *Scheduler) latencyControllers(n *node, r *request) []*node {
+	if r.newObject {
+		return []*node{n, s.placementPool}
+	}
+	return []*node{n}
+}
+
+// updateLatency smooths the latency of answers and time-outs. One request of each of many fronts fills a
+// node, and a budget below one request would need more answers than a front gets. So what is not reserved
+// is throttled, the longer the further the last two latencies were over the target: a slow interval at
+// most.
+func (s *Scheduler) updateLatency(n *node, latency float64) {
+	n.SmoothedLatency = cmp.Or(n.SmoothedLatency, latency)
+	n.SmoothedLatency += (latency - n.SmoothedLatency) / latencySpan
+	over := min(latency, n.PreviousLatency) / max(n.Target, float64(s.minObjective)/2)
+	if over > 1 && n.Budget <= s.settings.MeanUnits {
+		n.throttledUntil = s.now + min(slowInterval, Micros(latency*(over*over-1)))
+	}
+	n.PreviousLatency = latency
+	n.LatencyUpdated = s.now
+	if n == s.placementPool {
+		return
+	}
+	s.slowShare -= s.slowShare / slowShareSpan
+	if latency > float64(s.minObjective) {
+		s.slowShare += 1.0 / slowShareSpan
+	}
+}
+
+// normalizeLatency scales a latency to a request of mean size. Else small requests, and retries that the
+// node has cached, set a minimum that no other reaches. A unit's time is a low quantile, the rest is
+// waiting.
+func (n *node) normalizeLatency(latency, units, meanUnits float64) float64 {
+	n.UnitTime = quantile.Low(n.UnitTime, latency/units)
+	waiting := max(0, latency-units*n.UnitTime)
+	return waiting + meanUnits*n.UnitTime
+}
+
+// fastLoop is Queuing Budget Adjusting CoDel.
+func (s *Scheduler) fastLoop(n *node) {
+	if !n.work.Fast.Ended(s.now) {
+		return
+	}
+	if n.fastMinLatency > 0 {
+		s.adjustBudget(n)
+	}
+	s.work.RestartFast(&n.work)
+}
+
+// adjustBudget moves the budget by the lowest latency of the fast interval. All fronts together grow by one
+// mean request.
+func (s *Scheduler) adjustBudget(n *node) {
+	n.lowLatency = n.fastMinLatency <= n.Target/2
+	switch {
+	case n.fastMinLatency > n.Target:
+		n.Budget *= n.Target / n.fastMinLatency
+	case n.budgetExhausted:
+		n.Budget += s.settings.MeanUnits / float64(s.settings.Fronts)
+	}
+	n.Budget = min(max(n.Budget, s.settings.MeanUnits), maxBudgetRequests*s.settings.MeanUnits)
+	n.fastMinLatency = 0
+	n.budgetExhausted = false
+}
+
+// slowLoop adds a point to the throughput-latency curve; the target is where its slope meets the trade-off.
+func (s *Scheduler) slowLoop(n *node) {
+	if !n.work.Slow.Ended(s.now) {
+		return
+	}
+	end, _ := n.work.Slow.SeparateEnd()
+	if n.slowAnswers > 0 && end > 0 {
+		s.adjustTarget(n, float64(s.now-end+slowInterval)/float64(second))
+	}
+	n.slowServed, n.slowLatency, n.slowAnswers, n.slowMinLatency = 0, 0, 0, 0
+	s.work.RestartSlow(&n.work)
+}
+
+// adjustTarget adds what the node showed over a span, in seconds, to its curve.
+func (s *Scheduler) adjustTarget(n *node, span float64) {
+	point := curve.Point{
+		Throughput: n.slowServed / span,
+		Latency:    n.slowLatency / n.slowAnswers,
+		Low:        n.slowMinLatency,
+	}
+	n.Curve = n.Curve.Add(point, curvePoints)
+	latency, lowest := n.Curve.LatencyAtSlope(curveSlope)
+	n.Target = max(2*lowest, min(latency, float64(s.minObjective)/2))
+}
--- a/scheduler/learned.go
+++ b/scheduler/learned.go
@@ -6,125 +6,143 @@
 	"otterturn/scheduler/tokenbucket"
 )
 
-// Fresh are the habits of a node that nothing is known of.
-func (s *Scheduler) Fresh() Habits {
-	return Habits{Budget: 4 * s.set.MeanUnits, Target: float64(s.aim) / 2}
-}
-
-// Learned returns what is known, in parts of up to n entries, so that a caller can let events in between: the
-// part from a place on, 0 at first, and the next place, 0 where nothing follows. Volumes and nodes that come
-// or go meanwhile may be missing, or named twice; a volume that is missing may draw no more than its lease.
-func (s *Scheduler) Learned(now Micros, from, n int) (Learned, int) {
+// ExportLearned returns what is known, in parts of up to limit entries, so that a caller can let events in between: the part
+// from an index on, 0 at first, and the next index, 0 where nothing follows. Volumes and nodes that come or go meanwhile may
+// be missing, or named twice; a volume that is missing may draw no more than its lease.
+func (s *Scheduler) ExportLearned(now Micros, from, limit int) (part Learned, next int) {
 	s.now = max(s.now, now)
-	out := Learned{At: s.now}
-	nodes, accounts := len(s.nodes), s.volumes.Len()
-	for end := from + n; from < end && from < nodes+accounts+s.flows.Len(); from++ {
-		switch i := from - nodes; {
-		case i < 0:
-			k := Known{s.nodes[from].Listing, s.nodes[from].Habits}
-			k.Curve = slices.Clone(k.Curve)
-			out.Nodes = append(out.Nodes, k)
-		case i < accounts:
-			out.Accounts = s.account(out.Accounts, s.volumes.At(i))
+	part = Learned{At: s.now}
+	nodes, volumes, flows := len(s.nodes), s.volumes.Len(), s.flows.Len()
+	end := min(from+limit, nodes+volumes+flows)
+	for i := from; i < end; i++ {
+		switch {
+		case i < nodes:
+			part.Nodes = append(part.Nodes, s.nodes[i].learned())
+		case i < nodes+volumes:
+			part.Volumes = s.appendUsage(part.Volumes, s.volumes.At(i-nodes))
 		default:
-			out.Leads = s.flows.At(i-accounts).lead(out.Leads, s.now)
+			part.Flows = s.flows.At(i-nodes-volumes).appendLead(part.Flows, s.now)
 		}
 	}
-	if from >= nodes+accounts+s.flows.Len() {
-		from = 0
+	if end == nodes+volumes+flows {
+		return part, 0
 	}
-	return out, from
+	return part, end
+}
+
+// learned returns a copy of what is known of a node.
+func (n *node) learned() LearnedNode {
+	out := LearnedNode{n.Endpoint, n.NodeStats}
+	out.Curve = slices.Clone(out.Curve)
+	return out
 }
 
-// account adds what a volume has used, unless it would come back as it is from nothing.
-func (s *Scheduler) account(out []Account, v *volume) []Account {
-	s.fill(v)
-	if s.idle(v, s.now) {
+// usage returns what a volume has used, without its bucket.
+func (v *volume) usage() VolumeUsage {
+	return VolumeUsage{Volume: v.name, Plan: v.planIndex, Fronts: v.fronts, ReservationTag: v.reservationTag}
+}
+
+// appendUsage adds what a volume has used, unless it would come back as it is from nothing.
+func (s *Scheduler) appendUsage(out []VolumeUsage, v *volume) []VolumeUsage {
+	s.refill(v)
+	if s.volumeIdle(v, s.now) {
 		return out
 	}
-	a := Account{Volume: v.name, Plan: v.index, Hosts: v.hosts, Reserve: v.reserve}
+	usage := v.usage()
 	if v.plan.Limit > 0 {
-		a.Bucket = v.bucket.Record(s.lease(v), s.set.LeaseLast)
+		usage.Bucket = v.bucket.Record(s.lease(v), s.settings.RecordLifetime)
 	}
-	return append(out, a)
+	return append(out, usage)
 }
 
 // lease is what a volume may draw ahead of the next record, in units: a largest request at least.
-func (s *Scheduler) lease(v *volume) float64 { return v.rate()*float64(s.set.Lease) + s.set.MostUnits }
+func (s *Scheduler) lease(v *volume) float64 {
+	return v.limitRate()*float64(s.settings.Lease) + s.settings.MaxUnits
+}
 
-// lead adds a flow's weight tag, if it is ahead of the shard's virtual time and counts yet.
-func (f *flow) lead(out []Lead, now Micros) []Lead {
-	if ahead := f.weight - f.shard.virtual; ahead > 0 && now <= f.last+curvePoints*slowInterval {
-		out = append(out, Lead{Volume: f.vol.name, Plan: f.vol.index, Shard: f.shard.id, Units: ahead, Last: f.last})
+// appendLead adds a flow's weight tag, if it is ahead of the shard's virtual time and counts yet.
+func (f *flow) appendLead(out []FlowLead, now Micros) []FlowLead {
+	ahead := f.weightTag - f.shard.virtualTime
+	if ahead <= 0 || now > f.lastSentAt+curvePoints*slowInterval {
+		return out
 	}
-	return out
+	lead := FlowLead{Volume: f.volume.name, Plan: f.volume.planIndex, Shard: f.shard.id, Units: ahead, LastSend: f.lastSentAt}
+	return append(out, lead)
 }
 
-// Forget drops what was learned of a node or of a volume, as an operator wishes; no name is for none. What a volume
-// drew from its limit can't be forgotten, or it could draw it again: its store is empty then.
+// stateSaved takes in the result of the last record.
+func (s *Scheduler) stateSaved(e StateSaved) {
+	for i := range s.volumes.Len() {
+		s.volumes.At(i).bucket.RecordSaved(e.Readable, e.Latest)
+	}
+}
+
+// Forget drops what was learned of a node or of a volume, as an operator wishes; no name is for none. What a volume drew from
+// its limit can't be forgotten, or it could draw it again: its bucket is empty then.
 func (s *Scheduler) Forget(node, volume string) {
-	if n := s.byName[node]; n != nil {
-		s.agenda.Touch(&n.entry)
-		suspect := n.Suspect
-		n.Habits = s.Fresh()
-		n.Suspect = suspect
+	if n := s.nodesByName[node]; n != nil {
+		s.work.Queue(&n.work)
+		suspected := n.SuspectedRestart
+		n.NodeStats = s.NewNodeStats()
+		n.SuspectedRestart = suspected
+	}
+	v, found := s.volumes.Get(volume)
+	if !found {
+		return
 	}
-	if v, has := s.volumes.Get(volume); has {
-		v.reserve, v.bucket.Level = 0, 0
-		for _, sh := range s.shards {
-			if f, has := s.flows.Get(flowKey{sh, v}); has {
-				f.weight = sh.virtual
-			}
+	v.reservationTag = 0
+	v.bucket.Level = 0
+	for _, sh := range s.shards {
+		if f, found := s.flows.Get(flowKey{sh, v}); found {
+			f.weightTag = sh.virtualTime
 		}
 	}
 }
 
-// Recall takes over what an earlier self learned, ahead of the first request. Nodes have to be in the list by
-// then, with the same start; what is said of others is passed over. A budget is taken over as it is: the
-// caller sees to it that it opens no node wider than a fresh one's.
-func (s *Scheduler) Recall(now Micros, l Learned) {
-	s.now, s.began = max(s.now, now), max(s.began, now)
-	for _, k := range l.Nodes {
-		if n := s.byName[k.Node]; n != nil && n.Since == k.Since {
-			s.agenda.Touch(&n.entry)
-			n.Habits = k.Habits
-			n.Curve = slices.Clone(k.Curve)
-		}
+// ImportLearned takes over what a former process learned, ahead of the first request. Nodes have to be in the endpoint list
+// by then, with the same start; what is said of others is passed over. A budget is taken over as it is: the caller sees to it
+// that it opens no node wider than an unknown one's.
+func (s *Scheduler) ImportLearned(now Micros, l Learned) {
+	s.now = max(s.now, now)
+	s.startedAt = max(s.startedAt, now)
+	for _, learned := range l.Nodes {
+		s.importNode(learned)
 	}
-	for _, a := range l.Accounts {
-		if a.Plan < 0 || a.Plan >= len(s.set.Plans) {
-			continue
-		}
-		v := s.volume(Request{Volume: a.Volume, Plan: a.Plan, Hosts: int(a.Hosts)})
-		v.reserve = a.Reserve
-		if v.plan.Limit > 0 {
-			v.bucket = tokenbucket.Recovered(a.Bucket, s.now, v.rate(), v.plan.Burst/v.hosts)
+	for _, usage := range l.Volumes {
+		if s.hasPlan(usage.Plan) {
+			s.importVolume(usage)
 		}
 	}
-	for _, ahead := range l.Leads {
-		if ahead.Plan < 0 || ahead.Plan >= len(s.set.Plans) {
-			continue
+	for _, lead := range l.Flows {
+		if s.hasPlan(lead.Plan) {
+			s.importFlow(lead)
 		}
-		sh := s.shard(ahead.Shard)
-		f := s.flow(sh, s.volume(Request{Volume: ahead.Volume, Plan: ahead.Plan}))
-		f.weight, f.last = sh.virtual+ahead.Units, ahead.Last
 	}
 }
 
-// expired tells that a flow's weight tag counts no more.
-func (s *Scheduler) expired(f *flow) bool {
-	return len(f.held) == 0 && f.emptied < s.now && f.emptied <= s.sweptAt && s.sweptAt > f.last+curvePoints*slowInterval
+func (s *Scheduler) hasPlan(index int) bool { return index >= 0 && index < len(s.settings.Plans) }
+
+func (s *Scheduler) importNode(learned LearnedNode) {
+	n := s.nodesByName[learned.Node]
+	if n == nil || n.StartedAt != learned.StartedAt {
+		return
+	}
+	s.work.Queue(&n.work)
+	n.NodeStats = learned.NodeStats
+	n.Curve = slices.Clone(n.Curve)
 }
 
-// forgotten tells that a volume was idle as of the last time that counts, and nothing was asked of it since.
-func (s *Scheduler) forgotten(v *volume) bool {
-	return v.open == 0 && v.closed <= s.sweptAt && v.bucket.At <= s.sweptAt && !v.bucket.IsBound(s.sweptAt) &&
-		s.idle(v, s.sweptAt)
+func (s *Scheduler) importVolume(usage VolumeUsage) {
+	v := s.volumeFor(Request{Volume: usage.Volume, Plan: usage.Plan, Fronts: int(usage.Fronts)})
+	v.reservationTag = usage.ReservationTag
+	if v.plan.Limit > 0 {
+		v.bucket = tokenbucket.Recovered(usage.Bucket, s.now, v.limitRate(), v.plan.Burst/v.fronts)
+	}
 }
 
-// idle tells that a volume would come back as it is.
-func (s *Scheduler) idle(v *volume, at Micros) bool {
-	full := v.plan.Limit <= 0 || v.bucket.Level+v.rate()*float64(at-v.bucket.At) >= v.plan.Burst/v.hosts
-	rate := s.reservation(v)
-	return v.open == 0 && full && (rate == 0 || v.reserve <= float64(at-second)-s.set.MostUnits/rate)
+func (s *Scheduler) importFlow(lead FlowLead) {
+	sh := s.shardFor(lead.Shard)
+	f := s.flowFor(sh, s.volumeFor(Request{Volume: lead.Volume, Plan: lead.Plan}))
+	f.weightTag = sh.virtualTime + lead.Units
+	f.lastSentAt = lead.LastSend
 }
--- a/scheduler/module_test.go
+++ b/scheduler/module_test.go
@@ -32,7 +32,7 @@
 func TestNothingPilesUp(t *testing.T) {
 	for _, span := range []Micros{0, 1000 * ms} {
 		set := testSettings()
-		set.RetrySpan = span
+		set.RetryBudgetSpan = span
 		h := newHost(t, set)
 		for i := range 500 {
 			id := fmt.Sprintf("r%d", i)
@@ -41,7 +41,7 @@
 			o.Final = true
 			h.after(10*ms, o)
 		}
-		if left := len(h.s.reqs); left > 0 {
+		if left := len(h.s.requests); left > 0 {
 			t.Errorf("%d requests left", left)
 		}
 	}
@@ -50,24 +50,24 @@
 func TestOddEvents(t *testing.T) {
 	h := newHost(t, testSettings())
 	h.step()
-	h.step(Outcome{ID: "?"}, Lapsed{ID: "?"}, Probed{Node: "?"}, Alarm{})
+	h.step(AttemptEnded{ID: "?"}, ClientLeft{ID: "?"}, HealthChecked{Node: "?"}, TimerFired{})
 	refused, _ := finals(h.step(req("x", func(r *Request) { r.Class = 9 })))
 	if !reflect.DeepEqual(refused, []string{"x"}) {
 		t.Errorf("refused %v", refused)
 	}
-	h.wantSends(h.step(req("y", func(r *Request) { r.Units, r.Hosts = 0, 0 })), "y")
+	h.wantSends(h.step(req("y", func(r *Request) { r.Units, r.Fronts = 0, 0 })), "y")
 	h.step(h.end("y", OK, ms), h.end("y", OK, ms))
 }
 
 func TestUnusableSettings(t *testing.T) {
 	cases := map[string]func(*Settings){
-		"Tick":      func(s *Settings) { s.Tick = 0 },
-		"MeanUnits": func(s *Settings) { s.MeanUnits = 0 },
-		"ColdFrom":  func(s *Settings) { s.ColdFrom = 0 },
-		"Classes":   func(s *Settings) { s.Classes = nil },
-		"Plans":     func(s *Settings) { s.Plans = nil },
-		"Aim":       func(s *Settings) { s.Classes[0].Aim = 0 },
-		"Burst":     func(s *Settings) { s.Plans[3].Burst = 0 },
+		"Tick":             func(s *Settings) { s.Tick = 0 },
+		"MeanUnits":        func(s *Settings) { s.MeanUnits = 0 },
+		"InitialCapacity":  func(s *Settings) { s.InitialCapacity = 0 },
+		"Classes":          func(s *Settings) { s.Classes = nil },
+		"Plans":            func(s *Settings) { s.Plans = nil },
+		"LatencyObjective": func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
+		"Burst":            func(s *Settings) { s.Plans[3].Burst = 0 },
 	}
 	for field, edit := range cases {
 		set := testSettings()
--- a/scheduler/nodes.go
+++ b/scheduler/nodes.go
@@ -1,197 +1,168 @@
-package scheduler // Nodes: the list, their health, and the guard of those that may be cold.
+package scheduler
 
 import (
 	"cmp"
-	"slices"
 
-	"otterturn/scheduler/slowstart"
 	"otterturn/scheduler/worklist"
 )
 
-type node struct {
-	Listing
-	Habits
-	entry           worklist.Entry[Micros, *node]
-	outUnits        float64
-	pending         []*request // sent, without an outcome, oldest first
-	minLatency      float64    // of this fast interval, 0 without an answer
-	wasFull         bool
-	calm            bool // the last minimum was within half the target, about the lowest latency
-	lastSend        Micros
-	served, latency float64 // units and summed latencies of this slow interval
-	answers, low    float64
-	mute            Micros                  // silent since then, after a failure or time-out
-	lossAt          Micros                  // last attempt that timed out though later ones were answered
-	scouted         Micros                  // last answer or failure of a probe
-	heard           Micros                  // last answer to a probe
-	probing         bool                    // a probe is out
-	probed, probeAt Micros                  // last probe sent; not to be probed before
-	broke, former   Micros                  // a connection broke, unprobed yet; suspect before
-	pausedTo        Micros                  // what is not reserved waits until then
-	fullTo          Micros                  // turned a request away not long before
-	cold            slowstart.Guard[Micros] // what may be sent while it is cold
-}
-
-// learn takes over the node list. A node that is missing from a full list is gone.
-func (s *Scheduler) learn(e Nodes) {
-	if e.Full {
-		for _, n := range s.nodes {
-			n.State = Gone
-		}
-	}
-	for _, l := range e.List {
-		n := s.byName[l.Node]
-		if n == nil {
-			n = &node{Habits: s.Fresh(), calm: true, cold: s.cold.NewGuard()}
-			s.agenda.Enter(&n.entry, n)
-			s.byName[l.Node] = n
-			s.nodes = append(s.nodes, n)
-		}
-		if l.Since != n.Since {
-			n.Suspect, n.mute, n.Usual, n.pausedTo, n.calm, n.Errors = 0, 0, 0, 0, true, 0
-			s.anew(n)
-		}
-		n.Listing = l
-	}
-	for _, sh := range s.shards {
-		if sh.nodes = nil; sh.node != nil && sh.node.State != Running {
-			sh.node, sh.since = nil, s.now
-		}
-	}
-	for _, n := range s.nodes {
-		s.agenda.Touch(&n.entry)
-		if sh := s.shard(n.Shard); n.State == Running {
-			sh.node, sh.nodes = n, append(sh.nodes, n)
-		}
-	}
-	s.nodes = slices.DeleteFunc(s.nodes, func(n *node) bool {
-		// What a cold node was sent counts until it is warm, also where it leaves the list and comes back.
-		gone := n.State == Gone && len(n.pending) == 0 && !s.isCold(n)
-		if gone {
-			delete(s.byName, n.Node)
-			s.agenda.Leave(&n.entry)
-		}
-		return gone
-	})
-}
+// This file keeps the endpoint list and judges the health of nodes.
 
-// watchAt is when a node is to be watched next.
-func (s *Scheduler) watchAt(n *node) Micros {
-	at := Micros(worklist.Never)
-	if s.set.Probing && n.mute > 0 && n.State == Running {
-		at = n.probeAt
+// nextReview is when a node is to be reviewed next.
+func (s *Scheduler) nextReview(n *node) Micros {
+	next := Micros(worklist.Never)
+	if s.settings.HealthChecks && n.silentSince > 0 && n.State == Running {
+		next = n.nextCheck
 	}
 	switch {
 	case len(n.pending) == 0:
-		return at
-	case s.lossy(n):
+		return next
+	case s.hasRecentLoss(n):
 		return s.now
 	}
-	return min(at, s.now-s.waiting(n)+s.stallAfter(n)+1)
+	return min(next, s.now-s.owingFor(n)+s.silenceTimeout(n)+1)
 }
 
-// failing tells that most of a node's answers are errors. It gets one request at a time, each a while after
-// the last error, and no new objects. Could hurt where requests of one kind alone fail.
-func (n *node) failing() bool { return n.Errors > 0.5 }
+// isOutlier reports whether most of a node's answers are errors. It gets one request at a time, each a
+// while after the last error, and no new objects.
+func (n *node) isOutlier() bool { return n.ErrorRate > outlierErrorRate }
 
-// stallAfter is how long a node may be without any answer before it counts as silent.
-func (s *Scheduler) stallAfter(n *node) Micros { return max(s.aim, Micros(4*n.Usual)) }
+// silenceTimeout is how long a node may be without any answer before it counts as silent.
+func (s *Scheduler) silenceTimeout(n *node) Micros {
+	return max(s.minObjective, Micros(4*n.SmoothedLatency))
+}
 
-// waiting is for how long the node has owed an answer: a node that slows down shows that first.
-func (s *Scheduler) waiting(n *node) Micros {
+// owingFor is for how long the node has owed an answer: a node that slows down shows that first.
+func (s *Scheduler) owingFor(n *node) Micros {
 	if len(n.pending) == 0 {
 		return 0
 	}
-	return s.now - max(n.pending[0].lastSend(), n.Answered)
+	return s.now - max(n.pending[0].lastSentAt(), n.LastAnswer)
 }
 
-// expected is how long the node usually takes for a request of this size.
-func (s *Scheduler) expected(n *node, r *request) Micros {
-	return Micros(n.Usual + (r.Units-s.set.MeanUnits)*n.Unit)
+// lastSentAt is when the last attempt was sent.
+func (r *request) lastSentAt() Micros { return r.attempts[len(r.attempts)-1].sentAt }
+
+// expectedLatency is how long the node usually takes for a request of this size.
+func (s *Scheduler) expectedLatency(n *node, r *request) Micros {
+	return Micros(n.SmoothedLatency + (r.Units-s.settings.MeanUnits)*n.UnitTime)
 }
 
-// overdue tells that a request's attempt has been out for much longer than the node usually takes.
-func (s *Scheduler) overdue(n *node, r *request) bool {
-	return s.now-r.lastSend() > cmp.Or(overdueTimes*s.expected(n, r), s.aim)
+// isOverdue reports whether a request's attempt has been outstanding for much longer than the node usually
+// takes.
+func (s *Scheduler) isOverdue(n *node, r *request) bool {
+	return s.now-r.lastSentAt() > cmp.Or(overdueFactor*s.expectedLatency(n, r), s.minObjective)
 }
 
-// lossy tells that not long ago an attempt ran into its deadline though later ones were answered.
-func (s *Scheduler) lossy(n *node) bool {
-	return n.lossAt > 0 && s.now < n.lossAt+curvePoints*slowInterval
+// hasRecentLoss reports whether not long ago an attempt ran into its deadline though later ones were
+// answered.
+func (s *Scheduler) hasRecentLoss(n *node) bool {
+	return n.lastLoss > 0 && s.now < n.lastLoss+curvePoints*slowInterval
 }
 
-// live is what counts against the budget: in doubt nothing overdue, which is lost if overtaken, else silence.
-func (s *Scheduler) live(n *node) (units float64, count int, silent bool) {
-	if !s.lossy(n) && s.waiting(n) <= s.stallAfter(n) {
-		return n.outUnits, len(n.pending), false
+// outstanding is what counts against the budget. Where the node is silent or loses attempts nothing overdue
+// counts: it is lost if it was overtaken, and a sign of silence if not.
+func (s *Scheduler) outstanding(n *node) (units float64, count int, silent bool) {
+	if !s.hasRecentLoss(n) && s.owingFor(n) <= s.silenceTimeout(n) {
+		return n.outstandingUnits, len(n.pending), false
 	}
 	for _, r := range n.pending {
 		switch {
-		case !s.overdue(n, r):
+		case !s.isOverdue(n, r):
 			units += r.Units
 			count++
-		case r.overtaken < lostAfter:
+		case r.overtaken < lostAfterAnswers:
 			silent = true
 		}
 	}
 	return units, count, silent
 }
 
-// watch probes a node that failed or may be silent, until it answers, and cancels attempts lost while it
-// answers others, if another one can be in time. Could do work twice where a node is slow for some requests.
-func (s *Scheduler) watch(n *node) {
-	_, _, silent := s.live(n)
-	if s.set.Probing && n.State == Running && (n.mute > 0 || silent) && s.now >= n.probeAt {
-		s.probe(n)
+// reviewNode checks a node that failed or may be silent, until it answers, and cancels attempts that were
+// lost while it answers others, if a retry can be in time.
+func (s *Scheduler) reviewNode(n *node) {
+	_, _, silent := s.outstanding(n)
+	checkDue := s.settings.HealthChecks && n.State == Running && s.now >= n.nextCheck
+	if checkDue && (n.silentSince > 0 || silent) {
+		s.checkHealth(n)
 	}
 	for _, r := range n.pending {
-		lost := s.lossy(n) && r.overtaken >= lostAfter && s.overdue(n, r) && !r.cancelled && !r.done
-		may := s.set.Cancel && r.class.Repeat != Unsafe && s.mayRepeat(r) && s.allowance.Left(s.now)
-		if lost && may && s.now+s.expected(n, r) < r.deadline-s.margin() {
+		if s.isLost(n, r) && s.mayCancel(n, r) {
 			r.cancelled = true
-			s.out = append(s.out, Cancel{ID: r.ID, Attempt: len(r.sends) - 1})
+			s.actions = append(s.actions, CancelAttempt{ID: r.ID, Attempt: len(r.attempts) - 1})
 		}
 	}
 }
 
-func (s *Scheduler) probe(n *node) {
-	if !n.probing {
-		s.agenda.Touch(&n.entry)
-		n.probing, n.probed, n.probeAt = true, s.now, s.now+max(fastInterval, (s.now-n.lastSend)/8)
-		s.out = append(s.out, Probe{Node: n.Node})
+// isLost reports whether a request's attempt is taken for lost.
+func (s *Scheduler) isLost(n *node, r *request) bool {
+	return s.hasRecentLoss(n) && r.overtaken >= lostAfterAnswers && s.isOverdue(n, r)
+}
+
+// mayCancel reports whether a request's attempt may be cancelled, and a retry be answered in time.
+func (s *Scheduler) mayCancel(n *node, r *request) bool {
+	if !s.settings.CancelAttempts || r.cancelled || r.finished || r.class.Idempotency == NotIdempotent {
+		return false
 	}
+	inTime := s.now+s.expectedLatency(n, r) < r.deadline-s.sendMargin()
+	return inTime && s.mayRetry(r) && s.retryBudget.Allows(s.now)
 }
 
-func (s *Scheduler) probed(e Probed) {
-	n := s.byName[e.Node]
+// checkHealth asks for a health check of a node, unless one is running.
+func (s *Scheduler) checkHealth(n *node) {
+	if n.checkRunning {
+		return
+	}
+	s.work.Queue(&n.work)
+	n.checkRunning = true
+	n.lastCheckSent = s.now
+	n.nextCheck = s.now + max(fastInterval, (s.now-n.lastSend)/8)
+	s.actions = append(s.actions, CheckHealth{Node: n.Node})
+}
+
+// healthChecked takes in the result of a health check.
+func (s *Scheduler) healthChecked(e HealthChecked) {
+	n := s.nodesByName[e.Node]
 	if n == nil {
 		return
 	}
-	s.agenda.Touch(&n.entry)
-	n.probing = false
-	if e.OK && n.probed < n.Suspect { // sent before the last failure
+	s.work.Queue(&n.work)
+	n.checkRunning = false
+	if e.OK && n.lastCheckSent < n.SuspectedRestart { // sent before the last failure
 		return
 	}
-	// A dead process can't answer what was sent as it broke. Could hurt if one restarts as fast.
-	if e.OK && n.broke > 0 && n.probed <= n.Suspect+fastInterval && s.now < n.probed+s.aim {
-		n.Suspect = n.former
+	// A process that died can't answer what was sent as it broke.
+	sentAtBreak := n.lastCheckSent <= n.SuspectedRestart+fastInterval
+	if e.OK && n.brokenAt > 0 && sentAtBreak && s.now < n.lastCheckSent+s.minObjective {
+		n.SuspectedRestart = n.suspectedBefore
 	}
-	n.broke, n.scouted = 0, s.now
-	if e.OK {
-		n.mute, n.heard = 0, s.now
+	n.brokenAt = 0
+	n.lastCheckResult = s.now
+	if !e.OK {
+		return
 	}
-	if each := n.Unit * s.set.MeanUnits; e.OK && e.Queue >= 0 { // what waits there bounds the usual latency
-		n.Usual, n.Judged = min(n.Usual, each*(1+e.Queue)), s.now
-		if each*e.Queue > float64(s.aim) {
-			n.Usual = max(n.Usual, each*e.Queue)
-		}
+	n.silentSince = 0
+	n.lastCheckOK = s.now
+	if e.Queue >= 0 {
+		s.boundLatency(n, e.Queue)
+	}
+}
+
+// boundLatency bounds the usual latency by the number of requests that wait at the node.
+func (s *Scheduler) boundLatency(n *node, queue float64) {
+	each := n.UnitTime * s.settings.MeanUnits
+	n.SmoothedLatency = min(n.SmoothedLatency, each*(1+queue))
+	n.LatencyUpdated = s.now
+	if each*queue > float64(s.minObjective) {
+		n.SmoothedLatency = max(n.SmoothedLatency, each*queue)
 	}
 }
 
-// wary tells that a probe goes ahead of a request: where slow answers are not rare, or the node was slow, and
-// it was not heard of for a slow interval. Otherwise each of many hosts would find out by a slow request of
-// its own that a node is overloaded, and never that it is free. Could hurt where a queue soon grows.
-func (s *Scheduler) wary(n *node) bool {
-	slow := s.slow > 1.0/seldom || n.Usual > float64(s.aim)
-	return s.set.Probing && slow && s.now > max(n.Judged, n.scouted)+slowInterval
+// checkFirst reports whether a health check goes ahead of a request: where slow answers are not rare, or
+// the node was slow, and nothing was heard of it for a slow interval. Otherwise each of many fronts would
+// find out by a slow request of its own that a node is overloaded, and never that it is free.
+func (s *Scheduler) checkFirst(n *node) bool {
+	slow := s.slowShare > 1.0/slowShareSpan || n.SmoothedLatency > float64(s.minObjective)
+	unheard := s.now > max(n.LatencyUpdated, n.lastCheckResult)+slowInterval
+	return s.settings.HealthChecks && slow && unheard
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -1,87 +1,130 @@
-package scheduler // mClock order of what is held, and the guards of each request.
+package scheduler
 
 import "cmp"
 
-// Ranks in which held requests leave.
+// This file is the mClock order of what is queued, with the guards of each request.
+
+// Ranks in which queued requests are sent.
 const (
 	rankReserved = iota // a reservation tag is due
 	rankWeight          // by weight tag
-	rankLate            // can't meet its aim any more
+	rankLate            // the objective can't be met any more
 	rankNone
 )
 
-// pick is mClock: the earliest due reservation tag, else the smallest weight tag. Requests that can no longer
-// meet their aim come after all that can. None is larger than the most units that there is room for.
-func (s *Scheduler) pick(n *node, sh *shard, most float64) (best *request, rank int) {
-	rank, bestTag := rankNone, 0.0
-	for f := range sh.busy.All {
-		s.fill(f.vol)
-		r, late := s.head(n, f, most)
+// nextRequest is mClock: the earliest due reservation tag, else the smallest weight tag. Requests that miss
+// their objective come after all others. None is larger than maxUnits.
+func (s *Scheduler) nextRequest(n *node, sh *shard, maxUnits float64) (best *request, bestRank int) {
+	bestRank, bestTag := rankNone, 0.0
+	for f := range sh.busyFlows.All {
+		s.refill(f.volume)
+		r, late := s.flowHead(n, f, maxUnits)
 		if r == nil {
 			continue
 		}
-		k, tag := s.rank(r, late), f.weight
-		if k == rankReserved {
-			tag = f.vol.reserve
+		rank, tag := s.rankOf(r, late), f.weightTag
+		if rank == rankReserved {
+			tag = f.volume.reservationTag
 		}
-		if k < rank || k == rank && tag < bestTag {
-			best, rank, bestTag = r, k, tag
+		if rank < bestRank || rank == bestRank && tag < bestTag {
+			best, bestRank, bestTag = r, rank, tag
 		}
 	}
-	return best, rank
+	return best, bestRank
 }
 
-func (s *Scheduler) rank(r *request, late bool) int {
+func (s *Scheduler) rankOf(r *request, late bool) int {
 	switch {
 	case late:
 		return rankLate
-	case s.due(r):
+	case s.reservationDue(r):
 		return rankReserved
 	}
 	return rankWeight
 }
 
-// due tells that the reservation tag of a request's volume is due.
-func (s *Scheduler) due(r *request) bool {
-	return r.vol.plan.Reservation > 0 && r.vol.reserve+s.kept(r) <= float64(s.now)
+// reservationDue reports whether the reservation tag of a request's volume is due.
+func (s *Scheduler) reservationDue(r *request) bool {
+	v := r.volume
+	return v.plan.Reservation > 0 && v.reservationTag+s.reservationReserve(r) <= float64(s.now)
 }
 
-// before is the order within a flow: what is worth more for its units, then the later aim. In the order of
-// arrival an overloaded flow would serve all at the edge of their aims. Could hurt the few that wait.
-func before(a, b *request) bool {
-	return cmp.Or(cmp.Compare(b.class.Worth, a.class.Worth), cmp.Compare(b.aimAt, a.aimAt)) < 0
+// reservationReserve is how much of a reservation's store waits for requests of a higher priority, as time.
+func (s *Scheduler) reservationReserve(r *request) float64 {
+	return s.lowerPriority(r) / 2 * (float64(second) + s.settings.MaxUnits/s.reservationRate(r.volume))
 }
 
-// head is the next request of a flow, one that can't meet its aim only if none can.
-func (s *Scheduler) head(n *node, f *flow, most float64) (best *request, late bool) {
-	late = true
-	for _, r := range f.held {
-		l := s.late(n, r)
-		first := best == nil || !l && late || l == late && before(r, best)
-		if first && r.Units <= most && s.eligible(n, r) {
-			best, late = r, l
+// lowerPriority is by how much a request's priority is below the highest one, from 0 to 1.
+func (s *Scheduler) lowerPriority(r *request) float64 { return 1 - r.class.Priority/s.maxPriority }
+
+// servedBefore is the order within a flow: the higher priority, then the later objective. In the order of
+// arrival an overloaded flow would serve all at the edge of their objectives.
+func servedBefore(a, b *request) bool {
+	byPriority := cmp.Compare(b.class.Priority, a.class.Priority)
+	return cmp.Or(byPriority, cmp.Compare(b.objectiveAt, a.objectiveAt)) < 0
+}
+
+// flowHead is the next request of a flow that may start, one that misses its objective only if all do.
+func (s *Scheduler) flowHead(n *node, f *flow, maxUnits float64) (best *request, bestLate bool) {
+	bestLate = true
+	for _, r := range f.queued {
+		late := s.missesObjective(n, r)
+		first := best == nil || !late && bestLate || late == bestLate && servedBefore(r, best)
+		if first && r.Units <= maxUnits && s.mayStart(n, r) {
+			best, bestLate = r, late
 		}
 	}
-	return best, late
+	return best, bestLate
 }
 
-func (s *Scheduler) late(n *node, r *request) bool { return s.now+s.expected(n, r) > r.aimAt }
+// missesObjective reports whether an attempt that started now would be answered too late.
+func (s *Scheduler) missesObjective(n *node, r *request) bool {
+	return s.now+s.expectedLatency(n, r) > r.objectiveAt
+}
 
-// eligible asks the guards whether a request may be sent now.
-func (s *Scheduler) eligible(n *node, r *request) bool {
-	v, c, p := r.vol, r.class, s.pool
-	// A bucket that runs low keeps tokens for what is worth more than this request.
-	keep := v.plan.Burst / v.hosts * (1 - c.Worth/s.worth) / 2
-	switch {
-	case v.plan.Limit > 0 && !r.drawn && !v.bucket.Bears(s.now, r.Units, keep),
-		s.now >= r.deadline-s.margin() || !s.mayRepeat(r) || len(r.sends) > 0 && !s.allowance.Left(s.now),
-		r.ran != nil && c.Repeat == Keyed && c.Group == SameShard && n.Shard != r.ran.node.Shard,
-		r.ran != nil && c.Repeat == Keyed && c.Group == SameZone && n.Zone != r.ran.node.Zone,
-		c.InOrder && !s.byKey.MayStart(r.Key, r, s.now, r.ran != nil):
+// mayStart asks the guards of a request whether an attempt at a node may start now.
+func (s *Scheduler) mayStart(n *node, r *request) bool {
+	outOfTime := s.now >= r.deadline-s.sendMargin()
+	overBudget := len(r.attempts) > 0 && !s.retryBudget.Allows(s.now)
+	inTurn := !r.class.InOrder || s.keyQueues.MayStart(r.Key, r, s.now, r.mayHaveRun != nil)
+	if !s.withinLimit(r) || outOfTime || !s.mayRetry(r) || overBudget || !r.deduplicatedAt(n) || !inTurn {
 		return false
-	case r.placed && !s.due(r) && (s.now < p.pausedTo || p.outUnits > 0 && p.outUnits+r.Units > p.Budget):
-		p.wasFull = true
+	}
+	pool := s.placementPool
+	if r.newObject && !s.reservationDue(r) && (s.now < pool.throttledUntil || pool.exceedsBudget(r)) {
+		pool.budgetExhausted = true
 		return false
 	}
 	return true
 }
+
+// withinLimit reports whether the limit's bucket has the units of a request. One that runs low keeps tokens
+// for requests of a higher priority.
+func (s *Scheduler) withinLimit(r *request) bool {
+	v := r.volume
+	if v.plan.Limit <= 0 || r.tokensDrawn {
+		return true
+	}
+	keep := v.plan.Burst / v.fronts * s.lowerPriority(r) / 2
+	return v.bucket.Allows(s.now, r.Units, keep)
+}
+
+// deduplicatedAt reports whether a retry at a node is dropped there if an earlier attempt ran.
+func (r *request) deduplicatedAt(n *node) bool {
+	if r.mayHaveRun == nil || r.class.Idempotency != IdempotentByKey {
+		return true
+	}
+	former := r.mayHaveRun.node
+	switch r.class.DedupScope {
+	case SameShard:
+		return n.Shard == former.Shard
+	case SameZone:
+		return n.Zone == former.Zone
+	}
+	return true
+}
+
+// exceedsBudget reports whether a request passes the budget beside what is outstanding.
+func (n *node) exceedsBudget(r *request) bool {
+	return n.outstandingUnits > 0 && n.outstandingUnits+r.Units > n.Budget
+}
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -10,7 +10,7 @@
 // every object, and knows none. They go where it was answered lately, unless that is slower by more than a little.
 func TestNewObjectsGoWhereTheHostWasAnsweredLately(t *testing.T) {
 	h := newHost(t, testSettings())
-	h.step(Nodes{Full: true, List: []Listing{running("a", 0), running("b", 1), running("c", 2), running("d", 3)}})
+	h.step(EndpointsChanged{Full: true, Endpoints: []Endpoint{running("a", 0), running("b", 1), running("c", 2), running("d", 3)}})
 	fresh := func(r *Request) { r.Shard = -1 }
 	h.wantSends(h.after(ms, req("x", func(r *Request) { r.Shard = 2 })), "x")
 	h.after(50*ms, h.end("x", OK, 50*ms))
@@ -19,7 +19,7 @@
 		out := h.after(100*ms, req(id, fresh))
 		h.wantSends(out, id)
 		for _, a := range out {
-			if send, is := a.(Send); is && send.Node != "c" {
+			if send, is := a.(StartAttempt); is && send.Node != "c" {
 				t.Fatalf("object %d goes to %s", i, send.Node)
 			}
 		}
@@ -30,19 +30,19 @@
 // Among many hosts each node is met too seldom for its own news: what one node shows of new objects holds for
 // all.
 func TestNewObjectsWaitForTheNewsOfAllNodes(t *testing.T) {
-	fresh := func(r *Request) { r.Shard, r.Left = -1, 20*second }
+	fresh := func(r *Request) { r.Shard, r.TimeLeft = -1, 20*second }
 	for _, c := range []struct {
 		latency Micros
 		sent    int // of four more new objects
 	}{{40 * ms, 4}, {1900 * ms, 1}} {
 		set := testSettings()
-		set.Hosts = 100
+		set.Fronts = 100
 		h := newHost(t, set)
-		var list []Listing
+		var list []Endpoint
 		for i := range 20 {
 			list = append(list, running(fmt.Sprintf("n%d", i), i))
 		}
-		h.step(Nodes{Full: true, List: list})
+		h.step(EndpointsChanged{Full: true, Endpoints: list})
 		for i := range 2 { // by two answers of two nodes
 			id := fmt.Sprintf("w%d", i)
 			h.wantSends(h.step(req(id, fresh)), id)
@@ -51,10 +51,10 @@
 		actions := h.step(req("old", func(r *Request) { r.Shard = 15 }), req("x0", fresh), req("x1", fresh),
 			req("x2", fresh), req("x3", fresh))
 		for range 5 { // probes go ahead and find no queue
-			events := []Event{Alarm{}}
+			events := []Event{TimerFired{}}
 			for _, a := range actions {
-				if p, ok := a.(Probe); ok {
-					events = append(events, Probed{Node: p.Node, OK: true})
+				if p, ok := a.(CheckHealth); ok {
+					events = append(events, HealthChecked{Node: p.Node, OK: true})
 				}
 			}
 			actions = h.after(ms, events...)
@@ -68,12 +68,12 @@
 func TestNewObjectsAvoidANodeThatOwesAnAnswer(t *testing.T) {
 	h := newHost(t, testSettings())
 	h.step(req("x", nil), req("y", func(r *Request) { r.Shard = 1 }))
-	y := Outcome{ID: "y", Result: OK, Latency: 100 * ms, Final: true}
+	y := AttemptEnded{ID: "y", Result: OK, Latency: 100 * ms, Final: true}
 	h.after(100*ms, h.end("x", OK, 50*ms), y)
 	h.step(req("u", func(r *Request) { r.Units = 1 }))
-	h.s.byName["a"].outUnits = 0 // only what it owes tells
+	h.s.nodesByName["a"].outstandingUnits = 0 // only what it owes tells
 	a := h.after(300*ms, req("w", func(r *Request) { r.Shard = -1 }))
-	if !slices.Contains(a, Action(Send{ID: "w", Node: "b"})) {
+	if !slices.Contains(a, Action(StartAttempt{ID: "w", Node: "b"})) {
 		t.Errorf("actions %v", a)
 	}
 }
@@ -81,11 +81,11 @@
 func TestNewObjectsGoWhereThereIsRoom(t *testing.T) {
 	h := newHost(t, testSettings())
 	feed(h, 3, 20*ms)
-	h.s.byName["b"].Usual = h.s.byName["a"].Usual
+	h.s.nodesByName["b"].SmoothedLatency = h.s.nodesByName["a"].SmoothedLatency
 	at := map[string]int{}
 	for i := range 8 {
 		for _, a := range h.step(req(fmt.Sprintf("n%d", i), func(r *Request) { r.Shard = -1 })) {
-			if a, ok := a.(Send); ok {
+			if a, ok := a.(StartAttempt); ok {
 				at[a.Node]++
 			}
 		}
@@ -93,9 +93,9 @@
 	if at["a"] < 1 || at["b"] < 1 {
 		t.Errorf("sends by node: %v", at)
 	}
-	h.step(Nodes{List: []Listing{{Node: "b", Shard: 1, State: Draining}}})
+	h.step(EndpointsChanged{Endpoints: []Endpoint{{Node: "b", Shard: 1, State: Draining}}})
 	for _, a := range h.step(req("late", func(r *Request) { r.Shard = -1 })) {
-		if a, ok := a.(Send); ok && a.Node == "b" {
+		if a, ok := a.(StartAttempt); ok && a.Node == "b" {
 			t.Error("sent to a draining node")
 		}
 	}
@@ -111,11 +111,11 @@
 	for i := range 4 {
 		id := fmt.Sprint("error-", i)
 		h.wantSends(h.after(20*ms, req(id, nil)), id)
-		h.step(h.end(id, Errored, ms), Lapsed{ID: id})
+		h.step(h.end(id, Errored, ms), ClientLeft{ID: id})
 	}
 	for i := range 5 {
 		id := fmt.Sprint("object-", i)
-		if a := h.after(20*ms, req(id, object)); !slices.Contains(a, Action(Send{ID: id, Node: "b"})) {
+		if a := h.after(20*ms, req(id, object)); !slices.Contains(a, Action(StartAttempt{ID: id, Node: "b"})) {
 			t.Errorf("a new object: %v, want it sent to b", a)
 		}
 		h.step(h.end(id, OK, 20*ms))
--- /dev/null
+++ b/scheduler/query.go
@@ -0,0 +1,27 @@
+package scheduler
+
+// AvoidedNodes returns how many nodes are on the endpoint list and get nothing new now, by the list or by what they showed.
+func (s *Scheduler) AvoidedNodes(now Micros) (count int) {
+	for _, n := range s.nodes {
+		backsOff := n.silentSince > 0 || now < n.backoffUntil || n.isOutlier()
+		if n.State != Removed && (n.State != Running || backsOff) {
+			count++
+		}
+	}
+	return count
+}
+
+// NodeFor returns the node to which a request would be sent now, "" for none, and its shard. A long request goes there ahead
+// of its end, on which alone the scheduler decides.
+func (s *Scheduler) NodeFor(now Micros, e Request) (node string, shard int) {
+	s.now = max(s.now, now)
+	shard = e.Shard
+	if shard < 0 {
+		shard = s.choosePlacement(s.newRequest(e))
+	}
+	n := s.shardFor(shard).activeNode
+	if shard >= 0 && n != nil && n.silentSince == 0 {
+		node = n.Node
+	}
+	return node, shard
+}
--- a/scheduler/quotas_test.go
+++ b/scheduler/quotas_test.go
@@ -8,7 +8,7 @@
 
 func TestLimitIsNeverPassed(t *testing.T) {
 	h := newHost(t, testSettings())
-	limited := func(r *Request) { r.Plan, r.Volume, r.Hosts, r.Units = 3, "v", 2, 1 }
+	limited := func(r *Request) { r.Plan, r.Volume, r.Fronts, r.Units = 3, "v", 2, 1 }
 	start, units := h.now, 0.0
 	for i := range 2000 {
 		id := "r" + string(rune('A'+i/64)) + string(rune('0'+i%64))
@@ -37,7 +37,7 @@
 		var hosts [2]*host
 		for i := range hosts {
 			hosts[i] = newHost(t, set)
-			hosts[i].now, hosts[i].s.now, hosts[i].s.began = now, now, now
+			hosts[i].now, hosts[i].s.now, hosts[i].s.startedAt = now, now, now
 		}
 		for step := range 20_000 {
 			if start < 2 && step > 20 { // it is killed again
@@ -47,7 +47,7 @@
 			for _, h := range hosts {
 				h.now = now
 				id := fmt.Sprint("r", start, "-", step)
-				out := sends(h.step(req(id, func(r *Request) { r.Plan, r.Volume, r.Hosts, r.Units = 3, "v", 2, 1 })))
+				out := sends(h.step(req(id, func(r *Request) { r.Plan, r.Volume, r.Fronts, r.Units = 3, "v", 2, 1 })))
 				if step == 0 && len(out) == 0 {
 					t.Error("nothing leaves at the start")
 				}
@@ -68,10 +68,10 @@
 func TestLimitHoldsBehindACut(t *testing.T) {
 	for _, result := range []Result{Unreachable, TimedOut} {
 		set := testSettings()
-		set.MaxTries, set.Ramp = 0, 0
+		set.MaxAttempts, set.SlowStart = 0, 0
 		h := newHost(t, set)
 		h.now += 10 * second // the bucket is full
-		limited := func(r *Request) { r.Plan, r.Volume, r.Hosts, r.Units, r.Left = 3, "v", 2, 1, 60*second }
+		limited := func(r *Request) { r.Plan, r.Volume, r.Fronts, r.Units, r.TimeLeft = 3, "v", 2, 1, 60*second }
 		counted, level, at := map[string]bool{}, 10.0, h.now
 		for i := range 3000 {
 			cut := i >= 200 && i < 1200
@@ -90,14 +90,14 @@
 				back = append(back, h.end(x, OK, ms))
 			}
 			for _, a := range h.last {
-				if p, is := a.(Probe); is {
-					back = append(back, Probed{Node: p.Node, OK: !cut, Queue: -1})
+				if p, is := a.(CheckHealth); is {
+					back = append(back, HealthChecked{Node: p.Node, OK: !cut, Queue: -1})
 				}
 			}
 			if i%20 == 0 {
 				back = append(back, req(fmt.Sprint("r", i), limited))
 			}
-			h.after(5*ms, append(back, Alarm{})...)
+			h.after(5*ms, append(back, TimerFired{})...)
 		}
 		if len(counted) < 50 {
 			t.Errorf("%v: only %d requests in 15 s", result, len(counted))
@@ -107,10 +107,10 @@
 
 func TestLowBucketKeepsTokensForWhatIsWorthMore(t *testing.T) {
 	set := testSettings()
-	set.Classes[4].Worth = 4
+	set.Classes[4].Priority = 4
 	h := newHost(t, set)
 	limited := func(class int) func(*Request) {
-		return func(r *Request) { r.Class, r.Plan, r.Volume, r.Left = class, 3, "v", 20*second }
+		return func(r *Request) { r.Class, r.Plan, r.Volume, r.TimeLeft = class, 3, "v", 20*second }
 	}
 	h.step(req("x", limited(0)))
 	h.idle(350 * ms) // 3.5 units, of which a part of 20 keeps 7.5 from the class worth a quarter
@@ -122,17 +122,17 @@
 
 func TestLowReservationIsKeptForWhatIsWorthMore(t *testing.T) {
 	set := testSettings()
-	set.Classes[4].Worth = 4
+	set.Classes[4].Priority = 4
 	h := newHost(t, set)
-	v := h.s.volume(req("x", func(r *Request) { r.Plan, r.Volume = 2, "v" }))
-	v.reserve = float64(h.now - 100*ms)
-	f := &flow{vol: v}
+	v := h.s.volumeFor(req("x", func(r *Request) { r.Plan, r.Volume = 2, "v" }))
+	v.reservationTag = float64(h.now - 100*ms)
+	f := &flow{volume: v}
 	var sh shard
-	sh.busy.Add(0, f)
+	sh.busyFlows.Add(0, f)
 	for class, want := range map[int]int{0: rankWeight, 4: rankReserved} {
-		f.held = []*request{{Request: Request{Units: 2}, class: &set.Classes[class], vol: v,
-			aimAt: h.now + second, deadline: h.now + 2*second}}
-		if _, rank := h.s.pick(h.s.byName["a"], &sh, math.Inf(1)); rank != want {
+		f.queued = []*request{{Request: Request{Units: 2}, class: &set.Classes[class], volume: v,
+			objectiveAt: h.now + second, deadline: h.now + 2*second}}
+		if _, rank := h.s.nextRequest(h.s.nodesByName["a"], &sh, math.Inf(1)); rank != want {
 			t.Errorf("class %d leaves at rank %d, want %d", class, rank, want)
 		}
 	}
@@ -141,16 +141,16 @@
 func TestServiceElsewhereAdvancesTheReservation(t *testing.T) {
 	for _, told := range []bool{true, false} {
 		set := testSettings()
-		set.Elsewhere = told
+		set.ServedElsewhereTold = told
 		h := newHost(t, set)
-		reserved := func(r *Request) { r.Plan, r.Volume, r.Hosts = 2, "v", 2 }
+		reserved := func(r *Request) { r.Plan, r.Volume, r.Fronts = 2, "v", 2 }
 		h.step(req("x", reserved))
 		o := h.end("x", OK, 10*ms)
-		o.Elsewhere = 1000
+		o.ServedElsewhere = 1000
 		h.after(10*ms, o)
 		// The even part is 50 units a second; told, the volume has had its second and more of the whole 100.
 		v, _ := h.s.volumes.Get("v")
-		if due := v.reserve+1 <= float64(h.now); due == told {
+		if due := v.reservationTag+1 <= float64(h.now); due == told {
 			t.Errorf("told %v: tag due %v", told, due)
 		}
 	}
--- a/scheduler/repeats_test.go
+++ b/scheduler/repeats_test.go
@@ -17,19 +17,19 @@
 		{"keyed after an error", 1, Errored, true, false},
 		{"unsafe after an error", 2, Errored, false, false},
 		{"unsafe after a reset", 2, Reset, false, false},
-		{"unsafe turned away", 2, Full, true, false},
+		{"unsafe turned away", 2, QueueFull, true, false},
 		{"unsafe never connected", 2, Unreachable, true, false},
-		{"unsafe moot", 2, Moot, true, false},
+		{"unsafe moot", 2, NotStarted, true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			set := testSettings()
-			set.Ramp = 0
+			set.SlowStart = 0
 			h := newHost(t, set)
 			h.step(req("x", func(r *Request) { r.Class = c.class }))
 			a := h.after(10*ms, h.end("x", c.result, 10*ms))
 			refused, failed := finals(a)
-			a = append(a, h.after(1000*ms, Probed{Node: "a", OK: true})...)
+			a = append(a, h.after(1000*ms, HealthChecked{Node: "a", OK: true})...)
 			if got := len(sends(a)) > 0; got != c.again {
 				t.Errorf("sent again: %v", got)
 			}
@@ -63,7 +63,7 @@
 
 func TestRetryAllowance(t *testing.T) {
 	set := testSettings()
-	set.RetrySpan, set.RetrySpare, set.RetryShare = 1000*ms, 1, 0.1
+	set.RetryBudgetSpan, set.RetryBudgetMin, set.RetryBudgetShare = 1000*ms, 1, 0.1
 	h := newHost(t, set)
 	h.step(req("x", nil))
 	h.wantSends(h.after(10*ms, h.end("x", Errored, 10*ms)), "x")
@@ -85,12 +85,12 @@
 // lossyHost has seen one attempt run into its deadline though two later ones were answered.
 func lossyHost(t *testing.T) *host {
 	set := testSettings()
-	set.Cancel = true
+	set.CancelAttempts = true
 	h := newHost(t, set)
 	h.wantSends(h.step(req("x", nil), req("y", nil), req("z", nil)), "x", "y", "z")
 	h.after(20*ms, h.end("y", OK, 20*ms), h.end("z", OK, 20*ms))
 	h.after(1980*ms, h.end("x", TimedOut, 2000*ms))
-	h.after(ms, Probed{Node: "a", OK: true})
+	h.after(ms, HealthChecked{Node: "a", OK: true})
 	return h
 }
 
@@ -102,11 +102,11 @@
 		h.after(20*ms, h.end("v", OK, 20*ms), h.end("w", OK, 20*ms))
 		var cancels []Action
 		for _, a := range h.after(out - 20*ms) {
-			if _, ok := a.(Cancel); ok {
+			if _, ok := a.(CancelAttempt); ok {
 				cancels = append(cancels, a)
 			}
 		}
-		if !reflect.DeepEqual(cancels, []Action{Cancel{ID: "u", Attempt: 0}}) {
+		if !reflect.DeepEqual(cancels, []Action{CancelAttempt{ID: "u", Attempt: 0}}) {
 			t.Errorf("cancels %v", cancels)
 		}
 		h.wantSends(h.after(ms, h.end("u", Cancelled, out)), "u")
@@ -115,12 +115,12 @@
 
 func TestAttemptIsLeftAloneWhereNoneWasLost(t *testing.T) {
 	set := testSettings()
-	set.Cancel = true
+	set.CancelAttempts = true
 	h := newHost(t, set)
 	h.step(req("u", nil), req("v", nil), req("w", nil))
 	h.after(20*ms, h.end("v", OK, 20*ms), h.end("w", OK, 20*ms))
 	for _, a := range h.idle(1000 * ms) {
-		if _, ok := a.(Cancel); ok {
+		if _, ok := a.(CancelAttempt); ok {
 			t.Errorf("cancelled: %v", a)
 		}
 	}
--- a/scheduler/slowstart/allocator.go
+++ b/scheduler/slowstart/allocator.go
@@ -16,41 +16,41 @@
 }
 
 type report[T ~int64] struct {
-	Shown
-	host int
-	at   T
+	LoadReport
+	front int
+	at    T
 }
 
 type request[T ~int64] struct {
-	Wish
-	host int
-	at   T
+	CapacityRequest
+	front int
+	at    T
 }
 
 // Shown is what a node has shown a host of its capacity, in units.
-type Shown struct {
+type LoadReport struct {
 	Served float64 // answered since it told last
 	Units  float64 // answered since it started,
 	Time   float64 // one by one in so many spans
 }
 
 // Wish is for room, in units.
-type Wish struct {
-	Units float64 // for the request that is next; 0 for nothing
-	Least float64 // for the smallest, if there is no room for that
-	Shown Shown
+type CapacityRequest struct {
+	Units    float64    // for the request that is next; 0 for nothing
+	MinUnits float64    `cbor:"Least"` // for the smallest, if there is no room for that
+	Report   LoadReport `cbor:"Shown"`
 }
 
 // Grant is so many units for a host, to be sent until a time.
 type Grant[T ~int64] struct {
-	Host  int
-	Units float64
-	Until T
+	Front      int
+	Units      float64
+	ValidUntil T
 }
 
 // NewAllocator returns an allocator that granted nothing yet.
 func (c *Config[T]) NewAllocator() *Allocator[T] {
-	return &Allocator[T]{config: c, granted: window.Of(c.GrantLifetime()), served: window.Of(c.Span)}
+	return &Allocator[T]{config: c, granted: window.New(c.GrantLifetime()), served: window.New(c.OverloadSpan)}
 }
 
 // Reset forgets what the node showed, where it may have begun anew: it may be far slower now.
@@ -61,23 +61,25 @@
 
 // Report takes in what a host has seen of the node's speed, in the place of what it told before. It counts for a while
 // after the host asked last: a node becomes no slower while it warms, and of many hosts few ask at a time.
-func (r *Allocator[T]) Report(now T, host int, s Shown) {
-	if s.Served > 0 && !slices.ContainsFunc(r.reports, func(t report[T]) bool { return t.host == host && t.Shown == s }) {
+func (r *Allocator[T]) Report(now T, host int, s LoadReport) {
+	if s.Served > 0 && !slices.ContainsFunc(r.reports, func(t report[T]) bool { return t.front == host && t.LoadReport == s }) {
 		r.served.Add(now, s.Served) // a message that came twice tells once
 	}
-	r.reports = slices.DeleteFunc(r.reports, func(t report[T]) bool { return t.host == host || !r.recent(now, t) })
+	r.reports = slices.DeleteFunc(r.reports, func(t report[T]) bool { return t.front == host || !r.isCurrent(now, t) })
 	if s.Units > 0 || s.Served > 0 {
 		r.reports = append(r.reports, report[T]{s, host, now})
 	}
 }
 
 // recent tells that what a host told counts yet.
-func (r *Allocator[T]) recent(now T, t report[T]) bool { return t.at >= now-shownSpans*r.config.Span }
+func (r *Allocator[T]) isCurrent(now T, t report[T]) bool {
+	return t.at >= now-reportLifetimeSpans*r.config.OverloadSpan
+}
 
 // Request has a host wait for room. One that waits already keeps its place, so there are no more requests than hosts.
-func (r *Allocator[T]) Request(now T, host int, w Wish) {
-	r.Report(now, host, w.Shown)
-	i := slices.IndexFunc(r.requests, func(a request[T]) bool { return a.host == host })
+func (r *Allocator[T]) Request(now T, host int, w CapacityRequest) {
+	r.Report(now, host, w.Report)
+	i := slices.IndexFunc(r.requests, func(a request[T]) bool { return a.front == host })
 	if i >= 0 && r.requests[i].Units > 0 {
 		r.requests[i] = request[T]{w, host, now}
 		return
@@ -90,15 +92,15 @@
 // Allocate grants what may be sent within a span to a node that bears so much in any case, in the order in which it was
 // asked for. Hosts whose request is too old have asked anew, or need nothing more.
 func (r *Allocator[T]) Allocate(now T, borne float64) (grants []Grant[T]) {
-	rest, served, units, time := max(r.config.Multiple, 1)-1, r.served.Sum(now), 0.0, 0.0
-	r.requests = slices.DeleteFunc(r.requests, func(a request[T]) bool { return a.at < now-r.config.Span/requestParts })
+	rest, served, units, time := max(r.config.OverloadMultiple, 1)-1, r.served.Sum(now), 0.0, 0.0
+	r.requests = slices.DeleteFunc(r.requests, func(a request[T]) bool { return a.at < now-r.config.OverloadSpan/requestDivisor })
 	for _, s := range r.reports {
-		if r.recent(now, s) {
+		if r.isCurrent(now, s) {
 			units, time = units+s.Units, time+s.Time
 		}
 	}
-	speed := units / (time + float64(r.config.Doubt)/float64(max(r.config.Span, 1)))
-	part := max(borne*rest/(rest+1), served*rest*reportedInTime, speed*rest)
+	speed := units / (time + float64(r.config.MeasurementDoubt)/float64(max(r.config.OverloadSpan, 1)))
+	part := max(borne*rest/(rest+1), served*rest*reportedInTimeShare, speed*rest)
 	granted := r.granted.Sum(now)
 	for i := range r.requests {
 		a := &r.requests[i]
@@ -107,7 +109,7 @@
 			most = max(part, borne)
 		}
 		if a.Units > most {
-			a.Units = a.Least
+			a.Units = a.MinUnits
 		}
 		switch {
 		case a.Units == 0 || a.Units > most:
@@ -116,7 +118,7 @@
 		default:
 			r.granted.Add(now, a.Units)
 			granted += a.Units
-			grants = append(grants, Grant[T]{a.host, a.Units, now + r.config.grantValidity()})
+			grants = append(grants, Grant[T]{a.front, a.Units, now + r.config.grantValidity()})
 			a.Units = 0
 		}
 	}
@@ -126,7 +128,7 @@
 // Idle reports whether no host waits, and nothing that was granted or reported counts any more.
 func (r *Allocator[T]) Idle(now T) bool {
 	return len(r.requests) == 0 && r.granted.Sum(now) <= 0 &&
-		!slices.ContainsFunc(r.reports, func(t report[T]) bool { return r.recent(now, t) })
+		!slices.ContainsFunc(r.reports, func(t report[T]) bool { return r.isCurrent(now, t) })
 }
 
 // Pending reports whether a host waits for room.
--- a/scheduler/slowstart/allocator_test.go
+++ b/scheduler/slowstart/allocator_test.go
@@ -9,7 +9,7 @@
 const ms = int64(1000)
 
 func config(hosts int, peers bool) *Config[int64] {
-	return &Config[int64]{Hosts: hosts, From: 0.2, Ramp: 17000 * ms, Multiple: 2.5, Span: 1000 * ms, Units: 8, Doubt: 500 * ms, Peers: peers}
+	return &Config[int64]{Fronts: hosts, InitialShare: 0.2, Ramp: 17000 * ms, OverloadMultiple: 2.5, OverloadSpan: 1000 * ms, SafeUnits: 8, MeasurementDoubt: 500 * ms, PeerMessages: peers}
 }
 
 // Whatever hosts restart, whoever asks and however much: what all of them may send on grants within any span is no
@@ -19,7 +19,7 @@
 		for seed := range uint64(4) {
 			rng := rand.New(rand.NewPCG(seed, 0))
 			f := config(300, peers)
-			rations, began := make([]*Allocator[int64], f.Hosts), make([]int64, f.Hosts)
+			rations, began := make([]*Allocator[int64], f.Fronts), make([]int64, f.Fronts)
 			type use struct {
 				at    int64
 				units float64
@@ -37,21 +37,21 @@
 				}
 				granter, may := f.Granter("node", now)
 				for range 4 {
-					from := rng.IntN(f.Hosts)
+					from := rng.IntN(f.Fronts)
 					if !peers {
 						from = granter
 					}
 					if rations[granter] == nil {
 						rations[granter] = f.NewAllocator()
 					}
-					rations[granter].Request(now, from, Wish{Units: 1 + 5*rng.Float64()})
+					rations[granter].Request(now, from, CapacityRequest{Units: 1 + 5*rng.Float64()})
 				}
 				if rations[granter] == nil || !may || now <= began[granter]+f.GrantLifetime() {
 					continue
 				}
-				for _, g := range rations[granter].Allocate(now, f.Borne(0)) {
+				for _, g := range rations[granter].Allocate(now, f.SafeUnitsAt(0)) {
 					at := now + rng.Int64N(f.grantValidity()+1) // used as late as may be
-					if !f.MayHaveGranted("node", granter, at, g.Until) {
+					if !f.MayHaveGranted("node", granter, at, g.ValidUntil) {
 						t.Fatalf("a grant of %v is not taken at %v", g, at)
 					}
 					used = append(used, use{at, g.Units})
@@ -61,12 +61,12 @@
 			for _, last := range used {
 				sum := 0.0
 				for _, u := range used {
-					if u.at > last.at-f.Span && u.at <= last.at {
+					if u.at > last.at-f.OverloadSpan && u.at <= last.at {
 						sum += u.units
 					}
 				}
-				if sum > f.Borne(0)+1e-9 {
-					t.Fatalf("peers %v, seed %d: %.2f units within a span, the part is %.2f", peers, seed, sum, f.Borne(0))
+				if sum > f.SafeUnitsAt(0)+1e-9 {
+					t.Fatalf("peers %v, seed %d: %.2f units within a span, the part is %.2f", peers, seed, sum, f.SafeUnitsAt(0))
 				}
 			}
 			if granted < 10 {
@@ -82,21 +82,21 @@
 	f := config(300, true)
 	for c := 0.1; c < 50; c += 0.1 {
 		r, now := f.NewAllocator(), 1_000_000*ms
-		for host := range f.Hosts { // one in ten was answered; a core does half of what the node does
-			shown := Shown{Units: 2 * c, Time: 4}
+		for host := range f.Fronts { // one in ten was answered; a core does half of what the node does
+			shown := LoadReport{Units: 2 * c, Time: 4}
 			if host%10 == 0 {
 				shown.Served = c / 30
 			}
-			r.Request(now, host, Wish{Units: 0.1, Least: 0.1, Shown: shown})
+			r.Request(now, host, CapacityRequest{Units: 0.1, MinUnits: 0.1, Report: shown})
 		}
 		sum := c
-		for _, g := range r.Allocate(now, f.Borne(0)) {
+		for _, g := range r.Allocate(now, f.SafeUnitsAt(0)) {
 			sum += g.Units
 		}
-		if most := max(f.Multiple*c, f.Units); sum > most+1e-9 {
+		if most := max(f.OverloadMultiple*c, f.SafeUnits); sum > most+1e-9 {
 			t.Errorf("capacity %.1f: %.2f units, %.2f are borne", c, sum, most)
 		}
-		if c > f.Units && sum < 1.5*c {
+		if c > f.SafeUnits && sum < 1.5*c {
 			t.Errorf("capacity %.1f: only %.2f units", c, sum)
 		}
 	}
@@ -105,15 +105,15 @@
 // Where no request is as small as what may be granted, one goes alone, so that the node can show what it does.
 func TestALoneRequestGoesAhead(t *testing.T) {
 	f := config(300, true)
-	f.Units = 1
+	f.SafeUnits = 1
 	r, now := f.NewAllocator(), 1_000_000*ms
-	r.Request(now, 0, Wish{Units: 2, Least: 1})
-	r.Request(now, 1, Wish{Units: 1, Least: 1})
-	if got := r.Allocate(now, f.Borne(0)); len(got) != 1 || got[0] != (Grant[int64]{0, 1, now + f.grantValidity()}) {
+	r.Request(now, 0, CapacityRequest{Units: 2, MinUnits: 1})
+	r.Request(now, 1, CapacityRequest{Units: 1, MinUnits: 1})
+	if got := r.Allocate(now, f.SafeUnitsAt(0)); len(got) != 1 || got[0] != (Grant[int64]{0, 1, now + f.grantValidity()}) {
 		t.Errorf("grants %v", got)
 	}
-	r.Request(now, 2, Wish{Units: 6, Least: 6, Shown: Shown{Units: 36, Time: 2}})
-	if got := r.Allocate(now+1, f.Borne(0)); len(got) != 2 || got[1].Units != 6 {
+	r.Request(now, 2, CapacityRequest{Units: 6, MinUnits: 6, Report: LoadReport{Units: 36, Time: 2}})
+	if got := r.Allocate(now+1, f.SafeUnitsAt(0)); len(got) != 2 || got[1].Units != 6 {
 		t.Errorf("grants %v once a speed is shown", got)
 	}
 }
@@ -125,8 +125,8 @@
 		host, _ := f.Granter("node", now)
 		seen[host] = true
 	}
-	if len(seen) != f.Hosts {
-		t.Errorf("hosts %v of %d deal", seen, f.Hosts)
+	if len(seen) != f.Fronts {
+		t.Errorf("hosts %v of %d deal", seen, f.Fronts)
 	}
 	if f.MayHaveGranted("node", 0, 0, 1<<40) {
 		t.Error("a grant for years is taken")
@@ -139,18 +139,18 @@
 	f := config(4, true)
 	r := f.NewAllocator()
 	now := 1_000_000 * ms
-	r.Request(now, 0, Wish{Units: 9})
-	r.Request(now, 1, Wish{Units: 3})
-	if got := r.Allocate(now, 8); len(got) != 1 || got[0].Host != 1 {
+	r.Request(now, 0, CapacityRequest{Units: 9})
+	r.Request(now, 1, CapacityRequest{Units: 3})
+	if got := r.Allocate(now, 8); len(got) != 1 || got[0].Front != 1 {
 		t.Fatalf("grants %v", got)
 	}
-	r.Request(now, 2, Wish{Units: 4})
-	r.Request(now, 3, Wish{Units: 1})
+	r.Request(now, 2, CapacityRequest{Units: 4})
+	r.Request(now, 3, CapacityRequest{Units: 1})
 	if got := r.Allocate(now, 8); len(got) != 0 || !r.Pending() {
 		t.Errorf("grants %v ahead of one that waits", got)
 	}
-	r.Request(now+f.GrantLifetime(), 2, Wish{Units: 4})
-	if got := r.Allocate(now+f.GrantLifetime()+1, 8); fmt.Sprint(len(got), got[0].Host) != "1 2" {
+	r.Request(now+f.GrantLifetime(), 2, CapacityRequest{Units: 4})
+	if got := r.Allocate(now+f.GrantLifetime()+1, 8); fmt.Sprint(len(got), got[0].Front) != "1 2" {
 		t.Errorf("grants %v once there is room", got)
 	}
 	if r.Idle(now) {
@@ -169,30 +169,30 @@
 	r := f.NewAllocator()
 	most := func(after int64) (units float64) {
 		for host := range 40 {
-			r.Request(now+after, 100+host, Wish{Units: 1, Least: 1})
+			r.Request(now+after, 100+host, CapacityRequest{Units: 1, MinUnits: 1})
 		}
-		for _, g := range r.Allocate(now+after, f.Borne(0)) {
+		for _, g := range r.Allocate(now+after, f.SafeUnitsAt(0)) {
 			units += g.Units
 		}
 		r.DropRequests()
 		return units
 	}
 	for host := range 20 {
-		r.Report(now, host, Shown{Units: 2, Time: 0.1}) // a core does 20 a span
-		r.Report(now, host, Shown{Units: 2, Time: 0.1})
+		r.Report(now, host, LoadReport{Units: 2, Time: 0.1}) // a core does 20 a span
+		r.Report(now, host, LoadReport{Units: 2, Time: 0.1})
 	}
-	if got := most(2 * f.Span); got < 20 || got > 24 { // 1.5 times 40 units in 2 spans and a half of doubt
+	if got := most(2 * f.OverloadSpan); got < 20 || got > 24 { // 1.5 times 40 units in 2 spans and a half of doubt
 		t.Errorf("%v units granted by what twenty hosts showed", got)
 	}
-	if got := most(2*f.Span + 3*f.GrantLifetime()/2); got < 20 {
+	if got := most(2*f.OverloadSpan + 3*f.GrantLifetime()/2); got < 20 {
 		t.Errorf("%v units granted a little later", got)
 	}
 	r.Reset()
-	if got := most(2*f.Span + 4*f.GrantLifetime()); got > f.Borne(0) {
+	if got := most(2*f.OverloadSpan + 4*f.GrantLifetime()); got > f.SafeUnitsAt(0) {
 		t.Errorf("%v units granted at a node that began anew", got)
 	}
-	r.Report(now, 1, Shown{Units: 100, Time: 1})
-	if later := now + (shownSpans+1)*f.Span + 5*f.GrantLifetime(); !r.Idle(later) || most(later-now) > f.Borne(0) {
+	r.Report(now, 1, LoadReport{Units: 100, Time: 1})
+	if later := now + (reportLifetimeSpans+1)*f.OverloadSpan + 5*f.GrantLifetime(); !r.Idle(later) || most(later-now) > f.SafeUnitsAt(0) {
 		t.Error("what was shown long ago counts yet")
 	}
 }
@@ -204,14 +204,14 @@
 	r, now := f.NewAllocator(), 1_000_000*ms
 	for host := range 30 {
 		for range 2 {
-			r.Report(now, host, Shown{Served: 2, Units: 2, Time: 1}) // a core does 2 a span, the node 60
+			r.Report(now, host, LoadReport{Served: 2, Units: 2, Time: 1}) // a core does 2 a span, the node 60
 		}
 	}
 	sum := 0.0
 	for host := range 200 {
-		r.Request(now, 100+host, Wish{Units: 1, Least: 1})
+		r.Request(now, 100+host, CapacityRequest{Units: 1, MinUnits: 1})
 	}
-	for _, g := range r.Allocate(now, f.Borne(0)) {
+	for _, g := range r.Allocate(now, f.SafeUnitsAt(0)) {
 		sum += g.Units
 	}
 	if sum < 70 || sum > 1.5*60 {
--- a/scheduler/slowstart/config.go
+++ b/scheduler/slowstart/config.go
@@ -32,66 +32,68 @@
 
 // Config has the figures of a deployment. Times are microseconds.
 type Config[T ~int64] struct {
-	Hosts    int     // in all
-	From     float64 // share of its capacity with which a node starts
-	Ramp     T       // after this a node is warm at the latest
-	Multiple float64 // of its capacity
-	Span     T       // sent for so long
-	Units    float64 // that are borne within Span in any case, over all hosts
-	Doubt    T       // what was answered counts as having taken so much longer
-	Peers    bool    // hosts may ask each other
+	Fronts           int     // in all
+	InitialShare     float64 // share of its capacity with which a node starts
+	Ramp             T       // after this a node is warm at the latest
+	OverloadMultiple float64 // of its capacity
+	OverloadSpan     T       // sent for so long
+	SafeUnits        float64 // that are borne within Span in any case, over all hosts
+	MeasurementDoubt T       // what was answered counts as having taken so much longer
+	PeerMessages     bool    // hosts may ask each other
 }
 
 const (
-	validParts     = 10   // a grant may be used for one in so many parts of a span
-	reportParts    = 10   // of an answer the granter hears after one in so many at least
-	requestParts   = 2    // a request for room that brings nothing is repeated after one in so many
-	periodSpans    = 12   // a host is the granter for so long, less one to hand over
-	reportedInTime = 0.88 // of what was told within a span was answered within it: the rest was told late
-	longest        = 4    // spans of answers that a host tells of at most
-	shownSpans     = 4    // what a host showed counts for so long after it asked last
-	nearCost       = 0.25 // of its work, that a request for a piece costs which a node remembers: 27 to 51%
-	remembered     = 4    // pieces that a node remembers at most
-	alonePeriods   = 2    // the same where each host asks itself: one that has nothing to send keeps the others waiting
+	validityDivisor     = 10   // a grant may be used for one in so many parts of a span
+	reportDivisor       = 10   // of an answer the granter hears after one in so many at least
+	requestDivisor      = 2    // a request for room that brings nothing is repeated after one in so many
+	periodSpans         = 12   // a host is the granter for so long, less one to hand over
+	reportedInTimeShare = 0.88 // of what was told within a span was answered within it: the rest was told late
+	maxMeasuredSpans    = 4    // spans of answers that a host tells of at most
+	reportLifetimeSpans = 4    // what a host showed counts for so long after it asked last
+	cachedPieceCost     = 0.25 // of its work, that a request for a piece costs which a node remembers: 27 to 51%
+	cachedPieces        = 4    // pieces that a node remembers at most
+	soloPeriodSpans     = 2    // the same where each host asks itself: one that has nothing to send keeps the others waiting
 )
 
 // grantValidity is for how long a grant may be used.
-func (c *Config[T]) grantValidity() T { return c.Span / validParts }
+func (c *Config[T]) grantValidity() T { return c.OverloadSpan / validityDivisor }
 
 // MayHaveGranted reports whether a host may have made a grant that is valid until a time.
 func (c *Config[T]) MayHaveGranted(node string, host int, now, until T) bool {
 	granter, may := c.Granter(node, until-c.grantValidity())
-	return granter == host && may && now <= until && until <= now+c.Span
+	return granter == host && may && now <= until && until <= now+c.OverloadSpan
 }
 
 // GrantLifetime is for how long a grant counts: until it is no longer valid, and a span.
-func (c *Config[T]) GrantLifetime() T { return c.Span + c.grantValidity() }
+func (c *Config[T]) GrantLifetime() T { return c.OverloadSpan + c.grantValidity() }
 
 // Granter returns the host that grants room at a node at a time, and whether it may do so by then.
 func (c *Config[T]) Granter(node string, now T) (host int, may bool) {
 	period := max(1, periodSpans*c.GrantLifetime())
-	if !c.Peers {
-		period = max(1, alonePeriods*c.GrantLifetime())
+	if !c.PeerMessages {
+		period = max(1, soloPeriodSpans*c.GrantLifetime())
 	}
-	if c.Hosts <= 1 {
+	if c.Fronts <= 1 {
 		return 0, true
 	}
 	sum := xxhash.Sum64String(node)
 	// Consecutive periods are those of consecutive hosts, from a place and a time of the node's own: were they the same
 	// for all nodes, no cold node would get anything while the periods begin.
 	now += T(sum>>32) % period
-	host = int((int64(sum&math.MaxUint32) + int64(now/period)) % int64(max(c.Hosts, 1)))
+	host = int((int64(sum&math.MaxUint32) + int64(now/period)) % int64(max(c.Fronts, 1)))
 	return host, now%period > c.GrantLifetime()
 }
 
 // Borne is how many units a node that has been up for so long bears within a span in any case. They grow with the
 // capacity that it has at least, a span late: of a window the least counts.
-func (c *Config[T]) Borne(age T) float64 { return c.Units * c.share(age-c.Span) / c.From }
+func (c *Config[T]) SafeUnitsAt(age T) float64 {
+	return c.SafeUnits * c.capacityShare(age-c.OverloadSpan) / c.InitialShare
+}
 
 // Slowdown is how many times as slow as a warm node one may be that has been up for so long.
-func (c *Config[T]) Slowdown(age T) float64 { return 1 / c.share(age) }
+func (c *Config[T]) Slowdown(age T) float64 { return 1 / c.capacityShare(age) }
 
 // share is the part of its capacity that a node has at least.
-func (c *Config[T]) share(age T) float64 {
-	return c.From + (1-c.From)*float64(min(max(0, age), c.Ramp))/float64(max(c.Ramp, 1))
+func (c *Config[T]) capacityShare(age T) float64 {
+	return c.InitialShare + (1-c.InitialShare)*float64(min(max(0, age), c.Ramp))/float64(max(c.Ramp, 1))
 }
--- a/scheduler/tokenbucket/tokenbucket.go
+++ b/scheduler/tokenbucket/tokenbucket.go
@@ -8,28 +8,28 @@
 
 // Bucket holds units. The zero value is empty since time 0, and free: no record of it binds its draws.
 type Bucket[T ~int64] struct {
-	Level float64 // units, as of At
-	At    T       // microseconds
-	Lease float64 // units that may be drawn yet; of a record, those that may have been drawn since
-	Bound T       // until then a record may be read back, so no more than Lease is drawn
+	Level      float64 // units, as of At
+	At         T       // microseconds
+	Lease      float64 // units that may be drawn yet; of a record, those that may have been drawn since
+	BoundUntil T       // until then a record may be read back, so no more than Lease is drawn
 
-	pending float64 // of Lease, once the record that is being written is on disk
-	until   T       // and Bound then; 0 where none is being written
+	pendingLease      float64 // of Lease, once the record that is being written is on disk
+	pendingBoundUntil T       // and Bound then; 0 where none is being written
 }
 
 // Fill adds what flowed in since the last time: rate in units a microsecond, burst in units.
-func (b *Bucket[T]) Fill(now T, rate, burst float64) {
+func (b *Bucket[T]) Refill(now T, rate, burst float64) {
 	b.Level = min(burst, b.Level+rate*float64(now-b.At))
 	b.At = now
 }
 
 // Bears tells whether units may be drawn now, with so much kept back.
-func (b *Bucket[T]) Bears(now T, units, keep float64) bool {
+func (b *Bucket[T]) Allows(now T, units, keep float64) bool {
 	return b.Level-units >= keep && (!b.IsBound(now) || units <= b.Lease)
 }
 
 // IsBound tells whether a record may be read back at a time; so may one that is being written.
-func (b *Bucket[T]) IsBound(now T) bool { return now <= max(b.Bound, b.until) }
+func (b *Bucket[T]) IsBound(now T) bool { return now <= max(b.BoundUntil, b.pendingBoundUntil) }
 
 // Draw takes units out, and tells whether less than half of what one lease holds is left of it.
 func (b *Bucket[T]) Draw(now T, units, lease float64) (low bool) {
@@ -45,27 +45,27 @@
 	if !b.IsBound(b.At) { // from here on it is the lease that bounds the draws
 		b.Lease = lease
 	}
-	b.pending, b.until = max(0, lease-b.Lease), b.At+last
-	return Bucket[T]{Level: b.Level, At: b.At, Lease: b.Lease + b.pending, Bound: b.until}
+	b.pendingLease, b.pendingBoundUntil = max(0, lease-b.Lease), b.At+last
+	return Bucket[T]{Level: b.Level, At: b.At, Lease: b.Lease + b.pendingLease, BoundUntil: b.pendingBoundUntil}
 }
 
 // Written tells how the last record ended: whether it may be read back from now on, and whether no earlier one may.
-func (b *Bucket[T]) Written(there, sure bool) {
+func (b *Bucket[T]) RecordSaved(there, sure bool) {
 	if there {
-		b.Bound = max(b.Bound, b.until)
+		b.BoundUntil = max(b.BoundUntil, b.pendingBoundUntil)
 	}
 	if there && sure {
-		b.Lease += b.pending
+		b.Lease += b.pendingLease
 	}
-	b.pending, b.until = 0, 0
+	b.pendingLease, b.pendingBoundUntil = 0, 0
 }
 
 // Recovered is the bucket of an owner that died, from its last record. Nothing may be drawn until a new record is
 // written: the old one would be read back again, without what was drawn since.
 func Recovered[T ~int64](record Bucket[T], now T, rate, burst float64) Bucket[T] {
 	b := Bucket[T]{Level: record.Level, At: record.At}
-	b.Fill(now, rate, burst)
+	b.Refill(now, rate, burst)
 	b.Level = max(0, b.Level-record.Lease)
-	b.Bound = record.Bound
+	b.BoundUntil = record.BoundUntil
 	return b
 }
--- a/scheduler/tokenbucket/tokenbucket_test.go
+++ b/scheduler/tokenbucket/tokenbucket_test.go
@@ -26,15 +26,15 @@
 			made = nil
 			now += spell.Draw(t, "down")
 			own = Bucket[int64]{At: now}
-			if disk != nil && now <= disk.Bound { // else it is too old to be read back
+			if disk != nil && now <= disk.BoundUntil { // else it is too old to be read back
 				own = Recovered(*disk, now, rate, burst)
 			}
 		}
 		draw := func(t *rapid.T) {
 			units := rapid.SampledFrom([]float64{0.5, 1, 3}).Draw(t, "units")
-			own.Fill(now, rate, burst)
-			real.Fill(now, rate, burst)
-			for own.Bears(now, units, 0) {
+			own.Refill(now, rate, burst)
+			real.Refill(now, rate, burst)
+			for own.Allows(now, units, 0) {
 				own.Draw(now, units, lease)
 				if real.Level -= units; real.Level < -1e-9 {
 					t.Fatalf("%v units beyond the limit", -real.Level)
@@ -46,24 +46,24 @@
 			"draw": draw, "draw more": draw,
 			"record": func(t *rapid.T) {
 				if made == nil {
-					own.Fill(now, rate, burst)
+					own.Refill(now, rate, burst)
 					r := own.Record(lease, last)
 					made = &r
 				}
 			},
 			"written": func(t *rapid.T) {
 				if made != nil {
-					own.Written(true, true)
+					own.RecordSaved(true, true)
 					disk, made = made, nil
 				}
 			},
 			"lost": func(t *rapid.T) { // it failed ahead of the rename
-				own.Written(false, false)
+				own.RecordSaved(false, false)
 				made = nil
 			},
 			"doubtful": func(t *rapid.T) { // it failed behind the rename, which may be undone
 				if made != nil {
-					own.Written(true, false)
+					own.RecordSaved(true, false)
 					if rapid.Bool().Draw(t, "there") {
 						disk = made
 					}
@@ -83,22 +83,22 @@
 	const rate, burst = 1e-6, 30.0
 	b := Bucket[int64]{Level: burst, At: 1}
 	record := b.Record(5, 10_000_000)
-	if !b.Bears(1, 5, 0) || b.Bears(1, 5.1, 0) {
+	if !b.Allows(1, 5, 0) || b.Allows(1, 5.1, 0) {
 		t.Error("the first lease does not count at once, or binds nothing")
 	}
 	if low := b.Draw(1, 3, 5); !low {
 		t.Error("2 of 5 are left, and that is not low")
 	}
 	got := Recovered(record, 1, rate, burst)
-	if got.Level != 25 || got.Bears(1, 1, 0) {
+	if got.Level != 25 || got.Allows(1, 1, 0) {
 		t.Errorf("recovered %+v, want 25 units and none to be drawn yet", got)
 	}
 	again := got.Record(5, 10_000_000)
-	if got.Bears(1, 1, 0) {
+	if got.Allows(1, 1, 0) {
 		t.Error("a lease counts ahead of its record")
 	}
-	got.Written(true, true)
-	if !got.Bears(1, 5, 0) || again.Lease != 5 {
+	got.RecordSaved(true, true)
+	if !got.Allows(1, 5, 0) || again.Lease != 5 {
 		t.Errorf("%+v after the record %+v", got, again)
 	}
 }
--- a/scheduler/window/window.go
+++ b/scheduler/window/window.go
@@ -5,7 +5,7 @@
 type Window[T ~int64] struct {
 	span  T
 	items []item[T]
-	from  int     // what stands before has left
+	first int     // what stands before has left
 	sum   float64 // of the others
 }
 
@@ -15,38 +15,38 @@
 }
 
 // Of returns an empty window over a span.
-func Of[T ~int64](span T) Window[T] { return Window[T]{span: span} }
+func New[T ~int64](span T) Window[T] { return Window[T]{span: span} }
 
 // Add takes in an amount.
 func (w *Window[T]) Add(now T, amount float64) {
-	w.drop(now)
+	w.evict(now)
 	w.items = append(w.items, item[T]{now, amount})
 	w.sum += amount
 }
 
 // Sum adds up what is not older than the span.
 func (w *Window[T]) Sum(now T) (sum float64) {
-	w.drop(now)
+	w.evict(now)
 	return w.sum
 }
 
 // drop lets go of what is too old. Places are given back once half of them are empty, and the sum is made anew then:
 // what was added and taken off again leaves a rest of rounding.
-func (w *Window[T]) drop(now T) {
-	before := w.from
-	for w.from < len(w.items) && w.items[w.from].at < now-w.span {
-		w.sum -= w.items[w.from].amount
-		w.from++
+func (w *Window[T]) evict(now T) {
+	before := w.first
+	for w.first < len(w.items) && w.items[w.first].at < now-w.span {
+		w.sum -= w.items[w.first].amount
+		w.first++
 	}
-	if w.from == before || w.from < len(w.items)/2 {
+	if w.first == before || w.first < len(w.items)/2 {
 		return
 	}
-	w.items = append(w.items[:0], w.items[w.from:]...)
-	w.from, w.sum = 0, 0
+	w.items = append(w.items[:0], w.items[w.first:]...)
+	w.first, w.sum = 0, 0
 	for _, i := range w.items {
 		w.sum += i.amount
 	}
 }
 
 // Clear empties the window.
-func (w *Window[T]) Clear() { w.items, w.from, w.sum = nil, 0, 0 }
+func (w *Window[T]) Clear() { w.items, w.first, w.sum = nil, 0, 0 }
--- a/scheduler/window/window_test.go
+++ b/scheduler/window/window_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 func TestSumsTheSpanAndForgetsTheRest(t *testing.T) {
-	w := Of[int64](10)
+	w := New[int64](10)
 	for at := range int64(100) {
 		w.Add(at, 1)
 	}
--- a/scheduler/worklist/worklist.go
+++ b/scheduler/worklist/worklist.go
@@ -11,10 +11,10 @@
 )
 
 // Agenda keeps members with two recurring intervals each, a fast one and a slow one.
-type Agenda[T ~int64, M any] struct {
+type List[T ~int64, M any] struct {
 	fast, slow interval.Schedule[T]
-	entered    int
-	looked     []*Entry[T, M]
+	added      int
+	queued     []*Entry[T, M]
 	timers     timers.Timers[T, *Entry[T, M]]
 	now        T
 }
@@ -24,58 +24,58 @@
 	Fast, Slow interval.Interval[T]
 	member     M
 	number     int
-	listed     bool // among those to be looked at
-	left       bool
+	queued     bool // among those to be looked at
+	removed    bool
 	timer      timers.Timer[T, *Entry[T, M]]
 }
 
 // Of returns an agenda without members, with the lengths of the intervals.
-func Of[T ~int64, M any](fast, slow T) Agenda[T, M] {
-	return Agenda[T, M]{fast: interval.NewSchedule(fast), slow: interval.NewSchedule(slow)}
+func New[T ~int64, M any](fast, slow T) List[T, M] {
+	return List[T, M]{fast: interval.NewSchedule(fast), slow: interval.NewSchedule(slow)}
 }
 
 // Enter takes a member in, behind all others. Its intervals have ended, so it is looked at in this step.
-func (a *Agenda[T, M]) Enter(e *Entry[T, M], member M) {
-	*e = Entry[T, M]{member: member, number: a.entered}
+func (a *List[T, M]) Add(e *Entry[T, M], member M) {
+	*e = Entry[T, M]{member: member, number: a.added}
 	e.timer.Member = e
-	a.entered++
-	a.Touch(e)
+	a.added++
+	a.Queue(e)
 }
 
 // Leave takes a member out. It may be looked at once more.
-func (a *Agenda[T, M]) Leave(e *Entry[T, M]) {
+func (a *List[T, M]) Remove(e *Entry[T, M]) {
 	a.timers.Stop(&e.timer)
-	e.left = true
+	e.removed = true
 }
 
 // Before is the order of two members.
-func (e *Entry[T, M]) Before(other *Entry[T, M]) int { return e.number - other.number }
+func (e *Entry[T, M]) Compare(other *Entry[T, M]) int { return e.number - other.number }
 
 // Touch has a member looked at in this step, or in the next if this one's look is over.
-func (a *Agenda[T, M]) Touch(e *Entry[T, M]) {
-	if !e.listed {
-		e.listed, a.looked = true, append(a.looked, e)
+func (a *List[T, M]) Queue(e *Entry[T, M]) {
+	if !e.queued {
+		e.queued, a.queued = true, append(a.queued, e)
 	}
 }
 
 // Wake does so, and separates the member's intervals, as something is to be done when they end.
-func (a *Agenda[T, M]) Wake(e *Entry[T, M]) {
-	a.Touch(e)
+func (a *List[T, M]) Activate(e *Entry[T, M]) {
+	a.Queue(e)
 	e.Fast.Separate()
 	e.Slow.Separate()
 }
 
 // Due are the members to be looked at in the step of a time, in their order. Call it once in each step.
-func (a *Agenda[T, M]) Due(now T) func(yield func(M) bool) {
+func (a *List[T, M]) Due(now T) func(yield func(M) bool) {
 	a.now = now
 	a.fast.Advance(now)
 	a.slow.Advance(now)
 	for e, ok := a.timers.Due(now); ok; e, ok = a.timers.Due(now) {
-		a.Touch(e)
+		a.Queue(e)
 	}
-	slices.SortFunc(a.looked, (*Entry[T, M]).Before)
+	slices.SortFunc(a.queued, (*Entry[T, M]).Compare)
 	return func(yield func(M) bool) {
-		for _, e := range a.looked {
+		for _, e := range a.queued {
 			if !yield(e.member) {
 				return
 			}
@@ -84,31 +84,31 @@
 }
 
 // RestFast and RestSlow begin a member's next interval.
-func (a *Agenda[T, M]) RestFast(e *Entry[T, M]) { e.Fast.Restart(&a.fast, a.now) }
+func (a *List[T, M]) RestartFast(e *Entry[T, M]) { e.Fast.Restart(&a.fast, a.now) }
 
 // RestSlow begins the slow one.
-func (a *Agenda[T, M]) RestSlow(e *Entry[T, M]) { e.Slow.Restart(&a.slow, a.now) }
+func (a *List[T, M]) RestartSlow(e *Entry[T, M]) { e.Slow.Restart(&a.slow, a.now) }
 
 // Never is the time of what is not due.
 const Never = math.MaxInt64
 
 // Close ends a step: each member that was looked at, or touched since, is looked at again when a separate
 // interval of its ends, or at the time that next tells.
-func (a *Agenda[T, M]) Close(next func(M) T) {
-	for _, e := range a.looked {
-		e.listed = false
+func (a *List[T, M]) Finish(next func(M) T) {
+	for _, e := range a.queued {
+		e.queued = false
 		at := next(e.member)
 		for _, i := range []*interval.Interval[T]{&e.Fast, &e.Slow} {
 			if end, separate := i.SeparateEnd(); separate {
 				at = min(at, end)
 			}
 		}
-		if e.left || at == Never {
+		if e.removed || at == Never {
 			a.timers.Stop(&e.timer)
 		} else {
 			a.timers.Set(&e.timer, at)
 		}
 	}
-	clear(a.looked)
-	a.looked = a.looked[:0]
+	clear(a.queued)
+	a.queued = a.queued[:0]
 }
--- a/scheduler/worklist/worklist_test.go
+++ b/scheduler/worklist/worklist_test.go
@@ -3,23 +3,23 @@
 import "testing"
 
 func TestMembersAreLookedAtWhenSomethingIsDue(t *testing.T) {
-	a := Of[int64, string](10, 100)
+	a := New[int64, string](10, 100)
 	var x, y Entry[int64, string]
-	a.Enter(&x, "x")
-	a.Enter(&y, "y")
+	a.Add(&x, "x")
+	a.Add(&y, "y")
 	next := map[string]int64{"x": Never, "y": Never}
 	step := func(now int64) (looked string) {
 		for m := range a.Due(now) {
 			looked += m
 			e := map[string]*Entry[int64, string]{"x": &x, "y": &y}[m]
 			if e.Fast.Ended(now) {
-				a.RestFast(e)
+				a.RestartFast(e)
 			}
 			if e.Slow.Ended(now) {
-				a.RestSlow(e)
+				a.RestartSlow(e)
 			}
 		}
-		a.Close(func(m string) int64 { return next[m] })
+		a.Finish(func(m string) int64 { return next[m] })
 		return looked
 	}
 	want := func(now int64, looked string) {
@@ -31,24 +31,24 @@
 	want(1, "xy") // as they entered
 	want(5, "")
 	want(50, "") // intervals of idle members end without a look
-	a.Wake(&y)
+	a.Activate(&y)
 	want(52, "y") // the fast one ends at 60 for itself
 	want(59, "")
 	want(61, "y")
 	want(80, "")
 	want(102, "y") // and the slow one at 101
 	next["x"] = 150
-	a.Touch(&x)
+	a.Queue(&x)
 	want(110, "x")
 	next["x"] = Never
 	want(149, "")
 	want(151, "x")
 	next["y"] = 165
-	a.Touch(&y)
-	a.Leave(&y)
+	a.Queue(&y)
+	a.Remove(&y)
 	want(160, "y")
 	want(170, "")
-	if x.Before(&y) >= 0 {
+	if x.Compare(&y) >= 0 {
 		t.Error("the order in which they entered is lost")
 	}
 }
