--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -58,7 +58,7 @@
 	case a.Admitted:
 		return g.in(cost), nil
 	case a.Refused:
-		return nil, &routing.Refused{RetryAfter: micros(a.RetryAfter)}
+		return nil, &routing.RejectedError{RetryAfter: micros(a.RetryAfter)}
 	}
 	timer := time.NewTimer(min(g.patience, most))
 	defer timer.Stop()
@@ -80,14 +80,14 @@
 		g.queue.Cancel(a.Ticket)
 		return nil, context.Cause(ctx)
 	}
-	return nil, &routing.Refused{RetryAfter: micros(g.queue.Expire(g.now(), a.Ticket))}
+	return nil, &routing.RejectedError{RetryAfter: micros(g.queue.Expire(g.now(), a.Ticket))}
 }
 
 func (g *Gate) told(v verdict, cost float64) (leave func(), err error) {
 	if v.taken {
 		return g.in(cost), nil
 	}
-	return nil, &routing.Refused{RetryAfter: v.after}
+	return nil, &routing.RejectedError{RetryAfter: v.after}
 }
 
 // in returns what ends a request that was taken just now.
--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var refused *routing.Refused
+	var refused *routing.RejectedError
 	if _, err := g.Enter(t.Context(), "b", "", 1, 1, time.Millisecond); !errors.As(err, &refused) || refused.RetryAfter <= 0 {
 		t.Errorf("one whose time is up: %v", err)
 	}
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -19,9 +19,9 @@
 // goldenState has every field set, so that one that is not handed over shows.
 func goldenState() State {
 	return State{
-		Given: routing.Given{
-			Began: 1_799_999_000_000_000,
-			IDs:   []string{"id-1", "id-2"},
+		Given: routing.HandoverState{
+			StartedAt: 1_799_999_000_000_000,
+			IDs:       []string{"id-1", "id-2"},
 			Learned: scheduler.Learned{
 				At: 1_800_000_000_000_000,
 				Nodes: []scheduler.LearnedNode{{
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -25,7 +25,7 @@
 
 // State is what the predecessor gives.
 type State struct {
-	Given routing.Given
+	Given routing.HandoverState
 	Plans []string          // by the number that accounts go by
 	List  protocol.List     // as it was told, whole
 	Bans  map[string]string // who told, by node
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := form{Version: Version, Snapshot: kept, Began: int64(s.Given.Began), IDs: s.Given.IDs, Plans: s.Plans, Bans: s.Bans}
+	f := form{Version: Version, Snapshot: kept, Began: int64(s.Given.StartedAt), IDs: s.Given.IDs, Plans: s.Plans, Bans: s.Bans}
 	for _, h := range s.List.Hosts {
 		f.List = append(f.List, hostForm{h.Node, h.Dial, h.Zone, h.Shard, int(h.State), int64(h.StartedAt)})
 	}
@@ -90,7 +90,7 @@
 		}
 	}
 	s := State{Plans: f.Plans, Bans: f.Bans, List: protocol.List{Whole: true}}
-	s.Given = routing.Given{Began: scheduler.Micros(f.Began), IDs: f.IDs, Learned: scheduler.Learned{At: snap.Saved}}
+	s.Given = routing.HandoverState{StartedAt: scheduler.Micros(f.Began), IDs: f.IDs, Learned: scheduler.Learned{At: snap.Saved}}
 	for _, n := range snap.Nodes {
 		s.Given.Nodes = append(s.Given.Nodes, n.LearnedNode)
 	}
--- a/internal/lab/sockets/site.go
+++ b/internal/lab/sockets/site.go
@@ -116,7 +116,7 @@
 	set.Scheduler.MaxOpen = l.Requests.Scheduled
 	set.Scheduler.FrontIndex, set.Scheduler.PeerMessages = i, false // no messages go between these fronts
 	var err error
-	if f.core, err = routing.New(set.Scheduler, int64(i), l, transport.NewProber(f.nodes, set, logs.Quiet()).Probe); err != nil {
+	if f.core, err = routing.New(set.Scheduler, int64(i), l, transport.NewHealthChecker(f.nodes, set, logs.Quiet()).Check); err != nil {
 		return nil, err
 	}
 	listener, err := net.Listen("tcp", host()+":0")
@@ -155,7 +155,7 @@
 	for _, l := range list.Endpoints {
 		out.Hosts = append(out.Hosts, protocol.Host{Endpoint: l, Dial: f.site.nodes[l.Node].addr})
 	}
-	f.core.Tell(f.nodes.Apply(out))
+	f.core.UpdateEndpoints(f.nodes.Apply(out))
 }
 
 // End does nothing: a live front ends with its site.
--- a/internal/net/protocol/sftp/status.go
+++ b/internal/net/protocol/sftp/status.go
@@ -23,7 +23,7 @@
 // StatusOf maps the final answer of the core, or the word of a node, to a status. A refusal says when to come back.
 func StatusOf(err error) *Status {
 	var status *Status
-	var refused *routing.Refused
+	var refused *routing.RejectedError
 	switch {
 	case err == nil:
 		return &Status{packet.OK, ""}
--- a/internal/net/routing/ask_test.go
+++ b/internal/net/routing/ask_test.go
@@ -17,10 +17,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Tell(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
+	c.UpdateEndpoints(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
 	placed := make(chan string)
 	go func() {
-		node, _, _ := c.Place(t.Context(), scheduler.Request{ID: "x", Volume: "v", Units: 1, Fronts: 1, TimeLeft: 1_000_000})
+		node, _, _ := c.NodeFor(t.Context(), scheduler.Request{ID: "x", Volume: "v", Units: 1, Fronts: 1, TimeLeft: 1_000_000})
 		placed <- node
 	}()
 	for len(c.inbox) < 2 {
--- a/internal/net/routing/calls.go
+++ b/internal/net/routing/calls.go
@@ -9,29 +9,34 @@
 // call is a request that is owed an answer, or one that is over with an attempt still out. Its verdicts are
 // closed when nothing more is owed. The rest is the loop's.
 type call struct {
-	id       string
-	verdicts chan scheduler.Action
-	taken    chan struct{} // closed once the scheduler has it
-	over     bool
-	out      int      // sends without an outcome
-	nodes    []string // by attempt, the node that it went to, "" where the observer did not take it; none without an observer
+	id          string
+	verdicts    chan scheduler.Action
+	admitted    chan struct{} // closed once the scheduler has it
+	over        bool
+	outstanding int      // sends without an outcome
+	nodes       []string // by attempt, the node that it went to, "" where the observer did not take it; none without an observer
 }
 
-// verdictRoom holds all verdicts that can wait for one request: a send, its cancel, a final answer.
-const verdictRoom = 4
+// newCall returns the call of a request that the core is about to take.
+func newCall(id string) *call {
+	return &call{id: id, verdicts: make(chan scheduler.Action, verdictBuffer), admitted: make(chan struct{})}
+}
+
+// verdictBuffer holds all verdicts that can wait for one request: a send, its cancel, a final answer.
+const verdictBuffer = 4
 
-// admit keeps the table of calls in step with an event, and tells whether the scheduler is to hear of it.
-func (c *Core) admit(m message) bool {
+// track keeps the table of calls in step with an event, and tells whether the scheduler is to hear of it.
+func (c *Core) track(m message) bool {
 	switch e := m.event.(type) {
 	case scheduler.Request:
-		if m.until > 0 {
-			c.waiting = append(c.waiting, m)
+		if m.admitBy > 0 {
+			c.waitingForCapacity = append(c.waitingForCapacity, m)
 			return false
 		}
-		close(m.call.taken)
+		close(m.call.admitted)
 		// The scheduler keeps requests by id: a second one under an id that is in use would take the first one's
 		// place, or be ended by the outcome of an attempt that is still out for it. One that is over must not run again.
-		if c.calls[e.ID] != nil || c.taken.has(e.ID) {
+		if c.calls[e.ID] != nil || c.usedIDs.has(e.ID) {
 			close(m.call.verdicts)
 			return false
 		}
@@ -41,14 +46,14 @@
 		if call == nil {
 			return false
 		}
-		call.out--
+		call.outstanding--
 		c.observeEnd(call, e)
 		if e.Final || call.over {
 			c.end(call)
 		}
 	case scheduler.ClientLeft:
-		if i := slices.IndexFunc(c.waiting, func(w message) bool { return w.call == m.call }); i >= 0 {
-			c.waiting = slices.Delete(c.waiting, i, i+1)
+		if i := slices.IndexFunc(c.waitingForCapacity, func(w message) bool { return w.call == m.call }); i >= 0 {
+			c.waitingForCapacity = slices.Delete(c.waitingForCapacity, i, i+1)
 			close(m.call.verdicts)
 		}
 		if c.calls[e.ID] != m.call { // never admitted, or over
@@ -65,8 +70,8 @@
 		call.over = true
 		close(call.verdicts)
 	}
-	if call.out == 0 {
+	if call.outstanding == 0 {
 		delete(c.calls, call.id)
-		c.taken.add(c.clock.Now(), call.id)
+		c.usedIDs.add(c.clock.Now(), call.id)
 	}
 }
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -24,15 +24,15 @@
 // ErrStopped tells that the core has ended.
 var ErrStopped = errors.New("the core has stopped")
 
-// errTakenBack ends an attempt that the scheduler cancelled.
-var errTakenBack = errors.New("the attempt was taken back")
+// errAttemptCancelled ends an attempt that the scheduler cancelled.
+var errAttemptCancelled = errors.New("the attempt was taken back")
 
-// Refused is the final answer that makes trying again harmless.
-type Refused struct {
+// RejectedError is the final answer that makes trying again harmless.
+type RejectedError struct {
 	RetryAfter time.Duration // the client should stay away so long
 }
 
-func (r *Refused) Error() string { return fmt.Sprintf("refused, come back in %v", r.RetryAfter) }
+func (r *RejectedError) Error() string { return fmt.Sprintf("refused, come back in %v", r.RetryAfter) }
 
 // Clock tells Unix time in microseconds as of its start plus what has passed since, so a step of the system's
 // clock moves no deadline.
@@ -46,8 +46,8 @@
 	return scheduler.Micros(c.start.UnixMicro()) + scheduler.Micros(time.Since(c.start)/time.Microsecond)
 }
 
-// at is when a time of this clock comes, or last if that is sooner or the time is 0.
-func (c Clock) at(t scheduler.Micros, last time.Time) time.Time {
+// timeOf is when a time of this clock comes, or last if that is sooner or the time is 0.
+func (c Clock) timeOf(t scheduler.Micros, last time.Time) time.Time {
 	if own := c.start.Add(time.Duration(t-scheduler.Micros(c.start.UnixMicro())) * time.Microsecond); t > 0 && own.Before(last) {
 		return own
 	}
@@ -57,32 +57,32 @@
 // message is an event on its way to the scheduler; call is set for a new request and for one that lapses. A
 // request with a time stays outside until the scheduler has room for it, or until that time.
 type message struct {
-	event scheduler.Event
-	call  *call
-	until scheduler.Micros
-	ask   func(s *scheduler.Scheduler) // in the place of an event: run by the loop
+	event   scheduler.Event
+	call    *call
+	admitBy scheduler.Micros
+	query   func(s *scheduler.Scheduler) // in the place of an event: run by the loop
 }
 
 // Core owns the scheduler.
 type Core struct {
-	clock     Clock
-	scheduler *scheduler.Scheduler
-	probe     func(node string) scheduler.HealthChecked
-	inbox     chan message
-	stopped   chan struct{}
-	calls     map[string]*call // of the loop alone, as are
-	taken     taken            // ids of calls that are over, and
-	waiting   []message        // requests that wait for room, the oldest first
-	writeDown chan struct{}    // holds one while a record of what is learned is wanted
-
-	Note func(to int, a scheduler.Action) // sends a message to another front; set before Run, none is sent without
+	clock              Clock
+	scheduler          *scheduler.Scheduler
+	checkHealth        func(node string) scheduler.HealthChecked
+	inbox              chan message
+	stopped            chan struct{}
+	calls              map[string]*call // of the loop alone, as are
+	usedIDs            idHistory        // ids of calls that are over, and
+	waitingForCapacity []message        // requests that wait for room, the oldest first
+	saveRequested      chan struct{}    // holds one while a record of what is learned is wanted
+
+	SendToPeer func(to int, a scheduler.Action) // sends a message to another front; set before Run, none is sent without
 
 	Observer Observer // hears of attempts; set before Run, nil for none
 
 	Log *slog.Logger // each request's way at level debug; set before Run, nothing is logged without
 
-	counts   counts
-	announce atomic.Pointer[func(id string)] // hears of each id that is taken
+	counters   counters
+	announceID atomic.Pointer[func(id string)] // hears of each id that is taken
 }
 
 // New returns a core. probe asks a node for its health and load, and returns within a bounded time.
@@ -91,19 +91,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("scheduler: %w", err)
 	}
-	return &Core{clock: NewClock(), scheduler: decider, probe: probe, inbox: make(chan message, l.Requests.Inbox),
-		stopped: make(chan struct{}), calls: map[string]*call{}, taken: newTaken(scheduler.Micros(l.Requests.IDRetention/time.Microsecond), l.Requests.PastIDs),
-		writeDown: make(chan struct{}, 1), Note: func(int, scheduler.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
+	return &Core{clock: NewClock(), scheduler: decider, checkHealth: probe, inbox: make(chan message, l.Requests.Inbox),
+		stopped: make(chan struct{}), calls: map[string]*call{}, usedIDs: newIDHistory(scheduler.Micros(l.Requests.IDRetention/time.Microsecond), l.Requests.PastIDs),
+		saveRequested: make(chan struct{}, 1), SendToPeer: func(int, scheduler.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
 }
 
-// Tell hands news of the node list to the scheduler, ahead of any request submitted later.
-func (c *Core) Tell(news scheduler.EndpointsChanged) { c.submit(message{event: news}) }
+// UpdateEndpoints hands news of the node list to the scheduler, ahead of any request submitted later.
+func (c *Core) UpdateEndpoints(news scheduler.EndpointsChanged) { c.submit(message{event: news}) }
 
-// Hear hands a message of another front to the scheduler.
-func (c *Core) Hear(e scheduler.Event) { c.submit(message{event: e}) }
+// Handle hands a message of another front to the scheduler.
+func (c *Core) Handle(e scheduler.Event) { c.submit(message{event: e}) }
 
-// Room tells the scheduler for how many open requests there is room from now on.
-func (c *Core) Room(open int) { c.submit(message{event: scheduler.OpenLimitChanged{MaxOpen: open}}) }
+// SetMaxOpen tells the scheduler for how many open requests there is room from now on.
+func (c *Core) SetMaxOpen(open int) {
+	c.submit(message{event: scheduler.OpenLimitChanged{MaxOpen: open}})
+}
 
 func (c *Core) submit(m message) bool {
 	select {
@@ -114,9 +116,9 @@
 	}
 }
 
-// readyAgain is how soon the core asks again for room while requests wait for it: it may come with time alone, as
+// readyInterval is how soon the core asks again for room while requests wait for it: it may come with time alone, as
 // a limit's store fills.
-const readyAgain = 10 * time.Millisecond
+const readyInterval = 10 * time.Millisecond
 
 // Run lets the scheduler decide until ctx ends: events that wait go into one step together, its actions are
 // carried out in order.
@@ -126,11 +128,11 @@
 	defer alarm.Stop()
 	var events []scheduler.Event
 	take := func(m message) {
-		if m.ask != nil { // what came ahead of it has to be known to the scheduler
+		if m.query != nil { // what came ahead of it has to be known to the scheduler
 			c.step(c.clock.Now(), events, alarm)
 			events = events[:0]
-			m.ask(c.scheduler)
-		} else if c.admit(m) {
+			m.query(c.scheduler)
+		} else if c.track(m) {
 			events = append(events, m.event)
 		}
 	}
@@ -149,7 +151,7 @@
 		}
 		now := c.clock.Now()
 		c.step(now, events, alarm)
-		c.letIn(now, alarm)
+		c.admitWaiting(now, alarm)
 	}
 }
 
@@ -162,43 +164,43 @@
 	}
 }
 
-// letIn takes the requests for which there is room by now, each before the next is looked at.
-func (c *Core) letIn(now scheduler.Micros, alarm *time.Timer) {
-	c.waiting = slices.DeleteFunc(c.waiting, func(m message) bool {
+// admitWaiting takes the requests for which there is room by now, each before the next is looked at.
+func (c *Core) admitWaiting(now scheduler.Micros, alarm *time.Timer) {
+	c.waitingForCapacity = slices.DeleteFunc(c.waitingForCapacity, func(m message) bool {
 		r := m.event.(scheduler.Request)
-		if now < m.until && !c.scheduler.Ready(now, r) {
+		if now < m.admitBy && !c.scheduler.Ready(now, r) {
 			return false
 		}
-		m.until = 0
-		if c.admit(m) {
+		m.admitBy = 0
+		if c.track(m) {
 			c.step(now, []scheduler.Event{r}, alarm)
 		}
 		return true
 	})
-	if len(c.waiting) > 0 {
-		alarm.Reset(readyAgain)
+	if len(c.waitingForCapacity) > 0 {
+		alarm.Reset(readyInterval)
 	}
 }
 
 func (c *Core) perform(a scheduler.Action, now scheduler.Micros, alarm *time.Timer) {
 	switch a := a.(type) {
 	case scheduler.StartAttempt:
-		c.rule(a.ID, a, false)
+		c.deliver(a.ID, a, false)
 	case scheduler.CancelAttempt:
-		c.rule(a.ID, a, false)
+		c.deliver(a.ID, a, false)
 	case scheduler.Reject:
-		c.rule(a.ID, a, true)
+		c.deliver(a.ID, a, true)
 	case scheduler.Fail:
-		c.rule(a.ID, a, true)
+		c.deliver(a.ID, a, true)
 	case scheduler.CheckHealth:
-		go func() { c.submit(message{event: c.probe(a.Node)}) }()
+		go func() { c.submit(message{event: c.checkHealth(a.Node)}) }()
 	case scheduler.RequestCapacity:
-		c.Note(a.To, a)
+		c.SendToPeer(a.To, a)
 	case scheduler.GrantCapacity:
-		c.Note(a.To, a)
+		c.SendToPeer(a.To, a)
 	case scheduler.SaveState:
 		select {
-		case c.writeDown <- struct{}{}:
+		case c.saveRequested <- struct{}{}:
 		default:
 		}
 	case scheduler.SetTimer:
@@ -206,14 +208,14 @@
 	}
 }
 
-// rule hands a verdict to the request that it is about; a final one ends it.
-func (c *Core) rule(id string, verdict scheduler.Action, final bool) {
+// deliver hands a verdict to the request that it is about; a final one ends it.
+func (c *Core) deliver(id string, verdict scheduler.Action, final bool) {
 	call := c.calls[id]
 	if call == nil || call.over {
 		return
 	}
 	if send, ok := verdict.(scheduler.StartAttempt); ok {
-		call.out++
+		call.outstanding++
 		c.observeStart(call, send)
 	}
 	call.verdicts <- verdict
--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -18,7 +18,7 @@
 
 func newCore(t *testing.T) *routing.Core {
 	core := standin.Core(t, standin.Settings(), nil)
-	core.Tell(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
+	core.UpdateEndpoints(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
 	return core
 }
 
@@ -54,10 +54,10 @@
 		t.Error("sent")
 		return 0, scheduler.AttemptEnded{}
 	})
-	if refused := new(routing.Refused); !errors.As(err, &refused) {
+	if refused := new(routing.RejectedError); !errors.As(err, &refused) {
 		t.Errorf("no node: %v", err)
 	}
-	if got := core.Tally(); got.Sum(routing.Failing) != 1 || got.Sum(routing.Rejected) != 1 || got.Sum(routing.Served) != 0 {
+	if got := core.Tally(); got.Sum(routing.Failed) != 1 || got.Sum(routing.Rejected) != 1 || got.Sum(routing.Served) != 0 {
 		t.Errorf("tally %+v", got)
 	}
 }
@@ -146,13 +146,13 @@
 	set := standin.Settings()
 	set.Classes[1].DedupWindow = 1_000_000
 	core := standin.Core(t, set, nil)
-	core.Tell(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
+	core.UpdateEndpoints(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
 	keyed, began, tries := request("keyed"), time.Now(), 0
 	keyed.Class = 1
 	_, err := routing.Do(t.Context(), core, keyed, func(ctx context.Context, a routing.Attempt) (int, scheduler.AttemptEnded) {
 		tries++
 		last, _ := ctx.Deadline()
-		begin, _ := a.Begin.Deadline()
+		begin, _ := a.MayBegin.Deadline()
 		switch {
 		case tries == 1 && !begin.Equal(last):
 			t.Errorf("the first attempt may begin until %v, of %v", begin, last)
@@ -162,7 +162,7 @@
 		if tries < 2 {
 			return 0, scheduler.AttemptEnded{Result: scheduler.Errored}
 		}
-		<-a.Begin.Done() // its connection comes up too late
+		<-a.MayBegin.Done() // its connection comes up too late
 		return 0, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	})
 	if !errors.Is(err, routing.ErrFailed) || tries != 2 {
@@ -185,7 +185,7 @@
 	if _, err := routing.Do(t.Context(), core, request("last"), serve); err != nil {
 		t.Error(err)
 	}
-	if got := core.Tally(); got.Open != 0 || got.Sum(routing.Served)+got.Left != 5001 {
+	if got := core.Tally(); got.Open != 0 || got.Sum(routing.Served)+got.ClientsLeft != 5001 {
 		t.Errorf("tally %+v", got)
 	}
 }
--- a/internal/net/routing/learned.go
+++ b/internal/net/routing/learned.go
@@ -10,54 +10,54 @@
 // Now is the core's present time.
 func (c *Core) Now() scheduler.Micros { return c.clock.Now() }
 
-// Fresh is what a node is taken for that nothing is known of. The core must not run yet.
-func (c *Core) Fresh() scheduler.NodeStats { return c.scheduler.NewNodeStats() }
+// NewNodeStats is what a node is taken for that nothing is known of. The core must not run yet.
+func (c *Core) NewNodeStats() scheduler.NodeStats { return c.scheduler.NewNodeStats() }
 
-// Recall takes over what a former self learned, given the nodes there are. The core must not run yet.
-func (c *Core) Recall(nodes scheduler.EndpointsChanged, l scheduler.Learned) {
+// ImportLearned takes over what a former self learned, given the nodes there are. The core must not run yet.
+func (c *Core) ImportLearned(nodes scheduler.EndpointsChanged, l scheduler.Learned) {
 	c.scheduler.Step(c.Now(), []scheduler.Event{nodes})
 	c.scheduler.ImportLearned(c.Now(), l)
 }
 
-// Learned returns a part of what is known, and the place of the next one: see scheduler.Scheduler.Learned. It works
+// ExportLearned returns a part of what is known, and the place of the next one: see scheduler.Scheduler.Learned. It works
 // after the core's end as well, for one caller.
-func (c *Core) Learned(ctx context.Context, from, n int) (l scheduler.Learned, next int, err error) {
-	err = c.ask(ctx, func(s *scheduler.Scheduler) { l, next = s.ExportLearned(c.Now(), from, n) })
+func (c *Core) ExportLearned(ctx context.Context, from, n int) (l scheduler.Learned, next int, err error) {
+	err = c.query(ctx, func(s *scheduler.Scheduler) { l, next = s.ExportLearned(c.Now(), from, n) })
 	return l, next, err
 }
 
 // Forget drops what was learned of a node or a project.
 func (c *Core) Forget(ctx context.Context, node, volume string) error {
-	return c.ask(ctx, func(s *scheduler.Scheduler) { s.Forget(node, volume) })
+	return c.query(ctx, func(s *scheduler.Scheduler) { s.Forget(node, volume) })
 }
 
-// Retune takes over other settings, see scheduler.Scheduler.Retune: all of them, or none where they are wrong.
-func (c *Core) Retune(set scheduler.Settings) error {
+// Reconfigure takes over other settings, see scheduler.Scheduler.Retune: all of them, or none where they are wrong.
+func (c *Core) Reconfigure(set scheduler.Settings) error {
 	var wrong error
-	err := c.ask(context.Background(), func(s *scheduler.Scheduler) { wrong = s.Reconfigure(set) })
+	err := c.query(context.Background(), func(s *scheduler.Scheduler) { wrong = s.Reconfigure(set) })
 	return cmp.Or(err, wrong)
 }
 
-// Place tells which node a request would be sent to now, and its shard; "" for none.
-func (c *Core) Place(ctx context.Context, r scheduler.Request) (node string, shard int, err error) {
-	err = c.ask(ctx, func(s *scheduler.Scheduler) { node, shard = s.NodeFor(c.Now(), r) })
+// NodeFor tells which node a request would be sent to now, and its shard; "" for none.
+func (c *Core) NodeFor(ctx context.Context, r scheduler.Request) (node string, shard int, err error) {
+	err = c.query(ctx, func(s *scheduler.Scheduler) { node, shard = s.NodeFor(c.Now(), r) })
 	return node, shard, err
 }
 
-// Avoided tells how many nodes of the list get nothing new now.
-func (c *Core) Avoided(ctx context.Context) (n int, err error) {
-	err = c.ask(ctx, func(s *scheduler.Scheduler) { n = s.AvoidedNodes(c.Now()) })
+// AvoidedNodes tells how many nodes of the list get nothing new now.
+func (c *Core) AvoidedNodes(ctx context.Context) (n int, err error) {
+	err = c.query(ctx, func(s *scheduler.Scheduler) { n = s.AvoidedNodes(c.Now()) })
 	return n, err
 }
 
-// Recorded tells the scheduler how the last record ended.
-func (c *Core) Recorded(r scheduler.StateSaved) { c.submit(message{event: r}) }
+// StateSaved tells the scheduler how the last record ended.
+func (c *Core) StateSaved(r scheduler.StateSaved) { c.submit(message{event: r}) }
 
-// WriteDown delivers when a record is wanted before its time.
-func (c *Core) WriteDown() <-chan struct{} { return c.writeDown }
+// SaveRequested delivers when a record is wanted before its time.
+func (c *Core) SaveRequested() <-chan struct{} { return c.saveRequested }
 
-// ask has the loop run a function, and waits for its end.
-func (c *Core) ask(ctx context.Context, f func(s *scheduler.Scheduler)) error {
+// query has the loop run a function, and waits for its end.
+func (c *Core) query(ctx context.Context, f func(s *scheduler.Scheduler)) error {
 	select {
 	case <-c.stopped:
 		f(c.scheduler) // nobody else owns it any more
@@ -65,7 +65,7 @@
 	default:
 	}
 	done := make(chan struct{})
-	ask := message{ask: func(s *scheduler.Scheduler) {
+	ask := message{query: func(s *scheduler.Scheduler) {
 		f(s)
 		close(done)
 	}}
--- a/internal/net/routing/observer_test.go
+++ b/internal/net/routing/observer_test.go
@@ -36,7 +36,7 @@
 	ctx, end := context.WithCancel(t.Context())
 	defer end()
 	go core.Run(ctx)
-	core.Tell(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}, {Node: "b", Shard: 1}}})
+	core.UpdateEndpoints(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}, {Node: "b", Shard: 1}}})
 	outcomes := []scheduler.AttemptEnded{{Result: scheduler.Reset, Alive: true}, {Result: scheduler.OK}}
 	serve := func(_ context.Context, _ routing.Attempt) (int, scheduler.AttemptEnded) {
 		o := outcomes[0]
--- a/internal/net/routing/request.go
+++ b/internal/net/routing/request.go
@@ -12,46 +12,56 @@
 // Attempt is one that the scheduler decided on.
 type Attempt struct {
 	Node string
-	// Begin ends once nothing of the attempt may be written any more, if nothing was by then: the client has left, it
-	// was taken back, or a repeat would come too late to be dropped by the nodes.
-	Begin context.Context
+	// MayBegin ends once nothing of the attempt may be written any more, if nothing was by then: the client has left, the
+	// attempt was cancelled, or a retry would come too late to be deduplicated by the nodes.
+	MayBegin context.Context
 }
 
-// Entry is a request that the core has taken and that Carry brings to its final answer.
-type Entry struct {
+// AttemptFunc carries out an attempt and returns what it brought with its result. It ends when its context does, at the
+// request's deadline at the latest. Of the outcome Result, Alive, ServedElsewhere and, where it is known better than by the
+// call's duration, Latency are used.
+type AttemptFunc[T any] func(ctx context.Context, a Attempt) (T, scheduler.AttemptEnded)
+
+// Submission is a request that the core has taken and that Carry brings to its final answer.
+type Submission struct {
 	core     *Core
 	request  scheduler.Request
 	call     *call
 	deadline time.Time
 }
 
-func (c *Core) enter(r scheduler.Request, until scheduler.Micros) (*Entry, error) {
-	e := &Entry{core: c, request: r, call: &call{id: r.ID, verdicts: make(chan scheduler.Action, verdictRoom),
-		taken: make(chan struct{})}}
-	e.deadline = time.Now().Add(time.Duration(r.TimeLeft) * time.Microsecond)
-	if tell := c.announce.Load(); tell != nil {
-		(*tell)(r.ID)
+// submitRequest hands a request to the core's loop: at once, or once the scheduler is ready for it, at admitBy at the latest.
+func (c *Core) submitRequest(r scheduler.Request, admitBy scheduler.Micros) (*Submission, error) {
+	s := &Submission{core: c, request: r, call: newCall(r.ID)}
+	s.startDeadline()
+	if announce := c.announceID.Load(); announce != nil {
+		(*announce)(r.ID)
 	}
-	if !c.submit(message{event: r, call: e.call, until: until}) {
+	if !c.submit(message{event: r, call: s.call, admitBy: admitBy}) {
 		return nil, ErrStopped
 	}
-	return e, nil
+	return s, nil
+}
+
+// startDeadline has the request's time run from now on.
+func (s *Submission) startDeadline() {
+	s.deadline = time.Now().Add(time.Duration(s.request.TimeLeft) * time.Microsecond)
 }
 
-// EnterWhenReady submits a request once the scheduler would send it without a wait, or at the latest after the
-// time given. Until then it is not taken: nothing is owed for it, its time does not run, and it fails with the
-// cause of ctx where that ends first.
-func (c *Core) EnterWhenReady(ctx context.Context, r scheduler.Request, most time.Duration) (*Entry, error) {
-	e, err := c.enter(r, c.clock.Now()+scheduler.Micros(most/time.Microsecond))
+// SubmitWhenReady submits a request once the scheduler would send it without a wait, or at the latest after the time given.
+// Until then it is not taken: nothing is owed for it, its time does not run, and it fails with the cause of ctx where that
+// ends first.
+func (c *Core) SubmitWhenReady(ctx context.Context, r scheduler.Request, longest time.Duration) (*Submission, error) {
+	s, err := c.submitRequest(r, c.clock.Now()+scheduler.Micros(longest/time.Microsecond))
 	if err != nil {
 		return nil, err
 	}
 	select {
-	case <-e.call.taken:
-		e.deadline = time.Now().Add(time.Duration(r.TimeLeft) * time.Microsecond)
-		return e, nil
+	case <-s.call.admitted:
+		s.startDeadline()
+		return s, nil
 	case <-ctx.Done():
-		c.lapse(e.call, 0)
+		c.abandon(s.call, 0)
 		return nil, context.Cause(ctx)
 	case <-c.stopped:
 		return nil, ErrStopped
@@ -59,83 +69,52 @@
 }
 
 // Do is the life of one request: it is submitted, and carried to its one final answer.
-func Do[T any](ctx context.Context, c *Core, r scheduler.Request,
-	attempt func(ctx context.Context, a Attempt) (T, scheduler.AttemptEnded)) (T, error) {
-	e, err := c.enter(r, 0)
+func Do[T any](ctx context.Context, c *Core, r scheduler.Request, attempt AttemptFunc[T]) (T, error) {
+	s, err := c.submitRequest(r, 0)
 	if err != nil {
 		return *new(T), err
 	}
-	return Carry(ctx, e, attempt)
+	return Carry(ctx, s, attempt)
 }
 
-// Carry is the life of a request from where it was taken: it is sent, refused or failed as the scheduler decides,
-// and each attempt's outcome is reported, until one final answer. An attempt ends when its context does, at the
-// request's deadline at the latest; it returns what it brought, the result and the units served elsewhere.
-// Where ctx ends first the client has left; an attempt that is out runs on to its outcome, since closing a
-// connection stops no work. One that was decided on and of which nothing is written yet is not begun.
-func Carry[T any](ctx context.Context, e *Entry,
-	attempt func(ctx context.Context, a Attempt) (T, scheduler.AttemptEnded)) (T, error) {
+// Carry is the life of a request from where it was taken: it is sent, rejected or failed as the scheduler decides, and each
+// attempt's outcome is reported, until one final answer. The error is a RejectedError, ErrFailed, ErrDuplicate, ErrStopped or
+// the cause of ctx. Where ctx ends first the client has left; an attempt that is outstanding runs on to its outcome, since
+// closing a connection stops no work. One that was decided on and of which nothing is written yet is not begun.
+func Carry[T any](ctx context.Context, s *Submission, attempt AttemptFunc[T]) (T, error) {
 	var none T
-	c, r, call, deadline := e.core, e.request, e.call, e.deadline
-	c.counts.opened(1)
-	defer c.counts.opened(-1)
+	c := s.core
+	c.counters.addOpen(1)
+	defer c.counters.addOpen(-1)
 	answers := make(chan T, 1) // at most one attempt is answered, so nobody waits here
-	takeBack := context.CancelCauseFunc(func(error) {})
-	verdicts, tries := call.verdicts, 0
+	cancelAttempt := context.CancelCauseFunc(func(error) {})
+	verdicts, attempts := s.call.verdicts, 0
 	for {
 		select {
-		case v, owed := <-verdicts:
-			switch v := v.(type) {
+		case verdict, owed := <-verdicts:
+			switch v := verdict.(type) {
 			case scheduler.StartAttempt:
-				own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-				o := scheduler.AttemptEnded{ID: r.ID, Attempt: tries}
-				go func() {
-					// Both end only after the outcome is submitted: who sees the attempt's context end may use its
-					// id again.
-					defer cancel(nil)
-					limited, release := context.WithDeadline(own, deadline)
-					defer release()
-					begin, release := context.WithDeadline(ctx, c.clock.at(v.BeginBy, deadline))
-					defer release()
-					defer context.AfterFunc(own, release)()
-					value := try(limited, Attempt{v.Node, begin}, attempt, &o)
-					c.submit(message{event: o})
-					if c.debugs() {
-						c.Log.Debug("attempt", "request", r.ID, "attempt", o.Attempt, "node", v.Node, "result", o.Result.String(), "us", o.Latency)
-					}
-					if o.Result == scheduler.OK {
-						answers <- value
-					}
-				}()
-				takeBack = cancel
-				tries++
+				cancelAttempt = startAttempt(ctx, s, v, attempts, attempt, answers)
+				attempts++
 			case scheduler.CancelAttempt:
-				takeBack(errTakenBack)
+				cancelAttempt(errAttemptCancelled)
 			case scheduler.Reject:
-				c.counts.ended(r.Class, Rejected)
-				if c.debugs() {
-					c.Log.Debug("refused", "request", r.ID, "why", v.Reason, "retry_after_us", v.RetryAfter, "attempts", tries)
-				}
-				return none, &Refused{RetryAfter: time.Duration(v.RetryAfter) * time.Microsecond}
+				return none, s.rejected(v, attempts)
 			case scheduler.Fail:
-				c.counts.ended(r.Class, Failing)
-				if c.debugs() {
-					c.Log.Debug("failed", "request", r.ID, "why", v.Reason, "attempts", tries)
-				}
-				return none, ErrFailed
+				return none, s.failed(v, attempts)
 			}
-			if !owed && tries == 0 {
+			if !owed && attempts == 0 {
 				return none, ErrDuplicate
 			}
 			if !owed {
 				verdicts = nil // served: the answer is on its way
 			}
 		case value := <-answers:
-			c.counts.ended(r.Class, Served)
+			c.counters.countEnding(s.request.Class, Served)
 			return value, nil
 		case <-ctx.Done():
-			c.counts.left()
-			c.lapse(call, tries)
+			c.counters.countClientLeft()
+			c.abandon(s.call, attempts)
 			return none, context.Cause(ctx)
 		case <-c.stopped:
 			return none, ErrStopped
@@ -143,33 +122,78 @@
 	}
 }
 
-// try carries out one attempt and fills in its outcome.
-func try[T any](ctx context.Context, a Attempt,
-	attempt func(ctx context.Context, a Attempt) (T, scheduler.AttemptEnded), o *scheduler.AttemptEnded) T {
-	began := time.Now()
-	value, got := attempt(ctx, a)
-	o.Result, o.ServedElsewhere, o.Alive = got.Result, got.ServedElsewhere, got.Alive
-	if o.Result == scheduler.TimedOut && context.Cause(ctx) == errTakenBack {
-		o.Result = scheduler.Cancelled
+// startAttempt carries out an attempt in a goroutine, reports its outcome to the scheduler, and hands on a success. The
+// returned function cancels it.
+func startAttempt[T any](ctx context.Context, s *Submission, v scheduler.StartAttempt, number int, attempt AttemptFunc[T],
+	answers chan<- T) context.CancelCauseFunc {
+	c := s.core
+	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	go func() {
+		// The contexts end only after the outcome is submitted: who sees them end may use the request's id again.
+		defer cancel(nil)
+		limited, release := context.WithDeadline(own, s.deadline)
+		defer release()
+		mayBegin, release := context.WithDeadline(ctx, c.clock.timeOf(v.BeginBy, s.deadline))
+		defer release()
+		defer context.AfterFunc(own, release)()
+		value, outcome := runAttempt(limited, Attempt{v.Node, mayBegin}, attempt)
+		outcome.ID = s.request.ID
+		outcome.Attempt = number
+		c.submit(message{event: outcome})
+		if c.debugEnabled() {
+			c.Log.Debug("attempt ended", "request", s.request.ID, "attempt", number, "node", v.Node,
+				"result", outcome.Result.String(), "us", outcome.Latency)
+		}
+		if outcome.Result == scheduler.OK {
+			answers <- value
+		}
+	}()
+	return cancel
+}
+
+// runAttempt carries out one attempt and completes its outcome.
+func runAttempt[T any](ctx context.Context, a Attempt, attempt AttemptFunc[T]) (T, scheduler.AttemptEnded) {
+	startedAt := time.Now()
+	value, outcome := attempt(ctx, a)
+	if outcome.Result == scheduler.TimedOut && context.Cause(ctx) == errAttemptCancelled {
+		outcome.Result = scheduler.Cancelled
+	}
+	outcome.Latency = cmp.Or(outcome.Latency, scheduler.Micros(time.Since(startedAt)/time.Microsecond))
+	outcome.Final = outcome.Result == scheduler.OK
+	return value, outcome
+}
+
+// rejected counts a request that the scheduler rejected, and returns the error for its client.
+func (s *Submission) rejected(v scheduler.Reject, attempts int) error {
+	s.core.counters.countEnding(s.request.Class, Rejected)
+	if s.core.debugEnabled() {
+		s.core.Log.Debug("request rejected", "request", s.request.ID, "why", v.Reason, "retry_after_us", v.RetryAfter, "attempts", attempts)
+	}
+	return &RejectedError{RetryAfter: time.Duration(v.RetryAfter) * time.Microsecond}
+}
+
+// failed counts a request that the scheduler failed, and returns the error for its client.
+func (s *Submission) failed(v scheduler.Fail, attempts int) error {
+	s.core.counters.countEnding(s.request.Class, Failed)
+	if s.core.debugEnabled() {
+		s.core.Log.Debug("request failed", "request", s.request.ID, "why", v.Reason, "attempts", attempts)
 	}
-	o.Latency = cmp.Or(got.Latency, scheduler.Micros(time.Since(began)/time.Microsecond))
-	o.Final = o.Result == scheduler.OK
-	return value
+	return ErrFailed
 }
 
-// debugs tells whether each request's way is logged. Ask first: the arguments alone would cost on every request.
-func (c *Core) debugs() bool { return c.Log.Enabled(context.Background(), slog.LevelDebug) }
+// debugEnabled reports whether each request's way is logged. Ask first: the arguments alone would cost on every request.
+func (c *Core) debugEnabled() bool { return c.Log.Enabled(context.Background(), slog.LevelDebug) }
 
-// lapse ends a request whose client has left. A send that was decided but not begun never will be.
-func (c *Core) lapse(call *call, tries int) {
+// abandon ends a request whose client has left. An attempt that was decided on but not begun never will be.
+func (c *Core) abandon(call *call, attempts int) {
 	if !c.submit(message{event: scheduler.ClientLeft{ID: call.id}, call: call}) {
 		return
 	}
 	for {
 		select {
 		case v, owed := <-call.verdicts:
-			if _, send := v.(scheduler.StartAttempt); send {
-				c.submit(message{event: scheduler.AttemptEnded{ID: call.id, Attempt: tries, Result: scheduler.NotStarted}})
+			if _, starts := v.(scheduler.StartAttempt); starts {
+				c.submit(message{event: scheduler.AttemptEnded{ID: call.id, Attempt: attempts, Result: scheduler.NotStarted}})
 			}
 			if !owed {
 				return
--- a/internal/net/routing/taken_test.go
+++ b/internal/net/routing/taken_test.go
@@ -10,7 +10,7 @@
 // Ids are remembered for as long as they must be, in bounded memory, and forgotten then.
 func TestIdsAreRememberedForAWhile(t *testing.T) {
 	const keep, most = scheduler.Micros(1000), 100
-	ids := newTaken(keep, most)
+	ids := newIDHistory(keep, most)
 	for now := scheduler.Micros(0); now < 20*keep; now += 20 {
 		ids.add(now, fmt.Sprint(now))
 		if now >= keep && !ids.has(fmt.Sprint(now-keep)) {
@@ -21,8 +21,8 @@
 		}
 	}
 	for i := range 10 * most {
-		if ids.add(30*keep, fmt.Sprint("flood-", i)); len(ids.now)+len(ids.older) > 2*most {
-			t.Fatalf("%d ids in a flood", len(ids.now)+len(ids.older))
+		if ids.add(30*keep, fmt.Sprint("flood-", i)); len(ids.recent)+len(ids.older) > 2*most {
+			t.Fatalf("%d ids in a flood", len(ids.recent)+len(ids.older))
 		}
 	}
 }
--- a/internal/net/routing/tally.go
+++ b/internal/net/routing/tally.go
@@ -12,14 +12,14 @@
 const (
 	Served Ending = iota
 	Rejected
-	Failing
-	endings
+	Failed
+	endingKinds
 )
 
 // Tally counts requests by how they ended.
 type Tally struct {
-	Open, Left int64
-	ByClass    [][endings]int64 // by the class's index, then by Ending; shorter where the last ones had none
+	Open, ClientsLeft int64
+	ByClass           [][endingKinds]int64 // by the class's index, then by Ending; shorter where the last ones had none
 }
 
 // Sum counts over all classes.
@@ -30,36 +30,36 @@
 	return n
 }
 
-// Of counts the endings of one class.
-func (t Tally) Of(class int) (n [endings]int64) {
+// Class counts the endings of one class.
+func (t Tally) Class(class int) (n [endingKinds]int64) {
 	if class < len(t.ByClass) {
 		return t.ByClass[class]
 	}
 	return n
 }
 
-// counts is a Tally that many goroutines write.
-type counts struct {
+// counters is a Tally that many goroutines write.
+type counters struct {
 	mu    sync.Mutex
 	tally Tally
 }
 
-func (c *counts) ended(class int, e Ending) {
+func (c *counters) countEnding(class int, e Ending) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for class >= len(c.tally.ByClass) {
-		c.tally.ByClass = append(c.tally.ByClass, [endings]int64{})
+		c.tally.ByClass = append(c.tally.ByClass, [endingKinds]int64{})
 	}
 	c.tally.ByClass[max(class, 0)][e]++
 }
 
-func (c *counts) left() {
+func (c *counters) countClientLeft() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tally.Left++
+	c.tally.ClientsLeft++
 }
 
-func (c *counts) opened(n int64) {
+func (c *counters) addOpen(n int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tally.Open += n
@@ -67,18 +67,18 @@
 
 // Tally tells how many requests are open and how the others ended.
 func (c *Core) Tally() Tally {
-	c.counts.mu.Lock()
-	defer c.counts.mu.Unlock()
-	t := c.counts.tally
+	c.counters.mu.Lock()
+	defer c.counters.mu.Unlock()
+	t := c.counters.tally
 	t.ByClass = slices.Clone(t.ByClass)
 	return t
 }
 
-// Turned counts a request that was refused ahead of the scheduler, for want of room.
-func (c *Core) Turned(class int) { c.counts.ended(class, Rejected) }
+// CountRejected counts a request that was refused ahead of the scheduler, for want of room.
+func (c *Core) CountRejected(class int) { c.counters.countEnding(class, Rejected) }
 
-// Stay keeps a request open past its final answer's head, while its body is passed on. The returned function ends it.
-func (c *Core) Stay() (end func()) {
-	c.counts.opened(1)
-	return sync.OnceFunc(func() { c.counts.opened(-1) })
+// HoldOpen keeps a request open past its final answer's head, while its body is passed on. The returned function ends it.
+func (c *Core) HoldOpen() (end func()) {
+	c.counters.addOpen(1)
+	return sync.OnceFunc(func() { c.counters.addOpen(-1) })
 }
--- a/internal/net/transport/body.go
+++ b/internal/net/transport/body.go
@@ -11,15 +11,15 @@
 	"otterturn/internal/net/protocol"
 )
 
-// errNotSent tells that a long request did not get to a node but for its end: it never ran.
-var errNotSent = errors.New("the request could not be passed on")
+// errUploadFailed tells that a long request did not get to a node but for its end: it never ran.
+var errUploadFailed = errors.New("the request could not be passed on")
 
-// read reads a request, or tells with which status it is turned away. What is short is held, and may be sent again. A
+// readRequest reads a request, or tells with which status it is turned away. What is short is held, and may be sent again. A
 // long body goes to its node as it comes, but for its end.
-func (f *Front) read(w http.ResponseWriter, r *http.Request, set protocol.Settings) (m message, status int, err error) {
+func (f *Front) readRequest(w http.ResponseWriter, r *http.Request, set protocol.Settings) (m inboundRequest, status int, err error) {
 	conn := connOf(r.Context())
 	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
-		if conn.framing.clashes() {
+		if conn.framing.isAmbiguous() {
 			return m, http.StatusBadRequest, errors.New("the request may be framed in two ways")
 		}
 		w.Header().Set("Connection", "close") // what stands behind it could not be told from its body
@@ -31,7 +31,7 @@
 		return m, http.StatusBadRequest, err
 	}
 	if r.ContentLength > f.limits.Requests.StreamedBytes {
-		return m, http.StatusRequestEntityTooLarge, errTooLong
+		return m, http.StatusRequestEntityTooLarge, errBodyTooLong
 	}
 	if r.ContentLength == 0 {
 		return m, 0, nil
@@ -43,9 +43,9 @@
 			return 0, err
 		}
 		n, err := r.Body.Read(p)
-		f.clients.goesOn(conn)
+		f.clients.bodyProgressed(conn)
 		if left -= int64(n); left < 0 {
-			return n, errTooLong
+			return n, errBodyTooLong
 		}
 		return n, err
 	}
@@ -62,16 +62,16 @@
 	if err == nil {
 		err = f.next.upload(r, &m, next)
 		if client := (clientError{}); err != nil && !errors.As(err, &client) {
-			err = f.drain(next, err)
+			err = f.discardBody(next, err)
 		}
 	}
 	switch {
 	case err == io.EOF || err == nil:
-		conn.framing.end()
-	case errors.Is(err, errNotSent):
+		conn.framing.endBody()
+	case errors.Is(err, errUploadFailed):
 		return m, 0, err
-	case errors.Is(err, errTooLong):
-		return m, http.StatusRequestEntityTooLarge, errTooLong
+	case errors.Is(err, errBodyTooLong):
+		return m, http.StatusRequestEntityTooLarge, errBodyTooLong
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return m, http.StatusRequestTimeout, errors.New("the body did not come in time")
 	default:
@@ -84,13 +84,13 @@
 	return m, 0, nil
 }
 
-// drain reads what comes yet of a body that no node can have: an answer ahead of its end would be lost with the connection.
-func (f *Front) drain(next func([]byte) (int, error), cause error) error {
+// discardBody reads what comes yet of a body that no node can have: an answer ahead of its end would be lost with the connection.
+func (f *Front) discardBody(next func([]byte) (int, error), cause error) error {
 	piece := buffers.Get()
 	defer buffers.Put(piece)
 	for {
 		if _, err := next(piece); err == io.EOF {
-			return fmt.Errorf("%w: %w", errNotSent, cause)
+			return fmt.Errorf("%w: %w", errUploadFailed, cause)
 		} else if err != nil {
 			return err
 		}
@@ -100,12 +100,12 @@
 // pacedWriter bounds how long a client may take for each piece of its answer, and not for the whole of it.
 type pacedWriter struct {
 	http.ResponseWriter
-	control *http.ResponseController
-	most    time.Duration
+	control      *http.ResponseController
+	writeTimeout time.Duration
 }
 
 func (w *pacedWriter) Write(p []byte) (int, error) {
-	if err := w.control.SetWriteDeadline(time.Now().Add(w.most)); err != nil {
+	if err := w.control.SetWriteDeadline(time.Now().Add(w.writeTimeout)); err != nil {
 		return 0, err
 	}
 	return w.ResponseWriter.Write(p)
--- a/internal/net/transport/bounds_test.go
+++ b/internal/net/transport/bounds_test.go
@@ -73,7 +73,7 @@
 			f.clients.mu.Lock()
 			defer f.clients.mu.Unlock()
 			for c := range f.clients.conns {
-				if c.used && c.stage != idle && c.RemoteAddr().String() != slow.LocalAddr().String() {
+				if c.sentRequest && c.stage != idle && c.RemoteAddr().String() != slow.LocalAddr().String() {
 					return false
 				}
 			}
@@ -197,7 +197,7 @@
 	rooms := make(chan int, 1)
 	go func() {
 		stopped <- f.Stop(func(open int) {
-			core.Room(open)
+			core.SetMaxOpen(open)
 			select {
 			case rooms <- open:
 			default:
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -17,13 +17,13 @@
 // beside a read, a request that came in that moment would be read, sent on, and its answer be lost.
 type clientConn struct {
 	net.Conn
-	raw     net.Conn    // under TLS, if that is spoken
-	came    atomic.Bool // something was read since it last stood idle
-	wrote   atomic.Bool // an answer, or some of it
-	closing atomic.Bool
-	framing framing // of the goroutine that reads, as is
-	ahead   []byte  // what came behind a request that is owed its answer
-	flooded bool    // more came than that may hold: it was dropped, and the connection ends behind the answer
+	raw       net.Conn    // under TLS, if that is spoken
+	hasInput  atomic.Bool // something was read since it last stood idle
+	answered  atomic.Bool // an answer, or some of it
+	closing   atomic.Bool
+	framing   framing // of the goroutine that reads, as is
+	readAhead []byte  // what came behind a request that is owed its answer
+	flooded   bool    // more came than that may hold: it was dropped, and the connection ends behind the answer
 
 	reads struct { // when a read is to end
 		sync.Mutex
@@ -31,13 +31,13 @@
 		woken    bool      // the read was ended for the front's own sake
 	}
 
-	clients *clients
-	stage   stage
-	since   time.Time // in its stage; while the first request comes, since the connection was accepted
-	served  bool      // a request is over
-	used    bool      // one for the core has come
-	unmade  bool      // it is to end, if nothing has come
-	passTo  func(net.Conn) error
+	clients       *clientConns
+	stage         stage
+	stageSince    time.Time // in its stage; while the first request comes, since the connection was accepted
+	served        bool      // a request is over
+	sentRequest   bool      // one for the core has come
+	markedClosing bool      // it is to end, if nothing has come
+	handOff       func(net.Conn) error
 }
 
 // stage is what a connection is about.
@@ -55,52 +55,52 @@
 // net/http hears of the end alone.
 func (c *clientConn) Read(p []byte) (int, error) {
 	for {
-		if c.clients.ends(c) {
+		if c.clients.shouldEnd(c) {
 			return 0, io.EOF // to net/http the client has gone; Close ends it, or passes it on
 		}
-		owed := c.framing.whole()
+		owed := c.framing.complete()
 		switch {
-		case owed && len(c.ahead) > 0: // one byte at a time would take long
+		case owed && len(c.readAhead) > 0: // one byte at a time would take long
 			piece := buffers.Get()
 			n, err := c.Conn.Read(piece)
-			c.keep(piece[:n])
+			c.bufferAhead(piece[:n])
 			buffers.Put(piece)
-			if c.goesOn(err) {
+			if c.resumeRead(err) {
 				continue
 			}
 			return 0, err
-		case len(c.ahead) > 0:
-			n := c.took(p[:copy(p, c.ahead)])
-			c.ahead = c.ahead[n:]
+		case len(c.readAhead) > 0:
+			n := c.consume(p[:copy(p, c.readAhead)])
+			c.readAhead = c.readAhead[n:]
 			return n, nil
 		case c.flooded && !owed:
 			return 0, io.EOF
 		}
 		n, err := c.Conn.Read(p)
-		if n > 0 && c.framing.whole() { // it may have come whole by now
-			c.keep(p[:n])
+		if n > 0 && c.framing.complete() { // it may have come whole by now
+			c.bufferAhead(p[:n])
 			continue
 		}
 		if n > 0 {
-			own := c.took(p[:n])
-			c.keep(p[own:n])
+			own := c.consume(p[:n])
+			c.bufferAhead(p[own:n])
 			return own, err
 		}
-		if !c.goesOn(err) {
+		if !c.resumeRead(err) {
 			return 0, err
 		}
 	}
 }
 
-// took notes what net/http is given, and tells how much of it is of the request that comes: what is behind it would stand
+// consume notes what net/http is given, and tells how much of it is of the request that comes: what is behind it would stand
 // in net/http's buffer, unseen from here.
-func (c *clientConn) took(p []byte) (own int) {
-	c.came.Store(true)
-	return c.framing.take(p)
+func (c *clientConn) consume(p []byte) (own int) {
+	c.hasInput.Store(true)
+	return c.framing.consume(p)
 }
 
 func (c *clientConn) Write(p []byte) (int, error) {
-	c.wrote.Store(true)
+	c.answered.Store(true)
 	return c.Conn.Write(p)
 }
 
@@ -112,16 +112,16 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// wake has the read that is under way, or the next one, look whether the connection is to end.
-func (c *clientConn) wake() {
+// interruptRead has the read that is under way, or the next one, look whether the connection is to end.
+func (c *clientConn) interruptRead() {
 	c.reads.Lock()
 	defer c.reads.Unlock()
 	c.reads.woken = true
 	c.raw.SetReadDeadline(time.Unix(1, 0))
 }
 
-// goesOn tells whether a read that ended so was woken alone, or not ended at all. What net/http had set holds again.
-func (c *clientConn) goesOn(err error) bool {
+// resumeRead tells whether a read that ended so was woken alone, or not ended at all. What net/http had set holds again.
+func (c *clientConn) resumeRead(err error) bool {
 	if err == nil {
 		return true
 	}
@@ -135,17 +135,17 @@
 // floodPause holds back who floods: a piece in so long, 32 MB a second.
 const floodPause = time.Millisecond
 
-// keep keeps what came ahead, and what comes with it. Of a flood the rest is dropped piece by piece, so that the end
+// bufferAhead keeps what came ahead, and what comes with it. Of a flood the rest is dropped piece by piece, so that the end
 // behind it is met.
-func (c *clientConn) keep(p []byte) {
+func (c *clientConn) bufferAhead(p []byte) {
 	if len(p) == 0 {
 		return
 	}
-	room := c.clients.limits.Clients.ReadAhead - len(c.ahead)
+	room := c.clients.limits.Clients.ReadAhead - len(c.readAhead)
 	if c.flooded = c.flooded || len(p) > room; c.flooded {
 		time.Sleep(floodPause)
 	}
-	c.ahead = append(c.ahead, p[:min(len(p), max(room, 0))]...)
+	c.readAhead = append(c.readAhead, p[:min(len(p), max(room, 0))]...)
 }
 
 // Close ends the connection. A client that was answered is let read that to its end: a close over bytes that were not
@@ -154,22 +154,22 @@
 	if c.closing.Swap(true) { // the front ends, or wants the room
 		return c.Conn.Close()
 	}
-	pass := c.clients.end(c)
+	pass := c.clients.beginEnding(c)
 	passed := pass != nil && pass(c.raw) == nil
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); !passed && c.wrote.Load() && ok && half.CloseWrite() == nil {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); !passed && c.answered.Load() && ok && half.CloseWrite() == nil {
 		c.Conn.SetReadDeadline(time.Now().Add(c.clients.limits.Clients.LastAnswerTimeout))
 		io.Copy(io.Discard, c.Conn)
 	}
 	err := c.Conn.Close()
-	c.clients.leave(c)
+	c.clients.remove(c)
 	return err
 }
 
-// crossed tells whether something has come that may be a request: read, or still in the kernel.
-func (c *clientConn) crossed() bool { return c.unread() || c.came.Load() }
+// hasPendingInput tells whether something has come that may be a request: read, or still in the kernel.
+func (c *clientConn) hasPendingInput() bool { return c.hasUnreadInput() || c.hasInput.Load() }
 
-// unread reports whether the kernel holds bytes that were not read, or the client has ended the connection.
-func (c *clientConn) unread() bool {
+// hasUnreadInput reports whether the kernel holds bytes that were not read, or the client has ended the connection.
+func (c *clientConn) hasUnreadInput() bool {
 	s, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
@@ -179,12 +179,12 @@
 		return true
 	}
 	waiting := true
-	err = raw.Control(func(fd uintptr) { waiting = !empty(fd) })
+	err = raw.Control(func(fd uintptr) { waiting = !nothingToRead(fd) })
 	return err != nil || waiting
 }
 
-// empty tells whether a socket is open with nothing to read.
-func empty(fd uintptr) bool {
+// nothingToRead tells whether a socket is open with nothing to read.
+func nothingToRead(fd uintptr) bool {
 	_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return err == syscall.EAGAIN
 }
--- a/internal/net/transport/connections_test.go
+++ b/internal/net/transport/connections_test.go
@@ -59,7 +59,7 @@
 	})
 	other, count := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
 	s := newNodes(func(l *limits.Limits) { l.Nodes.Conns = 1 }, addr, other)
-	probe := NewProber(s, protocol.Settings{}, logs.Quiet()).Probe
+	probe := NewHealthChecker(s, protocol.Settings{}, logs.Quiet()).Check
 	if got := send(t, s, standin.Patience); got.Result != scheduler.OK {
 		t.Errorf("the first: %v", got.Result)
 	}
--- a/internal/net/transport/crossings_test.go
+++ b/internal/net/transport/crossings_test.go
@@ -47,7 +47,7 @@
 			io.WriteString(second, fmt.Sprintf(request, "second")+"\r\n")
 			standin.Until(t, "the second request", func() bool { return core.Tally().Open == 2 })
 			leave(second)
-			standin.Until(t, "its end", func() bool { return core.Tally().Left >= 1 })
+			standin.Until(t, "its end", func() bool { return core.Tally().ClientsLeft >= 1 })
 			close(goOn)
 			if r, _ := first.ask(t, ""); r.StatusCode != 200 {
 				t.Errorf("the first request: %d", r.StatusCode)
@@ -69,7 +69,7 @@
 	over, end := context.WithCancel(t.Context())
 	end()
 	r, _ := http.NewRequest(http.MethodGet, "http://backend.local/read/00000000000000aa/00000000000000bb", nil)
-	if _, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", Begin: over}, r); out.Result != scheduler.NotStarted || count.Load() != 0 {
+	if _, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", MayBegin: over}, r); out.Result != scheduler.NotStarted || count.Load() != 0 {
 		t.Errorf("%v, %d requests", out.Result, count.Load())
 	}
 }
@@ -89,7 +89,7 @@
 	s := newNodes(func(l *limits.Limits) { l.Nodes.ReuseDelay = 300 * time.Millisecond }, addr)
 	for i := range 2 {
 		r, _ := http.NewRequest(http.MethodGet, "http://backend.local/read/00000000000000aa/00000000000000bb", nil)
-		resp, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", Begin: t.Context()}, r)
+		resp, out := s.attempt(t.Context(), routing.Attempt{Node: "node-0", MayBegin: t.Context()}, r)
 		if out.Result != scheduler.OK {
 			t.Fatalf("attempt %d: %v", i, out.Result)
 		}
@@ -143,7 +143,7 @@
 }
 
 // accept gives a client's connection as the front has it, with its other end.
-func accept(t *testing.T) (s *clients, c *clientConn, far *net.TCPConn) {
+func accept(t *testing.T) (s *clientConns, c *clientConn, far *net.TCPConn) {
 	t.Helper()
 	l := standin.Listen(t)
 	t.Cleanup(func() { l.Close() })
@@ -156,9 +156,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { near.Close(); other.Close() })
-	s = newClients(standin.Limits())
+	s = newClientConns(standin.Limits())
 	c = &clientConn{Conn: near, raw: near, clients: s}
-	s.enter(c)
+	s.add(c)
 	return s, c, other.(*net.TCPConn)
 }
 
@@ -187,8 +187,8 @@
 	}
 	far.Close()
 	standin.Await(t, "the close", closed)
-	if s.count() != 0 || s.unmade != 0 {
-		t.Errorf("%d connections, %d ending", s.count(), s.unmade)
+	if s.count() != 0 || s.closing != 0 {
+		t.Errorf("%d connections, %d ending", s.count(), s.closing)
 	}
 }
 
@@ -196,13 +196,13 @@
 func TestRequestThatCrossesAnEndIsRead(t *testing.T) {
 	s, c, far := accept(t)
 	io.WriteString(far, "GET ")
-	standin.Until(t, "the request", c.crossed)
+	standin.Until(t, "the request", c.hasPendingInput)
 	s.closeIdle(time.Now().Add(time.Hour))
 	p := make([]byte, 16)
 	if n, err := c.Read(p); err != nil || string(p[:n]) != "GET " {
 		t.Errorf("%q, %v", p[:n], err)
 	}
-	if s.unmade != 0 {
+	if s.closing != 0 {
 		t.Error("it is to end yet")
 	}
 }
@@ -225,7 +225,7 @@
 			f.clients.mu.Lock()
 			defer f.clients.mu.Unlock()
 			for own := range f.clients.conns {
-				own.wake()
+				own.interruptRead()
 			}
 		}
 		wake()
@@ -237,7 +237,7 @@
 			t.Fatalf("request %d: %d", i, r.StatusCode)
 		}
 	}
-	if left := core.Tally().Left; left != 0 {
+	if left := core.Tally().ClientsLeft; left != 0 {
 		t.Errorf("%d clients taken for gone", left)
 	}
 }
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -15,8 +15,8 @@
 	"otterturn/scheduler"
 )
 
-// WholeList in the place of a version has a watch begin with the whole list.
-const WholeList = -1
+// FullList in the place of a version has a watch begin with the whole list.
+const FullList = -1
 
 // Watch follows discovery until ctx ends, from version seq on, and hands each list to apply, none once ctx has
 // ended. What can't be read is logged, once for each text, and leaves things as they are. Fronts that share discovery
@@ -39,7 +39,7 @@
 		}
 	}
 	calls := backoff.New(backoff.Config{Min: l.Discovery.RetryMin, Max: l.Discovery.RetryMax, Spread: l.Discovery.StartSpread}, seed)
-	rest(ctx, calls.InitialDelay())
+	sleep(ctx, calls.InitialDelay())
 	for ctx.Err() == nil {
 		began := time.Now()
 		list, err := fetch(ctx, client, addr, seq, hold, zones, l)
@@ -49,12 +49,12 @@
 		case err != nil:
 			warn("discovery can't be read, the list stays", err.Error())
 			hold = 0
-			rest(ctx, calls.Next())
+			sleep(ctx, calls.Next())
 			continue
 		case list.Seq < seq:
 			warn("discovery goes back, the list stays", fmt.Sprintf("%d behind %d", list.Seq, seq))
-			seq = WholeList
-			rest(ctx, l.Discovery.RetryMin)
+			seq = FullList
+			sleep(ctx, l.Discovery.RetryMin)
 			continue
 		case len(list.Odd) > 0:
 			warn("entries that can't be true are left out", fmt.Sprintf("%d, of %s first", len(list.Odd), list.Odd[0]))
@@ -68,13 +68,13 @@
 		seq, hold = list.Seq, l.Discovery.WatchHold
 		apply(list)
 		if !again {
-			rest(ctx, l.Discovery.RetryMin)
+			sleep(ctx, l.Discovery.RetryMin)
 		}
 	}
 }
 
-// rest waits for a while, or for the end of ctx.
-func rest(ctx context.Context, wait time.Duration) {
+// sleep waits for a while, or for the end of ctx.
+func sleep(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
@@ -90,7 +90,7 @@
 	ctx, end := context.WithTimeout(ctx, hold+l.Discovery.AnswerTimeout)
 	defer end()
 	url := fmt.Sprintf("http://%s/v1/endpoints", addr)
-	if seq != WholeList {
+	if seq != FullList {
 		url += fmt.Sprintf("?from=%d&hold_ms=%d", seq, hold.Milliseconds())
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/internal/net/transport/door_test.go
+++ b/internal/net/transport/door_test.go
@@ -36,7 +36,7 @@
 	l := standin.Limits()
 	nodes := NewNodes(l)
 	core := standin.Core(t, standin.Settings(), nil)
-	core.Tell(nodes.Apply(list(node)))
+	core.UpdateEndpoints(nodes.Apply(list(node)))
 	f := NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 1,
 		Scheduler: scheduler.Settings{Plans: []scheduler.Plan{{Weight: 1}}}, LongestWait: time.Minute, Retry: time.Second}, l,
 		NewRoundTripper(core, nodes))
--- a/internal/net/transport/evict_test.go
+++ b/internal/net/transport/evict_test.go
@@ -26,20 +26,20 @@
 }
 
 // evict closes the connection that has been longest without a request, however short that is.
-func evict(s *clients) {
+func evict(s *clientConns) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeLongest(time.Now().Add(time.Hour))
+	s.closeLongestIdle(time.Now().Add(time.Hour))
 }
 
 // The connection that has been reading longest makes room. A request that has come whole in that moment is owed its answer:
 // the connection was closed under it.
 func TestRequestThatIsCompleteKeepsItsConnection(t *testing.T) {
 	s, c, far := accept(t)
-	s.track(c, http.StateActive)
+	s.trackState(c, http.StateActive)
 	io.WriteString(far, fmt.Sprintf(request, "id")+"\r\n")
 	readAll(c)
-	standin.Until(t, "the request", c.framing.whole)
+	standin.Until(t, "the request", c.framing.complete)
 	evict(s)
 	if _, err := c.Write([]byte("answer")); err != nil {
 		t.Fatalf("the answer: %v", err)
@@ -53,12 +53,12 @@
 // A request whose rest the kernel holds already is read to its end.
 func TestRequestThatHasArrivedKeepsItsConnection(t *testing.T) {
 	s, c, far := accept(t)
-	s.track(c, http.StateActive)
+	s.trackState(c, http.StateActive)
 	io.WriteString(far, fmt.Sprintf(request, "id")+"\r\n")
-	standin.Until(t, "the request", c.crossed)
+	standin.Until(t, "the request", c.hasPendingInput)
 	evict(s)
 	readAll(c)
-	standin.Until(t, "the request", c.framing.whole)
+	standin.Until(t, "the request", c.framing.complete)
 	if _, err := c.Write([]byte("answer")); err != nil {
 		t.Errorf("the answer: %v", err)
 	}
@@ -67,10 +67,10 @@
 // Half a request makes room: nothing is owed for it. Its own reader ends the connection.
 func TestIncompleteRequestMakesRoom(t *testing.T) {
 	s, c, far := accept(t)
-	s.track(c, http.StateActive)
+	s.trackState(c, http.StateActive)
 	io.WriteString(far, "GET /re")
 	ended := readAll(c)
-	standin.Until(t, "half a request", c.came.Load)
+	standin.Until(t, "half a request", c.hasInput.Load)
 	evict(s)
 	if err := standin.Await(t, "the end of the read", ended); err != io.EOF {
 		t.Errorf("the read ended with %v", err)
@@ -81,11 +81,11 @@
 // that answer along.
 func TestLastAnswerIsNotCutOffForRoom(t *testing.T) {
 	s, c, far := accept(t)
-	s.end(c)
+	s.beginEnding(c)
 	io.WriteString(far, "GET /behind")
-	standin.Until(t, "bytes behind the answer", c.crossed)
+	standin.Until(t, "bytes behind the answer", c.hasPendingInput)
 	s.mu.Lock()
-	cut := s.cutEnding()
+	cut := s.closeDrained()
 	s.mu.Unlock()
 	if cut {
 		t.Error("a connection with unread bytes was closed")
@@ -94,7 +94,7 @@
 		t.Fatal(err)
 	}
 	s.mu.Lock()
-	cut = s.cutEnding()
+	cut = s.closeDrained()
 	s.mu.Unlock()
 	if !cut {
 		t.Error("a connection with nothing to read made no room")
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -22,60 +22,60 @@
 	"otterturn/scheduler"
 )
 
-// errTooLong tells that a message's body passes its bound.
-var errTooLong = errors.New("the body is too long")
+// errBodyTooLong tells that a message's body passes its bound.
+var errBodyTooLong = errors.New("the body is too long")
 
-// errSpoilt tells that a node answered with what can't be read, or not to its end. The request may have run, and
+// errMalformedResponse tells that a node answered with what can't be read, or not to its end. The request may have run, and
 // the node lives.
-var errSpoilt = errors.New("the answer is spoilt")
+var errMalformedResponse = errors.New("the answer is spoilt")
 
 // Nodes are the nodes with HTTP connections to each.
 type Nodes struct {
-	*nodes.Nodes[*stream]
-	limits limits.Limits
-	whole  atomic.Int64 // attempts of requests that were written whole
+	*nodes.Pool[*stream]
+	limits          limits.Limits
+	attemptsWritten atomic.Int64 // attempts of requests that were written whole
 }
 
 // stream reads answers from a connection, each within a number of bytes.
 type stream struct {
 	*bufio.Reader
-	limit io.LimitedReader
-	from  *source
-	first time.Time // when the last answer began to come
+	limit       io.LimitedReader
+	source      *source
+	firstByteAt time.Time // when the last answer began to come
 }
 
 // source is a connection that keeps how the last read of it ended.
 type source struct {
 	net.Conn
-	ended error
+	readErr error
 }
 
 func (s *source) Read(p []byte) (n int, err error) {
-	n, s.ended = s.Conn.Read(p)
-	return n, s.ended
+	n, s.readErr = s.Conn.Read(p)
+	return n, s.readErr
 }
 
 func newStream(c net.Conn) *stream {
-	s := &stream{from: &source{Conn: c}}
-	s.limit.R = s.from
+	s := &stream{source: &source{Conn: c}}
+	s.limit.R = s.source
 	s.Reader = bufio.NewReader(&s.limit)
 	return s
 }
 
 // NewNodes returns an empty list.
 func NewNodes(l limits.Limits) *Nodes {
-	return &Nodes{limits: l, Nodes: nodes.New(l, nodes.Session[*stream]{
+	return &Nodes{limits: l, Pool: nodes.New(l, nodes.Session[*stream]{
 		Open:  func(c net.Conn) (*stream, error) { return newStream(c), nil },
-		Alive: func(c net.Conn, in *stream) bool { return in.Buffered() == 0 && quiet(c) },
+		Alive: func(c net.Conn, in *stream) bool { return in.Buffered() == 0 && isIdle(c) },
 	})}
 }
 
 // Attempts tells how many attempts of requests were written whole.
-func (s *Nodes) Attempts() int64 { return s.whole.Load() }
+func (s *Nodes) Attempts() int64 { return s.attemptsWritten.Load() }
 
-// quiet tells whether a connection is open with nothing to read. An idle one that ended, or on which something
+// isIdle tells whether a connection is open with nothing to read. An idle one that ended, or on which something
 // came unasked, must not carry a request.
-func quiet(c net.Conn) bool {
+func isIdle(c net.Conn) bool {
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return false
@@ -85,7 +85,7 @@
 		return false
 	}
 	open := false
-	err = raw.Control(func(fd uintptr) { open = empty(fd) })
+	err = raw.Control(func(fd uintptr) { open = nothingToRead(fd) })
 	return err == nil && open
 }
 
@@ -93,8 +93,8 @@
 // byte is written the request never ran, and it is written again to another: the node may just have closed it.
 func (s *Nodes) attempt(ctx context.Context, a routing.Attempt, r *http.Request) (*http.Response, scheduler.AttemptEnded) {
 	for tries := 1; ; tries++ {
-		resp, out, written := s.once(ctx, a, r)
-		if written || tries == s.limits.Nodes.WriteTries || a.Begin.Err() != nil {
+		resp, out, written := s.attemptOnce(ctx, a, r)
+		if written || tries == s.limits.Nodes.WriteTries || a.MayBegin.Err() != nil {
 			return resp, out
 		}
 	}
@@ -124,19 +124,19 @@
 	return message.Bytes(), nil
 }
 
-// once makes an attempt on one connection. written is false only where another connection may do better.
-func (s *Nodes) once(ctx context.Context, a routing.Attempt, r *http.Request) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
-	c, err := s.Acquire(a.Begin, a.Node, nodes.Running)
-	if err == nil && a.Begin.Err() != nil { // it came up in that moment
+// attemptOnce makes an attempt on one connection. written is false only where another connection may do better.
+func (s *Nodes) attemptOnce(ctx context.Context, a routing.Attempt, r *http.Request) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
+	c, err := s.Acquire(a.MayBegin, a.Node, nodes.Running)
+	if err == nil && a.MayBegin.Err() != nil { // it came up in that moment
 		s.Release(c, false)
-		err = a.Begin.Err()
+		err = a.MayBegin.Err()
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return nil, scheduler.AttemptEnded{Result: scheduler.TimedOut}, true
-	case err != nil && a.Begin.Err() != nil:
+	case err != nil && a.MayBegin.Err() != nil:
 		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}, true
-	case errors.Is(err, nodes.ErrNotTaking):
+	case errors.Is(err, nodes.ErrNotAccepting):
 		return nil, scheduler.AttemptEnded{Result: scheduler.QueueFull}, true
 	case err != nil:
 		return nil, scheduler.AttemptEnded{Result: scheduler.Unreachable}, true
@@ -146,31 +146,31 @@
 		s.Release(c, true)
 		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}, true
 	}
-	return s.outcome(ctx, a.Node, c, r, message)
+	return s.completeAttempt(ctx, a.Node, c, r, message)
 }
 
-// outcome writes the last bytes of a request and tells what came of it.
-func (s *Nodes) outcome(ctx context.Context, node string, c *nodes.Conn[*stream], r *http.Request, message []byte) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
+// completeAttempt writes the last bytes of a request and tells what came of it.
+func (s *Nodes) completeAttempt(ctx context.Context, node string, c *nodes.Conn[*stream], r *http.Request, message []byte) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
 	began := time.Now()
 	resp, first, written, err := s.exchange(ctx, c, r, message)
 	if written {
-		s.whole.Add(1)
+		s.attemptsWritten.Add(1)
 	}
 	switch {
-	case errors.Is(err, errSpoilt):
+	case errors.Is(err, errMalformedResponse):
 		// As with an error of the node's own, its latency is what came before the answer.
-		return nil, scheduler.AttemptEnded{Result: scheduler.Errored, Latency: micros(first.Sub(began))}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.Errored, Latency: toMicros(first.Sub(began))}, true
 	case err != nil && ctx.Err() != nil:
 		return nil, scheduler.AttemptEnded{Result: scheduler.TimedOut}, true
 	case err != nil && !written:
 		return nil, scheduler.AttemptEnded{Result: scheduler.Unreachable}, false
 	case err != nil:
-		return nil, scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Renew(node)}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Reconnect(node)}, true
 	}
 	// The node's work is over with its first byte: how long the rest took to come says nothing of its queue, and as
 	// latencies answers that come slowly closed every budget.
 	out = protocol.ParseOutcome(resp.StatusCode, resp.Header)
-	out.Latency = micros(first.Sub(began))
+	out.Latency = toMicros(first.Sub(began))
 	return resp, out, true
 }
 
@@ -191,12 +191,12 @@
 	if _, err := c.Write(message); err != nil {
 		return nil, first, false, fmt.Errorf("write: %w", err)
 	}
-	resp, body, err := s.read(ctx, c, r)
-	first = c.Session.first // ahead of another exchange on this connection
+	resp, body, err := s.readResponse(ctx, c, r)
+	first = c.Session.firstByteAt // ahead of another exchange on this connection
 	if err != nil {
 		return nil, first, true, err
 	}
-	if long, ok := resp.Body.(*longAnswer); ok {
+	if long, ok := resp.Body.(*streamedResponse); ok {
 		kept, long.release = true, func(clean bool) { s.Release(c, clean) }
 		return resp, first, true, nil
 	}
@@ -206,4 +206,4 @@
 	return resp, first, true, nil
 }
 
-func micros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
+func toMicros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -121,7 +121,7 @@
 		t.Fatal(err)
 	}
 	r.Header.Set("Idempotency-Key", "k")
-	_, out := s.attempt(ctx, routing.Attempt{Node: "node-0", Begin: ctx}, r)
+	_, out := s.attempt(ctx, routing.Attempt{Node: "node-0", MayBegin: ctx}, r)
 	return out
 }
 
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -23,8 +23,8 @@
 	limits   limits.Limits
 	proxy    *httputil.ReverseProxy
 	server   *http.Server
-	clients  *clients
-	passed   chan net.Conn             // by another process of the front
+	clients  *clientConns
+	adopted  chan net.Conn             // by another process of the front
 	listener atomic.Pointer[listener]  // nil before Serve
 	open     atomic.Int64              // requests taken and not answered
 	yielded  atomic.Bool               // another process serves new connections
@@ -38,8 +38,8 @@
 // NewFront returns a front that answers clients with what the round tripper brings.
 func NewFront(set protocol.Settings, l limits.Limits, next *RoundTripper) *Front {
 	quiet := log.New(io.Discard, "", 0) // a client that leaves is no news, and a line each would be a flood
-	f := &Front{limits: l, clients: newClients(l), next: next, passed: make(chan net.Conn)}
-	f.Retune(set)
+	f := &Front{limits: l, clients: newClientConns(l), next: next, adopted: make(chan net.Conn)}
+	f.Reconfigure(set)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite: func(p *httputil.ProxyRequest) {
 			p.Out.URL.RawQuery = p.In.URL.RawQuery
@@ -71,30 +71,30 @@
 		MaxHeaderBytes:    l.Requests.HeaderBytes,
 		ErrorLog:          quiet,
 		ConnContext:       withConn,
-		ConnState:         f.clients.track,
+		ConnState:         f.clients.trackState,
 	}
 	return f
 }
 
-// Retune has the requests that come from now on read by other settings.
-func (f *Front) Retune(set protocol.Settings) { f.settings.Store(&set) }
+// Reconfigure has the requests that come from now on read by other settings.
+func (f *Front) Reconfigure(set protocol.Settings) { f.settings.Store(&set) }
 
-// Retire has other settings hold, if those named hold yet.
-func (f *Front) Retire(old, set protocol.Settings) {
+// ReconfigureIf has other settings hold, if those named hold yet.
+func (f *Front) ReconfigureIf(old, set protocol.Settings) {
 	if now := f.settings.Load(); len(now.Names) == len(old.Names) && &now.Names[0] == &old.Names[0] {
 		f.settings.Store(&set)
 	}
 }
 
-// Names are the classes by number, with those that are no more.
-func (f *Front) Names() []string { return f.settings.Load().Names }
+// ClassNames are the classes by number, with those that are no more.
+func (f *Front) ClassNames() []string { return f.settings.Load().Names }
 
-// Plans are the plans by number, with those that are no more.
-func (f *Front) Plans() []string { return f.settings.Load().PlanNames }
+// PlanNames are the plans by number, with those that are no more.
+func (f *Front) PlanNames() []string { return f.settings.Load().PlanNames }
 
 // Serve accepts clients until Stop. Over TLS the listener is one of Handshakes.
 func (f *Front) Serve(l net.Listener) error {
-	own := newListener(l, f.clients, f.passed)
+	own := newListener(l, f.clients, f.adopted)
 	f.listener.Store(own)
 	err := f.server.Serve(own)
 	if _, stopping := f.stopped(); stopping || errors.Is(err, http.ErrServerClosed) {
@@ -120,27 +120,27 @@
 		return
 	}
 	set := f.settings.Load()
-	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), most: f.limits.Clients.WriteTimeout}
-	m, status, err := f.read(w, r, *set)
+	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: f.limits.Clients.WriteTimeout}
+	m, status, err := f.readRequest(w, r, *set)
 	defer func() { m.upload.close() }()
 	switch {
-	case errors.Is(err, errNotSent):
-		f.next.core.Turned(m.Class)
-		answerError(w, r, &routing.Refused{RetryAfter: set.Retry})
+	case errors.Is(err, errUploadFailed):
+		f.next.core.CountRejected(m.Class)
+		answerError(w, r, &routing.RejectedError{RetryAfter: set.Retry})
 		return
 	case err != nil: // who sends what can't be used gets no further use of the connection
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
 		return
 	case full:
-		f.next.core.Turned(m.Class)
-		answerError(w, r, &routing.Refused{RetryAfter: set.Retry})
+		f.next.core.CountRejected(m.Class)
+		answerError(w, r, &routing.RejectedError{RetryAfter: set.Retry})
 		return
 	}
 	if stopping { // what comes now must be over when the process may be killed
-		m.TimeLeft = min(m.TimeLeft, micros(f.limits.Stop.Answer-since))
+		m.TimeLeft = min(m.TimeLeft, toMicros(f.limits.Stop.Answer-since))
 	}
-	if !f.clients.take(connOf(r.Context())) { // it ended for want of room before it was whole
+	if !f.clients.markBusy(connOf(r.Context())) { // it ended for want of room before it was whole
 		return
 	}
 	if f.Admission != nil {
@@ -154,16 +154,16 @@
 			return
 		}
 		defer leave()
-		m.TimeLeft = max(1, m.TimeLeft-micros(time.Since(came)))
+		m.TimeLeft = max(1, m.TimeLeft-toMicros(time.Since(came)))
 	}
-	r = r.WithContext(withMessage(r.Context(), m))
+	r = r.WithContext(withInbound(r.Context(), m))
 	r.Body, r.ContentLength, r.TransferEncoding, r.Trailer = http.NoBody, 0, nil, nil
 	f.proxy.ServeHTTP(w, r)
 }
 
 // answerError writes the final answer to a request that was not served.
 func answerError(w http.ResponseWriter, _ *http.Request, err error) {
-	var refused *routing.Refused
+	var refused *routing.RejectedError
 	switch {
 	case errors.As(err, &refused):
 		protocol.SetRetryAfter(w.Header(), refused.RetryAfter)
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -25,7 +25,7 @@
 	}
 	nodes := NewNodes(l)
 	core = standin.Core(t, standin.Settings(), nil)
-	core.Tell(nodes.Apply(list(addrs...)))
+	core.UpdateEndpoints(nodes.Apply(list(addrs...)))
 	f = NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 2,
 		LongestWait: 5 * time.Second, Retry: time.Second}, l, NewRoundTripper(core, nodes))
 	listener := standin.Listen(t)
@@ -180,7 +180,7 @@
 	io.WriteString(c, fmt.Sprintf(request, "id")+"\r\n")
 	standin.Await(t, "the attempt", begun)
 	c.Close()
-	standin.Until(t, "the end of the request", func() bool { return core.Tally().Left == 1 })
+	standin.Until(t, "the end of the request", func() bool { return core.Tally().ClientsLeft == 1 })
 	close(goOn)
 	standin.Until(t, "an attempt on the kept connection", func() bool {
 		r, _ := dial(t, front).ask(t, fmt.Sprintf(request, "next")+"\r\n")
--- a/internal/net/transport/handshakes.go
+++ b/internal/net/transport/handshakes.go
@@ -42,7 +42,7 @@
 	for {
 		raw, err := h.Listener.Accept()
 		if err == nil {
-			go h.shake(raw, h.begin(raw))
+			go h.complete(raw, h.register(raw))
 			continue
 		}
 		if h.ctx.Err() != nil {
@@ -62,8 +62,8 @@
 	return ok && t.Temporary()
 }
 
-// begin counts a handshake in, and ends the oldest where there are too many.
-func (h *Handshakes) begin(raw net.Conn) *queue.Element {
+// register counts a handshake in, and ends the oldest where there are too many.
+func (h *Handshakes) register(raw net.Conn) *queue.Element {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.open.Len() >= h.limits.Clients.Handshakes {
@@ -73,7 +73,7 @@
 	return h.open.PushBack(raw)
 }
 
-func (h *Handshakes) shake(raw net.Conn, at *queue.Element) {
+func (h *Handshakes) complete(raw net.Conn, at *queue.Element) {
 	limited, end := context.WithTimeout(h.ctx, h.limits.Clients.HandshakeTimeout)
 	conn := tls.Server(raw, h.config)
 	err := conn.HandshakeContext(limited)
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -12,11 +12,11 @@
 // another process of the front passes on.
 type listener struct {
 	net.Listener
-	clients *clients
-	passed  chan net.Conn
-	came    chan accepted
-	ended   chan struct{}
-	end     sync.Once
+	clients  *clientConns
+	adopted  chan net.Conn
+	incoming chan accepted
+	ended    chan struct{}
+	end      sync.Once
 
 	mu      sync.Mutex
 	resumed chan struct{} // nil while connections are accepted; closed once they are again
@@ -27,8 +27,8 @@
 	err  error
 }
 
-func newListener(l net.Listener, c *clients, passed chan net.Conn) *listener {
-	out := &listener{Listener: l, clients: c, passed: passed, came: make(chan accepted), ended: make(chan struct{})}
+func newListener(l net.Listener, c *clientConns, passed chan net.Conn) *listener {
+	out := &listener{Listener: l, clients: c, adopted: passed, incoming: make(chan accepted), ended: make(chan struct{})}
 	go out.run()
 	return out
 }
@@ -40,7 +40,7 @@
 			continue
 		}
 		select {
-		case l.came <- accepted{raw, err}:
+		case l.incoming <- accepted{raw, err}:
 		case <-l.ended:
 			if raw != nil {
 				raw.Close()
@@ -89,12 +89,12 @@
 func (l *listener) Accept() (net.Conn, error) {
 	var raw net.Conn
 	select {
-	case a := <-l.came:
+	case a := <-l.incoming:
 		if a.err != nil {
 			return nil, a.err
 		}
 		raw = a.conn
-	case raw = <-l.passed:
+	case raw = <-l.adopted:
 	case <-l.ended:
 		return nil, net.ErrClosed
 	}
@@ -102,7 +102,7 @@
 	if secure, ok := raw.(*tls.Conn); ok {
 		c.raw = secure.NetConn()
 	}
-	l.clients.enter(c)
+	l.clients.add(c)
 	return c, nil
 }
 
@@ -111,7 +111,7 @@
 	l.end.Do(func() { close(l.ended) })
 	for {
 		select {
-		case c := <-l.passed:
+		case c := <-l.adopted:
 			c.Close()
 			continue
 		default:
--- a/internal/net/transport/nodes/connect.go
+++ b/internal/net/transport/nodes/connect.go
@@ -9,19 +9,19 @@
 	"otterturn/scheduler"
 )
 
-// Renew opens a connection to a node on which another just broke, and keeps it. It tells whether the node took it:
+// Reconnect opens a connection to a node on which another just broke, and keeps it. It tells whether the node took it:
 // a process that died takes none, and one that lives may close connections for reasons of its own.
-func (s *Nodes[T]) Renew(name string) bool {
+func (s *Pool[T]) Reconnect(name string) bool {
 	ctx, release := context.WithTimeout(context.Background(), s.limits.Nodes.ConnectTimeout)
 	defer release()
 	s.mu.Lock()
 	n := s.byName[name]
-	if n == nil || s.open >= s.limits.Nodes.Conns && !s.closeLongest() {
+	if n == nil || s.open >= s.limits.Nodes.Conns && !s.closeLongestIdle() {
 		s.mu.Unlock()
 		return false
 	}
 	s.open++
-	got := reserved[T]{node: n, dial: n.Dial}
+	got := reservation[T]{node: n, dial: n.Dial}
 	s.mu.Unlock()
 	c, err := s.connect(ctx, name, got, AnyState)
 	if err != nil {
@@ -32,7 +32,7 @@
 }
 
 // connect opens the connection that room was reserved for.
-func (s *Nodes[T]) connect(ctx context.Context, name string, to reserved[T], wanted func(scheduler.NodeState) bool) (c *Conn[T], err error) {
+func (s *Pool[T]) connect(ctx context.Context, name string, to reservation[T], wanted func(scheduler.NodeState) bool) (c *Conn[T], err error) {
 	raw, err := s.dial(ctx, to.dial)
 	if err == nil {
 		c, err = s.start(ctx, raw)
@@ -40,20 +40,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		s.left()
+		s.uncount()
 		return nil, fmt.Errorf("connect to %s: %w", name, err)
 	}
 	c.node = to.node
 	// Coming up took time: a drain told meanwhile counts from when it was told, not from the next send.
 	if s.byName[name] != to.node || !wanted(to.node.State) {
-		s.shut(c)
-		return nil, ErrNotTaking
+		s.closeConn(c)
+		return nil, ErrNotAccepting
 	}
 	return c, nil
 }
 
 // start opens the session on a new connection, within the time for connecting.
-func (s *Nodes[T]) start(ctx context.Context, raw net.Conn) (*Conn[T], error) {
+func (s *Pool[T]) start(ctx context.Context, raw net.Conn) (*Conn[T], error) {
 	raw.SetDeadline(time.Now().Add(s.limits.Nodes.ConnectTimeout))
 	unhook := context.AfterFunc(ctx, func() { raw.Close() })
 	session, err := s.session.Open(raw)
--- a/internal/net/transport/nodes/dial_test.go
+++ b/internal/net/transport/nodes/dial_test.go
@@ -32,7 +32,7 @@
 }
 
 // newPool returns the pool of one node "a" behind the dials, and how many connections the node took.
-func newPool(t *testing.T, d *dials, change func(*limits.Limits)) (*Nodes[int], *atomic.Int64) {
+func newPool(t *testing.T, d *dials, change func(*limits.Limits)) (*Pool[int], *atomic.Int64) {
 	taken := new(atomic.Int64)
 	addr := standin.Peer(t, func(n int, c net.Conn) {
 		taken.Add(1)
@@ -48,12 +48,12 @@
 }
 
 // settled waits until so many connections, and attempts to open one, are counted.
-func settled(t *testing.T, s *Nodes[int], open int) {
+func settled(t *testing.T, s *Pool[int], open int) {
 	t.Helper()
 	end := time.After(standin.Patience)
 	for {
 		s.mu.Lock()
-		freed, have := s.freed, s.open
+		freed, have := s.roomFreed, s.open
 		s.mu.Unlock()
 		if have == open {
 			return
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -15,8 +15,8 @@
 	"otterturn/scheduler"
 )
 
-// ErrNotTaking tells that nothing may be sent to a node: it is not in the list, or drains.
-var ErrNotTaking = errors.New("the node takes nothing")
+// ErrNotAccepting tells that nothing may be sent to a node: it is not in the list, or drains.
+var ErrNotAccepting = errors.New("the node takes nothing")
 
 // Session opens what a front keeps on a connection, and tells whether one that stood idle is still good.
 type Session[T any] struct {
@@ -24,15 +24,15 @@
 	Alive func(net.Conn, T) bool
 }
 
-// Nodes is the list of nodes as discovery told it, with the connections kept to each.
-type Nodes[T any] struct {
-	limits  limits.Limits
-	session Session[T]
-	dialer  Dial
-	mu      sync.Mutex
-	byName  map[string]*node[T]
-	open    int           // connections, idle ones included
-	freed   chan struct{} // closed, and made anew, once there may be room
+// Pool is the list of nodes as discovery told it, with the connections kept to each.
+type Pool[T any] struct {
+	limits    limits.Limits
+	session   Session[T]
+	dialer    Dial
+	mu        sync.Mutex
+	byName    map[string]*node[T]
+	open      int           // connections, idle ones included
+	roomFreed chan struct{} // closed, and made anew, once there may be room
 }
 
 // node is one start of a node; a restarted one has a new entry, so that what was kept to the old one is dropped.
@@ -44,9 +44,9 @@
 // Conn is a connection that carries one exchange at a time.
 type Conn[T any] struct {
 	net.Conn
-	Session T
-	node    *node[T]
-	idle    time.Time // since then
+	Session   T
+	node      *node[T]
+	idleSince time.Time // since then
 }
 
 // State is a node as the operator sees it.
@@ -56,13 +56,13 @@
 }
 
 // New returns an empty list.
-func New[T any](l limits.Limits, s Session[T]) *Nodes[T] {
-	return &Nodes[T]{limits: l, session: s, dialer: new(net.Dialer).DialContext,
-		byName: map[string]*node[T]{}, freed: make(chan struct{})}
+func New[T any](l limits.Limits, s Session[T]) *Pool[T] {
+	return &Pool[T]{limits: l, session: s, dialer: new(net.Dialer).DialContext,
+		byName: map[string]*node[T]{}, roomFreed: make(chan struct{})}
 }
 
 // Apply takes over a list, or changes of one, and returns the same news for the scheduler.
-func (s *Nodes[T]) Apply(list protocol.List) scheduler.EndpointsChanged {
+func (s *Pool[T]) Apply(list protocol.List) scheduler.EndpointsChanged {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	news := scheduler.EndpointsChanged{Full: list.Whole}
@@ -75,7 +75,7 @@
 			old.Host = h
 			continue
 		}
-		s.drop(old)
+		s.closeIdleOf(old)
 		s.byName[h.Node] = &node[T]{Host: h}
 		if h.State == scheduler.Removed {
 			delete(s.byName, h.Node)
@@ -83,46 +83,46 @@
 	}
 	for name, n := range s.byName {
 		if list.Whole && !named[name] {
-			s.drop(n)
+			s.closeIdleOf(n)
 			delete(s.byName, name)
 		}
 	}
 	return news
 }
 
-// drop closes a node's idle connections. The lock is held.
-func (s *Nodes[T]) drop(n *node[T]) {
+// closeIdleOf closes a node's idle connections. The lock is held.
+func (s *Pool[T]) closeIdleOf(n *node[T]) {
 	if n == nil {
 		return
 	}
 	for _, c := range n.idle {
-		s.shut(c)
+		s.closeConn(c)
 	}
 	n.idle = nil
 }
 
-// shut closes a connection. The lock is held.
-func (s *Nodes[T]) shut(c *Conn[T]) {
+// closeConn closes a connection. The lock is held.
+func (s *Pool[T]) closeConn(c *Conn[T]) {
 	c.Close()
-	s.left()
+	s.uncount()
 }
 
-// left counts a connection out. The lock is held.
-func (s *Nodes[T]) left() {
+// uncount counts a connection out. The lock is held.
+func (s *Pool[T]) uncount() {
 	s.open--
-	s.note()
+	s.notifyRoom()
 }
 
-// note wakes those who wait for room. The lock is held.
-func (s *Nodes[T]) note() {
-	close(s.freed)
-	s.freed = make(chan struct{})
+// notifyRoom wakes those who wait for room. The lock is held.
+func (s *Pool[T]) notifyRoom() {
+	close(s.roomFreed)
+	s.roomFreed = make(chan struct{})
 }
 
 // Acquire returns a connection to a node, an idle one where there is one. Where all sockets are in use it waits
 // for one: that is no news of the node. wanted tells whether the node may still be used in the state it is in now
 // that the connection is up.
-func (s *Nodes[T]) Acquire(ctx context.Context, name string, wanted func(scheduler.NodeState) bool) (*Conn[T], error) {
+func (s *Pool[T]) Acquire(ctx context.Context, name string, wanted func(scheduler.NodeState) bool) (*Conn[T], error) {
 	got, err := s.reserve(name, wanted)
 	for got.freed != nil || got.settled != nil {
 		select {
@@ -139,9 +139,9 @@
 	return s.connect(ctx, name, got, wanted)
 }
 
-// reserved is an idle connection, or else the room for a new one, or what is closed once there may be some, or what
+// reservation is an idle connection, or else the room for a new one, or what is closed once there may be some, or what
 // tells that a connection that was given back just now may be used.
-type reserved[T any] struct {
+type reservation[T any] struct {
 	node    *node[T]
 	conn    *Conn[T]
 	dial    string
@@ -150,12 +150,12 @@
 }
 
 // reserve takes an idle connection that is still good, or the room for a new one.
-func (s *Nodes[T]) reserve(name string, wanted func(scheduler.NodeState) bool) (reserved[T], error) {
+func (s *Pool[T]) reserve(name string, wanted func(scheduler.NodeState) bool) (reservation[T], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.byName[name]
 	if n == nil || !wanted(n.State) {
-		return reserved[T]{}, ErrNotTaking
+		return reservation[T]{}, ErrNotAccepting
 	}
 	// What comes behind an answer comes right behind it: one taken too soon would be found quiet, and its next
 	// request be answered with that. But what was held leaves as an answer comes, so such a one is waited for: a
@@ -163,58 +163,58 @@
 	settles := time.Duration(0)
 	for i := len(n.idle) - 1; i >= 0; i-- {
 		c := n.idle[i]
-		if rest := s.limits.Nodes.ReuseDelay - time.Since(c.idle); rest > 0 {
+		if rest := s.limits.Nodes.ReuseDelay - time.Since(c.idleSince); rest > 0 {
 			settles = rest
 			continue
 		}
 		n.idle = slices.Delete(n.idle, i, i+1)
 		// A request on a connection that the node has closed would end as a reset that may have run.
-		if time.Since(c.idle) < s.limits.Nodes.IdleTimeout && s.session.Alive(c.Conn, c.Session) {
-			return reserved[T]{node: n, conn: c}, nil
+		if time.Since(c.idleSince) < s.limits.Nodes.IdleTimeout && s.session.Alive(c.Conn, c.Session) {
+			return reservation[T]{node: n, conn: c}, nil
 		}
-		s.shut(c)
+		s.closeConn(c)
 	}
 	if settles > 0 {
-		return reserved[T]{settled: time.After(settles)}, nil
+		return reservation[T]{settled: time.After(settles)}, nil
 	}
-	if s.open >= s.limits.Nodes.Conns && !s.closeLongest() {
-		return reserved[T]{freed: s.freed}, nil
+	if s.open >= s.limits.Nodes.Conns && !s.closeLongestIdle() {
+		return reservation[T]{freed: s.roomFreed}, nil
 	}
 	s.open++
-	return reserved[T]{node: n, dial: n.Dial}, nil
+	return reservation[T]{node: n, dial: n.Dial}, nil
 }
 
-// closeLongest closes the connection that has been idle longest, to whichever node. The lock is held.
-func (s *Nodes[T]) closeLongest() bool {
+// closeLongestIdle closes the connection that has been idle longest, to whichever node. The lock is held.
+func (s *Pool[T]) closeLongestIdle() bool {
 	var longest *node[T]
 	for _, n := range s.byName {
-		if len(n.idle) > 0 && (longest == nil || n.idle[0].idle.Before(longest.idle[0].idle)) {
+		if len(n.idle) > 0 && (longest == nil || n.idle[0].idleSince.Before(longest.idle[0].idleSince)) {
 			longest = n
 		}
 	}
 	if longest == nil {
 		return false
 	}
-	s.shut(longest.idle[0])
+	s.closeConn(longest.idle[0])
 	longest.idle = slices.Delete(longest.idle, 0, 1)
 	return true
 }
 
 // Release gives a connection back, to be kept where its last exchange ended cleanly.
-func (s *Nodes[T]) Release(c *Conn[T], clean bool) {
+func (s *Pool[T]) Release(c *Conn[T], clean bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !clean || s.byName[c.node.Node] != c.node || c.SetDeadline(time.Time{}) != nil {
-		s.shut(c)
+		s.closeConn(c)
 		return
 	}
-	c.idle = time.Now()
+	c.idleSince = time.Now()
 	c.node.idle = append(c.node.idle, c)
-	s.note()
+	s.notifyRoom()
 }
 
 // Run drops connections that stood idle for long, until ctx ends.
-func (s *Nodes[T]) Run(ctx context.Context) {
+func (s *Pool[T]) Run(ctx context.Context) {
 	tick := time.NewTicker(s.limits.Nodes.IdleTimeout/4 + time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -228,14 +228,14 @@
 }
 
 // CloseIdle drops all connections that stand idle.
-func (s *Nodes[T]) CloseIdle() { s.expire(time.Now().Add(time.Hour)) }
+func (s *Pool[T]) CloseIdle() { s.expire(time.Now().Add(time.Hour)) }
 
-func (s *Nodes[T]) expire(before time.Time) {
+func (s *Pool[T]) expire(before time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, n := range s.byName {
-		for len(n.idle) > 0 && n.idle[0].idle.Before(before) {
-			s.shut(n.idle[0])
+		for len(n.idle) > 0 && n.idle[0].idleSince.Before(before) {
+			s.closeConn(n.idle[0])
 			n.idle = n.idle[1:]
 		}
 	}
--- a/internal/net/transport/nodes/nodes_test.go
+++ b/internal/net/transport/nodes/nodes_test.go
@@ -38,7 +38,7 @@
 	if err != nil || again != first {
 		t.Errorf("%v, another connection: %v", err, again != first)
 	}
-	if time.Since(first.idle) < l.Nodes.ReuseDelay {
+	if time.Since(first.idleSince) < l.Nodes.ReuseDelay {
 		t.Error("used again too soon")
 	}
 	if opened.Load() != 1 {
--- a/internal/net/transport/nodes/state.go
+++ b/internal/net/transport/nodes/state.go
@@ -8,7 +8,7 @@
 )
 
 // States lists the nodes by name.
-func (s *Nodes[T]) States() []State {
+func (s *Pool[T]) States() []State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []State
--- a/internal/net/transport/peers.go
+++ b/internal/net/transport/peers.go
@@ -18,19 +18,19 @@
 // Peers carries short messages between fronts. They may be lost, so nothing waits for one, and what can't be read is
 // passed over.
 type Peers struct {
-	conn    *net.UDPConn
-	addrs   []netip.AddrPort       // by number
-	numbers map[netip.AddrPort]int // whose address it is
-	again   time.Duration          // pause after a failure
-	log     *slog.Logger
-	paused  atomic.Bool
-	resumed chan struct{} // holds one: no longer paused
+	conn       *net.UDPConn
+	addrs      []netip.AddrPort       // by number
+	numbers    map[netip.AddrPort]int // whose address it is
+	retryDelay time.Duration          // pause after a failure
+	log        *slog.Logger
+	paused     atomic.Bool
+	resumed    chan struct{} // holds one: no longer paused
 
 	// Take hears each datagram of a peer first and tells whether it is its own rather than a note. The text is good
 	// until it returns. Set before Run; nil for none.
-	Take func(from int, text []byte) bool
+	Intercept func(from int, text []byte) bool
 	// Drop hears of each datagram that was dropped, in the place of the log. Set before Run; nil for none.
-	Drop func(from netip.AddrPort, why error)
+	OnDrop func(from netip.AddrPort, why error)
 }
 
 // Why a datagram was dropped.
@@ -50,7 +50,7 @@
 
 // PeersOn has messages come on a socket that is open.
 func PeersOn(conn *net.UDPConn, addrs []netip.AddrPort, l limits.Limits, log *slog.Logger) *Peers {
-	p := &Peers{resumed: make(chan struct{}, 1), conn: conn, addrs: addrs, numbers: make(map[netip.AddrPort]int, len(addrs)), again: l.AcceptRetry, log: log}
+	p := &Peers{resumed: make(chan struct{}, 1), conn: conn, addrs: addrs, numbers: make(map[netip.AddrPort]int, len(addrs)), retryDelay: l.AcceptRetry, log: log}
 	for i, a := range addrs {
 		p.numbers[a] = i
 	}
@@ -105,7 +105,7 @@
 			continue
 		}
 		if err != nil { // of a peer that is gone, as the next read hears
-			rest(ctx, p.again)
+			sleep(ctx, p.retryDelay)
 			continue
 		}
 		p.receive(from, buffer[:n], hear)
@@ -122,7 +122,7 @@
 	case len(text) > protocol.LongestNote:
 		p.drop(from, ErrTooLong)
 		return
-	case p.Take != nil && p.Take(number, text):
+	case p.Intercept != nil && p.Intercept(number, text):
 		return
 	}
 	e, err := protocol.ParseNote(number, text)
@@ -136,8 +136,8 @@
 // drop tells of a datagram that was dropped. Without Drop those that can't be read are logged, others are no peer's.
 func (p *Peers) drop(from netip.AddrPort, why error) {
 	switch {
-	case p.Drop != nil:
-		p.Drop(from, why)
+	case p.OnDrop != nil:
+		p.OnDrop(from, why)
 	case why != ErrNoPeer && why != ErrTooLong:
 		p.log.Warn("a peer's message can't be read", "peer", from.String(), "error", why)
 	}
--- a/internal/net/transport/peers_test.go
+++ b/internal/net/transport/peers_test.go
@@ -32,7 +32,7 @@
 	t.Cleanup(end)
 	lists := make(chan protocol.List, 1)
 	nodes := NewNodes(standin.Limits())
-	go Watch(ctx, addr, WholeList, []string{"hall-a"}, standin.Limits(), 1, func(l protocol.List) {
+	go Watch(ctx, addr, FullList, []string{"hall-a"}, standin.Limits(), 1, func(l protocol.List) {
 		nodes.Apply(l)
 		lists <- l
 		<-ctx.Done()
@@ -122,14 +122,14 @@
 		text string
 	}
 	taken, drops, heard := make(chan datagram, 16), make(chan error, 16), make(chan scheduler.Event, 16)
-	peers[1].Take = func(from int, text []byte) bool {
+	peers[1].Intercept = func(from int, text []byte) bool {
 		if text[0] != '!' {
 			return false
 		}
 		taken <- datagram{from, string(text)}
 		return true
 	}
-	peers[1].Drop = func(_ netip.AddrPort, why error) { drops <- why }
+	peers[1].OnDrop = func(_ netip.AddrPort, why error) { drops <- why }
 	for _, p := range peers {
 		go p.Run(t.Context(), func(e scheduler.Event) { heard <- e })
 	}
--- a/internal/net/transport/probe.go
+++ b/internal/net/transport/probe.go
@@ -12,33 +12,33 @@
 	"otterturn/scheduler"
 )
 
-// Prober asks nodes for their health and load.
-type Prober struct {
-	nodes *Nodes
-	path  string
-	queue string      // field of the load report, "" for none
-	odd   atomic.Bool // the last report could not be read, which was logged
-	log   *slog.Logger
+// HealthChecker asks nodes for their health and load.
+type HealthChecker struct {
+	nodes            *Nodes
+	path             string
+	queue            string      // field of the load report, "" for none
+	reportUnreadable atomic.Bool // the last report could not be read, which was logged
+	log              *slog.Logger
 }
 
-// NewProber returns a Prober that asks for load reports where nodes have them.
-func NewProber(nodes *Nodes, set protocol.Settings, log *slog.Logger) *Prober {
-	p := &Prober{nodes: nodes, path: "/health", queue: set.LoadQueue, log: log}
+// NewHealthChecker returns a Prober that asks for load reports where nodes have them.
+func NewHealthChecker(nodes *Nodes, set protocol.Settings, log *slog.Logger) *HealthChecker {
+	p := &HealthChecker{nodes: nodes, path: "/health", queue: set.LoadQueue, log: log}
 	if set.LoadReports {
 		p.path = "/status/load"
 	}
 	return p
 }
 
-// Probe asks one node. An answer that is spoilt, or a connection that breaks under the probe, says nothing of the
+// Check asks one node. An answer that is spoilt, or a connection that breaks under the probe, says nothing of the
 // node that another connection would not tell better, so it is asked again.
-func (p *Prober) Probe(node string) scheduler.HealthChecked {
+func (p *HealthChecker) Check(node string) scheduler.HealthChecked {
 	out := scheduler.HealthChecked{Node: node, Queue: -1}
 	ctx, release := context.WithTimeout(context.Background(), p.nodes.limits.Nodes.ProbeTimeout)
 	defer release()
-	resp, again, err := p.ask(ctx, node)
+	resp, again, err := p.checkOnce(ctx, node)
 	for tries := 1; again && tries < p.nodes.limits.Nodes.ProbeTries; tries++ {
-		resp, again, err = p.ask(ctx, node)
+		resp, again, err = p.checkOnce(ctx, node)
 	}
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return out
@@ -54,14 +54,14 @@
 	if err != nil {
 		out.Queue = -1
 	}
-	if was := p.odd.Swap(err != nil); err != nil && !was { // a line each would be a flood
+	if was := p.reportUnreadable.Swap(err != nil); err != nil && !was { // a line each would be a flood
 		p.log.Warn("a load report can't be read", "node", node, "error", err)
 	}
 	return out
 }
 
-// ask sends a probe once. again tells that one more may do better.
-func (p *Prober) ask(ctx context.Context, node string) (resp *http.Response, again bool, err error) {
+// checkOnce sends a probe once. again tells that one more may do better.
+func (p *HealthChecker) checkOnce(ctx context.Context, node string) (resp *http.Response, again bool, err error) {
 	c, err := p.nodes.Acquire(ctx, node, nodes.AnyState)
 	if err != nil {
 		return nil, false, err
--- a/internal/net/transport/roundtrip.go
+++ b/internal/net/transport/roundtrip.go
@@ -26,38 +26,38 @@
 	return &RoundTripper{core: core, nodes: nodes}
 }
 
-type messageKey struct{}
+type inboundKey struct{}
 
-// message is a request that has come whole: its body is held, or has gone to a node but for its end.
-type message struct {
+// inboundRequest is a request that has come whole: its body is held, or has gone to a node but for its end.
+type inboundRequest struct {
 	protocol.Request
 	upload *upload
 }
 
-// withMessage hands the decoded request to the RoundTripper.
-func withMessage(ctx context.Context, m message) context.Context {
-	return context.WithValue(ctx, messageKey{}, m)
+// withInbound hands the decoded request to the RoundTripper.
+func withInbound(ctx context.Context, m inboundRequest) context.Context {
+	return context.WithValue(ctx, inboundKey{}, m)
 }
 
 // RoundTrip returns a node's 200 answer, or the core's refusal or failure as an error.
 func (t *RoundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
-	m, ok := r.Context().Value(messageKey{}).(message)
+	m, ok := r.Context().Value(inboundKey{}).(inboundRequest)
 	if !ok {
 		return nil, errors.New("round trip: no request in the context")
 	}
-	var answer handed
+	var answer responseHandoff
 	resp, err := routing.Do(r.Context(), t.core, m.Request.Request,
 		func(ctx context.Context, a routing.Attempt) (resp *http.Response, outcome scheduler.AttemptEnded) {
 			defer func() { answer.put(resp) }()
 			if m.upload != nil {
-				return t.nodes.finish(ctx, a, m.upload)
+				return t.nodes.finishUpload(ctx, a, m.upload)
 			}
 			return t.nodes.attempt(ctx, a, withBody(r.Clone(ctx), m.Body))
 		})
 	if err != nil {
 		answer.drop()
-	} else if long, ok := resp.Body.(*longAnswer); ok { // it stays open until its body has been passed on
-		long.ended = t.core.Stay()
+	} else if long, ok := resp.Body.(*streamedResponse); ok { // it stays open until its body has been passed on
+		long.onClose = t.core.HoldOpen()
 	}
 	return resp, err
 }
@@ -74,14 +74,14 @@
 	return r
 }
 
-// handed is an answer on its way to a client that may have left: nobody else would give its connection back.
-type handed struct {
+// responseHandoff is an answer on its way to a client that may have left: nobody else would give its connection back.
+type responseHandoff struct {
 	mu      sync.Mutex
 	resp    *http.Response
 	dropped bool
 }
 
-func (h *handed) put(resp *http.Response) {
+func (h *responseHandoff) put(resp *http.Response) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.resp = resp; h.dropped && resp != nil {
@@ -89,7 +89,7 @@
 	}
 }
 
-func (h *handed) drop() {
+func (h *responseHandoff) drop() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.dropped = true; h.resp != nil {
--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -30,7 +30,7 @@
 
 // Client carries commands to nodes, one at a time on a connection.
 type Client struct {
-	*nodes.Nodes[*session]
+	*nodes.Pool[*session]
 }
 
 // session is an SFTP session with a node.
@@ -64,7 +64,7 @@
 
 // NewClient returns a client without nodes.
 func NewClient(l limits.Limits) *Client {
-	return &Client{Nodes: nodes.New(l, nodes.Session[*session]{
+	return &Client{Pool: nodes.New(l, nodes.Session[*session]{
 		Open: func(c net.Conn) (*session, error) {
 			w := &wire{Conn: c, bound: l.Files.ResponseBytes}
 			client, err := sftp.NewClientPipe(w, w)
@@ -84,17 +84,17 @@
 
 // Attempt carries out a command at a node once and tells how that ended.
 func (c *Client) Attempt(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, scheduler.AttemptEnded) {
-	conn, err := c.Acquire(a.Begin, a.Node, nodes.Running)
-	if err == nil && a.Begin.Err() != nil { // it came up in that moment
+	conn, err := c.Acquire(a.MayBegin, a.Node, nodes.Running)
+	if err == nil && a.MayBegin.Err() != nil { // it came up in that moment
 		c.Release(conn, false)
-		err = a.Begin.Err()
+		err = a.MayBegin.Err()
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.TimedOut}
-	case err != nil && a.Begin.Err() != nil:
+	case err != nil && a.MayBegin.Err() != nil:
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.NotStarted}
-	case errors.Is(err, nodes.ErrNotTaking):
+	case errors.Is(err, nodes.ErrNotAccepting):
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.QueueFull}
 	case err != nil:
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Unreachable}
@@ -116,7 +116,7 @@
 	case w.written.Load() == 0:
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Unreachable}
 	}
-	return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Reset, Alive: c.Renew(a.Node)}
+	return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Reset, Alive: c.Reconnect(a.Node)}
 }
 
 // carryOut runs a command on a session.
--- a/internal/net/transport/sftp/commands.go
+++ b/internal/net/transport/sftp/commands.go
@@ -105,7 +105,7 @@
 
 func (v *visitor) handleRoom() error {
 	if len(v.handles) >= v.front.limits.Files.Handles {
-		return &routing.Refused{RetryAfter: v.front.site.Retry}
+		return &routing.RejectedError{RetryAfter: v.front.site.Retry}
 	}
 	return nil
 }
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -68,7 +68,7 @@
 }
 
 func (t *tally) add(err error) {
-	var refused *routing.Refused
+	var refused *routing.RejectedError
 	switch {
 	case err == nil:
 		t.served.Add(1)
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -72,7 +72,7 @@
 		State: state}}
 }
 
-func (b *bench) tell(list protocol.List) { b.core.Tell(b.client.Apply(list)) }
+func (b *bench) tell(list protocol.List) { b.core.UpdateEndpoints(b.client.Apply(list)) }
 
 func (b *bench) dial() *sftp.Client {
 	b.t.Helper()
@@ -234,7 +234,7 @@
 	if n := node.Count("Write", "/a/cut"); n != 1 {
 		t.Errorf("%d writes reached the node, want the whole one alone", n)
 	}
-	if got := b.core.Tally(); got.Left != 1 {
+	if got := b.core.Tally(); got.ClientsLeft != 1 {
 		t.Errorf("tally %+v, want one client left", got)
 	}
 }
--- a/internal/net/transport/sftp/leave_test.go
+++ b/internal/net/transport/sftp/leave_test.go
@@ -34,7 +34,7 @@
 		defer b.front.mu.Unlock()
 		return len(b.front.conns) == 0
 	})
-	if got := b.core.Tally(); got.Left != 1 || len(begun) != 0 {
+	if got := b.core.Tally(); got.ClientsLeft != 1 || len(begun) != 0 {
 		t.Errorf("%d further commands were begun, tally %+v", len(begun), got)
 	}
 }
--- a/internal/net/transport/sftp/transfer.go
+++ b/internal/net/transport/sftp/transfer.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	entry, err := v.front.core.EnterWhenReady(v.taking, request, v.front.limits.Files.AdmitTimeout)
+	entry, err := v.front.core.SubmitWhenReady(v.taking, request, v.front.limits.Files.AdmitTimeout)
 	if err == nil {
 		_, err = v.in.Discard(lengthBytes + size) // the core has taken it, whatever ends meanwhile
 	}
--- a/internal/net/transport/sftp/visitor.go
+++ b/internal/net/transport/sftp/visitor.go
@@ -197,7 +197,7 @@
 	case f.room <- struct{}{}:
 		defer func() { <-f.room }()
 	default:
-		full := &routing.Refused{RetryAfter: f.site.Retry}
+		full := &routing.RejectedError{RetryAfter: f.site.Retry}
 		count.add(full)
 		return files.Reply{}, full
 	}
--- a/internal/net/transport/stop.go
+++ b/internal/net/transport/stop.go
@@ -25,7 +25,7 @@
 	began := time.Now()
 	f.stopping.Store(&began)
 	if f.yielded.Load() {
-		return f.leave(began)
+		return f.awaitHandover(began)
 	}
 	tick := time.NewTicker(f.limits.Stop.CheckInterval)
 	defer tick.Stop()
@@ -38,7 +38,7 @@
 			continue
 		}
 		if since >= f.limits.Stop.Serve {
-			f.shutDoor()
+			f.closeListener()
 			left = f.clients.closeIdle(now.Add(-f.limits.Stop.CheckInterval))
 		}
 		if left == 0 && f.open.Load() == 0 || since > f.limits.Stop.AtMost {
@@ -53,7 +53,7 @@
 func (f *Front) Yield(pass func(net.Conn) error) {
 	f.yielded.Store(true)
 	f.Pause(true)
-	f.clients.passOn(pass)
+	f.clients.handOffIdle(pass)
 }
 
 // Pause leaves new connections in the kernel, or takes them again.
@@ -66,28 +66,28 @@
 // Resume takes back what Yield gave, as far as it was not taken.
 func (f *Front) Resume() {
 	f.yielded.Store(false)
-	f.clients.passOn(nil)
+	f.clients.handOffIdle(nil)
 	f.Pause(false)
 }
 
-// shutDoor accepts no more connections, for good.
-func (f *Front) shutDoor() {
+// closeListener accepts no more connections, for good.
+func (f *Front) closeListener() {
 	if l := f.listener.Swap(nil); l != nil {
 		l.Close()
 	}
 }
 
-// Take serves a connection that another process passes on.
-func (f *Front) Take(c net.Conn) {
+// Adopt serves a connection that another process passes on.
+func (f *Front) Adopt(c net.Conn) {
 	select {
-	case f.passed <- c:
+	case f.adopted <- c:
 	case <-time.After(f.limits.Clients.HeaderTimeout): // the front has ended, or is full
 		c.Close()
 	}
 }
 
-// leave ends the front once all that it keeps yet is answered and passed on, as another process serves in its place.
-func (f *Front) leave(began time.Time) error {
+// awaitHandover ends the front once all that it keeps yet is answered and passed on, as another process serves in its place.
+func (f *Front) awaitHandover(began time.Time) error {
 	for tick := time.NewTicker(f.limits.Stop.CheckInterval); ; <-tick.C {
 		idle := f.clients.count() == 0 && f.open.Load() == 0
 		if idle || time.Since(began) > f.limits.Stop.AtMost {
--- a/internal/net/transport/upload.go
+++ b/internal/net/transport/upload.go
@@ -18,22 +18,22 @@
 	"otterturn/scheduler"
 )
 
-// pieces are the buffers of bodies under way.
-type pieces struct{ pool sync.Pool }
+// bufferPool are the buffers of bodies under way.
+type bufferPool struct{ pool sync.Pool }
 
-// pieceBytes is the size of a buffer: each body under way holds two of them at most.
-const pieceBytes = 32 << 10
+// bufferBytes is the size of a buffer: each body under way holds two of them at most.
+const bufferBytes = 32 << 10
 
-func (p *pieces) Get() []byte {
+func (p *bufferPool) Get() []byte {
 	if b, ok := p.pool.Get().(*[]byte); ok {
 		return *b
 	}
-	return make([]byte, pieceBytes)
+	return make([]byte, bufferBytes)
 }
 
-func (p *pieces) Put(b []byte) { p.pool.Put(&b) }
+func (p *bufferPool) Put(b []byte) { p.pool.Put(&b) }
 
-var buffers pieces
+var buffers bufferPool
 
 // upload is a long request of which all but the end has gone to a node: a node begins a request once its last byte
 // has come, so the scheduler decides on the end alone, when the client's last byte has come, as with any other
@@ -42,13 +42,13 @@
 	node    string
 	conn    *nodes.Conn[*stream]
 	request *http.Request
-	end     []byte // what is held back
+	tail    []byte // what is held back
 	release func(clean bool)
 }
 
-// begin sends a long request to a node as it comes. Its body has begun with held. An error tells that the node can't have it;
+// startUpload sends a long request to a node as it comes. Its body has begun with held. An error tells that the node can't have it;
 // the client's own faults are clientError.
-func (s *Nodes) begin(ctx context.Context, node string, r *http.Request, held []byte, next func(p []byte) (int, error)) (*upload, error) {
+func (s *Nodes) startUpload(ctx context.Context, node string, r *http.Request, held []byte, next func(p []byte) (int, error)) (*upload, error) {
 	limited, end := context.WithTimeout(ctx, 2*s.limits.Nodes.ConnectTimeout) // where all sockets are in use it waits for one
 	defer end()
 	c, err := s.Acquire(limited, node, nodes.Running)
@@ -57,15 +57,15 @@
 	}
 	u := &upload{node: node, conn: c, request: r}
 	u.release = func(clean bool) { s.Release(c, clean) }
-	if err := u.send(r, held, next, s.limits); err != nil {
+	if err := u.sendAllButTail(r, held, next, s.limits); err != nil {
 		u.close()
 		return nil, err
 	}
 	return u, nil
 }
 
-// send writes head and body but for the end.
-func (u *upload) send(r *http.Request, held []byte, next func(p []byte) (int, error), l limits.Limits) error {
+// sendAllButTail writes head and body but for the end.
+func (u *upload) sendAllButTail(r *http.Request, held []byte, next func(p []byte) (int, error), l limits.Limits) error {
 	var pending bytes.Buffer
 	fmt.Fprintf(&pending, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URL.RequestURI(), r.Host)
 	r.Header.Write(&pending)
@@ -107,7 +107,7 @@
 		to.(io.Closer).Close()
 		pending.WriteString("\r\n")
 	}
-	u.end = pending.Bytes()
+	u.tail = pending.Bytes()
 	return u.conn.SetWriteDeadline(time.Time{})
 }
 
@@ -136,39 +136,39 @@
 	}
 }
 
-// finish writes the end of a long request, and reads the answer. It can do so once.
-func (s *Nodes) finish(ctx context.Context, a routing.Attempt, u *upload) (*http.Response, scheduler.AttemptEnded) {
-	if u.node != a.Node || u.release == nil || a.Begin.Err() != nil {
+// finishUpload writes the end of a long request, and reads the answer. It can do so once.
+func (s *Nodes) finishUpload(ctx context.Context, a routing.Attempt, u *upload) (*http.Response, scheduler.AttemptEnded) {
+	if u.node != a.Node || u.release == nil || a.MayBegin.Err() != nil {
 		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	}
 	u.release = nil
-	resp, out, written := s.outcome(ctx, a.Node, u.conn, u.request, u.end)
+	resp, out, written := s.completeAttempt(ctx, a.Node, u.conn, u.request, u.tail)
 	if !written && out.Result == scheduler.Unreachable {
 		// The connection had stood open for long: that it broke says little of the node, which a new one tells.
-		out = scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Renew(a.Node)}
+		out = scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Reconnect(a.Node)}
 	}
 	return resp, out
 }
 
 // upload has a long request go to its node as it comes.
-func (t *RoundTripper) upload(r *http.Request, m *message, next func(p []byte) (int, error)) error {
-	node, shard, err := t.core.Place(r.Context(), m.Request.Request)
+func (t *RoundTripper) upload(r *http.Request, m *inboundRequest, next func(p []byte) (int, error)) error {
+	node, shard, err := t.core.NodeFor(r.Context(), m.Request.Request)
 	if err != nil {
 		return err
 	}
 	if node == "" {
-		return errNoNode
+		return errNoNodeAvailable
 	}
 	out := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: protocol.Forwarded(r.Header), ContentLength: r.ContentLength}
 	protocol.SetLeft(out.Header, time.Duration(m.TimeLeft)*time.Microsecond)
 	held := m.Body
 	m.Body = nil
-	if m.upload, err = t.nodes.begin(r.Context(), node, out, held, next); err != nil {
+	if m.upload, err = t.nodes.startUpload(r.Context(), node, out, held, next); err != nil {
 		return err
 	}
 	m.Shard = shard // where it has gone, if it is a new object
 	return nil
 }
 
-// errNoNode tells that no node takes a request now.
-var errNoNode = errors.New("no node takes it")
+// errNoNodeAvailable tells that no node takes a request now.
+var errNoNodeAvailable = errors.New("no node takes it")
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -108,7 +108,7 @@
 		failed: make(chan error, 4), drained: map[string]bool{}}
 	probe := a.client.Probe(l)
 	if o.SFTP.Listen == "" {
-		probe = transport.NewProber(a.nodes, protocol.Settings{}, a.log).Probe
+		probe = transport.NewHealthChecker(a.nodes, protocol.Settings{}, a.log).Check
 	}
 	var err error
 	set := o.Settings().Scheduler
@@ -238,5 +238,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.nodes.Apply(a.hosts(func(_, http string) string { return http }))
-	a.core.Tell(a.client.Apply(a.hosts(func(sftp, _ string) string { return sftp })))
+	a.core.UpdateEndpoints(a.client.Apply(a.hosts(func(sftp, _ string) string { return sftp })))
 }
--- a/internal/program/beside.go
+++ b/internal/program/beside.go
@@ -34,9 +34,9 @@
 		if err != nil {
 			return err
 		}
-		p.front.Take(conn)
+		p.front.Adopt(conn)
 	case k == handover.ID:
-		p.core.TakenElsewhere(text)
+		p.core.MarkIDUsed(text)
 	case k == handover.Out:
 		p.byHand("a node is kept out by hand, by the other process", node, by, p.roster.Ban)
 	case k == handover.Back:
--- a/internal/program/console.go
+++ b/internal/program/console.go
@@ -117,7 +117,7 @@
 	case "status":
 		t := a.core.Tally()
 		text = fmt.Sprintf("open %d\nserved %d\nrefused %d\nfailed %d\nclients left %d", t.Open,
-			t.Sum(routing.Served), t.Sum(routing.Rejected), t.Sum(routing.Failing), t.Left)
+			t.Sum(routing.Served), t.Sum(routing.Rejected), t.Sum(routing.Failed), t.ClientsLeft)
 	case "nodes":
 		text = c.nodes()
 	case "projects":
--- a/internal/program/fleet_health.go
+++ b/internal/program/fleet_health.go
@@ -54,7 +54,7 @@
 	return monitor.New(config, monitor.Bounds{Inbox: max(leastInbox, p.limits.Requests.Inbox), Hold: longestProbe}, monitor.Hooks{
 		Now:    func() scheduler.Micros { return p.core.Now() },
 		Probe:  probe,
-		Report: func(e scheduler.Event) { p.core.Hear(e) },
+		Report: func(e scheduler.Event) { p.core.Handle(e) },
 		Send:   p.sendToFront,
 		Log:    p.log})
 }
@@ -72,7 +72,7 @@
 		return
 	}
 	if p.peers != nil {
-		p.peers.Take, p.peers.Drop = p.monitor.Take, p.dropped
+		p.peers.Intercept, p.peers.OnDrop = p.monitor.Take, p.dropped
 	}
 	p.core.Observer = p.monitor
 	go p.monitor.Run(ctx)
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -40,7 +40,7 @@
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			p.log.Error("the elder process says nothing: limits let nothing flow in until it has ended", "error", err)
-			p.core.PromiseNothing()
+			p.core.YieldAll()
 			go p.outlive(c)
 			return
 		}
@@ -87,7 +87,7 @@
 	p.roster.Keep(state.Bans)
 	news := p.nodes.Apply(p.roster.Told(state.List))
 	p.tellMonitor(news)
-	p.core.Succeed(news, state.Given)
+	p.core.TakeOver(news, state.Given)
 	if socket != nil && len(p.config.Peers) > 0 {
 		if conn, err := net.FilePacketConn(socket); err == nil {
 			p.peers = transport.PeersOn(conn.(*net.UDPConn), p.config.Peers, p.limits, p.log)
@@ -158,7 +158,7 @@
 		return err
 	}
 	p.beside.Store(c)
-	p.core.Announce(func(id string) { c.Send(handover.ID, []byte(id), nil) })
+	p.core.AnnounceIDs(func(id string) { c.Send(handover.ID, []byte(id), nil) })
 	p.front.Yield(func(conn net.Conn) error {
 		socket, ok := conn.(syscall.Conn)
 		if !ok {
@@ -174,7 +174,7 @@
 }
 
 // give stops promising and gives the state, until the successor may go on.
-func (p *platform) give(c *handover.Channel) (routing.Given, error) {
+func (p *platform) give(c *handover.Channel) (routing.HandoverState, error) {
 	var socket syscall.Conn
 	if p.peers != nil {
 		p.peers.Pause()
@@ -188,7 +188,7 @@
 		return given, err
 	}
 	p.mu.Lock()
-	state := handover.State{Given: given, Plans: p.front.Plans(), List: p.roster.Whole(), Bans: p.roster.Bans()}
+	state := handover.State{Given: given, Plans: p.front.PlanNames(), List: p.roster.Whole(), Bans: p.roster.Bans()}
 	p.mu.Unlock()
 	text, err := handover.Encode(state)
 	if err != nil {
@@ -200,7 +200,7 @@
 // takeBack has this process serve again, as the successor is gone. unused is what that one never used.
 func (p *platform) takeBack(unused scheduler.Learned) {
 	p.beside.Store(nil)
-	p.core.Announce(nil)
+	p.core.AnnounceIDs(nil)
 	if p.peers != nil {
 		p.peers.Resume()
 	}
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -45,7 +45,7 @@
 func (p *platform) Figures() (protocol.Figures, error) {
 	ctx, end := context.WithTimeout(context.Background(), p.limits.Control.ReportTimeout)
 	defer end()
-	avoided, err := p.core.Avoided(ctx)
+	avoided, err := p.core.AvoidedNodes(ctx)
 	if err != nil {
 		return protocol.Figures{}, err
 	}
@@ -56,10 +56,10 @@
 	t := p.core.Tally()
 	out := protocol.Figures{InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
 		ReloadsOK: p.reloaded.Load(), ReloadsFailed: p.refused.Load(), Health: shared}
-	for i, name := range p.front.Names() {
-		ended := t.Of(i)
+	for i, name := range p.front.ClassNames() {
+		ended := t.Class(i)
 		out.Classes = append(out.Classes, protocol.Ended{Class: name, Served: ended[routing.Served],
-			Refused: ended[routing.Rejected], Failed: ended[routing.Failing]})
+			Refused: ended[routing.Rejected], Failed: ended[routing.Failed]})
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -96,7 +96,7 @@
 		p.ready.Store(false)
 		p.log.Info("stopping")
 		defer p.log.Info("stopped")
-		return p.front.Stop(p.core.Room)
+		return p.front.Stop(p.core.SetMaxOpen)
 	}
 }
 
@@ -110,7 +110,7 @@
 	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
 		nodes: transport.NewNodes(l), roster: roster.New(), talks: set.Scheduler.PeerMessages}
 	set.Scheduler.MaxOpen = l.Requests.Scheduled
-	probe := transport.NewProber(p.nodes, set, p.log).Probe
+	probe := transport.NewHealthChecker(p.nodes, set, p.log).Check
 	var err error
 	if p.monitor, err = p.newMonitor(probe); err != nil {
 		return nil, err
@@ -138,11 +138,11 @@
 		p.peers = peers
 	}
 	if p.peers != nil {
-		p.core.Note = p.peers.Send
+		p.core.SendToPeer = p.peers.Send
 	}
 	p.runMonitor(ctx)
 	if p.peers != nil {
-		go p.peers.Run(ctx, p.core.Hear)
+		go p.peers.Run(ctx, p.core.Handle)
 	}
 	go p.core.Run(ctx)
 	go p.nodes.Run(ctx)
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -33,9 +33,9 @@
 func (p *platform) follow(ctx context.Context, hangups <-chan os.Signal) {
 	seq := p.config.Known.Seq
 	if p.succeeded {
-		seq = transport.WholeList
+		seq = transport.FullList
 	}
-	for ; ; seq = transport.WholeList {
+	for ; ; seq = transport.FullList {
 		own, end := context.WithCancel(ctx)
 		ended := make(chan struct{})
 		go func() {
@@ -78,7 +78,7 @@
 		return protocol.Config{}, err
 	}
 	// The scheduler has a class before the first request of it comes. A class that is no more has its number kept.
-	if err := p.core.Retune(config.Settings.Scheduler); err != nil {
+	if err := p.core.Reconfigure(config.Settings.Scheduler); err != nil {
 		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
 	}
 	if err := changeFleet(); err != nil {
@@ -86,8 +86,8 @@
 	}
 	still := config.Settings
 	still.Classes, still.Plans = still.Names, still.PlanNames
-	p.front.Retune(still)
-	time.AfterFunc(retireAfter, func() { p.front.Retire(still, config.Settings) })
+	p.front.Reconfigure(still)
+	time.AfterFunc(retireAfter, func() { p.front.ReconfigureIf(still, config.Settings) })
 	p.text = text
 	return config, nil
 }
@@ -104,7 +104,7 @@
 	if len(list.Hosts) > 0 || list.Whole {
 		news := p.nodes.Apply(list)
 		p.tellMonitor(news)
-		p.core.Tell(news)
+		p.core.UpdateEndpoints(news)
 	}
 }
 
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -60,7 +60,7 @@
 // Recall hands the core what its former self learned, as far as it still counts. The core must not run yet. It
 // returns the nodes of the last snapshot, as a hint.
 func (k *Keeper) Recall() []snapshot.Node {
-	now := ageing.Now{At: k.core.Now(), Front: k.set.Front, Settings: k.prints, Fresh: k.core.Fresh(), Nodes: k.set.Nodes()}
+	now := ageing.Now{At: k.core.Now(), Front: k.set.Front, Settings: k.prints, Fresh: k.core.NewNodeStats(), Nodes: k.set.Nodes()}
 	found, notes := k.store.Load(func(s snapshot.Snapshot) error { return ageing.Judge(s, now) })
 	for _, n := range notes {
 		k.set.Log.Warn("a snapshot is not used", "why", n)
@@ -70,7 +70,7 @@
 	}
 	k.count = found.Count + 1
 	l := ageing.Fade(found.Snapshot, now, found.Older)
-	k.core.Recall(listings(now.Nodes), l)
+	k.core.ImportLearned(listings(now.Nodes), l)
 	age := time.Duration(now.At-found.Saved) * time.Microsecond
 	k.set.Log.Info("recalled what was learned", "snapshot", found.Count, "nodes", len(l.Nodes), "projects", len(l.Volumes),
 		"age", age.Round(time.Millisecond).String(), "previous", found.Older)
@@ -103,7 +103,7 @@
 		}
 		select {
 		case <-next.C:
-		case <-k.core.WriteDown():
+		case <-k.core.SaveRequested():
 		case asked = <-k.asked:
 		case <-ctx.Done():
 			return
@@ -150,7 +150,7 @@
 		return err // the core has ended, or ctx
 	}
 	r, err := k.store.Save(snap)
-	k.core.Recorded(scheduler.StateSaved{Readable: r.There, Latest: r.Sure})
+	k.core.StateSaved(scheduler.StateSaved{Readable: r.There, Latest: r.Sure})
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	before := k.status.Error
@@ -181,7 +181,7 @@
 		addrs[n.Node] = n.Addr
 	}
 	for from := 0; ; {
-		l, next, err := k.core.Learned(ctx, from, part)
+		l, next, err := k.core.ExportLearned(ctx, from, part)
 		if err != nil {
 			return snapshot.Snapshot{}, fmt.Errorf("ask what is learned: %w", err)
 		}
--- a/scheduler/curve/curve.go
+++ b/scheduler/curve/curve.go
@@ -20,7 +20,7 @@
 	return c[max(0, len(c)-most):]
 }
 
-// Meets fits throughput = a + b x ln(latency) and returns the latency at which its slope, relative to the highest
+// LatencyAtSlope fits throughput = a + b x ln(latency) and returns the latency at which its slope, relative to the highest
 // throughput and the lowest latency, comes down to the one given, and the lowest latency. A curve that tells no
 // slope meets it at 0. It must not be empty.
 func (c Curve) LatencyAtSlope(slope float64) (latency, low float64) {
--- a/scheduler/expirymap/expirymap.go
+++ b/scheduler/expirymap/expirymap.go
@@ -3,7 +3,7 @@
 // It reads no clock.
 package expirymap
 
-// Table maps keys to values that may expire. New returns an empty one.
+// Map maps keys to values that may expire. New returns an empty one.
 type Map[K comparable, V any] struct {
 	byKey   map[K]*entry[K, V]
 	entries []*entry[K, V]
--- a/scheduler/slowstart/allocator.go
+++ b/scheduler/slowstart/allocator.go
@@ -27,14 +27,14 @@
 	at    T
 }
 
-// Shown is what a node has shown a host of its capacity, in units.
+// LoadReport is what a node has shown a host of its capacity, in units.
 type LoadReport struct {
 	Served float64 // answered since it told last
 	Units  float64 // answered since it started,
 	Time   float64 // one by one in so many spans
 }
 
-// Wish is for room, in units.
+// CapacityRequest is for room, in units.
 type CapacityRequest struct {
 	Units    float64    // for the request that is next; 0 for nothing
 	MinUnits float64    `cbor:"Least"` // for the smallest, if there is no room for that
@@ -71,7 +71,7 @@
 	}
 }
 
-// recent tells that what a host told counts yet.
+// isCurrent tells that what a host told counts yet.
 func (r *Allocator[T]) isCurrent(now T, t report[T]) bool {
 	return t.at >= now-reportLifetimeSpans*r.config.OverloadSpan
 }
--- a/scheduler/slowstart/config.go
+++ b/scheduler/slowstart/config.go
@@ -84,7 +84,7 @@
 	return host, now%period > c.GrantLifetime()
 }
 
-// Borne is how many units a node that has been up for so long bears within a span in any case. They grow with the
+// SafeUnitsAt is how many units a node that has been up for so long bears within a span in any case. They grow with the
 // capacity that it has at least, a span late: of a window the least counts.
 func (c *Config[T]) SafeUnitsAt(age T) float64 {
 	return c.SafeUnits * c.capacityShare(age-c.OverloadSpan) / c.InitialShare
@@ -93,7 +93,7 @@
 // Slowdown is how many times as slow as a warm node one may be that has been up for so long.
 func (c *Config[T]) Slowdown(age T) float64 { return 1 / c.capacityShare(age) }
 
-// share is the part of its capacity that a node has at least.
+// capacityShare is the part of its capacity that a node has at least.
 func (c *Config[T]) capacityShare(age T) float64 {
 	return c.InitialShare + (1-c.InitialShare)*float64(min(max(0, age), c.Ramp))/float64(max(c.Ramp, 1))
 }
--- a/scheduler/slowstart/guard.go
+++ b/scheduler/slowstart/guard.go
@@ -26,7 +26,7 @@
 	return Guard[T]{span: c.OverloadSpan, balance: window.New(c.OverloadSpan)}
 }
 
-// Room is how many units may be sent now.
+// Capacity is how many units may be sent now.
 func (g *Guard[T]) Capacity(now T) float64 { return max(0, -g.balance.Sum(now)) + g.validGrant(now) }
 
 func (g *Guard[T]) validGrant(now T) float64 {
@@ -64,7 +64,7 @@
 	}
 }
 
-// Shown returns what the node has shown this host, to be reported now.
+// TakeReport returns what the node has shown this host, to be reported now.
 func (g *Guard[T]) TakeReport() LoadReport {
 	s := LoadReport{g.unreported, g.measuredUnits, g.measuredTime}
 	g.unreported = 0
@@ -95,7 +95,7 @@
 	return true
 }
 
-// Clear forgets all, once the node is warm, or where it may begin anew: what was answered was its former self.
+// Reset forgets all, once the node is warm, or where it may begin anew: what was answered was its former self.
 func (g *Guard[T]) Reset() {
 	g.balance.Clear()
 	g.granted, g.nextRequest, g.nextReport, g.unreported, g.measuredUnits, g.measuredTime = 0, 0, 0, 0, 0, 0
--- a/scheduler/tokenbucket/tokenbucket.go
+++ b/scheduler/tokenbucket/tokenbucket.go
@@ -17,13 +17,13 @@
 	pendingBoundUntil T       // and Bound then; 0 where none is being written
 }
 
-// Fill adds what flowed in since the last time: rate in units a microsecond, burst in units.
+// Refill adds what flowed in since the last time: rate in units a microsecond, burst in units.
 func (b *Bucket[T]) Refill(now T, rate, burst float64) {
 	b.Level = min(burst, b.Level+rate*float64(now-b.At))
 	b.At = now
 }
 
-// Bears tells whether units may be drawn now, with so much kept back.
+// Allows tells whether units may be drawn now, with so much kept back.
 func (b *Bucket[T]) Allows(now T, units, keep float64) bool {
 	return b.Level-units >= keep && (!b.IsBound(now) || units <= b.Lease)
 }
@@ -49,7 +49,7 @@
 	return Bucket[T]{Level: b.Level, At: b.At, Lease: b.Lease + b.pendingLease, BoundUntil: b.pendingBoundUntil}
 }
 
-// Written tells how the last record ended: whether it may be read back from now on, and whether no earlier one may.
+// RecordSaved tells how the last record ended: whether it may be read back from now on, and whether no earlier one may.
 func (b *Bucket[T]) RecordSaved(there, sure bool) {
 	if there {
 		b.BoundUntil = max(b.BoundUntil, b.pendingBoundUntil)
--- a/scheduler/window/window.go
+++ b/scheduler/window/window.go
@@ -14,7 +14,7 @@
 	amount float64
 }
 
-// Of returns an empty window over a span.
+// New returns an empty window over a span.
 func New[T ~int64](span T) Window[T] { return Window[T]{span: span} }
 
 // Add takes in an amount.
@@ -30,7 +30,7 @@
 	return w.sum
 }
 
-// drop lets go of what is too old. Places are given back once half of them are empty, and the sum is made anew then:
+// evict lets go of what is too old. Places are given back once half of them are empty, and the sum is made anew then:
 // what was added and taken off again leaves a rest of rounding.
 func (w *Window[T]) evict(now T) {
 	before := w.first
--- a/scheduler/worklist/worklist.go
+++ b/scheduler/worklist/worklist.go
@@ -10,7 +10,7 @@
 	"otterturn/scheduler/timers"
 )
 
-// Agenda keeps members with two recurring intervals each, a fast one and a slow one.
+// List keeps members with two recurring intervals each, a fast one and a slow one.
 type List[T ~int64, M any] struct {
 	fast, slow interval.Schedule[T]
 	added      int
@@ -29,12 +29,12 @@
 	timer      timers.Timer[T, *Entry[T, M]]
 }
 
-// Of returns an agenda without members, with the lengths of the intervals.
+// New returns an agenda without members, with the lengths of the intervals.
 func New[T ~int64, M any](fast, slow T) List[T, M] {
 	return List[T, M]{fast: interval.NewSchedule(fast), slow: interval.NewSchedule(slow)}
 }
 
-// Enter takes a member in, behind all others. Its intervals have ended, so it is looked at in this step.
+// Add takes a member in, behind all others. Its intervals have ended, so it is looked at in this step.
 func (a *List[T, M]) Add(e *Entry[T, M], member M) {
 	*e = Entry[T, M]{member: member, number: a.added}
 	e.timer.Member = e
@@ -42,23 +42,23 @@
 	a.Queue(e)
 }
 
-// Leave takes a member out. It may be looked at once more.
+// Remove takes a member out. It may be looked at once more.
 func (a *List[T, M]) Remove(e *Entry[T, M]) {
 	a.timers.Stop(&e.timer)
 	e.removed = true
 }
 
-// Before is the order of two members.
+// Compare is the order of two members.
 func (e *Entry[T, M]) Compare(other *Entry[T, M]) int { return e.number - other.number }
 
-// Touch has a member looked at in this step, or in the next if this one's look is over.
+// Queue has a member looked at in this step, or in the next if this one's look is over.
 func (a *List[T, M]) Queue(e *Entry[T, M]) {
 	if !e.queued {
 		e.queued, a.queued = true, append(a.queued, e)
 	}
 }
 
-// Wake does so, and separates the member's intervals, as something is to be done when they end.
+// Activate does so, and separates the member's intervals, as something is to be done when they end.
 func (a *List[T, M]) Activate(e *Entry[T, M]) {
 	a.Queue(e)
 	e.Fast.Separate()
@@ -83,16 +83,16 @@
 	}
 }
 
-// RestFast and RestSlow begin a member's next interval.
+// RestartFast and RestSlow begin a member's next interval.
 func (a *List[T, M]) RestartFast(e *Entry[T, M]) { e.Fast.Restart(&a.fast, a.now) }
 
-// RestSlow begins the slow one.
+// RestartSlow begins the slow one.
 func (a *List[T, M]) RestartSlow(e *Entry[T, M]) { e.Slow.Restart(&a.slow, a.now) }
 
 // Never is the time of what is not due.
 const Never = math.MaxInt64
 
-// Close ends a step: each member that was looked at, or touched since, is looked at again when a separate
+// Finish ends a step: each member that was looked at, or touched since, is looked at again when a separate
 // interval of its ends, or at the time that next tells.
 func (a *List[T, M]) Finish(next func(M) T) {
 	for _, e := range a.queued {
