--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 
 # What a save of what is learned costs, for 10 to 10,000 nodes and ten times as many projects.
 cost:
-	go test -run '^$$' -bench Save ./internal/state/keeper
+	go test -run '^$$' -bench Save ./internal/state/saver
 
 # What a step of the decisions costs, by nodes and volumes, and what is kept of each, in bytes; half a minute.
 step-cost:
--- a/internal/fleet/health/api.go
+++ b/internal/fleet/health/api.go
@@ -11,25 +11,25 @@
 
 // Config is what a Monitor gets at its start, and anew by Monitor.Reconfigure.
 type Config struct {
-	Self    int   // number of this front
-	Run     int64 // start of this process, Unix microseconds: tells its messages from those of its former self
-	Zones   []int // zone of each front, by the front's number
-	Probers int   // fronts of each zone that probe a node, 1 at least
-	Quorum  int   // distinct fronts of a zone whose probes must have failed before the zone avoids a node, 2 at least
-
-	SuspectAfter  scheduler.Micros // an attempt that is out for so long, and for 4 times the node's usual latency, is stalled
-	ProbeLate     scheduler.Micros // a probe without an answer for so long, and for 4 times the usual, counts as failed
-	EvidenceLife  scheduler.Micros // evidence older than this counts for nothing
-	TakeoverAfter scheduler.Micros // the next Probers fronts in rank take over after so long without sufficient evidence
-	ProbesPerNode float64          // probes a second that all fronts of all zones send one silent node at most
-	MessageBytes  float64          // bytes of messages a second that this front sends at most
+	Self        int   // number of this front
+	Incarnation int64 // start of this process, Unix microseconds: tells its messages from those of its former self
+	Zones       []int // zone of each front, by the front's number
+	Probers     int   // fronts of each zone that probe a node, 1 at least
+	Quorum      int   // distinct fronts of a zone whose probes must have failed before the zone avoids a node, 2 at least
+
+	SuspectAfter     scheduler.Micros // an attempt that is out for so long, and for 4 times the node's usual latency, is stalled
+	ProbeTimeout     scheduler.Micros // a probe without an answer for so long, and for 4 times the usual, counts as failed
+	EvidenceLifetime scheduler.Micros // evidence older than this counts for nothing
+	TakeoverAfter    scheduler.Micros // the next Probers fronts in rank take over after so long without sufficient evidence
+	ProbesPerNode    float64          // probes a second that all fronts of all zones send one silent node at most
+	MessageRate      float64          // bytes of messages a second that this front sends at most
 }
 
 // Event is something that a Monitor learns.
 type Event interface{ event() }
 
-// NodeList is news of the node list. A full list names every node there is.
-type NodeList struct {
+// EndpointsChanged is news of the node list. A full list names every node there is.
+type EndpointsChanged struct {
 	Full  bool
 	Nodes []scheduler.Endpoint
 }
@@ -50,28 +50,28 @@
 	Alive   bool // after a reset: the node was found running right behind it
 }
 
-// ProbeWanted tells that the scheduler wants a node probed. One ProbeAnswered is owed for it.
-type ProbeWanted struct{ Node string }
+// ProbeRequested tells that the scheduler wants a node probed. One ProbeAnswered is owed for it.
+type ProbeRequested struct{ Node string }
 
 // ProbeEnded is the result of a StartProbe.
 type ProbeEnded struct{ scheduler.HealthChecked }
 
-// Received is a message of another front.
-type Received struct {
+// MessageReceived is a message of another front.
+type MessageReceived struct {
 	From    int
 	Message Message
 }
 
-// Alarm tells that the time of the last SetAlarm has come.
-type Alarm struct{}
+// TimerFired tells that the time of the last SetAlarm has come.
+type TimerFired struct{}
 
-func (NodeList) event()       {}
-func (AttemptStarted) event() {}
-func (AttemptEnded) event()   {}
-func (ProbeWanted) event()    {}
-func (ProbeEnded) event()     {}
-func (Received) event()       {}
-func (Alarm) event()          {}
+func (EndpointsChanged) event() {}
+func (AttemptStarted) event()   {}
+func (AttemptEnded) event()     {}
+func (ProbeRequested) event()   {}
+func (ProbeEnded) event()       {}
+func (MessageReceived) event()  {}
+func (TimerFired) event()       {}
 
 // Action is something that a Monitor wants done, in the order given.
 type Action interface{ action() }
@@ -79,36 +79,36 @@
 // StartProbe asks for a probe of a node; ProbeEnded is to follow within a bounded time.
 type StartProbe struct{ Node string }
 
-// ProbeAnswered answers a ProbeWanted.
-type ProbeAnswered struct{ scheduler.HealthChecked }
+// AnswerProbe answers a ProbeWanted.
+type AnswerProbe struct{ scheduler.HealthChecked }
 
-// Report tells the scheduler that the zone found a node silent.
-type Report struct{ scheduler.NodeSilent }
+// ReportSilent tells the scheduler that the zone found a node silent.
+type ReportSilent struct{ scheduler.NodeSilent }
 
-// Send is a message to another front.
-type Send struct {
+// SendMessage is a message to another front.
+type SendMessage struct {
 	To      int
 	Message Message
 }
 
-// SetAlarm asks for an Alarm; it takes the place of an earlier one.
-type SetAlarm struct{ At scheduler.Micros }
+// SetTimer asks for an Alarm; it takes the place of an earlier one.
+type SetTimer struct{ At scheduler.Micros }
 
-func (StartProbe) action()    {}
-func (ProbeAnswered) action() {}
-func (Report) action()        {}
-func (Send) action()          {}
-func (SetAlarm) action()      {}
+func (StartProbe) action()   {}
+func (AnswerProbe) action()  {}
+func (ReportSilent) action() {}
+func (SendMessage) action()  {}
+func (SetTimer) action()     {}
 
 // State is what evidence says of a node.
 type State uint8
 
 // The kinds of State.
 const (
-	Reachable State = iota + 1 // a probe was answered
-	Silent                     // a probe was not answered in time, or the node refused it
-	Suspected                  // requests stall or fail; it asks probers to look and condemns nothing
-	Standing                   // all that the sender told as Silent still is; Node is what tells the set of these nodes
+	Reachable   State = iota + 1 // a probe was answered
+	Silent                       // a probe was not answered in time, or the node refused it
+	Suspected                    // requests stall or fail; it asks probers to look and condemns nothing
+	StillSilent                  // all that the sender told as Silent still is; Node is what tells the set of these nodes
 )
 
 // Entry is evidence on one node.
@@ -121,10 +121,10 @@
 
 // Message is what one front tells another. Its sender is known by its address.
 type Message struct {
-	Run      int64            // Config.Run of the sender
-	Sequence uint32           // counts the sender's messages of this run
-	Sent     scheduler.Micros // the sender's clock
-	Entries  []Entry
+	Incarnation int64            // Config.Run of the sender
+	Sequence    uint32           // counts the sender's messages of this run
+	Sent        scheduler.Micros // the sender's clock
+	Entries     []Entry
 }
 
 // Counters count what a Monitor did since its start.
@@ -135,7 +135,7 @@
 	Received  int64          // messages that were taken in
 	Dropped   map[Drop]int64 // messages or entries that were not, by reason
 	Shed      int64          // entries that were not sent for want of bytes
-	Condemned int            // nodes that this front avoids now
+	Avoided   int            // nodes that this front avoids now
 }
 
 // Drop is why a message or an entry was dropped.
@@ -143,12 +143,12 @@
 
 // The kinds of Drop.
 const (
-	DropForeign    Drop = "foreign zone" // the sender is not of this front's zone
-	DropRepeated   Drop = "repeated"     // the message came before, or is of a former run
-	DropLate       Drop = "late"         // it was under way for longer than evidence lives
-	DropFuture     Drop = "future"       // its age is negative or its incarnation ahead of the list's
-	DropUnknown    Drop = "unknown node" // the node is not on the list
-	DropOutdated   Drop = "former start" // the evidence is of an earlier start of the node
-	DropDiffers    Drop = "other set"    // what the sender still finds silent is not what this front heard of it
-	DropUnreadable Drop = "unreadable"   // it can't be decoded
+	DropForeign     Drop = "foreign zone" // the sender is not of this front's zone
+	DropRepeated    Drop = "repeated"     // the message came before, or is of a former run
+	DropExpired     Drop = "late"         // it was under way for longer than evidence lives
+	DropFuture      Drop = "future"       // its age is negative or its incarnation ahead of the list's
+	DropUnknown     Drop = "unknown node" // the node is not on the list
+	DropOutdated    Drop = "former start" // the evidence is of an earlier start of the node
+	DropSetMismatch Drop = "other set"    // what the sender still finds silent is not what this front heard of it
+	DropUnreadable  Drop = "unreadable"   // it can't be decoded
 )
--- a/internal/fleet/health/attempts.go
+++ b/internal/fleet/health/attempts.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	stallUsuals = 4 // an attempt that is out for so many usual latencies may be stalled
-	usualOver   = 8 // answers over which the usual latency is a mean
+	stallFactor = 4 // an attempt that is out for so many usual latencies may be stalled
+	latencySpan = 8 // answers over which the usual latency is a mean
 )
 
 // attemptID names an attempt.
@@ -30,10 +30,10 @@
 		return
 	}
 	m.attempts[attemptID{e.ID, e.Attempt}] = attempt{n, n.start, m.now}
-	n.out++
-	if n.out == 1 {
-		n.owing = m.now
-		m.wake(n, m.stallsAt(n))
+	n.outstanding++
+	if n.outstanding == 1 {
+		n.owingSince = m.now
+		m.reviewBy(n, m.stallTime(n))
 	}
 }
 
@@ -45,28 +45,28 @@
 	if n == nil || known && (a.node != n || a.start != n.start) {
 		return
 	}
-	owed := n.owing
-	if known && n.out > 0 {
-		n.out--
+	owed := n.owingSince
+	if known && n.outstanding > 0 {
+		n.outstanding--
 	}
 	switch {
-	case answers(e):
+	case showsReachable(e):
 		if known && e.Result != scheduler.Reset {
-			n.learn(m.now - a.sent)
+			n.updateLatency(m.now - a.sent)
 		}
 		m.answeredBy(n)
 	case e.Result == scheduler.Unreachable, e.Result == scheduler.Reset:
 		m.suspect(n, m.now)
-	case e.Result == scheduler.TimedOut && known && m.now-owed >= m.stallAfter(n):
+	case e.Result == scheduler.TimedOut && known && m.now-owed >= m.stallTimeout(n):
 		m.suspect(n, owed)
 	}
-	if n.out == 0 && n.trouble == nil {
+	if n.outstanding == 0 && n.investigation == nil {
 		m.due.remove(n)
 	}
 }
 
-// answers tells whether an attempt's end shows that the node runs and can be reached.
-func answers(e AttemptEnded) bool {
+// showsReachable tells whether an attempt's end shows that the node runs and can be reached.
+func showsReachable(e AttemptEnded) bool {
 	switch e.Result {
 	case scheduler.OK, scheduler.Errored, scheduler.QueueFull, scheduler.Expired:
 		return true
@@ -78,52 +78,52 @@
 
 // answeredBy takes in a success of this front's own: it counts for more than older evidence of others.
 func (m *Monitor) answeredBy(n *node) {
-	n.answered, n.owing = m.now, m.now
-	if n.trouble != nil {
+	n.answered, n.owingSince = m.now, m.now
+	if n.investigation != nil {
 		m.reached(n)
-		m.touch(n)
+		m.scheduleReview(n)
 	}
 }
 
-func (n *node) learn(latency scheduler.Micros) {
-	if n.usual == 0 {
-		n.usual = latency
+func (n *node) updateLatency(latency scheduler.Micros) {
+	if n.usualLatency == 0 {
+		n.usualLatency = latency
 		return
 	}
-	n.usual += (latency - n.usual) / usualOver
+	n.usualLatency += (latency - n.usualLatency) / latencySpan
 }
 
-// stallAfter is for how long a node may owe an answer before it is suspected.
-func (m *Monitor) stallAfter(n *node) scheduler.Micros {
-	return max(m.config.SuspectAfter, stallUsuals*n.usual)
+// stallTimeout is for how long a node may owe an answer before it is suspected.
+func (m *Monitor) stallTimeout(n *node) scheduler.Micros {
+	return max(m.config.SuspectAfter, stallFactor*n.usualLatency)
 }
 
-// stallsAt is when a node is to be suspected if it answers nothing more, forever where it owes nothing.
-func (m *Monitor) stallsAt(n *node) scheduler.Micros {
-	if n.out == 0 || !n.running() || n.trouble != nil && (n.avoided || n.suspecting) {
+// stallTime is when a node is to be suspected if it answers nothing more, forever where it owes nothing.
+func (m *Monitor) stallTime(n *node) scheduler.Micros {
+	if n.outstanding == 0 || !n.running() || n.investigation != nil && (n.avoided || n.suspecting) {
 		return forever
 	}
-	return max(n.owing+m.stallAfter(n), n.raised+m.config.TakeoverAfter)
+	return max(n.owingSince+m.stallTimeout(n), n.lastSuspected+m.config.TakeoverAfter)
 }
 
 // watchStall suspects a node that has owed an answer for too long.
 func (m *Monitor) watchStall(n *node) (next scheduler.Micros) {
-	if m.stallsAt(n) <= m.now {
-		m.suspect(n, n.owing)
+	if m.stallTime(n) <= m.now {
+		m.suspect(n, n.owingSince)
 	}
-	return m.stallsAt(n)
+	return m.stallTime(n)
 }
 
 // suspect takes in that requests of this front stall or fail at a node, since a time.
 func (m *Monitor) suspect(n *node, since scheduler.Micros) {
-	if !n.running() || n.trouble != nil && (n.avoided || n.suspecting) || m.now < n.raised+m.config.TakeoverAfter {
+	if !n.running() || n.investigation != nil && (n.avoided || n.suspecting) || m.now < n.lastSuspected+m.config.TakeoverAfter {
 		return
 	}
-	n.inTrouble()
-	n.suspecting, n.suspected, n.raised = true, since, m.now
+	n.investigate()
+	n.suspecting, n.suspectedSince, n.lastSuspected = true, since, m.now
 	// That it was reached before is no word against those who find it silent now.
 	n.evidence = slices.DeleteFunc(n.evidence, func(o observation) bool {
 		return o.front == m.config.Self && o.state == Reachable && o.at <= since
 	})
-	m.touch(n)
+	m.scheduleReview(n)
 }
--- a/internal/fleet/health/audit_test.go
+++ b/internal/fleet/health/audit_test.go
@@ -14,15 +14,15 @@
 			t.asked[f.number] = map[string]scheduler.Micros{}
 		}
 		t.asked[f.number][a.Node] = t.now
-	case Send:
+	case SendMessage:
 		t.auditSend(f, a)
-	case Report:
+	case ReportSilent:
 		t.auditReport(f, a)
 	}
 }
 
 // auditSend holds messages to their bounds.
-func (t *trial) auditSend(f *simFront, a Send) {
+func (t *trial) auditSend(f *simFront, a SendMessage) {
 	size := len(a.Message.Encode())
 	if size > MessageLimit || size != a.Message.size() {
 		t.say("front %d sends %d bytes, reckoned as %d", f.number, size, a.Message.size())
@@ -49,7 +49,7 @@
 }
 
 // auditReport counts the fronts whose probes of this start were not answered lately.
-func (t *trial) auditReport(f *simFront, a Report) {
+func (t *trial) auditReport(f *simFront, a ReportSilent) {
 	key, start := NodeKey(a.Node), wireSince(a.StartedAt)
 	origins := 0
 	for _, other := range t.fronts {
@@ -89,7 +89,7 @@
 			}
 			living++
 			known := f.monitor.byName[n.name]
-			if known.trouble != nil && known.avoided {
+			if known.investigation != nil && known.avoided {
 				avoid = append(avoid, f.number)
 			}
 		}
@@ -105,7 +105,7 @@
 // checkSuccess has a success checked: nothing older may count against it.
 func (t *trial) checkSuccess(f *simFront, node string) {
 	n := f.monitor.byName[node]
-	if n.running() && n.trouble != nil && n.avoided && !slices.ContainsFunc(n.evidence, func(o observation) bool {
+	if n.running() && n.investigation != nil && n.avoided && !slices.ContainsFunc(n.evidence, func(o observation) bool {
 		return o.state == Silent && o.at > t.now-1
 	}) {
 		t.say("front %d avoids %s though it was just answered", f.number, node)
--- a/internal/fleet/health/breaks_test.go
+++ b/internal/fleet/health/breaks_test.go
@@ -9,10 +9,10 @@
 // breaks are faults made on purpose: the schedules must find each of them.
 var breaks = map[string]func(m *Monitor){
 	"no quorum":             func(m *Monitor) { m.config.Quorum = 1 },
-	"no takeover":           func(m *Monitor) { m.seams.round = func(_, _ scheduler.Micros) int { return 0 } },
-	"a former start counts": func(m *Monitor) { m.seams.sameStart = func(_, _ scheduler.Micros) bool { return true } },
-	"a front counts twice":  func(m *Monitor) { m.seams.add = func(e *evidence, o observation) { *e = append(*e, o) } },
-	"evidence never fades":  func(m *Monitor) { m.config.EvidenceLife = 1000 * second },
+	"no takeover":           func(m *Monitor) { m.checks.round = func(_, _ scheduler.Micros) int { return 0 } },
+	"a former start counts": func(m *Monitor) { m.checks.sameStart = func(_, _ scheduler.Micros) bool { return true } },
+	"a front counts twice":  func(m *Monitor) { m.checks.add = func(e *evidence, o observation) { *e = append(*e, o) } },
+	"evidence never fades":  func(m *Monitor) { m.config.EvidenceLifetime = 1000 * second },
 }
 
 // tries is how many schedules a break may take to be found.
--- a/internal/fleet/health/codec.go
+++ b/internal/fleet/health/codec.go
@@ -47,9 +47,9 @@
 func (m Message) Encode() []byte {
 	out := make([]byte, 0, MessageLimit)
 	out = append(out, messageMark, messageVersion)
-	out = appendBits(out, uint64(m.Run), runBits)
+	out = appendBits(out, uint64(m.Incarnation), runBits)
 	out = binary.AppendUvarint(out, uint64(m.Sequence))
-	out = binary.AppendVarint(out, floorMillis(m.Sent-scheduler.Micros(m.Run)))
+	out = binary.AppendVarint(out, floorMillis(m.Sent-scheduler.Micros(m.Incarnation)))
 	for _, e := range m.Entries {
 		if len(out)+entryBytes > MessageLimit {
 			break
@@ -63,7 +63,7 @@
 func (m Message) size() int {
 	var scratch [binary.MaxVarintLen64]byte
 	header := fixedBytes + binary.PutUvarint(scratch[:], uint64(m.Sequence))
-	header += binary.PutVarint(scratch[:], floorMillis(m.Sent-scheduler.Micros(m.Run)))
+	header += binary.PutVarint(scratch[:], floorMillis(m.Sent-scheduler.Micros(m.Incarnation)))
 	return header + entryBytes*min(len(m.Entries), (MessageLimit-header)/entryBytes)
 }
 
@@ -71,7 +71,7 @@
 	out = appendBits(out, e.Node, keyBits)
 	out = appendBits(out, uint64(e.Since/milli), sinceBits)
 	state := uint16(0) // Decode refuses it
-	if e.State <= Standing {
+	if e.State <= StillSilent {
 		state = uint16(e.State)
 	}
 	age := uint16(min(max(e.Age, 0), longestAge) / milli)
@@ -92,7 +92,7 @@
 	case len(data) < fixedBytes:
 		return Message{}, ErrCut
 	}
-	out := Message{Run: int64(bits(data[2:fixedBytes]))}
+	out := Message{Incarnation: int64(bits(data[2:fixedBytes]))}
 	rest := data[fixedBytes:]
 	sequence, n := binary.Uvarint(rest)
 	if err := varintError(n, sequence > 1<<32-1); err != nil {
@@ -104,7 +104,7 @@
 		return Message{}, fmt.Errorf("clock: %w", err)
 	}
 	rest = rest[n:]
-	out.Sequence, out.Sent = uint32(sequence), scheduler.Micros(out.Run)+scheduler.Micros(sent)*milli
+	out.Sequence, out.Sent = uint32(sequence), scheduler.Micros(out.Incarnation)+scheduler.Micros(sent)*milli
 	if len(rest)%entryBytes != 0 {
 		return Message{}, fmt.Errorf("%w: %d bytes of entries", ErrCut, len(rest))
 	}
@@ -126,7 +126,7 @@
 		State: State(last >> ageBits),
 		Age:   scheduler.Micros(last&(1<<ageBits-1)) * milli,
 	}
-	if e.State < Reachable || e.State > Standing {
+	if e.State < Reachable || e.State > StillSilent {
 		return Entry{}, fmt.Errorf("%w: %d", ErrState, e.State)
 	}
 	return e, nil
--- a/internal/fleet/health/codec_test.go
+++ b/internal/fleet/health/codec_test.go
@@ -11,8 +11,8 @@
 )
 
 func randomMessage(random *rand.Rand, entries int) Message {
-	m := Message{Run: random.Int64N(1 << 52), Sequence: random.Uint32()}
-	m.Sent = scheduler.Micros(m.Run) + scheduler.Micros(random.Int64N(1<<40)-1<<30)*milli
+	m := Message{Incarnation: random.Int64N(1 << 52), Sequence: random.Uint32()}
+	m.Sent = scheduler.Micros(m.Incarnation) + scheduler.Micros(random.Int64N(1<<40)-1<<30)*milli
 	for range entries {
 		m.Entries = append(m.Entries, Entry{
 			Node: random.Uint64N(1 << keyBits), Since: scheduler.Micros(random.Uint64N(1<<sinceBits)) * milli,
@@ -42,7 +42,7 @@
 	w := newWorld(1, zonesOf(1, 5), 30, nil)
 	sent := 0
 	w.each = func(_ *simFront, a Action) {
-		if s, ok := a.(Send); ok {
+		if s, ok := a.(SendMessage); ok {
 			sent++
 			back, err := Decode(s.Message.Encode())
 			if err != nil || !reflect.DeepEqual(back, s.Message) {
@@ -131,12 +131,12 @@
 		t.Fatalf("%v: %+v, not %+v", err, again, message)
 	}
 	for from := range 4 {
-		m.Step(10*second+scheduler.Micros(from), []Event{Received{from, message}})
+		m.Step(10*second+scheduler.Micros(from), []Event{MessageReceived{from, message}})
 	}
 	if m.avoids("a") && len(message.Entries) == 0 {
 		t.Error("condemned by nothing")
 	}
-	m.Step(30*second, []Event{Alarm{}})
+	m.Step(30*second, []Event{TimerFired{}})
 	if m.avoids("a") || m.avoids("b") {
 		t.Error("still avoided 20 s later")
 	}
--- a/internal/fleet/health/config.go
+++ b/internal/fleet/health/config.go
@@ -26,11 +26,11 @@
 // Defaults returns the usual figures for a front of a fleet whose fronts stand in the given zones.
 func Defaults(self int, run int64, zones []int) Config {
 	return Config{
-		Self: self, Run: run, Zones: zones,
+		Self: self, Incarnation: run, Zones: zones,
 		Probers: DefaultProbers, Quorum: DefaultQuorum,
-		SuspectAfter: DefaultSuspectAfter, ProbeLate: DefaultProbeLate,
-		EvidenceLife: DefaultEvidenceLife, TakeoverAfter: DefaultTakeoverAfter,
-		ProbesPerNode: DefaultProbesPerNode, MessageBytes: DefaultMessageBytes,
+		SuspectAfter: DefaultSuspectAfter, ProbeTimeout: DefaultProbeLate,
+		EvidenceLifetime: DefaultEvidenceLife, TakeoverAfter: DefaultTakeoverAfter,
+		ProbesPerNode: DefaultProbesPerNode, MessageRate: DefaultMessageBytes,
 	}
 }
 
@@ -54,17 +54,17 @@
 		check(c.Probers > fronts, "probers: %d, but zone %d has %d fronts", c.Probers, zone, fronts)
 	}
 	check(c.SuspectAfter <= 0, "suspect_after: must be above 0")
-	check(c.ProbeLate <= 0, "probe_late: must be above 0")
-	check(c.EvidenceLife <= 0, "evidence_life: must be above 0")
-	check(c.EvidenceLife > MaxEvidenceLife, "evidence_life: %d ms, must be %d ms at most", c.EvidenceLife/1000, MaxEvidenceLife/1000)
+	check(c.ProbeTimeout <= 0, "probe_late: must be above 0")
+	check(c.EvidenceLifetime <= 0, "evidence_life: must be above 0")
+	check(c.EvidenceLifetime > MaxEvidenceLife, "evidence_life: %d ms, must be %d ms at most", c.EvidenceLifetime/1000, MaxEvidenceLife/1000)
 	check(c.TakeoverAfter <= 0, "takeover_after: must be above 0")
 	check(!(c.ProbesPerNode > 0), "probes_per_node: must be above 0")
-	if c.Probers > 0 && c.ProbesPerNode > 0 && c.EvidenceLife > 0 {
+	if c.Probers > 0 && c.ProbesPerNode > 0 && c.EvidenceLifetime > 0 {
 		least := float64(c.probersOfAllZones()) / seconds(c.slowestProbe())
 		check(c.ProbesPerNode < least, "probes_per_node: %g, but the %d probers of a node need %.3g for evidence to last",
 			c.ProbesPerNode, c.probersOfAllZones(), least)
 	}
-	check(!(c.MessageBytes >= MessageLimit), "message_bytes: must be %d at least", MessageLimit)
+	check(!(c.MessageRate >= MessageLimit), "message_bytes: must be %d at least", MessageLimit)
 	return errors.Join(wrong...)
 }
 
@@ -101,7 +101,9 @@
 
 // slowestProbe is the longest time between two probes of a node that a front is to watch: what it shows must come to all
 // fronts before what the last one showed is too old.
-func (c Config) slowestProbe() scheduler.Micros { return min(slowestProbe, c.EvidenceLife/lifeParts) }
+func (c Config) slowestProbe() scheduler.Micros {
+	return min(slowestProbe, c.EvidenceLifetime/repeatsPerLifetime)
+}
 
 // probePace is the time between two probes that ProbesPerNode leaves to each prober.
 func (c Config) probePace() scheduler.Micros {
--- a/internal/fleet/health/config_test.go
+++ b/internal/fleet/health/config_test.go
@@ -18,13 +18,13 @@
 		"self: 8, but there are 8 fronts":            func(c *Config) { c.Self = 8 },
 		"self: -1, but":                              func(c *Config) { c.Self = -1 },
 		"suspect_after: must be above 0":             func(c *Config) { c.SuspectAfter = 0 },
-		"probe_late: must be above 0":                func(c *Config) { c.ProbeLate = -1 },
-		"evidence_life: must be above 0":             func(c *Config) { c.EvidenceLife = 0 },
-		"evidence_life: 9000 ms, must be 8000 ms":    func(c *Config) { c.EvidenceLife = 9 * second },
+		"probe_late: must be above 0":                func(c *Config) { c.ProbeTimeout = -1 },
+		"evidence_life: must be above 0":             func(c *Config) { c.EvidenceLifetime = 0 },
+		"evidence_life: 9000 ms, must be 8000 ms":    func(c *Config) { c.EvidenceLifetime = 9 * second },
 		"takeover_after: must be above 0":            func(c *Config) { c.TakeoverAfter = 0 },
 		"probes_per_node: must be above 0":           func(c *Config) { c.ProbesPerNode = math.NaN() },
 		"probes_per_node: 1, but the 6 probers of a": func(c *Config) { c.ProbesPerNode = 1 },
-		"message_bytes: must be 256 at least":        func(c *Config) { c.MessageBytes = 0 },
+		"message_bytes: must be 256 at least":        func(c *Config) { c.MessageRate = 0 },
 	} {
 		c := Defaults(0, 1, zones)
 		change(&c)
@@ -45,7 +45,7 @@
 func TestReconfigureKeepsWhatHolds(t *testing.T) {
 	const now = 10 * second
 	m := front(t, 0, zonesOf(1, 6), now)
-	m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
+	m.Step(now, []Event{MessageReceived{1, tells(1, now, Silent, 0)}, MessageReceived{2, tells(1, now, Silent, 0)}, ProbeRequested{"a"}})
 	bad := m.config
 	bad.Probers = 7
 	if m.Reconfigure(bad) == nil || m.config.Probers != DefaultProbers {
@@ -69,11 +69,11 @@
 	if m.Step(now+3, nil); m.avoids("a") {
 		t.Error("the word of another zone counts")
 	}
-	if n := m.byName["a"]; !n.held {
+	if n := m.byName["a"]; !n.schedulerWaits {
 		t.Error("a wanted probe is forgotten")
 	}
 	good.Zones[1] = 0 // the caller's own list is its own
-	if m.ofZone(1) {
+	if m.inZone(1) {
 		t.Error("the list of zones is shared with the caller")
 	}
 }
--- a/internal/fleet/health/cost_test.go
+++ b/internal/fleet/health/cost_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	list := NodeList{Full: true}
+	list := EndpointsChanged{Full: true}
 	var names []string
 	for i := range 1800 {
 		names = append(names, fmt.Sprintf("node-%d", i))
@@ -48,7 +48,7 @@
 		t.Errorf("%d bytes", took)
 	}
 	for _, n := range m.byName {
-		if n.trouble != nil {
+		if n.investigation != nil {
 			t.Fatal("trouble is kept of a healthy node")
 		}
 	}
@@ -65,7 +65,7 @@
 	for _, f := range w.fronts {
 		kept := 0
 		for _, n := range f.monitor.byName {
-			if n.trouble != nil {
+			if n.investigation != nil {
 				kept++
 			}
 		}
@@ -106,15 +106,15 @@
 	for i := 0; b.Loop(); i++ {
 		now += 10_000
 		sequence++
-		message := Message{Run: 1, Sequence: sequence, Sent: now}
+		message := Message{Incarnation: 1, Sequence: sequence, Sent: now}
 		for k := range 20 {
 			node := (i*20 + k) % 180
 			message.Entries = append(message.Entries, Entry{NodeKey(names[node]), wireSince(scheduler.Micros(node) * second), Silent, 0})
 		}
-		m.Step(now, []Event{Received{1, message}, Received{2, message}})
+		m.Step(now, []Event{MessageReceived{1, message}, MessageReceived{2, message}})
 		steps++
 	}
-	if c := m.Counters(); steps > 20 && c.Condemned != 180 {
+	if c := m.Counters(); steps > 20 && c.Avoided != 180 {
 		b.Errorf("%+v", c)
 	}
 }
--- a/internal/fleet/health/due.go
+++ b/internal/fleet/health/due.go
@@ -13,14 +13,14 @@
 func (q dueQueue) Less(i, j int) bool { return q[i].due < q[j].due }
 func (q dueQueue) Swap(i, j int) {
 	q[i], q[j] = q[j], q[i]
-	q[i].place, q[j].place = i+1, j+1
+	q[i].heapIndex, q[j].heapIndex = i+1, j+1
 }
 
 // Push is for container/heap alone.
 func (q *dueQueue) Push(x any) {
 	n := x.(*node)
 	*q = append(*q, n)
-	n.place = len(*q)
+	n.heapIndex = len(*q)
 }
 
 // Pop is for container/heap alone.
@@ -28,18 +28,18 @@
 	last := len(*q) - 1
 	n := (*q)[last]
 	(*q)[last] = nil
-	*q, n.place = (*q)[:last], 0
+	*q, n.heapIndex = (*q)[:last], 0
 	return n
 }
 
 // set puts a node where its time belongs, in the place of an earlier one.
 func (q *dueQueue) set(n *node, at scheduler.Micros) {
-	if n.place > 0 && n.due == at {
+	if n.heapIndex > 0 && n.due == at {
 		return
 	}
 	n.due = at
-	if n.place > 0 {
-		heap.Fix(q, n.place-1)
+	if n.heapIndex > 0 {
+		heap.Fix(q, n.heapIndex-1)
 		return
 	}
 	heap.Push(q, n)
@@ -47,8 +47,8 @@
 
 // remove takes a node out, if it is in.
 func (q *dueQueue) remove(n *node) {
-	if n.place > 0 {
-		heap.Remove(q, n.place-1)
+	if n.heapIndex > 0 {
+		heap.Remove(q, n.heapIndex-1)
 	}
 }
 
--- a/internal/fleet/health/exhaustive_test.go
+++ b/internal/fleet/health/exhaustive_test.go
@@ -94,10 +94,10 @@
 			}
 			m := front(t, 0, zonesOf(1, 4), now)
 			for from := 1; from < 4; from++ { // clocks are known
-				m.Step(now, []Event{Received{from, Message{Run: 1, Sequence: 1, Sent: now}}})
+				m.Step(now, []Event{MessageReceived{from, Message{Incarnation: 1, Sequence: 1, Sent: now}}})
 			}
 			for _, e := range list {
-				m.Step(now, []Event{Received{e.from, Message{Run: 1, Sequence: e.sequence, Sent: now, Entries: []Entry{
+				m.Step(now, []Event{MessageReceived{e.from, Message{Incarnation: 1, Sequence: e.sequence, Sent: now, Entries: []Entry{
 					{Node: NodeKey("a"), Since: wireSince(second), State: e.state, Age: now - e.at}}}}})
 			}
 			n := m.byName["a"]
--- a/internal/fleet/health/faults_test.go
+++ b/internal/fleet/health/faults_test.go
@@ -9,7 +9,7 @@
 // avoiding counts the fronts that avoid the first node.
 func (w *world) avoiding() (count int) {
 	for _, f := range w.fronts {
-		count += f.monitor.Counters().Condemned
+		count += f.monitor.Counters().Avoided
 	}
 	return count
 }
@@ -21,7 +21,7 @@
 	w.load(20, w.nodes, begin+10*second)
 	told := 0
 	w.each = func(f *simFront, a Action) {
-		if s, ok := a.(Send); ok {
+		if s, ok := a.(SendMessage); ok {
 			for _, e := range s.Message.Entries {
 				if e.State != Reachable {
 					told++
@@ -67,7 +67,7 @@
 			})
 			w.run(begin + 4*second)
 			for _, f := range w.fronts {
-				if c := f.monitor.Counters(); c.Condemned == 0 && f.number != failed[0] && f.number != failed[1] && f.number != failed[2] {
+				if c := f.monitor.Counters(); c.Avoided == 0 && f.number != failed[0] && f.number != failed[1] && f.number != failed[2] {
 					t.Errorf("front %d sends to a silent node 3 s later", f.number)
 				}
 			}
--- a/internal/fleet/health/fullsize_test.go
+++ b/internal/fleet/health/fullsize_test.go
@@ -48,7 +48,7 @@
 	sent, received := map[int][]scheduler.Micros{}, 0
 	w.each = func(f *simFront, a Action) {
 		switch a := a.(type) {
-		case Report:
+		case ReportSilent:
 			reports[a.Node]++
 			told = append(told, w.now-death)
 		case StartProbe:
@@ -62,8 +62,8 @@
 	w.at(back, func() { w.setAll(false) })
 	w.run(back)
 	for _, f := range w.fronts {
-		if c := f.monitor.Counters(); c.Condemned != nodes {
-			t.Errorf("front %d avoids %d nodes of %d", f.number, c.Condemned, nodes)
+		if c := f.monitor.Counters(); c.Avoided != nodes {
+			t.Errorf("front %d avoids %d nodes of %d", f.number, c.Avoided, nodes)
 		}
 	}
 	failed := 0
@@ -74,8 +74,8 @@
 	}
 	w.run(begin + 20*second)
 	for _, f := range w.fronts {
-		if c := f.monitor.Counters(); c.Condemned != 0 || len(f.wanted) > 0 {
-			t.Errorf("front %d avoids %d nodes that are back and owes %d probes", f.number, c.Condemned, len(f.wanted))
+		if c := f.monitor.Counters(); c.Avoided != 0 || len(f.wanted) > 0 {
+			t.Errorf("front %d avoids %d nodes that are back and owes %d probes", f.number, c.Avoided, len(f.wanted))
 		}
 	}
 	for _, n := range w.nodes {
--- a/internal/fleet/health/held.go
+++ b/internal/fleet/health/held.go
@@ -2,23 +2,23 @@
 
 import "otterturn/scheduler"
 
-// probeWanted holds back what the scheduler wants of a node that is suspected or avoided; any other probe goes out at
+// probeRequested holds back what the scheduler wants of a node that is suspected or avoided; any other probe goes out at
 // once.
-func (m *Monitor) probeWanted(e ProbeWanted) {
+func (m *Monitor) probeRequested(e ProbeRequested) {
 	n := m.byName[e.Node]
 	if n == nil || !n.running() {
-		if !m.passed[e.Node] {
-			m.passed[e.Node] = true
+		if !m.unknownProbes[e.Node] {
+			m.unknownProbes[e.Node] = true
 			m.counts.Probes++
-			m.out = append(m.out, StartProbe(e))
+			m.actions = append(m.actions, StartProbe(e))
 		}
 		return
 	}
-	n.inTrouble()
-	if !n.held {
-		n.held, n.heldAt = true, m.now
+	n.investigate()
+	if !n.schedulerWaits {
+		n.schedulerWaits, n.schedulerWaitsSince = true, m.now
 	}
-	m.touch(n)
+	m.scheduleReview(n)
 }
 
 // Queues that ProbeAnswered tells of a node that was not probed by this front.
@@ -29,66 +29,66 @@
 	returnedQueue = 0
 )
 
-// returnedLately tells whether the zone found a node reachable again not long ago: what it saw answers this front too.
-func (m *Monitor) returnedLately(n *node) bool {
-	return n.returnAt == 0 && !n.suspecting && m.now < n.ended+m.config.EvidenceLife && m.others(n, Reachable) >= m.config.Quorum
+// returnedRecently tells whether the zone found a node reachable again not long ago: what it saw answers this front too.
+func (m *Monitor) returnedRecently(n *node) bool {
+	return n.returnAt == 0 && !n.suspecting && m.now < n.avoidedUntil+m.config.EvidenceLifetime && m.countOthers(n, Reachable) >= m.config.Quorum
 }
 
-func (m *Monitor) answer(n *node, result scheduler.HealthChecked) {
-	n.held = false
-	m.out = append(m.out, ProbeAnswered{result})
+func (m *Monitor) answerProbe(n *node, result scheduler.HealthChecked) {
+	n.schedulerWaits = false
+	m.actions = append(m.actions, AnswerProbe{result})
 }
 
-// release answers the probe that the scheduler waits for, or starts it, as soon as may be.
-func (m *Monitor) release(n *node) (next scheduler.Micros) {
+// serveScheduler answers the probe that the scheduler waits for, or starts it, as soon as may be.
+func (m *Monitor) serveScheduler(n *node) (next scheduler.Micros) {
 	returned := n.returnAt > 0 && m.now >= n.returnAt
 	if returned {
 		n.returnAt = 0
 	}
-	if !n.held {
+	if !n.schedulerWaits {
 		return forever
 	}
 	unknown := scheduler.HealthChecked{Node: n.name, Queue: unknownQueue}
 	reached := scheduler.HealthChecked{Node: n.name, OK: true, Queue: returnedQueue}
-	switch until := m.waitsUntil(n); {
-	case n.avoided && m.now >= n.heldAt+m.config.EvidenceLife: // it asks again
-		m.answer(n, unknown)
+	switch until := m.waitUntil(n); {
+	case n.avoided && m.now >= n.schedulerWaitsSince+m.config.EvidenceLifetime: // it asks again
+		m.answerProbe(n, unknown)
 	case n.avoided:
-		return n.heldAt + m.config.EvidenceLife
-	case n.answered > n.heldAt || returned || m.returnedLately(n):
-		m.answer(n, reached)
+		return n.schedulerWaitsSince + m.config.EvidenceLifetime
+	case n.answered > n.schedulerWaitsSince || returned || m.returnedRecently(n):
+		m.answerProbe(n, reached)
 	case n.returnAt > 0:
 		return n.returnAt
-	case n.probe.out && !n.probe.void:
+	case n.probe.running && !n.probe.inconclusive:
 		if m.now < until {
 			return until
 		}
-		n.probe.wanted = true
-	case n.probe.out:
+		n.probe.forScheduler = true
+	case n.probe.running:
 		return forever // its end is awaited, then it starts anew
 	case m.now < until:
 		return until
 	default:
 		m.startProbe(n)
-		n.probe.wanted = true
-		return m.lookLate(n)
+		n.probe.forScheduler = true
+		return m.expireProbe(n)
 	}
 	return forever
 }
 
-// waitsUntil is when this front stops waiting for others and probes for its scheduler: at once where there is nothing
+// waitUntil is when this front stops waiting for others and probes for its scheduler: at once where there is nothing
 // to be waited for, else the later the lower it ranks.
-func (m *Monitor) waitsUntil(n *node) scheduler.Micros {
-	turn := (float64(min(n.rank/m.config.Probers, mostRounds)) + share(m.config.Self, n.key)) * float64(m.config.TakeoverAfter)
+func (m *Monitor) waitUntil(n *node) scheduler.Micros {
+	turn := (float64(min(n.rank/m.config.Probers, maxRequestRounds)) + share(m.config.Self, n.key)) * float64(m.config.TakeoverAfter)
 	until := never
-	if n.out > 0 && n.owing+m.stallAfter(n) > m.now { // it may be suspected soon
-		until = min(n.owing+m.stallAfter(n), n.heldAt+m.config.SuspectAfter)
+	if n.outstanding > 0 && n.owingSince+m.stallTimeout(n) > m.now { // it may be suspected soon
+		until = min(n.owingSince+m.stallTimeout(n), n.schedulerWaitsSince+m.config.SuspectAfter)
 	}
-	if n.suspecting || m.others(n, Silent) > 0 {
-		until = max(until, n.heldAt+m.config.TakeoverAfter+scheduler.Micros(turn))
+	if n.suspecting || m.countOthers(n, Silent) > 0 {
+		until = max(until, n.schedulerWaitsSince+m.config.TakeoverAfter+scheduler.Micros(turn))
 	}
-	if n.ended > n.heldAt { // the evidence on which it was avoided has faded for all fronts
-		until = max(until, n.ended+scheduler.Micros(turn))
+	if n.avoidedUntil > n.schedulerWaitsSince { // the evidence on which it was avoided has faded for all fronts
+		until = max(until, n.avoidedUntil+scheduler.Micros(turn))
 	}
 	return until
 }
--- a/internal/fleet/health/held_test.go
+++ b/internal/fleet/health/held_test.go
@@ -13,11 +13,11 @@
 	m := front(t, 0, zonesOf(1, 4), now)
 	for _, node := range []string{"a", "unknown"} {
 		for _, ok := range []bool{true, false} {
-			if started := of[StartProbe](m.Step(now, []Event{ProbeWanted{node}})); len(started) != 1 || started[0].Node != node {
+			if started := of[StartProbe](m.Step(now, []Event{ProbeRequested{node}})); len(started) != 1 || started[0].Node != node {
 				t.Fatalf("%s: %v", node, started)
 			}
 			result := scheduler.HealthChecked{Node: node, OK: ok, Queue: 3}
-			if answers := of[ProbeAnswered](m.Step(now+1000, []Event{ProbeEnded{result}})); len(answers) != 1 || answers[0].HealthChecked != result {
+			if answers := of[AnswerProbe](m.Step(now+1000, []Event{ProbeEnded{result}})); len(answers) != 1 || answers[0].HealthChecked != result {
 				t.Errorf("%s: %v", node, answers)
 			}
 		}
@@ -31,22 +31,22 @@
 	var at []scheduler.Micros
 	for self := 5; self < fronts; self++ {
 		m := front(t, self, zonesOf(1, fronts), now)
-		m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
+		m.Step(now, []Event{MessageReceived{1, tells(1, now, Silent, 0)}, MessageReceived{2, tells(1, now, Silent, 0)}, ProbeRequested{"a"}})
 		if !m.avoids("a") {
 			t.Fatal("not avoided")
 		}
-		alarms := of[SetAlarm](m.Step(now+second, []Event{Received{1, tells(2, now+second, Reachable, 0)}}))
+		alarms := of[SetTimer](m.Step(now+second, []Event{MessageReceived{1, tells(2, now+second, Reachable, 0)}}))
 		for len(alarms) > 0 {
 			next := alarms[len(alarms)-1].At
-			actions := m.Step(next, []Event{Alarm{}})
-			if answers := of[ProbeAnswered](actions); len(answers) > 0 {
+			actions := m.Step(next, []Event{TimerFired{}})
+			if answers := of[AnswerProbe](actions); len(answers) > 0 {
 				if !answers[0].OK {
 					t.Error("answered as silent")
 				}
 				at = append(at, next-now-second)
 				break
 			}
-			alarms = of[SetAlarm](actions)
+			alarms = of[SetTimer](actions)
 		}
 	}
 	slices.Sort(at)
@@ -63,20 +63,20 @@
 func TestZonesWordOnAReturnAnswersProbes(t *testing.T) {
 	const now = 10 * second
 	m := front(t, 5, zonesOf(1, 50), now)
-	m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
+	m.Step(now, []Event{MessageReceived{1, tells(1, now, Silent, 0)}, MessageReceived{2, tells(1, now, Silent, 0)}, ProbeRequested{"a"}})
 	back := now + second
-	m.Step(back, []Event{Received{1, tells(2, back, Reachable, 0)}, Received{2, tells(2, back, Reachable, 0)}})
+	m.Step(back, []Event{MessageReceived{1, tells(2, back, Reachable, 0)}, MessageReceived{2, tells(2, back, Reachable, 0)}})
 	spread := back + returnSpread + 1000
-	answers := of[ProbeAnswered](m.Step(spread, []Event{Alarm{}}))
+	answers := of[AnswerProbe](m.Step(spread, []Event{TimerFired{}}))
 	if want := (scheduler.HealthChecked{Node: "a", OK: true, Queue: returnedQueue}); len(answers) != 1 || answers[0].HealthChecked != want {
 		t.Fatalf("%v, want %v", answers, want)
 	}
-	actions := m.Step(spread+second, []Event{ProbeWanted{"a"}})
-	if started, answers := of[StartProbe](actions), of[ProbeAnswered](actions); len(started) != 0 || len(answers) != 1 || !answers[0].OK {
+	actions := m.Step(spread+second, []Event{ProbeRequested{"a"}})
+	if started, answers := of[StartProbe](actions), of[AnswerProbe](actions); len(started) != 0 || len(answers) != 1 || !answers[0].OK {
 		t.Errorf("within the evidence's life: %d probes, answers %v", len(started), answers)
 	}
-	old := spread + m.config.EvidenceLife
-	if started := of[StartProbe](m.Step(old, []Event{ProbeWanted{"a"}})); len(started) != 1 {
+	old := spread + m.config.EvidenceLifetime
+	if started := of[StartProbe](m.Step(old, []Event{ProbeRequested{"a"}})); len(started) != 1 {
 		t.Errorf("behind the evidence's life: %d probes, want one of this front's own", len(started))
 	}
 }
--- a/internal/fleet/health/inbox.go
+++ b/internal/fleet/health/inbox.go
@@ -3,8 +3,8 @@
 import "otterturn/scheduler"
 
 const (
-	driftPart = 5000 // two clocks differ by one in so many parts of time more, 200 ppm
-	seenSpan  = 64   // a message that comes so many later than one behind it counts as repeated
+	driftDivisor = 5000 // two clocks differ by one in so many parts of time more, 200 ppm
+	replayWindow = 64   // a message that comes so many later than one behind it counts as repeated
 )
 
 // peer is what is kept of a front that sent messages.
@@ -25,7 +25,7 @@
 		return false
 	}
 	back := p.newest - sequence
-	if back >= seenSpan || p.seen&(1<<back) != 0 {
+	if back >= replayWindow || p.seen&(1<<back) != 0 {
 		return true
 	}
 	p.seen |= 1 << back
@@ -40,87 +40,87 @@
 		p.offset, p.at = difference, now
 		return 0
 	}
-	p.offset, p.at = min(p.offset+(now-p.at)/driftPart, difference), now
+	p.offset, p.at = min(p.offset+(now-p.at)/driftDivisor, difference), now
 	return difference - p.offset
 }
 
 // received takes in a message of another front.
-func (m *Monitor) received(e Received) {
-	m.heard.Add(m.now, float64(e.Message.size()))
-	if !m.ofZone(e.From) {
+func (m *Monitor) received(e MessageReceived) {
+	m.receivedBytes.Add(m.now, float64(e.Message.size()))
+	if !m.inZone(e.From) {
 		m.drop(DropForeign)
 		return
 	}
 	p := m.peers[e.From]
-	if p == nil || e.Message.Run > p.run {
-		p = &peer{run: e.Message.Run, at: never}
+	if p == nil || e.Message.Incarnation > p.run {
+		p = &peer{run: e.Message.Incarnation, at: never}
 		m.peers[e.From] = p
 	}
-	if e.Message.Run < p.run || m.seams.repeated(p, e.Message.Sequence) {
+	if e.Message.Incarnation < p.run || m.checks.repeated(p, e.Message.Sequence) {
 		m.drop(DropRepeated)
 		return
 	}
 	delay := p.delay(m.now, e.Message.Sent)
-	if delay > m.config.EvidenceLife {
-		m.drop(DropLate)
+	if delay > m.config.EvidenceLifetime {
+		m.drop(DropExpired)
 		return
 	}
 	m.counts.Received++
 	for _, entry := range e.Message.Entries {
-		if why := m.takeIn(e.From, entry, delay); why != "" {
+		if why := m.receiveEntry(e.From, entry, delay); why != "" {
 			m.drop(why)
 		}
 	}
 }
 
-// ofZone tells whether a front is another one of this front's zone.
-func (m *Monitor) ofZone(front int) bool {
+// inZone tells whether a front is another one of this front's zone.
+func (m *Monitor) inZone(front int) bool {
 	zones := m.config.Zones
 	return front >= 0 && front < len(zones) && front != m.config.Self && zones[front] == zones[m.config.Self]
 }
 
-// takeIn takes in what a front tells of a node, or tells why not.
-func (m *Monitor) takeIn(from int, e Entry, delay scheduler.Micros) Drop {
-	if e.State == Standing {
-		return m.stands(from, e, delay)
+// receiveEntry takes in what a front tells of a node, or tells why not.
+func (m *Monitor) receiveEntry(from int, e Entry, delay scheduler.Micros) Drop {
+	if e.State == StillSilent {
+		return m.receiveStillSilent(from, e, delay)
 	}
 	n := m.byKey[e.Node]
 	switch {
-	case e.State < Reachable || e.State > Standing:
+	case e.State < Reachable || e.State > StillSilent:
 		return DropUnreadable
-	case n == nil || n.alone:
+	case n == nil || n.keyCollision:
 		return DropUnknown
 	case e.Age < 0:
 		return DropFuture
-	case !m.seams.sameStart(e.Since, n.wire) && startedLater(e.Since, n.wire):
+	case !m.checks.sameStart(e.Since, n.encodedStart) && startedLater(e.Since, n.encodedStart):
 		return DropFuture
-	case !m.seams.sameStart(e.Since, n.wire):
+	case !m.checks.sameStart(e.Since, n.encodedStart):
 		return DropOutdated
-	case e.Age+delay >= m.config.EvidenceLife:
-		return DropLate
+	case e.Age+delay >= m.config.EvidenceLifetime:
+		return DropExpired
 	case !n.running():
 		return "" // the list counts for more
 	}
 	at := m.now - delay - e.Age
 	if e.State == Suspected {
-		m.asked(n, from, at)
+		m.evidenceRequested(n, from, at)
 		return ""
 	}
-	n.inTrouble()
-	m.hear(n, observation{from, e.State, at})
-	m.touch(n)
+	n.investigate()
+	m.addObservation(n, observation{from, e.State, at})
+	m.scheduleReview(n)
 	return ""
 }
 
-// hear takes in another front's observation.
-func (m *Monitor) hear(n *node, o observation) {
+// addObservation takes in another front's observation.
+func (m *Monitor) addObservation(n *node, o observation) {
 	former, known := n.evidence.of(o.front)
 	own, seen := n.evidence.of(m.config.Self)
 	turned := o.state == Reachable && !(known && former.state == Reachable)
 	if turned && seen && own.state == Silent && n.contradicted <= own.at {
 		n.contradicted = m.now
 	}
-	m.seams.add(&n.evidence, o)
+	m.checks.add(&n.evidence, o)
 }
 
 func sameStart(told, listed scheduler.Micros) bool { return told == listed }
--- a/internal/fleet/health/list.go
+++ b/internal/fleet/health/list.go
@@ -6,12 +6,12 @@
 	"otterturn/scheduler"
 )
 
-// list takes in news of the node list. It counts for more than all evidence.
-func (m *Monitor) list(e NodeList) {
+// endpointsChanged takes in news of the node list. It counts for more than all evidence.
+func (m *Monitor) endpointsChanged(e EndpointsChanged) {
 	named := map[string]bool{}
 	for _, l := range e.Nodes {
 		named[l.Node] = true
-		m.listed(l)
+		m.updateEndpoint(l)
 	}
 	if !e.Full {
 		return
@@ -29,7 +29,7 @@
 	m.rekey()
 }
 
-func (m *Monitor) listed(l scheduler.Endpoint) {
+func (m *Monitor) updateEndpoint(l scheduler.Endpoint) {
 	n := m.byName[l.Node]
 	if l.State == scheduler.Removed {
 		if n != nil {
@@ -42,26 +42,26 @@
 		return
 	}
 	if l.StartedAt != n.start {
-		n.start, n.wire = l.StartedAt, wireSince(l.StartedAt)
-		n.out, n.usual, n.raised = 0, 0, never
-		m.clear(n)
+		n.start, n.encodedStart = l.StartedAt, wireSince(l.StartedAt)
+		n.outstanding, n.usualLatency, n.lastSuspected = 0, 0, never
+		m.dropInvestigation(n)
 	}
 	if l.State != n.state {
 		n.state = l.State
-		m.clear(n)
+		m.dropInvestigation(n)
 	}
-	m.touch(n)
+	m.scheduleReview(n)
 }
 
 func (m *Monitor) insert(l scheduler.Endpoint) {
 	n := &node{
-		name: l.Node, key: NodeKey(l.Node), start: l.StartedAt, wire: wireSince(l.StartedAt), state: l.State,
-		answered: never, owing: never, raised: never,
+		name: l.Node, key: NodeKey(l.Node), start: l.StartedAt, encodedStart: wireSince(l.StartedAt), state: l.State,
+		answered: never, owingSince: never, lastSuspected: never,
 	}
 	m.byName[n.name] = n
 	if other := m.byKey[n.key]; other != nil {
-		n.alone, other.alone = true, true
-		m.clear(other)
+		n.keyCollision, other.keyCollision = true, true
+		m.dropInvestigation(other)
 		return
 	}
 	m.byKey[n.key] = n
@@ -79,9 +79,9 @@
 	clear(m.byKey)
 	slices.SortFunc(all, byName)
 	for _, n := range all {
-		n.alone = false
+		n.keyCollision = false
 		if other := m.byKey[n.key]; other != nil {
-			n.alone, other.alone = true, true
+			n.keyCollision, other.keyCollision = true, true
 			continue
 		}
 		m.byKey[n.key] = n
@@ -89,9 +89,9 @@
 }
 
 func (m *Monitor) remove(n *node) {
-	m.clear(n)
-	if n.trouble != nil && n.probe.out { // its end finds no node
-		n.trouble = nil
+	m.dropInvestigation(n)
+	if n.investigation != nil && n.probe.running { // its end finds no node
+		n.investigation = nil
 	}
 	m.due.remove(n)
 	delete(m.byName, n.name)
@@ -100,23 +100,23 @@
 	}
 }
 
-// clear forgets what was found out about a node. A probe that the scheduler waits for is answered as failed: what the
+// dropInvestigation forgets what was found out about a node. A probe that the scheduler waits for is answered as failed: what the
 // list says has come to the scheduler as well.
-func (m *Monitor) clear(n *node) {
-	if n.trouble == nil {
+func (m *Monitor) dropInvestigation(n *node) {
+	if n.investigation == nil {
 		return
 	}
-	if n.held {
-		m.answer(n, scheduler.HealthChecked{Node: n.name, Queue: -1})
+	if n.schedulerWaits {
+		m.answerProbe(n, scheduler.HealthChecked{Node: n.name, Queue: -1})
 	}
 	if n.avoided {
-		m.condemned--
+		m.avoidedNodes--
 	}
 	out := n.probe
-	n.trouble = nil
-	if out.out {
-		out.void, out.wanted = true, false
-		n.inTrouble().probe = out
+	n.investigation = nil
+	if out.running {
+		out.inconclusive, out.forScheduler = true, false
+		n.investigate().probe = out
 	}
-	m.touch(n)
+	m.scheduleReview(n)
 }
--- a/internal/fleet/health/monitor_test.go
+++ b/internal/fleet/health/monitor_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.Step(now, []Event{NodeList{Full: true, Nodes: []scheduler.Endpoint{{Node: "a", StartedAt: second}, {Node: "b", StartedAt: 2 * second}}}})
+	m.Step(now, []Event{EndpointsChanged{Full: true, Nodes: []scheduler.Endpoint{{Node: "a", StartedAt: second}, {Node: "b", StartedAt: 2 * second}}}})
 	return m
 }
 
@@ -23,12 +23,12 @@
 
 // tells is a message of one entry about node a.
 func tells(sequence uint32, sent scheduler.Micros, state State, age scheduler.Micros) Message {
-	return Message{Run: 1, Sequence: sequence, Sent: sent, Entries: []Entry{{NodeKey("a"), wireSince(second), state, age}}}
+	return Message{Incarnation: 1, Sequence: sequence, Sent: sent, Entries: []Entry{{NodeKey("a"), wireSince(second), state, age}}}
 }
 
 func (m *Monitor) avoids(node string) bool {
 	n := m.byName[node]
-	return n != nil && n.trouble != nil && n.avoided
+	return n != nil && n.investigation != nil && n.avoided
 }
 
 // of returns the actions of a kind.
@@ -46,23 +46,23 @@
 	zones := []int{0, 0, 0, 0, 1, 1, 1}
 	m := front(t, 0, zones, now)
 	for front := 4; front < 7; front++ {
-		m.Step(now, []Event{Received{front, tells(1, now, Silent, 0)}})
+		m.Step(now, []Event{MessageReceived{front, tells(1, now, Silent, 0)}})
 	}
 	if m.avoids("a") || m.Counters().Dropped[DropForeign] != 3 {
 		t.Errorf("words of another zone count: %+v", m.Counters())
 	}
 	for sequence := range uint32(5) {
-		m.Step(now+scheduler.Micros(sequence), []Event{Received{1, tells(sequence+1, now, Silent, 0)}})
+		m.Step(now+scheduler.Micros(sequence), []Event{MessageReceived{1, tells(sequence+1, now, Silent, 0)}})
 	}
 	if m.avoids("a") {
 		t.Error("one front's word condemns")
 	}
-	actions := m.Step(now+10, []Event{Received{2, tells(1, now+10, Silent, 0)}})
-	reports := of[Report](actions)
+	actions := m.Step(now+10, []Event{MessageReceived{2, tells(1, now+10, Silent, 0)}})
+	reports := of[ReportSilent](actions)
 	if !m.avoids("a") || len(reports) != 1 || reports[0].StartedAt != second || reports[0].Node != "a" {
 		t.Errorf("two fronts' words: %v", actions)
 	}
-	if m.Step(now+20, []Event{Received{3, tells(1, now+20, Silent, 0)}}); m.Counters().Condemned != 1 {
+	if m.Step(now+20, []Event{MessageReceived{3, tells(1, now+20, Silent, 0)}}); m.Counters().Avoided != 1 {
 		t.Errorf("%+v", m.Counters())
 	}
 }
@@ -70,7 +70,7 @@
 func TestOwnSuccessCountsForMoreThanOlderEvidence(t *testing.T) {
 	const now = 10 * second
 	m := front(t, 0, zonesOf(1, 4), now)
-	m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}})
+	m.Step(now, []Event{MessageReceived{1, tells(1, now, Silent, 0)}, MessageReceived{2, tells(1, now, Silent, 0)}})
 	if !m.avoids("a") {
 		t.Fatal("not avoided")
 	}
@@ -79,13 +79,13 @@
 		t.Error("avoided though it was just answered")
 	}
 	for front := 1; front < 3; front++ { // older than the success
-		m.Step(now+second+1, []Event{Received{front, tells(2, now+second, Silent, second/2)}})
+		m.Step(now+second+1, []Event{MessageReceived{front, tells(2, now+second, Silent, second/2)}})
 	}
 	if m.avoids("a") {
 		t.Error("avoided by what is older than the answer")
 	}
 	for front := 1; front < 3; front++ {
-		m.Step(now+3*second, []Event{Received{front, tells(3, now+3*second, Silent, second)}})
+		m.Step(now+3*second, []Event{MessageReceived{front, tells(3, now+3*second, Silent, second)}})
 	}
 	if !m.avoids("a") {
 		t.Error("not avoided by what is younger than the answer")
@@ -98,12 +98,12 @@
 		"drain": {Node: "a", StartedAt: second, State: scheduler.Draining}, "start": {Node: "a", StartedAt: 9 * second}, "gone": {Node: "a", State: scheduler.Removed},
 	} {
 		m := front(t, 0, zonesOf(1, 4), now)
-		m.Step(now, []Event{Received{1, tells(1, now, Silent, 0)}, Received{2, tells(1, now, Silent, 0)}, ProbeWanted{"a"}})
-		actions := m.Step(now+1, []Event{NodeList{Nodes: []scheduler.Endpoint{l}}})
-		if answers := of[ProbeAnswered](actions); m.avoids("a") || m.Counters().Condemned != 0 || len(answers) != 1 || answers[0].OK {
+		m.Step(now, []Event{MessageReceived{1, tells(1, now, Silent, 0)}, MessageReceived{2, tells(1, now, Silent, 0)}, ProbeRequested{"a"}})
+		actions := m.Step(now+1, []Event{EndpointsChanged{Nodes: []scheduler.Endpoint{l}}})
+		if answers := of[AnswerProbe](actions); m.avoids("a") || m.Counters().Avoided != 0 || len(answers) != 1 || answers[0].OK {
 			t.Errorf("%s: avoids %v, %v", name, m.avoids("a"), actions)
 		}
-		m.Step(now+2, []Event{Received{3, tells(1, now, Silent, 0)}})
+		m.Step(now+2, []Event{MessageReceived{3, tells(1, now, Silent, 0)}})
 		if m.avoids("a") {
 			t.Errorf("%s: avoided again", name)
 		}
@@ -113,13 +113,13 @@
 func TestBadMessagesAreDroppedAndCounted(t *testing.T) {
 	const now = 10 * second
 	m := front(t, 0, []int{0, 0, 0, 0, 1, 1, 1}, now)
-	entry := func(e Entry) Message { return Message{Run: 5, Sent: now, Entries: []Entry{e}} }
+	entry := func(e Entry) Message { return Message{Incarnation: 5, Sent: now, Entries: []Entry{e}} }
 	good := Entry{NodeKey("a"), wireSince(second), Silent, 0}
 	sequence := uint32(0)
 	receive := func(from int, message Message) {
 		sequence++
 		message.Sequence = sequence
-		m.Step(now, []Event{Received{from, message}})
+		m.Step(now, []Event{MessageReceived{from, message}})
 	}
 	change := func(f func(e *Entry)) Entry {
 		e := good
@@ -139,14 +139,14 @@
 	receive(1, entry(good)) // counted as come before only at the front that it came from
 	sequence--
 	receive(1, entry(good))
-	receive(1, Message{Run: 4, Sent: now, Entries: []Entry{good}})
-	receive(1, Message{Run: 5, Sent: now - 20*second, Entries: []Entry{good}})
+	receive(1, Message{Incarnation: 4, Sent: now, Entries: []Entry{good}})
+	receive(1, Message{Incarnation: 5, Sent: now - 20*second, Entries: []Entry{good}})
 	m.Unreadable()
-	want := map[Drop]int64{DropFuture: 2, DropOutdated: 1, DropUnknown: 1, DropUnreadable: 2, DropLate: 2, DropForeign: 5, DropRepeated: 2}
+	want := map[Drop]int64{DropFuture: 2, DropOutdated: 1, DropUnknown: 1, DropUnreadable: 2, DropExpired: 2, DropForeign: 5, DropRepeated: 2}
 	if got := m.Counters().Dropped; sprint(got) != sprint(want) {
 		t.Errorf("%v, not %v", got, want)
 	}
-	if n := m.byName["a"]; n.trouble == nil || len(n.evidence) != 1 {
+	if n := m.byName["a"]; n.investigation == nil || len(n.evidence) != 1 {
 		t.Error("the one good entry was not taken in alone")
 	}
 }
@@ -156,8 +156,8 @@
 	const now = 100 * second
 	m := front(t, 0, zonesOf(1, 4), now)
 	const ahead = 37 * second // the other's clock
-	m.Step(now, []Event{Received{1, Message{Run: 1, Sequence: 1, Sent: now + ahead - 400}}})
-	m.Step(now+5*second, []Event{Received{1, tells(2, now+ahead+2*second, Silent, second)}})
+	m.Step(now, []Event{MessageReceived{1, Message{Incarnation: 1, Sequence: 1, Sent: now + ahead - 400}}})
+	m.Step(now+5*second, []Event{MessageReceived{1, tells(2, now+ahead+2*second, Silent, second)}})
 	own, ok := m.byName["a"].evidence.of(1)
 	if want := now + 1*second; !ok || own.at < want || own.at > want+3000 {
 		t.Errorf("%v of %d", own, want)
@@ -169,13 +169,13 @@
 	const now = 10 * second
 	m := front(t, 0, zonesOf(1, 8), now)
 	probers := rankFronts(m.zone, NodeKey("a"))[:DefaultProbers]
-	alarm := of[SetAlarm](m.Step(now, []Event{AttemptStarted{Node: "a", ID: "x"}, AttemptStarted{Node: "b", ID: "y"}}))
+	alarm := of[SetTimer](m.Step(now, []Event{AttemptStarted{Node: "a", ID: "x"}, AttemptStarted{Node: "b", ID: "y"}}))
 	if len(alarm) != 1 || alarm[0].At != now+DefaultSuspectAfter {
 		t.Fatalf("%v", alarm)
 	}
 	m.Step(now+5000, []Event{AttemptEnded{Node: "b", ID: "y", Result: scheduler.OK}})
 	var to []int
-	for _, s := range of[Send](m.Step(alarm[0].At, []Event{Alarm{}})) {
+	for _, s := range of[SendMessage](m.Step(alarm[0].At, []Event{TimerFired{}})) {
 		if len(s.Message.Entries) != 1 || s.Message.Entries[0].State != Suspected || s.Message.Entries[0].Node != NodeKey("a") {
 			t.Errorf("%v", s)
 		}
@@ -198,13 +198,13 @@
 	m.Step(now, []Event{AttemptStarted{Node: "a", ID: "x"}})
 	m.Step(now+3000, []Event{AttemptEnded{Node: "a", ID: "x", Result: scheduler.OK}})
 	other := (prober + 1) % 4
-	actions := m.Step(now+4000, []Event{Received{other, tells(1, now, Suspected, second)}})
-	sends := of[Send](actions)
+	actions := m.Step(now+4000, []Event{MessageReceived{other, tells(1, now, Suspected, second)}})
+	sends := of[SendMessage](actions)
 	if len(sends) != 1 || sends[0].To != other || sends[0].Message.Entries[0].State != Reachable || len(of[StartProbe](actions)) > 0 {
 		t.Errorf("%v", actions)
 	}
-	actions = m.Step(now+second, []Event{Received{other, tells(2, now+second, Suspected, second/2)}})
-	if len(of[StartProbe](actions)) != 1 || len(of[Send](actions)) > 0 {
+	actions = m.Step(now+second, []Event{MessageReceived{other, tells(2, now+second, Suspected, second/2)}})
+	if len(of[StartProbe](actions)) != 1 || len(of[SendMessage](actions)) > 0 {
 		t.Errorf("a younger suspicion: %v", actions)
 	}
 }
--- a/internal/fleet/health/outbox.go
+++ b/internal/fleet/health/outbox.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	batchFor  scheduler.Micros = 20_000    // news waits for so long for others,
-	batchMost scheduler.Micros = 50_000    // for so long while probes are out that may make some,
-	batchGap  scheduler.Micros = 100_000   // and for so long since the last went out
-	retryFor  scheduler.Micros = 50_000    // what finds no room is tried again
-	bytesSpan scheduler.Micros = 1_000_000 // of Config.MessageBytes
-	lifeParts                  = 3         // evidence is repeated after one in so many parts of its life
+	batchDelay         scheduler.Micros = 20_000    // news waits for so long for others,
+	maxBatchDelay      scheduler.Micros = 50_000    // for so long while probes are out that may make some,
+	batchGap           scheduler.Micros = 100_000   // and for so long since the last went out
+	retryInterval      scheduler.Micros = 50_000    // what finds no room is tried again
+	rateSpan           scheduler.Micros = 1_000_000 // of Config.MessageBytes
+	repeatsPerLifetime                  = 3         // evidence is repeated after one in so many parts of its life
 )
 
 // urgency orders what is told; the lowest is shed first.
@@ -26,24 +26,24 @@
 	reachable
 )
 
-// room is the part of the bytes of a second up to which something may be sent.
-var room = [...]float64{repeated: 0.7, standby: 0.95, request: 0.8, firstSilent: 0.95, reachable: 1}
+// rateShare is the part of the bytes of a second up to which something may be sent.
+var rateShare = [...]float64{repeated: 0.7, standby: 0.95, request: 0.8, firstSilent: 0.95, reachable: 1}
 
-// requestRoom is the part of the bytes of a second that requests and answers to them may take themselves.
-const requestRoom = 0.1
+// requestRateShare is the part of the bytes of a second that requests and answers to them may take themselves.
+const requestRateShare = 0.1
 
-// bothWays bounds what is sent and received within a second together, in parts of Config.MessageBytes.
-const bothWays = 1.9
+// bidirectionalRateFactor bounds what is sent and received within a second together, in parts of Config.MessageBytes.
+const bidirectionalRateFactor = 1.9
 
-// news is an Entry with its time in the place of an age.
-type news struct {
+// update is an Entry with its time in the place of an age.
+type update struct {
 	node  uint64
 	since scheduler.Micros
 	state State
 	at    scheduler.Micros
 }
 
-func (n news) urgency() urgency {
+func (n update) urgency() urgency {
 	if n.state == Reachable {
 		return reachable
 	}
@@ -52,7 +52,7 @@
 
 // outbox is what is to be told.
 type outbox struct {
-	to       map[int][]news   // to single fronts
+	to       map[int][]update // to single fronts
 	order    []int            // of these, as they came
 	news     []*node          // to the zone,
 	newsAt   scheduler.Micros // at this time,
@@ -60,17 +60,17 @@
 	repeats  []*node          // to the zone, with the next repetition
 	repeatAt scheduler.Micros
 	sentAt   scheduler.Micros // when news went out last
-	rounds   []*round         // under way
+	rounds   []*broadcast     // under way
 	retryAt  scheduler.Micros
 	sequence map[int]uint32 // of the last message to each front
 }
 
 func newOutbox() outbox {
-	return outbox{to: map[int][]news{}, newsAt: forever, repeatAt: never, sentAt: never, sequence: map[int]uint32{}}
+	return outbox{to: map[int][]update{}, newsAt: forever, repeatAt: never, sentAt: never, sequence: map[int]uint32{}}
 }
 
-// direct puts news to a single front; it goes out with this step.
-func (o *outbox) direct(to int, n news) {
+// sendTo puts news to a single front; it goes out with this step.
+func (o *outbox) sendTo(to int, n update) {
 	if len(o.to[to]) == 0 {
 		o.order = append(o.order, to)
 	}
@@ -84,13 +84,13 @@
 		return
 	}
 	if len(o.news) == 0 {
-		o.newsAt, o.newsMost = max(now+batchFor, o.sentAt+batchGap), max(now+batchMost, o.sentAt+batchGap)
+		o.newsAt, o.newsMost = max(now+batchDelay, o.sentAt+batchGap), max(now+maxBatchDelay, o.sentAt+batchGap)
 	}
 	o.news = append(o.news, n)
 }
 
-// keep drops fronts that don't stay, and numbers messages anew where the front counts as another one.
-func (o *outbox) keep(stays func(front int) bool, same bool) {
+// retainFronts drops fronts that don't stay, and numbers messages anew where the front counts as another one.
+func (o *outbox) retainFronts(stays func(front int) bool, same bool) {
 	for _, r := range o.rounds {
 		r.to = slices.DeleteFunc(r.to, func(front int) bool { return !stays(front) })
 	}
@@ -118,10 +118,10 @@
 	return next
 }
 
-// expectsNews tells whether a probe is out that may be taken for failed soon.
-func (m *Monitor) expectsNews() bool {
+// expectsUpdates tells whether a probe is out that may be taken for failed soon.
+func (m *Monitor) expectsUpdates() bool {
 	return slices.ContainsFunc(m.due, func(n *node) bool {
-		return n.trouble != nil && n.duty && n.probe.out && !n.probe.counted && !n.probe.void
+		return n.investigation != nil && n.probedForZone && n.probe.running && !n.probe.countedFailed && !n.probe.inconclusive
 	})
 }
 
@@ -129,25 +129,25 @@
 func (m *Monitor) flush() {
 	m.flushDirect()
 	o := &m.outbox
-	if len(o.news) > 0 && m.now >= o.newsAt && (m.now >= o.newsMost || !m.expectsNews()) {
-		m.begin(o.news, false)
+	if len(o.news) > 0 && m.now >= o.newsAt && (m.now >= o.newsMost || !m.expectsUpdates()) {
+		m.startBroadcasts(o.news, false)
 		o.news, o.newsAt, o.sentAt = o.news[:0], forever, m.now
 	}
 	if len(o.repeats) > 0 && m.now >= o.repeatAt {
-		m.shed()
-		m.beginStanding()
-		m.begin(o.repeats, true)
-		o.repeats, o.repeatAt = o.repeats[:0], m.now+m.config.EvidenceLife/lifeParts
+		m.shedRepeats()
+		m.broadcastStillSilent()
+		m.startBroadcasts(o.repeats, true)
+		o.repeats, o.repeatAt = o.repeats[:0], m.now+m.config.EvidenceLifetime/repeatsPerLifetime
 	}
 	if len(o.rounds) == 0 {
 		return
 	}
-	slices.SortStableFunc(o.rounds, func(a, b *round) int { return int(b.urgency - a.urgency) })
+	slices.SortStableFunc(o.rounds, func(a, b *broadcast) int { return int(b.urgency - a.urgency) })
 	for _, r := range o.rounds {
 		m.advance(r)
 	}
-	o.rounds = slices.DeleteFunc(o.rounds, func(r *round) bool { return len(r.to) == 0 })
-	o.retryAt = m.now + retryFor
+	o.rounds = slices.DeleteFunc(o.rounds, func(r *broadcast) bool { return len(r.to) == 0 })
+	o.retryAt = m.now + retryInterval
 }
 
 func (m *Monitor) flushDirect() {
@@ -164,7 +164,7 @@
 }
 
 // entries are news with their ages.
-func (m *Monitor) entries(all []news) []Entry {
+func (m *Monitor) entries(all []update) []Entry {
 	out := make([]Entry, len(all))
 	for i, n := range all {
 		age := max(0, m.now-n.at)
@@ -175,28 +175,28 @@
 
 // send sends a message, if there is room for it.
 func (m *Monitor) send(to int, entries []Entry, u urgency) bool {
-	run := scheduler.Micros(m.config.Run)
+	run := scheduler.Micros(m.config.Incarnation)
 	message := Message{
-		Run: m.config.Run, Sequence: m.outbox.sequence[to] + 1,
+		Incarnation: m.config.Incarnation, Sequence: m.outbox.sequence[to] + 1,
 		Sent: run + scheduler.Micros(floorMillis(m.now-run))*milli, Entries: entries,
 	}
 	size := message.size()
-	if m.bytes.Sum(m.now)+float64(size) > room[u]*m.config.MessageBytes {
+	if m.sentBytes.Sum(m.now)+float64(size) > rateShare[u]*m.config.MessageRate {
 		return false
 	}
-	if m.bytes.Sum(m.now)+m.heard.Sum(m.now)+float64(size) > bothWays*m.config.MessageBytes {
+	if m.sentBytes.Sum(m.now)+m.receivedBytes.Sum(m.now)+float64(size) > bidirectionalRateFactor*m.config.MessageRate {
 		return false
 	}
 	if u == request {
-		if m.asking.Sum(m.now)+float64(size) > requestRoom*m.config.MessageBytes {
+		if m.requestBytes.Sum(m.now)+float64(size) > requestRateShare*m.config.MessageRate {
 			return false
 		}
-		m.asking.Add(m.now, float64(size))
+		m.requestBytes.Add(m.now, float64(size))
 	}
-	m.bytes.Add(m.now, float64(size))
+	m.sentBytes.Add(m.now, float64(size))
 	m.outbox.sequence[to]++
 	m.counts.Sent++
 	m.counts.SentBytes += int64(size)
-	m.out = append(m.out, Send{To: to, Message: message})
+	m.actions = append(m.actions, SendMessage{To: to, Message: message})
 	return true
 }
--- a/internal/fleet/health/probing.go
+++ b/internal/fleet/health/probing.go
@@ -3,143 +3,143 @@
 import "otterturn/scheduler"
 
 const (
-	fastestProbe scheduler.Micros = 200_000   // between two probes of a node
-	slowestProbe scheduler.Micros = 2_000_000 // between two probes of a node that a front is to watch
-	silencePart                   = 8         // a silent node is probed after one in so many parts of its silence
-	lateUsuals                    = 4         // a probe that is out for so many times the usual may count as failed
-	mostLate                      = 4         // times ProbeLate, within which it counts as failed whatever is usual
-	pausedAfter  scheduler.Micros = 500_000   // an alarm that is later means that this front was paused
+	fastestProbe     scheduler.Micros = 200_000   // between two probes of a node
+	slowestProbe     scheduler.Micros = 2_000_000 // between two probes of a node that a front is to watch
+	silenceDivisor                    = 8         // a silent node is probed after one in so many parts of its silence
+	lateFactor                        = 4         // a probe that is out for so many times the usual may count as failed
+	maxTimeoutFactor                  = 4         // times ProbeLate, within which it counts as failed whatever is usual
+	pausedAfter      scheduler.Micros = 500_000   // an alarm that is later means that this front was paused
 )
 
 // pausedAfter is how late an alarm is at a front that was paused: half of the time that a probe has, as a pause of that
 // length would take an answer that waits to be read for none.
-func (c Config) pausedAfter() scheduler.Micros { return min(pausedAfter, c.ProbeLate/2) }
+func (c Config) pausedAfter() scheduler.Micros { return min(pausedAfter, c.ProbeTimeout/2) }
 
 // onDuty tells whether this front is to probe a node for its zone.
 func (m *Monitor) onDuty(n *node) bool {
 	own, seen := n.evidence.of(m.config.Self)
 	silent := seen && own.state == Silent
 	if n.rank < m.config.Probers {
-		return len(n.askers) > 0 || n.suspecting || n.avoided || silent || m.others(n, Silent) > 0
+		return len(n.requesters) > 0 || n.suspecting || n.avoided || silent || m.countOthers(n, Silent) > 0
 	}
-	for _, a := range n.askers {
-		if !m.covered(n, a.at-m.config.ProbeLate) {
+	for _, a := range n.requesters {
+		if !m.covered(n, a.at-m.config.ProbeTimeout) {
 			return true
 		}
 	}
-	return n.takeover || n.duty && silent && !m.covered(n, never)
+	return n.takeover || n.probedForZone && silent && !m.covered(n, never)
 }
 
 // covered tells whether a quorum of fronts of lower rank saw the node after a time, and not long ago.
 func (m *Monitor) covered(n *node, after scheduler.Micros) bool {
-	after = max(after, m.now-m.config.freshFor())
-	ahead := func(front int) bool { return m.ranksAhead(n, front) }
+	after = max(after, m.now-m.config.freshEvidenceAge())
+	ahead := func(front int) bool { return m.ranksHigher(n, front) }
 	return n.evidence.count(Silent, after, ahead)+n.evidence.count(Reachable, after, ahead) >= m.config.Quorum
 }
 
-// look probes a node that this front is to probe, and takes a probe that is out for too long for failed.
-func (m *Monitor) look(n *node) (next scheduler.Micros) {
-	if n.probe.out {
-		return m.lookLate(n)
+// runProbes probes a node that this front is to probe, and takes a probe that is out for too long for failed.
+func (m *Monitor) runProbes(n *node) (next scheduler.Micros) {
+	if n.probe.running {
+		return m.expireProbe(n)
 	}
 	if !m.onDuty(n) {
 		return forever
 	}
-	n.duty = true
-	if own, seen := n.evidence.of(m.config.Self); seen && m.overtaken(n, own) {
-		n.probe.next = min(n.probe.next, n.probe.sent+fastestProbe)
+	n.probedForZone = true
+	if own, seen := n.evidence.of(m.config.Self); seen && m.contradictedSince(n, own) {
+		n.probe.notBefore = min(n.probe.notBefore, n.probe.sentAt+fastestProbe)
 	}
-	if m.now < n.probe.next {
-		return n.probe.next
+	if m.now < n.probe.notBefore {
+		return n.probe.notBefore
 	}
 	m.startProbe(n)
-	return m.lookLate(n)
+	return m.expireProbe(n)
 }
 
 func (m *Monitor) startProbe(n *node) {
-	n.probe = probe{out: true, sent: m.now, next: m.now + fastestProbe}
+	n.probe = probe{running: true, sentAt: m.now, notBefore: m.now + fastestProbe}
 	m.counts.Probes++
-	m.out = append(m.out, StartProbe{Node: n.name})
+	m.actions = append(m.actions, StartProbe{Node: n.name})
 }
 
-func (m *Monitor) lookLate(n *node) (next scheduler.Micros) {
-	if n.probe.counted || n.probe.void {
+func (m *Monitor) expireProbe(n *node) (next scheduler.Micros) {
+	if n.probe.countedFailed || n.probe.inconclusive {
 		return forever
 	}
-	late := max(m.config.ProbeLate, min(lateUsuals*m.usualProbe, mostLate*m.config.ProbeLate))
-	if m.now < n.probe.sent+late {
-		return n.probe.sent + late
+	late := max(m.config.ProbeTimeout, min(lateFactor*m.usualProbeTime, maxTimeoutFactor*m.config.ProbeTimeout))
+	if m.now < n.probe.sentAt+late {
+		return n.probe.sentAt + late
 	}
-	m.unanswered(n)
+	m.probeFailed(n)
 	return forever
 }
 
-// unanswered takes a probe for failed.
-func (m *Monitor) unanswered(n *node) {
-	n.probe.counted = true
-	if n.probe.sent < n.answered { // an attempt was answered meanwhile
+// probeFailed takes a probe for failed.
+func (m *Monitor) probeFailed(n *node) {
+	n.probe.countedFailed = true
+	if n.probe.sentAt < n.answered { // an attempt was answered meanwhile
 		return
 	}
-	first := n.silent == never
+	first := n.silentSince == never
 	if first {
-		n.silent = n.probe.sent
+		n.silentSince = n.probe.sentAt
 	}
-	n.evidence.add(observation{m.config.Self, Silent, n.probe.sent})
-	n.probe.next = n.probe.sent + m.interval(n)
+	n.evidence.add(observation{m.config.Self, Silent, n.probe.sentAt})
+	n.probe.notBefore = n.probe.sentAt + m.probeInterval(n)
 	if first {
 		// All probers begin together: from their second probe on they are spread over an interval.
-		n.probe.next += scheduler.Micros(share(m.config.Self, n.key) * float64(m.interval(n)))
+		n.probe.notBefore += scheduler.Micros(share(m.config.Self, n.key) * float64(m.probeInterval(n)))
 	}
-	if !n.duty {
-		m.suspect(n, n.probe.sent)
+	if !n.probedForZone {
+		m.suspect(n, n.probe.sentAt)
 	}
-	m.touch(n)
+	m.scheduleReview(n)
 }
 
-// interval is the time between two probes of a silent node.
-func (m *Monitor) interval(n *node) scheduler.Micros {
-	pace := max(m.config.probePace(), (m.now-n.silent)/silencePart, fastestProbe)
+// probeInterval is the time between two probes of a silent node.
+func (m *Monitor) probeInterval(n *node) scheduler.Micros {
+	pace := max(m.config.probePace(), (m.now-n.silentSince)/silenceDivisor, fastestProbe)
 	slowest := max(m.config.slowestProbe(), fastestProbe)
 	switch {
 	case n.rank >= m.config.Probers: // any number of fronts may do so, where they don't hear each other
 		all := float64(len(m.config.Zones)) / m.config.ProbesPerNode * microsPerSecond
 		return min(pace, max(scheduler.Micros(all), slowest))
-	case n.rank >= m.config.Quorum && m.ahead(n, Silent) >= m.config.Quorum: // stands by
+	case n.rank >= m.config.Quorum && m.countHigherRanked(n, Silent) >= m.config.Quorum: // stands by
 		return slowest
 	}
 	return min(pace, slowest)
 }
 
 func (m *Monitor) probeEnded(e ProbeEnded) {
-	if m.passed[e.Node] {
-		delete(m.passed, e.Node)
-		m.out = append(m.out, ProbeAnswered(e))
+	if m.unknownProbes[e.Node] {
+		delete(m.unknownProbes, e.Node)
+		m.actions = append(m.actions, AnswerProbe(e))
 	}
 	n := m.byName[e.Node]
-	if n == nil || n.trouble == nil || !n.probe.out {
+	if n == nil || n.investigation == nil || !n.probe.running {
 		return
 	}
-	n.probe.out = false
+	n.probe.running = false
 	if e.OK {
-		m.usualProbe += (m.now - n.probe.sent - m.usualProbe) / usualOver
+		m.usualProbeTime += (m.now - n.probe.sentAt - m.usualProbeTime) / latencySpan
 		m.answeredBy(n)
-	} else if !n.probe.counted && !n.probe.void {
-		m.unanswered(n)
+	} else if !n.probe.countedFailed && !n.probe.inconclusive {
+		m.probeFailed(n)
 	}
-	if n.probe.void && !e.OK {
-		n.probe.next = m.now
+	if n.probe.inconclusive && !e.OK {
+		n.probe.notBefore = m.now
 	}
-	if n.held && !n.avoided && (e.OK || n.probe.wanted) {
-		m.answer(n, e.HealthChecked)
+	if n.schedulerWaits && !n.avoided && (e.OK || n.probe.forScheduler) {
+		m.answerProbe(n, e.HealthChecked)
 	}
-	n.probe.wanted = false
-	m.touch(n)
+	n.probe.forScheduler = false
+	m.scheduleReview(n)
 }
 
 // reached takes in that this front reached a node in trouble, by a probe or an attempt.
 func (m *Monitor) reached(n *node) {
-	n.silent = never
-	if n.evidence.count(Silent, never, nil) > 0 || len(n.askers) > 0 || n.suspecting {
+	n.silentSince = never
+	if n.evidence.count(Silent, never, nil) > 0 || len(n.requesters) > 0 || n.suspecting {
 		n.evidence.add(observation{m.config.Self, Reachable, m.now})
 	}
 }
--- a/internal/fleet/health/region_test.go
+++ b/internal/fleet/health/region_test.go
@@ -15,7 +15,7 @@
 	}
 	pairs := fronts * nodes
 	w := newWorld(1, zonesOf(10, fronts), nodes, func(c *Config) { // as many bytes for each front and node
-		c.MessageBytes = DefaultMessageBytes * float64(fronts) / 120
+		c.MessageRate = DefaultMessageBytes * float64(fronts) / 120
 	})
 	w.fronts = w.fronts[:fronts]
 	cut := w.now + second
@@ -23,7 +23,7 @@
 	probes := map[string][]scheduler.Micros{}
 	w.each = func(f *simFront, a Action) {
 		switch a := a.(type) {
-		case Report:
+		case ReportSilent:
 			reports++
 		case StartProbe:
 			if w.now > cut {
@@ -59,7 +59,7 @@
 	for _, f := range w.fronts {
 		worst = max(worst, f.mostBytes())
 		for node, at := range f.wanted {
-			if w.now > at+DefaultEvidenceLife+(mostRounds+3)*DefaultTakeoverAfter+second {
+			if w.now > at+DefaultEvidenceLife+(maxRequestRounds+3)*DefaultTakeoverAfter+second {
 				t.Errorf("front %d has owed a probe of %s for %d ms", f.number, node, (w.now-at)/1000)
 			}
 		}
--- a/internal/fleet/health/rounds.go
+++ b/internal/fleet/health/rounds.go
@@ -4,65 +4,65 @@
 	"slices"
 )
 
-// round is news on its way to all fronts of the zone.
-type round struct {
+// broadcast is news on its way to all fronts of the zone.
+type broadcast struct {
 	urgency urgency
-	news    []news
+	news    []update
 	to      []int // still to be told
 }
 
-// begin turns what this front saw of nodes into rounds to its zone.
-func (m *Monitor) begin(nodes []*node, repeats bool) {
-	var all, stoodIn []news
+// startBroadcasts turns what this front saw of nodes into rounds to its zone.
+func (m *Monitor) startBroadcasts(nodes []*node, repeats bool) {
+	var all, stoodIn []update
 	for _, n := range nodes {
-		if n.trouble == nil || !n.told.queued {
+		if n.investigation == nil || !n.announced.queued {
 			continue
 		}
-		n.told.queued = false
-		m.touch(n)
+		n.announced.queued = false
+		m.scheduleReview(n)
 		own, seen := n.evidence.of(m.config.Self)
 		if !seen || m.byName[n.name] != n {
 			continue
 		}
-		n.told = tale{state: own.state, at: own.at, since: never}
-		this := news{n.key, n.wire, own.state, own.at}
+		n.announced = announcement{state: own.state, at: own.at, pendingSince: never}
+		this := update{n.key, n.encodedStart, own.state, own.at}
 		if own.state == Silent && n.rank >= m.config.Quorum {
 			stoodIn = append(stoodIn, this)
 		} else {
 			all = append(all, this)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b news) int { return int(b.urgency() - a.urgency()) })
+	slices.SortStableFunc(all, func(a, b update) int { return int(b.urgency() - a.urgency()) })
 	to := m.recipients(nodes)
 	for part := range slices.Chunk(all, entriesPerMessage) {
-		m.beginRound(part, part[0].urgency(), repeats, to)
+		m.startBroadcast(part, part[0].urgency(), repeats, to)
 	}
 	for part := range slices.Chunk(stoodIn, entriesPerMessage) {
-		m.beginRound(part, standby, repeats, to)
+		m.startBroadcast(part, standby, repeats, to)
 	}
 }
 
-func (m *Monitor) beginRound(part []news, u urgency, repeats bool, to []int) {
+func (m *Monitor) startBroadcast(part []update, u urgency, repeats bool, to []int) {
 	if repeats {
 		u = repeated
 	}
-	m.outbox.rounds = append(m.outbox.rounds, &round{u, part, slices.Clone(to)})
+	m.outbox.rounds = append(m.outbox.rounds, &broadcast{u, part, slices.Clone(to)})
 }
 
-// beginStanding says of many nodes at once that they are still silent.
-func (m *Monitor) beginStanding() {
-	all, ok := m.standing()
+// broadcastStillSilent says of many nodes at once that they are still silent.
+func (m *Monitor) broadcastStillSilent() {
+	all, ok := m.stillSilentUpdate()
 	if !ok {
 		return
 	}
 	for _, n := range m.due {
-		if n.trouble != nil && n.rank < m.config.Quorum && m.tells(n) == Silent {
-			n.told.at = max(n.told.at, all.at)
+		if n.investigation != nil && n.rank < m.config.Quorum && m.announcedState(n) == Silent {
+			n.announced.at = max(n.announced.at, all.at)
 		}
 	}
 	at := slices.Index(m.zone, m.config.Self)
 	to := append(slices.Clone(m.zone[at+1:]), m.zone[:at]...)
-	m.outbox.rounds = append(m.outbox.rounds, &round{firstSilent, []news{all}, to})
+	m.outbox.rounds = append(m.outbox.rounds, &broadcast{firstSilent, []update{all}, to})
 }
 
 // recipients are the zone's other fronts in the order in which they are told: from this front's place on. Probers that
@@ -72,7 +72,7 @@
 	place := func(front int) int { return slices.Index(m.zone, front) }
 	self := place(m.config.Self)
 	order := append(slices.Clone(m.zone[self+1:]), m.zone[:self]...)
-	if missing, ok := m.unheard(nodes[0]); ok {
+	if missing, ok := m.missingProber(nodes[0]); ok {
 		at := place(missing)
 		order = append(slices.Clone(m.zone[at:]), m.zone[:at]...)
 		slices.Reverse(order)
@@ -80,7 +80,7 @@
 	}
 	last := map[int]bool{}
 	for _, n := range nodes {
-		if n.trouble != nil && n.ranked != nil {
+		if n.investigation != nil && n.ranked != nil {
 			for _, front := range n.ranked[m.config.Quorum:m.config.Probers] {
 				last[front] = true
 			}
@@ -98,9 +98,9 @@
 	return order
 }
 
-// unheard is the first prober of a node that this front stands in for.
-func (m *Monitor) unheard(n *node) (front int, ok bool) {
-	if n.trouble == nil || n.ranked == nil || n.rank < m.config.Quorum {
+// missingProber is the first prober of a node that this front stands in for.
+func (m *Monitor) missingProber(n *node) (front int, ok bool) {
+	if n.investigation == nil || n.ranked == nil || n.rank < m.config.Quorum {
 		return 0, false
 	}
 	for _, front := range n.ranked[:m.config.Quorum] {
@@ -112,16 +112,16 @@
 }
 
 // advance sends a round on to as many fronts as there is room for. What is too old is shed.
-func (m *Monitor) advance(r *round) {
+func (m *Monitor) advance(r *broadcast) {
 	for i := range r.news {
 		m.renew(&r.news[i])
 	}
-	r.news = slices.DeleteFunc(r.news, func(n news) bool {
-		old := n.at <= m.now-m.config.freshFor()
+	r.news = slices.DeleteFunc(r.news, func(n update) bool {
+		old := n.at <= m.now-m.config.freshEvidenceAge()
 		if old {
 			m.counts.Shed += int64(len(r.to))
 		}
-		return old || r.urgency == standby && m.spoken(n)
+		return old || r.urgency == standby && m.alreadyAnnounced(n)
 	})
 	if len(r.news) == 0 {
 		r.to = nil
@@ -133,9 +133,9 @@
 	}
 }
 
-// shed drops what is left of earlier repetitions as new ones begin.
-func (m *Monitor) shed() {
-	m.outbox.rounds = slices.DeleteFunc(m.outbox.rounds, func(r *round) bool {
+// shedRepeats drops what is left of earlier repetitions as new ones begin.
+func (m *Monitor) shedRepeats() {
+	m.outbox.rounds = slices.DeleteFunc(m.outbox.rounds, func(r *broadcast) bool {
 		if r.urgency == repeated {
 			m.counts.Shed += int64(len(r.to) * len(r.news))
 		}
@@ -144,9 +144,9 @@
 }
 
 // renew brings news that waited up to what this front saw since.
-func (m *Monitor) renew(n *news) {
+func (m *Monitor) renew(n *update) {
 	about := m.byKey[n.node]
-	if n.state == Standing || about == nil || about.trouble == nil {
+	if n.state == StillSilent || about == nil || about.investigation == nil {
 		return
 	}
 	if own, seen := about.evidence.of(m.config.Self); seen && own.state == n.state {
@@ -154,8 +154,8 @@
 	}
 }
 
-// spoken tells whether those for whom this front stands in have told the news.
-func (m *Monitor) spoken(n news) bool {
+// alreadyAnnounced tells whether those for whom this front stands in have told the news.
+func (m *Monitor) alreadyAnnounced(n update) bool {
 	about := m.byKey[n.node]
-	return about != nil && about.trouble != nil && m.ahead(about, n.state) >= m.config.Quorum
+	return about != nil && about.investigation != nil && m.countHigherRanked(about, n.state) >= m.config.Quorum
 }
--- a/internal/fleet/health/schedule_test.go
+++ b/internal/fleet/health/schedule_test.go
@@ -74,7 +74,7 @@
 	// too old fades, and those who lost what came after it ask the next in rank.
 	agreement = smallLife + 4*smallTakeover
 	// answerWithin is how long a ProbeWanted may wait: for evidence, then for this front's turn, then for its probe.
-	answerWithin = smallLife + (mostRounds+3)*smallTakeover + second
+	answerWithin = smallLife + (maxRequestRounds+3)*smallTakeover + second
 )
 
 func newTrial(seed uint64, fronts, nodes int, broken func(m *Monitor)) *trial {
@@ -84,7 +84,7 @@
 	}
 	probers := 2 + int(seed%2)*min(1, fronts-2)
 	t.world = newWorld(seed, zonesOf(1, fronts), nodes, func(c *Config) {
-		c.Probers, c.EvidenceLife, c.TakeoverAfter, c.MessageBytes = probers, smallLife, smallTakeover, smallBytes
+		c.Probers, c.EvidenceLifetime, c.TakeoverAfter, c.MessageRate = probers, smallLife, smallTakeover, smallBytes
 	})
 	t.encoded, t.link, t.reaches, t.each = true, t.fate, t.reach, t.audit
 	t.succeeded = t.checkSuccess
@@ -128,9 +128,9 @@
 		node.dead = false
 	case nodeRestarts:
 		node.dead, node.start = false, t.now
-		t.listAll(NodeList{Nodes: []scheduler.Endpoint{{Node: node.name, StartedAt: node.start}}})
+		t.listAll(EndpointsChanged{Nodes: []scheduler.Endpoint{{Node: node.name, StartedAt: node.start}}})
 	case nodeDrains:
-		t.listAll(NodeList{Nodes: []scheduler.Endpoint{{Node: node.name, StartedAt: node.start, State: scheduler.Draining}}})
+		t.listAll(EndpointsChanged{Nodes: []scheduler.Endpoint{{Node: node.name, StartedAt: node.start, State: scheduler.Draining}}})
 	case nodeRuns:
 		t.listAll(t.list())
 	case frontCrashes:
@@ -178,7 +178,7 @@
 }
 
 // listAll tells each front of news of the list, 3 ms apart.
-func (t *trial) listAll(l NodeList) {
+func (t *trial) listAll(l EndpointsChanged) {
 	for i, f := range t.fronts {
 		t.at(t.now+scheduler.Micros(i)*3000, func() {
 			if f.paused {
--- a/internal/fleet/health/seek.go
+++ b/internal/fleet/health/seek.go
@@ -6,22 +6,22 @@
 	"otterturn/scheduler"
 )
 
-// mostRounds bounds for how many times TakeoverAfter a front asks others before it looks for itself.
-const mostRounds = 8
+// maxRequestRounds bounds for how many times TakeoverAfter a front asks others before it looks for itself.
+const maxRequestRounds = 8
 
 // busyRounds is for how many times TakeoverAfter probers that live are waited for before others are asked.
 const busyRounds = 4
 
-// seek asks for evidence while this front needs it and has none that suffices: the node's probers first, and with
+// seekEvidence asks for evidence while this front needs it and has none that suffices: the node's probers first, and with
 // each TakeoverAfter the next ones in rank beside them. A front in that rank looks itself, as does one that has asked for
 // mostRounds. So when probers die, are paused or cut off the next follow.
-func (m *Monitor) seek(n *node) (next scheduler.Micros) {
-	from := m.now - m.askAfter(n)
+func (m *Monitor) seekEvidence(n *node) (next scheduler.Micros) {
+	from := m.now - m.requestAge(n)
 	if n.suspecting {
-		from = max(from, n.suspected)
+		from = max(from, n.suspectedSince)
 	}
-	needed := n.avoided || n.suspecting || n.faded() || n.held && m.others(n, Silent) > 0
-	if enough, until := m.suffices(n, from); !needed || enough {
+	needed := n.avoided || n.suspecting || n.verdictExpired() || n.schedulerWaits && m.countOthers(n, Silent) > 0
+	if enough, until := m.hasSufficientEvidence(n, from); !needed || enough {
 		n.lacking, n.takeover = false, false
 		if !needed {
 			return forever
@@ -29,24 +29,24 @@
 		return until
 	}
 	if !n.lacking {
-		n.lacking, n.lackedFrom, n.round = true, m.now, -1
+		n.lacking, n.lackingSince, n.round = true, m.now, -1
 	}
-	lacked := m.now - n.lackedFrom
-	if round := m.seams.round(lacked, m.config.TakeoverAfter); round > n.round {
+	lacked := m.now - n.lackingSince
+	if round := m.checks.round(lacked, m.config.TakeoverAfter); round > n.round {
 		n.round = round
 		group := round
-		if m.busy(n) {
+		if m.probersAlive(n) {
 			group /= busyRounds
 		}
-		m.ask(n, group, max(from, n.answered))
-		n.takeover = n.takeover || group >= min(n.rank/m.config.Probers, mostRounds)
+		m.requestEvidence(n, group, max(from, n.answered))
+		n.takeover = n.takeover || group >= min(n.rank/m.config.Probers, maxRequestRounds)
 	}
 	return m.now + m.config.TakeoverAfter - lacked%m.config.TakeoverAfter
 }
 
-// busy tells whether a quorum of a node's probers live, by any message of theirs of late: they may have too much to tell, as
+// probersAlive tells whether a quorum of a node's probers live, by any message of theirs of late: they may have too much to tell, as
 // when a region can't be seen, and others would only add to it.
-func (m *Monitor) busy(n *node) bool {
+func (m *Monitor) probersAlive(n *node) bool {
 	heard := 0
 	for _, front := range n.ranked[:m.config.Probers] {
 		if p := m.peers[front]; front == m.config.Self || p != nil && p.at > m.now-busyRounds*m.config.TakeoverAfter {
@@ -59,19 +59,19 @@
 // roundOf is the round of asking after evidence has been missing for so long.
 func roundOf(lacked, takeoverAfter scheduler.Micros) int { return int(lacked / takeoverAfter) }
 
-// askAfter is the age at which evidence no longer suffices: another one at each front, as all would ask at once.
-func (m *Monitor) askAfter(n *node) scheduler.Micros {
-	spread := float64(m.config.EvidenceLife-m.config.freshFor()) / 2
-	return m.config.freshFor() + scheduler.Micros(share(m.config.Self, n.key)*spread)
+// requestAge is the age at which evidence no longer suffices: another one at each front, as all would ask at once.
+func (m *Monitor) requestAge(n *node) scheduler.Micros {
+	spread := float64(m.config.EvidenceLifetime-m.config.freshEvidenceAge()) / 2
+	return m.config.freshEvidenceAge() + scheduler.Micros(share(m.config.Self, n.key)*spread)
 }
 
-// comesToAll tells whether the whole zone is told soon what this front saw, for the first time.
-func (m *Monitor) comesToAll(n *node, own observation) bool {
-	return m.tellsAll(n, own) && own.at > n.told.at && m.urgency(n, own) != repeated
+// isBroadcastSoon tells whether the whole zone is told soon what this front saw, for the first time.
+func (m *Monitor) isBroadcastSoon(n *node, own observation) bool {
+	return m.shouldAnnounce(n, own) && own.at > n.announced.at && m.urgency(n, own) != repeated
 }
 
-// suffices tells whether a quorum of fronts, whatever they saw, did so after a time, and until when it stays so.
-func (m *Monitor) suffices(n *node, from scheduler.Micros) (enough bool, until scheduler.Micros) {
+// hasSufficientEvidence tells whether a quorum of fronts, whatever they saw, did so after a time, and until when it stays so.
+func (m *Monitor) hasSufficientEvidence(n *node, from scheduler.Micros) (enough bool, until scheduler.Micros) {
 	var times []scheduler.Micros
 	for _, o := range n.evidence {
 		if o.at > from {
@@ -82,35 +82,35 @@
 		return false, 0
 	}
 	slices.Sort(times)
-	return true, times[len(times)-m.config.Quorum] + m.askAfter(n)
+	return true, times[len(times)-m.config.Quorum] + m.requestAge(n)
 }
 
-// ask tells the probers, and those of a later group, that this front wants news of a node younger than a time.
-func (m *Monitor) ask(n *node, group int, from scheduler.Micros) {
+// requestEvidence tells the probers, and those of a later group, that this front wants news of a node younger than a time.
+func (m *Monitor) requestEvidence(n *node, group int, from scheduler.Micros) {
 	probers := m.config.Probers
 	first := group * probers % len(n.ranked)
 	for i, front := range n.ranked {
 		if front != m.config.Self && (i < probers || i >= first && i < first+probers) {
-			m.outbox.direct(front, news{n.key, n.wire, Suspected, from})
+			m.outbox.sendTo(front, update{n.key, n.encodedStart, Suspected, from})
 		}
 	}
 }
 
-// asked takes in that another front wants news of a node.
-func (m *Monitor) asked(n *node, from int, at scheduler.Micros) {
-	n.inTrouble()
-	if i := slices.IndexFunc(n.askers, func(a asker) bool { return a.front == from }); i >= 0 {
-		n.askers[i].at = max(n.askers[i].at, at)
+// evidenceRequested takes in that another front wants news of a node.
+func (m *Monitor) evidenceRequested(n *node, from int, at scheduler.Micros) {
+	n.investigate()
+	if i := slices.IndexFunc(n.requesters, func(a requester) bool { return a.front == from }); i >= 0 {
+		n.requesters[i].at = max(n.requesters[i].at, at)
 	} else {
-		n.askers = append(n.askers, asker{from, at})
+		n.requesters = append(n.requesters, requester{from, at})
 	}
-	m.touch(n)
+	m.scheduleReview(n)
 }
 
-// serve answers those who asked, as soon as there is something younger than they want. What the whole zone is told they
+// answerRequesters answers those who asked, as soon as there is something younger than they want. What the whole zone is told they
 // hear with it.
-func (m *Monitor) serve(n *node) (next scheduler.Micros) {
-	if len(n.askers) == 0 {
+func (m *Monitor) answerRequesters(n *node) (next scheduler.Micros) {
+	if len(n.requesters) == 0 {
 		return forever
 	}
 	seen, ok := n.evidence.of(m.config.Self)
@@ -119,17 +119,17 @@
 	}
 	to := seen.at
 	if seen.state == Silent { // all the while the probe was out
-		to += m.config.ProbeLate
+		to += m.config.ProbeTimeout
 	}
-	waiting := n.askers[:0]
-	for _, a := range n.askers {
+	waiting := n.requesters[:0]
+	for _, a := range n.requesters {
 		switch {
-		case to > a.at && !m.comesToAll(n, seen):
-			m.outbox.direct(a.front, news{n.key, n.wire, seen.state, seen.at})
-		case to <= a.at && a.at > m.now-m.config.EvidenceLife:
+		case to > a.at && !m.isBroadcastSoon(n, seen):
+			m.outbox.sendTo(a.front, update{n.key, n.encodedStart, seen.state, seen.at})
+		case to <= a.at && a.at > m.now-m.config.EvidenceLifetime:
 			waiting = append(waiting, a)
 		}
 	}
-	n.askers = waiting
+	n.requesters = waiting
 	return forever
 }
--- a/internal/fleet/health/verdict.go
+++ b/internal/fleet/health/verdict.go
@@ -5,51 +5,53 @@
 // returnSpread is the time over which the fronts of a fleet come back to a node.
 const returnSpread scheduler.Micros = 1_000_000
 
-// judge brings what this front holds of a node up to its evidence.
-func (m *Monitor) judge(n *node) {
+// applyVerdict brings what this front holds of a node up to its evidence.
+func (m *Monitor) applyVerdict(n *node) {
 	avoid, at := n.evidence.verdict(m.config.Quorum, n.answered)
-	if n.suspecting && (avoid || m.dispelled(n)) {
+	if n.suspecting && (avoid || m.suspicionOver(n)) {
 		n.suspecting = false
 	}
 	switch {
 	case avoid && !n.avoided:
 		n.avoided, n.returnAt = true, 0
-		m.condemned++
-		m.out = append(m.out, Report{scheduler.NodeSilent{Node: n.name, StartedAt: n.start, ObservedAt: at}})
+		m.avoidedNodes++
+		m.actions = append(m.actions, ReportSilent{scheduler.NodeSilent{Node: n.name, StartedAt: n.start, ObservedAt: at}})
 	case !avoid && n.avoided:
-		n.avoided, n.ended = false, m.now
-		m.condemned--
+		n.avoided, n.avoidedUntil = false, m.now
+		m.avoidedNodes--
 		if n.evidence.count(Reachable, never, nil) > 0 {
-			n.returnAt = m.returnsAt(n)
+			n.returnAt = m.returnTime(n)
 		}
-	case n.faded() && n.returnAt == 0 && n.evidence.count(Reachable, n.ended, nil) > 0:
-		n.returnAt = m.returnsAt(n)
+	case n.verdictExpired() && n.returnAt == 0 && n.evidence.count(Reachable, n.avoidedUntil, nil) > 0:
+		n.returnAt = m.returnTime(n)
 	}
 }
 
-// returnsAt is when this front comes back to a node, if it does now.
-func (m *Monitor) returnsAt(n *node) scheduler.Micros {
+// returnTime is when this front comes back to a node, if it does now.
+func (m *Monitor) returnTime(n *node) scheduler.Micros {
 	return m.now + 1 + scheduler.Micros(share(m.config.Self, n.key)*float64(returnSpread))
 }
 
-// faded tells whether a verdict ended for want of evidence, and a probe still waits for news.
-func (n *node) faded() bool { return n.held && !n.avoided && n.ended > n.heldAt }
+// verdictExpired tells whether a verdict ended for want of evidence, and a probe still waits for news.
+func (n *node) verdictExpired() bool {
+	return n.schedulerWaits && !n.avoided && n.avoidedUntil > n.schedulerWaitsSince
+}
 
-// dispelled tells whether a suspicion of this front's is over: the node has answered it or a prober since, or nothing
+// suspicionOver tells whether a suspicion of this front's is over: the node has answered it or a prober since, or nothing
 // came of it for as long as evidence lives.
-func (m *Monitor) dispelled(n *node) bool {
-	return n.answered > n.suspected || n.evidence.count(Reachable, n.suspected, nil) > 0 ||
-		m.now >= n.raised+m.config.EvidenceLife
+func (m *Monitor) suspicionOver(n *node) bool {
+	return n.answered > n.suspectedSince || n.evidence.count(Reachable, n.suspectedSince, nil) > 0 ||
+		m.now >= n.lastSuspected+m.config.EvidenceLifetime
 }
 
-// fades is when the next thing known of a node is too old.
-func (m *Monitor) fades(n *node) scheduler.Micros {
+// nextExpiry is when the next thing known of a node is too old.
+func (m *Monitor) nextExpiry(n *node) scheduler.Micros {
 	next := forever
 	if at, ok := n.evidence.oldest(); ok {
-		next = at + m.config.EvidenceLife
+		next = at + m.config.EvidenceLifetime
 	}
 	if n.suspecting {
-		next = min(next, n.raised+m.config.EvidenceLife)
+		next = min(next, n.lastSuspected+m.config.EvidenceLifetime)
 	}
 	if n.returnAt > m.now {
 		next = min(next, n.returnAt)
@@ -57,20 +59,20 @@
 	return next
 }
 
-// freshFor is the age up to which evidence is sufficient; beyond it this front asks for more, before it fades.
-func (c Config) freshFor() scheduler.Micros { return c.EvidenceLife * 3 / 4 }
+// freshEvidenceAge is the age up to which evidence is sufficient; beyond it this front asks for more, before it fades.
+func (c Config) freshEvidenceAge() scheduler.Micros { return c.EvidenceLifetime * 3 / 4 }
 
-// others counts the other fronts that saw a state of late.
-func (m *Monitor) others(n *node, state State) int {
+// countOthers counts the other fronts that saw a state of late.
+func (m *Monitor) countOthers(n *node, state State) int {
 	return n.evidence.count(state, never, func(front int) bool { return front != m.config.Self })
 }
 
-// ahead counts the fronts of a lower rank than this one's that saw a state not too long ago.
-func (m *Monitor) ahead(n *node, state State) int {
-	return n.evidence.count(state, m.now-m.config.freshFor(), func(front int) bool { return m.ranksAhead(n, front) })
+// countHigherRanked counts the fronts of a lower rank than this one's that saw a state not too long ago.
+func (m *Monitor) countHigherRanked(n *node, state State) int {
+	return n.evidence.count(state, m.now-m.config.freshEvidenceAge(), func(front int) bool { return m.ranksHigher(n, front) })
 }
 
-func (m *Monitor) ranksAhead(n *node, front int) bool {
+func (m *Monitor) ranksHigher(n *node, front int) bool {
 	self, other := weight(m.config.Self, n.key), weight(front, n.key)
 	return other > self || other == self && front < m.config.Self
 }
--- a/internal/fleet/health/world_test.go
+++ b/internal/fleet/health/world_test.go
@@ -54,7 +54,7 @@
 
 // boot starts a front, or starts it anew.
 func (w *world) boot(f *simFront) {
-	f.config.Run = int64(w.now)
+	f.config.Incarnation = int64(w.now)
 	monitor, err := New(f.config)
 	if err != nil {
 		panic(err)
@@ -68,8 +68,8 @@
 	w.step(f, w.list())
 }
 
-func (w *world) list() NodeList {
-	l := NodeList{Full: true}
+func (w *world) list() EndpointsChanged {
+	l := EndpointsChanged{Full: true}
 	for _, n := range w.nodes {
 		l.Nodes = append(l.Nodes, scheduler.Endpoint{Node: n.name, StartedAt: n.start})
 	}
@@ -133,7 +133,7 @@
 	}
 	actions := f.monitor.Step(w.now, events)
 	for _, e := range events {
-		if l, ok := e.(NodeList); ok {
+		if l, ok := e.(EndpointsChanged); ok {
 			w.listed(f, l)
 		}
 	}
@@ -144,13 +144,13 @@
 }
 
 // listed has a front's scheduler forget what it held of a former start.
-func (w *world) listed(f *simFront, l NodeList) {
+func (w *world) listed(f *simFront, l EndpointsChanged) {
 	for _, listed := range l.Nodes {
 		if f.known[listed.Node] != listed.StartedAt {
 			f.known[listed.Node], f.mute[listed.Node] = listed.StartedAt, false
 		}
 		n := f.monitor.byName[listed.Node]
-		if n.trouble != nil && n.avoided && listed.State != scheduler.Running && w.against != nil {
+		if n.investigation != nil && n.avoided && listed.State != scheduler.Running && w.against != nil {
 			w.against(f, listed.Node)
 		}
 	}
@@ -158,29 +158,29 @@
 
 func (w *world) act(f *simFront, a Action) {
 	switch a := a.(type) {
-	case SetAlarm:
+	case SetTimer:
 		f.alarm++
 		this := f.alarm
 		w.push(simEvent{at: max(a.At, w.now), front: f.number, life: f.life, run: func() {
 			if this == f.alarm {
-				w.step(f, Alarm{})
+				w.step(f, TimerFired{})
 			}
 		}})
 	case StartProbe:
 		w.probe(f, w.byName[a.Node])
-	case ProbeAnswered:
+	case AnswerProbe:
 		delete(f.wanted, a.Node)
 		if a.OK {
 			f.mute[a.Node] = false
 		} else if f.mute[a.Node] {
 			w.want(f, a.Node, 200_000)
 		}
-	case Report:
+	case ReportSilent:
 		if !f.mute[a.Node] {
 			f.mute[a.Node] = true
 			w.want(f, a.Node, 0)
 		}
-	case Send:
+	case SendMessage:
 		w.deliver(f, a)
 	}
 }
@@ -190,12 +190,12 @@
 	w.push(simEvent{at: w.now + in, front: f.number, life: f.life, run: func() {
 		if _, waits := f.wanted[node]; !waits && f.mute[node] {
 			f.wanted[node] = w.now
-			w.step(f, ProbeWanted{node})
+			w.step(f, ProbeRequested{node})
 		}
 	}})
 }
 
-func (w *world) deliver(f *simFront, a Send) {
+func (w *world) deliver(f *simFront, a SendMessage) {
 	message, size := a.Message, len(a.Message.Encode())
 	if w.encoded {
 		var err error
@@ -208,6 +208,6 @@
 	for _, delay := range w.link(f.number, a.To) {
 		at := w.now + delay
 		to.bytes = append(to.bytes, sentBytes{at, size})
-		w.to(to, at, Received{From: f.number, Message: message})
+		w.to(to, at, MessageReceived{From: f.number, Message: message})
 	}
 }
--- a/internal/fleet/health/wrong_test.go
+++ b/internal/fleet/health/wrong_test.go
@@ -46,7 +46,7 @@
 				w := newWorld(uint64(number), zonesOf(2, fronts), nodes, nil)
 				f := w.fronts[number]
 				w.each = func(at *simFront, a Action) {
-					if r, ok := a.(Report); ok && at != f {
+					if r, ok := a.(ReportSilent); ok && at != f {
 						t.Errorf("front %d avoids %s, which it can reach", at.number, r.Node)
 					}
 				}
@@ -73,11 +73,11 @@
 		for _, to := range w.fronts {
 			for part := range slices.Chunk(w.nodes, entriesPerMessage) {
 				sequence++
-				m := Message{Run: f.config.Run, Sequence: sequence, Sent: w.now}
+				m := Message{Incarnation: f.config.Incarnation, Sequence: sequence, Sent: w.now}
 				for _, n := range part {
 					m.Entries = append(m.Entries, Entry{NodeKey(n.name), wireSince(n.start), state, 0})
 				}
-				w.to(to, w.now+500, Received{f.number, m})
+				w.to(to, w.now+500, MessageReceived{f.number, m})
 			}
 		}
 		w.at(w.now+second/10, again)
@@ -93,8 +93,8 @@
 	w.at(w.now+second, func() { w.setAll(true) })
 	w.run(w.now + 4*second)
 	for _, f := range w.fronts[1:] {
-		if c := f.monitor.Counters(); c.Condemned != 4 {
-			t.Errorf("front %d avoids %d of 4 silent nodes", f.number, c.Condemned)
+		if c := f.monitor.Counters(); c.Avoided != 4 {
+			t.Errorf("front %d avoids %d of 4 silent nodes", f.number, c.Avoided)
 		}
 	}
 }
@@ -113,8 +113,8 @@
 		if f.number < fronts {
 			want = 5
 		}
-		if c := f.monitor.Counters(); c.Condemned != want {
-			t.Errorf("front %d avoids %d nodes, not %d", f.number, c.Condemned, want)
+		if c := f.monitor.Counters(); c.Avoided != want {
+			t.Errorf("front %d avoids %d nodes, not %d", f.number, c.Avoided, want)
 		}
 	}
 	w.at(w.now+second, func() { cut = false })
--- a/internal/fleet/monitor/counters.go
+++ b/internal/fleet/monitor/counters.go
@@ -10,9 +10,9 @@
 
 // Kinds of health.Drop that the shell finds, before the monitor gets to see a message.
 const (
-	DropStranger health.Drop = "no peer"    // the sender's address is no front's
-	DropTooLong  health.Drop = "too long"   // it has more bytes than a message may have
-	DropNoKind   health.Drop = "of no kind" // it is neither a message nor a note
+	DropUnknownSender health.Drop = "no peer"    // the sender's address is no front's
+	DropTooLong       health.Drop = "too long"   // it has more bytes than a message may have
+	DropUnknownKind   health.Drop = "of no kind" // it is neither a message nor a note
 )
 
 // Counters are those of the monitor, and what its shell counts beside it.
@@ -31,11 +31,11 @@
 
 // Counters tells what was counted so far.
 func (m *Monitor) Counters(ctx context.Context) (out Counters, err error) {
-	err = m.ask(ctx, func() {
+	err = m.query(ctx, func() {
 		out.Counters = m.core.Counters()
-		out.Dropped = m.drops.with(out.Dropped)
+		out.Dropped = m.drops.addTo(out.Dropped)
 	})
-	out.Lost = m.inbox.dropped()
+	out.Lost = m.inbox.droppedCount()
 	return out, err
 }
 
@@ -57,22 +57,22 @@
 		d.counts = map[health.Drop]int64{}
 	}
 	d.counts[why]++
-	d.say(why, details...)
+	d.logOnce(why, details...)
 }
 
-// note takes in what the monitor itself dropped so far.
-func (d *drops) note(counts map[health.Drop]int64) {
+// logNew takes in what the monitor itself dropped so far.
+func (d *drops) logNew(counts map[health.Drop]int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for why, n := range counts {
 		if n > 0 {
-			d.say(why)
+			d.logOnce(why)
 		}
 	}
 }
 
-// say logs a reason the first time. The lock is held.
-func (d *drops) say(why health.Drop, details ...any) {
+// logOnce logs a reason the first time. The lock is held.
+func (d *drops) logOnce(why health.Drop, details ...any) {
 	if d.logged[why] {
 		return
 	}
@@ -84,8 +84,8 @@
 		append([]any{"why", string(why)}, details...)...)
 }
 
-// with adds what was counted here to the monitor's own counts.
-func (d *drops) with(own map[health.Drop]int64) map[health.Drop]int64 {
+// addTo adds what was counted here to the monitor's own counts.
+func (d *drops) addTo(own map[health.Drop]int64) map[health.Drop]int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := map[health.Drop]int64{}
--- a/internal/fleet/monitor/inbox.go
+++ b/internal/fleet/monitor/inbox.go
@@ -9,7 +9,7 @@
 // entry is an event on its way to the monitor, or a function that it is to run.
 type entry struct {
 	event health.Event
-	ask   func()
+	query func()
 }
 
 // inbox is a queue that never blocks those who put something into it. What others may send without end is offered, and
@@ -21,7 +21,7 @@
 
 	mu      sync.Mutex
 	entries []entry
-	lost    int64 // offered without room
+	dropped int64 // offered without room
 }
 
 func newInbox(room int) *inbox { return &inbox{room: room, waiting: make(chan struct{}, 1)} }
@@ -41,7 +41,7 @@
 	b.mu.Lock()
 	full := len(b.entries) >= b.room
 	if full {
-		b.lost++
+		b.dropped++
 	} else {
 		b.entries = append(b.entries, entry{event: e})
 	}
@@ -57,8 +57,8 @@
 	}
 }
 
-// take empties the queue.
-func (b *inbox) take() []entry {
+// drain empties the queue.
+func (b *inbox) drain() []entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := b.entries
@@ -66,9 +66,9 @@
 	return out
 }
 
-// dropped tells how many events found no room.
-func (b *inbox) dropped() int64 {
+// droppedCount tells how many events found no room.
+func (b *inbox) droppedCount() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.lost
+	return b.dropped
 }
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -28,19 +28,19 @@
 
 // Bounds of a Monitor.
 type Bounds struct {
-	Inbox int           // observations and messages that may wait; more are dropped and counted
-	Hold  time.Duration // a probe that the scheduler wants is answered within this, as failed at the latest
+	Inbox        int           // observations and messages that may wait; more are dropped and counted
+	MaxProbeWait time.Duration // a probe that the scheduler wants is answered within this, as failed at the latest
 }
 
 // Monitor runs a health.Monitor. Its methods may be called from any goroutine.
 type Monitor struct {
-	core    *health.Monitor // of Run's goroutine
-	hooks   Hooks
-	hold    time.Duration
-	inbox   *inbox
-	waiters waiters
-	drops   drops
-	stopped chan struct{} // closed once Run has ended
+	core         *health.Monitor // of Run's goroutine
+	hooks        Hooks
+	maxProbeWait time.Duration
+	inbox        *inbox
+	waiters      waiters
+	drops        drops
+	stopped      chan struct{} // closed once Run has ended
 }
 
 // New returns a Monitor that does not run yet. The error names the field of the configuration that is wrong.
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Monitor{core: core, hooks: h, hold: b.Hold, inbox: newInbox(b.Inbox), stopped: make(chan struct{})}
+	m := &Monitor{core: core, hooks: h, maxProbeWait: b.MaxProbeWait, inbox: newInbox(b.Inbox), stopped: make(chan struct{})}
 	m.drops.log = h.Log
 	return m, nil
 }
@@ -65,18 +65,18 @@
 		case <-ctx.Done():
 			return
 		case <-alarm.C:
-			events = append(events, health.Alarm{})
+			events = append(events, health.TimerFired{})
 		case <-m.inbox.waiting:
 		}
-		entries := m.inbox.take()
+		entries := m.inbox.drain()
 		for _, e := range entries {
-			if e.ask == nil {
+			if e.query == nil {
 				events = append(events, e.event)
 				continue
 			}
 			m.step(events, alarm) // what came ahead of the question has to be known
 			events = nil
-			e.ask()
+			e.query()
 		}
 		m.step(events, alarm)
 	}
@@ -91,13 +91,13 @@
 		m.perform(a, now, alarm)
 	}
 	if slices.ContainsFunc(events, received) {
-		m.drops.note(m.core.Counters().Dropped)
+		m.drops.logNew(m.core.Counters().Dropped)
 	}
 }
 
 // received tells whether an event is a message, of which something may have been dropped.
 func received(e health.Event) bool {
-	_, ok := e.(health.Received)
+	_, ok := e.(health.MessageReceived)
 	return ok
 }
 
@@ -105,14 +105,14 @@
 	switch a := a.(type) {
 	case health.StartProbe:
 		go func() { m.inbox.put(health.ProbeEnded{HealthChecked: m.hooks.Probe(a.Node)}) }()
-	case health.ProbeAnswered:
+	case health.AnswerProbe:
 		m.waiters.answer(a.HealthChecked)
-	case health.Report:
+	case health.ReportSilent:
 		m.hooks.Report(a.NodeSilent)
 		m.hooks.Log.Info("the zone found a node silent", "node", a.Node)
-	case health.Send:
+	case health.SendMessage:
 		m.hooks.Send(a.To, a.Message.Encode())
-	case health.SetAlarm:
+	case health.SetTimer:
 		alarm.Reset(time.Duration(a.At-now) * time.Microsecond)
 	}
 }
@@ -122,8 +122,8 @@
 func (m *Monitor) Probe(node string) scheduler.HealthChecked {
 	failed := scheduler.HealthChecked{Node: node, Queue: -1}
 	answer := m.waiters.enter(node)
-	m.inbox.put(health.ProbeWanted{Node: node})
-	late := time.NewTimer(m.hold)
+	m.inbox.put(health.ProbeRequested{Node: node})
+	late := time.NewTimer(m.maxProbeWait)
 	defer late.Stop()
 	select {
 	case p := <-answer:
@@ -135,9 +135,9 @@
 	return failed
 }
 
-// Told takes in news of the node list.
-func (m *Monitor) Told(news scheduler.EndpointsChanged) {
-	m.inbox.put(health.NodeList{Full: news.Full, Nodes: news.Endpoints})
+// UpdateEndpoints takes in news of the node list.
+func (m *Monitor) UpdateEndpoints(news scheduler.EndpointsChanged) {
+	m.inbox.put(health.EndpointsChanged{Full: news.Full, Nodes: news.Endpoints})
 }
 
 // AttemptStarted takes in that an attempt was sent, unless there is no room for it.
@@ -150,8 +150,8 @@
 	m.inbox.put(health.AttemptEnded{Node: node, ID: e.ID, Attempt: e.Attempt, Result: e.Result, Alive: e.Alive})
 }
 
-// Take takes in a datagram of the front of a number. False is for one that is no message of a monitor's.
-func (m *Monitor) Take(from int, text []byte) bool {
+// Intercept takes in a datagram of the front of a number. False is for one that is no message of a monitor's.
+func (m *Monitor) Intercept(from int, text []byte) bool {
 	if !health.IsMessage(text) {
 		return false
 	}
@@ -160,23 +160,23 @@
 		m.drops.add(health.DropUnreadable, "front", from, "error", err)
 		return true
 	}
-	m.inbox.offer(health.Received{From: from, Message: message})
+	m.inbox.offer(health.MessageReceived{From: from, Message: message})
 	return true
 }
 
 // Reconfigure has another configuration hold, whole or not at all. The error names the field that is wrong.
 func (m *Monitor) Reconfigure(ctx context.Context, c health.Config) (err error) {
-	asked := m.ask(ctx, func() { err = m.core.Reconfigure(c) })
+	asked := m.query(ctx, func() { err = m.core.Reconfigure(c) })
 	if asked != nil {
 		return fmt.Errorf("the zone's health: %w", asked)
 	}
 	return err
 }
 
-// ask runs a function between two steps, and waits for its end.
-func (m *Monitor) ask(ctx context.Context, f func()) error {
+// query runs a function between two steps, and waits for its end.
+func (m *Monitor) query(ctx context.Context, f func()) error {
 	done := make(chan struct{})
-	m.inbox.add(entry{ask: func() {
+	m.inbox.add(entry{query: func() {
 		f()
 		close(done)
 	}})
--- a/internal/fleet/monitor/monitor_test.go
+++ b/internal/fleet/monitor/monitor_test.go
@@ -16,11 +16,11 @@
 const ms scheduler.Micros = 1000
 
 func testConfig(self int) health.Config {
-	return health.Config{Self: self, Run: 1, Zones: []int{0, 0}, Probers: 2, Quorum: 2, SuspectAfter: 50 * ms, ProbeLate: 100 * ms,
-		EvidenceLife: 6000 * ms, TakeoverAfter: 1000 * ms, ProbesPerNode: 40, MessageBytes: 8192}
+	return health.Config{Self: self, Incarnation: 1, Zones: []int{0, 0}, Probers: 2, Quorum: 2, SuspectAfter: 50 * ms, ProbeTimeout: 100 * ms,
+		EvidenceLifetime: 6000 * ms, TakeoverAfter: 1000 * ms, ProbesPerNode: 40, MessageRate: 8192}
 }
 
-var testBounds = Bounds{Inbox: 16, Hold: standin.Patience}
+var testBounds = Bounds{Inbox: 16, MaxProbeWait: standin.Patience}
 
 // zone is two fronts' monitors that hear each other, with what they act through.
 type zone struct {
@@ -45,12 +45,12 @@
 				return scheduler.HealthChecked{Node: node, OK: z.answers.Load(), Queue: -1}
 			},
 			Report: func(e scheduler.Event) { z.reports[i] <- e },
-			Send:   func(to int, message []byte) { z.monitors[to].Take(i, message) },
+			Send:   func(to int, message []byte) { z.monitors[to].Intercept(i, message) },
 			Log:    standin.Log(func(line string) { z.lines <- line })})
 		if err != nil {
 			t.Fatal(err)
 		}
-		m.Told(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
+		m.UpdateEndpoints(scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}})
 		z.monitors[i] = m
 	}
 	for _, m := range z.monitors {
@@ -97,7 +97,7 @@
 		t.Errorf("%+v", p)
 	}
 	c, err := z.monitors[0].Counters(t.Context())
-	if err != nil || c.Condemned != 0 || c.Probes == 0 || c.Sent == 0 || c.SentBytes < c.Sent || c.Received == 0 || c.Drops() != 0 {
+	if err != nil || c.Avoided != 0 || c.Probes == 0 || c.Sent == 0 || c.SentBytes < c.Sent || c.Received == 0 || c.Drops() != 0 {
 		t.Errorf("%+v, %v", c, err)
 	}
 }
@@ -106,7 +106,7 @@
 func TestProbeEnds(t *testing.T) {
 	blocked := Hooks{Now: func() scheduler.Micros { return 1 }, Probe: func(string) scheduler.HealthChecked { select {} }, Log: standin.Log(func(string) {})}
 	for what, hold := range map[string]time.Duration{"the bound": time.Millisecond, "the monitor's end": time.Hour} {
-		m, err := New(testConfig(0), Bounds{Inbox: 16, Hold: hold}, blocked)
+		m, err := New(testConfig(0), Bounds{Inbox: 16, MaxProbeWait: hold}, blocked)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -140,7 +140,7 @@
 
 // Nobody who observes is ever held up: what finds no room is counted, and the end of what found some has room.
 func TestFullInboxHoldsNobodyUp(t *testing.T) {
-	m, err := New(testConfig(0), Bounds{Inbox: 3, Hold: time.Hour}, Hooks{Now: func() scheduler.Micros { return 1 }, Log: standin.Log(func(string) {})})
+	m, err := New(testConfig(0), Bounds{Inbox: 3, MaxProbeWait: time.Hour}, Hooks{Now: func() scheduler.Micros { return 1 }, Log: standin.Log(func(string) {})})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -153,11 +153,11 @@
 	for range taken {
 		m.AttemptEnded("a", scheduler.AttemptEnded{ID: "x"})
 	}
-	message := health.Message{Run: 1, Sequence: 1, Sent: 1, Entries: []health.Entry{{Node: 1, State: health.Silent}}}
-	if !m.Take(1, message.Encode()) {
+	message := health.Message{Incarnation: 1, Sequence: 1, Sent: 1, Entries: []health.Entry{{Node: 1, State: health.Silent}}}
+	if !m.Intercept(1, message.Encode()) {
 		t.Error("a message was taken for none")
 	}
-	if got := m.inbox.dropped(); taken != 3 || got != 8 || len(m.inbox.take()) != 6 {
+	if got := m.inbox.droppedCount(); taken != 3 || got != 8 || len(m.inbox.drain()) != 6 {
 		t.Errorf("%d taken, %d lost, want 3 and 8", taken, got)
 	}
 }
@@ -166,27 +166,27 @@
 func TestDropsAreCountedAndLoggedOnce(t *testing.T) {
 	z := newZone(t, testBounds)
 	m := z.monitors[0]
-	if m.Take(1, []byte("grant 1 2 a")) {
+	if m.Intercept(1, []byte("grant 1 2 a")) {
 		t.Error("a note was taken for a message")
 	}
-	good := health.Message{Run: 1, Sequence: 1, Sent: 1, Entries: []health.Entry{{Node: 1, State: health.Silent}}}.Encode()
+	good := health.Message{Incarnation: 1, Sequence: 1, Sent: 1, Entries: []health.Entry{{Node: 1, State: health.Silent}}}.Encode()
 	for range 5 {
-		if !m.Take(1, good[:5]) {
+		if !m.Intercept(1, good[:5]) {
 			t.Error("a message that is cut was taken for none")
 		}
-		m.Drop(DropStranger, "from", "nowhere")
+		m.Drop(DropUnknownSender, "from", "nowhere")
 	}
-	m.Take(1, good) // of an unknown node
-	m.Take(1, good) // and repeated
+	m.Intercept(1, good) // of an unknown node
+	m.Intercept(1, good) // and repeated
 	standin.Until(t, "the counts", func() bool {
 		c, err := m.Counters(t.Context())
 		d := c.Dropped
-		return err == nil && c.Drops() == 12 && d[health.DropUnreadable] == 5 && d[DropStranger] == 5 && d[health.DropUnknown] == 1 && d[health.DropRepeated] == 1
+		return err == nil && c.Drops() == 12 && d[health.DropUnreadable] == 5 && d[DropUnknownSender] == 5 && d[health.DropUnknown] == 1 && d[health.DropRepeated] == 1
 	})
 	logged := map[health.Drop]int{}
 	for range 4 {
 		line := standin.Await(t, "a line", z.lines)
-		for _, why := range []health.Drop{health.DropUnreadable, DropStranger, health.DropUnknown, health.DropRepeated} {
+		for _, why := range []health.Drop{health.DropUnreadable, DropUnknownSender, health.DropUnknown, health.DropRepeated} {
 			if strings.Contains(line, string(why)) {
 				logged[why]++
 			}
--- a/internal/handover/channel.go
+++ b/internal/handover/channel.go
@@ -15,22 +15,22 @@
 
 // The kinds of message. A state comes in parts, the last of which may carry the socket for other fronts' messages.
 const (
-	Ask  Kind = iota + 1 // successor: hand over; the text is the version
-	Part                 // predecessor: a part of the state
-	End                  // predecessor: the state is whole
-	Have                 // successor: it can serve
-	Go                   // predecessor: it may
-	Conn                 // predecessor: a client's connection
-	ID                   // either: a request was taken under this id
-	Out                  // either: a node is kept out by hand; node and who told, apart by a line's end
-	Back                 // either: it may serve again
+	KindAsk        Kind = iota + 1 // successor: hand over; the text is the version
+	KindStatePart                  // predecessor: a part of the state
+	KindStateEnd                   // predecessor: the state is whole
+	KindReady                      // successor: it can serve
+	KindGo                         // predecessor: it may
+	KindConnection                 // predecessor: a client's connection
+	KindRequestID                  // either: a request was taken under this id
+	KindBan                        // either: a node is kept out by hand; node and who told, apart by a line's end
+	KindUnban                      // either: it may serve again
 )
 
-// partBytes is the room of a message: the kernel takes a packet of this size whole.
-const partBytes = 32 << 10
+// maxPartBytes is the room of a message: the kernel takes a packet of this size whole.
+const maxPartBytes = 32 << 10
 
-// mostBytes bounds a state.
-const mostBytes = 64 << 20
+// maxStateBytes bounds a state.
+const maxStateBytes = 64 << 20
 
 // Channel is one end of the socket between two processes.
 type Channel struct{ conn *net.UnixConn }
@@ -57,8 +57,8 @@
 	return &Channel{c}, nil
 }
 
-// Of is the channel on a connection that was accepted.
-func Of(c *net.UnixConn) *Channel { return &Channel{c} }
+// NewChannel is the channel on a connection that was accepted.
+func NewChannel(c *net.UnixConn) *Channel { return &Channel{c} }
 
 // Close ends the channel.
 func (c *Channel) Close() error { return c.conn.Close() }
@@ -86,18 +86,18 @@
 // SendState sends a state in parts.
 func (c *Channel) SendState(text []byte, socket syscall.Conn) error {
 	for len(text) > 0 {
-		n := min(len(text), partBytes)
-		if err := c.Send(Part, text[:n], nil); err != nil {
+		n := min(len(text), maxPartBytes)
+		if err := c.Send(KindStatePart, text[:n], nil); err != nil {
 			return err
 		}
 		text = text[n:]
 	}
-	return c.Send(End, nil, socket)
+	return c.Send(KindStateEnd, nil, socket)
 }
 
 // Receive waits for a message. The file is the socket that came with it, nil for none.
 func (c *Channel) Receive() (k Kind, text []byte, socket *os.File, err error) {
-	packet, rights := make([]byte, partBytes+1), make([]byte, syscall.CmsgSpace(4))
+	packet, rights := make([]byte, maxPartBytes+1), make([]byte, syscall.CmsgSpace(4))
 	n, oob, _, _, err := c.conn.ReadMsgUnix(packet, rights)
 	if err != nil {
 		return 0, nil, nil, err
@@ -126,17 +126,17 @@
 	return os.NewFile(uintptr(fds[0]), "handed over"), nil
 }
 
-// Within bounds what is said from now on; 0 ends that.
-func (c *Channel) Within(d time.Duration) error {
+// SetTimeout bounds what is said from now on; 0 ends that.
+func (c *Channel) SetTimeout(d time.Duration) error {
 	if d == 0 {
 		return c.conn.SetDeadline(time.Time{})
 	}
 	return c.conn.SetDeadline(time.Now().Add(d))
 }
 
-// AskFor has the predecessor give its state, and returns it with the socket that came with it, nil for none.
-func (c *Channel) AskFor() (state []byte, socket *os.File, err error) {
-	if err := c.Send(Ask, []byte{Version}, nil); err != nil {
+// RequestState has the predecessor give its state, and returns it with the socket that came with it, nil for none.
+func (c *Channel) RequestState() (state []byte, socket *os.File, err error) {
+	if err := c.Send(KindAsk, []byte{Version}, nil); err != nil {
 		return nil, nil, err
 	}
 	for {
@@ -144,20 +144,20 @@
 		switch {
 		case err != nil:
 			return nil, nil, err
-		case k == Part && len(state)+len(text) <= mostBytes:
+		case k == KindStatePart && len(state)+len(text) <= maxStateBytes:
 			state = append(state, text...)
-		case k == End:
+		case k == KindStateEnd:
 			return state, with, nil
 		default:
-			return nil, nil, fmt.Errorf("a message of kind %d within the state, or over %d bytes", k, mostBytes)
+			return nil, nil, fmt.Errorf("a message of kind %d within the state, or over %d bytes", k, maxStateBytes)
 		}
 	}
 }
 
-// Asked waits for the successor's question.
-func (c *Channel) Asked() error {
+// AwaitRequest waits for the successor's question.
+func (c *Channel) AwaitRequest() error {
 	k, text, _, err := c.Receive()
-	if err == nil && (k != Ask || len(text) != 1 || text[0] != Version) {
+	if err == nil && (k != KindAsk || len(text) != 1 || text[0] != Version) {
 		err = ErrVersion
 	}
 	return err
@@ -165,18 +165,18 @@
 
 // Confirm tells the predecessor that this process can serve, and waits until it may.
 func (c *Channel) Confirm() error {
-	if err := c.Send(Have, nil, nil); err != nil {
+	if err := c.Send(KindReady, nil, nil); err != nil {
 		return err
 	}
-	return c.await(Go)
+	return c.await(KindGo)
 }
 
-// LetGo waits until the successor can serve, and lets it.
-func (c *Channel) LetGo() error {
-	if err := c.await(Have); err != nil {
+// ReleaseSuccessor waits until the successor can serve, and lets it.
+func (c *Channel) ReleaseSuccessor() error {
+	if err := c.await(KindReady); err != nil {
 		return err
 	}
-	return c.Send(Go, nil, nil)
+	return c.Send(KindGo, nil, nil)
 }
 
 func (c *Channel) await(want Kind) error {
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -68,7 +68,7 @@
 
 // TestKindsKeepTheirNumbers holds the kinds of message to their numbers, which are their first byte.
 func TestKindsKeepTheirNumbers(t *testing.T) {
-	for want, kind := range []Kind{Ask, Part, End, Have, Go, Conn, ID, Out, Back} {
+	for want, kind := range []Kind{KindAsk, KindStatePart, KindStateEnd, KindReady, KindGo, KindConnection, KindRequestID, KindBan, KindUnban} {
 		if int(kind) != want+1 {
 			t.Errorf("kind %d, want %d", kind, want+1)
 		}
--- a/internal/lab/hollow/health.go
+++ b/internal/lab/hollow/health.go
@@ -34,7 +34,7 @@
 func (z *zoneHealth) hear(e health.Event) { z.events = append(z.events, e) }
 
 func (z *zoneHealth) learn(list scheduler.EndpointsChanged) {
-	z.hear(health.NodeList{Full: list.Full, Nodes: list.Endpoints})
+	z.hear(health.EndpointsChanged{Full: list.Full, Nodes: list.Endpoints})
 }
 
 func (z *zoneHealth) attemptStarted(node, id string, attempt int) {
@@ -45,7 +45,7 @@
 	z.hear(health.AttemptEnded{Node: node, ID: o.ID, Attempt: o.Attempt, Result: o.Result, Alive: o.Alive})
 }
 
-func (z *zoneHealth) probeWanted(node string) { z.hear(health.ProbeWanted{Node: node}) }
+func (z *zoneHealth) probeWanted(node string) { z.hear(health.ProbeRequested{Node: node}) }
 
 func (z *zoneHealth) probeEnded(p scheduler.HealthChecked) {
 	z.hear(health.ProbeEnded{HealthChecked: p})
@@ -55,7 +55,7 @@
 func (z *zoneHealth) pass(f *front, now scheduler.Micros) {
 	if z.alarm > 0 && z.alarm < now {
 		z.alarm = 0
-		z.hear(health.Alarm{})
+		z.hear(health.TimerFired{})
 	}
 	if len(z.events) == 0 {
 		return
@@ -78,18 +78,18 @@
 		} else {
 			z.probeEnded(scheduler.HealthChecked{Node: a.Node, Queue: -1})
 		}
-	case health.ProbeAnswered:
+	case health.AnswerProbe:
 		f.events = append(f.events, a.HealthChecked)
-	case health.Report:
+	case health.ReportSilent:
 		f.events = append(f.events, a.NodeSilent)
-	case health.Send:
+	case health.SendMessage:
 		z.send(f, now, a)
-	case health.SetAlarm:
+	case health.SetTimer:
 		z.alarm = a.At
 	}
 }
 
-func (z *zoneHealth) send(f *front, now scheduler.Micros, a health.Send) {
+func (z *zoneHealth) send(f *front, now scheduler.Micros, a health.SendMessage) {
 	data := a.Message.Encode()
 	f.counts.now[healthSent]++
 	f.counts.now[healthBytes] += int64(len(data))
@@ -110,5 +110,5 @@
 		f.health.monitor.Unreadable()
 		return
 	}
-	f.health.hear(health.Received{From: int(m.from), Message: in})
+	f.health.hear(health.MessageReceived{From: int(m.from), Message: in})
 }
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -12,7 +12,7 @@
 
 	"otterturn/internal/lab/model"
 	"otterturn/internal/lab/world"
-	"otterturn/internal/state/ageing"
+	"otterturn/internal/state/decay"
 	"otterturn/internal/state/snapshot"
 	"otterturn/scheduler"
 )
@@ -162,14 +162,14 @@
 
 // recall is what still counts of a snapshot.
 func recall(w *world.World, front *scheduler.Scheduler, s snapshot.Snapshot) scheduler.Learned {
-	now := ageing.Now{At: w.Now, Front: "lab", Settings: snapshot.Fingerprint(w.Set), Fresh: front.NewNodeStats()}
+	now := decay.Current{At: w.Now, Front: "lab", Settings: snapshot.Fingerprint(w.Set), Fresh: front.NewNodeStats()}
 	for _, l := range w.List().Endpoints {
 		now.Nodes = append(now.Nodes, snapshot.Node{LearnedNode: scheduler.LearnedNode{Endpoint: l}})
 	}
-	if err := ageing.Judge(s, now); err != nil {
+	if err := decay.Check(s, now); err != nil {
 		return scheduler.Learned{}
 	}
-	return ageing.Fade(s, now, false)
+	return decay.Decay(s, now, false)
 }
 
 // Report plays seeds from 1 and writes a table, with the medians of what the restarted fronts keep.
--- a/internal/net/transport/watch_test.go
+++ b/internal/net/transport/watch_test.go
@@ -102,8 +102,8 @@
 	known := roster.New()
 	for i := range texts {
 		standin.Await(t, "a call", calls)
-		got := known.Told(standin.Await(t, "a list", lists))
-		if len(got.Hosts) != 1 || got.Hosts[0].Shard != 3 || got.Hosts[0].StartedAt != 5000 || known.Listed() != 1 {
+		got := known.Update(standin.Await(t, "a list", lists))
+		if len(got.Hosts) != 1 || got.Hosts[0].Shard != 3 || got.Hosts[0].StartedAt != 5000 || known.Len() != 1 {
 			t.Errorf("list %d: %+v", i, got)
 		}
 	}
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -23,7 +23,7 @@
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
 	"otterturn/internal/net/transport/sftp"
-	"otterturn/internal/state/keeper"
+	"otterturn/internal/state/saver"
 	"otterturn/scheduler"
 )
 
@@ -36,7 +36,7 @@
 	files    *sftp.Front // nil where it is off
 	client   *sftp.Client
 	nodes    *transport.Nodes
-	keeper   *keeper.Keeper   // nil where nothing is kept
+	saver    *saver.Saver     // nil where nothing is kept
 	certs    *manager.Manager // nil where no front speaks TLS
 	failed   chan error
 	stops    []func()
@@ -48,7 +48,7 @@
 
 // Serve runs the appliance until SIGTERM or an interrupt. At SIGHUP it reads the operator's file again.
 func Serve(path string) error {
-	hangups := hangups()
+	hangups := notifyReload()
 	o, err := LoadOperator(path)
 	if err != nil {
 		return err
@@ -61,8 +61,8 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	bound(a.limits)
-	if err := a.recall(); err != nil {
+	limitRuntime(a.limits)
+	if err := a.restoreLearned(); err != nil {
 		return fmt.Errorf("%s: learned.folder: %w", path, err)
 	}
 	coreEnded, saved := make(chan struct{}), make(chan struct{})
@@ -74,7 +74,7 @@
 	defer endSaving()
 	go func() {
 		defer close(saved)
-		a.keep(saving)
+		a.runSaver(saving)
 	}()
 	go a.client.Run(ctx)
 	go a.nodes.Run(ctx)
@@ -99,7 +99,7 @@
 	<-saved
 	end()
 	<-coreEnded
-	return errors.Join(err, a.keepLast())
+	return errors.Join(err, a.saveLast())
 }
 
 func newAppliance(o Operator) (*Appliance, error) {
@@ -186,7 +186,7 @@
 // drain tells the scheduler that a node gets nothing new, or takes that back.
 func (a *Appliance) drain(node string, on bool) error {
 	a.mu.Lock()
-	known := a.knows(node)
+	known := a.hasNode(node)
 	if known {
 		a.drained[node] = on
 	}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -46,15 +46,15 @@
 	Fronts []string
 }
 
-// frontSite is what a fleet's file has to fit: this front's configuration.
-type frontSite struct {
+// frontConfig is what a fleet's file has to fit: this front's configuration.
+type frontConfig struct {
 	self, fronts int  // its number, and of how many
 	peers        bool // fronts have addresses for messages to each other
 	probing      bool // nodes may be probed
 }
 
 // loadFleet reads and checks the file. Its errors name the field.
-func loadFleet(path string, s frontSite) (Fleet, error) {
+func loadFleet(path string, s frontConfig) (Fleet, error) {
 	var f Fleet
 	meta, err := toml.DecodeFile(path, &f)
 	if err != nil {
@@ -77,7 +77,7 @@
 }
 
 // config is what the monitor is told at a front, whose process began at a time in Unix microseconds.
-func (f *Fleet) config(s frontSite, began int64) (health.Config, error) {
+func (f *Fleet) config(s frontConfig, began int64) (health.Config, error) {
 	switch {
 	case !s.peers:
 		return health.Config{}, errors.New("health.enabled: the configuration names no peers")
@@ -92,9 +92,9 @@
 		return health.Config{}, err
 	}
 	h := f.Health
-	c := health.Config{Self: s.self, Run: began, Zones: zones, Probers: h.Probers, Quorum: h.Quorum,
-		SuspectAfter: inMicros(h.SuspectAfter), ProbeLate: inMicros(h.ProbeLate), EvidenceLife: inMicros(h.EvidenceLife),
-		TakeoverAfter: inMicros(h.TakeoverAfter), ProbesPerNode: h.ProbesPerNode, MessageBytes: h.MessageBytes}
+	c := health.Config{Self: s.self, Incarnation: began, Zones: zones, Probers: h.Probers, Quorum: h.Quorum,
+		SuspectAfter: inMicros(h.SuspectAfter), ProbeTimeout: inMicros(h.ProbeLate), EvidenceLifetime: inMicros(h.EvidenceLife),
+		TakeoverAfter: inMicros(h.TakeoverAfter), ProbesPerNode: h.ProbesPerNode, MessageRate: h.MessageBytes}
 	if err := c.Validate(); err != nil {
 		return health.Config{}, fmt.Errorf("health: %w", err)
 	}
--- a/internal/program/fleet_health.go
+++ b/internal/program/fleet_health.go
@@ -25,8 +25,8 @@
 	monitor      *monitor.Monitor // nil where health is not shared
 	sharesHealth bool
 	fleetPath    string
-	site         frontSite // as of the start
-	began        int64     // Unix time in microseconds
+	site         frontConfig // as of the start
+	began        int64       // Unix time in microseconds
 }
 
 // newMonitor sets up the monitor of the zone's health as the operator's file tells. It is nil where that is off. The
@@ -38,7 +38,7 @@
 	}
 	set := p.config.Settings.Scheduler
 	p.began = time.Now().UnixMicro()
-	p.fleetPath, p.site = path, frontSite{self: set.FrontIndex, fronts: set.Fronts, peers: len(p.config.Peers) > 0, probing: set.HealthChecks}
+	p.fleetPath, p.site = path, frontConfig{self: set.FrontIndex, fronts: set.Fronts, peers: len(p.config.Peers) > 0, probing: set.HealthChecks}
 	fleet, err := loadFleet(path, p.site)
 	if err != nil {
 		return nil, misuse{err}
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, misuse{fmt.Errorf("%s: %w", path, err)}
 	}
-	return monitor.New(config, monitor.Bounds{Inbox: max(leastInbox, p.limits.Requests.Inbox), Hold: longestProbe}, monitor.Hooks{
+	return monitor.New(config, monitor.Bounds{Inbox: max(leastInbox, p.limits.Requests.Inbox), MaxProbeWait: longestProbe}, monitor.Hooks{
 		Now:    func() scheduler.Micros { return p.core.Now() },
 		Probe:  probe,
 		Report: func(e scheduler.Event) { p.core.Handle(e) },
@@ -72,7 +72,7 @@
 		return
 	}
 	if p.peers != nil {
-		p.peers.Intercept, p.peers.OnDrop = p.monitor.Take, p.dropped
+		p.peers.Intercept, p.peers.OnDrop = p.monitor.Intercept, p.dropped
 	}
 	p.core.Observer = p.monitor
 	go p.monitor.Run(ctx)
@@ -80,26 +80,26 @@
 
 // dropped counts a datagram that is of no use.
 func (p *platform) dropped(from netip.AddrPort, why error) {
-	kind := monitor.DropNoKind
+	kind := monitor.DropUnknownKind
 	switch {
 	case errors.Is(why, transport.ErrNoPeer):
-		kind = monitor.DropStranger
+		kind = monitor.DropUnknownSender
 	case errors.Is(why, transport.ErrTooLong):
 		kind = monitor.DropTooLong
 	}
 	p.monitor.Drop(kind, "from", from.String(), "error", why)
 }
 
-// tellMonitor hands news of the node list on, where anybody wants it.
-func (p *platform) tellMonitor(news scheduler.EndpointsChanged) {
+// updateMonitor hands news of the node list on, where anybody wants it.
+func (p *platform) updateMonitor(news scheduler.EndpointsChanged) {
 	if p.monitor != nil {
-		p.monitor.Told(news)
+		p.monitor.UpdateEndpoints(news)
 	}
 }
 
-// changedFleet reads the fleet's file anew, for settings that are about to hold. What it brings holds once the returned
+// reloadFleet reads the fleet's file anew, for settings that are about to hold. What it brings holds once the returned
 // function was called, which does not fail for what the file says. Whether health is shared holds from a start on.
-func (p *platform) changedFleet(set scheduler.Settings) (apply func() error, err error) {
+func (p *platform) reloadFleet(set scheduler.Settings) (apply func() error, err error) {
 	if p.fleetPath == "" {
 		return func() error { return nil }, nil
 	}
@@ -132,5 +132,5 @@
 		return nil, err
 	}
 	return &protocol.HealthFigures{Probes: c.Probes, MessagesSent: c.Sent, BytesSent: c.SentBytes, MessagesReceived: c.Received,
-		Dropped: c.Drops(), Shed: c.Shed, Lost: c.Lost, Condemned: c.Condemned}, nil
+		Dropped: c.Drops(), Shed: c.Shed, Lost: c.Lost, Condemned: c.Avoided}, nil
 }
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -28,9 +28,9 @@
 fronts = ["2-3"]
 `
 
-var goodSite = frontSite{self: 3, fronts: 5, peers: true, probing: true}
+var goodSite = frontConfig{self: 3, fronts: 5, peers: true, probing: true}
 
-func loadText(t *testing.T, text string, s frontSite) (Fleet, error) {
+func loadText(t *testing.T, text string, s frontConfig) (Fleet, error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "fleet.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -52,11 +52,11 @@
 		t.Errorf("zones %v", c.Zones)
 	}
 	c.Zones = nil
-	if c.Self != 3 || c.Run != 17 || c.Probers != 2 || c.Quorum != 2 || c.SuspectAfter != 50_000 || c.ProbeLate != 100_000 ||
-		c.EvidenceLife != 6_000_000 || c.TakeoverAfter != 1_000_000 || c.ProbesPerNode != 40 || c.MessageBytes != 8192 {
+	if c.Self != 3 || c.Incarnation != 17 || c.Probers != 2 || c.Quorum != 2 || c.SuspectAfter != 50_000 || c.ProbeTimeout != 100_000 ||
+		c.EvidenceLifetime != 6_000_000 || c.TakeoverAfter != 1_000_000 || c.ProbesPerNode != 40 || c.MessageRate != 8192 {
 		t.Errorf("%+v", c)
 	}
-	if _, err := loadFleet("../../deploy/fleet.toml", frontSite{fronts: 1200, peers: true, probing: true}); err != nil {
+	if _, err := loadFleet("../../deploy/fleet.toml", frontConfig{fronts: 1200, peers: true, probing: true}); err != nil {
 		t.Error(err)
 	}
 }
@@ -103,13 +103,13 @@
 // The file has to fit the front's configuration, and one that is off needs nothing.
 func TestFleetFileFitsTheConfiguration(t *testing.T) {
 	for _, c := range []struct {
-		edit func(*frontSite)
+		edit func(*frontConfig)
 		says string
 	}{
-		{func(s *frontSite) { s.peers = false }, "health.enabled: the configuration names no peers"},
-		{func(s *frontSite) { s.probing = false }, "health.enabled: settings.ceilings.probing"},
-		{func(s *frontSite) { s.fronts = 6 }, "zones: front 5 is in none"},
-		{func(s *frontSite) { s.fronts = 4 }, "zones[0].fronts"},
+		{func(s *frontConfig) { s.peers = false }, "health.enabled: the configuration names no peers"},
+		{func(s *frontConfig) { s.probing = false }, "health.enabled: settings.ceilings.probing"},
+		{func(s *frontConfig) { s.fronts = 6 }, "zones: front 5 is in none"},
+		{func(s *frontConfig) { s.fronts = 4 }, "zones[0].fronts"},
 	} {
 		site := goodSite
 		c.edit(&site)
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -17,19 +17,19 @@
 // handoverSocket stands in $TMPDIR, which the processes of a front share.
 const handoverSocket = "handover"
 
-// socketOf is where the process that serves is asked to hand over, "" where the platform holds no clients' socket
+// handoverPath is where the process that serves is asked to hand over, "" where the platform holds no clients' socket
 // that two could serve.
-func socketOf(accept, folder string) string {
+func handoverPath(accept, folder string) string {
 	if accept == "" || folder == "" {
 		return ""
 	}
 	return filepath.Join(folder, handoverSocket)
 }
 
-// succeed takes over from a predecessor of this front, where there is one. On a fault before the predecessor has let go
+// takeOver takes over from a predecessor of this front, where there is one. On a fault before the predecessor has let go
 // this process begins as after a restart, and promises no more than that allows; beside one that lives and says nothing
 // it promises nothing.
-func (p *platform) succeed(path string) {
+func (p *platform) takeOver(path string) {
 	c, err := handover.Dial(path)
 	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
 		return // none runs
@@ -41,7 +41,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			p.log.Error("the elder process says nothing: limits let nothing flow in until it has ended", "error", err)
 			p.core.YieldAll()
-			go p.outlive(c)
+			go p.awaitPredecessorEnd(c)
 			return
 		}
 		c.Close()
@@ -49,17 +49,17 @@
 	p.log.Error("nothing was handed over, beginning as after a restart", "error", err)
 }
 
-// outlive waits for the end of a predecessor that did not hand over, and may go on at any time: until then this one
+// awaitPredecessorEnd waits for the end of a predecessor that did not hand over, and may go on at any time: until then this one
 // promises nothing.
-func (p *platform) outlive(c *handover.Channel) {
+func (p *platform) awaitPredecessorEnd(c *handover.Channel) {
 	defer c.Close()
-	for err := c.Within(0); err == nil; {
+	for err := c.SetTimeout(0); err == nil; {
 		var socket *os.File
 		if _, _, socket, err = c.Receive(); socket != nil {
 			socket.Close()
 		}
 	}
-	if err := p.core.Resume(scheduler.Learned{}, p.talks); err != nil {
+	if err := p.core.Resume(scheduler.Learned{}, p.peerMessages); err != nil {
 		p.log.Error("limits let nothing flow in", "error", err)
 		return
 	}
@@ -67,10 +67,10 @@
 }
 
 func (p *platform) receive(c *handover.Channel) error {
-	if err := c.Within(p.limits.Stop.HandoverTimeout); err != nil {
+	if err := c.SetTimeout(p.limits.Stop.HandoverTimeout); err != nil {
 		return err
 	}
-	text, socket, err := c.AskFor()
+	text, socket, err := c.RequestState()
 	if err != nil {
 		return err
 	}
@@ -84,9 +84,9 @@
 	if err := c.Confirm(); err != nil {
 		return err
 	}
-	p.roster.Keep(state.Bans)
-	news := p.nodes.Apply(p.roster.Told(state.List))
-	p.tellMonitor(news)
+	p.roster.RestoreBans(state.Bans)
+	news := p.nodes.Apply(p.roster.Update(state.List))
+	p.updateMonitor(news)
 	p.core.TakeOver(news, state.Given)
 	if socket != nil && len(p.config.Peers) > 0 {
 		if conn, err := net.FilePacketConn(socket); err == nil {
@@ -95,26 +95,26 @@
 	}
 	p.log.Info("taken over", "nodes", len(state.List.Hosts), "projects", len(state.Given.Volumes), "by_hand", len(state.Bans))
 	p.succeeded = true
-	p.beside.Store(c)
-	if err := c.Within(0); err != nil {
+	p.otherProcess.Store(c)
+	if err := c.SetTimeout(0); err != nil {
 		return err
 	}
-	go p.hearBeside(c)
+	go p.receiveFromOther(c)
 	return nil
 }
 
-// offer hands over to each successor that asks, one at a time, until ctx ends. The first may ask from its return
+// listenForSuccessors hands over to each successor that asks, one at a time, until ctx ends. The first may ask from its return
 // on: one that found nobody to ask would begin as after a restart beside this one.
-func (p *platform) offer(ctx context.Context, path string) {
+func (p *platform) listenForSuccessors(ctx context.Context, path string) {
 	l, err := handover.Listen(path)
 	if err != nil {
 		p.log.Error("no younger process can take over", "error", err)
 		return
 	}
-	go p.handOn(ctx, path, l)
+	go p.handOverToSuccessors(ctx, path, l)
 }
 
-func (p *platform) handOn(ctx context.Context, path string, l *net.UnixListener) {
+func (p *platform) handOverToSuccessors(ctx context.Context, path string, l *net.UnixListener) {
 	for ctx.Err() == nil {
 		c, err := awaitSuccessor(ctx, l)
 		if err == nil {
@@ -140,41 +140,41 @@
 	if err != nil {
 		return nil, err
 	}
-	return handover.Of(c), nil
+	return handover.NewChannel(c), nil
 }
 
 // handOver is the predecessor's part, from the successor's question to its end. It returns while this process serves,
 // with the cause, never nil: where the successor did take over, this process ends meanwhile.
 func (p *platform) handOver(c *handover.Channel) error {
-	if err := c.Within(p.limits.Stop.HandoverTimeout); err != nil {
+	if err := c.SetTimeout(p.limits.Stop.HandoverTimeout); err != nil {
 		return err
 	}
-	if err := c.Asked(); err != nil {
+	if err := c.AwaitRequest(); err != nil {
 		return err
 	}
-	given, err := p.give(c)
+	given, err := p.sendState(c)
 	if err != nil {
 		p.takeBack(given.Learned)
 		return err
 	}
-	p.beside.Store(c)
-	p.core.AnnounceIDs(func(id string) { c.Send(handover.ID, []byte(id), nil) })
+	p.otherProcess.Store(c)
+	p.core.AnnounceIDs(func(id string) { c.Send(handover.KindRequestID, []byte(id), nil) })
 	p.front.Yield(func(conn net.Conn) error {
 		socket, ok := conn.(syscall.Conn)
 		if !ok {
 			return errors.ErrUnsupported
 		}
-		return c.Send(handover.Conn, nil, socket)
+		return c.Send(handover.KindConnection, nil, socket)
 	})
 	p.nodes.CloseIdle()
 	p.log.Info("handed over")
-	p.hearBeside(c)
+	p.receiveFromOther(c)
 	p.takeBack(scheduler.Learned{})
 	return errors.New("it has ended")
 }
 
-// give stops promising and gives the state, until the successor may go on.
-func (p *platform) give(c *handover.Channel) (routing.HandoverState, error) {
+// sendState stops promising and gives the state, until the successor may go on.
+func (p *platform) sendState(c *handover.Channel) (routing.HandoverState, error) {
 	var socket syscall.Conn
 	if p.peers != nil {
 		p.peers.Pause()
@@ -188,23 +188,23 @@
 		return given, err
 	}
 	p.mu.Lock()
-	state := handover.State{Given: given, Plans: p.front.PlanNames(), List: p.roster.Whole(), Bans: p.roster.Bans()}
+	state := handover.State{Given: given, Plans: p.front.PlanNames(), List: p.roster.FullList(), Bans: p.roster.Bans()}
 	p.mu.Unlock()
 	text, err := handover.Encode(state)
 	if err != nil {
 		return given, err
 	}
-	return given, errors.Join(c.SendState(text, socket), c.LetGo(), c.Within(0))
+	return given, errors.Join(c.SendState(text, socket), c.ReleaseSuccessor(), c.SetTimeout(0))
 }
 
 // takeBack has this process serve again, as the successor is gone. unused is what that one never used.
 func (p *platform) takeBack(unused scheduler.Learned) {
-	p.beside.Store(nil)
+	p.otherProcess.Store(nil)
 	p.core.AnnounceIDs(nil)
 	if p.peers != nil {
 		p.peers.Resume()
 	}
-	if err := p.core.Resume(unused, p.talks); err != nil {
+	if err := p.core.Resume(unused, p.peerMessages); err != nil {
 		p.log.Error("limits let nothing flow in", "error", err)
 	}
 	p.front.Resume()
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -16,16 +16,16 @@
 func (p *platform) Ban(node, by string) bool {
 	known := p.byHand("a node is kept out by hand", node, by, p.roster.Ban)
 	if known {
-		p.tellBeside(handover.Out, node, by)
+		p.sendToOther(handover.KindBan, node, by)
 	}
 	return known
 }
 
 // Lift lets a node serve again.
 func (p *platform) Lift(node, by string) bool {
-	known := p.byHand("a node may serve again", node, by, p.roster.Lift)
+	known := p.byHand("a node may serve again", node, by, p.roster.Unban)
 	if known {
-		p.tellBeside(handover.Back, node, by)
+		p.sendToOther(handover.KindUnban, node, by)
 	}
 	return known
 }
@@ -55,7 +55,7 @@
 	}
 	t := p.core.Tally()
 	out := protocol.Figures{InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
-		ReloadsOK: p.reloaded.Load(), ReloadsFailed: p.refused.Load(), Health: shared}
+		ReloadsOK: p.reloads.Load(), ReloadsFailed: p.reloadsRejected.Load(), Health: shared}
 	for i, name := range p.front.ClassNames() {
 		ended := t.Class(i)
 		out.Classes = append(out.Classes, protocol.Ended{Class: name, Served: ended[routing.Served],
@@ -63,6 +63,6 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out.Known = p.roster.Listed()
+	out.Known = p.roster.Len()
 	return out, nil
 }
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -36,15 +36,15 @@
 	core   *routing.Core
 	front  *transport.Front
 
-	peers     *transport.Peers                 // nil where fronts don't talk
-	beside    atomic.Pointer[handover.Channel] // to the other process of this front, while there are two
-	succeeded bool                             // state was handed over
-	talks     bool                             // fronts may say something to each other
+	peers        *transport.Peers                 // nil where fronts don't talk
+	otherProcess atomic.Pointer[handover.Channel] // to the other process of this front, while there are two
+	succeeded    bool                             // state was handed over
+	peerMessages bool                             // fronts may say something to each other
 
 	sharedHealth
 
-	ready             atomic.Bool // clients are served
-	reloaded, refused atomic.Int64
+	ready                    atomic.Bool // clients are served
+	reloads, reloadsRejected atomic.Int64
 
 	mu     sync.Mutex // held from news of the list until pool and scheduler have it, so that they hear it in order
 	roster *roster.Roster
@@ -57,7 +57,7 @@
 	if path == "" {
 		return misuse{errors.New("RELAY_CONFIG: not set")}
 	}
-	hangups := hangups()
+	hangups := notifyReload()
 	config, text, err := readConfig(path)
 	if err != nil {
 		return misuse{err}
@@ -77,13 +77,13 @@
 	if err := p.startControl(); err != nil {
 		return err
 	}
-	socket := socketOf(os.Getenv(acceptVariable), os.Getenv("TMPDIR"))
+	socket := handoverPath(os.Getenv(acceptVariable), os.Getenv("TMPDIR"))
 	if socket != "" {
-		p.succeed(socket)
+		p.takeOver(socket)
 	}
 	p.run(ctx, hangups)
 	if socket != "" {
-		p.offer(ctx, socket)
+		p.listenForSuccessors(ctx, socket)
 	}
 	p.log.Info("serving", "address", config.Listen)
 	served := make(chan error, 1)
@@ -106,9 +106,9 @@
 	l := limits.For(limits.Site{MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
 		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait, DrainGrace: set.DrainGrace,
 		Askers: set.Askers})
-	bound(l)
+	limitRuntime(l)
 	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
-		nodes: transport.NewNodes(l), roster: roster.New(), talks: set.Scheduler.PeerMessages}
+		nodes: transport.NewNodes(l), roster: roster.New(), peerMessages: set.Scheduler.PeerMessages}
 	set.Scheduler.MaxOpen = l.Requests.Scheduled
 	probe := transport.NewHealthChecker(p.nodes, set, p.log).Check
 	var err error
@@ -173,15 +173,15 @@
 	return nil
 }
 
-// hangups delivers SIGHUP, which would end the program, from here to its end: one may come while it stops.
-func hangups() <-chan os.Signal {
+// notifyReload delivers SIGHUP, which would end the program, from here to its end: one may come while it stops.
+func notifyReload() <-chan os.Signal {
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGHUP)
 	return c
 }
 
-// bound keeps the run time within the machine: one core, and collections before the memory limit is near.
-func bound(l limits.Limits) {
+// limitRuntime keeps the run time within the machine: one core, and collections before the memory limit is near.
+func limitRuntime(l limits.Limits) {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(l.Memory)
 }
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -56,10 +56,10 @@
 func (p *platform) change(path string) (protocol.Config, error) {
 	config, err := p.retune(path)
 	if err != nil {
-		p.refused.Add(1)
+		p.reloadsRejected.Add(1)
 		return config, err
 	}
-	p.reloaded.Add(1)
+	p.reloads.Add(1)
 	p.log.Info("the configuration was read anew", "classes", len(config.Settings.Scheduler.Classes))
 	return config, nil
 }
@@ -73,7 +73,7 @@
 	if err != nil {
 		return protocol.Config{}, fmt.Errorf("%s: %w", path, err)
 	}
-	changeFleet, err := p.changedFleet(config.Settings.Scheduler)
+	changeFleet, err := p.reloadFleet(config.Settings.Scheduler)
 	if err != nil {
 		return protocol.Config{}, err
 	}
@@ -96,14 +96,14 @@
 func (p *platform) told(list protocol.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tell(p.roster.Told(list))
+	p.tell(p.roster.Update(list))
 }
 
 // tell hands news on. The lock is held.
 func (p *platform) tell(list protocol.List) {
 	if len(list.Hosts) > 0 || list.Whole {
 		news := p.nodes.Apply(list)
-		p.tellMonitor(news)
+		p.updateMonitor(news)
 		p.core.UpdateEndpoints(news)
 	}
 }
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"otterturn/internal/net/protocol"
-	"otterturn/internal/state/keeper"
+	"otterturn/internal/state/saver"
 	"otterturn/internal/state/snapshot"
 	"otterturn/internal/state/store"
 	"otterturn/scheduler"
@@ -17,15 +17,15 @@
 
 // Bounds of saving.
 const (
-	saveLeast = 200 * time.Millisecond // between two saves, however low leases run
-	saveLast  = 10 * time.Second       // the last one at a stop, and one that an operator asks for
+	minSaveInterval = 200 * time.Millisecond // between two saves, however low leases run
+	saveTimeout     = 10 * time.Second       // the last one at a stop, and one that an operator asks for
 )
 
 // forgetAll is the word for everything.
 const forgetAll = "all"
 
-// recall opens the folder of what is learned, if there is to be one, and hands the core what still counts.
-func (a *Appliance) recall() error {
+// restoreLearned opens the folder of what is learned, if there is to be one, and hands the core what still counts.
+func (a *Appliance) restoreLearned() error {
 	set := a.operator.Learned
 	if set.Folder == "" {
 		return nil
@@ -34,11 +34,11 @@
 	if err != nil {
 		return err
 	}
-	a.keeper = keeper.New(keeper.Settings{Front: set.Front, Every: set.Interval, Least: saveLeast,
+	a.saver = saver.New(saver.Settings{Front: set.Front, Interval: set.Interval, MinInterval: minSaveInterval,
 		Rules: a.operator.Settings().Scheduler, Log: a.log, Nodes: a.listing,
-		Shutdown: saveLast}, a.core, s)
-	for _, n := range a.keeper.Recall() {
-		if n.State == scheduler.Draining && a.knows(n.Node) {
+		Shutdown: saveTimeout}, a.core, s)
+	for _, n := range a.saver.Restore() {
+		if n.State == scheduler.Draining && a.hasNode(n.Node) {
 			a.drained[n.Node] = true
 			a.log.Info("a node still drains, as the operator had it", "node", n.Node)
 		}
@@ -46,19 +46,19 @@
 	return nil
 }
 
-// keep saves until ctx ends.
-func (a *Appliance) keep(ctx context.Context) {
-	if a.keeper != nil {
-		a.keeper.Run(ctx)
+// runSaver saves until ctx ends.
+func (a *Appliance) runSaver(ctx context.Context) {
+	if a.saver != nil {
+		a.saver.Run(ctx)
 	}
 }
 
-// keepLast makes the last save, once the core has ended.
-func (a *Appliance) keepLast() error {
-	if a.keeper == nil {
+// saveLast makes the last save, once the core has ended.
+func (a *Appliance) saveLast() error {
+	if a.saver == nil {
 		return nil
 	}
-	if err := a.keeper.Close(); err != nil {
+	if err := a.saver.Close(); err != nil {
 		return fmt.Errorf("learned: the last save: %w", err)
 	}
 	return nil
@@ -75,21 +75,21 @@
 	return out
 }
 
-// knows tells whether a node is in the operator's file.
-func (a *Appliance) knows(node string) bool {
+// hasNode tells whether a node is in the operator's file.
+func (a *Appliance) hasNode(node string) bool {
 	return slices.ContainsFunc(a.listed.list(noAddress).Hosts, func(h protocol.Host) bool { return h.Node == node })
 }
 
 // learned saves, and shows what the folder holds then.
 func (a *Appliance) learned() (string, error) {
-	if a.keeper == nil {
+	if a.saver == nil {
 		return "", errNotKept
 	}
-	ctx, end := context.WithTimeout(context.Background(), saveLast)
+	ctx, end := context.WithTimeout(context.Background(), saveTimeout)
 	defer end()
-	failed := a.keeper.Save(ctx)
+	failed := a.saver.Save(ctx)
 	var out strings.Builder
-	s := a.keeper.Status()
+	s := a.saver.Status()
 	fmt.Fprintf(&out, "saves %d, failed %d; the last of %d bytes took %v\n", s.Saves, s.Failures, s.Bytes, s.Took.Round(time.Microsecond))
 	snap, err := store.Read(a.operator.Learned.Folder, false)
 	if err == nil {
@@ -100,13 +100,13 @@
 
 // forget drops what was learned of a node, of a project or of all, and saves.
 func (a *Appliance) forget(what []string) error {
-	if a.keeper == nil {
+	if a.saver == nil {
 		return errNotKept
 	}
 	if err := checkForget(what); err != nil {
 		return err
 	}
-	ctx, end := context.WithTimeout(context.Background(), saveLast)
+	ctx, end := context.WithTimeout(context.Background(), saveTimeout)
 	defer end()
 	nodes, projects := []string{}, []string{}
 	for _, n := range a.listing() {
@@ -135,7 +135,7 @@
 	if !known {
 		return fmt.Errorf("no %s %q", what[0], what[1])
 	}
-	return a.keeper.Save(ctx)
+	return a.saver.Save(ctx)
 }
 
 // errNotKept tells that the operator's file names no folder.
--- a/internal/program/state_command.go
+++ b/internal/program/state_command.go
@@ -10,7 +10,7 @@
 	"text/tabwriter"
 	"time"
 
-	"otterturn/internal/state/ageing"
+	"otterturn/internal/state/decay"
 	"otterturn/internal/state/snapshot"
 	"otterturn/internal/state/store"
 	"otterturn/scheduler"
@@ -59,7 +59,7 @@
 
 // check tells of each file in the folder whether a start would use it. It fails if one would not be used.
 func check(o Operator, out io.Writer) error {
-	now := ageing.Now{At: scheduler.Micros(time.Now().UnixMicro()), Front: o.Learned.Front,
+	now := decay.Current{At: scheduler.Micros(time.Now().UnixMicro()), Front: o.Learned.Front,
 		Settings: snapshot.Fingerprint(o.Settings().Scheduler)}
 	var failed error
 	for i, name := range []string{"the last one", "the one before"} {
@@ -69,7 +69,7 @@
 			continue
 		}
 		if err == nil {
-			err = ageing.Judge(snap, now)
+			err = decay.Check(snap, now)
 		}
 		if err != nil {
 			failed = errors.Join(failed, fmt.Errorf("%s: %w", name, err))
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,8 +22,8 @@
 	return &Roster{hosts: map[string]protocol.Host{}, bans: map[string]string{}}
 }
 
-// Told takes in what discovery told, and returns it as it is to be acted on.
-func (r *Roster) Told(list protocol.List) protocol.List {
+// Update takes in what discovery told, and returns it as it is to be acted on.
+func (r *Roster) Update(list protocol.List) protocol.List {
 	out := list
 	out.Hosts = slices.Clone(list.Hosts)
 	if list.Whole {
@@ -41,13 +41,13 @@
 		} else {
 			r.hosts[h.Node] = h
 		}
-		out.Hosts[i] = r.seen(h)
+		out.Hosts[i] = r.effective(h)
 	}
 	return out
 }
 
-// seen is a node's entry as it is acted on: one that is banned takes nothing new, as one that drains.
-func (r *Roster) seen(h protocol.Host) protocol.Host {
+// effective is a node's entry as it is acted on: one that is banned takes nothing new, as one that drains.
+func (r *Roster) effective(h protocol.Host) protocol.Host {
 	if _, banned := r.bans[h.Node]; banned && h.State == scheduler.Running {
 		h.State = scheduler.Draining
 	}
@@ -63,9 +63,9 @@
 	return r.change(node), true
 }
 
-// Lift lets a node serve again as the list has it, however often it was banned, and returns the change to act on.
+// Unban lets a node serve again as the list has it, however often it was banned, and returns the change to act on.
 // It is false for a node that nobody has.
-func (r *Roster) Lift(node, _ string) (protocol.List, bool) {
+func (r *Roster) Unban(node, _ string) (protocol.List, bool) {
 	if _, listed := r.hosts[node]; !listed && r.bans[node] == "" {
 		return protocol.List{}, false
 	}
@@ -75,7 +75,7 @@
 
 func (r *Roster) change(node string) (out protocol.List) {
 	if h, listed := r.hosts[node]; listed {
-		out.Hosts = []protocol.Host{r.seen(h)}
+		out.Hosts = []protocol.Host{r.effective(h)}
 	}
 	return out
 }
@@ -83,14 +83,14 @@
 // Bans are the nodes that are kept out by hand, with who told.
 func (r *Roster) Bans() map[string]string { return maps.Clone(r.bans) }
 
-// Keep has nodes kept out that another process of the front kept out.
-func (r *Roster) Keep(bans map[string]string) { maps.Copy(r.bans, bans) }
+// RestoreBans has nodes kept out that another process of the front kept out.
+func (r *Roster) RestoreBans(bans map[string]string) { maps.Copy(r.bans, bans) }
 
-// Listed tells how many nodes are on the list.
-func (r *Roster) Listed() int { return len(r.hosts) }
+// Len tells how many nodes are on the list.
+func (r *Roster) Len() int { return len(r.hosts) }
 
-// Whole is the whole list as discovery told it.
-func (r *Roster) Whole() protocol.List {
+// FullList is the whole list as discovery told it.
+func (r *Roster) FullList() protocol.List {
 	out := protocol.List{Whole: true}
 	for _, name := range slices.Sorted(maps.Keys(r.hosts)) {
 		out.Hosts = append(out.Hosts, r.hosts[name])
--- a/internal/state/ageing/ageing.go
+++ b/internal/state/decay/decay.go
@@ -1,8 +1,8 @@
-// Package ageing decides what of a front's earlier knowledge still counts. It reads no clock and does no I/O.
+// Package decay decides what of a front's earlier knowledge still counts. It reads no clock and does no I/O.
 //
 // Each kind of knowledge fades at its own rate towards what a fresh front assumes, by half in each of its
 // half-lives. What is hours old leaves no trace but the list of nodes.
-package ageing
+package decay
 
 import (
 	"errors"
@@ -42,8 +42,8 @@
 	ErrSettings = errors.New("it was learned under other settings")
 )
 
-// Now is what a snapshot is held against.
-type Now struct {
+// Current is what a snapshot is held against.
+type Current struct {
 	At       scheduler.Micros
 	Front    string
 	Settings uint64
@@ -51,8 +51,8 @@
 	Nodes    []snapshot.Node
 }
 
-// Judge tells why a snapshot must not be used at all.
-func Judge(s snapshot.Snapshot, now Now) error {
+// Check tells why a snapshot must not be used at all.
+func Check(s snapshot.Snapshot, now Current) error {
 	switch {
 	case s.Front != now.Front:
 		return fmt.Errorf("%w: %q", ErrFront, s.Front)
@@ -66,9 +66,9 @@
 
 func duration(m scheduler.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
 
-// Fade returns what still counts. older tells that a later snapshot was written and can't be read: what projects
+// Decay returns what still counts. older tells that a later snapshot was written and can't be read: what projects
 // drew since is unknown then, so their limits' stores start empty.
-func Fade(s snapshot.Snapshot, now Now, older bool) scheduler.Learned {
+func Decay(s snapshot.Snapshot, now Current, older bool) scheduler.Learned {
 	out := scheduler.Learned{At: now.At}
 	age := duration(now.At - s.Saved)
 	if age >= horizon {
@@ -80,7 +80,7 @@
 	}
 	for _, n := range now.Nodes {
 		if old, ok := learned[n.Node]; ok {
-			out.Nodes = append(out.Nodes, scheduler.LearnedNode{Endpoint: n.Endpoint, NodeStats: node(old, n, now, age)})
+			out.Nodes = append(out.Nodes, scheduler.LearnedNode{Endpoint: n.Endpoint, NodeStats: decayNode(old, n, now, age)})
 		}
 	}
 	for _, a := range s.Accounts {
@@ -93,15 +93,15 @@
 	}
 	for _, l := range s.Leads {
 		if since := duration(now.At - l.LastSend); since >= 0 && since < leadLife {
-			l.Units = half(l.Units, 0, age, leadHalf)
+			l.Units = decay(l.Units, 0, age, leadHalf)
 			out.Flows = append(out.Flows, l)
 		}
 	}
 	return out
 }
 
-// node is what is left of a node's habits. One that started anew or moved is not the node that was learned.
-func node(old, listed snapshot.Node, now Now, age time.Duration) scheduler.NodeStats {
+// decayNode is what is left of a node's habits. One that started anew or moved is not the node that was learned.
+func decayNode(old, listed snapshot.Node, now Current, age time.Duration) scheduler.NodeStats {
 	fresh := now.Fresh
 	if old.StartedAt != listed.StartedAt {
 		return fresh // the list's own start time has it guarded as cold
@@ -111,10 +111,10 @@
 		return fresh
 	}
 	h := old.NodeStats
-	h.Budget = min(fresh.Budget, half(h.Budget, fresh.Budget, age, speedHalf))
-	h.Target = half(h.Target, fresh.Target, age, speedHalf)
-	h.SmoothedLatency, h.PreviousLatency = half(h.SmoothedLatency, 0, age, speedHalf), half(h.PreviousLatency, 0, age, speedHalf)
-	h.ErrorRate = half(h.ErrorRate, 0, age, errorHalf)
+	h.Budget = min(fresh.Budget, decay(h.Budget, fresh.Budget, age, speedHalf))
+	h.Target = decay(h.Target, fresh.Target, age, speedHalf)
+	h.SmoothedLatency, h.PreviousLatency = decay(h.SmoothedLatency, 0, age, speedHalf), decay(h.PreviousLatency, 0, age, speedHalf)
+	h.ErrorRate = decay(h.ErrorRate, 0, age, errorHalf)
 	if age >= unitLife {
 		h.UnitTime = 0
 	}
@@ -124,7 +124,7 @@
 	return h
 }
 
-// half moves a value towards a fresh one, by half in each half-life.
-func half(v, fresh float64, age, life time.Duration) float64 {
+// decay moves a value towards a fresh one, by half in each half-life.
+func decay(v, fresh float64, age, life time.Duration) float64 {
 	return fresh + (v-fresh)*math.Exp2(-age.Seconds()/life.Seconds())
 }
--- a/internal/state/ageing/ageing_test.go
+++ b/internal/state/decay/decay_test.go
@@ -1,4 +1,4 @@
-package ageing
+package decay
 
 import (
 	"errors"
@@ -35,21 +35,21 @@
 	return s
 }
 
-func now(nodes ...snapshot.Node) Now {
-	return Now{At: at, Front: "a", Settings: 1, Fresh: fresh, Nodes: nodes}
+func now(nodes ...snapshot.Node) Current {
+	return Current{At: at, Front: "a", Settings: 1, Fresh: fresh, Nodes: nodes}
 }
 
 func TestSnapshotsThatMustNotBeUsed(t *testing.T) {
 	s := learned(time.Second)
-	for want, edit := range map[error]func(*Now){
-		ErrFuture:   func(n *Now) { n.At = s.Saved - 1 },
-		ErrFront:    func(n *Now) { n.Front = "b" },
-		ErrSettings: func(n *Now) { n.Settings = 2 },
-		nil:         func(n *Now) {},
+	for want, edit := range map[error]func(*Current){
+		ErrFuture:   func(n *Current) { n.At = s.Saved - 1 },
+		ErrFront:    func(n *Current) { n.Front = "b" },
+		ErrSettings: func(n *Current) { n.Settings = 2 },
+		nil:         func(n *Current) {},
 	} {
 		n := now()
 		edit(&n)
-		if err := Judge(s, n); !errors.Is(err, want) {
+		if err := Check(s, n); !errors.Is(err, want) {
 			t.Errorf("%v, want %v", err, want)
 		}
 	}
@@ -59,7 +59,7 @@
 	n := listed("a", "x:1", 5)
 	last := math.Inf(1)
 	for _, age := range []time.Duration{0, time.Second, 10 * time.Second, time.Minute, 5 * time.Minute, horizon - 1} {
-		l := Fade(learned(age, n), now(n), false)
+		l := Decay(learned(age, n), now(n), false)
 		if len(l.Nodes) != 1 {
 			t.Fatalf("%v: %d nodes", age, len(l.Nodes))
 		}
@@ -77,7 +77,7 @@
 			t.Errorf("after 10 s: errors %v, %d points", h.ErrorRate, len(h.Curve))
 		}
 	}
-	if l := Fade(learned(3*time.Hour, n), now(n), false); len(l.Nodes)+len(l.Volumes)+len(l.Flows) > 0 {
+	if l := Decay(learned(3*time.Hour, n), now(n), false); len(l.Nodes)+len(l.Volumes)+len(l.Flows) > 0 {
 		t.Errorf("hours later: %+v", l)
 	}
 }
@@ -86,15 +86,15 @@
 func TestAnotherNodeUnderTheName(t *testing.T) {
 	old := listed("a", "x:1", 5)
 	moved, restarted := listed("a", "x:2", 5), listed("a", "x:1", 6)
-	if got := Fade(learned(time.Second, old), now(moved), false).Nodes[0].NodeStats; got.SuspectedRestart != at || got.SmoothedLatency != 0 ||
+	if got := Decay(learned(time.Second, old), now(moved), false).Nodes[0].NodeStats; got.SuspectedRestart != at || got.SmoothedLatency != 0 ||
 		got.Budget != fresh.Budget || got.ErrorRate != 0 {
 		t.Errorf("moved: %+v, want a fresh node that may be cold", got)
 	}
-	if got := Fade(learned(time.Second, old), now(restarted), false).Nodes[0]; got.StartedAt != 6 || got.SmoothedLatency != 0 ||
+	if got := Decay(learned(time.Second, old), now(restarted), false).Nodes[0]; got.StartedAt != 6 || got.SmoothedLatency != 0 ||
 		got.SuspectedRestart != 0 || got.Budget != fresh.Budget {
 		t.Errorf("restarted: %+v, want a fresh node with its own start", got)
 	}
-	if got := Fade(learned(time.Second, old), now(listed("b", "x:1", 5)), false).Nodes; len(got) > 0 {
+	if got := Decay(learned(time.Second, old), now(listed("b", "x:1", 5)), false).Nodes; len(got) > 0 {
 		t.Errorf("another name: %+v", got)
 	}
 }
@@ -109,7 +109,7 @@
 		h := &s.Nodes[0].NodeStats
 		h.Budget, h.Target, h.SmoothedLatency = value.Draw(t, "budget"), value.Draw(t, "target"), value.Draw(t, "usual")
 		h.LastAnswer, h.LatencyUpdated = scheduler.Micros(time.Draw(t, "answered")), scheduler.Micros(time.Draw(t, "judged"))
-		for _, k := range Fade(s, now(n), rapid.Bool().Draw(t, "older")).Nodes {
+		for _, k := range Decay(s, now(n), rapid.Bool().Draw(t, "older")).Nodes {
 			if k.Budget > fresh.Budget || k.LastAnswer > at || k.LatencyUpdated > at || k.SuspectedRestart > at || k.SmoothedLatency < 0 {
 				t.Fatalf("%+v", k)
 			}
@@ -121,17 +121,17 @@
 	s := learned(time.Second)
 	record := tokenbucket.Bucket[scheduler.Micros]{Level: 20, At: s.Saved, Lease: 5, BoundUntil: at + 1}
 	s.Accounts = []scheduler.VolumeUsage{{Volume: "v", Fronts: 1, ReservationTag: float64(at) + 1e9, Bucket: record}}
-	got := Fade(s, now(), false).Volumes
+	got := Decay(s, now(), false).Volumes
 	if len(got) != 1 || got[0].Bucket != record || got[0].ReservationTag != float64(at)+1e6 {
 		t.Errorf("%+v", got)
 	}
 	// Once its time is over the front may have drawn without a lease, and so it may have behind a later record.
 	empty := tokenbucket.Bucket[scheduler.Micros]{At: at}
-	if got := Fade(s, now(), true).Volumes[0].Bucket; got != empty {
+	if got := Decay(s, now(), true).Volumes[0].Bucket; got != empty {
 		t.Errorf("of an older snapshot: %+v", got)
 	}
 	s.Accounts[0].Bucket.BoundUntil = at - 1
-	if got := Fade(s, now(), false).Volumes[0].Bucket; got != empty {
+	if got := Decay(s, now(), false).Volumes[0].Bucket; got != empty {
 		t.Errorf("beyond its time: %+v", got)
 	}
 }
@@ -139,7 +139,7 @@
 func TestLeadsAreForgottenWithTheirFlows(t *testing.T) {
 	s := learned(8 * time.Second)
 	s.Leads = []scheduler.FlowLead{{Volume: "v", Units: 10, LastSend: s.Saved}, {Volume: "w", Units: 10, LastSend: s.Saved - micros(leadLife)}}
-	got := Fade(s, now(), false).Flows
+	got := Decay(s, now(), false).Flows
 	if len(got) != 1 || got[0].Volume != "v" || got[0].Units != 5 {
 		t.Errorf("%+v", got)
 	}
--- a/internal/state/keeper/cost_test.go
+++ b/internal/state/saver/cost_test.go
@@ -1,4 +1,4 @@
-package keeper
+package saver
 
 import (
 	"fmt"
@@ -55,7 +55,7 @@
 				snap := snapshot.Snapshot{Front: "a", Saved: now}
 				for from := 0; ; {
 					began := time.Now()
-					l, next := s.ExportLearned(now, from, part)
+					l, next := s.ExportLearned(now, from, exportBatch)
 					pauses = append(pauses, time.Since(began))
 					for _, k := range l.Nodes {
 						snap.Nodes = append(snap.Nodes, snapshot.Node{LearnedNode: k})
@@ -87,16 +87,16 @@
 		s, now := large(t, nodes)
 		entries, parts := 0, 0
 		for from := 0; ; parts++ {
-			l, next := s.ExportLearned(now, from, part)
+			l, next := s.ExportLearned(now, from, exportBatch)
 			n := len(l.Nodes) + len(l.Volumes) + len(l.Flows)
-			if entries += n; n > part {
-				t.Errorf("%d entries in a part, at most %d", n, part)
+			if entries += n; n > exportBatch {
+				t.Errorf("%d entries in a part, at most %d", n, exportBatch)
 			}
 			if from = next; from == 0 {
 				break
 			}
 		}
-		if entries != 11*nodes || parts > entries/part+nodes/part+1 {
+		if entries != 11*nodes || parts > entries/exportBatch+nodes/exportBatch+1 {
 			t.Errorf("%d entries in %d parts of %d nodes", entries, parts+1, nodes)
 		}
 	}
--- a/internal/state/keeper/limit_test.go
+++ b/internal/state/saver/limit_test.go
@@ -1,4 +1,4 @@
-package keeper
+package saver
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 
 	"otterturn/internal/standin"
-	"otterturn/internal/state/ageing"
+	"otterturn/internal/state/decay"
 	"otterturn/internal/state/snapshot"
 	"otterturn/scheduler"
 )
@@ -50,11 +50,11 @@
 	f.out, f.writing = nil, nil
 	list := scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}}
 	f.s.Step(f.now, []scheduler.Event{list})
-	now := ageing.Now{At: f.now, Front: "f", Settings: snapshot.Fingerprint(f.set), Fresh: f.s.NewNodeStats(),
+	now := decay.Current{At: f.now, Front: "f", Settings: snapshot.Fingerprint(f.set), Fresh: f.s.NewNodeStats(),
 		Nodes: []snapshot.Node{{LearnedNode: scheduler.LearnedNode{Endpoint: list.Endpoints[0]}}}}
 	for i, file := range [][]byte{f.disk, f.before} {
-		if snap, err := snapshot.Decode(file); err == nil && ageing.Judge(snap, now) == nil {
-			f.s.ImportLearned(f.now, ageing.Fade(snap, now, i > 0))
+		if snap, err := snapshot.Decode(file); err == nil && decay.Check(snap, now) == nil {
+			f.s.ImportLearned(f.now, decay.Decay(snap, now, i > 0))
 			return
 		}
 		if i == 0 {
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/saver/saver.go
@@ -1,6 +1,6 @@
-// Package keeper saves what a front learns, now and then and at once where a project's lease runs low, and reads it
-// back at the next start. It decides nothing of what counts: that is package ageing's.
-package keeper
+// Package saver saves what a front learns, now and then and at once where a project's lease runs low, and reads it
+// back at the next start. It decides nothing of what counts: that is package decay's.
+package saver
 
 import (
 	"context"
@@ -10,24 +10,24 @@
 	"time"
 
 	"otterturn/internal/net/routing"
-	"otterturn/internal/state/ageing"
+	"otterturn/internal/state/decay"
 	"otterturn/internal/state/snapshot"
 	"otterturn/internal/state/store"
 	"otterturn/scheduler"
 )
 
-// part is how many entries are taken from the scheduler at a time, so that a large fleet doesn't make it pause.
-const part = 50
+// exportBatch is how many entries are taken from the scheduler at a time, so that a large fleet doesn't make it pause.
+const exportBatch = 50
 
 // Settings are what a keeper is told.
 type Settings struct {
-	Front    string
-	Every    time.Duration // between two saves
-	Least    time.Duration // and at the least, however low leases run
-	Rules    scheduler.Settings
-	Log      *slog.Logger
-	Nodes    func() []snapshot.Node // the list as last told, with addresses
-	Shutdown time.Duration          // the last save may take so long
+	Front       string
+	Interval    time.Duration // between two saves
+	MinInterval time.Duration // and at the least, however low leases run
+	Rules       scheduler.Settings
+	Log         *slog.Logger
+	Nodes       func() []snapshot.Node // the list as last told, with addresses
+	Shutdown    time.Duration          // the last save may take so long
 }
 
 // Status is what operators are told of the saves.
@@ -39,13 +39,13 @@
 	Error           string // of the last one, empty where it went well
 }
 
-// Keeper saves one core's knowledge in one folder.
-type Keeper struct {
-	set    Settings
-	core   *routing.Core
-	store  *store.Store
-	prints uint64
-	asked  chan chan error
+// Saver saves one core's knowledge in one folder.
+type Saver struct {
+	set          Settings
+	core         *routing.Core
+	store        *store.Store
+	fingerprint  uint64
+	saveRequests chan chan error
 
 	mu     sync.Mutex
 	status Status
@@ -53,15 +53,15 @@
 }
 
 // New returns a keeper.
-func New(set Settings, core *routing.Core, s *store.Store) *Keeper {
-	return &Keeper{set: set, core: core, store: s, prints: snapshot.Fingerprint(set.Rules), asked: make(chan chan error)}
+func New(set Settings, core *routing.Core, s *store.Store) *Saver {
+	return &Saver{set: set, core: core, store: s, fingerprint: snapshot.Fingerprint(set.Rules), saveRequests: make(chan chan error)}
 }
 
-// Recall hands the core what its former self learned, as far as it still counts. The core must not run yet. It
+// Restore hands the core what its former self learned, as far as it still counts. The core must not run yet. It
 // returns the nodes of the last snapshot, as a hint.
-func (k *Keeper) Recall() []snapshot.Node {
-	now := ageing.Now{At: k.core.Now(), Front: k.set.Front, Settings: k.prints, Fresh: k.core.NewNodeStats(), Nodes: k.set.Nodes()}
-	found, notes := k.store.Load(func(s snapshot.Snapshot) error { return ageing.Judge(s, now) })
+func (k *Saver) Restore() []snapshot.Node {
+	now := decay.Current{At: k.core.Now(), Front: k.set.Front, Settings: k.fingerprint, Fresh: k.core.NewNodeStats(), Nodes: k.set.Nodes()}
+	found, notes := k.store.Load(func(s snapshot.Snapshot) error { return decay.Check(s, now) })
 	for _, n := range notes {
 		k.set.Log.Warn("a snapshot is not used", "why", n)
 	}
@@ -69,7 +69,7 @@
 		return nil
 	}
 	k.count = found.Count + 1
-	l := ageing.Fade(found.Snapshot, now, found.Older)
+	l := decay.Decay(found.Snapshot, now, found.Older)
 	k.core.ImportLearned(listings(now.Nodes), l)
 	age := time.Duration(now.At-found.Saved) * time.Microsecond
 	k.set.Log.Info("recalled what was learned", "snapshot", found.Count, "nodes", len(l.Nodes), "projects", len(l.Volumes),
@@ -87,10 +87,10 @@
 
 // Run saves until ctx ends. The first save is made at once: until then nothing may be drawn from the limits that
 // were recalled.
-func (k *Keeper) Run(ctx context.Context) {
+func (k *Saver) Run(ctx context.Context) {
 	var asked chan error
 	for {
-		soonest, next := time.NewTimer(k.set.Least), time.NewTimer(k.set.Every)
+		soonest, next := time.NewTimer(k.set.MinInterval), time.NewTimer(k.set.Interval)
 		err := k.save(ctx)
 		if asked != nil {
 			asked <- err
@@ -104,7 +104,7 @@
 		select {
 		case <-next.C:
 		case <-k.core.SaveRequested():
-		case asked = <-k.asked:
+		case asked = <-k.saveRequests:
 		case <-ctx.Done():
 			return
 		}
@@ -112,10 +112,10 @@
 }
 
 // Save saves as soon as the pace allows, and tells how that went.
-func (k *Keeper) Save(ctx context.Context) error {
+func (k *Saver) Save(ctx context.Context) error {
 	done := make(chan error, 1)
 	select {
-	case k.asked <- done:
+	case k.saveRequests <- done:
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
@@ -128,7 +128,7 @@
 }
 
 // Close makes the last save, once the core has ended: nothing is drawn any more, so no lease is needed.
-func (k *Keeper) Close() error {
+func (k *Saver) Close() error {
 	ctx, end := context.WithTimeout(context.Background(), k.set.Shutdown)
 	defer end()
 	snap, err := k.collect(ctx)
@@ -143,7 +143,7 @@
 	return err
 }
 
-func (k *Keeper) save(ctx context.Context) error {
+func (k *Saver) save(ctx context.Context) error {
 	began := time.Now()
 	snap, err := k.collect(ctx)
 	if err != nil {
@@ -158,7 +158,7 @@
 		k.status.Failures++
 		k.status.Error = err.Error()
 		if before == "" {
-			k.set.Log.Error("what is learned can't be saved; serving goes on", "error", err, "next_try_in", k.set.Every.String())
+			k.set.Log.Error("what is learned can't be saved; serving goes on", "error", err, "next_try_in", k.set.Interval.String())
 		}
 		return err
 	}
@@ -171,9 +171,9 @@
 }
 
 // collect takes what the core knows, part by part.
-func (k *Keeper) collect(ctx context.Context) (snapshot.Snapshot, error) {
+func (k *Saver) collect(ctx context.Context) (snapshot.Snapshot, error) {
 	k.mu.Lock()
-	snap := snapshot.Snapshot{Front: k.set.Front, Settings: k.prints, Count: k.count}
+	snap := snapshot.Snapshot{Front: k.set.Front, Settings: k.fingerprint, Count: k.count}
 	k.count++
 	k.mu.Unlock()
 	addrs := map[string]string{}
@@ -181,7 +181,7 @@
 		addrs[n.Node] = n.Addr
 	}
 	for from := 0; ; {
-		l, next, err := k.core.ExportLearned(ctx, from, part)
+		l, next, err := k.core.ExportLearned(ctx, from, exportBatch)
 		if err != nil {
 			return snapshot.Snapshot{}, fmt.Errorf("ask what is learned: %w", err)
 		}
@@ -198,7 +198,7 @@
 }
 
 // Status tells how the saves went.
-func (k *Keeper) Status() Status {
+func (k *Saver) Status() Status {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.status
