--- a/cmd/otterlab/capacity.go
+++ b/cmd/otterlab/capacity.go
@@ -41,9 +41,11 @@
 	}
 	debug.SetMemoryLimit(c.Memory << 30)
 	debug.SetGCPercent(garbagePercent)
-	plan := hollow.Plan{Sizes: c.Sizes, Small: c.Small, Events: c.Events, Seed: c.Seed, Workers: c.Workers,
+	plan := hollow.Plan{
+		Sizes: c.Sizes, Small: c.Small, Events: c.Events, Seed: c.Seed, Workers: c.Workers,
 		SuspectAfter: scheduler.Micros(c.Suspect / time.Microsecond),
-		Health:       map[string][]bool{"on": {true}, "off": {false}, "both": {false, true}}[c.Health]}
+		Health:       map[string][]bool{"on": {true}, "off": {false}, "both": {false, true}}[c.Health],
+	}
 	lines, err := hollow.Measure(plan, func(text string) { fmt.Fprintln(os.Stderr, text) })
 	if err != nil {
 		return err
--- a/cmd/otterturn/appliance_test.go
+++ b/cmd/otterturn/appliance_test.go
@@ -148,13 +148,16 @@
 		t.Errorf("the authority counted %+v", n)
 	}
 	client := &http.Client{Timeout: standin.Patience, Transport: &http.Transport{TLSClientConfig: &tls.Config{
-		RootCAs: ca.Roots(), ServerName: "files.example"}}}
+		RootCAs: ca.Roots(), ServerName: "files.example",
+	}}}
 	r, err := http.NewRequest(http.MethodGet, "https://"+httpAddr+"/read/00000000000000aa/00000000000000bb", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for k, v := range map[string]string{"X-Correlation-Id": "id", "X-Service-Class": "read", "X-Plan": "gold",
-		"X-Time-Left": "4000m", "X-IO": "units=1,shard=0,hosts=1"} {
+	for k, v := range map[string]string{
+		"X-Correlation-Id": "id", "X-Service-Class": "read", "X-Plan": "gold",
+		"X-Time-Left": "4000m", "X-IO": "units=1,shard=0,hosts=1",
+	} {
 		r.Header.Set(k, v)
 	}
 	resp, err := client.Do(r)
--- a/cmd/otterturn/daily_test.go
+++ b/cmd/otterturn/daily_test.go
@@ -146,9 +146,12 @@
 		}
 	}
 	for i, c := range []struct{ old, new, says string }{
-		{string(former), "", "unexpected end"}, {string(former), string(former[:100]), "unexpected end"},
-		{`"giveUpUs":5000000,`, "", "settings.classes[0].giveUpUs: missing"}, {`"giveUpUs":5000000`, `"giveUpUs":-5`, "giveUpUs"},
-		{`"tryLimit":4`, `"tryLimit":0`, "tryLimit"}, {`"tryLimit":4,`, "", "settings.ceilings.tryLimit: missing"},
+		{string(former), "", "unexpected end"},
+		{string(former), string(former[:100]), "unexpected end"},
+		{`"giveUpUs":5000000,`, "", "settings.classes[0].giveUpUs: missing"},
+		{`"giveUpUs":5000000`, `"giveUpUs":-5`, "giveUpUs"},
+		{`"tryLimit":4`, `"tryLimit":0`, "tryLimit"},
+		{`"tryLimit":4,`, "", "settings.ceilings.tryLimit: missing"},
 		{`"semantics":"retryable"`, `"semantics":"odd"`, "semantics"},
 	} {
 		reload(strings.Replace(string(former), c.old, c.new, 1))
--- a/cmd/otterturn/exit_test.go
+++ b/cmd/otterturn/exit_test.go
@@ -22,9 +22,17 @@
 	for _, c := range []struct {
 		want int
 		args []string
-	}{{0, []string{"check", "--config", config}}, {0, []string{"version"}}, {2, []string{"check", "--config", bad}}, {2, []string{"serv"}},
-		{2, []string{"console", "--wrong"}}, {0, []string{"console", "--config", config, "status"}}, {3, []string{"console", "--config", config, "drain", "nobody"}},
-		{3, []string{"cert", "renew", "none", "--config", config}}, {0, []string{"state", "show", "--config", config}}} {
+	}{
+		{0, []string{"check", "--config", config}},
+		{0, []string{"version"}},
+		{2, []string{"check", "--config", bad}},
+		{2, []string{"serv"}},
+		{2, []string{"console", "--wrong"}},
+		{0, []string{"console", "--config", config, "status"}},
+		{3, []string{"console", "--config", config, "drain", "nobody"}},
+		{3, []string{"cert", "renew", "none", "--config", config}},
+		{0, []string{"state", "show", "--config", config}},
+	} {
 		ended := start(t, nil, c.args...)
 		got, err := 0, standin.Await(t, "the end", ended.done)
 		if status := (*exec.ExitError)(nil); errors.As(err, &status) {
--- a/cmd/otterturn/fleet_site_test.go
+++ b/cmd/otterturn/fleet_site_test.go
@@ -168,8 +168,10 @@
 		f.t.Error(err)
 		return 0
 	}
-	for k, v := range map[string]string{"X-Correlation-Id": anID(), "X-Service-Class": "read", "X-Plan": "gold", "X-Time-Left": timeLeft,
-		"X-IO": fmt.Sprintf("units=1,shard=%d,hosts=1", shard)} {
+	for k, v := range map[string]string{
+		"X-Correlation-Id": anID(), "X-Service-Class": "read", "X-Plan": "gold", "X-Time-Left": timeLeft,
+		"X-IO": fmt.Sprintf("units=1,shard=%d,hosts=1", shard),
+	} {
 		r.Header.Set(k, v)
 	}
 	resp, err := f.client.Do(r)
--- a/cmd/otterturn/main_test.go
+++ b/cmd/otterturn/main_test.go
@@ -105,8 +105,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for k, v := range map[string]string{"X-Correlation-Id": id, "X-Service-Class": "read", "X-Plan": "gold",
-			"X-Time-Left": "4000m", "X-IO": "units=1,shard=0,hosts=1"} {
+		for k, v := range map[string]string{
+			"X-Correlation-Id": id, "X-Service-Class": "read", "X-Plan": "gold",
+			"X-Time-Left": "4000m", "X-IO": "units=1,shard=0,hosts=1",
+		} {
 			r.Header.Set(k, v)
 		}
 		resp, err := client.Do(r)
--- a/cmd/otterturn/renewals_test.go
+++ b/cmd/otterturn/renewals_test.go
@@ -135,8 +135,10 @@
 					t.Error(err)
 					return
 				}
-				for k, v := range map[string]string{"X-Correlation-Id": fmt.Sprintf("%016x", i<<32|n), "X-Service-Class": "bulk-read",
-					"X-Plan": "gold", "X-Time-Left": "6000m", "X-IO": "units=1,shard=0,hosts=1"} {
+				for k, v := range map[string]string{
+					"X-Correlation-Id": fmt.Sprintf("%016x", i<<32|n), "X-Service-Class": "bulk-read",
+					"X-Plan": "gold", "X-Time-Left": "6000m", "X-IO": "units=1,shard=0,hosts=1",
+				} {
 					r.Header.Set(k, v)
 				}
 				resp, err := client.Do(r)
--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -30,8 +30,10 @@
 
 // New returns a gate whose requests wait for so long at the most.
 func New(config admission.Config, patience time.Duration) *Gate {
-	return &Gate{patience: patience, began: time.Now(), queue: admission.New(config, maphash.MakeSeed(), rand.Uint64()),
-		waits: make([]chan verdict, max(config.Waiting, 1))}
+	return &Gate{
+		patience: patience, began: time.Now(), queue: admission.New(config, maphash.MakeSeed(), rand.Uint64()),
+		waits: make([]chan verdict, max(config.Waiting, 1)),
+	}
 }
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -23,8 +23,10 @@
 const stay = 20_000
 
 func newSite(room, waiting int) *site {
-	return &site{q: New(Config{Room: room, Waiting: waiting, MaxRetryAfter: 2_000_000}, maphash.MakeSeed(), 1), rng: rand.New(rand.NewPCG(1, 1)),
-		who: map[Ticket]string{}, served: map[string]int{}, refused: map[string]int{}}
+	return &site{
+		q: New(Config{Room: room, Waiting: waiting, MaxRetryAfter: 2_000_000}, maphash.MakeSeed(), 1), rng: rand.New(rand.NewPCG(1, 1)),
+		who: map[Ticket]string{}, served: map[string]int{}, refused: map[string]int{},
+	}
 }
 
 func (s *site) ask(now int64, project, client string) (after int64, refused bool) {
--- a/internal/certs/manager/manager_test.go
+++ b/internal/certs/manager/manager_test.go
@@ -53,13 +53,15 @@
 			}()
 		}
 	}()
-	s.set = Settings{Certificates: []Certificate{{"files", []string{"files.example", "search.example"}}}, HTTP: true, ALPN: true,
+	s.set = Settings{
+		Certificates: []Certificate{{"files", []string{"files.example", "search.example"}}}, HTTP: true, ALPN: true,
 		Policy: plan.Policy{Least: 10 * time.Millisecond, Most: 50 * time.Millisecond}, Try: 2 * time.Second,
 		Log: standin.Log(func(line string) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.log = append(s.log, line)
-		})}
+		}),
+	}
 	for i, a := range sets {
 		a.HTTP, a.TLS = web.Listener.Addr().String(), l.Addr().String()
 		if a.Lifetime == 0 {
@@ -126,8 +128,10 @@
 // certificate comes, for both names, with one account.
 func TestAuthorityThatFailsAtAnyStep(t *testing.T) {
 	for _, step := range []string{"directory", "nonce", "account", "order", "authz", "challenge", "finalize", "cert"} {
-		for _, do := range []string{"refuse", "reject", "limit", "cut", "nonsense", "stall", "nonces", "forget", "invalid", "wrong key",
-			"wrong names", "wrong time"} {
+		for _, do := range []string{
+			"refuse", "reject", "limit", "cut", "nonsense", "stall", "nonces", "forget", "invalid", "wrong key",
+			"wrong names", "wrong time",
+		} {
 			if strings.HasPrefix(do, "wrong") && step != "finalize" || do == "invalid" && step != "order" ||
 				(do == "nonces" || do == "forget") && step != "order" && step != "finalize" {
 				continue
--- a/internal/certs/order/order.go
+++ b/internal/certs/order/order.go
@@ -72,7 +72,8 @@
 // New returns a client.
 func New(a Authority, v *vault.Vault) *Client {
 	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: a.Roots}, MaxIdleConns: 2, IdleConnTimeout: 30 * time.Second}
-	return &Client{authority: a, vault: v, acme: &acme.Client{DirectoryURL: a.Directory, UserAgent: "otterturn",
+	return &Client{authority: a, vault: v, acme: &acme.Client{
+		DirectoryURL: a.Directory, UserAgent: "otterturn",
 		HTTPClient: &http.Client{Transport: transport},
 		// The library would repeat what a server's error or a limit answered. How often an authority is asked is the
 		// plan's to say.
@@ -81,7 +82,8 @@
 				return time.Millisecond
 			}
 			return -1
-		}}}
+		},
+	}}
 }
 
 // failure is an error with what the plan makes of it.
--- a/internal/certs/plan/plan.go
+++ b/internal/certs/plan/plan.go
@@ -33,9 +33,11 @@
 	Busy             // another process has the folder's orders in hand
 )
 
-var kindNames = []string{"obtained", "its nonces are not taken", "limit reached", "server error", "no answer in time",
+var kindNames = []string{
+	"obtained", "its nonces are not taken", "limit reached", "server error", "no answer in time",
 	"the order turned invalid", "the challenge could not be fetched", "rejected", "the account is not known",
-	"a chain that does not fit", "an answer that is none", "on this side", "another process renews"}
+	"a chain that does not fit", "an answer that is none", "on this side", "another process renews",
+}
 
 func (k Kind) String() string { return kindNames[k] }
 
--- a/internal/fleet/health/exhaustive_test.go
+++ b/internal/fleet/health/exhaustive_test.go
@@ -77,8 +77,12 @@
 func TestOrderAndRepetitionChangeNoVerdict(t *testing.T) {
 	const now = 100 * second
 	all := []told{
-		{1, 2, Silent, now - 3*second}, {1, 3, Reachable, now - 2*second}, {1, 4, Silent, now - second},
-		{2, 2, Reachable, now - 5*second/2}, {2, 3, Silent, now - second/2}, {3, 2, Reachable, now - second/4},
+		{1, 2, Silent, now - 3*second},
+		{1, 3, Reachable, now - 2*second},
+		{1, 4, Silent, now - second},
+		{2, 2, Reachable, now - 5*second/2},
+		{2, 3, Silent, now - second/2},
+		{3, 2, Reachable, now - second/4},
 	}
 	type held struct {
 		avoided  bool
@@ -98,7 +102,8 @@
 			}
 			for _, e := range list {
 				m.Step(now, []Event{MessageReceived{e.from, Message{Incarnation: 1, Sequence: e.sequence, Sent: now, Entries: []Entry{
-					{Node: NodeKey("a"), Since: wireSince(second), State: e.state, Age: now - e.at}}}}})
+					{Node: NodeKey("a"), Since: wireSince(second), State: e.state, Age: now - e.at},
+				}}}})
 			}
 			n := m.byName["a"]
 			evidence := slices.Clone(n.evidence)
--- a/internal/fleet/health/schedule_test.go
+++ b/internal/fleet/health/schedule_test.go
@@ -28,8 +28,10 @@
 )
 
 func (f fault) String() string {
-	return [...]string{"node dies", "node returns", "node restarts", "node drains", "node runs", "front crashes", "front leaves",
-		"front pauses", "link cut", "reach cut", "lose", "copy", "delay"}[f]
+	return [...]string{
+		"node dies", "node returns", "node restarts", "node drains", "node runs", "front crashes", "front leaves",
+		"front pauses", "link cut", "reach cut", "lose", "copy", "delay",
+	}[f]
 }
 
 // move is a fault at a front, or a node, and a wait.
--- a/internal/fleet/monitor/monitor_test.go
+++ b/internal/fleet/monitor/monitor_test.go
@@ -16,8 +16,10 @@
 const ms scheduler.Micros = 1000
 
 func testConfig(self int) health.Config {
-	return health.Config{Self: self, Incarnation: 1, Zones: []int{0, 0}, Probers: 2, Quorum: 2, SuspectAfter: 50 * ms, ProbeTimeout: 100 * ms,
-		EvidenceLifetime: 6000 * ms, TakeoverAfter: 1000 * ms, ProbesPerNode: 40, MessageRate: 8192}
+	return health.Config{
+		Self: self, Incarnation: 1, Zones: []int{0, 0}, Probers: 2, Quorum: 2, SuspectAfter: 50 * ms, ProbeTimeout: 100 * ms,
+		EvidenceLifetime: 6000 * ms, TakeoverAfter: 1000 * ms, ProbesPerNode: 40, MessageRate: 8192,
+	}
 }
 
 var testBounds = Bounds{Inbox: 16, MaxProbeWait: standin.Patience}
@@ -46,7 +48,8 @@
 			},
 			Report: func(e scheduler.Event) { z.reports[i] <- e },
 			Send:   func(to int, message []byte) { z.monitors[to].Intercept(i, message) },
-			Log:    standin.Log(func(line string) { z.lines <- line })})
+			Log:    standin.Log(func(line string) { z.lines <- line }),
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/grammar/grammar.go
+++ b/internal/grammar/grammar.go
@@ -11,7 +11,7 @@
 // Parse reads one line.
 func Parse[T any](p *participle.Parser[T], line string) (T, error) {
 	v, err := p.ParseString("", line)
-	if at := (participle.Error)(nil); errors.As(err, &at) {
+	if at := participle.Error(nil); errors.As(err, &at) {
 		return *new(T), fmt.Errorf("column %d: %s", at.Position().Column, at.Message())
 	} else if err != nil {
 		return *new(T), err
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -26,17 +26,23 @@
 				At: 1_800_000_000_000_000,
 				Nodes: []scheduler.LearnedNode{{
 					Endpoint: scheduler.Endpoint{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, StartedAt: 5},
-					NodeStats: scheduler.NodeStats{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
-						SmoothedLatency: 30e3, PreviousLatency: 31e3, UnitTime: 4e3, ErrorRate: 0.25, LatencyUpdated: 6, LastAnswer: 7, SuspectedRestart: 8},
+					NodeStats: scheduler.NodeStats{
+						Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
+						SmoothedLatency: 30e3, PreviousLatency: 31e3, UnitTime: 4e3, ErrorRate: 0.25, LatencyUpdated: 6, LastAnswer: 7, SuspectedRestart: 8,
+					},
+				}},
+				Volumes: []scheduler.VolumeUsage{{
+					Volume: "riverside", Plan: 1, Fronts: 2, ReservationTag: 9.5,
+					Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, BoundUntil: 11},
 				}},
-				Volumes: []scheduler.VolumeUsage{{Volume: "riverside", Plan: 1, Fronts: 2, ReservationTag: 9.5,
-					Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, BoundUntil: 11}}},
 				Flows: []scheduler.FlowLead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, LastSend: 12}},
 			},
 		},
 		Plans: []string{"gold", "basic"},
-		List: protocol.List{Whole: true, Hosts: []protocol.Host{{Dial: "127.0.0.1:3022",
-			Endpoint: scheduler.Endpoint{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, StartedAt: 5}}}},
+		List: protocol.List{Whole: true, Hosts: []protocol.Host{{
+			Dial:     "127.0.0.1:3022",
+			Endpoint: scheduler.Endpoint{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, StartedAt: 5},
+		}}},
 		Bans: map[string]string{"node-b": "on-call"},
 	}
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -107,8 +107,10 @@
 		}
 	}
 	for _, h := range f.List {
-		s.List.Hosts = append(s.List.Hosts, protocol.Host{Dial: h.Dial, Endpoint: scheduler.Endpoint{Node: h.Name, Zone: h.Zone,
-			Shard: h.Shard, State: scheduler.NodeState(h.State), StartedAt: scheduler.Micros(h.Since)}})
+		s.List.Hosts = append(s.List.Hosts, protocol.Host{Dial: h.Dial, Endpoint: scheduler.Endpoint{
+			Node: h.Name, Zone: h.Zone,
+			Shard: h.Shard, State: scheduler.NodeState(h.State), StartedAt: scheduler.Micros(h.Since),
+		}})
 	}
 	return s, nil
 }
--- a/internal/lab/authority/authority.go
+++ b/internal/lab/authority/authority.go
@@ -91,16 +91,20 @@
 	if s.Faults == nil {
 		s.Faults = &Faults{}
 	}
-	a := &Authority{Settings: s, serial: 100, nonces: map[string]bool{}, accounts: map[string]*account{},
+	a := &Authority{
+		Settings: s, serial: 100, nonces: map[string]bool{}, accounts: map[string]*account{},
 		orders: map[string]*order{}, authzs: map[string]*authz{}, issued: map[string]*issued{},
-		windows: map[string][2]time.Time{}, stopped: make(chan struct{})}
+		windows: map[string][2]time.Time{}, stopped: make(chan struct{}),
+	}
 	var err error
 	if a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
 		return nil, err
 	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "laboratory root"},
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "laboratory root"},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(365 * 24 * time.Hour), IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, SubjectKeyId: []byte{1, 2, 3, 4}}
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, SubjectKeyId: []byte{1, 2, 3, 4},
+	}
 	if a.root, err = sign(template, template, &a.key.PublicKey, a.key); err != nil {
 		return nil, err
 	}
@@ -173,9 +177,11 @@
 func (a *Authority) issue(o *order, csr *x509.CertificateRequest, wrong string) ([]byte, error) {
 	a.serial++
 	now := time.Now()
-	template := &x509.Certificate{SerialNumber: big.NewInt(a.serial), DNSNames: o.names, NotBefore: now.Add(-a.Backdate),
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(a.serial), DNSNames: o.names, NotBefore: now.Add(-a.Backdate),
 		NotAfter: now.Add(a.Lifetime + time.Second), KeyUsage: x509.KeyUsageDigitalSignature, AuthorityKeyId: a.root.SubjectKeyId,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	}
 	pub := csr.PublicKey
 	switch wrong {
 	case "wrong key":
@@ -243,8 +249,10 @@
 	if err != nil {
 		return tls.Certificate{}, nil, err
 	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{name}, NotBefore: time.Now().Add(-time.Minute),
-		NotAfter: time.Now().Add(lifetime), ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{name}, NotBefore: time.Now().Add(-time.Minute),
+		NotAfter: time.Now().Add(lifetime), ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	}
 	leaf, err := sign(template, template, &key.PublicKey, key)
 	if err != nil {
 		return tls.Certificate{}, nil, err
--- a/internal/lab/authority/protocol.go
+++ b/internal/lab/authority/protocol.go
@@ -31,9 +31,11 @@
 func (a *Authority) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /directory", a.step("directory", func(w http.ResponseWriter, _ *http.Request) error {
-		directory := map[string]any{"newNonce": a.url("/nonce"), "newAccount": a.url("/account"), "newOrder": a.url("/order"),
+		directory := map[string]any{
+			"newNonce": a.url("/nonce"), "newAccount": a.url("/account"), "newOrder": a.url("/order"),
 			"revokeCert": a.url("/revoke"), "keyChange": a.url("/key"),
-			"meta": map[string]any{"externalAccountRequired": len(a.Bindings) > 0}}
+			"meta": map[string]any{"externalAccountRequired": len(a.Bindings) > 0},
+		}
 		if a.Informs {
 			directory["renewalInfo"] = a.url("/info")
 		}
@@ -292,8 +294,10 @@
 	for _, z := range o.authzs {
 		names, authzs = append(names, map[string]any{"type": "dns", "value": z.name}), append(authzs, z.url)
 	}
-	out := map[string]any{"status": o.status, "identifiers": names, "authorizations": authzs,
-		"finalize": a.url("/finalize/" + a.id(o.url)), "expires": time.Now().Add(time.Hour).UTC().Format(time.RFC3339)}
+	out := map[string]any{
+		"status": o.status, "identifiers": names, "authorizations": authzs,
+		"finalize": a.url("/finalize/" + a.id(o.url)), "expires": time.Now().Add(time.Hour).UTC().Format(time.RFC3339),
+	}
 	if o.chain != nil {
 		out["certificate"] = a.url("/cert/" + a.id(o.url))
 	}
@@ -538,7 +542,8 @@
 		}
 		w.Header().Set("Retry-After", "1")
 		return reply(w, http.StatusOK, map[string]any{"suggestedWindow": map[string]any{
-			"start": window[0].UTC().Format(time.RFC3339Nano), "end": window[1].UTC().Format(time.RFC3339Nano)}})
+			"start": window[0].UTC().Format(time.RFC3339Nano), "end": window[1].UTC().Format(time.RFC3339Nano),
+		}})
 	}
 	return bad(http.StatusNotFound, "malformed", "no such certificate")
 }
--- a/internal/lab/histories/histories.go
+++ b/internal/lab/histories/histories.go
@@ -102,8 +102,10 @@
 	for at := from; at.Before(to); {
 		at = at.Add(time.Duration(rng.ExpFloat64() * float64(life) / 4))
 		length := time.Duration(rng.ExpFloat64() * float64([]time.Duration{time.Minute, time.Hour, 12 * time.Hour, life / 4, life / 2}[rng.IntN(5)]))
-		o := plan.Outcome{Kind: []plan.Kind{plan.BadNonce, plan.RateLimited, plan.ServerError, plan.Stalled, plan.Invalid, plan.Unreachable, plan.Rejected, plan.NoAccount, plan.BadChain,
-			plan.Nonsense}[rng.IntN(10)]}
+		o := plan.Outcome{Kind: []plan.Kind{
+			plan.BadNonce, plan.RateLimited, plan.ServerError, plan.Stalled, plan.Invalid, plan.Unreachable, plan.Rejected, plan.NoAccount, plan.BadChain,
+			plan.Nonsense,
+		}[rng.IntN(10)]}
 		if o.Kind == plan.RateLimited && rng.IntN(2) == 0 {
 			o.RetryAfter = min(time.Duration(rng.Int64N(int64(6*time.Hour))), length)
 		}
@@ -170,6 +172,7 @@
 	m.cert = c
 	m.next = c.NotAfter.Add(-m.before - time.Duration(m.rng.Int64N(int64(time.Hour))))
 }
+
 func (m *manager) Ended(now time.Time, _ plan.Try, o plan.Outcome) {
 	if o.Kind != plan.Obtained {
 		m.next = now.Add(30*time.Minute + time.Duration(m.rng.Int64N(int64(30*time.Minute))))
--- a/internal/lab/hollow/discovery.go
+++ b/internal/lab/hollow/discovery.go
@@ -208,9 +208,11 @@
 	for _, n := range nodes {
 		l := d.world.listed[n]
 		out.entries = append(out.entries, l)
-		body.Hosts = append(body.Hosts, entry{Host: l.Node, Dial: fmt.Sprintf("10.%d.%d.%d:7000", l.Zone, n/250, n%250),
+		body.Hosts = append(body.Hosts, entry{
+			Host: l.Node, Dial: fmt.Sprintf("10.%d.%d.%d:7000", l.Zone, n/250, n%250),
 			Site: fmt.Sprintf("region-%d/zone-%02d", d.world.links.regionOf(int32(l.Zone)), l.Zone), Health: healths[l.State],
-			Block: l.Shard, BornMs: int64(l.StartedAt / millisecond)})
+			Block: l.Shard, BornMs: int64(l.StartedAt / millisecond),
+		})
 	}
 	text, err := json.Marshal(body)
 	if err != nil {
--- a/internal/lab/hollow/events.go
+++ b/internal/lab/hollow/events.go
@@ -26,26 +26,33 @@
 var Events = []Event{
 	{Name: "ordinary", Large: true, Phases: []Phase{{"ordinary", "nothing happens", 3 * second, func(*World) {}}}},
 	{Name: "zone", Large: true, Phases: []Phase{
-		{"zone", "a zone's nodes and fronts fall silent; the list does not tell", 12 * second, zoneGone}}},
+		{"zone", "a zone's nodes and fronts fall silent; the list does not tell", 12 * second, zoneGone},
+	}},
 	{Name: "region", Phases: []Phase{
 		{"region", "the regions don't hear each other", 6 * second, regionCut},
-		{"healed", "they do again", 4 * second, func(w *World) { w.links.partRegions(false) }}}},
+		{"healed", "they do again", 4 * second, func(w *World) { w.links.partRegions(false) }},
+	}},
 	{Name: "lists", Apart: true, Phases: []Phase{
 		{"change", "one entry of the list changes: a node drains", 3 * second, changeList},
 		{"front-restart", "one front's process begins anew", 4 * second, restartFronts(1)},
 		{"front-restart-5", "five fronts' processes begin anew together", 4 * second, restartFronts(5)},
 		{"start-all", "all fronts' processes begin anew together", 7 * second, restartFronts(1 << 30)},
-		{"reload", "all fronts ask for the whole list, as at SIGHUP", 8 * second, reloadAll}}},
+		{"reload", "all fronts ask for the whole list, as at SIGHUP", 8 * second, reloadAll},
+	}},
 	{Name: "node", Phases: []Phase{{"node", "one node falls silent; the list does not tell", 12 * second, nodeDies}}},
 	{Name: "rack", Phases: []Phase{{"rack", "a hundredth of the nodes, of one zone, fall silent", 10 * second, rackDies}}},
 	{Name: "node-restart", Phases: []Phase{
-		{"node-restart", "one node's process ends, and begins anew a second later", 8 * second, restartNodes(1)}}},
+		{"node-restart", "one node's process ends, and begins anew a second later", 8 * second, restartNodes(1)},
+	}},
 	{Name: "node-restart-5", Phases: []Phase{
-		{"node-restart-5", "five nodes' processes do so together", 8 * second, restartNodes(5)}}},
+		{"node-restart-5", "five nodes' processes do so together", 8 * second, restartNodes(5)},
+	}},
 	{Name: "primary", spares: 1, Phases: []Phase{
-		{"primary", "a node ends, and a successor of its data begins cold", 12 * second, successor}}},
+		{"primary", "a node ends, and a successor of its data begins cold", 12 * second, successor},
+	}},
 	{Name: "granter", Phases: []Phase{
-		{"granter", "a node begins anew, and 3 s later the front that grants room at it ends", 14 * second, granterDies}}},
+		{"granter", "a node begins anew, and 3 s later the front that grants room at it ends", 14 * second, granterDies},
+	}},
 }
 
 // zoneNodes are the nodes of a zone, and zoneFronts its fronts.
--- a/internal/lab/hollow/front.go
+++ b/internal/lab/hollow/front.go
@@ -171,8 +171,10 @@
 		f.calls[c.number] = c
 		f.deadlines.push(c)
 		f.counts.now[requests]++
-		f.events = append(f.events, scheduler.Request{ID: c.id, Volume: volumeNames[shard%volumes], Units: units, Shard: shard, Fronts: 1,
-			TimeLeft: c.deadline - end})
+		f.events = append(f.events, scheduler.Request{
+			ID: c.id, Volume: volumeNames[shard%volumes], Units: units, Shard: shard, Fronts: 1,
+			TimeLeft: c.deadline - end,
+		})
 	}
 }
 
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -78,9 +78,11 @@
 			atNode = append(atNode, peak(&r, sum(probesWatched)))
 		}
 		t.Logf("seed %d, health of nodes %v", seed, health)
-		grows[health] = map[string]float64{"bytes": exponent(t, "bytes a front in the worst second", sizes, bytes),
+		grows[health] = map[string]float64{
+			"bytes":    exponent(t, "bytes a front in the worst second", sizes, bytes),
 			"messages": exponent(t, "messages a front, and one", sizes, messages),
-			"probes":   exponent(t, "probes a front", sizes, probes), "at node": exponent(t, "probes at the node in the worst second", sizes, atNode)}
+			"probes":   exponent(t, "probes a front", sizes, probes), "at node": exponent(t, "probes at the node in the worst second", sizes, atNode),
+		}
 	}
 	with, without := grows[true], grows[false]
 	for what, bound := range map[string]float64{"bytes": 0.3, "messages": 0.3, "probes": 0.3, "at node": 0.2} {
--- a/internal/lab/hollow/pagerows.go
+++ b/internal/lab/hollow/pagerows.go
@@ -18,59 +18,87 @@
 func ordinaryRows() []row {
 	const phase = "ordinary"
 	return []row{
-		{phase: phase, role: "front, control", what: "messages of control, mean of the fronts in the worst second", unit: "B/s",
+		{
+			phase: phase, role: "front, control", what: "messages of control, mean of the fronts in the worst second", unit: "B/s",
 			formula: "list calls / 2 s x 380 B", budget: controlBudget, mechanism: byWatch, healthy: byWatch,
-			of: func(r *Result) float64 { return peak(r, control) / float64(r.Fronts) }},
-		{phase: phase, role: "front, control", what: "processor time of health", unit: "core", formula: "requests x 2 events",
-			budget: processorBudget, mechanism: "none", healthy: byHealth, of: func(r *Result) float64 { return r.Health }},
-		{phase: phase, role: "front, data path", what: "processor time of the scheduler", unit: "core", formula: "requests x 2 steps",
-			mechanism: byRules, healthy: byRules, of: func(r *Result) float64 { return r.Scheduler }},
-		{phase: phase, role: "front, data path", what: "time of a scheduler's step", unit: "us", formula: "",
-			mechanism: byRules, healthy: byRules, of: func(r *Result) float64 { return float64(r.Step.Nanoseconds()) / 1000 }},
-		{phase: phase, role: "front, control", what: "memory of a front", unit: "B", formula: "nodes x the next",
-			budget: memoryBudget, mechanism: byRules, healthy: byRules, of: func(r *Result) float64 { return float64(r.Heap) }},
-		{phase: phase, role: "front, control", what: "memory of a front for each node", unit: "B", formula: "",
-			mechanism: byRules, healthy: byRules, of: func(r *Result) float64 { return float64(r.Heap) / float64(r.Settings.Nodes) }},
-		{phase: phase, role: "discovery", what: "calls in the worst second", unit: "/s", formula: "fronts / 2 s", mechanism: byWatch,
-			healthy: byWatch, of: func(r *Result) float64 { return peak(r, func(s *Second) float64 { return float64(s.Calls) }) }},
-		{phase: phase, role: "node", what: "requests at the busiest node", unit: "/s", formula: "fronts x 708 / nodes",
+			of: func(r *Result) float64 { return peak(r, control) / float64(r.Fronts) },
+		},
+		{
+			phase: phase, role: "front, control", what: "processor time of health", unit: "core", formula: "requests x 2 events",
+			budget: processorBudget, mechanism: "none", healthy: byHealth, of: func(r *Result) float64 { return r.Health },
+		},
+		{
+			phase: phase, role: "front, data path", what: "processor time of the scheduler", unit: "core", formula: "requests x 2 steps",
+			mechanism: byRules, healthy: byRules, of: func(r *Result) float64 { return r.Scheduler },
+		},
+		{
+			phase: phase, role: "front, data path", what: "time of a scheduler's step", unit: "us", formula: "",
+			mechanism: byRules, healthy: byRules, of: func(r *Result) float64 { return float64(r.Step.Nanoseconds()) / 1000 },
+		},
+		{
+			phase: phase, role: "front, control", what: "memory of a front", unit: "B", formula: "nodes x the next",
+			budget: memoryBudget, mechanism: byRules, healthy: byRules, of: func(r *Result) float64 { return float64(r.Heap) },
+		},
+		{
+			phase: phase, role: "front, control", what: "memory of a front for each node", unit: "B", formula: "",
+			mechanism: byRules, healthy: byRules, of: func(r *Result) float64 { return float64(r.Heap) / float64(r.Settings.Nodes) },
+		},
+		{
+			phase: phase, role: "discovery", what: "calls in the worst second", unit: "/s", formula: "fronts / 2 s", mechanism: byWatch,
+			healthy: byWatch, of: func(r *Result) float64 { return peak(r, func(s *Second) float64 { return float64(s.Calls) }) },
+		},
+		{
+			phase: phase, role: "node", what: "requests at the busiest node", unit: "/s", formula: "fronts x 708 / nodes",
 			mechanism: byRules, healthy: byRules,
-			of: func(r *Result) float64 { return peak(r, func(s *Second) float64 { return float64(s.MostAtNode) }) }},
+			of: func(r *Result) float64 { return peak(r, func(s *Second) float64 { return float64(s.MostAtNode) }) },
+		},
 	}
 }
 
 func healedRows() []row {
 	const phase = "healed"
 	return []row{
-		{phase: phase, role: "front, control", what: "messages of control, mean of the fronts in the worst second", unit: "B/s",
+		{
+			phase: phase, role: "front, control", what: "messages of control, mean of the fronts in the worst second", unit: "B/s",
 			formula: "probes x 270 B + health + list calls", budget: controlBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return peak(r, control) / float64(r.Fronts) }},
-		{phase: phase, role: "fleet", what: "share of the requests not served in the last second", unit: "", formula: "",
+			of: func(r *Result) float64 { return peak(r, control) / float64(r.Fronts) },
+		},
+		{
+			phase: phase, role: "fleet", what: "share of the requests not served in the last second", unit: "", formula: "",
 			mechanism: byRules, healthy: byHealth, of: func(r *Result) float64 {
 				return last(r, func(s *Second) float64 {
 					return float64(s.Sum[refused]+s.Sum[failed]) / float64(max(s.Sum[requests], 1))
 				})
-			}},
-		{phase: phase, role: "discovery", what: "lines in the worst second", unit: "/s", formula: "fronts cut off x 30 / 1.3 s",
-			budget: Default(FullFronts).DiscoveryLines, mechanism: byWatch, healthy: byWatch, of: func(r *Result) float64 { return peak(r, lines) }},
+			},
+		},
+		{
+			phase: phase, role: "discovery", what: "lines in the worst second", unit: "/s", formula: "fronts cut off x 30 / 1.3 s",
+			budget: Default(FullFronts).DiscoveryLines, mechanism: byWatch, healthy: byWatch, of: func(r *Result) float64 { return peak(r, lines) },
+		},
 	}
 }
 
 // listRows are those of phases about the list, which health of nodes has no part in.
 func listRows() (rows []row) {
 	discoveryLines := func(phase, formula, mechanism string) row {
-		return row{phase: phase, role: "discovery", what: "lines asked for in the worst second", unit: "/s", formula: formula,
+		return row{
+			phase: phase, role: "discovery", what: "lines asked for in the worst second", unit: "/s", formula: formula,
 			budget: Default(FullFronts).DiscoveryLines, mechanism: mechanism, healthy: mechanism,
-			of: func(r *Result) float64 { return peak(r, func(s *Second) float64 { return s.Asked }) }}
+			of: func(r *Result) float64 { return peak(r, func(s *Second) float64 { return s.Asked }) },
+		}
 	}
 	controlBytes := func(phase, formula, mechanism string) row {
-		return row{phase: phase, role: "front, control", what: "messages of control at the busiest front", unit: "B/s", formula: formula,
-			budget: controlBudget, mechanism: mechanism, healthy: mechanism, of: func(r *Result) float64 { return peak(r, mostControl) }}
+		return row{
+			phase: phase, role: "front, control", what: "messages of control at the busiest front", unit: "B/s", formula: formula,
+			budget: controlBudget, mechanism: mechanism, healthy: mechanism, of: func(r *Result) float64 { return peak(r, mostControl) },
+		}
 	}
 	informed := func(phase, formula, mechanism string, budget float64) row {
-		return row{phase: phase, role: "front, control", what: "time until the list is in force at all fronts", unit: "s",
+		return row{
+			phase: phase, role: "front, control", what: "time until the list is in force at all fronts", unit: "s",
 			formula: formula, budget: budget, mechanism: mechanism, healthy: mechanism,
-			of: func(r *Result) float64 { return until(r, r.Informed, 1) }}
+			of: func(r *Result) float64 { return until(r, r.Informed, 1) },
+		}
 	}
 	return []row{
 		informed("change", "fronts x entries / lines a second", byWatch, changeBudget),
@@ -84,12 +112,15 @@
 		controlBytes("start-all", "a call", byWatch),
 		controlBytes("reload", "nodes x 140 B", byNothing),
 		discoveryLines("reload", "fronts x (nodes + 30) / 3 s", byNothing),
-		{phase: "reload", role: "front, control", what: "time until the list is in force at all fronts, reckoned", unit: "s",
+		{
+			phase: "reload", role: "front, control", what: "time until the list is in force at all fronts, reckoned", unit: "s",
 			formula: "fronts x (nodes + 30) / lines a second", budget: changeBudget, mechanism: byNothing, healthy: byNothing,
 			of: func(r *Result) float64 {
 				return float64(r.Settings.Fronts) * float64(r.Settings.Nodes+callLines) / r.Settings.DiscoveryLines
-			}},
-		{phase: "reload", role: "front, control", what: "share of the fronts that have it after 4 s", unit: "", formula: "4 s / the above",
+			},
+		},
+		{
+			phase: "reload", role: "front, control", what: "share of the fronts that have it after 4 s", unit: "", formula: "4 s / the above",
 			mechanism: byNothing, healthy: byNothing, of: func(r *Result) float64 {
 				had := 0
 				for _, at := range r.Informed {
@@ -98,27 +129,38 @@
 					}
 				}
 				return float64(had) / float64(max(len(r.Informed), 1))
-			}},
+			},
+		},
 	}
 }
 
 // coldRows are those of phases in which a node begins cold.
 func coldRows(phase string) []row {
 	return []row{
-		{phase: phase, role: "fleet", what: "messages about cold nodes in the worst second", unit: "/s",
+		{
+			phase: phase, role: "fleet", what: "messages about cold nodes in the worst second", unit: "/s",
 			formula: "2 x requests held + answers of the node", mechanism: byCold, healthy: byCold,
-			of: func(r *Result) float64 { return peak(r, sum(notesSent)) }},
-		{phase: phase, role: "granter of a cold node", what: "messages of control at the busiest front", unit: "B/s",
+			of: func(r *Result) float64 { return peak(r, sum(notesSent)) },
+		},
+		{
+			phase: phase, role: "granter of a cold node", what: "messages of control at the busiest front", unit: "B/s",
 			formula: "the above x 70 B", budget: controlBudget, mechanism: byCold, healthy: byCold,
-			of: func(r *Result) float64 { return peak(r, mostControl) }},
-		{phase: phase, role: "node", what: "probes at the node in the worst second", unit: "/s", formula: "fronts that met it x 5",
+			of: func(r *Result) float64 { return peak(r, mostControl) },
+		},
+		{
+			phase: phase, role: "node", what: "probes at the node in the worst second", unit: "/s", formula: "fronts that met it x 5",
 			budget: probeBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return peak(r, sum(probesWatched)) / float64(r.Watched) }},
-		{phase: phase, role: "front, control", what: "time until the list is in force at all fronts", unit: "s",
+			of: func(r *Result) float64 { return peak(r, sum(probesWatched)) / float64(r.Watched) },
+		},
+		{
+			phase: phase, role: "front, control", what: "time until the list is in force at all fronts", unit: "s",
 			formula: "fronts x entries / lines a second", budget: changeBudget, mechanism: byWatch, healthy: byWatch,
-			of: func(r *Result) float64 { return until(r, r.Informed, 1) }},
-		{phase: phase, role: "front, data path", what: "time of the last request for its data that was not served", unit: "s",
+			of: func(r *Result) float64 { return until(r, r.Informed, 1) },
+		},
+		{
+			phase: phase, role: "front, data path", what: "time of the last request for its data that was not served", unit: "s",
 			formula: "ramp of a cold node", budget: primaryBudget, mechanism: byCold, healthy: byCold,
-			of: func(r *Result) float64 { return seconds(min(r.Unserved, r.Phase.Span)) }},
+			of: func(r *Result) float64 { return seconds(min(r.Unserved, r.Phase.Span)) },
+		},
 	}
 }
--- a/internal/lab/hollow/report.go
+++ b/internal/lab/hollow/report.go
@@ -93,8 +93,10 @@
 }
 
 func (row *row) line(health bool, rs []*Result) Line {
-	l := Line{Phase: row.phase, Role: row.role, What: row.what, Unit: row.unit, Formula: row.formula, Mechanism: row.mechanism,
-		Health: health, Budget: row.budget}
+	l := Line{
+		Phase: row.phase, Role: row.role, What: row.what, Unit: row.unit, Formula: row.formula, Mechanism: row.mechanism,
+		Health: health, Budget: row.budget,
+	}
 	if health {
 		l.Mechanism, l.Formula = row.healthy, cmp.Or(row.formulaOn, row.formula)
 	}
--- a/internal/lab/hollow/rows.go
+++ b/internal/lab/hollow/rows.go
@@ -67,44 +67,68 @@
 // silent are the rows of phases in which nodes fall silent.
 func silent(phase string) []row {
 	return []row{
-		{phase: phase, role: "front, control", what: "messages of control, mean of the fronts in the worst second", unit: "B/s",
+		{
+			phase: phase, role: "front, control", what: "messages of control, mean of the fronts in the worst second", unit: "B/s",
 			formula:   "silent nodes x probes of each x 270 B",
 			formulaOn: "probes x 270 B + health", budget: controlBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return peak(r, control) / float64(r.Fronts) }},
-		{phase: phase, role: "front, control", what: "the same, at the busiest front", unit: "B/s", formula: "as above",
+			of: func(r *Result) float64 { return peak(r, control) / float64(r.Fronts) },
+		},
+		{
+			phase: phase, role: "front, control", what: "the same, at the busiest front", unit: "B/s", formula: "as above",
 			budget: controlBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return peak(r, mostControl) }},
-		{phase: phase, role: "front, control", what: "messages of health alone, mean of the fronts in the worst second", unit: "B/s",
+			of: func(r *Result) float64 { return peak(r, mostControl) },
+		},
+		{
+			phase: phase, role: "front, control", what: "messages of health alone, mean of the fronts in the worst second", unit: "B/s",
 			formula: "none", formulaOn: "2 x silent nodes x probers x 40 B, 8 KB sent at most", budget: controlBudget,
-			mechanism: "none", healthy: byHealth, of: func(r *Result) float64 { return peak(r, sum(healthBytes)) / float64(r.Fronts) }},
-		{phase: phase, role: "front, control", what: "messages of control, mean in the last second", unit: "B/s", formula: "as above",
+			mechanism: "none", healthy: byHealth, of: func(r *Result) float64 { return peak(r, sum(healthBytes)) / float64(r.Fronts) },
+		},
+		{
+			phase: phase, role: "front, control", what: "messages of control, mean in the last second", unit: "B/s", formula: "as above",
 			budget: controlBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return last(r, control) / float64(r.Fronts) }},
-		{phase: phase, role: "node", what: "probes at each silent node in the worst second", unit: "/s",
+			of: func(r *Result) float64 { return last(r, control) / float64(r.Fronts) },
+		},
+		{
+			phase: phase, role: "node", what: "probes at each silent node in the worst second", unit: "/s",
 			formula: "fronts x 1 / time of a probe (0.5 s)", formulaOn: "40 at most over all zones",
 			budget: probeBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return peak(r, sum(probesWatched)) / float64(r.Watched) }},
-		{phase: phase, role: "node", what: "probes at each silent node in the last second", unit: "/s",
+			of: func(r *Result) float64 { return peak(r, sum(probesWatched)) / float64(r.Watched) },
+		},
+		{
+			phase: phase, role: "node", what: "probes at each silent node in the last second", unit: "/s",
 			formula: "fronts x 8 / silence", formulaOn: "zones x probers x 8 / silence, 0.5 for each prober at least",
 			budget: probeBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return last(r, sum(probesWatched)) / float64(r.Watched) }},
-		{phase: phase, role: "fleet", what: "probes in the worst second", unit: "/s", formula: "fronts x silent nodes x the above, and the next",
+			of: func(r *Result) float64 { return last(r, sum(probesWatched)) / float64(r.Watched) },
+		},
+		{
+			phase: phase, role: "fleet", what: "probes in the worst second", unit: "/s", formula: "fronts x silent nodes x the above, and the next",
 			formulaOn: "silent nodes x the above, and the next",
-			mechanism: byNothing, healthy: byHealth, of: func(r *Result) float64 { return peak(r, sum(probesSent)) }},
-		{phase: phase, role: "fleet", what: "of these, at nodes that answer, ahead of requests", unit: "/s",
+			mechanism: byNothing, healthy: byHealth, of: func(r *Result) float64 { return peak(r, sum(probesSent)) },
+		},
+		{
+			phase: phase, role: "fleet", what: "of these, at nodes that answer, ahead of requests", unit: "/s",
 			formula: "requests whose node was not heard of for 2 s", mechanism: byNothing, healthy: byNothing,
-			of: func(r *Result) float64 { return peak(r, probesAhead) }},
-		{phase: phase, role: "fleet", what: "failed requests for each silent node", unit: "",
+			of: func(r *Result) float64 { return peak(r, probesAhead) },
+		},
+		{
+			phase: phase, role: "fleet", what: "failed requests for each silent node", unit: "",
 			formula: "fronts x (1 + rate of a pair x 0.3 s)", formulaOn: "requests at the node x time until the zone knows",
 			budget: paidShare, shared: true, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return total(r, paid) / float64(r.Watched) }},
-		{phase: phase, role: "front, data path", what: "time until 99% of fronts and silent nodes are apart", unit: "s",
+			of: func(r *Result) float64 { return total(r, paid) / float64(r.Watched) },
+		},
+		{
+			phase: phase, role: "front, data path", what: "time until 99% of fronts and silent nodes are apart", unit: "s",
 			formula: "4.6 / rate of a pair + 0.3 s", formulaOn: "stall + 2 x probe late", budget: avoidBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return until(r, r.Avoided, 0.99) }},
-		{phase: phase, role: "front, data path", what: "time until all are", unit: "s", formula: "ln(pairs) / rate of a pair + 0.3 s",
+			of: func(r *Result) float64 { return until(r, r.Avoided, 0.99) },
+		},
+		{
+			phase: phase, role: "front, data path", what: "time until all are", unit: "s", formula: "ln(pairs) / rate of a pair + 0.3 s",
 			formulaOn: "stall + 2 x probe late, 1 s more for each round of takeover", budget: avoidBudget, mechanism: byNothing, healthy: byHealth,
-			of: func(r *Result) float64 { return until(r, r.Avoided, 1) }},
-		{phase: phase, role: "front, control", what: "processor time of health", unit: "core", formula: "events x time of a step",
-			budget: processorBudget, mechanism: "none", healthy: byHealth, of: func(r *Result) float64 { return r.Health }},
+			of: func(r *Result) float64 { return until(r, r.Avoided, 1) },
+		},
+		{
+			phase: phase, role: "front, control", what: "processor time of health", unit: "core", formula: "events x time of a step",
+			budget: processorBudget, mechanism: "none", healthy: byHealth, of: func(r *Result) float64 { return r.Health },
+		},
 	}
 }
--- a/internal/lab/hollow/settings.go
+++ b/internal/lab/hollow/settings.go
@@ -45,8 +45,10 @@
 
 // Default returns the settings of a fleet of so many fronts, at the proportions of the size that decides the design.
 func Default(fronts int) Settings {
-	return Settings{Fronts: fronts, Nodes: fronts * FullNodes / FullFronts, Zones: 10, Regions: 2, Rate: FullRate,
-		Seed: 1, DiscoveryLines: 9_000, Warm: 3 * second}
+	return Settings{
+		Fronts: fronts, Nodes: fronts * FullNodes / FullFronts, Zones: 10, Regions: 2, Rate: FullRate,
+		Seed: 1, DiscoveryLines: 9_000, Warm: 3 * second,
+	}
 }
 
 // The size that decides the design.
@@ -92,25 +94,31 @@
 
 // rules are the settings of a front's scheduler.
 func (s *Settings) rules(number int) scheduler.Settings {
-	return scheduler.Settings{Fronts: s.Fronts, FrontIndex: number, PeerMessages: true, Tick: tick, MeanUnits: meanUnits, MaxUnits: mostUnits,
+	return scheduler.Settings{
+		Fronts: s.Fronts, FrontIndex: number, PeerMessages: true, Tick: tick, MeanUnits: meanUnits, MaxUnits: mostUnits,
 		MaxAttempts: 4, HealthChecks: true, RetryAfter: true, MaxRetryAfter: second / 2,
 		InitialCapacity: 0.2, SlowStart: 17 * second, OverloadMultiple: 2.5, OverloadSpan: second, SlowStartUnits: 1,
 		RetryBudgetSpan: 10 * second, RetryBudgetMin: 20, RetryBudgetShare: 0.1,
 		Classes: []scheduler.Class{{LatencyObjective: aim, Idempotency: scheduler.Idempotent, Priority: 1}},
-		Plans:   []scheduler.Plan{{Weight: 1}}}
+		Plans:   []scheduler.Plan{{Weight: 1}},
+	}
 }
 
 // figures are those of a node.
 func (s *Settings) figures() model.Figures {
 	set := s.rules(0)
-	return model.Figures{Cores: 8, Speed: 1, Room: 200, ColdFrom: set.InitialCapacity, Ramp: int64(set.SlowStart),
-		FallTimes: set.OverloadMultiple, FallSpan: int64(set.OverloadSpan), FallFree: set.SlowStartUnits * unitWork, MostMemory: 1}
+	return model.Figures{
+		Cores: 8, Speed: 1, Room: 200, ColdFrom: set.InitialCapacity, Ramp: int64(set.SlowStart),
+		FallTimes: set.OverloadMultiple, FallSpan: int64(set.OverloadSpan), FallFree: set.SlowStartUnits * unitWork, MostMemory: 1,
+	}
 }
 
 // limits are those of a front of the platform whose discovery all fronts ask.
 func (s *Settings) limits() limits.Limits {
-	return limits.For(limits.Site{MemoryMB: 256, Sockets: 8192, ConnIdle: 15 * time.Second, Connect: 250 * time.Millisecond,
-		Deadline: 2500 * time.Millisecond, Askers: s.Fronts})
+	return limits.For(limits.Site{
+		MemoryMB: 256, Sockets: 8192, ConnIdle: 15 * time.Second, Connect: 250 * time.Millisecond,
+		Deadline: 2500 * time.Millisecond, Askers: s.Fronts,
+	})
 }
 
 func micros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
--- a/internal/lab/hollow/table.go
+++ b/internal/lab/hollow/table.go
@@ -65,8 +65,10 @@
 	if l.Budget > 0 {
 		budget, ratio = number(l.Budget), number(l.Ratio)
 	}
-	return []string{l.Phase, l.Role, l.What + unit(l), l.Formula, onOff(l.Health), l.Fit.growth(), l.Fit.slope(), l.Fit.residual(), at, budget, ratio,
-		l.Mechanism}
+	return []string{
+		l.Phase, l.Role, l.What + unit(l), l.Formula, onOff(l.Health), l.Fit.growth(), l.Fit.slope(), l.Fit.residual(), at, budget, ratio,
+		l.Mechanism,
+	}
 }
 
 func unit(l *Line) string {
--- a/internal/lab/hollow/watch.go
+++ b/internal/lab/hollow/watch.go
@@ -22,8 +22,10 @@
 func newWatch(f *front, now scheduler.Micros, version int64) watch {
 	l := f.world.limits
 	p := backoff.New(backoff.Config{Min: l.Discovery.RetryMin, Max: l.Discovery.RetryMax, Spread: l.Discovery.StartSpread}, f.rng.Int64())
-	return watch{retry: p, version: version, hold: micros(l.Discovery.WatchHold), opens: true, at: now + micros(p.InitialDelay()),
-		number: f.watch.number}
+	return watch{
+		retry: p, version: version, hold: micros(l.Discovery.WatchHold), opens: true, at: now + micros(p.InitialDelay()),
+		number: f.watch.number,
+	}
 }
 
 // pass makes the call that is due, and gives up one that had no answer.
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -129,9 +129,11 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	return func(ctx context.Context, n int, rng *rand.Rand) Verdict {
 		class, project := rng.IntN(len(set.Classes)), rng.IntN(projects)
-		q := scheduler.Request{ID: fmt.Sprintf("load-%d-%d", time.Now().UnixNano(), n), Class: class, Plan: project % len(set.Plans), Volume: fmt.Sprintf("%016x", project),
+		q := scheduler.Request{
+			ID: fmt.Sprintf("load-%d-%d", time.Now().UnixNano(), n), Class: class, Plan: project % len(set.Plans), Volume: fmt.Sprintf("%016x", project),
 			Key: fmt.Sprintf("%016x", rng.Uint32()), Units: float64(1 + rng.IntN(3)), Shard: rng.IntN(set.Shards), Fronts: 1,
-			TimeLeft: scheduler.Micros(set.LongestWait / time.Microsecond)}
+			TimeLeft: scheduler.Micros(set.LongestWait / time.Microsecond),
+		}
 		v, _ := Send(ctx, client, addr, set, q)
 		return v
 	}
--- a/internal/lab/model/node_test.go
+++ b/internal/lab/model/node_test.go
@@ -66,8 +66,10 @@
 }
 
 func TestPiecesKeysAndWorkPutOff(t *testing.T) {
-	n := New(Figures{Cores: 1, Speed: 1, Room: 8, ColdFrom: 1, Near: 0.25, NearSpan: 1000, KeyWindow: 2000,
-		PutOff: 0.5, PutOffFor: 5000, ProbeWork: 300, MostMemory: 8})
+	n := New(Figures{
+		Cores: 1, Speed: 1, Room: 8, ColdFrom: 1, Near: 0.25, NearSpan: 1000, KeyWindow: 2000,
+		PutOff: 0.5, PutOffFor: 5000, ProbeWork: 300, MostMemory: 8,
+	})
 	for _, c := range []struct {
 		what string
 		at   int64
--- a/internal/lab/processes/compare.go
+++ b/internal/lab/processes/compare.go
@@ -42,8 +42,10 @@
 			return rows, err
 		}
 		row := func(what string, real float64, of func(hollow.PerFront) float64) Row {
-			return Row{Measure: "real beside hollow, " + s.Name + ": " + what, Sizes: fmt.Sprintf("%d fronts, %d nodes, %.0f s", s.Fronts, s.Nodes, s.Span.Seconds()),
-				Value: real, In: "a front", Note: beside(real, same, of) + "; " + played(late, tries)}
+			return Row{
+				Measure: "real beside hollow, " + s.Name + ": " + what, Sizes: fmt.Sprintf("%d fronts, %d nodes, %.0f s", s.Fronts, s.Nodes, s.Span.Seconds()),
+				Value: real, In: "a front", Note: beside(real, same, of) + "; " + played(late, tries),
+			}
 		}
 		if s.Event == FallsSilent {
 			rows = append(rows, row("probes of it", o.Probes, func(p hollow.PerFront) float64 { return p.Probes }))
--- a/internal/lab/processes/config.go
+++ b/internal/lab/processes/config.go
@@ -76,14 +76,20 @@
 		"known": object{"seq": 1, "whole": true, "hosts": c.nodes},
 		"settings": object{
 			"balancers": c.fronts, "slotNo": c.number, "tickUs": 2000, "registryMode": mode, "zones": zones,
-			"ceilings": object{"peers": len(c.peers) > 0, "connIdleUs": 15_000_000, "connectTimeoutUs": 250_000, "maxOpen": 100_000,
-				"tryLimit": 4, "probing": true, "retryAfter": true, "maxRetryAfterUs": 500_000},
+			"ceilings": object{
+				"peers": len(c.peers) > 0, "connIdleUs": 15_000_000, "connectTimeoutUs": 250_000, "maxOpen": 100_000,
+				"tryLimit": 4, "probing": true, "retryAfter": true, "maxRetryAfterUs": 500_000,
+			},
 			"classes":   []object{class("read"), class("write")},
 			"contracts": []object{{"name": "gold", "shares": 1}},
-			"familyInfo": object{"coldUnits": 1, "meanUnits": 2, "mostUnits": 3, "shards": c.shards,
-				"classWrites": []bool{false, true}},
-			"safety": object{"coldFrom": 0.2, "fallMultiple": 2.5, "fallUs": 1_000_000, "rampTimeUs": 17_000_000, "drainGraceUs": 500_000,
-				"budgetSpanUs": 10_000_000, "spareAttempts": 20, "budgetShare": 0.1},
+			"familyInfo": object{
+				"coldUnits": 1, "meanUnits": 2, "mostUnits": 3, "shards": c.shards,
+				"classWrites": []bool{false, true},
+			},
+			"safety": object{
+				"coldFrom": 0.2, "fallMultiple": 2.5, "fallUs": 1_000_000, "rampTimeUs": 17_000_000, "drainGraceUs": 500_000,
+				"budgetSpanUs": 10_000_000, "spareAttempts": 20, "budgetShare": 0.1,
+			},
 			"report": object{"how": "off"},
 		},
 	})
--- a/internal/lab/processes/connections.go
+++ b/internal/lab/processes/connections.go
@@ -55,10 +55,14 @@
 	sized := sizes(counts, "nodes")
 	m, d := fit(floats(counts), memory), fit(floats(counts), files)
 	return []Row{
-		{Measure: "memory of a node with a connection kept to it", Sizes: sized, Fit: m, Unit: "bytes", Value: m.Slope * sizeNodes / (1 << 20), In: "MB",
-			Budget: budgetMemory, Note: "what the scheduler keeps of a node that was used, and garbage of one request, are among it"},
-		{Measure: "descriptors of a kept connection", Sizes: sized, Fit: d, Unit: "descriptors", Value: d.Slope * sizeNodes, In: "descriptors",
-			Note: "today's sockets are 1,024; at a node 1,200 connections, one of each front"},
+		{
+			Measure: "memory of a node with a connection kept to it", Sizes: sized, Fit: m, Unit: "bytes", Value: m.Slope * sizeNodes / (1 << 20), In: "MB",
+			Budget: budgetMemory, Note: "what the scheduler keeps of a node that was used, and garbage of one request, are among it",
+		},
+		{
+			Measure: "descriptors of a kept connection", Sizes: sized, Fit: d, Unit: "descriptors", Value: d.Slope * sizeNodes, In: "descriptors",
+			Note: "today's sockets are 1,024; at a node 1,200 connections, one of each front",
+		},
 	}, nil
 }
 
@@ -99,11 +103,15 @@
 		}
 		sized := fmt.Sprintf("%.0f requests a second served before %d nodes", s.served, l.Plan.Kept)
 		rows = append(rows,
-			Row{Measure: "handshakes of a front with nodes: " + r.name, Sizes: sized, Value: s.handshakes, In: "a second",
+			Row{
+				Measure: "handshakes of a front with nodes: " + r.name, Sizes: sized, Value: s.handshakes, In: "a second",
 				Note: fmt.Sprintf("%d connections open, %s handshakes a second at each node of 1,200 fronts%s",
-					s.open, short(s.handshakes/float64(l.Plan.Kept)*sizeFronts), s.short())},
-			Row{Measure: "processor time of a request before all nodes: " + r.name, Sizes: sized, Value: s.processor / s.served * sizeRate / 1e4,
-				In: "% of a core", Budget: budgetCore, Note: fmt.Sprintf("%s us a request, idle time included%s", short(s.processor/s.served), s.short())})
+					s.open, short(s.handshakes/float64(l.Plan.Kept)*sizeFronts), s.short()),
+			},
+			Row{
+				Measure: "processor time of a request before all nodes: " + r.name, Sizes: sized, Value: s.processor / s.served * sizeRate / 1e4,
+				In: "% of a core", Budget: budgetCore, Note: fmt.Sprintf("%s us a request, idle time included%s", short(s.processor/s.served), s.short()),
+			})
 	}
 	return rows, nil
 }
--- a/internal/lab/processes/heard.go
+++ b/internal/lab/processes/heard.go
@@ -25,12 +25,16 @@
 	note := "what the most fronts took; seen by requests that come at random, 5 ms apart on the mean up to 8 fronts and 20 ms at 32, of which " +
 		"the latest counts: most of it is that wait"
 	rows := []Row{
-		{Measure: "a list change until in force at all fronts, " + mode(asked), Sizes: sized, Fit: told, Unit: "ms a front",
-			Value: late(pushed)[len(pushed)-1], In: "ms", Budget: budgetChange, Note: note},
-		{Measure: "SIGHUP until the new list is in force, " + mode(asked), Sizes: sized, Fit: again, Unit: "ms a front",
+		{
+			Measure: "a list change until in force at all fronts, " + mode(asked), Sizes: sized, Fit: told, Unit: "ms a front",
+			Value: late(pushed)[len(pushed)-1], In: "ms", Budget: budgetChange, Note: note,
+		},
+		{
+			Measure: "SIGHUP until the new list is in force, " + mode(asked), Sizes: sized, Fit: again, Unit: "ms a front",
 			Value: spread + bare, In: "ms", Budget: budgetChange,
 			Note: fmt.Sprintf("%.0f ms that the most fronts took with agents, and %.0f ms in which 1,200 fronts begin their watches; "+
-				"whether discovery bears so many is the row of its lines", bare, spread)},
+				"whether discovery bears so many is the row of its lines", bare, spread),
+		},
 	}
 	if asked {
 		counts, lines := floats(l.Plan.Fronts), []float64{}
@@ -38,9 +42,11 @@
 			lines = append(lines, float64(h.lines))
 		}
 		f := fit(counts, lines)
-		rows = append(rows, Row{Measure: "lines that one discovery sends behind SIGHUP of all fronts", Sizes: fmt.Sprintf("%s, %d nodes", sized, smallestList),
+		rows = append(rows, Row{
+			Measure: "lines that one discovery sends behind SIGHUP of all fronts", Sizes: fmt.Sprintf("%s, %d nodes", sized, smallestList),
 			Fit: f, Unit: "lines a front", Value: f.Slope / smallestList * sizeFronts * sizeNodes, In: "lines", Budget: budgetLines,
-			Note: "each front has the whole list; 14,000 lines a second are what a discovery bears at best (docs/fleet.md), in 4 s"})
+			Note: "each front has the whole list; 14,000 lines a second are what a discovery bears at best (docs/fleet.md), in 4 s",
+		})
 	}
 	return rows
 }
@@ -54,9 +60,13 @@
 	counts, sized := floats(l.Plan.Lists), sizes(l.Plan.Lists, "nodes")
 	size, time := fit(counts, bytes), fit(counts, took)
 	return []Row{
-		{Measure: "bytes of the whole list, for a front behind SIGHUP", Sizes: sized, Fit: size, Unit: "bytes a node", Value: size.At(sizeNodes) / 1024, In: "KB",
-			Budget: budgetListBytes, Note: "this stand-in writes an entry as the platform does, with names and addresses of its own length"},
-		{Measure: "SIGHUP until the new list is in force at one front, by its length", Sizes: sized, Fit: time, Unit: "ms a node",
-			Value: time.At(sizeNodes), In: "ms", Budget: budgetChange},
+		{
+			Measure: "bytes of the whole list, for a front behind SIGHUP", Sizes: sized, Fit: size, Unit: "bytes a node", Value: size.At(sizeNodes) / 1024, In: "KB",
+			Budget: budgetListBytes, Note: "this stand-in writes an entry as the platform does, with names and addresses of its own length",
+		},
+		{
+			Measure: "SIGHUP until the new list is in force at one front, by its length", Sizes: sized, Fit: time, Unit: "ms a node",
+			Value: time.At(sizeNodes), In: "ms", Budget: budgetChange,
+		},
 	}
 }
--- a/internal/lab/processes/idle.go
+++ b/internal/lab/processes/idle.go
@@ -46,12 +46,18 @@
 	time, size, wakes, heard := fit(counts, processor), fit(counts, memory), fit(counts, switches), fit(counts, bytes)
 	with := ", " + mode(asked)
 	return []Row{
-		{Measure: "processor time of control when idle" + with, Sizes: sized, Fit: time, Unit: "us a second a node", Value: time.At(sizeNodes) / 1e4,
-			In: "% of a core", Budget: budgetProcessor, Note: fmt.Sprintf("%s wakeups of a thread a second", short(wakes.At(sizeNodes)))},
-		{Measure: "memory of a listed node" + with, Sizes: sized, Fit: size, Unit: "bytes", Value: size.At(sizeNodes) / (1 << 20), In: "MB", Budget: budgetMemory,
-			Note: "a front without clients, 1,200 fronts named"},
-		{Measure: "bytes of discovery when idle" + with, Sizes: sized, Fit: heard, Unit: "bytes a second a node",
-			Value: heard.At(sizeNodes) / 1024, In: "KB a second", Budget: budgetBytes, Note: "watches without news"},
+		{
+			Measure: "processor time of control when idle" + with, Sizes: sized, Fit: time, Unit: "us a second a node", Value: time.At(sizeNodes) / 1e4,
+			In: "% of a core", Budget: budgetProcessor, Note: fmt.Sprintf("%s wakeups of a thread a second", short(wakes.At(sizeNodes))),
+		},
+		{
+			Measure: "memory of a listed node" + with, Sizes: sized, Fit: size, Unit: "bytes", Value: size.At(sizeNodes) / (1 << 20), In: "MB", Budget: budgetMemory,
+			Note: "a front without clients, 1,200 fronts named",
+		},
+		{
+			Measure: "bytes of discovery when idle" + with, Sizes: sized, Fit: heard, Unit: "bytes a second a node",
+			Value: heard.At(sizeNodes) / 1024, In: "KB a second", Budget: budgetBytes, Note: "watches without news",
+		},
 	}, nil
 }
 
@@ -77,8 +83,10 @@
 		return quietly{}, err
 	}
 	defer d.Close()
-	front, err := l.start(ctx, config{discovery: d.Addr, asked: asked, fronts: sizeFronts, peerListen: ownAddress(), peers: elsewhere(sizeFronts),
-		memoryMB: int(budgetMemory), sockets: wideSockets, giveUp: patience, nodes: list, shards: many})
+	front, err := l.start(ctx, config{
+		discovery: d.Addr, asked: asked, fronts: sizeFronts, peerListen: ownAddress(), peers: elsewhere(sizeFronts),
+		memoryMB: int(budgetMemory), sockets: wideSockets, giveUp: patience, nodes: list, shards: many,
+	})
 	if err != nil {
 		return quietly{}, err
 	}
--- a/internal/lab/processes/memory.go
+++ b/internal/lab/processes/memory.go
@@ -71,10 +71,14 @@
 	counts, sized := floats(l.Plan.Connections), sizes(l.Plan.Connections, "connections")
 	memory, files := fit(counts, resident), fit(counts, descriptors)
 	return []Row{
-		{Measure: "memory of a client connection: " + k.name, Sizes: sized, Fit: memory, Unit: "bytes", Value: megabytes(int64(memory.At(sizeConnections))),
-			In: "MB", Budget: budgetMemory, Note: fmt.Sprintf("at 3,667; limits.For reckons %d bytes each", reckonedEach)},
-		{Measure: "descriptors of a client connection: " + k.name, Sizes: sized, Fit: files, Unit: "descriptors", Value: files.At(sizeConnections) + sizeNodes,
-			In: "descriptors", Note: "at 3,667, and one kept connection to each of 1,800 nodes; today's sockets are 1,024"},
+		{
+			Measure: "memory of a client connection: " + k.name, Sizes: sized, Fit: memory, Unit: "bytes", Value: megabytes(int64(memory.At(sizeConnections))),
+			In: "MB", Budget: budgetMemory, Note: fmt.Sprintf("at 3,667; limits.For reckons %d bytes each", reckonedEach),
+		},
+		{
+			Measure: "descriptors of a client connection: " + k.name, Sizes: sized, Fit: files, Unit: "descriptors", Value: files.At(sizeConnections) + sizeNodes,
+			In: "descriptors", Note: "at 3,667, and one kept connection to each of 1,800 nodes; today's sockets are 1,024",
+		},
 	}, nil
 }
 
@@ -140,10 +144,14 @@
 		files++
 	}
 	return []Row{
-		{Measure: "memory that limits.For wants for 3,667 client connections", Sizes: "reckoned", Value: float64(least), In: "MB", Budget: budgetMemory,
-			Note: fmt.Sprintf("256 MB allow %d clients and %d to nodes", wide.Clients.Conns, wide.Nodes.Conns)},
-		{Measure: "sockets that limits.For wants to keep 3,667 idle clients", Sizes: "reckoned", Value: float64(files), In: "descriptors",
+		{
+			Measure: "memory that limits.For wants for 3,667 client connections", Sizes: "reckoned", Value: float64(least), In: "MB", Budget: budgetMemory,
+			Note: fmt.Sprintf("256 MB allow %d clients and %d to nodes", wide.Clients.Conns, wide.Nodes.Conns),
+		},
+		{
+			Measure: "sockets that limits.For wants to keep 3,667 idle clients", Sizes: "reckoned", Value: float64(files), In: "descriptors",
 			Note: fmt.Sprintf("192 MB and 1,024 sockets allow %d clients, %d of them kept idle, %d to nodes",
-				today.Clients.Conns, today.Clients.KeptConns, today.Nodes.Conns)},
+				today.Clients.Conns, today.Clients.KeptConns, today.Nodes.Conns),
+		},
 	}
 }
--- a/internal/lab/processes/processes.go
+++ b/internal/lab/processes/processes.go
@@ -48,9 +48,11 @@
 
 // Full is the plan behind the page of figures.
 func Full() Plan {
-	return Plan{Rates: []float64{100, 200, 400, sizeRate, 1000}, Nodes: sizeZoneNodes, Span: 6 * time.Second,
+	return Plan{
+		Rates: []float64{100, 200, 400, sizeRate, 1000}, Nodes: sizeZoneNodes, Span: 6 * time.Second,
 		Connections: []int{0, 500, 1000, 2000, sizeConnections}, Fronts: []int{1, 2, 4, 8, 16, 32},
-		Lists: []int{112, 225, 450, 900, sizeNodes}, Silence: 10 * time.Second, Kept: sizeNodes}
+		Lists: []int{112, 225, 450, 900, sizeNodes}, Silence: 10 * time.Second, Kept: sizeNodes,
+	}
 }
 
 // Lab runs measurements of one build.
@@ -72,8 +74,13 @@
 
 // Measures are all of them, in the order in which they are run.
 var Measures = []Measure{
-	{"requests", (*Lab).requests}, {"memory", (*Lab).memory}, {"changes", (*Lab).changes}, {"idle", (*Lab).idle},
-	{"silent", (*Lab).silent}, {"connections", (*Lab).connections}, {"compare", (*Lab).compare},
+	{"requests", (*Lab).requests},
+	{"memory", (*Lab).memory},
+	{"changes", (*Lab).changes},
+	{"idle", (*Lab).idle},
+	{"silent", (*Lab).silent},
+	{"connections", (*Lab).connections},
+	{"compare", (*Lab).compare},
 }
 
 // Run runs the measures named, or all where none is, one after the other. What was measured before a failure is returned
--- a/internal/lab/processes/processes_test.go
+++ b/internal/lab/processes/processes_test.go
@@ -31,8 +31,10 @@
 // lab is a laboratory of few sizes.
 func lab(t *testing.T) *Lab {
 	t.Helper()
-	return &Lab{Program: os.Args[0], Env: []string{asFront + "=1"}, Log: logWriter{t}, dir: t.TempDir(),
-		Plan: Plan{Rates: []float64{20, 200}, Nodes: 4, Span: 2 * time.Second}}
+	return &Lab{
+		Program: os.Args[0], Env: []string{asFront + "=1"}, Log: logWriter{t}, dir: t.TempDir(),
+		Plan: Plan{Rates: []float64{20, 200}, Nodes: 4, Span: 2 * time.Second},
+	}
 }
 
 // logWriter hands lines to a test's log.
--- a/internal/lab/processes/requests.go
+++ b/internal/lab/processes/requests.go
@@ -22,10 +22,14 @@
 	rates := sizes(l.Plan.Rates, "requests a second")
 	percent := func(microseconds float64) float64 { return microseconds / 1e4 }
 	return []Row{
-		{Measure: "processor time of a request", Sizes: rates, Fit: f, Unit: "us a request", Value: percent(f.At(sizeRate)), In: "% of a core",
-			Budget: budgetCore, Note: "at 708 requests a second; the data path's own core, not control's 5%"},
-		{Measure: "processor time without requests, by the same line", Sizes: rates, Value: percent(f.Intercept), In: "% of a core",
-			Note: "the line's height at 0 requests: few requests share fewer wakeups. What control takes is measured when idle"},
+		{
+			Measure: "processor time of a request", Sizes: rates, Fit: f, Unit: "us a request", Value: percent(f.At(sizeRate)), In: "% of a core",
+			Budget: budgetCore, Note: "at 708 requests a second; the data path's own core, not control's 5%",
+		},
+		{
+			Measure: "processor time without requests, by the same line", Sizes: rates, Value: percent(f.Intercept), In: "% of a core",
+			Note: "the line's height at 0 requests: few requests share fewer wakeups. What control takes is measured when idle",
+		},
 	}, nil
 }
 
@@ -111,8 +115,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	front, err := l.start(ctx, config{discovery: d.Addr, fronts: 1, memoryMB: memoryMB, sockets: sockets, giveUp: patience,
-		nodes: nodes, shards: len(nodes)})
+	front, err := l.start(ctx, config{
+		discovery: d.Addr, fronts: 1, memoryMB: memoryMB, sockets: sockets, giveUp: patience,
+		nodes: nodes, shards: len(nodes),
+	})
 	if err != nil {
 		d.Close()
 		return nil, nil, err
--- a/internal/lab/processes/scenario.go
+++ b/internal/lab/processes/scenario.go
@@ -88,8 +88,10 @@
 		return Outcome{}, err
 	}
 	defer stage.relay.close()
-	c := config{discovery: stage.discovery.Addr, asked: true, memoryMB: todayMemoryMB, sockets: todaySockets, giveUp: scenarioPatience,
-		nodes: stage.list, shards: s.Nodes, units: scenarioUnits}
+	c := config{
+		discovery: stage.discovery.Addr, asked: true, memoryMB: todayMemoryMB, sockets: todaySockets, giveUp: scenarioPatience,
+		nodes: stage.list, shards: s.Nodes, units: scenarioUnits,
+	}
 	stage.fronts, err = l.startAll(ctx, s.Fronts, c, func(c *config) {
 		c.peerListen, c.peers = stage.relay.fronts[c.number].String(), stage.relay.peers(c.number)
 	})
@@ -136,8 +138,10 @@
 	}
 	after := s.count()
 	ended := <-done
-	out := Outcome{Probes: after.Probes - before.Probes, Attempts: after.Attempts - before.Attempts,
-		Messages: after.Messages - before.Messages, MessageBytes: after.MessageBytes - before.MessageBytes}
+	out := Outcome{
+		Probes: after.Probes - before.Probes, Attempts: after.Attempts - before.Attempts,
+		Messages: after.Messages - before.Messages, MessageBytes: after.MessageBytes - before.MessageBytes,
+	}
 	for _, p := range ended.all {
 		out.Served += float64(p.Ended[load.Served]) / float64(len(s.fronts))
 		out.Refused += float64(p.Ended[load.Refused]) / float64(len(s.fronts))
@@ -184,6 +188,8 @@
 // count is what a front has sent so far, on the mean.
 func (s *stage) count() Outcome {
 	n := float64(len(s.fronts))
-	return Outcome{Probes: float64(s.nodes[0].Probes.Load()) / n, Attempts: float64(s.nodes[0].Requests.Load()) / n,
-		Messages: float64(s.relay.Messages.Load()) / n, MessageBytes: float64(s.relay.Bytes.Load()) / n}
+	return Outcome{
+		Probes: float64(s.nodes[0].Probes.Load()) / n, Attempts: float64(s.nodes[0].Requests.Load()) / n,
+		Messages: float64(s.relay.Messages.Load()) / n, MessageBytes: float64(s.relay.Bytes.Load()) / n,
+	}
 }
--- a/internal/lab/processes/silent.go
+++ b/internal/lab/processes/silent.go
@@ -63,17 +63,27 @@
 	p, m, a, b, w := fit(counts, probes), fit(counts, peaks), fit(counts, attempts), fit(counts, bytes), fit(opened, wire)
 	span := fmt.Sprintf("mean of the first %.0f s", l.Plan.Silence.Seconds())
 	return []Row{
-		{Measure: "probes of a silent node" + each, Sizes: sized, Fit: p, Unit: "a second a front", Value: p.Slope * sizeFronts, In: "a second",
-			Budget: budget(budgetProbes), Note: span + "; the budget is the aim for the whole fleet at each silent node"},
-		{Measure: "probes of a silent node in the worst second" + each, Sizes: sized, Fit: m, Unit: "a second a front", Value: m.Slope * sizeFronts, In: "a second",
-			Budget: budget(budgetProbes), Note: "of the same " + span[len("mean of the "):]},
-		{Measure: "bytes to and from silent nodes, a zone of 180 gone" + each, Sizes: sized, Fit: b, Unit: "bytes a second a front and node",
+		{
+			Measure: "probes of a silent node" + each, Sizes: sized, Fit: p, Unit: "a second a front", Value: p.Slope * sizeFronts, In: "a second",
+			Budget: budget(budgetProbes), Note: span + "; the budget is the aim for the whole fleet at each silent node",
+		},
+		{
+			Measure: "probes of a silent node in the worst second" + each, Sizes: sized, Fit: m, Unit: "a second a front", Value: m.Slope * sizeFronts, In: "a second",
+			Budget: budget(budgetProbes), Note: "of the same " + span[len("mean of the "):],
+		},
+		{
+			Measure: "bytes to and from silent nodes, a zone of 180 gone" + each, Sizes: sized, Fit: b, Unit: "bytes a second a front and node",
 			Value: b.Slope * sizeZoneNodes / 1024, In: "KB a second a front", Budget: budget(budgetBytes),
-			Note: span + "; both ways, heads of IP and TCP included, by the kernel's count of segments"},
-		{Measure: "bytes of a connection to a silent node, nearly all of probes" + each, Sizes: sizes(opened, "connections"), Fit: w, Unit: "bytes",
-			Value: w.Slope, In: "bytes", Note: "both ways, heads of IP and TCP included, its handshake and its end"},
-		{Measure: "attempts that a silent node has cost" + each, Sizes: sized, Fit: a, Unit: "a front", Value: a.Slope * sizeFronts, In: "of the fleet, a node",
-			Note: "the aim of issue 28 is a tenth of it"},
+			Note: span + "; both ways, heads of IP and TCP included, by the kernel's count of segments",
+		},
+		{
+			Measure: "bytes of a connection to a silent node, nearly all of probes" + each, Sizes: sizes(opened, "connections"), Fit: w, Unit: "bytes",
+			Value: w.Slope, In: "bytes", Note: "both ways, heads of IP and TCP included, its handshake and its end",
+		},
+		{
+			Measure: "attempts that a silent node has cost" + each, Sizes: sized, Fit: a, Unit: "a front", Value: a.Slope * sizeFronts, In: "of the fleet, a node",
+			Note: "the aim of issue 28 is a tenth of it",
+		},
 	}
 }
 
@@ -110,8 +120,10 @@
 	}()
 	rest(ctx, warmUp)
 	mute := nodes[0]
-	out := silence{fronts: len(fronts), probes: -mute.Probes.Load(), attempts: -mute.Requests.Load(), bytes: -mute.Received.Load(), opened: -mute.Opened.Load(),
-		wire: -mute.Wire.Load()}
+	out := silence{
+		fronts: len(fronts), probes: -mute.Probes.Load(), attempts: -mute.Requests.Load(), bytes: -mute.Received.Load(), opened: -mute.Opened.Load(),
+		wire: -mute.Wire.Load(),
+	}
 	began := time.Now()
 	mute.Mute.Store(true)
 	for last := mute.Probes.Load(); time.Since(began) < l.Plan.Silence && ctx.Err() == nil; {
--- a/internal/lab/processes/traffic.go
+++ b/internal/lab/processes/traffic.go
@@ -31,9 +31,11 @@
 
 // request is one of a unit for a shard.
 func (f *Front) request(set protocol.Settings, class, shard int, piece uint64) scheduler.Request {
-	return scheduler.Request{ID: fmt.Sprintf("%s-%d-%d", f.mark(), time.Now().UnixNano(), sent.Add(1)), Class: class,
+	return scheduler.Request{
+		ID: fmt.Sprintf("%s-%d-%d", f.mark(), time.Now().UnixNano(), sent.Add(1)), Class: class,
 		Volume: fmt.Sprintf("%016x", piece%volumes), Key: fmt.Sprintf("%016x", piece), Units: 1, Shard: shard, Fronts: 1,
-		TimeLeft: scheduler.Micros(set.LongestWait / time.Microsecond)}
+		TimeLeft: scheduler.Micros(set.LongestWait / time.Microsecond),
+	}
 }
 
 // volumes are so many as are asked for.
--- a/internal/lab/processes/whole.go
+++ b/internal/lab/processes/whole.go
@@ -41,8 +41,10 @@
 		many, many*rounds, time.Since(began).Seconds(), kept, len(nodes), megabytes(u.Resident), u.Descriptors)
 	sized := fmt.Sprintf("%d connections, %d nodes", many, len(nodes))
 	return []Row{
-		{Measure: "memory of a whole front, clients idle", Sizes: sized, Value: megabytes(u.Resident), In: "MB", Budget: budgetMemory,
-			Note: fmt.Sprintf("%d requests on each connection, %d connections to nodes; the collector had room for 614 MB", rounds, kept)},
+		{
+			Measure: "memory of a whole front, clients idle", Sizes: sized, Value: megabytes(u.Resident), In: "MB", Budget: budgetMemory,
+			Note: fmt.Sprintf("%d requests on each connection, %d connections to nodes; the collector had room for 614 MB", rounds, kept),
+		},
 		{Measure: "descriptors of a whole front", Sizes: sized, Value: float64(u.Descriptors), In: "descriptors", Note: "today's sockets are 1,024"},
 	}, err
 }
--- a/internal/lab/record/streams.go
+++ b/internal/lab/record/streams.go
@@ -44,13 +44,17 @@
 // that run in turn, and a long one with so little to do that what was learned is forgotten again.
 var Streams = map[string]day{
 	"deploy": {10, 3, 16 * time.Second, func(s *scenario.Scenario, _ *scheduler.Settings) {
-		s.Happens = []scenario.Event{{At: 3 * time.Second, What: "replace", Share: 0.9, Over: 8 * time.Second, Drain: time.Second},
-			{At: 6 * time.Second, What: "surge", Times: 2.5, For: 4 * time.Second}}
+		s.Happens = []scenario.Event{
+			{At: 3 * time.Second, What: "replace", Share: 0.9, Over: 8 * time.Second, Drain: time.Second},
+			{At: 6 * time.Second, What: "surge", Times: 2.5, For: 4 * time.Second},
+		}
 	}},
 	"failures": {8, 2, 16 * time.Second, func(s *scenario.Scenario, _ *scheduler.Settings) {
 		for i, what := range []string{"die", "silence", "break", "spoil", "pause", "slow"} {
-			s.Happens = append(s.Happens, scenario.Event{At: time.Duration(2*i+2) * time.Second, What: what, Share: 0.3, Back: 2 * time.Second,
-				For: 2500 * time.Millisecond, Times: 5})
+			s.Happens = append(s.Happens, scenario.Event{
+				At: time.Duration(2*i+2) * time.Second, What: what, Share: 0.3, Back: 2 * time.Second,
+				For: 2500 * time.Millisecond, Times: 5,
+			})
 		}
 	}},
 	"flood": {4, 1, 7 * time.Second, func(s *scenario.Scenario, set *scheduler.Settings) {
--- a/internal/lab/restart/restart.go
+++ b/internal/lab/restart/restart.go
@@ -40,14 +40,17 @@
 
 // settings are those of a site of one front.
 func settings() scheduler.Settings {
-	return scheduler.Settings{Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, MaxAttempts: 4, HealthChecks: true,
+	return scheduler.Settings{
+		Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, MaxAttempts: 4, HealthChecks: true,
 		RetryAfter: true, MaxRetryAfter: second / 2,
 		InitialCapacity: 0.2, SlowStart: 17 * second, OverloadMultiple: 2.5, OverloadSpan: second, SlowStartUnits: 8,
 		Classes: []scheduler.Class{
 			{LatencyObjective: 300_000, Idempotency: scheduler.Idempotent, Priority: 2},
 			{LatencyObjective: 400_000, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 3 * second, Priority: 2},
-			{LatencyObjective: 2 * second, Idempotency: scheduler.Idempotent, Priority: 1}},
-		Plans: []scheduler.Plan{{Weight: 1, Limit: 24, Burst: 72}, {Reservation: 8, Weight: 1}}}
+			{LatencyObjective: 2 * second, Idempotency: scheduler.Idempotent, Priority: 1},
+		},
+		Plans: []scheduler.Plan{{Weight: 1, Limit: 24, Burst: 72}, {Reservation: 8, Weight: 1}},
+	}
 }
 
 // Kinds of requests: share, mean work of a unit and the client's patience, by class.
@@ -62,8 +65,10 @@
 	var nodes []*model.Node
 	speeds := 0.0
 	for i := range 10 {
-		f := model.Figures{Cores: 2, Speed: 0.85 + 0.85*rng.Float64(), Room: 24, ColdFrom: 0.25, Ramp: int64(15 * second),
-			FallTimes: 2.5, FallSpan: int64(second), FallFree: 8 * 40_000}
+		f := model.Figures{
+			Cores: 2, Speed: 0.85 + 0.85*rng.Float64(), Room: 24, ColdFrom: 0.25, Ramp: int64(15 * second),
+			FallTimes: 2.5, FallSpan: int64(second), FallFree: 8 * 40_000,
+		}
 		if i%3 == 1 {
 			f.Speed *= 0.35
 		}
@@ -89,9 +94,13 @@
 		if class == 1 { // a new object, which any node may take
 			shard = -1
 		}
-		requests = append(requests, world.Request{At: scheduler.Micros(at), Work: units * kinds[class].work * (0.5 + rng.Float64()),
-			Request: scheduler.Request{ID: fmt.Sprint(n), Class: class, Plan: project % 2, Volume: fmt.Sprint("project-", project),
-				Units: units, Shard: shard, Fronts: 1, TimeLeft: kinds[class].left}})
+		requests = append(requests, world.Request{
+			At: scheduler.Micros(at), Work: units * kinds[class].work * (0.5 + rng.Float64()),
+			Request: scheduler.Request{
+				ID: fmt.Sprint(n), Class: class, Plan: project % 2, Volume: fmt.Sprint("project-", project),
+				Units: units, Shard: shard, Fronts: 1, TimeLeft: kinds[class].left,
+			},
+		})
 	}
 	return nodes, requests
 }
--- a/internal/lab/scenario/file.go
+++ b/internal/lab/scenario/file.go
@@ -165,8 +165,10 @@
 		fields, known := needs[e.What]
 		must(known, "happens[%d].what: %q is none of %s", i, e.What, strings.Join(kindsOfEvents(), ", "))
 		must(e.Hall >= 0 && e.Hall < max(n.Halls, 1), "happens[%d].hall: must be 0 to below nodes.halls", i)
-		given := map[string]bool{"share": e.Share > 0 && e.Share <= 1, "over": e.Over > 0, "back": e.Back > 0, "for": e.For > 0,
-			"times": e.Times > 0, "projects": e.Projects > 0 && e.Projects <= l.Projects}
+		given := map[string]bool{
+			"share": e.Share > 0 && e.Share <= 1, "over": e.Over > 0, "back": e.Back > 0, "for": e.For > 0,
+			"times": e.Times > 0, "projects": e.Projects > 0 && e.Projects <= l.Projects,
+		}
 		for _, f := range fields {
 			must(given[f], "happens[%d].%s: missing, or out of its bounds", i, f)
 		}
--- a/internal/lab/scenario/judge.go
+++ b/internal/lab/scenario/judge.go
@@ -41,8 +41,10 @@
 // judge adds up what was served in time, from the first second on, and what broke a rule.
 func (d Day) judge(traces *traces) Result {
 	w := d.World
-	r := Result{Seed: d.seed, Ended: map[string]int{}, Fallen: w.Audit.Fallen(), Breaks: w.Audit.Breaks,
-		Seconds: make([]Second, 1+micros(d.Length)/second)}
+	r := Result{
+		Seed: d.seed, Ended: map[string]int{}, Fallen: w.Audit.Fallen(), Breaks: w.Audit.Breaks,
+		Seconds: make([]Second, 1+micros(d.Length)/second),
+	}
 	for range d.mix.Kinds {
 		r.Latency = append(r.Latency, hdrhistogram.New(1, mostLatency, 3))
 	}
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -135,10 +135,14 @@
 
 func (d *drawer) add(at scheduler.Micros, class, project int, units float64, shard int) {
 	k, rng := d.mix.Kinds[class], d.rng
-	q := world.Request{At: at, Front: rng.IntN(d.Fronts), Work: units * float64(k.Costs.micros()) * (0.5 + rng.Float64()),
+	q := world.Request{
+		At: at, Front: rng.IntN(d.Fronts), Work: units * float64(k.Costs.micros()) * (0.5 + rng.Float64()),
 		Write: k.Write(), Comes: rng.Float64() < d.Load.Comes, Heeds: rng.Float64() < d.Load.Heeds,
-		Request: scheduler.Request{ID: strconv.Itoa(len(d.out)), Class: class, Volume: fmt.Sprintf("%016x", project), Units: units,
-			Shard: shard, Fronts: d.Fronts, TimeLeft: k.Waits.micros()}}
+		Request: scheduler.Request{
+			ID: strconv.Itoa(len(d.out)), Class: class, Volume: fmt.Sprintf("%016x", project), Units: units,
+			Shard: shard, Fronts: d.Fronts, TimeLeft: k.Waits.micros(),
+		},
+	}
 	now := time.Duration(at) * time.Microsecond
 	for _, e := range d.Happens {
 		if e.What == "costly" && class == 0 && now >= e.At && now < e.At+e.For && rng.Float64() < e.Share {
--- a/internal/lab/scenario/mix.go
+++ b/internal/lab/scenario/mix.go
@@ -48,8 +48,12 @@
 func (d duration) micros() scheduler.Micros { return micros(time.Duration(d)) }
 
 var mixParser = participle.MustBuild[Mix](participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
-	{Name: "Span", Pattern: `\d+(\.\d+)?(us|ms|s|m)\b`}, {Name: "Number", Pattern: `\d+(\.\d+)?`},
-	{Name: "Ident", Pattern: `[a-z][a-z0-9-]*`}, {Name: "Punct", Pattern: `[,%]`}, {Name: "Space", Pattern: `\s+`}})),
+	{Name: "Span", Pattern: `\d+(\.\d+)?(us|ms|s|m)\b`},
+	{Name: "Number", Pattern: `\d+(\.\d+)?`},
+	{Name: "Ident", Pattern: `[a-z][a-z0-9-]*`},
+	{Name: "Punct", Pattern: `[,%]`},
+	{Name: "Space", Pattern: `\s+`},
+})),
 	participle.Elide("Space"))
 
 // mostKinds bounds a mix.
--- a/internal/lab/scenario/page.go
+++ b/internal/lab/scenario/page.go
@@ -49,8 +49,14 @@
 }
 
 // hues tell the variants apart, also for those who see few colours.
-var hues = []color.Color{color.RGBA{0, 90, 181, 255}, color.RGBA{220, 50, 32, 255}, color.RGBA{120, 120, 120, 255},
-	color.RGBA{230, 159, 0, 255}, color.RGBA{0, 158, 115, 255}, color.RGBA{86, 60, 140, 255}}
+var hues = []color.Color{
+	color.RGBA{0, 90, 181, 255},
+	color.RGBA{220, 50, 32, 255},
+	color.RGBA{120, 120, 120, 255},
+	color.RGBA{230, 159, 0, 255},
+	color.RGBA{0, 158, 115, 255},
+	color.RGBA{86, 60, 140, 255},
+}
 
 // svg draws lines.
 func svg(title, x, y string, top float64, lines []plotter.XYs, names []string, log bool) (template.HTML, error) {
--- a/internal/lab/scenario/play.go
+++ b/internal/lab/scenario/play.go
@@ -19,10 +19,12 @@
 
 // Settings are those of the site.
 func (s Scenario) Settings() scheduler.Settings {
-	set := scheduler.Settings{Fronts: s.Fronts, PeerMessages: true, Tick: 2000, MeanUnits: 2, MaxUnits: mostUnits, MaxAttempts: 4, HealthChecks: true, ServedElsewhereTold: false,
+	set := scheduler.Settings{
+		Fronts: s.Fronts, PeerMessages: true, Tick: 2000, MeanUnits: 2, MaxUnits: mostUnits, MaxAttempts: 4, HealthChecks: true, ServedElsewhereTold: false,
 		RetryAfter: true, MaxRetryAfter: second / 2,
 		InitialCapacity: s.Nodes.ColdFrom, SlowStart: micros(s.Nodes.Ramp), OverloadMultiple: 2.5, OverloadSpan: second, SlowStartUnits: 8,
-		Plans: []scheduler.Plan{{Reservation: 8, Weight: 1}, {Weight: 1}}}
+		Plans: []scheduler.Plan{{Reservation: 8, Weight: 1}, {Weight: 1}},
+	}
 	for _, k := range s.mix.Kinds {
 		set.Classes = append(set.Classes, k.class())
 	}
@@ -79,11 +81,13 @@
 	set, nodes, power := s.Settings(), []*model.Node{}, 0.0
 	n := s.Nodes
 	for range n.Count {
-		f := model.Figures{Cores: n.Cores, Speed: n.Speed[0] + (n.Speed[1]-n.Speed[0])*rng.Float64(),
+		f := model.Figures{
+			Cores: n.Cores, Speed: n.Speed[0] + (n.Speed[1]-n.Speed[0])*rng.Float64(),
 			Room: n.Room, ColdFrom: n.ColdFrom, Ramp: int64(micros(n.Ramp)), FallTimes: set.OverloadMultiple,
 			FallSpan: int64(set.OverloadSpan), FallFree: set.SlowStartUnits * 60_000, Overfull: n.Overfull, PutOff: n.PutOff,
 			PutOffFor: int64(micros(n.PutFor)), ProbeWork: float64(micros(n.Probe)), ConnWork: float64(micros(n.Connect)),
-			MostConns: n.Conns, MostMemory: 10_000}
+			MostConns: n.Conns, MostMemory: 10_000,
+		}
 		if n.Near > 0 {
 			f.Near, f.NearSpan = n.Near, int64(second)
 		}
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -115,8 +115,13 @@
 	if r, err := s.Play(1, Ours); err != nil || r.Requests != 2 || r.Ended["served"] != 2 {
 		t.Errorf("%+v, %v", r, err)
 	}
-	for _, c := range []struct{ text, want string }{{"1000,read,3,2,1\n900,read,3,2,1\n", "line 2: earlier"},
-		{"1000,reed,3,2,1\n", "line 1: \"reed\""}, {"1000,read,3,2,77\n", "line 1: project, units or shard"}, {"x,read,3,2,1\n", "no number"}, {"", "EOF"}} {
+	for _, c := range []struct{ text, want string }{
+		{"1000,read,3,2,1\n900,read,3,2,1\n", "line 2: earlier"},
+		{"1000,reed,3,2,1\n", "line 1: \"reed\""},
+		{"1000,read,3,2,77\n", "line 1: project, units or shard"},
+		{"x,read,3,2,1\n", "no number"},
+		{"", "EOF"},
+	} {
 		if _, err := load(c.text); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%q: %v, want %q", c.text, err, c.want)
 		}
--- a/internal/lab/scenario/traces.go
+++ b/internal/lab/scenario/traces.go
@@ -139,8 +139,10 @@
 		units, _ := a.Value("units")
 		front, _ := a.Value("front")
 		span := func(from, to time.Time) scheduler.Micros { return scheduler.Micros(to.Sub(from).Microseconds()) }
-		tr := Trace{ID: text(a, "id"), Kind: text(a, "kind"), Project: text(a, "project"), Verdict: text(a, "verdict"), Why: text(a, "why"),
-			Units: units.AsFloat64(), Front: front.AsInt64(), At: scheduler.Micros(s.StartTime().UnixMicro()) - begin, Total: span(s.StartTime(), s.EndTime())}
+		tr := Trace{
+			ID: text(a, "id"), Kind: text(a, "kind"), Project: text(a, "project"), Verdict: text(a, "verdict"), Why: text(a, "why"),
+			Units: units.AsFloat64(), Front: front.AsInt64(), At: scheduler.Micros(s.StartTime().UnixMicro()) - begin, Total: span(s.StartTime(), s.EndTime()),
+		}
 		tr.Held = tr.Total
 		for _, x := range attempts[s.SpanContext().SpanID()] {
 			b := attribute.NewSet(x.Attributes()...)
--- a/internal/lab/sockets/node.go
+++ b/internal/lab/sockets/node.go
@@ -74,8 +74,10 @@
 }
 
 // results are what becomes of an attempt by a node's reply.
-var results = map[world.Reply]scheduler.Result{world.Answer: scheduler.OK, world.TurnedAway: scheduler.QueueFull, world.Unreachable: scheduler.Unreachable,
-	world.Broken: scheduler.Reset, world.Garbled: scheduler.Reset}
+var results = map[world.Reply]scheduler.Result{
+	world.Answer: scheduler.OK, world.TurnedAway: scheduler.QueueFull, world.Unreachable: scheduler.Unreachable,
+	world.Broken: scheduler.Reset, world.Garbled: scheduler.Reset,
+}
 
 // ServeHTTP is a node's answer: to a probe, or to an attempt.
 func (n *node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/lab/sockets/site.go
+++ b/internal/lab/sockets/site.go
@@ -38,8 +38,10 @@
 
 // settings are what the platform's protocol needs to know of a world: kinds are its classes' names, by class.
 func settings(w *world.World, kinds []string, writes []bool) protocol.Settings {
-	return protocol.Settings{Scheduler: w.Set, Classes: kinds, Writes: writes, Plans: []string{"reserved", "limited"}, Shards: len(w.Nodes),
-		LongestWait: time.Minute, Retry: time.Duration(w.Set.MaxRetryAfter) * time.Microsecond}
+	return protocol.Settings{
+		Scheduler: w.Set, Classes: kinds, Writes: writes, Plans: []string{"reserved", "limited"}, Shards: len(w.Nodes),
+		LongestWait: time.Minute, Retry: time.Duration(w.Set.MaxRetryAfter) * time.Microsecond,
+	}
 }
 
 // Start puts a world's nodes on sockets, and so many fronts before them; the world goes by the clock from here on.
--- a/internal/lab/world/audit.go
+++ b/internal/lab/world/audit.go
@@ -43,8 +43,10 @@
 }
 
 func newAudit(w *World) *Audit {
-	return &Audit{world: w, stores: map[string]*store{}, leave: map[int]map[string]scheduler.Micros{}, requests: map[string]*record{},
-		answered: map[string]bool{}}
+	return &Audit{
+		world: w, stores: map[string]*store{}, leave: map[int]map[string]scheduler.Micros{}, requests: map[string]*record{},
+		answered: map[string]bool{},
+	}
 }
 
 func (a *Audit) broken(format string, args ...any) {
--- a/internal/lab/world/audit_test.go
+++ b/internal/lab/world/audit_test.go
@@ -71,14 +71,21 @@
 
 // Every judge notices: a front made to break one rule is caught at it, and one that breaks none is not.
 func TestAuditCatchesEveryBrokenRule(t *testing.T) {
-	set := scheduler.Settings{Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8,
-		Classes: []scheduler.Class{{LatencyObjective: 300_000, Priority: 1}, {LatencyObjective: 300_000, Priority: 1, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 3_000_000},
-			{LatencyObjective: 300_000, Priority: 1, Idempotency: scheduler.NotIdempotent}},
-		Plans: []scheduler.Plan{{Weight: 1}, {Weight: 1, Limit: 10, Burst: 20}}}
-	for fault, want := range map[string]string{"": "", "second answer": "second final answer", "twice at once": "two attempts",
+	set := scheduler.Settings{
+		Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8,
+		Classes: []scheduler.Class{
+			{LatencyObjective: 300_000, Priority: 1},
+			{LatencyObjective: 300_000, Priority: 1, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 3_000_000},
+			{LatencyObjective: 300_000, Priority: 1, Idempotency: scheduler.NotIdempotent},
+		},
+		Plans: []scheduler.Plan{{Weight: 1}, {Weight: 1, Limit: 10, Burst: 20}},
+	}
+	for fault, want := range map[string]string{
+		"": "", "second answer": "second final answer", "twice at once": "two attempts",
 		"after the answer": "after its final answer", "another shard": "doesn't drop repeats", "once": "may have run",
 		"refused": "though it may have run", "leaving": "after it was known to leave", "limit": "beyond its limit",
-		"silence": "no final answer", "cold": "pushed over"} {
+		"silence": "no final answer", "cold": "pushed over",
+	} {
 		cold := model.Figures{Cores: 1, Speed: 1, Room: 1000, ColdFrom: 0.2, Ramp: 60_000_000, FallTimes: 2.5, FallSpan: 1_000_000}
 		nodes := []*model.Node{model.New(cold), model.New(cold)}
 		w := New(set, nodes, 1, 500, 1)
@@ -90,8 +97,10 @@
 		ask := func(at scheduler.Micros, id string, class, plan, count int) {
 			for i := range count {
 				w.At(at+scheduler.Micros(i), func() {
-					w.Ask(Request{Work: 20_000, Request: scheduler.Request{ID: id + string(rune('1'+i)), Class: class, Plan: plan, Volume: id, Units: 7,
-						TimeLeft: 2_000_000}})
+					w.Ask(Request{Work: 20_000, Request: scheduler.Request{
+						ID: id + string(rune('1'+i)), Class: class, Plan: plan, Volume: id, Units: 7,
+						TimeLeft: 2_000_000,
+					}})
 				})
 			}
 		}
--- a/internal/lab/world/fleet_test.go
+++ b/internal/lab/world/fleet_test.go
@@ -28,14 +28,18 @@
 
 func newFleet(t *testing.T, fronts, nodes int, seed uint64, peers bool) *fleet {
 	t.Helper()
-	f := &fleet{seed: int64(seed), said: map[string]int{}, set: scheduler.Settings{Fronts: fronts, PeerMessages: peers, Tick: 1000, MeanUnits: 2, MaxUnits: 6, MaxAttempts: 4, HealthChecks: true,
+	f := &fleet{seed: int64(seed), said: map[string]int{}, set: scheduler.Settings{
+		Fronts: fronts, PeerMessages: peers, Tick: 1000, MeanUnits: 2, MaxUnits: 6, MaxAttempts: 4, HealthChecks: true,
 		RetryAfter: true, MaxRetryAfter: second / 2, InitialCapacity: 0.2, SlowStart: 17 * second, OverloadMultiple: 2.5, OverloadSpan: second, SlowStartUnits: 1,
 		Classes: []scheduler.Class{{LatencyObjective: 700_000, Priority: 2}, {LatencyObjective: 900_000, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 7 * second, Priority: 2}},
-		Plans:   []scheduler.Plan{{Reservation: 3, Weight: 1}, {Weight: 1, Limit: 3, Burst: 36}}}}
+		Plans:   []scheduler.Plan{{Reservation: 3, Weight: 1}, {Weight: 1, Limit: 3, Burst: 36}},
+	}}
 	var models []*model.Node
 	for range nodes {
-		models = append(models, model.New(model.Figures{Cores: 2, Speed: 0.5, Room: 60, ColdFrom: f.set.InitialCapacity, Ramp: int64(f.set.SlowStart),
-			FallTimes: f.set.OverloadMultiple, FallSpan: int64(f.set.OverloadSpan), FallFree: f.set.SlowStartUnits * unitWork, KeyWindow: int64(7 * second), MostMemory: 10_000}))
+		models = append(models, model.New(model.Figures{
+			Cores: 2, Speed: 0.5, Room: 60, ColdFrom: f.set.InitialCapacity, Ramp: int64(f.set.SlowStart),
+			FallTimes: f.set.OverloadMultiple, FallSpan: int64(f.set.OverloadSpan), FallFree: f.set.SlowStartUnits * unitWork, KeyWindow: int64(7 * second), MostMemory: 10_000,
+		}))
 	}
 	f.World = world.New(f.set, models, 1, 5_000, seed)
 	for _, n := range f.Nodes {
@@ -90,9 +94,13 @@
 			units := min(6, 1+int(rng.ExpFloat64()*1.2))
 			front := (shard*7 + rng.IntN(users)*13) % len(f.Fronts)
 			class := rng.IntN(2)
-			q := world.Request{At: scheduler.Micros(at), Front: front, Work: float64(units) * unitWork, Write: class == 1, Comes: true,
-				Request: scheduler.Request{ID: fmt.Sprint("r", id), Class: class, Plan: id % 2, Volume: fmt.Sprint("v", shard, "-", front, "-", id%2),
-					Key: fmt.Sprint("k", id), Units: float64(units), Shard: shard, Fronts: 1, TimeLeft: 4 * second}}
+			q := world.Request{
+				At: scheduler.Micros(at), Front: front, Work: float64(units) * unitWork, Write: class == 1, Comes: true,
+				Request: scheduler.Request{
+					ID: fmt.Sprint("r", id), Class: class, Plan: id % 2, Volume: fmt.Sprint("v", shard, "-", front, "-", id%2),
+					Key: fmt.Sprint("k", id), Units: float64(units), Shard: shard, Fronts: 1, TimeLeft: 4 * second,
+				},
+			}
 			f.asked++
 			f.At(q.At, func() { f.Ask(q) })
 		}
--- a/internal/lab/world/front.go
+++ b/internal/lab/world/front.go
@@ -128,8 +128,10 @@
 }
 
 // outcomes are what a front makes of a node's reply.
-var outcomes = map[Reply]scheduler.AttemptEnded{Answer: {Result: scheduler.OK, Final: true}, TurnedAway: {Result: scheduler.QueueFull},
-	Unreachable: {Result: scheduler.Unreachable}, Broken: {Result: scheduler.Reset}, Garbled: {Result: scheduler.Reset, Alive: true}}
+var outcomes = map[Reply]scheduler.AttemptEnded{
+	Answer: {Result: scheduler.OK, Final: true}, TurnedAway: {Result: scheduler.QueueFull},
+	Unreachable: {Result: scheduler.Unreachable}, Broken: {Result: scheduler.Reset}, Garbled: {Result: scheduler.Reset, Alive: true},
+}
 
 // send is an attempt: to the node, there, and back, or silent until its deadline.
 func (f *Simulated) send(a scheduler.StartAttempt) {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -91,8 +91,10 @@
 // New returns a world with nodes, each of which holds the shard of its number, in so many halls, before any front.
 // delay is the network's, one way.
 func New(set scheduler.Settings, nodes []*model.Node, halls int, delay scheduler.Micros, seed uint64) *World {
-	w := &World{Now: begin, begin: begin, Set: set, delay: delay, Rand: rand.New(rand.NewPCG(seed, 2)), deaf: map[int]scheduler.Micros{},
-		open: map[string]*try{}, ended: map[string]End{}, placed: map[string]int{}, Changed: func(*Node) {}}
+	w := &World{
+		Now: begin, begin: begin, Set: set, delay: delay, Rand: rand.New(rand.NewPCG(seed, 2)), deaf: map[int]scheduler.Micros{},
+		open: map[string]*try{}, ended: map[string]End{}, placed: map[string]int{}, Changed: func(*Node) {},
+	}
 	w.Audit = newAudit(w)
 	w.Watch(w.Audit)
 	for i, n := range nodes {
--- a/internal/net/control/control.go
+++ b/internal/net/control/control.go
@@ -37,8 +37,10 @@
 	mux.HandleFunc("GET /stats", s.stats)
 	mux.HandleFunc("POST /chunk-servers/{id}/maint", s.ban)
 	mux.HandleFunc("POST /chunk-servers/{id}/ready", s.lift)
-	s.http = &http.Server{Handler: http.MaxBytesHandler(mux, l.Control.BodyBytes), ReadTimeout: l.Control.CallTimeout, WriteTimeout: l.Control.CallTimeout,
-		MaxHeaderBytes: l.Requests.HeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnState: s.calls.track}
+	s.http = &http.Server{
+		Handler: http.MaxBytesHandler(mux, l.Control.BodyBytes), ReadTimeout: l.Control.CallTimeout, WriteTimeout: l.Control.CallTimeout,
+		MaxHeaderBytes: l.Requests.HeaderBytes, ErrorLog: log.New(io.Discard, "", 0), ConnState: s.calls.track,
+	}
 	s.http.SetKeepAlivesEnabled(false)
 	return s
 }
--- a/internal/net/protocol/fleet_test.go
+++ b/internal/net/protocol/fleet_test.go
@@ -11,8 +11,10 @@
 
 // bigConfig is the configuration of one of many fronts before many nodes.
 func bigConfig(t *testing.T, many int) string {
-	settings, err := json.Marshal(FormatSettings(scheduler.Settings{Fronts: many, FrontIndex: many - 1, PeerMessages: true, Tick: 1000, MeanUnits: 2, MaxUnits: 6,
-		Classes: []scheduler.Class{{LatencyObjective: 300_000, Priority: 1}}, Plans: []scheduler.Plan{{Weight: 1}}}))
+	settings, err := json.Marshal(FormatSettings(scheduler.Settings{
+		Fronts: many, FrontIndex: many - 1, PeerMessages: true, Tick: 1000, MeanUnits: 2, MaxUnits: 6,
+		Classes: []scheduler.Class{{LatencyObjective: 300_000, Priority: 1}}, Plans: []scheduler.Plan{{Weight: 1}},
+	}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,8 +62,18 @@
 
 func TestBadNotesNameTheField(t *testing.T) {
 	for _, c := range []struct{ text, field string }{
-		{"", "no kind"}, {"ask", "no kind"}, {"tell 1 2", "no kind"}, {"ask 1 1 1 1 s-1", "no kind"}, {"ask 1 x 1 1 1 5 s-1", "units"},
-		{"ask 1 1 NaN 1 1 5 s-1", "units"}, {"ask 1 1 1 1 -1 5 s-1", "units"}, {"ask 1 1 1 1 1 -5 s-1", "since"}, {"ask 1 1 1 1 1 now s-1", "since"}, {"grant 1e9 1 s-1", "units"}, {"grant 1 soon s-1", "until"}, {"grant 1 0 s-1", "until"},
+		{"", "no kind"},
+		{"ask", "no kind"},
+		{"tell 1 2", "no kind"},
+		{"ask 1 1 1 1 s-1", "no kind"},
+		{"ask 1 x 1 1 1 5 s-1", "units"},
+		{"ask 1 1 NaN 1 1 5 s-1", "units"},
+		{"ask 1 1 1 1 -1 5 s-1", "units"},
+		{"ask 1 1 1 1 1 -5 s-1", "since"},
+		{"ask 1 1 1 1 1 now s-1", "since"},
+		{"grant 1e9 1 s-1", "units"},
+		{"grant 1 soon s-1", "until"},
+		{"grant 1 0 s-1", "until"},
 	} {
 		if e, err := ParseNote(1, []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.field) {
 			t.Errorf("%q: %v, %v", c.text, e, err)
--- a/internal/net/protocol/list.go
+++ b/internal/net/protocol/list.go
@@ -71,8 +71,10 @@
 			out.Odd = append(out.Odd, h.Host)
 			continue
 		}
-		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Endpoint: scheduler.Endpoint{Node: h.Host,
-			Zone: zone(zones, h.Site), Shard: h.Block, State: state, StartedAt: scheduler.Micros(h.BornMs * 1000)}})
+		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Endpoint: scheduler.Endpoint{
+			Node: h.Host,
+			Zone: zone(zones, h.Site), Shard: h.Block, State: state, StartedAt: scheduler.Micros(h.BornMs * 1000),
+		}})
 	}
 	return out, nil
 }
--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -83,8 +83,10 @@
 			return Request{}, fmt.Errorf("%s: more than one", name)
 		}
 	}
-	out := Request{Request: scheduler.Request{ID: r.Header.Get(headerID), Class: class,
-		Plan: slices.Index(set.Plans, r.Header.Get(headerPlan)), Volume: parts[1], Key: parts[2]}}
+	out := Request{Request: scheduler.Request{
+		ID: r.Header.Get(headerID), Class: class,
+		Plan: slices.Index(set.Plans, r.Header.Get(headerPlan)), Volume: parts[1], Key: parts[2],
+	}}
 	key, keyed := r.Header.Get(headerKey), class < len(set.Scheduler.Classes) && set.Scheduler.Classes[class].Idempotency == scheduler.IdempotentByKey
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodPut:
--- a/internal/net/protocol/settings.go
+++ b/internal/net/protocol/settings.go
@@ -68,9 +68,13 @@
 	CeilingRate, FloorRate, LimitBurst, Shares, Slack float64
 }
 
-var repeats = map[string]scheduler.Idempotency{"retryable": scheduler.Idempotent, "dedup": scheduler.IdempotentByKey, "fragile": scheduler.NotIdempotent}
-var groups = map[string]scheduler.DedupScope{"": scheduler.AllNodes, "all": scheduler.AllNodes, "zone": scheduler.SameZone,
-	"cell": scheduler.SameShard}
+var (
+	repeats = map[string]scheduler.Idempotency{"retryable": scheduler.Idempotent, "dedup": scheduler.IdempotentByKey, "fragile": scheduler.NotIdempotent}
+	groups  = map[string]scheduler.DedupScope{
+		"": scheduler.AllNodes, "all": scheduler.AllNodes, "zone": scheduler.SameZone,
+		"cell": scheduler.SameShard,
+	}
+)
 
 // registryAsked is the mode in which fronts hear only what they ask for.
 const registryAsked = "on_request"
@@ -122,9 +126,11 @@
 		KeyPause: scheduler.Micros(s.KeyRestUs), RetryBudgetSpan: scheduler.Micros(s.BudgetSpanUs),
 		RetryBudgetMin: s.SpareAttempts, RetryBudgetShare: s.BudgetShare,
 	}
-	out := Settings{Zones: in.Zones, Writes: in.FamilyInfo.ClassWrites, LoadReports: in.Report.How != "" && in.Report.How != "off",
+	out := Settings{
+		Zones: in.Zones, Writes: in.FamilyInfo.ClassWrites, LoadReports: in.Report.How != "" && in.Report.How != "off",
 		Shards: in.FamilyInfo.Shards, MaxOpen: in.Ceilings.MaxOpen, ConnIdle: micros(in.Ceilings.ConnIdleUs),
-		Connect: micros(in.Ceilings.ConnectTimeoutUs), Retry: micros(in.Ceilings.MaxRetryAfterUs), DrainGrace: micros(s.DrainGraceUs)}
+		Connect: micros(in.Ceilings.ConnectTimeoutUs), Retry: micros(in.Ceilings.MaxRetryAfterUs), DrainGrace: micros(s.DrainGraceUs),
+	}
 	if in.RegistryMode == registryAsked {
 		out.Askers = in.Balancers
 	}
@@ -145,13 +151,17 @@
 		}
 		out.Classes, out.Waits = append(out.Classes, c.Name), append(out.Waits, micros(c.GiveUpUs))
 		out.LongestWait = max(out.LongestWait, micros(c.GiveUpUs))
-		set.Classes = append(set.Classes, scheduler.Class{LatencyObjective: scheduler.Micros(c.AimUs), Idempotency: repeat, DedupScope: group,
-			DedupWindow: window, InOrder: c.ByArrival, Priority: c.Credit})
+		set.Classes = append(set.Classes, scheduler.Class{
+			LatencyObjective: scheduler.Micros(c.AimUs), Idempotency: repeat, DedupScope: group,
+			DedupWindow: window, InOrder: c.ByArrival, Priority: c.Credit,
+		})
 	}
 	for _, p := range in.Contracts {
 		out.Plans = append(out.Plans, p.Name)
-		set.Plans = append(set.Plans, scheduler.Plan{Reservation: p.FloorRate, Weight: p.Shares,
-			Limit: p.CeilingRate, Burst: p.LimitBurst, Slack: p.Slack})
+		set.Plans = append(set.Plans, scheduler.Plan{
+			Reservation: p.FloorRate, Weight: p.Shares,
+			Limit: p.CeilingRate, Burst: p.LimitBurst, Slack: p.Slack,
+		})
 	}
 	out.Scheduler, out.Names, out.PlanNames = set, out.Classes, out.Plans
 	return out, nil
--- a/internal/net/protocol/sftp/command.go
+++ b/internal/net/protocol/sftp/command.go
@@ -151,6 +151,8 @@
 
 // Repeats tells what the classes of the four roles allow, given what the operator set for writes.
 func Repeats(write scheduler.Idempotency) [Roles]scheduler.Idempotency {
-	return [Roles]scheduler.Idempotency{RoleRead: scheduler.Idempotent, RoleBulkRead: scheduler.Idempotent, RoleWrite: write,
-		RoleWriteOnce: scheduler.NotIdempotent}
+	return [Roles]scheduler.Idempotency{
+		RoleRead: scheduler.Idempotent, RoleBulkRead: scheduler.Idempotent, RoleWrite: write,
+		RoleWriteOnce: scheduler.NotIdempotent,
+	}
 }
--- a/internal/net/protocol/sftp/command_test.go
+++ b/internal/net/protocol/sftp/command_test.go
@@ -37,8 +37,10 @@
 
 func TestProjectsByPrefix(t *testing.T) {
 	projects := []Project{{Name: "a", Prefix: "/x/a"}, {Name: "deep", Prefix: "/x/a/deep"}, {Name: "b", Prefix: "/x/b"}}
-	for path, want := range map[string]string{"/x/a": "a", "/x/a/f": "a", "/x/ab": "", "/x": "", "/x/a/deep/f": "deep",
-		"/x/a/deeper": "a", Clean("/x/a/../../x/b/f"): "b", Clean("../../x/a"): "a"} {
+	for path, want := range map[string]string{
+		"/x/a": "a", "/x/a/f": "a", "/x/ab": "", "/x": "", "/x/a/deep/f": "deep",
+		"/x/a/deeper": "a", Clean("/x/a/../../x/b/f"): "b", Clean("../../x/a"): "a",
+	} {
 		if got, _ := Find(projects, path); got.Name != want {
 			t.Errorf("%s is in %q, want %q", path, got.Name, want)
 		}
--- a/internal/net/protocol/sftp/packet/packet_test.go
+++ b/internal/net/protocol/sftp/packet/packet_test.go
@@ -52,7 +52,8 @@
 	for kind, answer := range map[Kind][]byte{
 		VersionReply: EncodeVersion(Pair{PosixRename, "1"}), StatusReply: EncodeStatus(1, Failure, "no"),
 		HandleReply: EncodeHandle(1, "9"), DataReply: EncodeData(1, make([]byte, 1000)),
-		NameReply: EncodeNames(1, Entry{Name: "f"}), AttrsReply: EncodeAttrs(1, Attrs{Has: HasSize})} {
+		NameReply: EncodeNames(1, Entry{Name: "f"}), AttrsReply: EncodeAttrs(1, Attrs{Has: HasSize}),
+	} {
 		if n := binary.BigEndian.Uint32(answer); int(n) != len(answer)-4 || Kind(answer[4]) != kind {
 			t.Errorf("kind %d: %d bytes said, %d are there", kind, n, len(answer)-4)
 		}
--- a/internal/net/routing/ask_test.go
+++ b/internal/net/routing/ask_test.go
@@ -11,8 +11,10 @@
 // What is asked of the scheduler is asked behind all that came ahead of it. Where news of the list and a question waited
 // together, the question was answered first: a long body was turned away, as no node was known.
 func TestQuestionsWaitForWhatCameAheadOfThem(t *testing.T) {
-	set := scheduler.Settings{Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, Classes: []scheduler.Class{{LatencyObjective: 300_000}},
-		Plans: []scheduler.Plan{{Weight: 1}}}
+	set := scheduler.Settings{
+		Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, Classes: []scheduler.Class{{LatencyObjective: 300_000}},
+		Plans: []scheduler.Plan{{Weight: 1}},
+	}
 	c, err := New(set, 1, limits.Limits{Requests: limits.RequestLimits{Inbox: 8, PastIDs: 1}}, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -91,9 +91,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("scheduler: %w", err)
 	}
-	return &Core{clock: NewClock(), scheduler: decider, checkHealth: probe, inbox: make(chan message, l.Requests.Inbox),
+	return &Core{
+		clock: NewClock(), scheduler: decider, checkHealth: probe, inbox: make(chan message, l.Requests.Inbox),
 		stopped: make(chan struct{}), calls: map[string]*call{}, usedIDs: newIDHistory(scheduler.Micros(l.Requests.IDRetention/time.Microsecond), l.Requests.PastIDs),
-		saveRequested: make(chan struct{}, 1), SendToPeer: func(int, scheduler.Action) {}, Log: slog.New(slog.DiscardHandler)}, nil
+		saveRequested: make(chan struct{}, 1), SendToPeer: func(int, scheduler.Action) {}, Log: slog.New(slog.DiscardHandler),
+	}, nil
 }
 
 // UpdateEndpoints hands news of the node list to the scheduler, ahead of any request submitted later.
--- a/internal/net/routing/request.go
+++ b/internal/net/routing/request.go
@@ -125,7 +125,8 @@
 // startAttempt carries out an attempt in a goroutine, reports its outcome to the scheduler, and hands on a success. The
 // returned function cancels it.
 func startAttempt[T any](ctx context.Context, s *Submission, v scheduler.StartAttempt, number int, attempt AttemptFunc[T],
-	answers chan<- T) context.CancelCauseFunc {
+	answers chan<- T,
+) context.CancelCauseFunc {
 	c := s.core
 	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	go func() {
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -26,10 +26,12 @@
 // somebody is there. What went lost with the watch is newer than seq, and so comes with it. A list that is older than what
 // is known takes nothing back; discovery may have begun anew, so the whole list is asked for, and that holds.
 func Watch(ctx context.Context, addr string, seq int64, zones []string, l limits.Limits, seed int64,
-	apply func(protocol.List), log *slog.Logger) {
+	apply func(protocol.List), log *slog.Logger,
+) {
 	client := &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConns: 1,
-		DialContext: (&net.Dialer{Timeout: l.Nodes.ConnectTimeout}).DialContext}}
+		DialContext: (&net.Dialer{Timeout: l.Nodes.ConnectTimeout}).DialContext,
+	}}
 	defer client.CloseIdleConnections()
 	said, hold := "", l.Discovery.WatchHold
 	warn := func(what, text string) {
@@ -86,7 +88,8 @@
 
 // fetch asks for what is newer than a version, or for all. Discovery may hold the answer for a while.
 func fetch(ctx context.Context, client *http.Client, addr string, seq int64, hold time.Duration, zones []string,
-	l limits.Limits) (protocol.List, error) {
+	l limits.Limits,
+) (protocol.List, error) {
 	ctx, end := context.WithTimeout(ctx, hold+l.Discovery.AnswerTimeout)
 	defer end()
 	url := fmt.Sprintf("http://%s/v1/endpoints", addr)
--- a/internal/net/transport/door_test.go
+++ b/internal/net/transport/door_test.go
@@ -37,8 +37,10 @@
 	nodes := NewNodes(l)
 	core := standin.Core(t, standin.Settings(), nil)
 	core.UpdateEndpoints(nodes.Apply(list(node)))
-	f := NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 1,
-		Scheduler: scheduler.Settings{Plans: []scheduler.Plan{{Weight: 1}}}, LongestWait: time.Minute, Retry: time.Second}, l,
+	f := NewFront(protocol.Settings{
+		Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 1,
+		Scheduler: scheduler.Settings{Plans: []scheduler.Plan{{Weight: 1}}}, LongestWait: time.Minute, Retry: time.Second,
+	}, l,
 		NewRoundTripper(core, nodes))
 	f.Admission = g
 	listener := standin.Listen(t)
--- a/internal/net/transport/exchange_test.go
+++ b/internal/net/transport/exchange_test.go
@@ -94,8 +94,10 @@
 func list(addrs ...string) protocol.List {
 	out := protocol.List{Whole: true}
 	for i, a := range addrs {
-		out.Hosts = append(out.Hosts, protocol.Host{Dial: a,
-			Endpoint: scheduler.Endpoint{Node: fmt.Sprint("node-", i), Shard: i}})
+		out.Hosts = append(out.Hosts, protocol.Host{
+			Dial:     a,
+			Endpoint: scheduler.Endpoint{Node: fmt.Sprint("node-", i), Shard: i},
+		})
 	}
 	return out
 }
--- a/internal/net/transport/flood_test.go
+++ b/internal/net/transport/flood_test.go
@@ -54,8 +54,10 @@
 				due = due.Add(100 * time.Millisecond)
 			}
 			r, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/read/%016x/%016x", addr, project, n), nil)
-			for k, v := range map[string]string{"X-Correlation-Id": fmt.Sprintf("%d-%d", who, n), "X-Service-Class": "read",
-				"X-Plan": "gold", "X-Time-Left": "2000m", "X-IO": "units=1,shard=0,hosts=1"} {
+			for k, v := range map[string]string{
+				"X-Correlation-Id": fmt.Sprintf("%d-%d", who, n), "X-Service-Class": "read",
+				"X-Plan": "gold", "X-Time-Left": "2000m", "X-IO": "units=1,shard=0,hosts=1",
+			} {
 				r.Header.Set(k, v)
 			}
 			asked := time.Now()
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -26,8 +26,10 @@
 	nodes := NewNodes(l)
 	core = standin.Core(t, standin.Settings(), nil)
 	core.UpdateEndpoints(nodes.Apply(list(addrs...)))
-	f = NewFront(protocol.Settings{Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 2,
-		LongestWait: 5 * time.Second, Retry: time.Second}, l, NewRoundTripper(core, nodes))
+	f = NewFront(protocol.Settings{
+		Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 2,
+		LongestWait: 5 * time.Second, Retry: time.Second,
+	}, l, NewRoundTripper(core, nodes))
 	listener := standin.Listen(t)
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(listener) }()
--- a/internal/net/transport/handshakes.go
+++ b/internal/net/transport/handshakes.go
@@ -31,8 +31,10 @@
 
 // NewHandshakes returns a listener before one for plain TCP. It accepts until Close.
 func NewHandshakes(l net.Listener, config *tls.Config, lim limits.Limits) *Handshakes {
-	h := &Handshakes{Listener: l, config: config, limits: lim, ready: make(chan net.Conn), failed: make(chan error, 1),
-		open: queue.New()}
+	h := &Handshakes{
+		Listener: l, config: config, limits: lim, ready: make(chan net.Conn), failed: make(chan error, 1),
+		open: queue.New(),
+	}
 	h.ctx, h.end = context.WithCancel(context.Background())
 	go h.run()
 	return h
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -57,8 +57,10 @@
 
 // New returns an empty list.
 func New[T any](l limits.Limits, s Session[T]) *Pool[T] {
-	return &Pool[T]{limits: l, session: s, dialer: new(net.Dialer).DialContext,
-		byName: map[string]*node[T]{}, roomFreed: make(chan struct{})}
+	return &Pool[T]{
+		limits: l, session: s, dialer: new(net.Dialer).DialContext,
+		byName: map[string]*node[T]{}, roomFreed: make(chan struct{}),
+	}
 }
 
 // Apply takes over a list, or changes of one, and returns the same news for the scheduler.
--- a/internal/net/transport/probe_test.go
+++ b/internal/net/transport/probe_test.go
@@ -51,8 +51,10 @@
 // version last had, or changes in between would count as told.
 func TestWatchOutlivesBadText(t *testing.T) {
 	calls := make(chan string, 16)
-	bad := []string{"{", `{"hosts":[]}`, `{"seq":9,"hosts":[{"host":"x","health":"odd"}]}`,
-		`{"seq":9,"hosts":[{"host":"x","health":"up","dial":"nowhere"}]}`}
+	bad := []string{
+		"{", `{"hosts":[]}`, `{"seq":9,"hosts":[{"host":"x","health":"odd"}]}`,
+		`{"seq":9,"hosts":[{"host":"x","health":"up","dial":"nowhere"}]}`,
+	}
 	good := `{"seq":42,"whole":false,"hosts":[{"host":"x","dial":"127.0.0.1:1","site":"a","block":3,"health":"draining","born_ms":5}]}`
 	addr, _ := newNode(t, func(n int64, c net.Conn, r *http.Request) {
 		calls <- r.URL.RawQuery
@@ -70,8 +72,10 @@
 		<-ctx.Done()
 	}, standin.Log(func(line string) { logged <- line }))
 	got := standin.Await(t, "the list", lists)
-	want := protocol.Host{Dial: "127.0.0.1:1", Endpoint: scheduler.Endpoint{Node: "x", Zone: 1, Shard: 3,
-		State: scheduler.Draining, StartedAt: 5000}}
+	want := protocol.Host{Dial: "127.0.0.1:1", Endpoint: scheduler.Endpoint{
+		Node: "x", Zone: 1, Shard: 3,
+		State: scheduler.Draining, StartedAt: 5000,
+	}}
 	if len(got.Hosts) != 1 || got.Hosts[0] != want || got.Seq != 42 {
 		t.Errorf("list %+v", got)
 	}
--- a/internal/net/transport/sftp/commands.go
+++ b/internal/net/transport/sftp/commands.go
@@ -87,8 +87,10 @@
 	}
 	if r.Flags&packet.OpenWrite != 0 {
 		cmd.Op, cmd.Flags = files.Create, os.O_WRONLY
-		for is, flag := range map[uint32]int{packet.OpenCreate: os.O_CREATE, packet.OpenTrunc: os.O_TRUNC,
-			packet.OpenExcl: os.O_EXCL} {
+		for is, flag := range map[uint32]int{
+			packet.OpenCreate: os.O_CREATE, packet.OpenTrunc: os.O_TRUNC,
+			packet.OpenExcl: os.O_EXCL,
+		} {
 			if r.Flags&is != 0 {
 				cmd.Flags |= flag
 			}
@@ -201,8 +203,10 @@
 // entry is a file as a node or the front itself told of it.
 func entry(info os.FileInfo) packet.Entry {
 	e := packet.Entry{Name: info.Name(), Mode: info.Mode()}
-	e.Attrs = packet.Attrs{Has: packet.HasSize | packet.HasMode | packet.HasTimes, Size: uint64(info.Size()),
-		Mode: packet.Mode(info.Mode()), Atime: uint32(info.ModTime().Unix()), Mtime: uint32(info.ModTime().Unix())}
+	e.Attrs = packet.Attrs{
+		Has: packet.HasSize | packet.HasMode | packet.HasTimes, Size: uint64(info.Size()),
+		Mode: packet.Mode(info.Mode()), Atime: uint32(info.ModTime().Unix()), Mtime: uint32(info.ModTime().Unix()),
+	}
 	if s, ok := info.Sys().(*sftp.FileStat); ok && s != nil {
 		e.Attrs.Has |= packet.HasOwner
 		e.Attrs.UID, e.Attrs.GID, e.Attrs.Atime = s.UID, s.GID, s.Atime
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -44,8 +44,10 @@
 
 // NewFront returns a front.
 func NewFront(site Site, l limits.Limits, core *routing.Core, attempt Attempter) *Front {
-	f := &Front{site: site, limits: l, core: core, attempt: attempt, conns: map[*visitor]struct{}{},
-		tallies: map[string]*tally{}, room: make(chan struct{}, l.Requests.Open)}
+	f := &Front{
+		site: site, limits: l, core: core, attempt: attempt, conns: map[*visitor]struct{}{},
+		tallies: map[string]*tally{}, room: make(chan struct{}, l.Requests.Open),
+	}
 	for _, p := range site.Projects {
 		f.tallies[p.Name] = &tally{}
 	}
@@ -139,7 +141,9 @@
 		}
 	}
 	role := cmd.Role(f.site.Sizes)
-	return scheduler.Request{ID: "sftp-" + strconv.FormatInt(f.ids.Add(1), 10), Class: f.site.Classes[role],
+	return scheduler.Request{
+		ID: "sftp-" + strconv.FormatInt(f.ids.Add(1), 10), Class: f.site.Classes[role],
 		Plan: project.Plan, Volume: project.Name, Key: cmd.Path, Units: cmd.Units(f.site.Sizes), Shard: project.Shard,
-		Fronts: 1, TimeLeft: scheduler.Micros(f.site.Wait[role] / time.Microsecond)}, f.tallies[project.Name], nil
+		Fronts: 1, TimeLeft: scheduler.Micros(f.site.Wait[role] / time.Microsecond),
+	}, f.tallies[project.Name], nil
 }
--- a/internal/net/transport/sftp/front_test.go
+++ b/internal/net/transport/sftp/front_test.go
@@ -68,8 +68,10 @@
 }
 
 func host(shard int, addr string, state scheduler.NodeState) protocol.Host {
-	return protocol.Host{Dial: addr, Endpoint: scheduler.Endpoint{Node: "node-" + string(rune('a'+shard)), Shard: shard,
-		State: state}}
+	return protocol.Host{Dial: addr, Endpoint: scheduler.Endpoint{
+		Node: "node-" + string(rune('a'+shard)), Shard: shard,
+		State: state,
+	}}
 }
 
 func (b *bench) tell(list protocol.List) { b.core.UpdateEndpoints(b.client.Apply(list)) }
--- a/internal/net/transport/sftp/visitor.go
+++ b/internal/net/transport/sftp/visitor.go
@@ -45,8 +45,10 @@
 }
 
 func newVisitor(f *Front, c net.Conn) *visitor {
-	v := &visitor{front: f, conn: c, in: bufio.NewReaderSize(c, lengthBytes+f.limits.Files.PacketBytes),
-		handles: map[string]handle{}, transfer: make(chan struct{}, f.limits.Files.Transfers)}
+	v := &visitor{
+		front: f, conn: c, in: bufio.NewReaderSize(c, lengthBytes+f.limits.Files.PacketBytes),
+		handles: map[string]handle{}, transfer: make(chan struct{}, f.limits.Files.Transfers),
+	}
 	v.ctx, v.left = context.WithCancelCause(context.Background())
 	v.taking, v.noMore = context.WithCancelCause(v.ctx)
 	return v
--- a/internal/net/transport/watch_test.go
+++ b/internal/net/transport/watch_test.go
@@ -44,7 +44,7 @@
 // A watch that fell silent was asked for anew by one that is held, which no front can tell from silence: as discovery
 // came back, nodes drained for over a second until a front knew that somebody was there.
 func TestSilentWatchIsOpenedAnewByACallThatIsNotHeld(t *testing.T) {
-	var silent = 3
+	silent := 3
 	calls, lists, _ := watched(t, func(*limits.Limits) {}, func(n int64, query string) string {
 		if n <= int64(silent) {
 			return ""
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -104,8 +104,10 @@
 
 func newAppliance(o Operator) (*Appliance, error) {
 	l := o.limits()
-	a := &Appliance{operator: o, log: logs.New(os.Stderr, o.Log.level()), listed: o, limits: l, client: sftp.NewClient(l), nodes: transport.NewNodes(l),
-		failed: make(chan error, 4), drained: map[string]bool{}}
+	a := &Appliance{
+		operator: o, log: logs.New(os.Stderr, o.Log.level()), listed: o, limits: l, client: sftp.NewClient(l), nodes: transport.NewNodes(l),
+		failed: make(chan error, 4), drained: map[string]bool{},
+	}
 	probe := a.client.Probe(l)
 	if o.SFTP.Listen == "" {
 		probe = transport.NewHealthChecker(a.nodes, protocol.Settings{}, a.log).Check
--- a/internal/program/certificates.go
+++ b/internal/program/certificates.go
@@ -28,8 +28,10 @@
 	if !o.secured() {
 		return nil
 	}
-	set := manager.Settings{Try: o.ACME.Try, HTTP: o.ACME.Challenge != "", ALPN: o.HTTP.TLS, Log: a.log,
-		Policy: plan.Policy{Before: o.ACME.RenewBefore, Least: o.ACME.Least, Most: o.ACME.Most}}
+	set := manager.Settings{
+		Try: o.ACME.Try, HTTP: o.ACME.Challenge != "", ALPN: o.HTTP.TLS, Log: a.log,
+		Policy: plan.Policy{Before: o.ACME.RenewBefore, Least: o.ACME.Least, Most: o.ACME.Most},
+	}
 	for _, c := range o.ACME.Certificates {
 		set.Certificates = append(set.Certificates, manager.Certificate{Name: c.Name, Names: c.Names})
 	}
@@ -53,8 +55,10 @@
 		return fmt.Errorf("certificates: %w", err)
 	}
 	if set.HTTP {
-		answers := &http.Server{Handler: a.certs.HTTP(), ReadTimeout: a.limits.Clients.ChallengeTimeout, WriteTimeout: a.limits.Clients.WriteTimeout,
-			IdleTimeout: a.limits.Clients.IdleTimeout, MaxHeaderBytes: a.limits.Requests.HeaderBytes, ErrorLog: quiet}
+		answers := &http.Server{
+			Handler: a.certs.HTTP(), ReadTimeout: a.limits.Clients.ChallengeTimeout, WriteTimeout: a.limits.Clients.WriteTimeout,
+			IdleTimeout: a.limits.Clients.IdleTimeout, MaxHeaderBytes: a.limits.Requests.HeaderBytes, ErrorLog: quiet,
+		}
 		serve := func(l net.Listener) error {
 			if err := answers.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				return err
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -92,9 +92,11 @@
 		return health.Config{}, err
 	}
 	h := f.Health
-	c := health.Config{Self: s.self, Incarnation: began, Zones: zones, Probers: h.Probers, Quorum: h.Quorum,
+	c := health.Config{
+		Self: s.self, Incarnation: began, Zones: zones, Probers: h.Probers, Quorum: h.Quorum,
 		SuspectAfter: inMicros(h.SuspectAfter), ProbeTimeout: inMicros(h.ProbeLate), EvidenceLifetime: inMicros(h.EvidenceLife),
-		TakeoverAfter: inMicros(h.TakeoverAfter), ProbesPerNode: h.ProbesPerNode, MessageRate: h.MessageBytes}
+		TakeoverAfter: inMicros(h.TakeoverAfter), ProbesPerNode: h.ProbesPerNode, MessageRate: h.MessageBytes,
+	}
 	if err := c.Validate(); err != nil {
 		return health.Config{}, fmt.Errorf("health: %w", err)
 	}
--- a/internal/program/fleet_health.go
+++ b/internal/program/fleet_health.go
@@ -56,7 +56,8 @@
 		Probe:  probe,
 		Report: func(e scheduler.Event) { p.core.Handle(e) },
 		Send:   p.sendToFront,
-		Log:    p.log})
+		Log:    p.log,
+	})
 }
 
 // sendToFront sends a datagram to the front of a number, where there is a socket for that.
@@ -131,6 +132,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &protocol.HealthFigures{Probes: c.Probes, MessagesSent: c.Sent, BytesSent: c.SentBytes, MessagesReceived: c.Received,
-		Dropped: c.Drops(), Shed: c.Shed, Lost: c.Lost, Condemned: c.Avoided}, nil
+	return &protocol.HealthFigures{
+		Probes: c.Probes, MessagesSent: c.Sent, BytesSent: c.SentBytes, MessagesReceived: c.Received,
+		Dropped: c.Drops(), Shed: c.Shed, Lost: c.Lost, Condemned: c.Avoided,
+	}, nil
 }
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -54,12 +54,16 @@
 		return protocol.Figures{}, err
 	}
 	t := p.core.Tally()
-	out := protocol.Figures{InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
-		ReloadsOK: p.reloads.Load(), ReloadsFailed: p.reloadsRejected.Load(), Health: shared}
+	out := protocol.Figures{
+		InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
+		ReloadsOK: p.reloads.Load(), ReloadsFailed: p.reloadsRejected.Load(), Health: shared,
+	}
 	for i, name := range p.front.ClassNames() {
 		ended := t.Class(i)
-		out.Classes = append(out.Classes, protocol.Ended{Class: name, Served: ended[routing.Served],
-			Refused: ended[routing.Rejected], Failed: ended[routing.Failed]})
+		out.Classes = append(out.Classes, protocol.Ended{
+			Class: name, Served: ended[routing.Served],
+			Refused: ended[routing.Rejected], Failed: ended[routing.Failed],
+		})
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -103,12 +103,16 @@
 // newPlatform builds the parts. None of them runs yet.
 func newPlatform(path string, text []byte, config protocol.Config) (*platform, error) {
 	set := config.Settings
-	l := limits.For(limits.Site{MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
+	l := limits.For(limits.Site{
+		MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
 		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait, DrainGrace: set.DrainGrace,
-		Askers: set.Askers})
+		Askers: set.Askers,
+	})
 	limitRuntime(l)
-	p := &platform{path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
-		nodes: transport.NewNodes(l), roster: roster.New(), peerMessages: set.Scheduler.PeerMessages}
+	p := &platform{
+		path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
+		nodes: transport.NewNodes(l), roster: roster.New(), peerMessages: set.Scheduler.PeerMessages,
+	}
 	set.Scheduler.MaxOpen = l.Requests.Scheduled
 	probe := transport.NewHealthChecker(p.nodes, set, p.log).Check
 	var err error
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -34,9 +34,11 @@
 	if err != nil {
 		return err
 	}
-	a.saver = saver.New(saver.Settings{Front: set.Front, Interval: set.Interval, MinInterval: minSaveInterval,
+	a.saver = saver.New(saver.Settings{
+		Front: set.Front, Interval: set.Interval, MinInterval: minSaveInterval,
 		Rules: a.operator.Settings().Scheduler, Log: a.log, Nodes: a.listing,
-		Shutdown: saveTimeout}, a.core, s)
+		Shutdown: saveTimeout,
+	}, a.core, s)
 	for _, n := range a.saver.Restore() {
 		if n.State == scheduler.Draining && a.hasNode(n.Node) {
 			a.drained[n.Node] = true
--- a/internal/program/state_command.go
+++ b/internal/program/state_command.go
@@ -59,8 +59,10 @@
 
 // check tells of each file in the folder whether a start would use it. It fails if one would not be used.
 func check(o Operator, out io.Writer) error {
-	now := decay.Current{At: scheduler.Micros(time.Now().UnixMicro()), Front: o.Learned.Front,
-		Settings: snapshot.Fingerprint(o.Settings().Scheduler)}
+	now := decay.Current{
+		At: scheduler.Micros(time.Now().UnixMicro()), Front: o.Learned.Front,
+		Settings: snapshot.Fingerprint(o.Settings().Scheduler),
+	}
 	var failed error
 	for i, name := range []string{"the last one", "the one before"} {
 		snap, err := store.Read(o.Learned.Folder, i > 0)
--- a/internal/program/words.go
+++ b/internal/program/words.go
@@ -44,7 +44,8 @@
 // commandParser is built with the first command: the platform's front, which has no console, starts without it.
 var commandParser = sync.OnceValue(func() *participle.Parser[command] {
 	return participle.MustBuild[command](participle.Elide("Space"), participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
-		{Name: "Word", Pattern: `\S+`}, {Name: "Space", Pattern: `\s+`}})))
+		{Name: "Word", Pattern: `\S+`}, {Name: "Space", Pattern: `\s+`},
+	})))
 })
 
 // parseCommand reads a line. Its errors point at the column.
--- a/internal/program/words_test.go
+++ b/internal/program/words_test.go
@@ -6,17 +6,21 @@
 )
 
 func TestConsoleWords(t *testing.T) {
-	for line, want := range map[string]command{"status": {Plain: "status"}, "  drain  node-a ": {Node: &onNode{"drain", "node-a"}},
+	for line, want := range map[string]command{
+		"status": {Plain: "status"}, "  drain  node-a ": {Node: &onNode{"drain", "node-a"}},
 		"renew all": {Cert: &onCert{"renew", "all"}}, "forget all": {Forget: &forget{Kind: "all"}},
-		"forget node all": {Forget: &forget{One: "node", Name: "all"}}} {
+		"forget node all": {Forget: &forget{One: "node", Name: "all"}},
+	} {
 		got, err := parseCommand(line)
 		if err != nil || got.Plain != want.Plain || (got.Node == nil) != (want.Node == nil) || got.Node != nil && *got.Node != *want.Node ||
 			got.Cert != nil && *got.Cert != *want.Cert || got.Forget != nil && *got.Forget != *want.Forget {
 			t.Errorf("%q: %+v, %v", line, got, err)
 		}
 	}
-	for line, want := range map[string]string{"drain": "column 6", "status now": "column 8", "dran node-a": "column 1", "forget nobody x": "column 8",
-		"forget node": "column 12", "drain a b": "column 9"} {
+	for line, want := range map[string]string{
+		"drain": "column 6", "status now": "column 8", "dran node-a": "column 1", "forget nobody x": "column 8",
+		"forget node": "column 12", "drain a b": "column 9",
+	} {
 		if _, err := parseCommand(line); err == nil || !strings.HasPrefix(err.Error(), want) {
 			t.Errorf("%q: %v, want %s", line, err, want)
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -22,21 +22,25 @@
 
 // Limits are wide enough for any test machine.
 func Limits() limits.Limits {
-	return limits.For(limits.Site{MemoryMB: 192, Sockets: 1024, Connect: 2 * time.Second, ConnIdle: time.Minute,
-		Deadline: 5 * time.Second})
+	return limits.For(limits.Site{
+		MemoryMB: 192, Sockets: 1024, Connect: 2 * time.Second, ConnIdle: time.Minute,
+		Deadline: 5 * time.Second,
+	})
 }
 
 // Settings have three classes: safe, keyed within the shard, and not to be repeated.
 func Settings() scheduler.Settings {
 	aim := scheduler.Micros(300_000)
-	return scheduler.Settings{Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, MaxAttempts: 4,
+	return scheduler.Settings{
+		Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: 8, MaxAttempts: 4,
 		RetryAfter: true, MaxRetryAfter: 2_000_000,
 		Classes: []scheduler.Class{
 			{LatencyObjective: aim, Idempotency: scheduler.Idempotent, Priority: 1},
 			{LatencyObjective: aim, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 60_000_000, Priority: 1},
 			{LatencyObjective: aim, Idempotency: scheduler.NotIdempotent, Priority: 1},
 		},
-		Plans: []scheduler.Plan{{Weight: 1}}}
+		Plans: []scheduler.Plan{{Weight: 1}},
+	}
 }
 
 // Core starts a core that ends with the test.
--- a/internal/state/decay/decay_test.go
+++ b/internal/state/decay/decay_test.go
@@ -28,8 +28,10 @@
 func learned(age time.Duration, nodes ...snapshot.Node) snapshot.Snapshot {
 	s := snapshot.Snapshot{Front: "a", Settings: 1, Saved: at - micros(age)}
 	for _, n := range nodes {
-		n.NodeStats = scheduler.NodeStats{Budget: 3, Target: 900e3, SmoothedLatency: 700e3, PreviousLatency: 800e3, UnitTime: 90e3, ErrorRate: 0.8,
-			Curve: make(curve.Curve, 16), LatencyUpdated: s.Saved, LastAnswer: s.Saved, SuspectedRestart: s.Saved}
+		n.NodeStats = scheduler.NodeStats{
+			Budget: 3, Target: 900e3, SmoothedLatency: 700e3, PreviousLatency: 800e3, UnitTime: 90e3, ErrorRate: 0.8,
+			Curve: make(curve.Curve, 16), LatencyUpdated: s.Saved, LastAnswer: s.Saved, SuspectedRestart: s.Saved,
+		}
 		s.Nodes = append(s.Nodes, n)
 	}
 	return s
--- a/internal/state/saver/cost_test.go
+++ b/internal/state/saver/cost_test.go
@@ -34,8 +34,10 @@
 		l.Nodes = append(l.Nodes, k)
 	}
 	for i := range 10 * nodes {
-		l.Volumes = append(l.Volumes, scheduler.VolumeUsage{Volume: fmt.Sprint("project-", i), Fronts: 1,
-			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 3, At: now, BoundUntil: now + 6_000_000}})
+		l.Volumes = append(l.Volumes, scheduler.VolumeUsage{
+			Volume: fmt.Sprint("project-", i), Fronts: 1,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 3, At: now, BoundUntil: now + 6_000_000},
+		})
 	}
 	s.Step(now, []scheduler.Event{list})
 	s.ImportLearned(now, l)
--- a/internal/state/saver/limit_test.go
+++ b/internal/state/saver/limit_test.go
@@ -50,8 +50,10 @@
 	f.out, f.writing = nil, nil
 	list := scheduler.EndpointsChanged{Full: true, Endpoints: []scheduler.Endpoint{{Node: "a"}}}
 	f.s.Step(f.now, []scheduler.Event{list})
-	now := decay.Current{At: f.now, Front: "f", Settings: snapshot.Fingerprint(f.set), Fresh: f.s.NewNodeStats(),
-		Nodes: []snapshot.Node{{LearnedNode: scheduler.LearnedNode{Endpoint: list.Endpoints[0]}}}}
+	now := decay.Current{
+		At: f.now, Front: "f", Settings: snapshot.Fingerprint(f.set), Fresh: f.s.NewNodeStats(),
+		Nodes: []snapshot.Node{{LearnedNode: scheduler.LearnedNode{Endpoint: list.Endpoints[0]}}},
+	}
 	for i, file := range [][]byte{f.disk, f.before} {
 		if snap, err := snapshot.Decode(file); err == nil && decay.Check(snap, now) == nil {
 			f.s.ImportLearned(f.now, decay.Decay(snap, now, i > 0))
--- a/internal/state/snapshot/snapshot.go
+++ b/internal/state/snapshot/snapshot.go
@@ -102,17 +102,21 @@
 func (s Snapshot) form() fileForm {
 	out := fileForm{Front: s.Front, Settings: s.Settings, Saved: int64(s.Saved), Count: s.Count, Closed: s.Closed, List: s.List}
 	for _, n := range s.Nodes {
-		f := nodeForm{Name: n.Node, Addr: n.Addr, Zone: n.Zone, Shard: n.Shard, State: int(n.State), Since: int64(n.StartedAt),
+		f := nodeForm{
+			Name: n.Node, Addr: n.Addr, Zone: n.Zone, Shard: n.Shard, State: int(n.State), Since: int64(n.StartedAt),
 			Budget: n.Budget, Target: n.Target, Usual: n.SmoothedLatency, Before: n.PreviousLatency, Unit: n.UnitTime, Errors: n.ErrorRate,
-			Judged: int64(n.LatencyUpdated), Answered: int64(n.LastAnswer), Suspect: int64(n.SuspectedRestart)}
+			Judged: int64(n.LatencyUpdated), Answered: int64(n.LastAnswer), Suspect: int64(n.SuspectedRestart),
+		}
 		for _, p := range n.Curve {
 			f.Curve = append(f.Curve, pointForm{Throughput: p.Throughput, Latency: p.Latency, Low: p.Low})
 		}
 		out.Nodes = append(out.Nodes, f)
 	}
 	for _, a := range s.Accounts {
-		out.Accounts = append(out.Accounts, accountForm{a.Volume, a.Plan, a.Fronts, a.ReservationTag, a.Bucket.Level,
-			int64(a.Bucket.At), a.Bucket.Lease, int64(a.Bucket.BoundUntil)})
+		out.Accounts = append(out.Accounts, accountForm{
+			a.Volume, a.Plan, a.Fronts, a.ReservationTag, a.Bucket.Level,
+			int64(a.Bucket.At), a.Bucket.Lease, int64(a.Bucket.BoundUntil),
+		})
 	}
 	for _, l := range s.Leads {
 		out.Leads = append(out.Leads, leadForm{l.Volume, l.Plan, l.Shard, l.Units, int64(l.LastSend)})
@@ -125,16 +129,21 @@
 	for _, n := range f.Nodes {
 		k := scheduler.LearnedNode{
 			Endpoint: scheduler.Endpoint{Node: n.Name, Zone: n.Zone, Shard: n.Shard, State: scheduler.NodeState(n.State), StartedAt: scheduler.Micros(n.Since)},
-			NodeStats: scheduler.NodeStats{Budget: n.Budget, Target: n.Target, SmoothedLatency: n.Usual, PreviousLatency: n.Before, UnitTime: n.Unit, ErrorRate: n.Errors,
-				LatencyUpdated: scheduler.Micros(n.Judged), LastAnswer: scheduler.Micros(n.Answered), SuspectedRestart: scheduler.Micros(n.Suspect)}}
+			NodeStats: scheduler.NodeStats{
+				Budget: n.Budget, Target: n.Target, SmoothedLatency: n.Usual, PreviousLatency: n.Before, UnitTime: n.Unit, ErrorRate: n.Errors,
+				LatencyUpdated: scheduler.Micros(n.Judged), LastAnswer: scheduler.Micros(n.Answered), SuspectedRestart: scheduler.Micros(n.Suspect),
+			},
+		}
 		for _, p := range n.Curve {
 			k.Curve = append(k.Curve, curve.Point{Throughput: p.Throughput, Latency: p.Latency, Low: p.Low})
 		}
 		out.Nodes = append(out.Nodes, Node{k, n.Addr})
 	}
 	for _, a := range f.Accounts {
-		out.Accounts = append(out.Accounts, scheduler.VolumeUsage{Volume: a.Volume, Plan: a.Plan, Fronts: a.Hosts, ReservationTag: a.Reserve,
-			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: a.Level, At: scheduler.Micros(a.At), Lease: a.Lease, BoundUntil: scheduler.Micros(a.Bound)}})
+		out.Accounts = append(out.Accounts, scheduler.VolumeUsage{
+			Volume: a.Volume, Plan: a.Plan, Fronts: a.Hosts, ReservationTag: a.Reserve,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: a.Level, At: scheduler.Micros(a.At), Lease: a.Lease, BoundUntil: scheduler.Micros(a.Bound)},
+		})
 	}
 	for _, l := range f.Leads {
 		out.Leads = append(out.Leads, scheduler.FlowLead{Volume: l.Volume, Plan: l.Plan, Shard: l.Shard, Units: l.Units, LastSend: scheduler.Micros(l.Last)})
--- a/internal/state/snapshot/snapshot_test.go
+++ b/internal/state/snapshot/snapshot_test.go
@@ -18,14 +18,21 @@
 
 // sample has every field set, so that one that is not kept shows.
 func sample() Snapshot {
-	return Snapshot{Front: "files-1", Settings: 7, Saved: 1_800_000_000_000_000, Count: 3, Closed: true, List: 41,
+	return Snapshot{
+		Front: "files-1", Settings: 7, Saved: 1_800_000_000_000_000, Count: 3, Closed: true, List: 41,
 		Nodes: []Node{{Addr: "127.0.0.1:3022", LearnedNode: scheduler.LearnedNode{
 			Endpoint: scheduler.Endpoint{Node: "node-a", Zone: 1, Shard: 2, State: scheduler.Draining, StartedAt: 5},
-			NodeStats: scheduler.NodeStats{Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
-				SmoothedLatency: 30e3, PreviousLatency: 31e3, UnitTime: 4e3, ErrorRate: 0.25, LatencyUpdated: 6, LastAnswer: 7, SuspectedRestart: 8}}}},
-		Accounts: []scheduler.VolumeUsage{{Volume: "riverside", Plan: 1, Fronts: 2, ReservationTag: 9.5,
-			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, BoundUntil: 11}}},
-		Leads: []scheduler.FlowLead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, LastSend: 12}}}
+			NodeStats: scheduler.NodeStats{
+				Budget: 8.5, Target: 150e3, Curve: curve.Curve{{Throughput: 10, Latency: 20e3, Low: 15e3}},
+				SmoothedLatency: 30e3, PreviousLatency: 31e3, UnitTime: 4e3, ErrorRate: 0.25, LatencyUpdated: 6, LastAnswer: 7, SuspectedRestart: 8,
+			},
+		}}},
+		Accounts: []scheduler.VolumeUsage{{
+			Volume: "riverside", Plan: 1, Fronts: 2, ReservationTag: 9.5,
+			Bucket: tokenbucket.Bucket[scheduler.Micros]{Level: 30, At: 10, Lease: 4, BoundUntil: 11},
+		}},
+		Leads: []scheduler.FlowLead{{Volume: "riverside", Plan: 1, Shard: 2, Units: 3.5, LastSend: 12}},
+	}
 }
 
 func TestFileHoldsAllOfASnapshot(t *testing.T) {
--- a/internal/wire/remote_test.go
+++ b/internal/wire/remote_test.go
@@ -13,12 +13,17 @@
 
 // A scheduler behind the pipe decides as one that is called: the same events have the same actions.
 func TestRemoteDecidesAsCalled(t *testing.T) {
-	set := scheduler.Settings{Fronts: 2, PeerMessages: true, Tick: 2000, MeanUnits: 2, MaxUnits: 8, MaxAttempts: 3, HealthChecks: true, CancelAttempts: true,
+	set := scheduler.Settings{
+		Fronts: 2, PeerMessages: true, Tick: 2000, MeanUnits: 2, MaxUnits: 8, MaxAttempts: 3, HealthChecks: true, CancelAttempts: true,
 		RetryAfter: true, MaxRetryAfter: 500_000, InitialCapacity: 0.25, SlowStart: 15_000_000, OverloadMultiple: 2.5, OverloadSpan: 1_000_000, SlowStartUnits: 8,
 		KeyPause: 100, RetryBudgetSpan: 10_000_000, RetryBudgetMin: 5, RetryBudgetShare: 0.2,
-		Classes: []scheduler.Class{{LatencyObjective: 300_000, Priority: 2}, {LatencyObjective: 400_000, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 3_000_000, InOrder: true, Priority: 1},
-			{LatencyObjective: 1_000_000, Idempotency: scheduler.NotIdempotent, Priority: 1}},
-		Plans: []scheduler.Plan{{Reservation: 8, Weight: 1}, {Weight: 2, Limit: 24, Burst: 72}}}
+		Classes: []scheduler.Class{
+			{LatencyObjective: 300_000, Priority: 2},
+			{LatencyObjective: 400_000, Idempotency: scheduler.IdempotentByKey, DedupScope: scheduler.SameShard, DedupWindow: 3_000_000, InOrder: true, Priority: 1},
+			{LatencyObjective: 1_000_000, Idempotency: scheduler.NotIdempotent, Priority: 1},
+		},
+		Plans: []scheduler.Plan{{Reservation: 8, Weight: 1}, {Weight: 2, Limit: 24, Burst: 72}},
+	}
 	theirs, out := io.Pipe()
 	in, ours := io.Pipe()
 	go func() { Serve(theirs, ours, io.Discard) }()
@@ -41,17 +46,23 @@
 		if step%500 == 0 {
 			list := scheduler.EndpointsChanged{Full: true}
 			for i := range 4 {
-				list.Endpoints = append(list.Endpoints, scheduler.Endpoint{Node: "n" + strconv.Itoa(i), Zone: i % 2, Shard: i, StartedAt: now - 5_000_000,
-					State: scheduler.NodeState(rng.IntN(2))})
+				list.Endpoints = append(list.Endpoints, scheduler.Endpoint{
+					Node: "n" + strconv.Itoa(i), Zone: i % 2, Shard: i, StartedAt: now - 5_000_000,
+					State: scheduler.NodeState(rng.IntN(2)),
+				})
 			}
 			events = append(events, list)
 		}
-		events = append(events, scheduler.Request{ID: strconv.Itoa(step), Class: rng.IntN(3), Plan: rng.IntN(2), Volume: strconv.Itoa(rng.IntN(9)),
-			Key: strconv.Itoa(rng.IntN(20)), Units: 1 + rng.Float64()*7, Shard: rng.IntN(5) - 1, Fronts: 2, TimeLeft: 2_000_000})
+		events = append(events, scheduler.Request{
+			ID: strconv.Itoa(step), Class: rng.IntN(3), Plan: rng.IntN(2), Volume: strconv.Itoa(rng.IntN(9)),
+			Key: strconv.Itoa(rng.IntN(20)), Units: 1 + rng.Float64()*7, Shard: rng.IntN(5) - 1, Fronts: 2, TimeLeft: 2_000_000,
+		})
 		for len(pending) > 0 && rng.IntN(3) > 0 {
 			result := scheduler.Result(rng.IntN(8))
-			events = append(events, scheduler.AttemptEnded{ID: pending[0], Attempt: tries[pending[0]] - 1, Result: result,
-				Latency: scheduler.Micros(rng.IntN(500_000)), Final: result == scheduler.OK})
+			events = append(events, scheduler.AttemptEnded{
+				ID: pending[0], Attempt: tries[pending[0]] - 1, Result: result,
+				Latency: scheduler.Micros(rng.IntN(500_000)), Final: result == scheduler.OK,
+			})
 			pending = pending[1:]
 		}
 		events = append(events, scheduler.TimerFired{}, scheduler.HealthChecked{Node: "n0", OK: step%3 > 0, Queue: float64(step % 5)}, scheduler.ClientLeft{ID: strconv.Itoa(step - 900)},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,10 +14,15 @@
 	"otterturn/scheduler"
 )
 
-var states = map[string]scheduler.NodeState{"Running": scheduler.Running, "Stopping": scheduler.Draining,
-	"Deleted": scheduler.Removed}
-var results = map[string]scheduler.Result{"0": scheduler.OK, "13": scheduler.Errored, "8": scheduler.QueueFull, "4": scheduler.TimedOut,
-	"14": scheduler.Unreachable, "10": scheduler.Reset, "1": scheduler.Cancelled, "9": scheduler.NotStarted}
+var states = map[string]scheduler.NodeState{
+	"Running": scheduler.Running, "Stopping": scheduler.Draining,
+	"Deleted": scheduler.Removed,
+}
+
+var results = map[string]scheduler.Result{
+	"0": scheduler.OK, "13": scheduler.Errored, "8": scheduler.QueueFull, "4": scheduler.TimedOut,
+	"14": scheduler.Unreachable, "10": scheduler.Reset, "1": scheduler.Cancelled, "9": scheduler.NotStarted,
+}
 
 // parseFacts reads the settings object of a LAUNCH.
 func parseFacts(text string) (scheduler.Settings, error) {
@@ -96,9 +101,11 @@
 }
 
 func (l *line) request() scheduler.Request {
-	return scheduler.Request{ID: l.text("requestId"), Class: int(l.integer("grade")), Plan: int(l.integer("plan")),
+	return scheduler.Request{
+		ID: l.text("requestId"), Class: int(l.integer("grade")), Plan: int(l.integer("plan")),
 		Volume: l.fields["vol"], Key: l.fields["chunk"], Units: l.optional("quotaUnits"),
-		Shard: int(l.number("liesIn")), Fronts: int(l.optional("setSize")), TimeLeft: scheduler.Micros(l.integer("leftUs"))}
+		Shard: int(l.number("liesIn")), Fronts: int(l.optional("setSize")), TimeLeft: scheduler.Micros(l.integer("leftUs")),
+	}
 }
 
 func (l *line) outcome() scheduler.AttemptEnded {
@@ -106,9 +113,11 @@
 	if !ok {
 		l.fail("unknown stateCode " + l.fields["stateCode"])
 	}
-	return scheduler.AttemptEnded{ID: l.text("requestId"), Attempt: int(l.integer("seqNo")), Result: result,
+	return scheduler.AttemptEnded{
+		ID: l.text("requestId"), Attempt: int(l.integer("seqNo")), Result: result,
 		Latency: scheduler.Micros(l.optional("latencyUs")), Final: l.fields["final"] == "1",
-		ServedElsewhere: l.optional("elsewhere")}
+		ServedElsewhere: l.optional("elsewhere"),
+	}
 }
 
 // note reads a message between instances; the field named tells the other one's number.
@@ -130,8 +139,10 @@
 	if !ok {
 		l.fail("unknown availability " + l.fields["availability"])
 	}
-	return scheduler.Endpoint{Node: l.text("target"), Zone: int(l.optional("regionPart")), Shard: int(l.integer("cohort")),
-		State: state, StartedAt: scheduler.Micros(l.optional("cameUpUs"))}
+	return scheduler.Endpoint{
+		Node: l.text("target"), Zone: int(l.optional("regionPart")), Shard: int(l.integer("cohort")),
+		State: state, StartedAt: scheduler.Micros(l.optional("cameUpUs")),
+	}
 }
 
 func (l *line) probed() scheduler.HealthChecked {
@@ -156,8 +167,10 @@
 
 // Serve answers batches until the input ends.
 func Serve(in io.Reader, out, log io.Writer) error {
-	link := &Link{banks: map[string][]scheduler.Endpoint{}, instances: map[string]*scheduler.Scheduler{},
-		pending: map[string][]scheduler.Event{}, log: log}
+	link := &Link{
+		banks: map[string][]scheduler.Endpoint{}, instances: map[string]*scheduler.Scheduler{},
+		pending: map[string][]scheduler.Event{}, log: log,
+	}
 	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
 	for {
 		text, err := r.ReadString('\n')
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -34,20 +34,28 @@
 func TestBatches(t *testing.T) {
 	cases := []struct{ name, in, out, log string }{
 		{"empty", batch("1", ""), "DONE\tseq=1\n", ""},
-		{"a request is sent", batch("1", start+job),
-			"TRY\ti=initiator/0\trequestId=rq_x\ttarget=t-a\nDONE\tseq=1\n", ""},
-		{"one that can't be served is refused", batch("1", start+strings.Replace(job, "leftUs=900000", "leftUs=0", 1)),
-			"SHED\ti=initiator/0\trequestId=rq_x\tcomeBackUs=0\nDONE\tseq=1\n", ""},
+		{
+			"a request is sent", batch("1", start+job),
+			"TRY\ti=initiator/0\trequestId=rq_x\ttarget=t-a\nDONE\tseq=1\n", "",
+		},
+		{
+			"one that can't be served is refused", batch("1", start+strings.Replace(job, "leftUs=900000", "leftUs=0", 1)),
+			"SHED\ti=initiator/0\trequestId=rq_x\tcomeBackUs=0\nDONE\tseq=1\n", "",
+		},
 		{"killed in the same batch", batch("1", start+job+"CRASH_NOW\ti=initiator/0\n"), "DONE\tseq=1\n", ""},
 		{"killed and started again", batch("1", start+job+"CRASH_NOW\ti=initiator/0\n"+start), "DONE\tseq=1\n", ""},
 		{"unknown message", batch("1", start+"HELLO\ti=initiator/0\n"), "DONE\tseq=1\n", "unknown message"},
 		{"missing field", batch("1", start+strings.Replace(job, "leftUs=900000\t", "", 1)), "DONE\tseq=1\n", "leftUs"},
 		{"not a number", batch("1", start+strings.Replace(job, "grade=0", "grade=x", 1)), "DONE\tseq=1\n", "grade"},
-		{"unregistered list", batch("1", start+"PEERS_KNOWN\ti=initiator/0\thow=full\tindex=2\tbank=5\n"),
-			"DONE\tseq=1\n", "bank 5"},
+		{
+			"unregistered list", batch("1", start+"PEERS_KNOWN\ti=initiator/0\thow=full\tindex=2\tbank=5\n"),
+			"DONE\tseq=1\n", "bank 5",
+		},
 		{"not started", batch("1", job), "DONE\tseq=1\n", "not started"},
-		{"unusable settings", batch("1", "LAUNCH\ti=initiator/0\tseed=7\tfacts={}\n"),
-			"INTERNAL_ERROR\ti=initiator/0\ttext=settings: Tick must be above 0\nDONE\tseq=1\n", ""},
+		{
+			"unusable settings", batch("1", "LAUNCH\ti=initiator/0\tseed=7\tfacts={}\n"),
+			"INTERNAL_ERROR\ti=initiator/0\ttext=settings: Tick must be above 0\nDONE\tseq=1\n", "",
+		},
 		{"failed discovery", batch("1", start+"PEERS_KNOWN\ti=initiator/0\thow=failed\tindex=2\n"), "DONE\tseq=1\n", ""},
 	}
 	for _, c := range cases {
--- a/scheduler/digest_test.go
+++ b/scheduler/digest_test.go
@@ -117,8 +117,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &digestWorld{t: t, rng: rand.New(rand.NewPCG(7, 0)), scheduler: s, now: 1_800_000_000_000_000,
-		requests: map[string]*openRequest{}, digest: xxhash.New()}
+	w := &digestWorld{
+		t: t, rng: rand.New(rand.NewPCG(7, 0)), scheduler: s, now: 1_800_000_000_000_000,
+		requests: map[string]*openRequest{}, digest: xxhash.New(),
+	}
 	for i := range 12 {
 		w.nodes = append(w.nodes, scheduler.Endpoint{Node: fmt.Sprint("node-", i), Zone: i % 3, Shard: i % 9})
 	}
@@ -147,8 +149,10 @@
 			return false
 		}
 		_, owed := w.requests[a.id]
-		e := scheduler.AttemptEnded{ID: a.id, Attempt: a.number, Result: a.result, Latency: w.now - a.sent,
-			Final: a.result == scheduler.OK || !owed, Alive: w.rng.IntN(2) == 0}
+		e := scheduler.AttemptEnded{
+			ID: a.id, Attempt: a.number, Result: a.result, Latency: w.now - a.sent,
+			Final: a.result == scheduler.OK || !owed, Alive: w.rng.IntN(2) == 0,
+		}
 		if w.rng.IntN(4) == 0 {
 			e.ServedElsewhere = float64(w.rng.IntN(20))
 		}
@@ -182,10 +186,13 @@
 		return []scheduler.Event{scheduler.OpenLimitChanged{MaxOpen: 20 + w.rng.IntN(200)}}
 	case n < 760:
 		return []scheduler.Event{scheduler.CapacityRequested{From: w.rng.IntN(4), Node: w.anyNode(), CapacityRequest: slowstart.CapacityRequest{
-			Units: float64(w.rng.IntN(9)), MinUnits: 1, Report: slowstart.LoadReport{Served: 1, Units: 5, Time: 1}}}}
+			Units: float64(w.rng.IntN(9)), MinUnits: 1, Report: slowstart.LoadReport{Served: 1, Units: 5, Time: 1},
+		}}}
 	case n < 780:
-		return []scheduler.Event{scheduler.CapacityGranted{From: w.rng.IntN(3), Node: w.anyNode(), Units: float64(w.rng.IntN(9)),
-			ValidUntil: w.now + scheduler.Micros(w.rng.IntN(100_000))}}
+		return []scheduler.Event{scheduler.CapacityGranted{
+			From: w.rng.IntN(3), Node: w.anyNode(), Units: float64(w.rng.IntN(9)),
+			ValidUntil: w.now + scheduler.Micros(w.rng.IntN(100_000)),
+		}}
 	case n < 784:
 		return []scheduler.Event{scheduler.NodeSilent{Node: w.anyNode(), ObservedAt: w.now}}
 	case n < 794:
@@ -198,9 +205,11 @@
 func (w *digestWorld) newRequest() scheduler.Event {
 	w.created++
 	set := digestSettings()
-	r := scheduler.Request{ID: fmt.Sprint("request-", w.created), Class: w.rng.IntN(len(set.Classes)),
+	r := scheduler.Request{
+		ID: fmt.Sprint("request-", w.created), Class: w.rng.IntN(len(set.Classes)),
 		Plan: w.rng.IntN(len(set.Plans)), Units: float64(1 + w.rng.IntN(8)), Shard: w.rng.IntN(11) - 1, Fronts: 1 + w.rng.IntN(3),
-		TimeLeft: scheduler.Micros(100_000 + w.rng.IntN(2_000_000))}
+		TimeLeft: scheduler.Micros(100_000 + w.rng.IntN(2_000_000)),
+	}
 	r.Volume = fmt.Sprint("volume-", r.Plan, "-", w.rng.IntN(6))
 	r.Key = fmt.Sprint("key-", w.rng.IntN(40))
 	w.requests[r.ID] = &openRequest{deadline: w.now + r.TimeLeft}
@@ -307,14 +316,18 @@
 	}
 	result := scheduler.OK
 	if w.rng.IntN(6) == 0 {
-		result = []scheduler.Result{scheduler.Errored, scheduler.QueueFull, scheduler.TimedOut, scheduler.Unreachable, scheduler.Reset, scheduler.NotStarted,
-			scheduler.Expired}[w.rng.IntN(7)]
+		result = []scheduler.Result{
+			scheduler.Errored, scheduler.QueueFull, scheduler.TimedOut, scheduler.Unreachable, scheduler.Reset, scheduler.NotStarted,
+			scheduler.Expired,
+		}[w.rng.IntN(7)]
 	}
 	if result == scheduler.TimedOut {
 		latency = max(latency, r.deadline-w.now)
 	}
-	w.attempts = append(w.attempts, openAttempt{id: a.ID, number: r.attempts, node: a.Node, sent: w.now,
-		endsAt: w.now + latency, result: result})
+	w.attempts = append(w.attempts, openAttempt{
+		id: a.ID, number: r.attempts, node: a.Node, sent: w.now,
+		endsAt: w.now + latency, result: result,
+	})
 	r.attempts++
 }
 
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -126,8 +126,10 @@
 
 func (p *peer) answer(id string, result Result) {
 	r := p.open[id]
-	o := AttemptEnded{ID: id, Attempt: r.attempts - 1, Result: result, Latency: 20_000, Final: result == OK && !r.final,
-		Alive: result == Reset && p.now%2 == 0}
+	o := AttemptEnded{
+		ID: id, Attempt: r.attempts - 1, Result: result, Latency: 20_000, Final: result == OK && !r.final,
+		Alive: result == Reset && p.now%2 == 0,
+	}
 	if r.final {
 		o.Final = true
 	}
@@ -169,10 +171,12 @@
 		"list": list,
 		"ask": func(t *rapid.T) {
 			p.sent++
-			r := &asked{Request: Request{ID: fmt.Sprint("r", p.sent), Class: rapid.IntRange(0, len(set.Classes)-1).Draw(t, "class"),
+			r := &asked{Request: Request{
+				ID: fmt.Sprint("r", p.sent), Class: rapid.IntRange(0, len(set.Classes)-1).Draw(t, "class"),
 				Plan: rapid.IntRange(0, len(set.Plans)-1).Draw(t, "plan"), Key: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "key"),
 				Units: float64(rapid.IntRange(1, int(set.MaxUnits)).Draw(t, "units")), Shard: rapid.IntRange(-1, 4).Draw(t, "shard"),
-				Fronts: 1, TimeLeft: Micros(rapid.IntRange(1000, 3_000_000).Draw(t, "left"))}}
+				Fronts: 1, TimeLeft: Micros(rapid.IntRange(1000, 3_000_000).Draw(t, "left")),
+			}}
 			r.Volume = fmt.Sprint("v", r.Plan, rapid.IntRange(0, 2).Draw(t, "volume"))
 			r.deadline = p.now + r.TimeLeft
 			p.open[r.ID], p.ids = r, append(p.ids, r.ID)
@@ -198,12 +202,16 @@
 			}
 		},
 		"asked": func(t *rapid.T) {
-			p.step(CapacityRequested{From: rapid.IntRange(-1, 9).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
-				CapacityRequest: slowstart.CapacityRequest{Units: float64(rapid.IntRange(0, 9).Draw(t, "units")), MinUnits: 1, Report: slowstart.LoadReport{Units: 5, Time: 1}}})
+			p.step(CapacityRequested{
+				From: rapid.IntRange(-1, 9).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
+				CapacityRequest: slowstart.CapacityRequest{Units: float64(rapid.IntRange(0, 9).Draw(t, "units")), MinUnits: 1, Report: slowstart.LoadReport{Units: 5, Time: 1}},
+			})
 		},
 		"granted": func(t *rapid.T) {
-			p.step(CapacityGranted{From: rapid.IntRange(0, 4).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
-				Units: rapid.Float64Range(0, 9).Draw(t, "units"), ValidUntil: p.now + Micros(rapid.IntRange(-1000, 200_000).Draw(t, "lasts"))})
+			p.step(CapacityGranted{
+				From: rapid.IntRange(0, 4).Draw(t, "from"), Node: fmt.Sprint("n", rapid.IntRange(0, 6).Draw(t, "node")),
+				Units: rapid.Float64Range(0, 9).Draw(t, "units"), ValidUntil: p.now + Micros(rapid.IntRange(-1000, 200_000).Draw(t, "lasts")),
+			})
 		},
 		"wait": func(t *rapid.T) { p.wait(Micros(rapid.IntRange(1, 700_000).Draw(t, "wait"))) },
 	})
--- a/scheduler/giveup_test.go
+++ b/scheduler/giveup_test.go
@@ -85,8 +85,10 @@
 			h.step(req("w", nil))
 			h.after(3000*ms, h.end("w", OK, 3000*ms))
 		}, nil, true, 2000 * ms, 5000 * ms},
-		{"a limit that fills too slowly", nil, func(r *Request) { r.Plan, r.Units, r.Fronts = 3, 8, 4 },
-			true, 3000 * ms, 3500 * ms},
+		{
+			"a limit that fills too slowly", nil, func(r *Request) { r.Plan, r.Units, r.Fronts = 3, 8, 4 },
+			true, 3000 * ms, 3500 * ms,
+		},
 		{"a limit that fills in time", nil, func(r *Request) { r.Plan, r.Fronts = 3, 1 }, false, 0, 0},
 	} {
 		h := newHost(t, set)
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -11,8 +11,10 @@
 // yields, whatever it holds then, and if the successor ends again, before it sent anything or later.
 func TestTwoProcessesDrawAsOne(t *testing.T) {
 	const rate, burst, slack, units = 10.0, 36.0, 6.0, 2.0
-	set := Settings{Fronts: 1, Tick: 1000, MeanUnits: units, MaxUnits: 6, Classes: []Class{{LatencyObjective: 300_000, Priority: 1}},
-		Plans: []Plan{{Weight: 1, Limit: rate, Burst: burst, Slack: slack}}}
+	set := Settings{
+		Fronts: 1, Tick: 1000, MeanUnits: units, MaxUnits: 6, Classes: []Class{{LatencyObjective: 300_000, Priority: 1}},
+		Plans: []Plan{{Weight: 1, Limit: rate, Burst: burst, Slack: slack}},
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		process := func() *Scheduler {
 			s, err := New(set, 1)
@@ -86,8 +88,10 @@
 
 // A request that is open keeps the attempts that it came with; one that comes later has those of the new settings.
 func TestOpenRequestsKeepTheirClass(t *testing.T) {
-	set := Settings{Fronts: 1, Tick: 1000, MeanUnits: 2, MaxUnits: 6, MaxAttempts: 2, Classes: []Class{{LatencyObjective: 300_000, Priority: 1}},
-		Plans: []Plan{{Weight: 1}}}
+	set := Settings{
+		Fronts: 1, Tick: 1000, MeanUnits: 2, MaxUnits: 6, MaxAttempts: 2, Classes: []Class{{LatencyObjective: 300_000, Priority: 1}},
+		Plans: []Plan{{Weight: 1}},
+	}
 	s, err := New(set, 1)
 	if err != nil {
 		t.Fatal(err)
--- a/scheduler/quotas_test.go
+++ b/scheduler/quotas_test.go
@@ -130,8 +130,10 @@
 	var sh shard
 	sh.busyFlows.Add(0, f)
 	for class, want := range map[int]int{0: rankWeight, 4: rankReserved} {
-		f.queued = []*request{{Request: Request{Units: 2}, class: &set.Classes[class], volume: v,
-			objectiveAt: h.now + second, deadline: h.now + 2*second}}
+		f.queued = []*request{{
+			Request: Request{Units: 2}, class: &set.Classes[class], volume: v,
+			objectiveAt: h.now + second, deadline: h.now + 2*second,
+		}}
 		if _, rank := h.s.nextRequest(h.s.nodesByName["a"], &sh, math.Inf(1)); rank != want {
 			t.Errorf("class %d leaves at rank %d, want %d", class, rank, want)
 		}
