--- a/internal/net/transport/answer.go
+++ b/internal/net/transport/answer.go
@@ -16,58 +16,85 @@
 	"otterturn/internal/net/transport/nodes"
 )
 
-// readResponse reads an answer, past the informational ones ahead of it: one of these taken for the answer would
-// have the next request answered with this one's. A connection that breaks may mean that the node died; an answer
-// that is no good, or stops short, means that it lives. A short answer is read whole, as only then is it sure that there
-// is one. A long one is passed on as it comes: its body is a longAnswer.
+// readResponse reads an answer. A connection that breaks may mean that the node died; an answer that is no good, or stops
+// short, means that it lives. A short answer is buffered, as only at its end is it sure that there is one. A long one is passed
+// on as it comes: its body is a streamedResponse.
 func (s *Nodes) readResponse(ctx context.Context, c *nodes.Conn[*stream], r *http.Request) (resp *http.Response, body []byte, err error) {
-	in, informational := c.Session, 0
+	resp, err = s.readHead(ctx, c, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	bounds, length := s.limits.Requests, resp.ContentLength
+	switch {
+	case length > bounds.StreamedBytes || length > bounds.BufferedBytes && resp.StatusCode != http.StatusOK:
+		return nil, nil, fmt.Errorf("%w: %w", errMalformedResponse, errBodyTooLong)
+	case length > bounds.BufferedBytes:
+		resp.Body = newStreamedResponse(resp, c, s.limits, nil)
+		return resp, nil, nil
+	}
+	body, err = s.readBody(ctx, c, resp)
+	if err != nil {
+		return nil, nil, err
+	}
+	return resp, body, nil
+}
+
+// readHead reads the head of an answer, past the informational ones ahead of it: one of these taken for the answer would have
+// the next request answered with this one's.
+func (s *Nodes) readHead(ctx context.Context, c *nodes.Conn[*stream], r *http.Request) (*http.Response, error) {
+	in := c.Session
 	in.limit.N = int64(s.limits.Requests.HeaderBytes)
-	for resp == nil || resp.StatusCode < http.StatusOK {
-		if informational++; informational > s.limits.Nodes.ResponseHeads {
-			return nil, nil, fmt.Errorf("%w: no end of informational answers", errMalformedResponse)
-		}
+	for range s.limits.Nodes.ResponseHeads {
 		if err := c.SetReadDeadline(time.Time{}); err != nil {
-			return nil, nil, fmt.Errorf("read: %w", err)
+			return nil, fmt.Errorf("read: %w", err)
 		}
 		if ctx.Err() != nil { // that may have set a deadline before
-			return nil, nil, ctx.Err()
+			return nil, ctx.Err()
 		}
 		if _, err := in.Peek(1); err != nil {
-			return nil, nil, fmt.Errorf("read head: %w", err)
+			return nil, fmt.Errorf("read head: %w", err)
 		}
 		in.firstByteAt = time.Now()
 		if err := c.SetReadDeadline(in.firstByteAt.Add(s.limits.Nodes.HeaderTimeout)); err != nil {
-			return nil, nil, fmt.Errorf("read: %w", err)
+			return nil, fmt.Errorf("read: %w", err)
 		}
-		if resp, err = http.ReadResponse(in.Reader, r); err != nil {
-			return nil, nil, classifyReadError(ctx, "head", err, in)
+		resp, err := http.ReadResponse(in.Reader, r)
+		if err != nil {
+			return nil, classifyReadError(ctx, "head", err, in)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			in.limit.N = math.MaxInt64 // the body is bounded by what is buffered, or passed on
+			return resp, nil
 		}
 	}
-	in.limit.N = math.MaxInt64 // the body is bounded by what is held, or passed on
-	switch {
-	case resp.ContentLength > s.limits.Requests.StreamedBytes || resp.ContentLength > s.limits.Requests.BufferedBytes && resp.StatusCode != http.StatusOK:
-		return nil, nil, fmt.Errorf("%w: %w", errMalformedResponse, errBodyTooLong)
-	case resp.ContentLength > s.limits.Requests.BufferedBytes:
-		resp.Body = newStreamedResponse(resp, c, s.limits, nil)
-		return resp, nil, nil
-	}
-	var held bytes.Buffer
-	piece := make([]byte, 8<<10)
-	for rest := resp.ContentLength < 0; ; {
+	return nil, fmt.Errorf("%w: no end of informational answers", errMalformedResponse)
+}
+
+// responsePiece is how many bytes of a body are read at a time.
+const responsePiece = 8 << 10
+
+// readBody reads a body to its end. One of a length that was not told, and that is long or slow, becomes a streamedResponse.
+func (s *Nodes) readBody(ctx context.Context, c *nodes.Conn[*stream], resp *http.Response) ([]byte, error) {
+	in := c.Session
+	mayStream := resp.ContentLength < 0 && resp.StatusCode == http.StatusOK
+	var buffered bytes.Buffer
+	piece := make([]byte, responsePiece)
+	for {
 		// One that goes on is passed on before its client is late; one that has stopped never comes to an end.
 		n, err := readAvailable(ctx, c, resp, piece, time.Now().Add(s.limits.Nodes.BodySilence))
-		held.Write(piece[:n])
+		buffered.Write(piece[:n])
+		long := int64(buffered.Len()) > s.limits.Requests.BufferedBytes
+		slow := time.Since(in.firstByteAt) > s.limits.Nodes.BufferTimeout
 		switch {
 		case err == io.EOF:
-			return resp, held.Bytes(), nil
+			return buffered.Bytes(), nil
 		case err != nil:
-			return nil, nil, classifyReadError(ctx, "body", err, in)
-		case rest && resp.StatusCode == http.StatusOK && (int64(held.Len()) > s.limits.Requests.BufferedBytes || time.Since(in.firstByteAt) > s.limits.Nodes.BufferTimeout):
-			resp.Body = newStreamedResponse(resp, c, s.limits, held.Bytes())
-			return resp, nil, nil
-		case int64(held.Len()) > s.limits.Requests.BufferedBytes:
-			return nil, nil, fmt.Errorf("%w: %w", errMalformedResponse, errBodyTooLong)
+			return nil, classifyReadError(ctx, "body", err, in)
+		case mayStream && (long || slow):
+			resp.Body = newStreamedResponse(resp, c, s.limits, buffered.Bytes())
+			return nil, nil
+		case long:
+			return nil, fmt.Errorf("%w: %w", errMalformedResponse, errBodyTooLong)
 		}
 	}
 }
--- a/internal/net/transport/bounds_test.go
+++ b/internal/net/transport/bounds_test.go
@@ -90,7 +90,7 @@
 // body are bounded apart, and neither bound cuts off a request that came whole and is owed its answer.
 func TestWhatComesTooSlowlyEnds(t *testing.T) {
 	begun, goOn := make(chan struct{}), make(chan struct{})
-	addr, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
+	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
 		close(begun)
 		<-goOn
 		io.WriteString(c, served)
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -15,6 +15,7 @@
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
+	"otterturn/scheduler"
 )
 
 // Front serves the platform's clients.
@@ -113,26 +114,20 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" && r.Method == http.MethodGet {
-		w.Header().Set("Connection", "close") // who asks this alone has no use for the slot
-		if stopping {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		answerReady(w, stopping)
 		return
 	}
 	set := f.settings.Load()
 	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: f.limits.Clients.WriteTimeout}
 	m, status, err := f.readRequest(w, r, *set)
 	defer func() { m.upload.close() }()
+	uploadFailed := errors.Is(err, errUploadFailed)
 	switch {
-	case errors.Is(err, errUploadFailed):
-		f.next.core.CountRejected(m.Class)
-		answerError(w, r, &routing.RejectedError{RetryAfter: set.Retry})
-		return
-	case err != nil: // who sends what can't be used gets no further use of the connection
+	case err != nil && !uploadFailed: // who sends what can't be used gets no further use of the connection
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
 		return
-	case full:
+	case uploadFailed, full:
 		f.next.core.CountRejected(m.Class)
 		answerError(w, r, &routing.RejectedError{RetryAfter: set.Retry})
 		return
@@ -143,24 +138,44 @@
 	if !f.clients.markBusy(connOf(r.Context())) { // it ended for want of room before it was whole
 		return
 	}
-	if f.Admission != nil {
-		came := time.Now()
-		client, _, _ := net.SplitHostPort(r.RemoteAddr)
-		// Half of its time: what is taken later could hardly be answered, and its client can still come again.
-		weight := set.Scheduler.Plans[m.Plan].Weight // a plan that the settings don't name was turned away in read
-		leave, err := f.Admission.Enter(r.Context(), m.Volume, client, m.Units, weight, time.Duration(m.TimeLeft)*time.Microsecond/2)
-		if err != nil {
-			answerError(w, r, err)
-			return
-		}
-		defer leave()
-		m.TimeLeft = max(1, m.TimeLeft-toMicros(time.Since(came)))
+	leave, err := f.admit(r, &m, set.Scheduler.Plans)
+	if err != nil {
+		answerError(w, r, err)
+		return
 	}
+	defer leave()
 	r = r.WithContext(withInbound(r.Context(), m))
 	r.Body, r.ContentLength, r.TransferEncoding, r.Trailer = http.NoBody, 0, nil, nil
 	f.proxy.ServeHTTP(w, r)
 }
 
+// admit has a request wait for its turn where the front is full, and takes that off the time that its client has left. The
+// returned function gives the turn back.
+func (f *Front) admit(r *http.Request, m *inboundRequest, plans []scheduler.Plan) (leave func(), err error) {
+	if f.Admission == nil {
+		return func() {}, nil
+	}
+	came := time.Now()
+	client, _, _ := net.SplitHostPort(r.RemoteAddr)
+	// Half of its time: what is taken later could hardly be answered, and its client can still come again.
+	longest := time.Duration(m.TimeLeft) * time.Microsecond / 2
+	weight := plans[m.Plan].Weight // a plan that the settings don't name was rejected in readRequest
+	leave, err = f.Admission.Enter(r.Context(), m.Volume, client, m.Units, weight, longest)
+	if err != nil {
+		return nil, err
+	}
+	m.TimeLeft = max(1, m.TimeLeft-toMicros(time.Since(came)))
+	return leave, nil
+}
+
+// answerReady tells whether this front takes new clients.
+func answerReady(w http.ResponseWriter, stopping bool) {
+	w.Header().Set("Connection", "close") // who asks this alone has no use for the slot
+	if stopping {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // answerError writes the final answer to a request that was not served.
 func answerError(w http.ResponseWriter, _ *http.Request, err error) {
 	var refused *routing.RejectedError
--- a/internal/net/transport/watch_test.go
+++ b/internal/net/transport/watch_test.go
@@ -45,7 +45,7 @@
 // came back, nodes drained for over a second until a front knew that somebody was there.
 func TestSilentWatchIsOpenedAnewByACallThatIsNotHeld(t *testing.T) {
 	silent := 3
-	calls, lists, _ := watched(t, func(*limits.Limits) {}, func(n int64, query string) string {
+	calls, lists, _ := watched(t, func(*limits.Limits) {}, func(n int64, _ string) string {
 		if n <= int64(silent) {
 			return ""
 		}
