Make log lines short constant phrases of the field's terms

Thirty messages of program, transport, fleet and state, such as 'upgrade rejected, predecessor continues serving' in the place of a sentence; attributes keep their keys.

--- a/cmd/otterturn/crash_test.go
+++ b/cmd/otterturn/crash_test.go
@@ -178,7 +178,7 @@
 	return kind
 }
 
-var recalled = regexp.MustCompile(`"msg":"recalled what was learned","snapshot":(\d+),"nodes":(\d+),"projects":(\d+),"age":"[^"]*","previous":(true|false)`)
+var recalled = regexp.MustCompile(`"msg":"learned state restored","snapshot":(\d+),"nodes":(\d+),"projects":(\d+),"age":"[^"]*","previous":(true|false)`)
 
 // The appliance is killed at random moments while clients upload to a project with a limit. At each start it must
 // go on from the last file that is whole and its own, from nothing else; the limit must hold over all of it; each
--- a/cmd/otterturn/fleet_site_test.go
+++ b/cmd/otterturn/fleet_site_test.go
@@ -221,7 +221,7 @@
 
 // verdicts counts how often a front's zone found a node silent.
 func (f *fleetFront) verdicts() int {
-	return strings.Count(f.output.String(), "the zone found a node silent")
+	return strings.Count(f.output.String(), "node silent in zone")
 }
 
 // fleetText writes a fleet's file and returns its path.
--- a/cmd/otterturn/learned_test.go
+++ b/cmd/otterturn/learned_test.go
@@ -75,7 +75,7 @@
 	standin.Await(t, "the end", p.done)
 	p = start(t, nil, "serve", "--config", config)
 	until(t, p, serving)
-	if text := p.output.String(); !strings.Contains(text, "recalled what was learned") || !strings.Contains(text, `"a node still drains, as the operator had it","node":"node-a"`) {
+	if text := p.output.String(); !strings.Contains(text, "learned state restored") || !strings.Contains(text, `"node drain restored","node":"node-a"`) {
 		t.Errorf("after the kill: %q", text)
 	}
 	for range 3 { // saves that an operator asks for are under way as it stops
@@ -106,7 +106,7 @@
 	}
 	p = start(t, nil, "serve", "--config", config)
 	until(t, p, serving)
-	if text := p.output.String(); strings.Count(text, "a snapshot is not used") != 1 || !strings.Contains(text, "it is kept as learned.aside.") {
+	if text := p.output.String(); strings.Count(text, "snapshot rejected") != 1 || !strings.Contains(text, "it is kept as learned.aside.") {
 		t.Errorf("with a damaged file: %q", text)
 	}
 
@@ -121,7 +121,7 @@
 	if err := os.Rename(folder+".away", folder); err != nil {
 		t.Fatal(err)
 	}
-	until(t, p, "what is learned is saved again")
+	until(t, p, "saving learned state recovered")
 	p.stop(t)
 	if n := strings.Count(p.output.String(), "t be saved"); n != 1 {
 		t.Errorf("%d lines of saves that failed:\n%s", n, p.output)
--- a/cmd/otterturn/upgrade_test.go
+++ b/cmd/otterturn/upgrade_test.go
@@ -90,7 +90,7 @@
 		control := freeAddr(t)
 		successor := s.start(t, control)
 		healthy(t, control)
-		logged(t, predecessor, "handed over")
+		logged(t, predecessor, "handover sent")
 		half.say(t, rest)
 		if got := half.answer(t); got != 200 {
 			t.Errorf("round %d: half a request got %d", round, got)
@@ -150,7 +150,7 @@
 		control := freeAddr(t)
 		successor := s.start(t, control)
 		healthy(t, control)
-		logged(t, predecessor, "handed over")
+		logged(t, predecessor, "handover sent")
 		fresh := s.connect(t)
 		if got := fresh.ask(t, anID()); got != 200 {
 			t.Errorf("a new client got %d of the successor", got)
@@ -184,7 +184,7 @@
 	healthy(t, control)
 	logged(t, successor, "says nothing")
 	predecessor.Process.Kill()
-	logged(t, successor, "the elder process has ended")
+	logged(t, successor, "predecessor ended, limits resumed")
 	standin.Until(t, "a served request", func() bool { return s.connect(t).ask(t, anID()) == 200 })
 	successor.stop(t)
 }
--- a/internal/fleet/monitor/counters.go
+++ b/internal/fleet/monitor/counters.go
@@ -80,7 +80,7 @@
 		d.logged = map[health.Drop]bool{}
 	}
 	d.logged[why] = true
-	d.log.Warn("a message on the health of nodes was dropped; more of this kind are only counted",
+	d.log.Warn("health message dropped, further ones are counted",
 		append([]any{"why", string(why)}, details...)...)
 }
 
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -109,7 +109,7 @@
 		m.waiters.answer(a.HealthChecked)
 	case health.ReportSilent:
 		m.hooks.Report(a.NodeSilent)
-		m.hooks.Log.Info("the zone found a node silent", "node", a.Node)
+		m.hooks.Log.Info("node silent in zone", "node", a.Node)
 	case health.SendMessage:
 		m.hooks.Send(a.To, a.Message.Encode())
 	case health.SetTimer:
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -49,17 +49,17 @@
 		case ctx.Err() != nil:
 			return // another watch may have begun: a late answer must not take back what that one tells
 		case err != nil:
-			warn("discovery can't be read, the list stays", err.Error())
+			warn("discovery unreadable, endpoint list unchanged", err.Error())
 			hold = 0
 			sleep(ctx, calls.Next())
 			continue
 		case list.Seq < seq:
-			warn("discovery goes back, the list stays", fmt.Sprintf("%d behind %d", list.Seq, seq))
+			warn("discovery went back, endpoint list unchanged", fmt.Sprintf("%d behind %d", list.Seq, seq))
 			seq = FullList
 			sleep(ctx, l.Discovery.RetryMin)
 			continue
 		case len(list.Odd) > 0:
-			warn("entries that can't be true are left out", fmt.Sprintf("%d, of %s first", len(list.Odd), list.Odd[0]))
+			warn("invalid endpoints ignored", fmt.Sprintf("%d, of %s first", len(list.Odd), list.Odd[0]))
 		default:
 			said = ""
 		}
--- a/internal/net/transport/peers.go
+++ b/internal/net/transport/peers.go
@@ -139,6 +139,6 @@
 	case p.OnDrop != nil:
 		p.OnDrop(from, why)
 	case why != ErrNoPeer && why != ErrTooLong:
-		p.log.Warn("a peer's message can't be read", "peer", from.String(), "error", why)
+		p.log.Warn("peer message unreadable", "peer", from.String(), "error", why)
 	}
 }
--- a/internal/net/transport/probe.go
+++ b/internal/net/transport/probe.go
@@ -55,7 +55,7 @@
 		out.Queue = -1
 	}
 	if was := p.reportUnreadable.Swap(err != nil); err != nil && !was { // a line each would be a flood
-		p.log.Warn("a load report can't be read", "node", node, "error", err)
+		p.log.Warn("load report unreadable", "node", node, "error", err)
 	}
 	return out
 }
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -219,7 +219,7 @@
 			continue
 		}
 		if err := a.certs.Load(brought(o)); err != nil {
-			a.log.Error("reload: certificates can't be taken over, those before stay", "error", err)
+			a.log.Error("reload of certificates failed, certificates unchanged", "error", err)
 		}
 	}
 }
--- a/internal/program/beside.go
+++ b/internal/program/beside.go
@@ -18,7 +18,7 @@
 			return
 		}
 		if err := p.handleFromOther(k, string(text), socket); err != nil {
-			p.log.Warn("from the other process", "error", err)
+			p.log.Warn("message from other process ignored", "error", err)
 		}
 		if socket != nil {
 			socket.Close() // what was taken has a copy
@@ -38,9 +38,9 @@
 	case k == handover.KindRequestID:
 		p.core.MarkIDUsed(text)
 	case k == handover.KindBan:
-		p.byHand("a node is kept out by hand, by the other process", node, by, p.roster.Ban)
+		p.byHand("node banned by other process", node, by, p.roster.Ban)
 	case k == handover.KindUnban:
-		p.byHand("a node may serve again, by the other process", node, by, p.roster.Unban)
+		p.byHand("node unbanned by other process", node, by, p.roster.Unban)
 	default:
 		return fmt.Errorf("a message of kind %d", k)
 	}
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -39,14 +39,14 @@
 			return
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			p.log.Error("the elder process says nothing: limits let nothing flow in until it has ended", "error", err)
+			p.log.Error("predecessor silent, limits suspended until it ends", "error", err)
 			p.core.YieldAll()
 			go p.awaitPredecessorEnd(c)
 			return
 		}
 		c.Close()
 	}
-	p.log.Error("nothing was handed over, beginning as after a restart", "error", err)
+	p.log.Error("handover failed, starting without state", "error", err)
 }
 
 // awaitPredecessorEnd waits for the end of a predecessor that did not hand over, and may go on at any time: until then this one
@@ -60,10 +60,10 @@
 		}
 	}
 	if err := p.core.Resume(scheduler.Learned{}, p.peerMessages); err != nil {
-		p.log.Error("limits let nothing flow in", "error", err)
+		p.log.Error("limits still suspended", "error", err)
 		return
 	}
-	p.log.Info("the elder process has ended")
+	p.log.Info("predecessor ended, limits resumed")
 }
 
 func (p *platform) receive(c *handover.Channel) error {
@@ -93,7 +93,7 @@
 			p.peers = transport.PeersOn(conn.(*net.UDPConn), p.config.Peers, p.limits, p.log)
 		}
 	}
-	p.log.Info("taken over", "nodes", len(state.List.Hosts), "projects", len(state.Given.Volumes), "by_hand", len(state.Bans))
+	p.log.Info("handover received", "nodes", len(state.List.Hosts), "projects", len(state.Given.Volumes), "by_hand", len(state.Bans))
 	p.succeeded = true
 	p.otherProcess.Store(c)
 	if err := c.SetTimeout(0); err != nil {
@@ -108,7 +108,7 @@
 func (p *platform) listenForSuccessors(ctx context.Context, path string) {
 	l, err := handover.Listen(path)
 	if err != nil {
-		p.log.Error("no younger process can take over", "error", err)
+		p.log.Error("upgrades unavailable", "error", err)
 		return
 	}
 	go p.handOverToSuccessors(ctx, path, l)
@@ -119,13 +119,13 @@
 		c, err := awaitSuccessor(ctx, l)
 		if err == nil {
 			cause := p.handOver(c)
-			p.log.Warn("a younger process did not take over, this one goes on", "error", cause)
+			p.log.Warn("upgrade rejected, predecessor continues serving", "error", cause)
 			c.Close()
 			l, err = handover.Listen(path)
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				p.log.Error("no younger process can take over", "error", err)
+				p.log.Error("upgrades unavailable", "error", err)
 			}
 			return
 		}
@@ -167,7 +167,7 @@
 		return c.Send(handover.KindConnection, nil, socket)
 	})
 	p.nodes.CloseIdle()
-	p.log.Info("handed over")
+	p.log.Info("handover sent")
 	p.receiveFromOther(c)
 	p.takeBack(scheduler.Learned{})
 	return errors.New("it has ended")
@@ -205,7 +205,7 @@
 		p.peers.Resume()
 	}
 	if err := p.core.Resume(unused, p.peerMessages); err != nil {
-		p.log.Error("limits let nothing flow in", "error", err)
+		p.log.Error("limits still suspended", "error", err)
 	}
 	p.front.Resume()
 }
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -14,7 +14,7 @@
 // Ban leaves a node out until it is called back, whatever the list says of it meanwhile. False is for a node that
 // nobody has.
 func (p *platform) Ban(node, by string) bool {
-	known := p.byHand("a node is kept out by hand", node, by, p.roster.Ban)
+	known := p.byHand("node banned", node, by, p.roster.Ban)
 	if known {
 		p.sendToOther(handover.KindBan, node, by)
 	}
@@ -23,7 +23,7 @@
 
 // Lift lets a node serve again.
 func (p *platform) Lift(node, by string) bool {
-	known := p.byHand("a node may serve again", node, by, p.roster.Unban)
+	known := p.byHand("node unbanned", node, by, p.roster.Unban)
 	if known {
 		p.sendToOther(handover.KindUnban, node, by)
 	}
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -137,7 +137,7 @@
 		// Messages may be lost, so a front without its socket serves: cold nodes get less of it.
 		peers, err := transport.ListenPeers(p.config.PeerListen, p.config.Peers, p.limits, p.log)
 		if err != nil {
-			p.log.Error("no messages between fronts", "error", err)
+			p.log.Error("peer messages unavailable", "error", err)
 		}
 		p.peers = peers
 	}
@@ -171,7 +171,7 @@
 	}
 	go func() {
 		if err := control.New(p, p.limits).Serve(l); err != nil {
-			p.log.Error("operators are not answered any more", "error", err)
+			p.log.Error("operator address failed", "error", err)
 		}
 	}()
 	return nil
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -60,7 +60,7 @@
 		return config, err
 	}
 	p.reloads.Add(1)
-	p.log.Info("the configuration was read anew", "classes", len(config.Settings.Scheduler.Classes))
+	p.log.Info("configuration reloaded", "classes", len(config.Settings.Scheduler.Classes))
 	return config, nil
 }
 
@@ -120,6 +120,6 @@
 		if err == nil {
 			return config, true
 		}
-		log.Error("reload: the old configuration stays", "error", err)
+		log.Error("reload failed, configuration unchanged", "error", err)
 	}
 }
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -42,7 +42,7 @@
 	for _, n := range a.saver.Restore() {
 		if n.State == scheduler.Draining && a.hasNode(n.Node) {
 			a.drained[n.Node] = true
-			a.log.Info("a node still drains, as the operator had it", "node", n.Node)
+			a.log.Info("node drain restored", "node", n.Node)
 		}
 	}
 	return nil
--- a/internal/state/saver/saver.go
+++ b/internal/state/saver/saver.go
@@ -63,7 +63,7 @@
 	now := decay.Current{At: k.core.Now(), Front: k.set.Front, Settings: k.fingerprint, Fresh: k.core.NewNodeStats(), Nodes: k.set.Nodes()}
 	found, notes := k.store.Load(func(s snapshot.Snapshot) error { return decay.Check(s, now) })
 	for _, n := range notes {
-		k.set.Log.Warn("a snapshot is not used", "why", n)
+		k.set.Log.Warn("snapshot rejected", "why", n)
 	}
 	if found == nil {
 		return nil
@@ -72,7 +72,7 @@
 	l := decay.Decay(found.Snapshot, now, found.Older)
 	k.core.ImportLearned(listings(now.Nodes), l)
 	age := time.Duration(now.At-found.Saved) * time.Microsecond
-	k.set.Log.Info("recalled what was learned", "snapshot", found.Count, "nodes", len(l.Nodes), "projects", len(l.Volumes),
+	k.set.Log.Info("learned state restored", "snapshot", found.Count, "nodes", len(l.Nodes), "projects", len(l.Volumes),
 		"age", age.Round(time.Millisecond).String(), "previous", found.Older)
 	return found.Nodes
 }
@@ -158,14 +158,14 @@
 		k.status.Failures++
 		k.status.Error = err.Error()
 		if before == "" {
-			k.set.Log.Error("what is learned can't be saved; serving goes on", "error", err, "next_try_in", k.set.Interval.String())
+			k.set.Log.Error("saving learned state failed", "error", err, "next_try_in", k.set.Interval.String())
 		}
 		return err
 	}
 	k.status.Saves++
 	k.status.Last, k.status.Took, k.status.Bytes, k.status.Error = time.Now(), time.Since(began), r.Bytes, ""
 	if before != "" {
-		k.set.Log.Info("what is learned is saved again")
+		k.set.Log.Info("saving learned state recovered")
 	}
 	return nil
 }
