--- a/cmd/otterturn/crowd_test.go
+++ b/cmd/otterturn/crowd_test.go
@@ -39,7 +39,7 @@
 	p := startWith(t, func(c *exec.Cmd) {
 		c.Path, c.Args = "/bin/sh", []string{"sh", "-c", `ulimit -n 160; exec "$0"`, os.Args[0]}
 	}, []string{"RELAY_CONFIG=" + write(t, "config.json", config)})
-	logged(t, p, "discovery can't be read")
+	logged(t, p, "discovery unreadable, endpoint list unchanged")
 	for i := range 400 {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
--- a/cmd/otterturn/learned_test.go
+++ b/cmd/otterturn/learned_test.go
@@ -114,7 +114,7 @@
 	if err := os.Rename(folder, folder+".away"); err != nil {
 		t.Fatal(err)
 	}
-	until(t, p, "what is learned can't be saved")
+	until(t, p, "saving learned state failed")
 	if _, err := nodeSession(t, addr).ReadDir("/riverside"); err != nil {
 		t.Errorf("while the folder is away: %v", err)
 	}
@@ -123,7 +123,7 @@
 	}
 	until(t, p, "saving learned state recovered")
 	p.stop(t)
-	if n := strings.Count(p.output.String(), "t be saved"); n != 1 {
+	if n := strings.Count(p.output.String(), "saving learned state failed"); n != 1 {
 		t.Errorf("%d lines of saves that failed:\n%s", n, p.output)
 	}
 }
--- a/cmd/otterturn/order_test.go
+++ b/cmd/otterturn/order_test.go
@@ -63,7 +63,7 @@
 
 	// A certificate of the operator's is taken over at SIGHUP; a bad one changes nothing.
 	mine, key := filepath.Join(dir, "acme", "certificate-files.pem"), filepath.Join(dir, "acme", "account-main.pem")
-	for _, c := range []struct{ key, want string }{{key, "reload: certificates can't be taken over"}, {mine, ""}} {
+	for _, c := range []struct{ key, want string }{{key, "reload of certificates failed, certificates unchanged"}, {mine, ""}} {
 		anew := text + fmt.Sprintf("[[certificates]]\ncert = %q\nkey = %q\n", mine, c.key)
 		if err := os.WriteFile(config, []byte(anew), 0o600); err != nil {
 			t.Fatal(err)
--- a/cmd/otterturn/reload_test.go
+++ b/cmd/otterturn/reload_test.go
@@ -50,7 +50,7 @@
 	}
 	served("old")
 	reload(`{"listen"`)
-	standin.Until(t, "the log of the bad file", func() bool { return strings.Contains(p.output.String(), "reload: ") })
+	standin.Until(t, "the log of the bad file", func() bool { return strings.Contains(p.output.String(), "reload failed, configuration unchanged") })
 	served("old")
 	reload(fmt.Sprintf(platformConfig, addr, second))
 	if query := standin.Await(t, "a call to the new discovery", calls); query != "" {
@@ -63,7 +63,7 @@
 	if err := standin.Await(t, "the end of the program", p.done); err != nil {
 		t.Errorf("ended with %v:\n%s", err, p.output)
 	}
-	if n := strings.Count(p.output.String(), "reload: "); n != 1 {
+	if n := strings.Count(p.output.String(), "reload failed, configuration unchanged"); n != 1 {
 		t.Errorf("%d lines of the bad file:\n%s", n, p.output)
 	}
 }
--- a/cmd/otterturn/upgrade_test.go
+++ b/cmd/otterturn/upgrade_test.go
@@ -144,7 +144,7 @@
 		t.Fatal(err)
 	}
 	fmt.Fprint(bad, "nonsense")
-	logged(t, predecessor, "did not take over")
+	logged(t, predecessor, "upgrade rejected, predecessor continues serving")
 	bad.Close()
 	for range 2 {
 		control := freeAddr(t)
@@ -182,7 +182,7 @@
 	control := freeAddr(t)
 	successor := s.start(t, control)
 	healthy(t, control)
-	logged(t, successor, "says nothing")
+	logged(t, successor, "predecessor silent, limits suspended until it ends")
 	predecessor.Process.Kill()
 	logged(t, successor, "predecessor ended, limits resumed")
 	standin.Until(t, "a served request", func() bool { return s.connect(t).ask(t, anID()) == 200 })
--- a/internal/net/transport/watch_test.go
+++ b/internal/net/transport/watch_test.go
@@ -84,7 +84,7 @@
 	if got := standin.Await(t, "the whole list", lists); got.Seq != 7 || got.Hosts[0].StartedAt != 6000 {
 		t.Errorf("what was taken behind it: %+v", got)
 	}
-	if line := standin.Await(t, "a line", logged); !strings.Contains(line, "goes back") {
+	if line := standin.Await(t, "a line", logged); !strings.Contains(line, "discovery went back, endpoint list unchanged") {
 		t.Error(line)
 	}
 	<-calls
