--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -169,19 +169,7 @@
 func (c *clientConn) hasPendingInput() bool { return c.hasUnreadInput() || c.hasInput.Load() }
 
 // hasUnreadInput reports whether the kernel holds bytes that were not read, or the client has ended the connection.
-func (c *clientConn) hasUnreadInput() bool {
-	s, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
-	waiting := true
-	err = raw.Control(func(fd uintptr) { waiting = !nothingToRead(fd) })
-	return err != nil || waiting
-}
+func (c *clientConn) hasUnreadInput() bool { return !isIdle(c.raw) }
 
 // nothingToRead tells whether a socket is open with nothing to read.
 func nothingToRead(fd uintptr) bool {
