--- a/cmd/otterturn/main_test.go
+++ b/cmd/otterturn/main_test.go
@@ -16,11 +16,13 @@
 	"time"
 
 	"otterturn/internal/lab/authority"
+	"otterturn/internal/lab/faults"
 	"otterturn/internal/standin"
 )
 
 // TestMain lets the test's own binary stand for the program, so that the tests start it as it is.
 func TestMain(m *testing.M) {
+	faults.ExecIfWrapper()
 	if os.Getenv("OTTERTURN_TEST_RUN") != "" {
 		main()
 		os.Exit(0)
--- /dev/null
+++ b/cmd/otterturn/shutdown_test.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterturn/internal/standin"
+)
+
+// Terms of a shutdown on the platform: SIGKILL follows SIGTERM after the longest deadline, counted as at most killMaxDeadline,
+// and killExtra.
+const (
+	killMaxDeadline = 3 * time.Second
+	killExtra       = 700 * time.Millisecond
+)
+
+func killAfter(longest time.Duration) time.Duration { return min(longest, killMaxDeadline) + killExtra }
+
+// shutdownSite is a front with one node, whose answers take delay; below 0 it never answers.
+type shutdownSite struct {
+	addr, control, config string
+	node, discovery       string
+}
+
+func newShutdownSite(t *testing.T, deadline, delay time.Duration) *shutdownSite {
+	t.Helper()
+	s := &shutdownSite{addr: freeAddr(t), control: freeAddr(t)}
+	s.node = httpPeer(t, func(*http.Request) string {
+		if delay < 0 {
+			return ""
+		}
+		time.Sleep(delay)
+		return "index data"
+	})
+	list := fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[{"host":"s","dial":%q,"site":"a","block":0,"health":"up","born_ms":0}]}`, s.node)
+	s.discovery = httpPeer(t, func(r *http.Request) string {
+		if r.URL.Query().Get("from") == "42" {
+			return ""
+		}
+		return list
+	})
+	s.config = write(t, "config.json", s.text(deadline))
+	return s
+}
+
+// text is the configuration with another longest deadline.
+func (s *shutdownSite) text(deadline time.Duration) string {
+	return strings.Replace(fmt.Sprintf(platformConfig, s.addr, s.discovery), `"giveUpUs":5000000`, fmt.Sprintf(`"giveUpUs":%d`, deadline.Microseconds()), 1)
+}
+
+// start starts the front and waits until it serves.
+func (s *shutdownSite) start(t *testing.T, prepare func(*exec.Cmd)) *process {
+	t.Helper()
+	p := startWith(t, prepare, []string{"RELAY_CONFIG=" + s.config, "RELAY_CONTROL=" + s.control})
+	s.awaitServing(t)
+	return p
+}
+
+func (s *shutdownSite) awaitServing(t *testing.T) {
+	t.Helper()
+	healthy(t, s.control)
+	standin.Until(t, "the node on the list", func() bool {
+		_, text := call(t, "GET", s.control, "/stats")
+		return strings.Contains(text, "svc.chunk_servers_known:1|g")
+	})
+}
+
+// askText is a request whose client waits for so long.
+func askText(method string, body int, wait time.Duration) (head string) {
+	head = fmt.Sprintf("%s %s HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: %s\r\nX-Service-Class: read\r\nX-Plan: gold\r\nX-Time-Left: %dm\r\nX-IO: units=1,shard=0,hosts=1\r\n",
+		method, piece, anID(), wait.Milliseconds())
+	if body > 0 {
+		head += fmt.Sprintf("Content-Length: %d\r\n", body)
+	}
+	return head + "\r\n"
+}
+
+func dialFront(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// Guards against lost requests whose head came ahead of a shutdown's middle and whose body ended late: the time until SIGKILL
+// was taken when the head came, and the request forwarded for longer than that.
+func TestBodyThatEndsDuringAShutdownIsAnsweredBeforeTheKill(t *testing.T) {
+	const deadline = time.Second
+	s := newShutdownSite(t, deadline, -1)
+	p := s.start(t, func(*exec.Cmd) {})
+	before, after := dialFront(t, s.addr), dialFront(t, s.addr)
+	put := askText("PUT", 10, deadline)
+	io.WriteString(before, put+"12345")
+	standin.Until(t, "the beginning of a request", func() bool { return figure(t, s.control, "svc.in_flight") >= 0 })
+	began := time.Now()
+	p.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond) // the moments are the terms' own
+	io.WriteString(after, askText("PUT", 10, deadline)+"12345")
+	time.Sleep(time.Until(began.Add(1100 * time.Millisecond)))
+	kill := began.Add(killAfter(deadline))
+	for name, c := range map[string]net.Conn{"head ahead of SIGTERM": before, "head behind SIGTERM": after} {
+		io.WriteString(c, "67890")
+		c.SetReadDeadline(kill)
+		if _, err := readAnswer(c); err != nil && name != "" {
+			defer t.Errorf("%s: no answer at the kill: %v", name, err)
+		}
+	}
+	p.Process.Kill()
+	standin.Await(t, "the end", p.done)
+}
+
+func readAnswer(c net.Conn) (status int, err error) {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// figure reads one of the operators' figures, -1 where there is none.
+func figure(t *testing.T, control, name string) (value int64) {
+	t.Helper()
+	_, text := call(t, "GET", control, "/stats")
+	for _, line := range strings.Split(text, "\n") {
+		if rest, ok := strings.CutPrefix(line, name+":"); ok {
+			fmt.Sscanf(rest, "%d|", &value)
+			return value
+		}
+	}
+	return -1
+}
+
+// eagerClients keep asking on one connection each until the front ends it. They count requests that have no answer at the kill.
+type eagerClients struct {
+	wait       time.Duration
+	all        sync.WaitGroup
+	mu         sync.Mutex
+	kill       time.Time // zero until the signal
+	unanswered int
+	answered   int
+}
+
+func (e *eagerClients) start(t *testing.T, addr string, many int) {
+	for range many {
+		c := dialFront(t, addr)
+		e.all.Go(func() { e.ask(c) })
+	}
+}
+
+func (e *eagerClients) killAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.kill
+}
+
+func (e *eagerClients) ask(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		if _, err := io.WriteString(c, askText("GET", 0, e.wait)); err != nil {
+			return
+		}
+		for {
+			c.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+			_, err := in.Peek(1)
+			if kill := e.killAt(); errors.Is(err, os.ErrDeadlineExceeded) && (kill.IsZero() || time.Now().Before(kill)) {
+				continue
+			} else if errors.Is(err, os.ErrDeadlineExceeded) {
+				e.count(&e.unanswered)
+				return
+			}
+			break
+		}
+		c.SetReadDeadline(time.Now().Add(standin.Patience))
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return // the front ended the connection between two requests
+		}
+		io.Copy(io.Discard, resp.Body)
+		e.count(&e.answered)
+		if resp.Close {
+			return
+		}
+	}
+}
+
+func (e *eagerClients) count(n *int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*n++
+}
+
+// stopUnder sends SIGTERM while the clients ask, kills the front when the terms allow it, and wants no request unanswered then.
+func (e *eagerClients) stopUnder(t *testing.T, p *process, longest time.Duration, signals ...os.Signal) {
+	t.Helper()
+	kill := time.Now().Add(killAfter(longest))
+	for _, s := range signals {
+		p.Process.Signal(s)
+	}
+	e.mu.Lock()
+	e.kill = kill
+	e.mu.Unlock()
+	e.all.Wait()
+	p.Process.Kill()
+	standin.Await(t, "the end", p.done)
+	if e.unanswered > 0 {
+		t.Errorf("%d requests had no answer at the kill, %d had one", e.unanswered, e.answered)
+	}
+}
+
+// Clients of the tests below, and how long the node takes for an answer.
+const (
+	shutdownClients = 30
+	nodeDelay       = 350 * time.Millisecond
+)
+
+// Guards against lost requests where a reload shortens the longest deadline, and so the time until SIGKILL: the shutdown went
+// by the settings of the start.
+func TestShutdownGoesByTheReloadedDeadline(t *testing.T) {
+	const reloaded = 500 * time.Millisecond
+	s := newShutdownSite(t, 3*time.Second, nodeDelay)
+	p := s.start(t, func(*exec.Cmd) {})
+	if err := os.WriteFile(s.config, []byte(s.text(reloaded)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.Process.Signal(syscall.SIGHUP)
+	standin.Until(t, "the reload", func() bool { return figure(t, s.control, "svc.reloads_ok") == 1 })
+	clients := &eagerClients{wait: reloaded}
+	clients.start(t, s.addr, shutdownClients)
+	standin.Until(t, "answers", func() bool { clients.mu.Lock(); defer clients.mu.Unlock(); return clients.answered > 0 })
+	clients.stopUnder(t, p, reloaded, syscall.SIGTERM)
+}
+
+// Guards against lost requests where the log can't be written: a line ahead of the shutdown held all of it up.
+func TestLogThatBlocksHoldsUpNoShutdown(t *testing.T) {
+	const deadline = 300 * time.Millisecond
+	s := newShutdownSite(t, deadline, nodeDelay/2)
+	unread, log, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unread.Close()
+	defer log.Close()
+	p := s.start(t, func(c *exec.Cmd) { c.Stderr = log })
+	fillPipe(t, log)
+	clients := &eagerClients{wait: deadline}
+	clients.start(t, s.addr, shutdownClients)
+	standin.Until(t, "answers", func() bool { clients.mu.Lock(); defer clients.mu.Unlock(); return clients.answered > 0 })
+	clients.stopUnder(t, p, deadline, syscall.SIGTERM)
+}
+
+// fillPipe writes to a pipe until it takes nothing more, by a description of its own: the other writer goes on to block.
+func fillPipe(t *testing.T, pipe *os.File) {
+	t.Helper()
+	fd, err := unix.Open(fmt.Sprintf("/proc/self/fd/%d", pipe.Fd()), unix.O_WRONLY|unix.O_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(fd)
+	for _, piece := range [][]byte{make([]byte, 4096), make([]byte, 1)} {
+		for {
+			if _, err := unix.Write(fd, piece); err != nil {
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/faults/injector.go
@@ -0,0 +1,217 @@
+// Package faults makes system calls of a child process fail in the ways that Linux documents, without special rights: a seccomp
+// filter hands the calls chosen to the parent (user notification, seccomp_unotify(2)), which lets each go on, holds it up, or
+// answers it with an error. It sees what a Go program calls itself, unlike a library that is loaded ahead of the C library.
+package faults
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// Rule has calls of one number fail or wait. A rule without Times and Until holds until Clear.
+type Rule struct {
+	Call  uintptr       // number of the system call
+	Err   unix.Errno    // the error that it returns, 0 for none: it goes on after Hold
+	Hold  time.Duration // for which the call waits first
+	Times int           // so many calls, 0 for any number
+	Until time.Time     // and none after this, zero for no end
+	Match func(pid uint32, args [6]uint64) bool
+}
+
+// Injector decides on the calls of one child process.
+type Injector struct {
+	listener int
+	ended    chan struct{}
+
+	mu       sync.Mutex
+	rules    []*Rule
+	injected map[uintptr]int
+}
+
+// Start starts a command under a filter that hands the calls of these numbers to the Injector. wrapper is a program whose main
+// begins with ExecIfWrapper.
+func Start(cmd *exec.Cmd, wrapper string, calls ...uintptr) (*Injector, error) {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("faults: %w", err)
+	}
+	defer unix.Close(pair[0])
+	child := os.NewFile(uintptr(pair[1]), "faults")
+	defer child.Close()
+	var numbers []string
+	for _, c := range calls {
+		numbers = append(numbers, strconv.FormatUint(uint64(c), 10))
+	}
+	if cmd.Env == nil {
+		cmd.Env = os.Environ()
+	}
+	cmd.Env = append(cmd.Env, fmt.Sprintf("%s=%d", channelVariable, 3+len(cmd.ExtraFiles)),
+		programVariable+"="+cmd.Path, callsVariable+"="+strings.Join(numbers, ","))
+	cmd.ExtraFiles = append(cmd.ExtraFiles, child)
+	cmd.Path = wrapper
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	child.Close()
+	listener, err := receiveListener(pair[0])
+	if err != nil {
+		return nil, fmt.Errorf("faults: %w", err)
+	}
+	i := &Injector{listener: listener, ended: make(chan struct{}), injected: map[uintptr]int{}}
+	go i.serve()
+	return i, nil
+}
+
+var errNoListener = errors.New("the wrapper ended before it handed over the listener")
+
+func receiveListener(channel int) (int, error) {
+	text, control := make([]byte, 1), make([]byte, unix.CmsgSpace(4))
+	n, size, _, _, err := unix.Recvmsg(channel, text, control, unix.MSG_CMSG_CLOEXEC)
+	if err != nil {
+		return 0, err
+	}
+	if n == 0 {
+		return 0, errNoListener
+	}
+	messages, err := unix.ParseSocketControlMessage(control[:size])
+	if err != nil || len(messages) != 1 {
+		return 0, errors.Join(errNoListener, err)
+	}
+	fds, err := unix.ParseUnixRights(&messages[0])
+	if err != nil {
+		return 0, err
+	}
+	return fds[0], nil
+}
+
+// Inject adds a rule. The first that fits a call decides on it.
+func (i *Injector) Inject(r Rule) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.rules = append(i.rules, &r)
+}
+
+// Clear drops all rules.
+func (i *Injector) Clear() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.rules = nil
+}
+
+// Injected tells how many calls of a number failed or were held up.
+func (i *Injector) Injected(call uintptr) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.injected[call]
+}
+
+// decide takes the rule for a call, if there is one.
+func (i *Injector) decide(n *notification) (Rule, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	i.rules = slices.DeleteFunc(i.rules, func(r *Rule) bool { return !r.Until.IsZero() && now.After(r.Until) })
+	for at, r := range i.rules {
+		if uintptr(n.number) != r.Call || r.Match != nil && !r.Match(n.pid, n.args) {
+			continue
+		}
+		chosen := *r
+		if r.Times > 0 {
+			if r.Times--; r.Times == 0 {
+				i.rules = slices.Delete(i.rules, at, at+1)
+			}
+		}
+		i.injected[r.Call]++
+		return chosen, true
+	}
+	return Rule{}, false
+}
+
+// notification is the kernel's struct seccomp_notif.
+type notification struct {
+	id     uint64
+	pid    uint32
+	flags  uint32
+	number int32
+	arch   uint32
+	ip     uint64
+	args   [6]uint64
+}
+
+// response is the kernel's struct seccomp_notif_resp.
+type response struct {
+	id    uint64
+	value int64
+	err   int32
+	flags uint32
+}
+
+// goOn has the kernel carry out a call as if there was no filter.
+const goOn = unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE
+
+// serve answers calls until the child has ended.
+func (i *Injector) serve() {
+	defer close(i.ended)
+	defer unix.Close(i.listener)
+	for {
+		at := []unix.PollFd{{Fd: int32(i.listener), Events: unix.POLLIN}}
+		if _, err := unix.Poll(at, -1); err != nil && err != unix.EINTR {
+			return
+		}
+		if at[0].Revents&unix.POLLIN == 0 {
+			if at[0].Revents != 0 {
+				return
+			}
+			continue
+		}
+		var n notification
+		if i.control(unix.SECCOMP_IOCTL_NOTIF_RECV, unsafe.Pointer(&n)) != 0 {
+			continue // the call was broken off
+		}
+		rule, found := i.decide(&n)
+		switch {
+		case !found:
+			i.answer(response{id: n.id, flags: goOn})
+		case rule.Hold > 0:
+			time.AfterFunc(rule.Hold, func() { i.answer(rule.response(n.id)) })
+		default:
+			i.answer(rule.response(n.id))
+		}
+	}
+}
+
+func (r Rule) response(id uint64) response {
+	if r.Err == 0 {
+		return response{id: id, flags: goOn}
+	}
+	return response{id: id, err: -int32(r.Err)}
+}
+
+// answer ends a notification; where the child has gone nobody waits for it.
+func (i *Injector) answer(r response) { i.control(unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&r)) }
+
+func (i *Injector) control(request uintptr, argument unsafe.Pointer) unix.Errno {
+	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(i.listener), request, uintptr(argument))
+	return errno
+}
+
+// RegularFile is a Match for calls whose first argument is a descriptor of a file in a file system.
+func RegularFile(pid uint32, args [6]uint64) bool {
+	name, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", pid, args[0]))
+	return err == nil && strings.HasPrefix(name, "/") && !strings.HasPrefix(name, "/dev/")
+}
+
+// StreamSocket is a Match for socket(2): TCP sockets alone.
+func StreamSocket(_ uint32, args [6]uint64) bool {
+	return args[0] == unix.AF_INET && args[1]&0xf == unix.SOCK_STREAM
+}
