Write log lines in a goroutine of their own, and drop what a log does not take

What callers saw: no answer at the kill for all 30 clients, where nobody read the front's standard error. Cause: Platform wrote the line 'stopping' ahead of Front.Stop, and a write to a full pipe blocks; the stop never began. Any line on a request's way, or under a lock, could do the same, and a log whose reader has gone ended the program with SIGPIPE. Change: logs.Writer takes lines without waiting, 512 at most; what finds no room is dropped, counted (svc.log_lines_dropped) and told of once the log works; the end of the program waits 0.1 s for the last lines; SIGPIPE is ignored by servers.

--- a/cmd/otterturn/shutdown_test.go
+++ b/cmd/otterturn/shutdown_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -33,12 +34,14 @@
 type shutdownSite struct {
 	addr, control, config string
 	node, discovery       string
+	asked                 atomic.Int64 // requests that came to the node
 }
 
 func newShutdownSite(t *testing.T, deadline, delay time.Duration) *shutdownSite {
 	t.Helper()
 	s := &shutdownSite{addr: freeAddr(t), control: freeAddr(t)}
 	s.node = httpPeer(t, func(*http.Request) string {
+		s.asked.Add(1)
 		if delay < 0 {
 			return ""
 		}
@@ -282,3 +285,19 @@
 		}
 	}
 }
+
+// Guards against the end of the program as it writes to a log that nobody reads any more.
+func TestLogThatIsClosedEndsNothing(t *testing.T) {
+	s := newShutdownSite(t, time.Second, 0)
+	read, log, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := s.start(t, func(c *exec.Cmd) { c.Stderr = log })
+	log.Close()
+	read.Close()
+	p.Process.Signal(syscall.SIGHUP) // a line for each
+	standin.Until(t, "the reload", func() bool { return figure(t, s.control, "svc.reloads_ok") == 1 })
+	standin.Until(t, "a line that was dropped", func() bool { return figure(t, s.control, "svc.log_lines_dropped") > 0 })
+	p.stop(t)
+}
--- a/internal/logs/logger.go
+++ b/internal/logs/logger.go
@@ -13,17 +13,28 @@
 
 // New gives the logger of the program: tinted lines where w is a terminal, JSON lines otherwise (the platform, a
 // file, a pipe), at level and above, under the quota of Burst lines a message in each Span. The field "held" of a
-// line says how many of the same message were not written before it.
+// line says how many of the same message were not written before it. Where w is a Writer, a line tells of those that it dropped.
 func New(w io.Writer, level slog.Leveler) *slog.Logger {
-	var h slog.Handler
-	if f, ok := w.(*os.File); ok && isatty.IsTerminal(f.Fd()) {
-		h = tint.NewTextHandler(w, &tint.Options{Level: level})
-	} else {
-		h = slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+	h := newHandler(w, level)
+	if queued, ok := w.(*Writer); ok {
+		direct := slog.New(newHandler(queued.to, level))
+		queued.onDropped(func(lines int64) { direct.Warn("log lines dropped", "lines", lines) })
 	}
 	return slog.New(&quota{next: h, shared: &shared{quota: NewQuota(Burst, Span, MaxKeys)}})
 }
 
+// newHandler writes for a person where w leads to a terminal, for a machine otherwise.
+func newHandler(w io.Writer, level slog.Leveler) slog.Handler {
+	to := w
+	if queued, ok := w.(*Writer); ok {
+		to = queued.to
+	}
+	if f, ok := to.(*os.File); ok && isatty.IsTerminal(f.Fd()) {
+		return tint.NewTextHandler(w, &tint.Options{Level: level})
+	}
+	return slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+}
+
 // Quiet gives a logger that writes nothing, for tests and for parts whose lines nobody reads.
 func Quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
 
--- a/internal/net/protocol/figures.go
+++ b/internal/net/protocol/figures.go
@@ -16,14 +16,15 @@
 
 // Figures are what operators are told of a process. Counts are since it started.
 type Figures struct {
-	Classes       []Ended
-	Attempts      int64 // written whole to nodes
-	InFlight      int64 // requests taken and not over
-	Known         int   // nodes on the list
-	Excluded      int   // of these, those that get nothing now, by hand or by choice
-	ReloadsOK     int64
-	ReloadsFailed int64
-	Health        *HealthFigures // nil where fronts don't share the health of nodes: there are no lines of it then
+	Classes         []Ended
+	Attempts        int64 // written whole to nodes
+	InFlight        int64 // requests taken and not over
+	Known           int   // nodes on the list
+	Excluded        int   // of these, those that get nothing now, by hand or by choice
+	ReloadsOK       int64
+	ReloadsFailed   int64
+	LogLinesDropped int64          // that were not written
+	Health          *HealthFigures // nil where fronts don't share the health of nodes: there are no lines of it then
 }
 
 // HealthFigures are what operators are told of the zone's shared health of nodes.
@@ -55,6 +56,7 @@
 	line("g", "chunk_servers_excluded", int64(f.Excluded))
 	line("c", "reloads_ok", f.ReloadsOK)
 	line("c", "reloads_failed", f.ReloadsFailed)
+	line("c", "log_lines_dropped", f.LogLinesDropped)
 	if h := f.Health; h != nil {
 		line("c", "health.probes", h.Probes)
 		line("c", "health.messages_sent", h.MessagesSent)
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -30,6 +30,7 @@
 // Appliance is one site's front as the operator's file sets it up.
 type Appliance struct {
 	operator Operator
+	lines    *logs.Writer // under log
 	log      *slog.Logger
 	limits   limits.Limits
 	core     *routing.Core
@@ -49,6 +50,7 @@
 // Serve runs the appliance until SIGTERM or an interrupt. At SIGHUP it reads the operator's file again.
 func Serve(path string) error {
 	hangups := notifyReload()
+	ignoreClosedLog()
 	o, err := LoadOperator(path)
 	if err != nil {
 		return err
@@ -61,6 +63,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
+	defer a.lines.Flush(flushTimeout)
 	limitRuntime(a.limits)
 	if err := a.restoreLearned(); err != nil {
 		return fmt.Errorf("%s: learned.folder: %w", path, err)
@@ -104,8 +107,9 @@
 
 func newAppliance(o Operator) (*Appliance, error) {
 	l := o.limits()
+	lines := logs.NewWriter(os.Stderr)
 	a := &Appliance{
-		operator: o, log: logs.New(os.Stderr, o.Log.level()), listed: o, limits: l, client: sftp.NewClient(l), nodes: transport.NewNodes(l),
+		operator: o, lines: lines, log: logs.New(lines, o.Log.level()), listed: o, limits: l, client: sftp.NewClient(l), nodes: transport.NewNodes(l),
 		failed: make(chan error, 4), drained: map[string]bool{},
 	}
 	probe := a.client.Probe(l)
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -56,7 +56,7 @@
 	t := p.core.Tally()
 	out := protocol.Figures{
 		InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
-		ReloadsOK: p.reloads.Load(), ReloadsFailed: p.reloadsRejected.Load(), Health: shared,
+		ReloadsOK: p.reloads.Load(), ReloadsFailed: p.reloadsRejected.Load(), Health: shared, LogLinesDropped: p.lines.Dropped(),
 	}
 	for i, name := range p.front.ClassNames() {
 		ended := t.Class(i)
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -31,6 +31,7 @@
 	text   []byte // of it, as it is in force
 	config protocol.Config
 	limits limits.Limits
+	lines  *logs.Writer // under log
 	log    *slog.Logger
 	nodes  *transport.Nodes
 	core   *routing.Core
@@ -58,6 +59,7 @@
 		return misuse{errors.New("RELAY_CONFIG: not set")}
 	}
 	hangups := notifyReload()
+	ignoreClosedLog()
 	config, text, err := readConfig(path)
 	if err != nil {
 		return misuse{err}
@@ -70,6 +72,7 @@
 	if err != nil {
 		return err
 	}
+	defer p.lines.Flush(flushTimeout)
 	listener, err := clientsListener(config.Listen, os.Getenv(acceptVariable))
 	if err != nil {
 		return err
@@ -109,8 +112,9 @@
 		Askers: set.Askers,
 	})
 	limitRuntime(l)
+	lines := logs.NewWriter(os.Stderr)
 	p := &platform{
-		path: path, text: text, config: config, limits: l, log: logs.New(os.Stderr, slog.LevelInfo),
+		path: path, text: text, config: config, limits: l, lines: lines, log: logs.New(lines, slog.LevelInfo),
 		nodes: transport.NewNodes(l), roster: roster.New(), peerMessages: set.Scheduler.PeerMessages,
 	}
 	set.Scheduler.MaxOpen = l.Requests.Scheduled
@@ -177,13 +181,6 @@
 	return nil
 }
 
-// notifyReload delivers SIGHUP, which would end the program, from here to its end: one may come while it stops.
-func notifyReload() <-chan os.Signal {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c
-}
-
 // limitRuntime keeps the run time within the machine: one core, and collections before the memory limit is near.
 func limitRuntime(l limits.Limits) {
 	runtime.GOMAXPROCS(1)
