Go on accepting whatever accept(2) names as an error that passes

What callers saw: the front ended with status 1, and with all that it had taken, as accept4 failed with ENOBUFS, ENOMEM, EPROTO, ENETUNREACH, EHOSTUNREACH, EPERM or EOPNOTSUPP for a moment. Cause: net/http's Server ends at the first error that is not Temporary(), and waits for up to 1 s behind the others, while requests wait in the kernel. accept(2) asks that pending network errors be taken as EAGAIN. Evidence: TestAcceptThatFailsForAMomentEndsNothing failed at ENOBUFS on, by a seccomp filter. Change: package accept tries again every 20 ms, whatever the error; one of the listening socket itself is the caller's once it has lasted 5 s. Both fronts, TLS, the console, the operators' address, the challenge server and the handover accept through it; failures are counted (svc.accept_errors) and logged.

--- a/internal/net/control/control.go
+++ b/internal/net/control/control.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"otterturn/internal/limits"
+	"otterturn/internal/net/accept"
 	"otterturn/internal/net/protocol"
 )
 
@@ -24,14 +26,15 @@
 
 // Server answers operators.
 type Server struct {
-	front Front
-	http  *http.Server
-	calls *calls
+	front       Front
+	http        *http.Server
+	calls       *calls
+	acceptRetry time.Duration
 }
 
 // New returns a server for a front.
 func New(f Front, l limits.Limits) *Server {
-	s := &Server{front: f, calls: &calls{most: l.Control.Conns, open: map[net.Conn]int{}}}
+	s := &Server{front: f, acceptRetry: l.AcceptRetry, calls: &calls{most: l.Control.Conns, open: map[net.Conn]int{}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthcheck", s.health)
 	mux.HandleFunc("GET /stats", s.stats)
@@ -47,7 +50,7 @@
 
 // Serve answers until Close.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(accept.New(l, s.acceptRetry, nil)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/net/protocol/figures.go
+++ b/internal/net/protocol/figures.go
@@ -23,7 +23,8 @@
 	Excluded        int   // of these, those that get nothing now, by hand or by choice
 	ReloadsOK       int64
 	ReloadsFailed   int64
-	LogLinesDropped int64          // that were not written
+	LogLinesDropped int64 // that were not written
+	AcceptErrors    int64
 	Health          *HealthFigures // nil where fronts don't share the health of nodes: there are no lines of it then
 }
 
@@ -56,6 +57,7 @@
 	line("g", "chunk_servers_excluded", int64(f.Excluded))
 	line("c", "reloads_ok", f.ReloadsOK)
 	line("c", "reloads_failed", f.ReloadsFailed)
+	line("c", "accept_errors", f.AcceptErrors)
 	line("c", "log_lines_dropped", f.LogLinesDropped)
 	if h := f.Health; h != nil {
 		line("c", "health.probes", h.Probes)
--- a/internal/net/transport/crossings_test.go
+++ b/internal/net/transport/crossings_test.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// accept gives a client's connection as the front has it, with its other end.
-func accept(t *testing.T) (s *clientConns, c *clientConn, far *net.TCPConn) {
+// acceptOne gives a client's connection as the front has it, with its other end.
+func acceptOne(t *testing.T) (s *clientConns, c *clientConn, far *net.TCPConn) {
 	t.Helper()
 	l := standin.Listen(t)
 	t.Cleanup(func() { l.Close() })
@@ -165,7 +165,7 @@
 // A connection that stood idle was closed beside the read of it: a request that came in that moment was read, sent on, and
 // its answer lost. Now the reader alone ends it, with nothing read behind that.
 func TestIdleConnectionEndsWithoutARequest(t *testing.T) {
-	s, c, far := accept(t)
+	s, c, far := acceptOne(t)
 	c.Write([]byte("x")) // it was answered before
 	read := make(chan error, 1)
 	go func() {
@@ -194,7 +194,7 @@
 
 // A request that has come as its connection is to end is read, and the connection stays.
 func TestRequestThatCrossesAnEndIsRead(t *testing.T) {
-	s, c, far := accept(t)
+	s, c, far := acceptOne(t)
 	io.WriteString(far, "GET ")
 	standin.Until(t, "the request", c.hasPendingInput)
 	s.closeIdle(time.Now().Add(time.Hour))
--- a/internal/net/transport/evict_test.go
+++ b/internal/net/transport/evict_test.go
@@ -35,7 +35,7 @@
 // The connection that has been reading longest makes room. A request that has come whole in that moment is owed its answer:
 // the connection was closed under it.
 func TestRequestThatIsCompleteKeepsItsConnection(t *testing.T) {
-	s, c, far := accept(t)
+	s, c, far := acceptOne(t)
 	s.trackState(c, http.StateActive)
 	io.WriteString(far, fmt.Sprintf(request, "id")+"\r\n")
 	readAll(c)
@@ -52,7 +52,7 @@
 
 // A request whose rest the kernel holds already is read to its end.
 func TestRequestThatHasArrivedKeepsItsConnection(t *testing.T) {
-	s, c, far := accept(t)
+	s, c, far := acceptOne(t)
 	s.trackState(c, http.StateActive)
 	io.WriteString(far, fmt.Sprintf(request, "id")+"\r\n")
 	standin.Until(t, "the request", c.hasPendingInput)
@@ -66,7 +66,7 @@
 
 // Half a request makes room: nothing is owed for it. Its own reader ends the connection.
 func TestIncompleteRequestMakesRoom(t *testing.T) {
-	s, c, far := accept(t)
+	s, c, far := acceptOne(t)
 	s.trackState(c, http.StateActive)
 	io.WriteString(far, "GET /re")
 	ended := readAll(c)
@@ -80,7 +80,7 @@
 // A client reads its last answer and has sent more than was read: closing its connection for room would reset it, and take
 // that answer along.
 func TestLastAnswerIsNotCutOffForRoom(t *testing.T) {
-	s, c, far := accept(t)
+	s, c, far := acceptOne(t)
 	s.beginEnding(c)
 	io.WriteString(far, "GET /behind")
 	standin.Until(t, "bytes behind the answer", c.hasPendingInput)
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -31,6 +31,8 @@
 	yielded  atomic.Bool               // another process serves new connections
 	stopping atomic.Pointer[time.Time] // when the stop began, nil before
 
+	acceptErrors atomic.Int64
+
 	next *RoundTripper // its core counts what finds no room here, too
 
 	Admission *gate.Gate // decides who is admitted when the front is full; nil for none, set before Serve
@@ -95,7 +97,7 @@
 
 // Serve accepts clients until Stop. Over TLS the listener is one of Handshakes.
 func (f *Front) Serve(l net.Listener) error {
-	own := newListener(l, f.clients, f.adopted)
+	own := newListener(l, f.clients, f.adopted, f.limits.AcceptRetry, f.acceptFailed)
 	f.listener.Store(own)
 	err := f.server.Serve(own)
 	if _, stopping := f.stopped(); stopping || errors.Is(err, http.ErrServerClosed) {
@@ -104,6 +106,15 @@
 	return err
 }
 
+// acceptFailed counts a connection that could not be accepted; accepting is tried again.
+func (f *Front) acceptFailed(err error) {
+	f.acceptErrors.Add(1)
+	f.next.core.Log.Warn("accept failed, trying again", "error", err)
+}
+
+// AcceptErrors tells how often accepting failed.
+func (f *Front) AcceptErrors() int64 { return f.acceptErrors.Load() }
+
 // ServeHTTP reads a request whole, has it answered and passes the answer on.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer f.open.Add(-1)
--- a/internal/net/transport/handshakes.go
+++ b/internal/net/transport/handshakes.go
@@ -6,11 +6,11 @@
 	"crypto/tls"
 	"net"
 	"sync"
-	"time"
 
 	"golang.org/x/crypto/acme"
 
 	"otterturn/internal/limits"
+	"otterturn/internal/net/accept"
 )
 
 // Handshakes is a listener whose connections have their TLS handshake behind them. It has bounds of its own: a
@@ -32,7 +32,7 @@
 // NewHandshakes returns a listener before one for plain TCP. It accepts until Close.
 func NewHandshakes(l net.Listener, config *tls.Config, lim limits.Limits) *Handshakes {
 	h := &Handshakes{
-		Listener: l, config: config, limits: lim, ready: make(chan net.Conn), failed: make(chan error, 1),
+		Listener: accept.New(l, lim.AcceptRetry, nil), config: config, limits: lim, ready: make(chan net.Conn), failed: make(chan error, 1),
 		open: queue.New(),
 	}
 	h.ctx, h.end = context.WithCancel(context.Background())
@@ -47,23 +47,13 @@
 			go h.complete(raw, h.register(raw))
 			continue
 		}
-		if h.ctx.Err() != nil {
-			return
-		}
-		if e, ok := err.(net.Error); !ok || !e.Timeout() && !temporary(err) {
+		if h.ctx.Err() == nil {
 			h.failed <- err
-			return
 		}
-		time.Sleep(h.limits.AcceptRetry) // no descriptor is left, or the client has gone again
+		return
 	}
 }
 
-// temporary tells whether accepting may work again.
-func temporary(err error) bool {
-	t, ok := err.(interface{ Temporary() bool })
-	return ok && t.Temporary()
-}
-
 // register counts a handshake in, and ends the oldest where there are too many.
 func (h *Handshakes) register(raw net.Conn) *queue.Element {
 	h.mu.Lock()
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -2,21 +2,25 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"os"
 	"sync"
 	"time"
+
+	"otterturn/internal/net/accept"
 )
 
 // listener hands connections to net/http, within the bound on all that are open: those that it accepts, and those that
 // another process of the front passes on.
 type listener struct {
 	net.Listener
-	clients  *clientConns
-	adopted  chan net.Conn
-	incoming chan accepted
-	ended    chan struct{}
-	end      sync.Once
+	accepting *accept.Listener
+	clients   *clientConns
+	adopted   chan net.Conn
+	incoming  chan accepted
+	ended     chan struct{}
+	end       sync.Once
 
 	mu      sync.Mutex
 	resumed chan struct{} // nil while connections are accepted; closed once they are again
@@ -27,16 +31,16 @@
 	err  error
 }
 
-func newListener(l net.Listener, c *clientConns, passed chan net.Conn) *listener {
-	out := &listener{Listener: l, clients: c, adopted: passed, incoming: make(chan accepted), ended: make(chan struct{})}
+func newListener(l net.Listener, c *clientConns, passed chan net.Conn, retry time.Duration, onError func(error)) *listener {
+	out := &listener{Listener: l, accepting: accept.New(l, retry, onError), clients: c, adopted: passed, incoming: make(chan accepted), ended: make(chan struct{})}
 	go out.run()
 	return out
 }
 
 func (l *listener) run() {
 	for {
-		raw, err := l.Listener.Accept()
-		if os.IsTimeout(err) && l.wait() {
+		raw, err := l.accepting.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) && l.wait() {
 			continue
 		}
 		select {
@@ -116,6 +120,6 @@
 			continue
 		default:
 		}
-		return l.Listener.Close()
+		return l.accepting.Close()
 	}
 }
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"otterturn/internal/limits"
+	"otterturn/internal/net/accept"
 	files "otterturn/internal/net/protocol/sftp"
 	"otterturn/internal/net/routing"
 	"otterturn/scheduler"
@@ -84,14 +85,14 @@
 
 // Serve accepts clients until the listener is closed.
 func (f *Front) Serve(l net.Listener) error {
+	accepting := accept.New(l, f.limits.AcceptRetry, func(err error) { f.core.Log.Warn("accept failed, trying again", "error", err) })
 	for {
-		c, err := l.Accept()
+		c, err := accepting.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil { // no descriptor is left, or the client has gone again
-			time.Sleep(f.limits.AcceptRetry)
-			continue
+		if err != nil {
+			return err
 		}
 		if !f.enter(newVisitor(f, c)) {
 			c.Close() // SFTP has no word for 'full' ahead of a session
--- a/internal/program/certificates.go
+++ b/internal/program/certificates.go
@@ -16,6 +16,7 @@
 	"otterturn/internal/certs/order"
 	"otterturn/internal/certs/plan"
 	"otterturn/internal/certs/vault"
+	"otterturn/internal/net/accept"
 	"otterturn/internal/net/transport"
 )
 
@@ -60,7 +61,7 @@
 			IdleTimeout: a.limits.Clients.IdleTimeout, MaxHeaderBytes: a.limits.Requests.HeaderBytes, ErrorLog: quiet,
 		}
 		serve := func(l net.Listener) error {
-			if err := answers.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := answers.Serve(accept.New(l, a.limits.AcceptRetry, nil)); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
--- a/internal/program/console.go
+++ b/internal/program/console.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"otterturn/internal/net/accept"
 	"otterturn/internal/net/routing"
 	"otterturn/scheduler"
 )
@@ -50,14 +51,14 @@
 }
 
 func (c *console) serve(l net.Listener) error {
+	accepting := accept.New(l, c.appliance.limits.AcceptRetry, nil)
 	for {
-		conn, err := l.Accept()
+		conn, err := accepting.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil { // no descriptor is left
-			time.Sleep(c.appliance.limits.AcceptRetry)
-			continue
+		if err != nil {
+			return err
 		}
 		select {
 		case c.room <- struct{}{}:
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -7,8 +7,10 @@
 	"os"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"otterturn/internal/handover"
+	"otterturn/internal/net/accept"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
 	"otterturn/scheduler"
@@ -132,15 +134,18 @@
 	}
 }
 
+// acceptRetry is the pause behind a successor that could not be accepted.
+const acceptRetry = 20 * time.Millisecond
+
 // awaitSuccessor takes the one successor that asks next.
 func awaitSuccessor(ctx context.Context, l *net.UnixListener) (*handover.Channel, error) {
 	defer l.Close()
 	defer context.AfterFunc(ctx, func() { l.Close() })()
-	c, err := l.AcceptUnix()
+	c, err := accept.New(l, acceptRetry, nil).Accept()
 	if err != nil {
 		return nil, err
 	}
-	return handover.NewChannel(c), nil
+	return handover.NewChannel(c.(*net.UnixConn)), nil
 }
 
 // handOver is the predecessor's part, from the successor's question to its end. It returns while this process serves,
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -57,6 +57,7 @@
 	out := protocol.Figures{
 		InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
 		ReloadsOK: p.reloads.Load(), ReloadsFailed: p.reloadsRejected.Load(), Health: shared, LogLinesDropped: p.lines.Dropped(),
+		AcceptErrors: p.front.AcceptErrors(),
 	}
 	for i, name := range p.front.ClassNames() {
 		ended := t.Class(i)
