--- a/cmd/otterturn/accept_test.go
+++ b/cmd/otterturn/accept_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"otterturn/internal/lab/faults"
+	"otterturn/internal/limits"
 	"otterturn/internal/standin"
 )
 
@@ -62,3 +63,42 @@
 		t.Errorf("ended with %v:\n%s", err, p.output)
 	}
 }
+
+// Guards against requests that are answered too late as accepting failed: what they waited in the kernel is off the time that their
+// clients have left.
+func TestRequestThatWaitedToBeAcceptedHasLessTime(t *testing.T) {
+	const failing, wait = 400 * time.Millisecond, 300 * time.Millisecond
+	s := newShutdownSite(t, 3*time.Second, 0)
+	p, injector := s.startUnderFaults(t, unix.SYS_ACCEPT4)
+	before := s.asked.Load()
+	injector.Inject(faults.Rule{Call: unix.SYS_ACCEPT4, Err: unix.ENFILE, Until: time.Now().Add(failing)})
+	c := dialFront(t, s.addr)
+	c.SetDeadline(time.Now().Add(standin.Patience))
+	c.Write([]byte(askText("GET", 0, wait)))
+	status, err := readAnswer(c)
+	if asked := s.asked.Load() - before; err != nil || status != 503 || asked != 0 {
+		t.Errorf("%d, %v, the node was asked %d times", status, err, asked)
+	}
+	p.stop(t)
+}
+
+// Guards against requests that are reset in the kernel's queue as a front that stops closes its listener while accepting fails.
+func TestConnectionsOfTheKernelAreServedAsTheFrontCloses(t *testing.T) {
+	const deadline = time.Second
+	s := newShutdownSite(t, deadline, 0)
+	p, injector := s.startUnderFaults(t, unix.SYS_ACCEPT4)
+	stop := limits.Stop(deadline)
+	began := time.Now()
+	p.Process.Signal(syscall.SIGTERM)
+	injector.Inject(faults.Rule{Call: unix.SYS_ACCEPT4, Err: unix.ENFILE, Until: began.Add((stop.Serve + stop.Answer) / 2)})
+	time.Sleep(time.Until(began.Add(stop.Serve - 100*time.Millisecond))) // the moments are the terms' own
+	c := dialFront(t, s.addr)
+	c.SetDeadline(began.Add(killAfter(deadline)))
+	c.Write([]byte(askText("GET", 0, deadline)))
+	if status, err := readAnswer(c); err != nil {
+		t.Errorf("%d, %v\n%s", status, err, p.output)
+	}
+	if err := standin.Await(t, "the end", p.done); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -24,6 +24,7 @@
 	Scheduled   int           // open requests past which the scheduler refuses those that are worth least
 	PastIDs     int           // ids of finished requests that are remembered, in each of two generations
 	IDRetention time.Duration // how long the id of a finished request is remembered
+	AnswerGrace time.Duration // behind a request's time its answer is worth nothing, and not lost yet
 
 	HeaderBytes   int   // largest head of a message
 	BufferedBytes int64 // largest body that is held whole, of a request or an answer
@@ -82,7 +83,10 @@
 	Accept          time.Duration // until then clients may connect
 	Serve           time.Duration // until then connections may bring requests; then idle ones are closed
 	Answer          time.Duration // until then requests that came since are answered
+	Kill            time.Duration // the process may be killed from then on
 	AtMost          time.Duration // until then the process ends in any case
+	MinTime         time.Duration // a request that has less time until Answer is rejected at once
+	HoldUp          time.Duration // the process may stand still so long between reading its clock and a write
 	ConnsPerRequest int           // connections for each request that may be open meanwhile
 	CheckInterval   time.Duration // between two looks at what is still open
 	HandoverTimeout time.Duration // for the whole handover to the next process of this front
--- a/internal/limits/operation.go
+++ b/internal/limits/operation.go
@@ -47,12 +47,17 @@
 }
 
 // A process is killed after SIGTERM no earlier than its longest deadline, counted as stopMaxDeadline where that is
-// longer, and stopExtra.
+// longer, and stopExtra. Ahead of that SIGTERM may have been noticed late by one hold-up, and an answer be written late by
+// another one.
 const (
 	stopMaxDeadline     = 3 * time.Second
 	stopExtra           = 700 * time.Millisecond
-	stopServeMargin     = 350 * time.Millisecond // before the kill connections bring no requests any more
-	stopAnswerMargin    = 100 * time.Millisecond // before the kill all requests are answered
+	stopHoldUp          = 150 * time.Millisecond           // a process may stand still so long between its clock and a write
+	stopAnswerMargin    = 2*stopHoldUp + stopWriteTime     // before the kill all requests are answered
+	stopWriteTime       = 50 * time.Millisecond            // for writing the answers that are due together
+	stopServeMargin     = stopAnswerMargin + stopCloseTime // before the kill connections bring no requests any more
+	stopCloseTime       = 150 * time.Millisecond           // for ending idle connections, and for what crosses that
+	stopMinTime         = 20 * time.Millisecond            // with less a request is rejected, as no node answers in so little
 	stopAccept          = 500 * time.Millisecond
 	stopAtMostExtra     = 2 * time.Second // beyond the longest deadline
 	stopConnsPerRequest = 2
@@ -60,19 +65,33 @@
 	handoverTimeout     = 2 * time.Second
 )
 
-func stopLimits(site Site) StopLimits {
-	kill := min(site.Deadline, stopMaxDeadline) + stopExtra
+// Stop computes the limits of a stop for the longest deadline of any class.
+func Stop(longest time.Duration) StopLimits {
+	kill := min(longest, stopMaxDeadline) + stopExtra
 	return StopLimits{
-		Accept:          stopAccept,
+		Accept:          min(stopAccept, kill-stopServeMargin),
 		Serve:           kill - stopServeMargin,
 		Answer:          kill - stopAnswerMargin,
-		AtMost:          site.Deadline + stopAtMostExtra,
+		Kill:            kill,
+		AtMost:          longest + stopAtMostExtra,
+		MinTime:         stopMinTime,
+		HoldUp:          stopHoldUp,
 		ConnsPerRequest: stopConnsPerRequest,
 		CheckInterval:   stopCheckInterval,
 		HandoverTimeout: handoverTimeout,
 	}
 }
 
+// Strictest returns the earlier end of each phase of two stops.
+func (l StopLimits) Strictest(other StopLimits) StopLimits {
+	l.Accept = min(l.Accept, other.Accept)
+	l.Serve = min(l.Serve, other.Serve)
+	l.Answer = min(l.Answer, other.Answer)
+	l.Kill = min(l.Kill, other.Kill)
+	l.AtMost = min(l.AtMost, other.AtMost)
+	return l
+}
+
 const (
 	controlConns         = 16
 	controlCallTimeout   = 5 * time.Second
--- a/internal/limits/site.go
+++ b/internal/limits/site.go
@@ -22,7 +22,7 @@
 		Clients:     clientLimits(site, shares),
 		Nodes:       nodeLimits(site, shares),
 		Discovery:   discoveryLimits(site, shares),
-		Stop:        stopLimits(site),
+		Stop:        Stop(site.Deadline),
 		Control:     controlLimits(),
 		Files:       fileLimits(shares),
 		Memory:      shares.memory,
--- a/internal/limits/traffic.go
+++ b/internal/limits/traffic.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	inboxPerClient = 4    // events that may be queued for each client connection
-	minPastIDs     = 1024 // ids that are remembered at the least
+	inboxPerClient = 4                      // events that may be queued for each client connection
+	minPastIDs     = 1024                   // ids that are remembered at the least
+	answerGrace    = 350 * time.Millisecond // with stopHoldUp, the half second within which a late answer is not lost
 )
 
 func requestLimits(site Site, got shares) RequestLimits {
@@ -19,6 +20,7 @@
 		PastIDs:   max(minPastIDs, int(got.memory/memoryFraction/idBytes)),
 		// A copy of a request comes within the time that its client waits, or its nodes drop repeats for.
 		IDRetention:   2 * site.Deadline,
+		AnswerGrace:   answerGrace,
 		HeaderBytes:   headerBytes,
 		BufferedBytes: bufferedBytes,
 		StreamedBytes: streamedBytes,
--- a/internal/net/protocol/figures.go
+++ b/internal/net/protocol/figures.go
@@ -16,16 +16,30 @@
 
 // Figures are what operators are told of a process. Counts are since it started.
 type Figures struct {
-	Classes         []Ended
-	Attempts        int64 // written whole to nodes
-	InFlight        int64 // requests taken and not over
-	Known           int   // nodes on the list
-	Excluded        int   // of these, those that get nothing now, by hand or by choice
-	ReloadsOK       int64
-	ReloadsFailed   int64
-	LogLinesDropped int64 // that were not written
+	Classes       []Ended
+	Attempts      int64 // written whole to nodes
+	InFlight      int64 // requests taken and not over
+	Known         int   // nodes on the list
+	Excluded      int   // of these, those that get nothing now, by hand or by choice
+	ReloadsOK     int64
+	ReloadsFailed int64
+	Rules         RuleFigures
+	Health        *HealthFigures // nil where fronts don't share the health of nodes: there are no lines of it then
+}
+
+// RuleFigures tell of the process's own checks on what it may do, and when.
+type RuleFigures struct {
+	Operations      []RuleCount
+	EndedByShutdown int64 // requests that were open as all had to be answered
+	EndedOverdue    int64 // requests whose attempt did not end in time
 	AcceptErrors    int64
-	Health          *HealthFigures // nil where fronts don't share the health of nodes: there are no lines of it then
+	LogLinesDropped int64
+}
+
+// RuleCount is how often an operation was denied, and carried out against the rules.
+type RuleCount struct {
+	Operation          string
+	Denied, Violations int64
 }
 
 // HealthFigures are what operators are told of the zone's shared health of nodes.
@@ -57,8 +71,7 @@
 	line("g", "chunk_servers_excluded", int64(f.Excluded))
 	line("c", "reloads_ok", f.ReloadsOK)
 	line("c", "reloads_failed", f.ReloadsFailed)
-	line("c", "accept_errors", f.AcceptErrors)
-	line("c", "log_lines_dropped", f.LogLinesDropped)
+	f.Rules.format(line)
 	if h := f.Health; h != nil {
 		line("c", "health.probes", h.Probes)
 		line("c", "health.messages_sent", h.MessagesSent)
@@ -71,3 +84,26 @@
 	}
 	return out.String()
 }
+
+// format writes the sums over all operations, and the operations that have any.
+func (r RuleFigures) format(line func(kind, name string, value int64)) {
+	var denied, violations int64
+	for _, c := range r.Operations {
+		denied += c.Denied
+		violations += c.Violations
+	}
+	line("c", "denied", denied)
+	line("c", "violations", violations)
+	for _, c := range r.Operations {
+		if c.Denied > 0 {
+			line("c", "denied."+c.Operation, c.Denied)
+		}
+		if c.Violations > 0 {
+			line("c", "violations."+c.Operation, c.Violations)
+		}
+	}
+	line("c", "ended_by_shutdown", r.EndedByShutdown)
+	line("c", "ended_overdue", r.EndedOverdue)
+	line("c", "accept_errors", r.AcceptErrors)
+	line("c", "log_lines_dropped", r.LogLinesDropped)
+}
--- a/internal/net/routing/core.go
+++ b/internal/net/routing/core.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/limits"
 	"otterturn/scheduler"
 )
@@ -81,6 +82,8 @@
 
 	Log *slog.Logger // each request's way at level debug; set before Run, nothing is logged without
 
+	Guard *lifecycle.Guard // decides what may be taken and sent now; set before Run, one of its own without
+
 	counters   counters
 	announceID atomic.Pointer[func(id string)] // hears of each id that is taken
 }
@@ -95,6 +98,7 @@
 		clock: NewClock(), scheduler: decider, checkHealth: probe, inbox: make(chan message, l.Requests.Inbox),
 		stopped: make(chan struct{}), calls: map[string]*call{}, usedIDs: newIDHistory(scheduler.Micros(l.Requests.IDRetention/time.Microsecond), l.Requests.PastIDs),
 		saveRequested: make(chan struct{}, 1), SendToPeer: func(int, scheduler.Action) {}, Log: slog.New(slog.DiscardHandler),
+		Guard: lifecycle.New(l.Stop, slog.New(slog.DiscardHandler)),
 	}, nil
 }
 
@@ -195,6 +199,9 @@
 	case scheduler.Fail:
 		c.deliver(a.ID, a, true)
 	case scheduler.CheckHealth:
+		if c.Guard.Allow(lifecycle.StartBackground, time.Time{}) != nil {
+			return
+		}
 		go func() { c.submit(message{event: c.checkHealth(a.Node)}) }()
 	case scheduler.RequestCapacity:
 		c.SendToPeer(a.To, a)
--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
+	"otterturn/internal/lifecycle"
+	"otterturn/internal/limits"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
 	"otterturn/scheduler"
@@ -189,3 +192,37 @@
 		t.Errorf("tally %+v", got)
 	}
 }
+
+// Guards against lost requests that are open as a shutdown's answers are due: each gets its final answer then, whatever its attempt
+// does, and what comes later is rejected at once and never sent.
+func TestShutdownAnswersWhatIsOpen(t *testing.T) {
+	core, begun, goOn := newCore(t), make(chan struct{}), make(chan struct{})
+	stop := limits.Stop(time.Second)
+	stop.Answer = 100 * time.Millisecond
+	core.Guard = lifecycle.New(stop, slog.New(slog.DiscardHandler))
+	defer close(goOn)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := routing.Do(t.Context(), core, request("open"), func(context.Context, routing.Attempt) (int, scheduler.AttemptEnded) {
+			close(begun)
+			<-goOn
+			return 0, scheduler.AttemptEnded{Result: scheduler.TimedOut}
+		})
+		ended <- err
+	}()
+	standin.Await(t, "the attempt", begun)
+	core.Guard.BeginShutdown(time.Now())
+	if err := standin.Await(t, "the final answer", ended); !errors.Is(err, routing.ErrFailed) {
+		t.Errorf("one that may have run: %v", err)
+	}
+	_, err := routing.Do(t.Context(), core, request("late"), func(context.Context, routing.Attempt) (int, scheduler.AttemptEnded) {
+		t.Error("sent")
+		return 0, scheduler.AttemptEnded{}
+	})
+	if refused := new(routing.RejectedError); !errors.As(err, &refused) {
+		t.Errorf("one that came late: %v", err)
+	}
+	if got := core.Tally(); got.EndedByShutdown != 1 || got.Open != 0 {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/net/routing/learned.go
+++ b/internal/net/routing/learned.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"time"
 
 	"otterturn/scheduler"
 )
@@ -38,6 +39,13 @@
 	return cmp.Or(err, wrong)
 }
 
+// RetainIDs has ids of finished requests remembered for another time. One that is shorter holds for ids to come.
+func (c *Core) RetainIDs(retention time.Duration) {
+	c.submit(message{query: func(*scheduler.Scheduler) {
+		c.usedIDs.retention = scheduler.Micros(retention / time.Microsecond)
+	}})
+}
+
 // NodeFor tells which node a request would be sent to now, and its shard; "" for none.
 func (c *Core) NodeFor(ctx context.Context, r scheduler.Request) (node string, shard int, err error) {
 	err = c.query(ctx, func(s *scheduler.Scheduler) { node, shard = s.NodeFor(c.Now(), r) })
--- a/internal/net/routing/request.go
+++ b/internal/net/routing/request.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	"otterturn/scheduler"
 )
 
@@ -13,8 +14,29 @@
 type Attempt struct {
 	Node string
 	// MayBegin ends once nothing of the attempt may be written any more, if nothing was by then: the client has left, the
-	// attempt was cancelled, or a retry would come too late to be deduplicated by the nodes.
+	// attempt was cancelled, or a retry would come too late to be deduplicated by the nodes. It is what to wait under; whether
+	// to write is Permitted's word, as a context's end comes late where the process was held up.
 	MayBegin context.Context
+
+	guard     *lifecycle.Guard // nil for none
+	operation lifecycle.Operation
+	beginBy   time.Time
+}
+
+// Permitted asks whether the attempt may be written now. It is to be called right ahead of the first byte, and of the end of a
+// long request.
+func (a Attempt) Permitted() error {
+	if err := a.MayBegin.Err(); err != nil || a.guard == nil {
+		return err
+	}
+	return a.guard.Allow(a.operation, a.beginBy)
+}
+
+// Written tells that the attempt was written whole just now.
+func (a Attempt) Written() {
+	if a.guard != nil {
+		a.guard.Done(a.operation, a.beginBy)
+	}
 }
 
 // AttemptFunc carries out an attempt and returns what it brought with its result. It ends when its context does, at the
@@ -33,19 +55,30 @@
 // submitRequest hands a request to the core's loop: at once, or once the scheduler is ready for it, at admitBy at the latest.
 func (c *Core) submitRequest(r scheduler.Request, admitBy scheduler.Micros) (*Submission, error) {
 	s := &Submission{core: c, request: r, call: newCall(r.ID)}
-	s.startDeadline()
+	if err := s.startDeadline(); err != nil {
+		return nil, err
+	}
 	if announce := c.announceID.Load(); announce != nil {
 		(*announce)(r.ID)
 	}
-	if !c.submit(message{event: r, call: s.call, admitBy: admitBy}) {
+	if !c.submit(message{event: s.request, call: s.call, admitBy: admitBy}) {
 		return nil, ErrStopped
 	}
 	return s, nil
 }
 
-// startDeadline has the request's time run from now on.
-func (s *Submission) startDeadline() {
-	s.deadline = time.Now().Add(time.Duration(s.request.TimeLeft) * time.Microsecond)
+// startDeadline has the request's time run from now on, no longer than the process may take for an answer. The error is a
+// RejectedError: the request does not fit any more.
+func (s *Submission) startDeadline() error {
+	now := time.Now()
+	s.deadline = s.core.Guard.Deadline(time.Duration(s.request.TimeLeft) * time.Microsecond)
+	if err := s.core.Guard.Allow(lifecycle.Take, s.deadline); err != nil {
+		s.core.counters.countEnding(s.request.Class, Rejected)
+		s.core.Log.Debug("request rejected", "request", s.request.ID, "why", err)
+		return &RejectedError{}
+	}
+	s.request.TimeLeft = scheduler.Micros(s.deadline.Sub(now) / time.Microsecond)
+	return nil
 }
 
 // SubmitWhenReady submits a request once the scheduler would send it without a wait, or at the latest after the time given.
@@ -58,7 +91,10 @@
 	}
 	select {
 	case <-s.call.admitted:
-		s.startDeadline()
+		if err := s.startDeadline(); err != nil {
+			c.abandon(s.call, 0)
+			return nil, err
+		}
 		return s, nil
 	case <-ctx.Done():
 		c.abandon(s.call, 0)
@@ -84,6 +120,8 @@
 func Carry[T any](ctx context.Context, s *Submission, attempt AttemptFunc[T]) (T, error) {
 	var none T
 	c := s.core
+	ctx, end := context.WithCancel(ctx)
+	defer end() // nothing is begun behind the final answer
 	c.counters.addOpen(1)
 	defer c.counters.addOpen(-1)
 	answers := make(chan T, 1) // at most one attempt is answered, so nobody waits here
@@ -116,12 +154,37 @@
 			c.counters.countClientLeft()
 			c.abandon(s.call, attempts)
 			return none, context.Cause(ctx)
+		case <-c.Guard.Ending():
+			return giveUp(s, answers, end, endedByShutdown, attempts)
 		case <-c.stopped:
 			return none, ErrStopped
 		}
 	}
 }
 
+// endedByShutdown is why a request is given up without the scheduler's verdict.
+const endedByShutdown = "shutdown"
+
+// giveUp gives a request its final answer, whatever its attempts do: one that has come just now, or an error.
+func giveUp[T any](s *Submission, answers <-chan T, end func(), why string, attempts int) (T, error) {
+	select {
+	case value := <-answers:
+		s.core.counters.countEnding(s.request.Class, Served)
+		return value, nil
+	default:
+	}
+	end() // what was decided on and not begun never will be
+	s.core.abandon(s.call, attempts)
+	s.core.counters.countGivenUp(why)
+	s.core.Log.Info("request given up", "request", s.request.ID, "why", why, "attempts", attempts)
+	if attempts == 0 {
+		s.core.counters.countEnding(s.request.Class, Rejected)
+		return *new(T), &RejectedError{}
+	}
+	s.core.counters.countEnding(s.request.Class, Failed) // it may have run
+	return *new(T), ErrFailed
+}
+
 // startAttempt carries out an attempt in a goroutine, reports its outcome to the scheduler, and hands on a success. The
 // returned function cancels it.
 func startAttempt[T any](ctx context.Context, s *Submission, v scheduler.StartAttempt, number int, attempt AttemptFunc[T],
@@ -134,10 +197,11 @@
 		defer cancel(nil)
 		limited, release := context.WithDeadline(own, s.deadline)
 		defer release()
-		mayBegin, release := context.WithDeadline(ctx, c.clock.timeOf(v.BeginBy, s.deadline))
+		beginBy := c.clock.timeOf(v.BeginBy, s.deadline)
+		mayBegin, release := context.WithDeadline(ctx, beginBy)
 		defer release()
 		defer context.AfterFunc(own, release)()
-		value, outcome := runAttempt(limited, Attempt{v.Node, mayBegin}, attempt)
+		value, outcome := runAttempt(limited, Attempt{v.Node, mayBegin, c.Guard, operationOf(number), beginBy}, attempt)
 		outcome.ID = s.request.ID
 		outcome.Attempt = number
 		c.submit(message{event: outcome})
@@ -152,6 +216,14 @@
 	return cancel
 }
 
+// operationOf is what an attempt of a number is to the guard.
+func operationOf(number int) lifecycle.Operation {
+	if number == 0 {
+		return lifecycle.Send
+	}
+	return lifecycle.Retry
+}
+
 // runAttempt carries out one attempt and completes its outcome.
 func runAttempt[T any](ctx context.Context, a Attempt, attempt AttemptFunc[T]) (T, scheduler.AttemptEnded) {
 	startedAt := time.Now()
--- a/internal/net/routing/tally.go
+++ b/internal/net/routing/tally.go
@@ -19,6 +19,8 @@
 // Tally counts requests by how they ended.
 type Tally struct {
 	Open, ClientsLeft int64
+	EndedByShutdown   int64                // requests that were open as all had to be answered
+	EndedOverdue      int64                // requests whose attempt or verdict did not come in time
 	ByClass           [][endingKinds]int64 // by the class's index, then by Ending; shorter where the last ones had none
 }
 
@@ -53,6 +55,14 @@
 	c.tally.ByClass[max(class, 0)][e]++
 }
 
+func (c *counters) countGivenUp(why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if why == endedByShutdown {
+		c.tally.EndedByShutdown++
+	}
+}
+
 func (c *counters) countClientLeft() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/net/transport/body.go
+++ b/internal/net/transport/body.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/net/protocol"
 )
 
@@ -43,6 +44,8 @@
 		conn.framing.endBody()
 	case errors.Is(err, errUploadFailed):
 		return m, 0, err
+	case f.guard.Permits(lifecycle.EndIncomplete): // its connection was woken to end
+		return m, 0, errUploadFailed
 	case errors.Is(err, errBodyTooLong):
 		return m, http.StatusRequestEntityTooLarge, errBodyTooLong
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -125,20 +128,3 @@
 		}
 	}
 }
-
-// pacedWriter bounds how long a client may take for each piece of its answer, and not for the whole of it.
-type pacedWriter struct {
-	http.ResponseWriter
-	control      *http.ResponseController
-	writeTimeout time.Duration
-}
-
-func (w *pacedWriter) Write(p []byte) (int, error) {
-	if err := w.control.SetWriteDeadline(time.Now().Add(w.writeTimeout)); err != nil {
-		return 0, err
-	}
-	return w.ResponseWriter.Write(p)
-}
-
-// Unwrap is for http.ResponseController.
-func (w *pacedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/net/transport/bounds_test.go
+++ b/internal/net/transport/bounds_test.go
@@ -204,14 +204,14 @@
 			}
 		})
 	}()
-	standin.Until(t, "the stop", func() bool { _, stopping := f.stopped(); return stopping })
+	standin.Await(t, "the stop", f.guard.Stopping())
 	// A client that found all of its connections taken by what was held, and could get no other, stayed away.
 	if open := standin.Await(t, "the room while it stops", rooms); open != 3/2 {
 		t.Errorf("room for %d requests on 3 connections", open)
 	}
 	for i, c := range []*client{kept, dial(t, front), kept} {
 		r, _ := c.ask(t, fmt.Sprintf(request, fmt.Sprint("after-", i))+"\r\n")
-		if since, _ := f.stopped(); r.StatusCode != 200 || r.Close && since < f.limits.Stop.Serve {
+		if since := f.guard.Since(); r.StatusCode != 200 || r.Close && since < f.limits.Stop.Serve {
 			t.Errorf("after: %d, closes %v", r.StatusCode, r.Close)
 		}
 	}
--- a/internal/net/transport/clients.go
+++ b/internal/net/transport/clients.go
@@ -6,21 +6,31 @@
 	"sync"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/limits"
 )
 
 // clientConns are the connections that are open.
 type clientConns struct {
-	limits  limits.Limits
-	mu      sync.Mutex
-	conns   map[*clientConn]struct{}
-	closing int                  // of them are to end, or ending
-	handOff func(net.Conn) error // takes connections that stand idle, nil while they are kept
-	changed chan struct{}        // holds one: a connection has ended or stands idle
+	limits   limits.Limits
+	guard    *lifecycle.Guard
+	mu       sync.Mutex
+	conns    map[*clientConn]struct{}
+	arriving int                  // connections that were accepted and are not among them yet
+	closing  int                  // of them are to end, or ending
+	handOff  func(net.Conn) error // takes connections that stand idle, nil while they are kept
+	changed  chan struct{}        // holds one: a connection has ended or stands idle
 }
 
-func newClientConns(l limits.Limits) *clientConns {
-	return &clientConns{limits: l, conns: map[*clientConn]struct{}{}, changed: make(chan struct{}, 1)}
+func newClientConns(l limits.Limits, guard *lifecycle.Guard) *clientConns {
+	return &clientConns{limits: l, guard: guard, conns: map[*clientConn]struct{}{}, changed: make(chan struct{}, 1)}
+}
+
+// announce counts a connection that was accepted, until it is added.
+func (s *clientConns) announce(by int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arriving += by
 }
 
 // add takes a connection in. Past KeptConns, the one that has stood longest without a request is closed
@@ -46,51 +56,10 @@
 	}
 	c.stageSince = time.Now()
 	s.conns[c] = struct{}{}
+	s.arriving--
 	return true
 }
 
-// closeLongestIdle closes the connection that has been longest without a whole request, if it has had time to send
-// one. Those that never brought one for the core go first: in a flood of others, clients would lose the connections
-// that they use now and then. The lock is held.
-func (s *clientConns) closeLongestIdle(now time.Time) {
-	var longest *clientConn
-	for c := range s.conns {
-		wait := s.limits.Clients.MinIdle
-		if c.stage == reading {
-			wait = s.limits.Clients.HeaderTimeout / 2
-		}
-		if c.stage == busy || c.markedClosing || now.Sub(c.stageSince) < wait || longest != nil && !c.evictedBefore(longest) {
-			continue
-		}
-		if c.stage == reading || !c.hasInput.Load() {
-			longest = c
-		}
-	}
-	if longest != nil {
-		s.markClosing(longest)
-		longest.interruptRead()
-	}
-}
-
-// closeDrained makes room at once: it closes a connection whose client has had its last answer written and may be reading it
-// yet. A connection with unread bytes is left, as closing it would reset it and take that answer along. The lock is held.
-func (s *clientConns) closeDrained() bool {
-	for c := range s.conns {
-		if c.stage == ending && !c.hasUnreadInput() {
-			s.closeNow(c)
-			return true
-		}
-	}
-	return false
-}
-
-func (c *clientConn) evictedBefore(other *clientConn) bool {
-	if c.sentRequest != other.sentRequest {
-		return other.sentRequest
-	}
-	return c.stageSince.Before(other.stageSince)
-}
-
 // markClosing counts a connection among those that are to end: one that stands idle does once it is woken, unless something
 // comes ahead of that. The lock is held.
 func (s *clientConns) markClosing(c *clientConn) {
@@ -197,6 +166,7 @@
 	defer s.mu.Unlock()
 	c.stage, c.sentRequest = busy, true
 	_, open := s.conns[c]
+	c.owing.Store(open)
 	return open
 }
 
@@ -204,12 +174,12 @@
 func (s *clientConns) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	return len(s.conns) + s.arriving
 }
 
-// closeIdle ends what has carried no request for a while, and tells how many connections are there yet. One that a
+// endIdle ends what has carried no request for a while, and tells how many connections are there yet. One that a
 // request is crossing is left alone; a client that finds a connection closed between requests opens another.
-func (s *clientConns) closeIdle(since time.Time) (left int) {
+func (s *clientConns) endIdle(since time.Time) (left int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -218,7 +188,20 @@
 			c.interruptRead()
 		}
 	}
-	return len(s.conns)
+	return len(s.conns) + s.arriving
+}
+
+// endIncomplete ends the connections whose request has not come whole: no answer could be given to it any more. Its reader looks
+// once more whether the rest of it has come.
+func (s *clientConns) endIncomplete() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.stage == reading {
+			s.markClosing(c)
+			c.interruptRead()
+		}
+	}
 }
 
 // handOffIdle has connections that stand idle, now and later, taken by pass; nil keeps them again. One on which something
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"otterturn/internal/lifecycle"
 )
 
 // clientConn is a client's connection. What stands after clients is guarded by that one's lock. Its reads are those of
@@ -17,10 +19,15 @@
 // beside a read, a request that came in that moment would be read, sent on, and its answer be lost.
 type clientConn struct {
 	net.Conn
-	raw       net.Conn    // under TLS, if that is spoken
-	hasInput  atomic.Bool // something was read since it last stood idle
-	answered  atomic.Bool // an answer, or some of it
-	closing   atomic.Bool
+	raw      net.Conn    // under TLS, if that is spoken
+	hasInput atomic.Bool // something was read since it last stood idle
+	answered atomic.Bool // an answer, or some of it
+	owing    atomic.Bool // a request came whole, and nothing of its answer is written
+	gone     atomic.Bool // the client has ended its sending, or the connection broke
+	closing  atomic.Bool
+
+	acceptDelay time.Duration // for which the first request may have waited to be read, as accepting failed
+
 	framing   framing // of the goroutine that reads, as is
 	readAhead []byte  // what came behind a request that is owed its answer
 	flooded   bool    // more came than that may hold: it was dropped, and the connection ends behind the answer
@@ -63,6 +70,7 @@
 		case owed && len(c.readAhead) > 0: // one byte at a time would take long
 			piece := buffers.Get()
 			n, err := c.Conn.Read(piece)
+			c.noteEnd(err)
 			c.bufferAhead(piece[:n])
 			buffers.Put(piece)
 			if c.resumeRead(err) {
@@ -77,6 +85,7 @@
 			return 0, io.EOF
 		}
 		n, err := c.Conn.Read(p)
+		c.noteEnd(err)
 		if n > 0 && c.framing.complete() { // it may have come whole by now
 			c.bufferAhead(p[:n])
 			continue
@@ -99,11 +108,26 @@
 	return c.framing.consume(p)
 }
 
+// noteEnd notes a read that ended the connection, rather than one that was woken or ran out of time.
+func (c *clientConn) noteEnd(err error) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gone.Store(true)
+	}
+}
+
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.answered.Store(true)
+	c.owing.Store(false)
 	return c.Conn.Write(p)
 }
 
+// takeAcceptDelay tells for how long a request may have waited to be read, and nothing for those behind the first.
+func (c *clientConn) takeAcceptDelay() time.Duration {
+	delay := c.acceptDelay
+	c.acceptDelay = 0
+	return delay
+}
+
 // SetReadDeadline is net/http's.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.reads.Lock()
@@ -151,6 +175,9 @@
 // Close ends the connection. A client that was answered is let read that to its end: a close over bytes that were not
 // read resets a connection, and takes along what is under way.
 func (c *clientConn) Close() error {
+	if c.owing.Load() && !c.gone.Load() {
+		c.clients.guard.Violated(lifecycle.EndIdle, "closed with a request unanswered")
+	}
 	if c.closing.Swap(true) { // the front ends, or wants the room
 		return c.Conn.Close()
 	}
--- a/internal/net/transport/crossings_test.go
+++ b/internal/net/transport/crossings_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/limits"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
@@ -156,8 +158,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { near.Close(); other.Close() })
-	s = newClientConns(standin.Limits())
+	bounds := standin.Limits()
+	s = newClientConns(bounds, lifecycle.New(bounds.Stop, slog.New(slog.DiscardHandler)))
 	c = &clientConn{Conn: near, raw: near, clients: s}
+	s.announce(1)
 	s.add(c)
 	return s, c, other.(*net.TCPConn)
 }
@@ -172,7 +176,7 @@
 		_, err := c.Read(make([]byte, 4096))
 		read <- err
 	}()
-	if left := s.closeIdle(time.Now().Add(time.Hour)); left != 1 {
+	if left := s.endIdle(time.Now().Add(time.Hour)); left != 1 {
 		t.Errorf("%d left", left)
 	}
 	if err := standin.Await(t, "the end of the read", read); err != io.EOF {
@@ -197,7 +201,7 @@
 	s, c, far := acceptOne(t)
 	io.WriteString(far, "GET ")
 	standin.Until(t, "the request", c.hasPendingInput)
-	s.closeIdle(time.Now().Add(time.Hour))
+	s.endIdle(time.Now().Add(time.Hour))
 	p := make([]byte, 16)
 	if n, err := c.Read(p); err != nil || string(p[:n]) != "GET " {
 		t.Errorf("%q, %v", p[:n], err)
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -94,7 +94,7 @@
 func (s *Nodes) attempt(ctx context.Context, a routing.Attempt, r *http.Request) (*http.Response, scheduler.AttemptEnded) {
 	for tries := 1; ; tries++ {
 		resp, out, written := s.attemptOnce(ctx, a, r)
-		if written || tries == s.limits.Nodes.WriteTries || a.MayBegin.Err() != nil {
+		if written || tries == s.limits.Nodes.WriteTries || a.Permitted() != nil {
 			return resp, out
 		}
 	}
@@ -127,10 +127,6 @@
 // attemptOnce makes an attempt on one connection. written is false only where another connection may do better.
 func (s *Nodes) attemptOnce(ctx context.Context, a routing.Attempt, r *http.Request) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
 	c, err := s.Acquire(a.MayBegin, a.Node, nodes.Running)
-	if err == nil && a.MayBegin.Err() != nil { // it came up in that moment
-		s.Release(c, false)
-		err = a.MayBegin.Err()
-	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return nil, scheduler.AttemptEnded{Result: scheduler.TimedOut}, true
@@ -142,17 +138,17 @@
 		return nil, scheduler.AttemptEnded{Result: scheduler.Unreachable}, true
 	}
 	message, err := encodeForNow(ctx, r)
-	if err != nil {
+	if err != nil || a.Permitted() != nil {
 		s.Release(c, true)
 		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}, true
 	}
-	return s.completeAttempt(ctx, a.Node, c, r, message)
+	return s.completeAttempt(ctx, a, c, r, message)
 }
 
 // completeAttempt writes the last bytes of a request and tells what came of it.
-func (s *Nodes) completeAttempt(ctx context.Context, node string, c *nodes.Conn[*stream], r *http.Request, message []byte) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
+func (s *Nodes) completeAttempt(ctx context.Context, a routing.Attempt, c *nodes.Conn[*stream], r *http.Request, message []byte) (resp *http.Response, out scheduler.AttemptEnded, written bool) {
 	began := time.Now()
-	resp, first, written, err := s.exchange(ctx, c, r, message)
+	resp, first, written, err := s.exchange(ctx, c, r, message, a.Written)
 	if written {
 		s.attemptsWritten.Add(1)
 	}
@@ -165,7 +161,7 @@
 	case err != nil && !written:
 		return nil, scheduler.AttemptEnded{Result: scheduler.Unreachable}, false
 	case err != nil:
-		return nil, scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Reconnect(node)}, true
+		return nil, scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Reconnect(a.Node)}, true
 	}
 	// The node's work is over with its first byte: how long the rest took to come says nothing of its queue, and as
 	// latencies answers that come slowly closed every budget.
@@ -176,8 +172,8 @@
 
 // exchange writes a request and reads the answer to its last byte; only then is it sure that there is one.
 // written tells whether the request's last byte left. The connection is given back, or closed if ctx ended or
-// anything was odd.
-func (s *Nodes) exchange(ctx context.Context, c *nodes.Conn[*stream], r *http.Request, message []byte) (resp *http.Response, first time.Time, written bool, err error) {
+// anything was odd. onWritten hears of the last byte as it leaves.
+func (s *Nodes) exchange(ctx context.Context, c *nodes.Conn[*stream], r *http.Request, message []byte, onWritten func()) (resp *http.Response, first time.Time, written bool, err error) {
 	clean, kept := false, false
 	unhook := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
@@ -191,6 +187,7 @@
 	if _, err := c.Write(message); err != nil {
 		return nil, first, false, fmt.Errorf("write: %w", err)
 	}
+	onWritten()
 	resp, body, err := s.readResponse(ctx, c, r)
 	first = c.Session.firstByteAt // ahead of another exchange on this connection
 	if err != nil {
@@ -207,3 +204,5 @@
 }
 
 func toMicros(d time.Duration) scheduler.Micros { return scheduler.Micros(d / time.Microsecond) }
+
+func micros(m scheduler.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
--- a/internal/net/transport/front.go
+++ b/internal/net/transport/front.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"otterturn/internal/admission/gate"
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
@@ -20,17 +21,16 @@
 
 // Front serves the platform's clients.
 type Front struct {
-	settings atomic.Pointer[protocol.Settings]
-	limits   limits.Limits
-	proxy    *httputil.ReverseProxy
-	server   *http.Server
-	clients  *clientConns
-	adopted  chan net.Conn             // by another process of the front
-	listener atomic.Pointer[listener]  // nil before Serve
-	open     atomic.Int64              // requests taken and not answered
-	yielded  atomic.Bool               // another process serves new connections
-	stopping atomic.Pointer[time.Time] // when the stop began, nil before
-
+	settings     atomic.Pointer[protocol.Settings]
+	limits       limits.Limits
+	proxy        *httputil.ReverseProxy
+	server       *http.Server
+	clients      *clientConns
+	adopted      chan net.Conn            // by another process of the front
+	listener     atomic.Pointer[listener] // nil before Serve
+	open         atomic.Int64             // requests taken and not answered
+	yielded      atomic.Bool              // another process serves new connections
+	guard        *lifecycle.Guard         // the core's
 	acceptErrors atomic.Int64
 
 	next *RoundTripper // its core counts what finds no room here, too
@@ -41,7 +41,8 @@
 // NewFront returns a front that answers clients with what the round tripper brings.
 func NewFront(set protocol.Settings, l limits.Limits, next *RoundTripper) *Front {
 	quiet := log.New(io.Discard, "", 0) // a client that leaves is no news, and a line each would be a flood
-	f := &Front{limits: l, clients: newClientConns(l), next: next, adopted: make(chan net.Conn)}
+	guard := next.core.Guard
+	f := &Front{limits: l, clients: newClientConns(l, guard), next: next, adopted: make(chan net.Conn), guard: guard}
 	f.Reconfigure(set)
 	f.proxy = &httputil.ReverseProxy{
 		Rewrite: func(p *httputil.ProxyRequest) {
@@ -100,7 +101,7 @@
 	own := newListener(l, f.clients, f.adopted, f.limits.AcceptRetry, f.acceptFailed)
 	f.listener.Store(own)
 	err := f.server.Serve(own)
-	if _, stopping := f.stopped(); stopping || errors.Is(err, http.ErrServerClosed) {
+	if f.guard.Phase() != lifecycle.Serving || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
@@ -120,36 +121,42 @@
 	defer f.open.Add(-1)
 	open := f.open.Add(1)
 	full := open > int64(f.limits.Requests.Open)
-	since, stopping := f.stopped()
-	if stopping && since >= f.limits.Stop.Serve || full {
-		w.Header().Set("Connection", "close")
+	answer := &answerWriter{
+		ResponseWriter: w, control: http.NewResponseController(w), guard: f.guard, writeTimeout: f.limits.Clients.WriteTimeout,
+	}
+	if full {
+		answer.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" && r.Method == http.MethodGet {
-		answerReady(w, stopping)
+		answerReady(answer, f.guard.Phase() != lifecycle.Serving)
 		return
 	}
 	set := f.settings.Load()
-	w = &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: f.limits.Clients.WriteTimeout}
-	m, status, err := f.readRequest(w, r, *set)
+	m, status, err := f.readRequest(answer, r, *set)
 	defer func() { m.upload.close() }()
 	uploadFailed := errors.Is(err, errUploadFailed)
 	switch {
 	case err != nil && !uploadFailed: // who sends what can't be used gets no further use of the connection
-		w.Header().Set("Connection", "close")
-		http.Error(w, err.Error(), status)
+		answer.Header().Set("Connection", "close")
+		http.Error(answer, err.Error(), status)
 		return
 	case uploadFailed, full:
 		f.next.core.CountRejected(m.Class)
-		answerError(w, r, &routing.RejectedError{RetryAfter: set.Retry})
+		answerError(answer, r, &routing.RejectedError{RetryAfter: set.Retry})
 		return
 	}
-	if stopping { // what comes now must be over when the process may be killed
-		m.TimeLeft = min(m.TimeLeft, toMicros(f.limits.Stop.Answer-since))
-	}
-	if !f.clients.markBusy(connOf(r.Context())) { // it ended for want of room before it was whole
+	conn := connOf(r.Context())
+	if !f.clients.markBusy(conn) { // it ended for want of room before it was whole
 		return
 	}
-	leave, err := f.admit(r, &m, set.Scheduler.Plans)
+	m.TimeLeft -= toMicros(conn.takeAcceptDelay())
+	answer.dueBy = f.guard.Deadline(micros(m.TimeLeft)).Add(f.limits.Requests.AnswerGrace)
+	f.answer(answer, r, m, set.Scheduler.Plans)
+}
+
+// answer has a request answered that came whole.
+func (f *Front) answer(w http.ResponseWriter, r *http.Request, m inboundRequest, plans []scheduler.Plan) {
+	leave, err := f.admit(r, &m, plans)
 	if err != nil {
 		answerError(w, r, err)
 		return
@@ -169,13 +176,13 @@
 	came := time.Now()
 	client, _, _ := net.SplitHostPort(r.RemoteAddr)
 	// Half of its time: what is taken later could hardly be answered, and its client can still come again.
-	longest := time.Duration(m.TimeLeft) * time.Microsecond / 2
+	longest := time.Until(f.guard.Deadline(micros(m.TimeLeft))) / 2
 	weight := plans[m.Plan].Weight // a plan that the settings don't name was rejected in readRequest
 	leave, err = f.Admission.Enter(r.Context(), m.Volume, client, m.Units, weight, longest)
 	if err != nil {
 		return nil, err
 	}
-	m.TimeLeft = max(1, m.TimeLeft-toMicros(time.Since(came)))
+	m.TimeLeft -= toMicros(time.Since(came))
 	return leave, nil
 }
 
--- a/internal/net/transport/front_test.go
+++ b/internal/net/transport/front_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
@@ -25,6 +27,7 @@
 	}
 	nodes := NewNodes(l)
 	core = standin.Core(t, standin.Settings(), nil)
+	core.Guard = lifecycle.New(l.Stop, slog.New(slog.DiscardHandler))
 	core.UpdateEndpoints(nodes.Apply(list(addrs...)))
 	f = NewFront(protocol.Settings{
 		Classes: []string{"read", "write"}, Plans: []string{"gold"}, Shards: 2,
@@ -38,6 +41,11 @@
 		if err := standin.Await(t, "the end of the front", done); err != nil {
 			t.Error(err)
 		}
+		for _, c := range core.Guard.Counts() {
+			if c.Violations > 0 {
+				t.Errorf("%d violations of the rule on %v", c.Violations, c.Operation)
+			}
+		}
 	})
 	return f, core, listener.Addr().String()
 }
--- a/internal/net/transport/probe.go
+++ b/internal/net/transport/probe.go
@@ -76,6 +76,6 @@
 		p.nodes.Release(c, false)
 		return nil, false, err
 	}
-	resp, _, _, err = p.nodes.exchange(ctx, c, r, message)
+	resp, _, _, err = p.nodes.exchange(ctx, c, r, message, func() {})
 	return resp, err != nil && ctx.Err() == nil, err
 }
--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -46,11 +46,14 @@
 	bound   int64
 	written atomic.Int64 // bytes since the exchange began
 	read    atomic.Int64
+	begun   func() // hears of the first byte of the exchange that is under way
 }
 
 func (w *wire) Write(b []byte) (int, error) {
 	n, err := w.Conn.Write(b)
-	w.written.Add(int64(n))
+	if n > 0 && w.written.Add(int64(n)) == int64(n) {
+		w.begun()
+	}
 	return n, err
 }
 
@@ -66,7 +69,7 @@
 func NewClient(l limits.Limits) *Client {
 	return &Client{Pool: nodes.New(l, nodes.Session[*session]{
 		Open: func(c net.Conn) (*session, error) {
-			w := &wire{Conn: c, bound: l.Files.ResponseBytes}
+			w := &wire{Conn: c, bound: l.Files.ResponseBytes, begun: func() {}}
 			client, err := sftp.NewClientPipe(w, w)
 			if err != nil {
 				return nil, fmt.Errorf("start of the session: %w", err)
@@ -85,14 +88,15 @@
 // Attempt carries out a command at a node once and tells how that ended.
 func (c *Client) Attempt(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, scheduler.AttemptEnded) {
 	conn, err := c.Acquire(a.MayBegin, a.Node, nodes.Running)
-	if err == nil && a.MayBegin.Err() != nil { // it came up in that moment
-		c.Release(conn, false)
-		err = a.MayBegin.Err()
+	denied := a.Permitted()
+	if err == nil && denied != nil { // it came up in that moment
+		c.Release(conn, true)
+		err = denied
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.TimedOut}
-	case err != nil && a.MayBegin.Err() != nil:
+	case err != nil && denied != nil:
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	case errors.Is(err, nodes.ErrNotAccepting):
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.QueueFull}
@@ -100,6 +104,7 @@
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Unreachable}
 	}
 	w := conn.Session.wire
+	w.begun = a.Written
 	w.written.Store(0)
 	w.read.Store(0)
 	unhook := context.AfterFunc(ctx, func() { conn.Close() }) // SFTP can't take a command back
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -117,8 +117,10 @@
 	return true
 }
 
-// Stop takes no more clients and commands, lets what it took be answered, and then closes the connections.
+// Stop takes no more clients and commands, lets what it took be answered, and then closes the connections. What is open as all
+// must be answered is answered by the core.
 func (f *Front) Stop(l net.Listener) {
+	f.core.Guard.BeginShutdown(time.Now())
 	l.Close()
 	f.mu.Lock()
 	f.closing = true
--- a/internal/net/transport/sftp/visitor.go
+++ b/internal/net/transport/sftp/visitor.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	files "otterturn/internal/net/protocol/sftp"
 	"otterturn/internal/net/protocol/sftp/packet"
 	"otterturn/internal/net/routing"
@@ -160,10 +161,12 @@
 func (v *visitor) send(answer []byte) error {
 	v.writing.Lock()
 	defer v.writing.Unlock()
-	err := v.conn.SetWriteDeadline(time.Now().Add(v.front.limits.Clients.WriteTimeout))
+	guard := v.front.core.Guard
+	err := v.conn.SetWriteDeadline(time.Now().Add(guard.BeforeKill(v.front.limits.Clients.WriteTimeout)))
 	if err == nil {
 		_, err = v.conn.Write(answer)
 	}
+	guard.Done(lifecycle.Answer, time.Time{})
 	if err != nil {
 		v.left(fmt.Errorf("%w: %w", errLeft, err))
 	}
@@ -182,7 +185,7 @@
 func (v *visitor) close() {
 	half, ok := v.conn.(interface{ CloseWrite() error }) // TCP and TLS alike
 	if ok && v.stopping.Load() && half.CloseWrite() == nil {
-		v.conn.SetReadDeadline(time.Now().Add(v.front.limits.Files.LastAnswerTimeout))
+		v.conn.SetReadDeadline(time.Now().Add(v.front.core.Guard.BeforeKill(v.front.limits.Files.LastAnswerTimeout)))
 		io.Copy(io.Discard, v.conn)
 	}
 	v.conn.Close()
--- a/internal/net/transport/stop.go
+++ b/internal/net/transport/stop.go
@@ -3,45 +3,38 @@
 import (
 	"net"
 	"time"
-)
 
-// stopped tells for how long the front has been stopping, if it is.
-func (f *Front) stopped() (since time.Duration, stopping bool) {
-	began := f.stopping.Load()
-	if began == nil {
-		return 0, false
-	}
-	return time.Since(*began), true
-}
+	"otterturn/internal/lifecycle"
+)
 
 // Stop ends the front without losing a request. Its clients have no other way until it is started again, and
 // learn late that it stops: so it serves them for nearly as long as a stop may take. Then it lets no more in, closes the
-// connections that stand idle, answers the others with 'Connection: close', and ends once none is left: a request that
-// is read any later would be sent on, and its answer be lost.
+// connections that stand idle, answers the others with 'Connection: close', and ends once none is left. Whatever is open as all
+// must be answered is answered by the core, and what comes whole after that at once. The guard says when.
 //
 // Clients get no further connections, and one that finds all of its own taken once sent nothing more until the
 // next start. So room, where it is given, hears how many requests may be open: a part of the connections that are.
+// Where another process serves in this one's place, it ends as soon as nothing is left.
 func (f *Front) Stop(room func(open int)) error {
-	began := time.Now()
-	f.stopping.Store(&began)
-	if f.yielded.Load() {
-		return f.awaitHandover(began)
-	}
+	f.guard.BeginShutdown(time.Now())
 	tick := time.NewTicker(f.limits.Stop.CheckInterval)
 	defer tick.Stop()
-	for now := range tick.C {
-		since, left := now.Sub(began), f.clients.count()
-		if room != nil && left > 0 {
+	for ; ; <-tick.C {
+		left, yielded := f.clients.count(), f.yielded.Load()
+		if room != nil && left > 0 && !yielded {
 			room(max(1, left/f.limits.Stop.ConnsPerRequest))
 		}
-		if since < f.limits.Stop.Accept {
-			continue
+		closing := f.guard.Permits(lifecycle.EndIdle)
+		accepted := false // all that the kernel had
+		if closing {
+			accepted = f.drainListener()
+			left = f.clients.endIdle(time.Now().Add(-f.limits.Stop.CheckInterval))
 		}
-		if since >= f.limits.Stop.Serve {
-			f.closeListener()
-			left = f.clients.closeIdle(now.Add(-f.limits.Stop.CheckInterval))
+		if f.guard.Permits(lifecycle.EndIncomplete) {
+			f.clients.endIncomplete()
 		}
-		if left == 0 && f.open.Load() == 0 || since > f.limits.Stop.AtMost {
+		ended := (accepted || yielded) && left == 0 && f.open.Load() == 0
+		if ended || f.guard.Since() > f.guard.Limits().AtMost {
 			break
 		}
 	}
@@ -70,11 +63,10 @@
 	f.Pause(false)
 }
 
-// closeListener accepts no more connections, for good.
-func (f *Front) closeListener() {
-	if l := f.listener.Swap(nil); l != nil {
-		l.Close()
-	}
+// drainListener accepts no more connections, for good, behind those that the kernel has. It tells whether these are taken in.
+func (f *Front) drainListener() bool {
+	l := f.listener.Load()
+	return l == nil || l.drain()
 }
 
 // Adopt serves a connection that another process passes on.
@@ -85,14 +77,3 @@
 		c.Close()
 	}
 }
-
-// awaitHandover ends the front once all that it keeps yet is answered and passed on, as another process serves in its place.
-func (f *Front) awaitHandover(began time.Time) error {
-	for tick := time.NewTicker(f.limits.Stop.CheckInterval); ; <-tick.C {
-		idle := f.clients.count() == 0 && f.open.Load() == 0
-		if idle || time.Since(began) > f.limits.Stop.AtMost {
-			tick.Stop()
-			return f.server.Close()
-		}
-	}
-}
--- a/internal/net/transport/upload.go
+++ b/internal/net/transport/upload.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/routing"
@@ -43,19 +44,22 @@
 	conn    *nodes.Conn[*stream]
 	request *http.Request
 	tail    []byte // what is held back
+	guard   *lifecycle.Guard
 	release func(clean bool)
 }
 
 // startUpload sends a long request to a node as it comes. Its body has begun with held. An error tells that the node can't have it;
 // the client's own faults are clientError.
-func (s *Nodes) startUpload(ctx context.Context, node string, r *http.Request, held []byte, next func(p []byte) (int, error)) (*upload, error) {
+func (s *Nodes) startUpload(ctx context.Context, guard *lifecycle.Guard, node string, r *http.Request, held []byte,
+	next func(p []byte) (int, error),
+) (*upload, error) {
 	limited, end := context.WithTimeout(ctx, 2*s.limits.Nodes.ConnectTimeout) // where all sockets are in use it waits for one
 	defer end()
 	c, err := s.Acquire(limited, node, nodes.Running)
 	if err != nil {
 		return nil, err
 	}
-	u := &upload{node: node, conn: c, request: r}
+	u := &upload{node: node, conn: c, request: r, guard: guard}
 	u.release = func(clean bool) { s.Release(c, clean) }
 	if err := u.sendAllButTail(r, held, next, s.limits); err != nil {
 		u.close()
@@ -113,6 +117,9 @@
 
 // write sends what is pending. The node may take a while for it: its client waits as long.
 func (u *upload) write(pending *bytes.Buffer, l limits.Limits) error {
+	if err := u.guard.Allow(lifecycle.Stream, time.Time{}); err != nil {
+		return err
+	}
 	if err := u.conn.SetWriteDeadline(time.Now().Add(l.Nodes.StreamSilence)); err != nil {
 		return err
 	}
@@ -138,11 +145,11 @@
 
 // finishUpload writes the end of a long request, and reads the answer. It can do so once.
 func (s *Nodes) finishUpload(ctx context.Context, a routing.Attempt, u *upload) (*http.Response, scheduler.AttemptEnded) {
-	if u.node != a.Node || u.release == nil || a.MayBegin.Err() != nil {
+	if u.node != a.Node || u.release == nil || a.Permitted() != nil {
 		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	}
 	u.release = nil
-	resp, out, written := s.completeAttempt(ctx, a.Node, u.conn, u.request, u.tail)
+	resp, out, written := s.completeAttempt(ctx, a, u.conn, u.request, u.tail)
 	if !written && out.Result == scheduler.Unreachable {
 		// The connection had stood open for long: that it broke says little of the node, which a new one tells.
 		out = scheduler.AttemptEnded{Result: scheduler.Reset, Alive: s.Reconnect(a.Node)}
@@ -160,10 +167,10 @@
 		return errNoNodeAvailable
 	}
 	out := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: protocol.Forwarded(r.Header), ContentLength: r.ContentLength}
-	protocol.SetLeft(out.Header, time.Duration(m.TimeLeft)*time.Microsecond)
+	protocol.SetLeft(out.Header, time.Until(t.core.Guard.Deadline(micros(m.TimeLeft))))
 	held := m.Body
 	m.Body = nil
-	if m.upload, err = t.nodes.startUpload(r.Context(), node, out, held, next); err != nil {
+	if m.upload, err = t.nodes.startUpload(r.Context(), t.core.Guard, node, out, held, next); err != nil {
 		return err
 	}
 	m.Shard = shard // where it has gone, if it is a new object
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -10,13 +10,14 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 
 	"otterturn/internal/admission"
 	"otterturn/internal/admission/gate"
 	"otterturn/internal/certs/manager"
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/limits"
 	"otterturn/internal/logs"
 	"otterturn/internal/net/protocol"
@@ -49,14 +50,12 @@
 
 // Serve runs the appliance until SIGTERM or an interrupt. At SIGHUP it reads the operator's file again.
 func Serve(path string) error {
-	hangups := notifyReload()
+	shutdown, hangups := notifyShutdown(), notifyReload()
 	ignoreClosedLog()
 	o, err := LoadOperator(path)
 	if err != nil {
 		return err
 	}
-	stopped, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer unhook()
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	a, err := newAppliance(o)
@@ -64,6 +63,8 @@
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	defer a.lines.Flush(flushTimeout)
+	guard := a.core.Guard
+	go func() { guard.BeginShutdown(<-shutdown) }()
 	limitRuntime(a.limits)
 	if err := a.restoreLearned(); err != nil {
 		return fmt.Errorf("%s: learned.folder: %w", path, err)
@@ -91,7 +92,8 @@
 	a.log.Info("serving", "sftp", o.SFTP.Listen, "http", o.HTTP.Listen, "console", o.Console.Socket)
 	select {
 	case err = <-a.failed:
-	case <-stopped.Done():
+		guard.BeginShutdown(time.Now())
+	case <-guard.Stopping():
 	}
 	var wait sync.WaitGroup
 	for _, stop := range a.stops {
@@ -102,7 +104,9 @@
 	<-saved
 	end()
 	<-coreEnded
-	return errors.Join(err, a.saveLast())
+	err = errors.Join(err, a.saveLast())
+	a.log.Info("stopped", "after", guard.Since().String(), "violations", guard.Violations())
+	return err
 }
 
 func newAppliance(o Operator) (*Appliance, error) {
@@ -123,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a.core.Log = a.log
+	a.core.Log, a.core.Guard = a.log, lifecycle.New(l.Stop, a.log)
 	return a, nil
 }
 
@@ -173,7 +177,7 @@
 // listen opens an address with a port, or a socket in the file system that the operator's user alone may use.
 func listen(addr string) (net.Listener, error) {
 	if address(addr) {
-		return net.Listen("tcp", addr)
+		return retryStart(func() (net.Listener, error) { return net.Listen("tcp", addr) })
 	}
 	if c, err := net.Dial("unix", addr); err == nil {
 		c.Close()
--- a/internal/program/console.go
+++ b/internal/program/console.go
@@ -117,8 +117,8 @@
 	switch cmd.Plain {
 	case "status":
 		t := a.core.Tally()
-		text = fmt.Sprintf("open %d\nserved %d\nrefused %d\nfailed %d\nclients left %d", t.Open,
-			t.Sum(routing.Served), t.Sum(routing.Rejected), t.Sum(routing.Failed), t.ClientsLeft)
+		text = fmt.Sprintf("open %d\nserved %d\nrefused %d\nfailed %d\nclients left %d\n%s", t.Open,
+			t.Sum(routing.Served), t.Sum(routing.Rejected), t.Sum(routing.Failed), t.ClientsLeft, a.ruleFigures())
 	case "nodes":
 		text = c.nodes()
 	case "projects":
@@ -133,6 +133,15 @@
 	return text, cmd.Plain == "quit", err
 }
 
+// ruleFigures tells what the guard denied, and what was done against the rules.
+func (a *Appliance) ruleFigures() string {
+	var denied int64
+	for _, c := range a.core.Guard.Counts() {
+		denied += c.Denied
+	}
+	return fmt.Sprintf("denied %d\nviolations %d\nlog lines dropped %d", denied, a.core.Guard.Violations(), a.lines.Dropped())
+}
+
 func (c *console) nodes() string {
 	var out strings.Builder
 	states := map[scheduler.NodeState]string{scheduler.Running: "running", scheduler.Draining: "draining"}
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"otterturn/internal/handover"
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/net/accept"
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
@@ -108,7 +109,7 @@
 // listenForSuccessors hands over to each successor that asks, one at a time, until ctx ends. The first may ask from its return
 // on: one that found nobody to ask would begin as after a restart beside this one.
 func (p *platform) listenForSuccessors(ctx context.Context, path string) {
-	l, err := handover.Listen(path)
+	l, err := retryStart(func() (*net.UnixListener, error) { return handover.Listen(path) })
 	if err != nil {
 		p.log.Error("upgrades unavailable", "error", err)
 		return
@@ -123,7 +124,7 @@
 			cause := p.handOver(c)
 			p.log.Warn("upgrade rejected, predecessor continues serving", "error", cause)
 			c.Close()
-			l, err = handover.Listen(path)
+			l, err = retryStart(func() (*net.UnixListener, error) { return handover.Listen(path) })
 		}
 		if err != nil {
 			if ctx.Err() == nil {
@@ -157,6 +158,9 @@
 	if err := c.AwaitRequest(); err != nil {
 		return err
 	}
+	if err := p.guard.Allow(lifecycle.HandOver, time.Time{}); err != nil {
+		return err
+	}
 	given, err := p.sendState(c)
 	if err != nil {
 		p.takeBack(given.Learned)
--- a/internal/program/listener.go
+++ b/internal/program/listener.go
@@ -1,20 +1,53 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
+	"syscall"
+	"time"
 )
 
 // acceptVariable names the descriptor of the clients' listening socket, where the platform holds it: it stays open
 // while one process of the front follows another.
 const acceptVariable = "RELAY_ACCEPT_FD"
 
+// A start goes on where a system call fails for a moment.
+const (
+	startRetry    = 50 * time.Millisecond
+	startPatience = 2 * time.Second
+)
+
+// retryStart tries again what a start needs, while it fails as the system lacks something for a moment: a listener whose address is
+// in use, or a descriptor. The error is the last one.
+func retryStart[T any](open func() (T, error)) (T, error) {
+	for began := time.Now(); ; time.Sleep(startRetry) {
+		value, err := open()
+		if err == nil || !isMomentary(err) || time.Since(began) > startPatience {
+			return value, err
+		}
+	}
+}
+
+// isMomentary reports whether an error of a system call may pass by itself.
+func isMomentary(err error) bool {
+	for _, errno := range []syscall.Errno{
+		syscall.EAGAIN, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRINUSE,
+		syscall.EIO, syscall.ETIMEDOUT, syscall.ENOSPC, syscall.EDQUOT,
+	} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // clientsListener is where clients connect: the socket that was handed down, or one of its own.
 func clientsListener(addr, descriptor string) (net.Listener, error) {
 	if descriptor == "" {
-		l, err := net.Listen("tcp", addr)
+		l, err := retryStart(func() (net.Listener, error) { return net.Listen("tcp", addr) })
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
--- a/internal/program/operators.go
+++ b/internal/program/operators.go
@@ -56,8 +56,13 @@
 	t := p.core.Tally()
 	out := protocol.Figures{
 		InFlight: t.Open, Attempts: p.nodes.Attempts(), Excluded: avoided,
-		ReloadsOK: p.reloads.Load(), ReloadsFailed: p.reloadsRejected.Load(), Health: shared, LogLinesDropped: p.lines.Dropped(),
-		AcceptErrors: p.front.AcceptErrors(),
+		ReloadsOK: p.reloads.Load(), ReloadsFailed: p.reloadsRejected.Load(), Health: shared,
+		Rules: protocol.RuleFigures{
+			EndedByShutdown: t.EndedByShutdown, EndedOverdue: t.EndedOverdue, AcceptErrors: p.front.AcceptErrors(), LogLinesDropped: p.lines.Dropped(),
+		},
+	}
+	for _, c := range p.guard.Counts() {
+		out.Rules.Operations = append(out.Rules.Operations, protocol.RuleCount{Operation: c.Operation.String(), Denied: c.Denied, Violations: c.Violations})
 	}
 	for i, name := range p.front.ClassNames() {
 		ended := t.Class(i)
--- a/internal/program/platform.go
+++ b/internal/program/platform.go
@@ -8,14 +8,13 @@
 	"log/slog"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 
 	"otterturn/internal/handover"
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/limits"
 	"otterturn/internal/logs"
 	"otterturn/internal/net/control"
@@ -33,6 +32,7 @@
 	limits limits.Limits
 	lines  *logs.Writer // under log
 	log    *slog.Logger
+	guard  *lifecycle.Guard
 	nodes  *transport.Nodes
 	core   *routing.Core
 	front  *transport.Front
@@ -54,25 +54,28 @@
 // Platform runs the platform's front, as the RELAY_ variables tell, until SIGTERM or an interrupt. At SIGHUP it
 // reads the configuration again, follows the discovery that it names then and takes over its settings.
 func Platform() error {
+	shutdown, hangups := notifyShutdown(), notifyReload()
+	ignoreClosedLog()
 	path := os.Getenv("RELAY_CONFIG")
 	if path == "" {
 		return misuse{errors.New("RELAY_CONFIG: not set")}
 	}
-	hangups := notifyReload()
-	ignoreClosedLog()
+	level, err := logLevel()
+	if err != nil {
+		return err
+	}
 	config, text, err := readConfig(path)
 	if err != nil {
 		return misuse{err}
 	}
-	stopped, unhook := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer unhook()
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
-	p, err := newPlatform(path, text, config)
+	p, err := newPlatform(path, text, config, level)
 	if err != nil {
 		return err
 	}
 	defer p.lines.Flush(flushTimeout)
+	go func() { p.guard.BeginShutdown(<-shutdown) }()
 	listener, err := clientsListener(config.Listen, os.Getenv(acceptVariable))
 	if err != nil {
 		return err
@@ -88,33 +91,38 @@
 	if socket != "" {
 		p.listenForSuccessors(ctx, socket)
 	}
-	p.log.Info("serving", "address", config.Listen)
+	return p.serve(listener, config.Listen)
+}
+
+// serve serves clients until a shutdown. Where accepting has failed for good, what was taken is answered as in a shutdown.
+func (p *platform) serve(listener net.Listener, address string) error {
+	p.log.Info("serving", "address", address)
 	served := make(chan error, 1)
 	go func() { served <- p.front.Serve(listener) }()
 	p.ready.Store(true)
+	var failed error
 	select {
-	case err := <-served:
-		return err
-	case <-stopped.Done():
-		p.ready.Store(false)
-		p.log.Info("stopping")
-		defer p.log.Info("stopped")
-		return p.front.Stop(p.core.SetMaxOpen)
-	}
+	case failed = <-served:
+	case <-p.guard.Stopping():
+	}
+	p.ready.Store(false)
+	p.log.Info("stopping")
+	err := p.front.Stop(p.core.SetMaxOpen)
+	tally := p.core.Tally()
+	p.log.Info("stopped", "after", p.guard.Since().String(), "open", tally.Open, "ended_by_shutdown", tally.EndedByShutdown,
+		"violations", p.guard.Violations())
+	return errors.Join(failed, err)
 }
 
 // newPlatform builds the parts. None of them runs yet.
-func newPlatform(path string, text []byte, config protocol.Config) (*platform, error) {
+func newPlatform(path string, text []byte, config protocol.Config, level slog.Level) (*platform, error) {
 	set := config.Settings
-	l := limits.For(limits.Site{
-		MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
-		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait, DrainGrace: set.DrainGrace,
-		Askers: set.Askers,
-	})
+	l := limitsOf(config)
 	limitRuntime(l)
 	lines := logs.NewWriter(os.Stderr)
+	log := logs.New(lines, level)
 	p := &platform{
-		path: path, text: text, config: config, limits: l, lines: lines, log: logs.New(lines, slog.LevelInfo),
+		path: path, text: text, config: config, limits: l, lines: lines, log: log, guard: lifecycle.New(l.Stop, log),
 		nodes: transport.NewNodes(l), roster: roster.New(), peerMessages: set.Scheduler.PeerMessages,
 	}
 	set.Scheduler.MaxOpen = l.Requests.Scheduled
@@ -130,16 +138,29 @@
 	if err != nil {
 		return nil, err
 	}
+	core.Log, core.Guard = p.log, p.guard
 	p.core = core
 	p.front = transport.NewFront(set, l, transport.NewRoundTripper(core, p.nodes))
 	return p, nil
 }
 
+// limitsOf computes the limits of a configuration.
+func limitsOf(config protocol.Config) limits.Limits {
+	set := config.Settings
+	return limits.For(limits.Site{
+		MemoryMB: config.MemoryMB, Sockets: config.Sockets, Open: set.MaxOpen,
+		ConnIdle: set.ConnIdle, Connect: set.Connect, Deadline: set.LongestWait, DrainGrace: set.DrainGrace,
+		Askers: set.Askers,
+	})
+}
+
 // run starts the parts that go on beside the clients.
 func (p *platform) run(ctx context.Context, hangups <-chan os.Signal) {
 	if len(p.config.Peers) > 0 && p.peers == nil {
 		// Messages may be lost, so a front without its socket serves: cold nodes get less of it.
-		peers, err := transport.ListenPeers(p.config.PeerListen, p.config.Peers, p.limits, p.log)
+		peers, err := retryStart(func() (*transport.Peers, error) {
+			return transport.ListenPeers(p.config.PeerListen, p.config.Peers, p.limits, p.log)
+		})
 		if err != nil {
 			p.log.Error("peer messages unavailable", "error", err)
 		}
@@ -169,7 +190,7 @@
 	if addr == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", addr)
+	l, err := retryStart(func() (net.Listener, error) { return net.Listen("tcp", addr) })
 	if err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"otterturn/internal/lifecycle"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/transport"
 )
@@ -15,7 +16,7 @@
 const retireAfter = 2 * time.Second
 
 func readConfig(path string) (protocol.Config, []byte, error) {
-	text, err := os.ReadFile(path)
+	text, err := retryStart(func() ([]byte, error) { return os.ReadFile(path) })
 	if err != nil {
 		return protocol.Config{}, nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
@@ -35,7 +36,7 @@
 	if p.succeeded {
 		seq = transport.FullList
 	}
-	for ; ; seq = transport.FullList {
+	for ; p.guard.Allow(lifecycle.StartBackground, time.Time{}) == nil; seq = transport.FullList {
 		own, end := context.WithCancel(ctx)
 		ended := make(chan struct{})
 		go func() {
@@ -65,7 +66,7 @@
 }
 
 func (p *platform) retune(path string) (protocol.Config, error) {
-	text, err := os.ReadFile(path)
+	text, err := retryStart(func() ([]byte, error) { return os.ReadFile(path) })
 	if err != nil {
 		return protocol.Config{}, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
