Have bounds that follow from the settings hold with a reload

What callers saw: behind a reload from deadlines of 3 s to 0.5 s, 28 of 30 clients of a slow node had no answer at the kill. Cause: limits.Stop was computed from the settings of the start; retune changed the longest wait and left it. The same form: ids of finished requests were remembered for twice the longest deadline of the start, idle connections kept as long as nodes kept them then, and the watch's pauses were those of the first drain grace. Change: a reload hands the guard, the core and the pool the limits of its settings, and the watch that follows it begins with them; in a shutdown only what ends it earlier counts, as the kill may come by either settings.

--- a/internal/net/transport/nodes/dial_test.go
+++ b/internal/net/transport/nodes/dial_test.go
@@ -159,3 +159,21 @@
 	}
 	settled(t, s, 0)
 }
+
+// Guards against a request on a connection that its node closes sooner than it did at the start: a reload's time holds for idle
+// connections at once.
+func TestReloadedIdleTimeHoldsAtOnce(t *testing.T) {
+	d := &dials{given: func(_ context.Context, _ int64, open func() (net.Conn, error)) (net.Conn, error) { return open() }}
+	s, _ := newPool(t, d, func(l *limits.Limits) { l.Nodes.ReuseDelay = 0 })
+	for i, idle := range []time.Duration{time.Hour, 0} {
+		s.Reconfigure(limits.NodeLimits{IdleTimeout: idle})
+		c, err := s.Acquire(t.Context(), "a", Running)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Release(c, true)
+		if n := d.begun.Load(); n != int64(i)+1 {
+			t.Errorf("idle for %v at most: %d connections were opened", idle, n)
+		}
+	}
+}
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"otterturn/internal/limits"
@@ -29,6 +30,7 @@
 	limits    limits.Limits
 	session   Session[T]
 	dialer    Dial
+	idle      atomic.Int64 // nanoseconds after which an idle connection is closed
 	mu        sync.Mutex
 	byName    map[string]*node[T]
 	open      int           // connections, idle ones included
@@ -57,12 +59,19 @@
 
 // New returns an empty list.
 func New[T any](l limits.Limits, s Session[T]) *Pool[T] {
-	return &Pool[T]{
+	pool := &Pool[T]{
 		limits: l, session: s, dialer: new(net.Dialer).DialContext,
 		byName: map[string]*node[T]{}, roomFreed: make(chan struct{}),
 	}
+	pool.Reconfigure(l.Nodes)
+	return pool
 }
 
+// Reconfigure has connections be idle no longer than other settings allow, those that are idle already too.
+func (s *Pool[T]) Reconfigure(l limits.NodeLimits) { s.idle.Store(int64(l.IdleTimeout)) }
+
+func (s *Pool[T]) idleTimeout() time.Duration { return time.Duration(s.idle.Load()) }
+
 // Apply takes over a list, or changes of one, and returns the same news for the scheduler.
 func (s *Pool[T]) Apply(list protocol.List) scheduler.EndpointsChanged {
 	s.mu.Lock()
@@ -171,7 +180,7 @@
 		}
 		n.idle = slices.Delete(n.idle, i, i+1)
 		// A request on a connection that the node has closed would end as a reset that may have run.
-		if time.Since(c.idleSince) < s.limits.Nodes.IdleTimeout && s.session.Alive(c.Conn, c.Session) {
+		if time.Since(c.idleSince) < s.idleTimeout() && s.session.Alive(c.Conn, c.Session) {
 			return reservation[T]{node: n, conn: c}, nil
 		}
 		s.closeConn(c)
@@ -224,7 +233,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			s.expire(time.Now().Add(-s.limits.Nodes.IdleTimeout))
+			s.expire(time.Now().Add(-s.idleTimeout()))
 		}
 	}
 }
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"otterturn/internal/lifecycle"
+	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
 	"otterturn/internal/net/transport"
 )
@@ -41,7 +42,7 @@
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			transport.Watch(own, p.config.Discovery, seq, p.config.Settings.Zones, p.limits, p.config.Seed, p.told, p.log)
+			transport.Watch(own, p.config.Discovery, seq, p.config.Settings.Zones, limitsOf(p.config), p.config.Seed, p.told, p.log)
 		}()
 		config, ok := reread(ctx, hangups, p.change, p.path, p.log)
 		end()
@@ -85,6 +86,7 @@
 	if err := changeFleet(); err != nil {
 		return protocol.Config{}, err
 	}
+	p.applyLimits(limitsOf(config))
 	still := config.Settings
 	still.Classes, still.Plans = still.Names, still.PlanNames
 	p.front.Reconfigure(still)
@@ -93,6 +95,14 @@
 	return config, nil
 }
 
+// applyLimits has bounds hold that follow from the settings: when a shutdown ends, how long ids are remembered, how long a node
+// keeps an idle connection. Sizes and counts hold from the start on.
+func (p *platform) applyLimits(l limits.Limits) {
+	p.guard.Reconfigure(l.Stop)
+	p.core.RetainIDs(l.Requests.IDRetention)
+	p.nodes.Reconfigure(l.Nodes)
+}
+
 // told takes in news of the node list: the pools learn of it before the scheduler does.
 func (p *platform) told(list protocol.List) {
 	p.mu.Lock()
