End a client that stops in the first bytes of a request on a resting connection

What callers saw: a client that sent one to three bytes on a connection that had rested, and stayed, was left open for 5 s, where it is owed an error or a close within 3 s. Cause: net/http waits for the first four bytes of a further request under the idle time, and only then for the head under its own. Change: clientConn ends a head that has begun HeaderTimeout after its first byte.

--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -28,9 +28,10 @@
 
 	acceptDelay time.Duration // for which the first request may have waited to be read, as accepting failed
 
-	framing   framing // of the goroutine that reads, as is
-	readAhead []byte  // what came behind a request that is owed its answer
-	flooded   bool    // more came than that may hold: it was dropped, and the connection ends behind the answer
+	framing   framing   // of the goroutine that reads, as are
+	headSince time.Time // when the head that comes began
+	readAhead []byte    // what came behind a request that is owed its answer
+	flooded   bool      // more came than that may hold: it was dropped, and the connection ends behind the answer
 
 	reads struct { // when a read is to end
 		sync.Mutex
@@ -84,6 +85,7 @@
 		case c.flooded && !owed:
 			return 0, io.EOF
 		}
+		c.boundHead()
 		n, err := c.Conn.Read(p)
 		c.noteEnd(err)
 		if n > 0 && c.framing.complete() { // it may have come whole by now
@@ -101,10 +103,27 @@
 	}
 }
 
+// boundHead has a head that has begun end in time. On a connection that rested net/http waits for its first four bytes as long as
+// for a request.
+func (c *clientConn) boundHead() {
+	if c.headSince.IsZero() || !c.framing.inHead() {
+		return
+	}
+	by := c.headSince.Add(c.clients.limits.Clients.HeaderTimeout)
+	c.reads.Lock()
+	defer c.reads.Unlock()
+	if !c.reads.woken && (c.reads.deadline.IsZero() || by.Before(c.reads.deadline)) {
+		c.reads.deadline = by
+		c.Conn.SetReadDeadline(by)
+	}
+}
+
 // consume notes what net/http is given, and tells how much of it is of the request that comes: what is behind it would stand
 // in net/http's buffer, unseen from here.
 func (c *clientConn) consume(p []byte) (own int) {
-	c.hasInput.Store(true)
+	if !c.hasInput.Swap(true) {
+		c.headSince = time.Now()
+	}
 	return c.framing.consume(p)
 }
 
--- a/internal/net/transport/framing.go
+++ b/internal/net/transport/framing.go
@@ -63,6 +63,13 @@
 	return !h.headEnded || h.unknownLength || h.hasLength && h.hasTransferEncoding
 }
 
+// inHead tells that a head has begun and has not ended.
+func (h *framing) inHead() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.headEnded && (h.began || len(h.line) > 0)
+}
+
 // complete tells that a request has come whole: what comes now is not its own.
 func (h *framing) complete() bool {
 	h.mu.Lock()
