Give the final answer in time, whatever an attempt still finds out

What callers saw: an answer up to the time for connecting later than the request's own. Cause: behind a reset an attempt opens a connection to learn whether its node lives, under the pool's time and not the request's, and its outcome waits for that; a request that was reset shortly ahead of its deadline was answered up to 2 s behind it, past the half second in which an answer is not lost. Found by reading for this incident: the same class, a wait whose bound is another's. Change: Carry gives the final answer 0.1 s behind the request's time at the latest, and counts it (svc.ended_overdue). Result: TestFinalAnswerWaitsForNoAttempt, which hung before.

--- a/internal/net/routing/core_test.go
+++ b/internal/net/routing/core_test.go
@@ -193,6 +193,23 @@
 	}
 }
 
+// Guards against lost requests whose attempt finds out for long whether its node lives: the final answer waits for no attempt beyond
+// the request's time.
+func TestFinalAnswerWaitsForNoAttempt(t *testing.T) {
+	core, goOn := newCore(t), make(chan struct{})
+	defer close(goOn)
+	r := request("x")
+	r.TimeLeft = 50_000
+	began := time.Now()
+	_, err := routing.Do(t.Context(), core, r, func(context.Context, routing.Attempt) (int, scheduler.AttemptEnded) {
+		<-goOn
+		return 0, scheduler.AttemptEnded{Result: scheduler.Reset}
+	})
+	if !errors.Is(err, routing.ErrFailed) || time.Since(began) > standin.Patience/2 || core.Tally().EndedOverdue != 1 {
+		t.Errorf("%v after %v, %+v", err, time.Since(began), core.Tally())
+	}
+}
+
 // Guards against lost requests that are open as a shutdown's answers are due: each gets its final answer then, whatever its attempt
 // does, and what comes later is rejected at once and never sent.
 func TestShutdownAnswersWhatIsOpen(t *testing.T) {
--- a/internal/net/routing/request.go
+++ b/internal/net/routing/request.go
@@ -125,6 +125,8 @@
 	c.counters.addOpen(1)
 	defer c.counters.addOpen(-1)
 	answers := make(chan T, 1) // at most one attempt is answered, so nobody waits here
+	overdue := time.NewTimer(time.Until(s.deadline) + overdueGrace)
+	defer overdue.Stop()
 	cancelAttempt := context.CancelCauseFunc(func(error) {})
 	verdicts, attempts := s.call.verdicts, 0
 	for {
@@ -156,14 +158,23 @@
 			return none, context.Cause(ctx)
 		case <-c.Guard.Ending():
 			return giveUp(s, answers, end, endedByShutdown, attempts)
+		case <-overdue.C:
+			return giveUp(s, answers, end, endedOverdue, attempts)
 		case <-c.stopped:
 			return none, ErrStopped
 		}
 	}
 }
 
-// endedByShutdown is why a request is given up without the scheduler's verdict.
-const endedByShutdown = "shutdown"
+// overdueGrace is how long behind a request's time its attempt and the scheduler may take to end it. An attempt that takes longer,
+// as it finds out whether its node lives, holds up no final answer.
+const overdueGrace = 100 * time.Millisecond
+
+// Why a request is given up without the scheduler's verdict.
+const (
+	endedByShutdown = "shutdown"
+	endedOverdue    = "overdue"
+)
 
 // giveUp gives a request its final answer, whatever its attempts do: one that has come just now, or an error.
 func giveUp[T any](s *Submission, answers <-chan T, end func(), why string, attempts int) (T, error) {
--- a/internal/net/routing/tally.go
+++ b/internal/net/routing/tally.go
@@ -60,6 +60,8 @@
 	defer c.mu.Unlock()
 	if why == endedByShutdown {
 		c.tally.EndedByShutdown++
+	} else {
+		c.tally.EndedOverdue++
 	}
 }
 
