Take no fault of this machine for news of a node

What callers saw: requests rejected for the whole of a node's ramp, as a socket or connect call had failed once for want of a descriptor, memory or a port. Cause: the pool reported it as an unreachable node, which counts as cold once it answers. Result: TestFaultsOfThisMachineAreNoNewsOfANode for six errors, for a moment and for good.

--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -134,6 +134,8 @@
 		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}, true
 	case errors.Is(err, nodes.ErrNotAccepting):
 		return nil, scheduler.AttemptEnded{Result: scheduler.QueueFull}, true
+	case errors.Is(err, nodes.ErrNoResources):
+		return nil, scheduler.AttemptEnded{Result: scheduler.NotStarted}, true
 	case err != nil:
 		return nil, scheduler.AttemptEnded{Result: scheduler.Unreachable}, true
 	}
--- a/internal/net/transport/nodes/dial.go
+++ b/internal/net/transport/nodes/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -57,6 +58,10 @@
 		case d := <-r.ended:
 			r.running--
 			switch {
+			case isOwnFault(d.err):
+				if err := s.retryOwnFault(r); err != nil {
+					return nil, err
+				}
 			case !errors.Is(d.err, syscall.ECONNRESET):
 				return d.conn, d.err
 			case r.running > 0:
@@ -72,6 +77,36 @@
 	}
 }
 
+// retryOwnFault begins an attempt again that failed for want of something on this machine. The error is the end of the time for
+// connecting.
+func (s *Pool[T]) retryOwnFault(r *dialRace) error {
+	pause := time.NewTimer(s.limits.AcceptRetry)
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+	case <-r.ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNoResources, r.ctx.Err())
+	}
+	r.started--
+	r.begin()
+	return nil
+}
+
+// ErrNoResources tells that this machine could not open a connection, which says nothing of the node.
+var ErrNoResources = errors.New("no connection can be opened from here")
+
+// isOwnFault reports whether an error of socket(2) or connect(2) tells of this machine's resources rather than of the node.
+func isOwnFault(err error) bool {
+	for _, errno := range []syscall.Errno{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR,
+	} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // abandon closes what still comes up of a race that is decided, and gives back the room of each.
 func (s *Pool[T]) abandon(r *dialRace) {
 	if r.running == 0 {
--- a/internal/net/transport/nodes/dial_test.go
+++ b/internal/net/transport/nodes/dial_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -160,6 +162,37 @@
 	settled(t, s, 0)
 }
 
+// Guards against a node that is taken for dead as this machine lacks descriptors, memory or ports for a moment: connecting is tried
+// again, and in the end it is no news of the node.
+func TestFaultsOfThisMachineAreNoNewsOfANode(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN} {
+		d := &dials{given: func(_ context.Context, n int64, open func() (net.Conn, error)) (net.Conn, error) {
+			if n < 5 {
+				return nil, os.NewSyscallError("socket", errno)
+			}
+			return open()
+		}}
+		s, _ := newPool(t, d, func(l *limits.Limits) { l.AcceptRetry, l.Nodes.HedgeDelay = time.Millisecond, time.Hour })
+		c, err := s.Acquire(t.Context(), "a", Running)
+		if err != nil {
+			t.Errorf("%v for a moment: %v", errno, err)
+			continue
+		}
+		s.Release(c, false)
+		settled(t, s, 0)
+	}
+	d := &dials{given: func(context.Context, int64, func() (net.Conn, error)) (net.Conn, error) {
+		return nil, os.NewSyscallError("socket", syscall.EMFILE)
+	}}
+	s, _ := newPool(t, d, func(l *limits.Limits) {
+		l.AcceptRetry, l.Nodes.ConnectTimeout, l.Nodes.HedgeDelay = time.Millisecond, 20*time.Millisecond, time.Hour
+	})
+	if _, err := s.Acquire(t.Context(), "a", Running); !errors.Is(err, ErrNoResources) {
+		t.Errorf("for good: %v", err)
+	}
+	settled(t, s, 0)
+}
+
 // Guards against a request on a connection that its node closes sooner than it did at the start: a reload's time holds for idle
 // connections at once.
 func TestReloadedIdleTimeHoldsAtOnce(t *testing.T) {
--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -96,7 +96,7 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.TimedOut}
-	case err != nil && denied != nil:
+	case err != nil && denied != nil, errors.Is(err, nodes.ErrNoResources):
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	case errors.Is(err, nodes.ErrNotAccepting):
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.QueueFull}
