Judge a node's start by the front's own time, whatever steps the system's clock takes

Where the wall clock is stepped back by an hour, each node that started within that hour was left out of lists as one that can't be true: Watch compared with time.Now's wall clock, while all else goes by the core's, which is monotonic from its start on. Change: Watch is given the core's clock. Result: TestStepOfTheClockHidesNoNode.

--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -25,8 +25,10 @@
 // A watch that ended, or is silent past its time, is opened anew by a call that is not held: only its answer shows that
 // somebody is there. What went lost with the watch is newer than seq, and so comes with it. A list that is older than what
 // is known takes nothing back; discovery may have begun anew, so the whole list is asked for, and that holds.
+//
+// now is the front's clock, by which no node has started later: it follows no step of the system's.
 func Watch(ctx context.Context, addr string, seq int64, zones []string, l limits.Limits, seed int64,
-	apply func(protocol.List), log *slog.Logger,
+	now func() scheduler.Micros, apply func(protocol.List), log *slog.Logger,
 ) {
 	client := &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConns: 1,
@@ -44,7 +46,7 @@
 	sleep(ctx, calls.InitialDelay())
 	for ctx.Err() == nil {
 		began := time.Now()
-		list, err := fetch(ctx, client, addr, seq, hold, zones, l)
+		list, err := fetch(ctx, client, addr, seq, hold, zones, l, now)
 		switch {
 		case ctx.Err() != nil:
 			return // another watch may have begun: a late answer must not take back what that one tells
@@ -88,7 +90,7 @@
 
 // fetch asks for what is newer than a version, or for all. Discovery may hold the answer for a while.
 func fetch(ctx context.Context, client *http.Client, addr string, seq int64, hold time.Duration, zones []string,
-	l limits.Limits,
+	l limits.Limits, now func() scheduler.Micros,
 ) (protocol.List, error) {
 	ctx, end := context.WithTimeout(ctx, hold+l.Discovery.AnswerTimeout)
 	defer end()
@@ -112,5 +114,5 @@
 	case resp.StatusCode != http.StatusOK || int64(len(text)) > l.Discovery.ListBytes:
 		return protocol.List{}, fmt.Errorf("status %d, %d bytes, %d may be read", resp.StatusCode, len(text), l.Discovery.ListBytes)
 	}
-	return protocol.ParseList(text, zones, scheduler.Micros(time.Now().Add(clockSlack).UnixMicro()))
+	return protocol.ParseList(text, zones, now()+toMicros(clockSlack))
 }
--- a/internal/net/transport/peers_test.go
+++ b/internal/net/transport/peers_test.go
@@ -32,7 +32,7 @@
 	t.Cleanup(end)
 	lists := make(chan protocol.List, 1)
 	nodes := NewNodes(standin.Limits())
-	go Watch(ctx, addr, FullList, []string{"hall-a"}, standin.Limits(), 1, func(l protocol.List) {
+	go Watch(ctx, addr, FullList, []string{"hall-a"}, standin.Limits(), 1, anyTime, func(l protocol.List) {
 		nodes.Apply(l)
 		lists <- l
 		<-ctx.Done()
--- a/internal/net/transport/probe_test.go
+++ b/internal/net/transport/probe_test.go
@@ -67,7 +67,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	t.Cleanup(end)
 	lists, logged := make(chan protocol.List, 1), make(chan string, 16)
-	go Watch(ctx, addr, 41, []string{"b", "a"}, standin.Limits(), 1, func(l protocol.List) {
+	go Watch(ctx, addr, 41, []string{"b", "a"}, standin.Limits(), 1, anyTime, func(l protocol.List) {
 		lists <- l
 		<-ctx.Done()
 	}, standin.Log(func(line string) { logged <- line }))
--- a/internal/net/transport/watch_test.go
+++ b/internal/net/transport/watch_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"otterturn/internal/limits"
 	"otterturn/internal/net/protocol"
@@ -33,7 +34,7 @@
 	})
 	ctx, end := context.WithCancel(t.Context())
 	t.Cleanup(end)
-	go Watch(ctx, addr, 41, nil, l, 1, func(l protocol.List) { lists <- l }, standin.Log(func(line string) { logged <- line }))
+	go Watch(ctx, addr, 41, nil, l, 1, anyTime, func(l protocol.List) { lists <- l }, standin.Log(func(line string) { logged <- line }))
 	return calls, lists, logged
 }
 
@@ -113,3 +114,21 @@
 		t.Errorf("logged again: %s", <-logged)
 	}
 }
+
+// anyTime is a clock for lists whose nodes have started long ago.
+func anyTime() scheduler.Micros { return scheduler.Micros(time.Now().UnixMicro()) }
+
+// Guards against nodes that are left out as this machine's clock was stepped back: what can't be true goes by the front's own time.
+func TestStepOfTheClockHidesNoNode(t *testing.T) {
+	ahead := func() scheduler.Micros { return anyTime() + scheduler.Micros(time.Hour/time.Microsecond) } // the system's was stepped back
+	text := fmt.Sprintf(`{"seq":42,"whole":true,"hosts":[{"host":"s","dial":"127.0.0.1:1","site":"a","block":0,"health":"up","born_ms":%d}]}`,
+		time.Now().Add(time.Hour/2).UnixMilli())
+	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	})
+	lists := make(chan protocol.List, 1024)
+	go Watch(t.Context(), addr, FullList, nil, standin.Limits(), 1, ahead, func(l protocol.List) { lists <- l }, standin.Log(func(string) {}))
+	if got := standin.Await(t, "the list", lists); len(got.Hosts) != 1 || len(got.Odd) != 0 {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -42,7 +42,7 @@
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			transport.Watch(own, p.config.Discovery, seq, p.config.Settings.Zones, limitsOf(p.config), p.config.Seed, p.told, p.log)
+			transport.Watch(own, p.config.Discovery, seq, p.config.Settings.Zones, limitsOf(p.config), p.config.Seed, p.core.Now, p.told, p.log)
 		}()
 		config, ok := reread(ctx, hangups, p.change, p.path, p.log)
 		end()
