Let no request wait for the other process of an upgrade

In an upgrade the predecessor told its successor each request's id ahead of taking it, on a socket without a deadline: a successor that stands still would have held up all requests once the socket was full. Change: ids are sent by a goroutine of their own from a queue of 4,096, and no message waits longer than 0.25 s. Result: TestSendWaitsForNobodyLong, which hung before; TestUpgrades as before.

--- a/internal/handover/channel.go
+++ b/internal/handover/channel.go
@@ -32,6 +32,9 @@
 // maxStateBytes bounds a state.
 const maxStateBytes = 64 << 20
 
+// sendTimeout is how long a message may wait for the other process to read: requests wait behind it.
+const sendTimeout = 250 * time.Millisecond
+
 // Channel is one end of the socket between two processes.
 type Channel struct{ conn *net.UnixConn }
 
@@ -65,6 +68,9 @@
 
 // Send sends a message, with a copy of a socket where one is given.
 func (c *Channel) Send(k Kind, text []byte, socket syscall.Conn) error {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		return err
+	}
 	packet := append([]byte{byte(k)}, text...)
 	if socket == nil {
 		_, err := c.conn.Write(packet)
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -149,6 +149,9 @@
 	return handover.NewChannel(c.(*net.UnixConn)), nil
 }
 
+// queuedIDs is how many ids of requests may wait to be announced to the successor.
+const queuedIDs = 4096
+
 // handOver is the predecessor's part, from the successor's question to its end. It returns while this process serves,
 // with the cause, never nil: where the successor did take over, this process ends meanwhile.
 func (p *platform) handOver(c *handover.Channel) error {
@@ -167,7 +170,20 @@
 		return err
 	}
 	p.otherProcess.Store(c)
-	p.core.AnnounceIDs(func(id string) { c.Send(handover.KindRequestID, []byte(id), nil) })
+	announced := make(chan string, queuedIDs)
+	defer close(announced)
+	go func() {
+		for id := range announced {
+			c.Send(handover.KindRequestID, []byte(id), nil)
+		}
+	}()
+	p.core.AnnounceIDs(func(id string) {
+		select {
+		case announced <- id:
+		default: // the successor stands still: no request waits for it
+			p.log.Warn("request id not announced to successor", "request", id)
+		}
+	})
 	p.front.Yield(func(conn net.Conn) error {
 		socket, ok := conn.(syscall.Conn)
 		if !ok {
