Soak real processes under faults that overlap, judged by an auditor of its own

make soak (SEEDS=, SEED=, BESIDE=, BINARY=) plays some 15 s a seed: nine fronts of the platform and an appliance with HTTP, file commands and a folder (every tenth seed 36 fronts), each told to end once, with signals in series, reloads, logs that nobody reads, hold-ups of 0.15 s, system calls that fail as Linux documents, nodes that hang, break, refuse and drain, clients that leave, stop or send slowly. The auditor (internal/soak/audit) knows the protocol alone and judges lost, duplicate, refused, late, told, drain, crash and bad clients.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for people and for .ci/run. Everything needs the Go tool chain alone.
-.PHONY: build sites test lint run demo door crash restart cost step-cost renewals histories rehearse compare agree speed processes capacity
+.PHONY: build sites test lint run demo soak door crash restart cost step-cost renewals histories rehearse compare agree speed processes capacity
 
 build:
 	mkdir -p bin
@@ -69,6 +69,16 @@
 histories:
 	go run ./cmd/otterlab histories
 
+# Real processes under faults that overlap, judged by an auditor that shares no code with the program; some 15 s a seed. SEED is the
+# first of SEEDS, BESIDE of them run at a time; every tenth has a crowd of fronts. BINARY names another build. It fails where a rule
+# is broken, and says with which seed.
+SEEDS ?= 50
+SEED ?= 1
+BESIDE ?= 2
+BINARY ?= bin/otterturn
+soak: build
+	bin/ottersoak -seed $(SEED) -seeds $(SEEDS) -beside $(BESIDE) -binary $(BINARY)
+
 # Everything at once, to look at: emulated nodes, an appliance, a little load, console screens and a report; 20 s.
 demo: build
 	bin/otterlab demo
--- /dev/null
+++ b/internal/soak/front.go
@@ -0,0 +1,262 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterturn/internal/lab/faults"
+	"otterturn/internal/soak/audit"
+	"otterturn/internal/soak/peers"
+)
+
+// front is one place in the fleet: processes follow each other in it.
+type front struct {
+	run       *Run
+	number    int
+	name      string
+	appliance bool
+	blocked   bool // nobody reads its log, and the pipe is full
+	addr      string
+	sftp      string // of an appliance
+	control   string // of the platform's
+	config    string
+	folder    string
+	agent     *peers.Agent
+	random    *rand.Rand
+	unread    *os.File
+
+	mu       sync.Mutex
+	failures *rand.Rand // draws system calls and their errors
+
+	acceptFailed time.Time // when accepting was last made to fail
+	target       peers.Target
+	longest      time.Duration // of the settings in force
+	cmd          *exec.Cmd
+	ended        chan struct{}
+	process      int
+	injector     *faults.Injector
+	runs         int
+}
+
+// readyTime is how long a front may take to serve.
+const readyTime = 10 * time.Second
+
+// Target is where its clients connect.
+func (f *front) Target() peers.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.target
+}
+
+// fileTarget is the same for clients of file commands.
+func (f *front) fileTarget() peers.Target {
+	t := f.Target()
+	t.Addr = f.sftp
+	return t
+}
+
+func (f *front) setOpen(open bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.target.Open = open
+}
+
+// start starts a process, and has clients use it once it is ready.
+func (f *front) start() error {
+	f.runs++
+	cmd := exec.Command(f.run.binary)
+	if f.appliance {
+		cmd.Args = append(cmd.Args, "serve", "--config", f.config)
+	}
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+f.config, "TMPDIR="+f.folder)
+	log, err := f.openLog()
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd.Stdout, cmd.Stderr = nil, log
+	calls := numbers(socketFailures)
+	if f.appliance {
+		calls = numbers(socketFailures, fileFailures)
+	}
+	process := f.run.record.AddProcess(audit.Process{Front: f.number, Name: fmt.Sprintf("%s.%d", f.name, f.runs)})
+	injector, err := faults.Start(cmd, f.run.self, calls...)
+	if err != nil {
+		return fmt.Errorf("%s: %w", f.name, err)
+	}
+	ended := make(chan struct{})
+	go f.wait(cmd, process, ended)
+	f.mu.Lock()
+	f.cmd, f.ended, f.process, f.injector = cmd, ended, process, injector
+	f.target = peers.Target{Addr: f.addr, Process: process, Longest: f.longest}
+	f.mu.Unlock()
+	if !f.awaitReady() {
+		f.run.record.Change(process, func(p *audit.Process) { p.LateTake = true })
+		return nil
+	}
+	if f.blocked {
+		fillPipe(f.unread)
+	}
+	f.run.record.Change(process, func(p *audit.Process) { p.ReadyAt = f.run.clock() })
+	f.setOpen(true)
+	return nil
+}
+
+// openLog opens what a process writes its log to: a file of the run, or a pipe that nobody reads.
+func (f *front) openLog() (*os.File, error) {
+	if !f.blocked {
+		return os.Create(filepath.Join(f.run.folder, fmt.Sprintf("%s.%d.log", f.name, f.runs)))
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	if f.unread != nil {
+		f.unread.Close()
+	}
+	f.unread = r
+	return w, nil
+}
+
+// fillPipe fills a pipe by its read end's name, which opens it for writing as well.
+func fillPipe(pipe *os.File) {
+	fd, err := unix.Open(fmt.Sprintf("/proc/self/fd/%d", pipe.Fd()), unix.O_WRONLY|unix.O_NONBLOCK, 0)
+	if err != nil {
+		return
+	}
+	defer unix.Close(fd)
+	for _, piece := range [][]byte{make([]byte, 4096), make([]byte, 1)} {
+		for {
+			if _, err := unix.Write(fd, piece); err != nil {
+				break
+			}
+		}
+	}
+}
+
+// wait notes the end of a process.
+func (f *front) wait(cmd *exec.Cmd, process int, ended chan struct{}) {
+	cmd.Wait()
+	status := cmd.ProcessState.Sys().(syscall.WaitStatus)
+	f.run.record.Change(process, func(p *audit.Process) {
+		p.Exited, p.Status = f.run.clock(), status.ExitStatus()
+		p.Crashed = p.Killed == 0 && (p.Term == 0 || status.ExitStatus() != 0)
+	})
+	close(ended)
+}
+
+func (f *front) hasEnded() bool {
+	select {
+	case <-f.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitReady waits until the process serves.
+func (f *front) awaitReady() bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(readyTime); time.Now().Before(end) && !f.hasEnded(); time.Sleep(20 * time.Millisecond) {
+		resp, err := client.Get("http://" + f.addr + "/ready")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *front) signal(s syscall.Signal) {
+	if !f.hasEnded() {
+		f.cmd.Process.Signal(s)
+	}
+}
+
+// holdUp stops the process for a while, as a busy machine does.
+func (f *front) holdUp(d time.Duration) {
+	span := audit.Span{From: f.run.clock()}
+	f.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	f.signal(syscall.SIGCONT)
+	span.To = f.run.clock()
+	f.run.record.Change(f.process, func(p *audit.Process) { p.HoldUps = append(p.HoldUps, span) })
+}
+
+// reload has other settings hold, and tells clients of the longest wait that both allow until then.
+func (f *front) reload(longest time.Duration) error {
+	f.mu.Lock()
+	f.target.Longest = min(f.target.Longest, longest)
+	f.mu.Unlock()
+	time.Sleep(f.longest / 4) // what was asked before has less left by then
+	text := f.run.scenario.platformConfig(f.addr, f.control, f.agent.Addr, f.run.discovery.Whole(), longest)
+	if err := os.WriteFile(f.config, text, 0o600); err != nil {
+		return err
+	}
+	f.signal(syscall.SIGHUP)
+	time.Sleep(reloadTime)
+	f.mu.Lock()
+	f.longest, f.target.Longest = longest, longest
+	f.mu.Unlock()
+	return nil
+}
+
+// reloadTime is when new settings hold at the latest.
+const reloadTime = 1200 * time.Millisecond
+
+// kill ends the process outright.
+func (f *front) kill() {
+	if f.hasEnded() {
+		return
+	}
+	f.run.record.Change(f.process, func(p *audit.Process) { p.Killed = f.run.clock() })
+	f.signal(syscall.SIGKILL)
+	<-f.ended
+}
+
+var violationsLine = regexp.MustCompile(`(?m)^svc\.violations:(\d+)\|c$`)
+
+// noteViolations asks the process for what it counted itself; one that does not answer has counted nothing that can be known.
+func (f *front) noteViolations() {
+	if f.control == "" {
+		return
+	}
+	client := http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + f.control + "/stats")
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if found := violationsLine.FindSubmatch(text); found != nil {
+		n, _ := strconv.ParseInt(string(found[1]), 10, 64)
+		f.run.record.Change(f.process, func(p *audit.Process) { p.Counted = max(p.Counted, n) })
+	}
+}
+
+// freeAddr finds a port of an address that this run alone uses.
+func freeAddr(number int) (string, error) {
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>8&0x3f, pid&0xff, 1+number%250))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/soak/peers/client.go
@@ -0,0 +1,191 @@
+package peers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"otterturn/internal/soak/audit"
+)
+
+// Target is where a client connects now.
+type Target struct {
+	Addr    string
+	Process int  // in the record
+	Open    bool // clients may connect
+	Longest time.Duration
+}
+
+// Class is a class of requests as clients name it.
+type Class struct {
+	Name   string
+	Effect audit.Class
+	Write  bool
+	Key    bool
+}
+
+// Client asks one front, on one connection at a time, until its context ends.
+type Client struct {
+	Target  func() Target
+	Classes []Class
+	Shards  int
+	Clock   Clock
+	Record  *audit.Record
+	Random  *rand.Rand
+	Think   time.Duration // mean pause between two requests
+}
+
+// requests numbers all requests of a process.
+var requests atomic.Int64
+
+// Shares of what clients do, in percent.
+const (
+	slowBodies = 12
+	longBodies = 4
+	leaving    = 8
+	stopping   = 2
+	hurried    = 4
+	moving     = 5 // to another connection behind a request
+)
+
+// patience is how much longer than its wait a client looks for an answer, so that a late one is told from none.
+const patience = 1200 * time.Millisecond
+
+// Run asks until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		t := c.Target()
+		if !t.Open {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		conn, err := net.DialTimeout("tcp", t.Addr, time.Second)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c.session(ctx, conn, t)
+		conn.Close()
+	}
+}
+
+// session is one connection.
+func (c *Client) session(ctx context.Context, conn net.Conn, t Target) {
+	in := bufio.NewReader(conn)
+	for first := true; ctx.Err() == nil; first = false {
+		if c.percent(stopping) {
+			c.stop(conn, in, t, first)
+			return
+		}
+		if !c.ask(conn, in, t) || c.percent(moving) {
+			return
+		}
+		time.Sleep(time.Duration(c.Random.Int64N(int64(2*c.Think) + 1)))
+	}
+}
+
+func (c *Client) percent(share int) bool { return c.Random.IntN(100) < share }
+
+// stop sends half a request and stays.
+func (c *Client) stop(conn net.Conn, in *bufio.Reader, t Target, first bool) {
+	text, _ := c.request(t, c.Classes[0], time.Second, 0)
+	part := 1 + c.Random.IntN(len(text)-4)
+	bad := audit.BadClient{Process: t.Process, Began: c.Clock(), Bytes: part, First: first}
+	if _, err := io.WriteString(conn, text[:part]); err != nil {
+		return
+	}
+	conn.SetReadDeadline(time.Now().Add(4 * time.Second))
+	if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		bad.Ended = c.Clock()
+	}
+	c.Record.AddBad(bad)
+}
+
+// request is the text of a request's head, and its id.
+func (c *Client) request(t Target, class Class, wait time.Duration, body int) (head, id string) {
+	id = fmt.Sprintf("r%08x", requests.Add(1))
+	method := "GET"
+	if class.Write {
+		method = "PUT"
+	}
+	head = fmt.Sprintf("%s /%s/00000000000000aa/%016x HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Plan: gold\r\nX-Time-Left: %dm\r\nX-IO: units=1,shard=%d,hosts=1\r\n",
+		method, class.Name, c.Random.Uint64(), id, class.Name, wait.Milliseconds(), c.Random.IntN(c.Shards))
+	if class.Key {
+		head += "Idempotency-Key: " + id + "\r\n"
+	}
+	if class.Write {
+		head += fmt.Sprintf("Content-Length: %d\r\n", body)
+	}
+	return head + "\r\n", id
+}
+
+// ask sends one request and waits for its answer. It is false once the connection is of no more use.
+func (c *Client) ask(conn net.Conn, in *bufio.Reader, t Target) bool {
+	class := c.Classes[c.Random.IntN(len(c.Classes))]
+	wait := t.Longest*3/10 + time.Duration(c.Random.Int64N(int64(t.Longest*7/10)))
+	if c.percent(hurried) {
+		wait = time.Duration(1+c.Random.IntN(20)) * time.Millisecond
+	}
+	body := 0
+	if class.Write {
+		body = 10
+		if c.percent(longBodies) {
+			body = 150 << 10
+		}
+	}
+	head, id := c.request(t, class, wait, body)
+	x := audit.Request{ID: id, Class: class.Effect, Process: t.Process, Wait: wait, Long: body > 64<<10}
+	text := head + strings.Repeat("b", body)
+	if body > 0 && c.percent(slowBodies) {
+		part := len(head) + c.Random.IntN(body)
+		if _, err := io.WriteString(conn, text[:part]); err != nil {
+			return false
+		}
+		time.Sleep(time.Duration(c.Random.Int64N(int64(1500 * time.Millisecond))))
+		text = text[part:]
+	}
+	x.Sent = c.Clock()
+	if _, err := io.WriteString(conn, text); err != nil {
+		return false // it was not sent whole
+	}
+	if c.percent(leaving) {
+		time.Sleep(time.Duration(c.Random.Int64N(int64(wait) + 1)))
+		x.Ending, x.Ended = audit.Left, c.Clock()
+		c.Record.AddRequest(x)
+		return false
+	}
+	keep := c.await(conn, in, &x)
+	c.Record.AddRequest(x)
+	return keep
+}
+
+// await reads the answer, and notes how the request ended.
+func (c *Client) await(conn net.Conn, in *bufio.Reader, x *audit.Request) (keep bool) {
+	conn.SetReadDeadline(time.Now().Add(x.Wait + patience))
+	defer func() { x.Ended = c.Clock() }()
+	if _, err := in.Peek(1); err != nil {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			x.Ending = audit.Closed
+		}
+		return false
+	}
+	resp, err := http.ReadResponse(in, nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	if err != nil {
+		x.Ending = audit.Cut
+		return false
+	}
+	x.Ending, x.Status = audit.Answered, resp.StatusCode
+	return !resp.Close
+}
--- /dev/null
+++ b/internal/soak/peers/discovery.go
@@ -0,0 +1,154 @@
+package peers
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Host is a node as discovery lists it.
+type Host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMs int64   `json:"born_ms"`
+}
+
+// List is discovery's list, or what changed of it.
+type List struct {
+	Seq   int64  `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []Host `json:"hosts"`
+}
+
+// Discovery knows the nodes, and tells agents.
+type Discovery struct {
+	mu      sync.Mutex
+	seq     int64
+	hosts   []Host
+	since   map[string]int64 // the version with which a host changed last
+	changed chan struct{}
+}
+
+// NewDiscovery lists hosts.
+func NewDiscovery(hosts []Host) *Discovery {
+	return &Discovery{seq: 1, hosts: hosts, since: map[string]int64{}, changed: make(chan struct{})}
+}
+
+// SetHealth changes a host's health, and tells of it.
+func (d *Discovery) SetHealth(host, health string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq++
+	for i := range d.hosts {
+		if d.hosts[i].Host == host {
+			d.hosts[i].Health = health
+		}
+	}
+	d.since[host] = d.seq
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Whole is the present list.
+func (d *Discovery) Whole() List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return List{Seq: d.seq, Whole: true, Hosts: append([]Host(nil), d.hosts...)}
+}
+
+// newer lists what changed since a version, and what is closed with the next change.
+func (d *Discovery) newer(from int64) (List, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := List{Seq: d.seq, Hosts: []Host{}}
+	for _, h := range d.hosts {
+		if d.since[h.Host] > from {
+			out.Hosts = append(out.Hosts, h)
+		}
+	}
+	return out, d.changed
+}
+
+// Agent is a front's own way to discovery.
+type Agent struct {
+	Addr      string
+	discovery *Discovery
+	server    *http.Server
+
+	mu    sync.Mutex
+	quiet time.Time // until then it says nothing
+}
+
+// NewAgent starts an agent.
+func NewAgent(d *Discovery) (*Agent, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{Addr: l.Addr().String(), discovery: d}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/endpoints", a.endpoints)
+	a.server = &http.Server{Handler: mux}
+	go a.server.Serve(l)
+	return a, nil
+}
+
+// Close ends the agent.
+func (a *Agent) Close() { a.server.Close() }
+
+// Silence has the agent say nothing for a while: calls wait.
+func (a *Agent) Silence(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.quiet = time.Now().Add(d)
+}
+
+// Telling tells whether it says what it knows.
+func (a *Agent) Telling() bool { return a.silentFor() <= 0 }
+
+func (a *Agent) silentFor() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Until(a.quiet)
+}
+
+func (a *Agent) endpoints(w http.ResponseWriter, r *http.Request) {
+	if silent := a.silentFor(); silent > 0 {
+		select {
+		case <-time.After(silent):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		json.NewEncoder(w).Encode(a.discovery.Whole())
+		return
+	}
+	hold, _ := strconv.ParseInt(r.URL.Query().Get("hold_ms"), 10, 64)
+	over := time.NewTimer(time.Duration(hold) * time.Millisecond)
+	defer over.Stop()
+	for {
+		list, changed := a.discovery.newer(from)
+		if len(list.Hosts) > 0 {
+			json.NewEncoder(w).Encode(list)
+			return
+		}
+		select {
+		case <-changed:
+		case <-over.C:
+			json.NewEncoder(w).Encode(list)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/peers/files.go
@@ -0,0 +1,185 @@
+package peers
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"otterturn/internal/soak/audit"
+)
+
+// Packets of SFTP version 3 (draft-ietf-secsh-filexfer-02) that the soak's clients and file servers know.
+const (
+	packetInit    = 1
+	packetVersion = 2
+	packetMkdir   = 14
+	packetStatus  = 101
+	statusOK      = 0
+	statusUnknown = 8
+	sftpVersion   = 3
+	mostPacket    = 1 << 18
+)
+
+// readPacket reads a packet's kind and what is behind it.
+func readPacket(in io.Reader) (kind byte, body []byte, err error) {
+	var head [5]byte
+	if _, err := io.ReadFull(in, head[:]); err != nil {
+		return 0, nil, err
+	}
+	length := binary.BigEndian.Uint32(head[:])
+	if length == 0 || length > mostPacket {
+		return 0, nil, fmt.Errorf("a packet of %d bytes", length)
+	}
+	body = make([]byte, length-1)
+	_, err = io.ReadFull(in, body)
+	return head[4], body, err
+}
+
+func packet(kind byte, body []byte) []byte {
+	out := binary.BigEndian.AppendUint32(nil, uint32(len(body)+1))
+	return append(append(out, kind), body...)
+}
+
+func text(body []byte, s string) []byte {
+	return append(binary.BigEndian.AppendUint32(body, uint32(len(s))), s...)
+}
+
+// FileServer is a node that makes folders: a command that must not be carried out twice.
+type FileServer struct {
+	Addr     string
+	clock    Clock
+	record   *audit.Record
+	listener net.Listener
+	mu       sync.Mutex
+	delay    time.Duration
+}
+
+// NewFileServer starts one.
+func NewFileServer(clock Clock, record *audit.Record) (*FileServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &FileServer{Addr: l.Addr().String(), clock: clock, record: record, listener: l, delay: Well.Delay}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				s.serve(c)
+			}()
+		}
+	}()
+	return s, nil
+}
+
+// Close ends it.
+func (s *FileServer) Close() { s.listener.Close() }
+
+// SetDelay has answers take so long from now on.
+func (s *FileServer) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+func (s *FileServer) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		kind, body, err := readPacket(in)
+		if err != nil {
+			return
+		}
+		if kind == packetInit {
+			c.Write(packet(packetVersion, binary.BigEndian.AppendUint32(nil, sftpVersion)))
+			continue
+		}
+		status := uint32(statusUnknown)
+		if kind == packetMkdir && len(body) > 8 {
+			status = statusOK
+			length := binary.BigEndian.Uint32(body[4:8])
+			a := audit.Attempt{ID: string(body[8 : 8+length]), Node: s.Addr, Began: s.clock(), Whole: s.clock(), Told: -1}
+			s.mu.Lock()
+			delay := s.delay
+			s.mu.Unlock()
+			c.SetReadDeadline(time.Now().Add(delay))
+			_, err := in.Peek(1)
+			c.SetReadDeadline(time.Time{})
+			a.Ended = s.clock()
+			s.record.AddAttempt(a)
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				return
+			}
+		}
+		answer := binary.BigEndian.AppendUint32(append([]byte(nil), body[:4]...), status)
+		if _, err := c.Write(packet(packetStatus, text(text(answer, ""), ""))); err != nil {
+			return
+		}
+	}
+}
+
+// FileClient makes folders through a front, one at a time.
+type FileClient struct {
+	Target func() Target
+	Prefix string // of a project
+	Clock  Clock
+	Record *audit.Record
+	Random *rand.Rand
+}
+
+// Run asks until ctx ends.
+func (c *FileClient) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		t := c.Target()
+		if t.Open {
+			if conn, err := net.DialTimeout("tcp", t.Addr, time.Second); err == nil {
+				c.session(ctx, conn, t)
+				conn.Close()
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (c *FileClient) session(ctx context.Context, conn net.Conn, t Target) {
+	in := bufio.NewReader(conn)
+	conn.SetReadDeadline(time.Now().Add(t.Longest))
+	conn.Write(packet(packetInit, binary.BigEndian.AppendUint32(nil, sftpVersion)))
+	if kind, _, err := readPacket(in); err != nil || kind != packetVersion {
+		return
+	}
+	for number := uint32(1); ctx.Err() == nil; number++ {
+		path := fmt.Sprintf("%s/f%08x", c.Prefix, requests.Add(1))
+		x := audit.Request{ID: path, Class: audit.Once, Process: t.Process, Wait: t.Longest, Sent: c.Clock()}
+		command := binary.BigEndian.AppendUint32(text(binary.BigEndian.AppendUint32(nil, number), path), 0)
+		if _, err := conn.Write(packet(packetMkdir, command)); err != nil {
+			return
+		}
+		conn.SetReadDeadline(time.Now().Add(t.Longest + patience))
+		kind, _, err := readPacket(in)
+		x.Ended = c.Clock()
+		switch {
+		case err == nil && kind == packetStatus:
+			x.Ending = audit.Answered
+		case errors.Is(err, os.ErrDeadlineExceeded):
+		default:
+			x.Ending = audit.Closed
+		}
+		c.Record.AddRequest(x)
+		if x.Ending != audit.Answered {
+			return
+		}
+		time.Sleep(time.Duration(c.Random.Int64N(int64(40 * time.Millisecond))))
+	}
+}
--- /dev/null
+++ b/internal/soak/peers/node.go
@@ -0,0 +1,191 @@
+// Package peers holds what a soak puts around the fronts: storage nodes, discovery and clients, over loopback sockets. Each writes
+// what it sees to the audit's record. It imports nothing of the program.
+package peers
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"otterturn/internal/soak/audit"
+)
+
+// Clock tells how long a run has lasted.
+type Clock func() time.Duration
+
+// Mood is what a node does with requests.
+type Mood struct {
+	Name   string
+	Delay  time.Duration // before an answer
+	Hang   bool          // no answer
+	Reset  bool          // the connection is reset once the request has come
+	Refuse bool          // it is turned away
+	Fail   bool          // it is answered with an error
+}
+
+// The moods that a run draws from.
+var (
+	Well     = Mood{Name: "well", Delay: 15 * time.Millisecond}
+	Slow     = Mood{Name: "slow", Delay: 350 * time.Millisecond}
+	Hanging  = Mood{Name: "hanging", Hang: true}
+	Breaking = Mood{Name: "breaking", Reset: true}
+	Full     = Mood{Name: "full", Refuse: true}
+	Failing  = Mood{Name: "failing", Fail: true, Delay: 5 * time.Millisecond}
+)
+
+// Node is a storage node.
+type Node struct {
+	Name, Addr string
+
+	clock    Clock
+	record   *audit.Record
+	idle     time.Duration // it closes a connection that stands idle for so long
+	listener net.Listener
+
+	mu   sync.Mutex
+	mood Mood
+	open map[net.Conn]struct{}
+}
+
+// NewNode starts a node.
+func NewNode(name string, clock Clock, record *audit.Record, idle time.Duration) (*Node, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		Name: name, Addr: l.Addr().String(), clock: clock, record: record, idle: idle, listener: l, mood: Well,
+		open: map[net.Conn]struct{}{},
+	}
+	go n.accept()
+	return n, nil
+}
+
+// SetMood has the node do other things from now on.
+func (n *Node) SetMood(m Mood) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mood = m
+}
+
+func (n *Node) currentMood() Mood {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.mood
+}
+
+// Close ends the node and its connections.
+func (n *Node) Close() {
+	n.listener.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.open {
+		c.Close()
+	}
+}
+
+func (n *Node) accept() {
+	for {
+		c, err := n.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		n.mu.Lock()
+		n.open[c] = struct{}{}
+		n.mu.Unlock()
+		go func() {
+			n.serve(c)
+			c.Close()
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			delete(n.open, c)
+		}()
+	}
+}
+
+func (n *Node) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		c.SetReadDeadline(time.Now().Add(n.idle))
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		a := audit.Attempt{Node: n.Name, Began: n.clock(), Told: -1}
+		c.SetReadDeadline(time.Time{})
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		a.ID = r.Header.Get("X-Correlation-Id")
+		if left, err := time.ParseDuration(r.Header.Get("X-Time-Left") + "s"); err == nil {
+			a.Told = left
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			n.record.AddAttempt(a)
+			return
+		}
+		a.Whole = n.clock()
+		if a.ID == "" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		if !n.answer(c, in, &a, r.ContentLength) {
+			return
+		}
+	}
+}
+
+// answer does what the node's mood says, and records the attempt. It is false once the connection has ended.
+func (n *Node) answer(c net.Conn, in *bufio.Reader, a *audit.Attempt, length int64) bool {
+	mood := n.currentMood()
+	defer func() { n.record.AddAttempt(*a) }()
+	a.Ended = n.clock()
+	switch {
+	case mood.Refuse:
+		a.Unrun = true
+		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	case mood.Reset:
+		c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	ended := awaitEnd(c, in, mood)
+	a.Ended = n.clock() // ahead of the answer: the front may send again as soon as that has come
+	if ended {
+		return false
+	}
+	if mood.Fail {
+		_, err := io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	body := a.ID
+	if length < 0 {
+		body = strings.Repeat("x", 100<<10) // a long answer to a long request
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+// awaitEnd waits for as long as an answer takes, or until the front ends the connection.
+func awaitEnd(c net.Conn, in *bufio.Reader, mood Mood) (ended bool) {
+	const longest = time.Minute
+	wait := mood.Delay
+	if mood.Hang {
+		wait = longest
+	}
+	c.SetReadDeadline(time.Now().Add(wait))
+	_, err := in.Peek(1)
+	c.SetReadDeadline(time.Time{})
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,236 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"otterturn/internal/soak/audit"
+	"otterturn/internal/soak/peers"
+)
+
+// Run is one run of a scenario.
+type Run struct {
+	scenario  Scenario
+	binary    string // the program
+	self      string // this program, as the wrapper of processes under faults
+	folder    string // of logs and files
+	began     time.Time
+	record    *audit.Record
+	discovery *peers.Discovery
+	nodes     []*peers.Node
+	files     *peers.FileServer
+	fronts    []*front
+	draining  sync.Mutex
+}
+
+// Result is what a run brought.
+type Result struct {
+	Scenario   Scenario
+	Requests   int
+	Answered   int
+	Attempts   int
+	Processes  int
+	Violations []audit.Violation
+}
+
+// String is one line of figures.
+func (r Result) String() string {
+	return fmt.Sprintf("seed %d: %d processes, longest deadline %v, %d requests, %d answered, %d attempts, %d violations",
+		r.Scenario.Seed, r.Processes, r.Scenario.Longest, r.Requests, r.Answered, r.Attempts, len(r.Violations))
+}
+
+// Play runs a scenario with a build of the program. The folder keeps the processes' logs.
+func Play(s Scenario, binary, folder string) (Result, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return Result{}, err
+	}
+	r := &Run{scenario: s, binary: binary, self: self, folder: folder, began: time.Now(), record: &audit.Record{Window: s.Window}}
+	defer r.close()
+	if err := r.build(); err != nil {
+		return Result{}, err
+	}
+	if err := r.startAll(); err != nil {
+		return Result{}, err
+	}
+	ctx, end := context.WithTimeout(context.Background(), runTime)
+	defer end()
+	err = r.play(ctx)
+	return r.result(), err
+}
+
+func (r *Run) clock() time.Duration { return time.Since(r.began) }
+
+// build makes the peers and the fronts' files.
+func (r *Run) build() error {
+	var hosts []peers.Host
+	for i := range nodeCount {
+		n, err := peers.NewNode(fmt.Sprintf("s-%08x", i), r.clock, r.record, r.scenario.ConnIdle)
+		if err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, n)
+		hosts = append(hosts, peers.Host{Host: n.Name, Dial: n.Addr, Site: "a", Class: "m", Block: i % shardCount, Health: "up", Share: 1})
+	}
+	r.discovery = peers.NewDiscovery(hosts)
+	var err error
+	if r.files, err = peers.NewFileServer(r.clock, r.record); err != nil {
+		return err
+	}
+	for i := range r.scenario.Fronts {
+		f, err := r.newFront(i)
+		if err != nil {
+			return err
+		}
+		r.fronts = append(r.fronts, f)
+	}
+	return nil
+}
+
+// newFront makes the files of a front. The first one is an appliance; one in four has a log that nobody reads.
+func (r *Run) newFront(number int) (*front, error) {
+	f := &front{
+		run: r, number: number, name: fmt.Sprintf("n%d", number), appliance: number == 0, blocked: number%4 == 3,
+		random:   rand.New(rand.NewPCG(r.scenario.Seed, uint64(100+number))),
+		failures: rand.New(rand.NewPCG(r.scenario.Seed, uint64(1000+number))), longest: r.scenario.Longest,
+	}
+	f.folder = filepath.Join(r.folder, f.name)
+	if err := os.MkdirAll(f.folder, 0o700); err != nil {
+		return nil, err
+	}
+	f.config = filepath.Join(f.folder, "config")
+	var err error
+	if f.addr, err = freeAddr(number); err != nil {
+		return nil, err
+	}
+	if f.appliance {
+		if f.sftp, err = freeAddr(number); err != nil {
+			return nil, err
+		}
+		console := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d-%d.sock", os.Getpid(), r.scenario.Seed))
+		text := r.scenario.applianceConfig(f.addr, f.sftp, filepath.Join(f.folder, "learned"), console, r.nodes, r.files)
+		return f, os.WriteFile(f.config, text, 0o600)
+	}
+	if f.control, err = freeAddr(number); err != nil {
+		return nil, err
+	}
+	if f.agent, err = peers.NewAgent(r.discovery); err != nil {
+		return nil, err
+	}
+	text := r.scenario.platformConfig(f.addr, f.control, f.agent.Addr, r.discovery.Whole(), f.longest)
+	return f, os.WriteFile(f.config, text, 0o600)
+}
+
+// startAll starts all fronts side by side.
+func (r *Run) startAll() error {
+	errs := make([]error, len(r.fronts))
+	var all sync.WaitGroup
+	for i, f := range r.fronts {
+		all.Go(func() { errs[i] = f.start() })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// play has clients ask and troubles come until ctx ends, and waits for the last answers.
+func (r *Run) play(ctx context.Context) error {
+	asking, endAsking := context.WithCancel(context.Background())
+	defer endAsking()
+	var clients, lives sync.WaitGroup
+	for _, f := range r.fronts {
+		for i := range r.scenario.Clients {
+			clients.Go(func() { r.newClient(f, i).Run(asking) })
+		}
+		if f.appliance {
+			for i := range r.scenario.Clients {
+				clients.Go(func() { r.newFileClient(f, i).Run(asking) })
+			}
+		}
+	}
+	errs := make([]error, len(r.fronts))
+	for i, f := range r.fronts {
+		lives.Go(func() { errs[i] = f.live(ctx) })
+	}
+	r.troubles(ctx)
+	lives.Wait()
+	endAsking()
+	clients.Wait()
+	for _, f := range r.fronts {
+		f.noteViolations()
+	}
+	return errors.Join(errs...)
+}
+
+func (r *Run) newClient(f *front, number int) *peers.Client {
+	classes := platformClasses
+	if f.appliance {
+		classes = applianceClasses
+	}
+	return &peers.Client{
+		Target: f.Target, Classes: classes, Shards: shardCount, Clock: r.clock, Record: r.record, Think: 25 * time.Millisecond,
+		Random: rand.New(rand.NewPCG(r.scenario.Seed, uint64(10_000+100*f.number+number))),
+	}
+}
+
+func (r *Run) newFileClient(f *front, number int) *peers.FileClient {
+	return &peers.FileClient{
+		Target: f.fileTarget, Prefix: "/riverside", Clock: r.clock, Record: r.record,
+		Random: rand.New(rand.NewPCG(r.scenario.Seed, uint64(20_000+number))),
+	}
+}
+
+// close ends all that a run has started.
+func (r *Run) close() {
+	for _, f := range r.fronts {
+		if f.cmd != nil {
+			f.kill()
+		}
+		if f.agent != nil {
+			f.agent.Close()
+		}
+		if f.unread != nil {
+			f.unread.Close()
+		}
+	}
+	for _, n := range r.nodes {
+		n.Close()
+	}
+	if r.files != nil {
+		r.files.Close()
+	}
+}
+
+func (r *Run) result() Result {
+	out := Result{Scenario: r.scenario, Requests: len(r.record.Requests), Attempts: len(r.record.Attempts), Processes: len(r.record.Process)}
+	for _, x := range r.record.Requests {
+		if x.Ending == audit.Answered {
+			out.Answered++
+		}
+	}
+	out.Violations = audit.Judge(r.record)
+	return out
+}
+
+// Report is a result with its violations, each rule's first ones.
+func (r Result) Report() string {
+	const shown = 4 // of each rule
+	var out strings.Builder
+	fmt.Fprintln(&out, r)
+	count := map[string]int{}
+	for _, v := range r.Violations {
+		if count[v.Rule]++; count[v.Rule] <= shown {
+			fmt.Fprintln(&out, " ", v)
+		}
+	}
+	for rule, n := range count {
+		fmt.Fprintf(&out, "  %d of %s\n", n, rule)
+	}
+	return out.String()
+}
--- /dev/null
+++ b/internal/soak/troubles.go
@@ -0,0 +1,207 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterturn/internal/lab/faults"
+	"otterturn/internal/soak/audit"
+	"otterturn/internal/soak/peers"
+)
+
+// live is the life of a front: it is told to end once, in the midst of what the seed has drawn, is killed when the terms allow it,
+// and starts again.
+func (f *front) live(ctx context.Context) error {
+	rng := f.random
+	if !sleep(ctx, between(rng, 300*time.Millisecond, 2500*time.Millisecond)) {
+		return nil
+	}
+	if !f.appliance && rng.IntN(2) == 0 {
+		if err := f.reload(pick(rng, deadlines)); err != nil {
+			return err
+		}
+	}
+	if rng.IntN(8) == 0 {
+		f.kill() // outright
+	} else {
+		f.shutDown(ctx)
+	}
+	f.setOpen(false)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return f.start()
+}
+
+// shutDown sends SIGTERM, with what may come around it, and SIGKILL at the earliest moment of the terms.
+func (f *front) shutDown(ctx context.Context) {
+	rng := f.random
+	f.noteViolations()
+	if rng.IntN(2) == 0 {
+		f.fail(between(rng, 100*time.Millisecond, 700*time.Millisecond), false)
+	}
+	held := rng.IntN(4) == 0 // as the signal comes
+	began := time.Now()
+	f.run.record.Change(f.process, func(p *audit.Process) {
+		p.Term = f.run.clock()
+		p.Kill = p.Term + killAfter(f.longest)
+	})
+	kill := began.Add(killAfter(f.longest))
+	if held {
+		go f.holdUp(holdUp)
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.signal(syscall.SIGTERM)
+	go f.series(rng.IntN(8), kill)
+	if late := between(rng, 0, killAfter(f.longest)); rng.IntN(2) == 0 && (!held || late > 2*holdUp) {
+		time.AfterFunc(late, func() {
+			if time.Until(kill) > holdUp {
+				f.holdUp(holdUp)
+			}
+		})
+	}
+	if rng.IntN(3) == 0 {
+		sleep(ctx, between(rng, 0, killAfter(f.longest)/2))
+		f.fail(between(rng, 100*time.Millisecond, 500*time.Millisecond), false)
+	}
+	if sleep(ctx, time.Until(began.Add(connectsUntil))) {
+		f.setOpen(false)
+	}
+	for time.Until(kill) > time.Millisecond && !f.hasEnded() {
+		time.Sleep(min(5*time.Millisecond, time.Until(kill)))
+		if left := time.Until(kill); left < 60*time.Millisecond && left > 50*time.Millisecond {
+			f.noteViolations()
+		}
+	}
+	f.kill()
+}
+
+// series sends further signals behind the first SIGTERM.
+func (f *front) series(kind int, kill time.Time) {
+	for _, s := range [][]syscall.Signal{
+		{syscall.SIGTERM, syscall.SIGTERM}, {syscall.SIGHUP}, {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+	}[min(kind, 2)] {
+		if kind > 2 || time.Until(kill) < 100*time.Millisecond {
+			return
+		}
+		time.Sleep(30 * time.Millisecond)
+		f.signal(s)
+	}
+}
+
+// fail has some system calls of the front fail for a while.
+func (f *front) fail(span time.Duration, files bool) {
+	f.mu.Lock()
+	injector := f.injector
+	f.mu.Unlock()
+	from := socketFailures
+	if files {
+		from = fileFailures
+	}
+	chosen := from[f.draw(len(from))]
+	if chosen.call == unix.SYS_ACCEPT4 {
+		if span = min(span, longestAcceptFailure); !f.mayFailAccept() {
+			return
+		}
+	}
+	rule := faults.Rule{
+		Call: chosen.call, Err: chosen.errs[f.draw(len(chosen.errs))], Match: chosen.match, Until: time.Now().Add(span),
+	}
+	if rule.Err == unix.EINTR || rule.Err == unix.ECONNABORTED {
+		rule.Times = onePerCause
+	}
+	injector.Inject(rule)
+}
+
+// onePerCause is how often a call fails with an error that comes once for each signal or each connection that was aborted: the
+// standard library repeats the call at once, and would do nothing else for as long as it fails.
+const onePerCause = 20
+
+// Where accepting fails for longer than this, or again soon, no front could answer in time.
+const (
+	longestAcceptFailure = 300 * time.Millisecond
+	betweenAcceptFails   = time.Second
+)
+
+func (f *front) mayFailAccept() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.acceptFailed) < betweenAcceptFails {
+		return false
+	}
+	f.acceptFailed = time.Now()
+	return true
+}
+
+// draw draws a number below n; many goroutines may ask.
+func (f *front) draw(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failures.IntN(n)
+}
+
+// troubles goes on beside the lives of fronts, until ctx ends.
+func (r *Run) troubles(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.scenario.Seed, 2))
+	moods := []peers.Mood{peers.Slow, peers.Hanging, peers.Breaking, peers.Full, peers.Failing}
+	for sleep(ctx, between(rng, 50*time.Millisecond, 350*time.Millisecond)) {
+		node, front := pick(rng, r.nodes), pick(rng, r.fronts)
+		span := between(rng, 200*time.Millisecond, 2500*time.Millisecond)
+		switch rng.IntN(7) {
+		case 0, 1, 2:
+			node.SetMood(pick(rng, moods))
+			time.AfterFunc(span, func() { node.SetMood(peers.Well) })
+		case 3:
+			front.fail(min(span, 600*time.Millisecond), front.appliance && rng.IntN(2) == 0)
+		case 4:
+			r.drain(node, span)
+		case 5:
+			if front.agent != nil {
+				front.agent.Silence(min(span, time.Second))
+			}
+		case 6:
+			r.files.SetDelay(pick(rng, []time.Duration{peers.Well.Delay, time.Minute}))
+			time.AfterFunc(span, func() { r.files.SetDelay(peers.Well.Delay) })
+		}
+	}
+}
+
+// drain has a node drain for a while. Fronts whose agent is silent are told later; the auditor is told of the others.
+func (r *Run) drain(node *peers.Node, span time.Duration) {
+	if !r.draining.TryLock() { // one at a time: each shard keeps a node
+		return
+	}
+	now := r.clock()
+	r.discovery.SetHealth(node.Name, "draining")
+	for _, f := range r.fronts {
+		if f.agent != nil && f.agent.Telling() {
+			r.record.AddDrain(audit.Drain{Process: f.currentProcess(), Node: node.Name, Told: now, Until: now + span})
+		}
+	}
+	time.AfterFunc(span, func() {
+		r.discovery.SetHealth(node.Name, "up")
+		r.draining.Unlock()
+	})
+}
+
+func (f *front) currentProcess() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.process
+}
+
+// sleep waits, and is false where ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
