--- a/internal/net/transport/evict_test.go
+++ b/internal/net/transport/evict_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"otterturn/internal/limits"
 	"otterturn/internal/standin"
 )
 
@@ -100,3 +103,18 @@
 		t.Error("a connection with nothing to read made no room")
 	}
 }
+
+// Guards against bad clients that stay: net/http waits for the first four bytes of a request on a connection that rested as long as
+// for a request, and 5 s are more than such a client is owed.
+func TestClientThatStopsInItsFirstBytesIsEnded(t *testing.T) {
+	addr, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
+	_, _, front := newFront(t, func(l *limits.Limits) {
+		l.Clients.HeaderTimeout, l.Clients.IdleTimeout = 100*time.Millisecond, time.Hour
+	}, addr)
+	c := dial(t, front)
+	c.ask(t, fmt.Sprintf(request, "usual")+"\r\n")
+	io.WriteString(c, "GE")
+	if answer, err := io.ReadAll(c.in); err != nil || len(answer) > 0 && !strings.HasPrefix(string(answer), "HTTP/1.1 4") {
+		t.Errorf("behind two bytes: %q, %v", answer, err)
+	}
+}
--- a/internal/net/transport/nodes/nodes.go
+++ b/internal/net/transport/nodes/nodes.go
@@ -67,11 +67,6 @@
 	return pool
 }
 
-// Reconfigure has connections be idle no longer than other settings allow, those that are idle already too.
-func (s *Pool[T]) Reconfigure(l limits.NodeLimits) { s.idle.Store(int64(l.IdleTimeout)) }
-
-func (s *Pool[T]) idleTimeout() time.Duration { return time.Duration(s.idle.Load()) }
-
 // Apply takes over a list, or changes of one, and returns the same news for the scheduler.
 func (s *Pool[T]) Apply(list protocol.List) scheduler.EndpointsChanged {
 	s.mu.Lock()
--- a/internal/net/transport/nodes/state.go
+++ b/internal/net/transport/nodes/state.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"otterturn/internal/limits"
 	"otterturn/scheduler"
 )
 
@@ -24,3 +26,8 @@
 
 // AnyState is the condition for probes.
 func AnyState(scheduler.NodeState) bool { return true }
+
+// Reconfigure has connections be idle no longer than other settings allow, those that are idle already too.
+func (s *Pool[T]) Reconfigure(l limits.NodeLimits) { s.idle.Store(int64(l.IdleTimeout)) }
+
+func (s *Pool[T]) idleTimeout() time.Duration { return time.Duration(s.idle.Load()) }
--- a/internal/soak/audit/judge.go
+++ b/internal/soak/audit/judge.go
@@ -144,10 +144,11 @@
 
 // attempt judges one attempt of a request.
 func (j *judge) attempt(x Request, a Attempt) {
-	held := j.heldUp(x.Process, x.Sent, a.Began)
+	held := j.heldUp(x.Process, x.Sent, max(a.Began, a.Whole))
 	if a.Whole > 0 {
 		if late := a.Whole - x.Sent - x.Wait; late > leaveSlack+held { // its client leaves at its time
-			j.add(Late, x.ID, a.Whole, "%v behind its client's time of %v, by %s at %s", late, x.Wait, j.Process[x.Process].Name, a.Node)
+			j.add(Late, x.ID, a.Whole, "%v behind its client's time of %v, by %s at %s, sent at %v, begun at %v, told %v, long %v, ending %d",
+				late, x.Wait, j.Process[x.Process].Name, a.Node, x.Sent, a.Began, a.Told, x.Long, x.Ending)
 		}
 		if x.Ending == Left && a.Whole-x.Ended > leaveSlack+held {
 			j.add(Lost, x.ID, a.Whole, "an attempt at %s begun %v behind its client's end", a.Node, a.Whole-x.Ended)
--- a/internal/soak/audit/judge_test.go
+++ b/internal/soak/audit/judge_test.go
@@ -62,6 +62,10 @@
 		{"refused with an effect", func(r *Record) { r.Requests[0].Status = 503 }, []string{Refusal}},
 		{"begun behind its time", func(r *Record) { r.Attempts[0].Began, r.Attempts[0].Whole, r.Attempts[0].Told = 3510*ms, 3510*ms, -1 }, []string{Late}},
 		{"begun as its client leaves", func(r *Record) { r.Attempts[0].Began, r.Attempts[0].Whole, r.Attempts[0].Told = 3490*ms, 3490*ms, -1 }, nil},
+		{"begun behind its time, held up ahead of a long body's end", func(r *Record) {
+			r.Requests[0].Long = true
+			r.Attempts[0].Whole, r.Process[0].HoldUps = 3530*ms, []Span{{3350 * ms, 3500 * ms}}
+		}, nil},
 		{"begun behind its client's end", func(r *Record) { r.Requests[0].Ending, r.Requests[0].Ended = Left, 2800*ms }, []string{Lost}},
 		{"told too much", func(r *Record) { r.Attempts[0].Told = 700 * ms }, []string{ToldMore}},
 		{"sent to a draining node", func(r *Record) { r.AddDrain(Drain{Node: "s", Told: 2300 * ms}) }, []string{Draining}},
