Run a long request's time from the moment in which its last byte came

What callers saw: an answer as much behind its time as the front had waited for a connection to the node, up to twice the time for connecting, and so a lost request beyond half a second. Cause: a long body is not read while startUpload waits for a connection or the node takes nothing; its last byte stands in the kernel, and the client's time was counted from the read. The same class: a time that is older than what it stands for. Change: arrival bounds how long the last byte has waited, by the last read that found the kernel empty, and by the kernel's own word (tcpi_last_data_recv) where that is over 50 ms; the time left is less by it.

--- a/internal/net/transport/body.go
+++ b/internal/net/transport/body.go
@@ -34,7 +34,8 @@
 		return m, 0, nil
 	}
 	control := http.NewResponseController(w)
-	next := f.bodyReader(r, conn, control)
+	came := newArrival(r.ContentLength < 0)
+	next := f.bodyReader(r, conn, control, &came)
 	m.Body, err = f.bufferBody(r.ContentLength, next)
 	if err == nil { // there is more
 		err = f.streamBody(r, &m, next)
@@ -42,6 +43,7 @@
 	switch {
 	case err == io.EOF || err == nil:
 		conn.framing.endBody()
+		m.TimeLeft -= toMicros(came.waited(conn.raw))
 	case errors.Is(err, errUploadFailed):
 		return m, 0, err
 	case f.guard.Permits(lifecycle.EndIncomplete): // its connection was woken to end
@@ -73,13 +75,15 @@
 }
 
 // bodyReader returns a function that reads the next piece of a body, within the bounds on its length and its silence.
-func (f *Front) bodyReader(r *http.Request, conn *clientConn, control *http.ResponseController) func(p []byte) (int, error) {
+func (f *Front) bodyReader(r *http.Request, conn *clientConn, control *http.ResponseController, came *arrival) func(p []byte) (int, error) {
 	left := f.limits.Requests.StreamedBytes
 	return func(p []byte) (int, error) {
 		if err := control.SetReadDeadline(time.Now().Add(f.limits.Clients.BodySilence)); err != nil {
 			return 0, err
 		}
+		began := time.Now()
 		n, err := r.Body.Read(p)
+		came.read(began, n, len(p))
 		f.clients.bodyProgressed(conn)
 		left -= int64(n)
 		if left < 0 {
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"otterturn/internal/lifecycle"
 	"otterturn/internal/net/accept"
 )
@@ -95,25 +93,6 @@
 	}
 }
 
-// sinceLastReceived asks the kernel how long ago the last data of a connection came, or returns otherwise.
-func sinceLastReceived(c net.Conn, otherwise time.Duration) time.Duration {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return otherwise
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return otherwise
-	}
-	since := otherwise
-	raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			since = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	return since
-}
-
 // wait returns once connections are accepted again. It is false where they are not paused.
 func (l *listener) wait() bool {
 	l.mu.Lock()
--- a/internal/net/transport/long_test.go
+++ b/internal/net/transport/long_test.go
@@ -13,8 +13,10 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"otterturn/internal/limits"
+	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
 )
 
@@ -181,3 +183,33 @@
 		t.Errorf("%d slow transfers hold %d MB", slow, held>>20)
 	}
 }
+
+// Guards against lost requests whose body waited to be read: while a long request waits for a connection to its node, its last byte
+// has come and its client's time runs. Counted from the read, the answer came as much later as the wait had lasted.
+func TestTimeOfALongRequestRunsFromItsLastByte(t *testing.T) {
+	const length, wait = 150 << 10, 300 * time.Millisecond
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	free, _ := newNode(t, func(_ int64, c net.Conn, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(c, served)
+	})
+	busy, _ := newNode(t, func(_ int64, c net.Conn, _ *http.Request) {
+		close(begun)
+		<-goOn
+		io.WriteString(c, served)
+	})
+	_, core, front := newFront(t, func(l *limits.Limits) { l.Nodes.ReuseDelay, l.Nodes.Conns = 0, 1 }, free, busy)
+	first, second := dial(t, front), dial(t, front)
+	io.WriteString(first, strings.Replace(fmt.Sprintf(request, "first"), "shard=0", "shard=1", 1)+"\r\n")
+	standin.Await(t, "the first attempt", begun)
+	io.WriteString(second, strings.Replace(put("second", length), "4000m", "300m", 1)+strings.Repeat("x", length))
+	came := time.Now()
+	standin.Until(t, "the end of the second one's time", func() bool { return time.Since(came) > wait+200*time.Millisecond })
+	close(goOn)
+	if r, _ := second.ask(t, ""); r.StatusCode != 503 {
+		t.Errorf("a request whose time was over: %d", r.StatusCode)
+	}
+	if served := core.Tally().Sum(routing.Served); served != 1 {
+		t.Errorf("%d requests were served", served)
+	}
+}
