Ask the kernel whether a client is there right ahead of an attempt's first byte

Cause: an attempt heard of its client's end by the connection's reader, which may come up later than the goroutine that writes where the front was held up: a state older than the moment in which it acts. Change: Permitted asks the kernel by a peek (poll for file commands) right ahead of the write. A connection that is closed with a request unanswered counts as a violation only while the kernel knows of no end of its client: a test that left its first client had one. Result: TestNothingIsBegunWhereTheKernelKnowsOfTheEnd.

--- a/internal/net/routing/attempt.go
+++ b/internal/net/routing/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"time"
 
 	"otterturn/internal/lifecycle"
@@ -17,17 +18,29 @@
 	// to write is Permitted's word, as a context's end comes late where the process was held up.
 	MayBegin context.Context
 
+	// ClientGone asks whether the client has left by now, ahead of MayBegin's hearing of it. Set by the front, nil where it can't tell.
+	ClientGone func() bool
+
 	guard     *lifecycle.Guard // nil for none
 	operation lifecycle.Operation
 	beginBy   time.Time
 }
 
+// errClientGone tells that nobody waits for an attempt any more.
+var errClientGone = errors.New("the client has left")
+
 // Permitted asks whether the attempt may be written now. It is to be called right ahead of the first byte, and of the end of a
 // long request.
 func (a Attempt) Permitted() error {
-	if err := a.MayBegin.Err(); err != nil || a.guard == nil {
+	if err := a.MayBegin.Err(); err != nil {
 		return err
 	}
+	if a.ClientGone != nil && a.ClientGone() {
+		return errClientGone
+	}
+	if a.guard == nil {
+		return nil
+	}
 	return a.guard.Allow(a.operation, a.beginBy)
 }
 
@@ -59,7 +72,9 @@
 		mayBegin, release := context.WithDeadline(ctx, beginBy)
 		defer release()
 		defer context.AfterFunc(own, release)()
-		value, outcome := runAttempt(limited, Attempt{v.Node, mayBegin, c.Guard, operationOf(number), beginBy}, attempt)
+		value, outcome := runAttempt(limited, Attempt{
+			Node: v.Node, MayBegin: mayBegin, guard: c.Guard, operation: operationOf(number), beginBy: beginBy,
+		}, attempt)
 		outcome.ID = s.request.ID
 		outcome.Attempt = number
 		c.submit(message{event: outcome})
--- a/internal/net/transport/arrival.go
+++ b/internal/net/transport/arrival.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -49,22 +47,3 @@
 	}
 	return min(most, sinceLastReceived(c, most))
 }
-
-// sinceLastReceived asks the kernel how long ago the last data of a connection came, or returns otherwise.
-func sinceLastReceived(c net.Conn, otherwise time.Duration) time.Duration {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return otherwise
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return otherwise
-	}
-	since := otherwise
-	raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			since = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	return since
-}
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -8,7 +8,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"otterturn/internal/lifecycle"
@@ -194,7 +193,7 @@
 // Close ends the connection. A client that was answered is let read that to its end: a close over bytes that were not
 // read resets a connection, and takes along what is under way.
 func (c *clientConn) Close() error {
-	if c.owing.Load() && !c.gone.Load() {
+	if c.owing.Load() && !c.gone.Load() && !c.hungUp() {
 		c.clients.guard.Violated(lifecycle.EndIdle, "closed with a request unanswered")
 	}
 	if c.closing.Swap(true) { // the front ends, or wants the room
@@ -217,12 +216,6 @@
 // hasUnreadInput reports whether the kernel holds bytes that were not read, or the client has ended the connection.
 func (c *clientConn) hasUnreadInput() bool { return !isIdle(c.raw) }
 
-// nothingToRead tells whether a socket is open with nothing to read.
-func nothingToRead(fd uintptr) bool {
-	_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN
-}
-
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
--- a/internal/net/transport/evict_test.go
+++ b/internal/net/transport/evict_test.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"otterturn/internal/limits"
+	"otterturn/internal/net/routing"
 	"otterturn/internal/standin"
+	"otterturn/scheduler"
 )
 
 // readAll reads from a connection as net/http does, until its end.
@@ -118,3 +120,21 @@
 		t.Errorf("behind two bytes: %q, %v", answer, err)
 	}
 }
+
+// Guards against an attempt for a client that left as the front was held up: what the kernel knows counts right ahead of the first
+// byte, though the reader has not heard of it.
+func TestNothingIsBegunWhereTheKernelKnowsOfTheEnd(t *testing.T) {
+	_, c, far := acceptOne(t)
+	if c.hungUp() {
+		t.Error("gone while it is there")
+	}
+	far.CloseWrite()
+	standin.Until(t, "the end", c.hungUp)
+	addr, count := newNode(t, func(_ int64, c net.Conn, _ *http.Request) { io.WriteString(c, served) })
+	s := newNodes(nil, addr)
+	r, _ := http.NewRequest(http.MethodGet, "http://backend.local/read/00000000000000aa/00000000000000bb", nil)
+	a := routing.Attempt{Node: "node-0", MayBegin: t.Context(), ClientGone: c.hungUp}
+	if _, out := s.attempt(t.Context(), a, r); out.Result != scheduler.NotStarted || count.Load() != 0 {
+		t.Errorf("%v, %d requests", out.Result, count.Load())
+	}
+}
--- a/internal/net/transport/roundtrip.go
+++ b/internal/net/transport/roundtrip.go
@@ -46,9 +46,14 @@
 		return nil, errors.New("round trip: no request in the context")
 	}
 	var answer responseHandoff
+	var clientGone func() bool
+	if conn := connOf(r.Context()); conn != nil {
+		clientGone = conn.hungUp
+	}
 	resp, err := routing.Do(r.Context(), t.core, m.Request.Request,
 		func(ctx context.Context, a routing.Attempt) (resp *http.Response, outcome scheduler.AttemptEnded) {
 			defer func() { answer.put(resp) }()
+			a.ClientGone = clientGone
 			if m.upload != nil {
 				return t.nodes.finishUpload(ctx, a, m.upload)
 			}
--- a/internal/net/transport/sftp/transfer.go
+++ b/internal/net/transport/sftp/transfer.go
@@ -137,7 +137,7 @@
 	}
 	v.under.Go(func() {
 		defer release()
-		reply, err := routing.Carry(v.ctx, entry, v.front.tried(cmd))
+		reply, err := routing.Carry(v.ctx, entry, v.tried(cmd))
 		count.add(err)
 		if err == nil {
 			err = reply.Err
@@ -177,9 +177,10 @@
 }
 
 // tried is the attempt of a command.
-func (f *Front) tried(cmd files.Command) func(context.Context, routing.Attempt) (files.Reply, scheduler.AttemptEnded) {
+func (v *visitor) tried(cmd files.Command) func(context.Context, routing.Attempt) (files.Reply, scheduler.AttemptEnded) {
 	return func(ctx context.Context, a routing.Attempt) (files.Reply, scheduler.AttemptEnded) {
-		return f.attempt(ctx, a, cmd)
+		a.ClientGone = func() bool { return hungUp(v.conn) }
+		return v.front.attempt(ctx, a, cmd)
 	}
 }
 
--- a/internal/net/transport/sftp/visitor.go
+++ b/internal/net/transport/sftp/visitor.go
@@ -206,7 +206,7 @@
 		count.add(full)
 		return files.Reply{}, full
 	}
-	reply, err := routing.Do(v.ctx, f.core, request, f.tried(cmd))
+	reply, err := routing.Do(v.ctx, f.core, request, v.tried(cmd))
 	count.add(err)
 	if err == nil {
 		err = reply.Err
