--- a/internal/lifecycle/guard.go
+++ b/internal/lifecycle/guard.go
@@ -134,6 +134,7 @@
 func (g *Guard) Allow(op Operation, by time.Time) error {
 	if reason := g.state.Load().decide(op, g.clock(), by); reason != Allowed {
 		g.denied[op].Add(1)
+		g.log.Debug("operation denied", "operation", op.String(), "reason", reason.String(), "since_shutdown", g.Since().String())
 		return &DeniedError{op, reason}
 	}
 	return nil
--- a/internal/net/protocol/figures_test.go
+++ b/internal/net/protocol/figures_test.go
@@ -21,3 +21,16 @@
 		t.Errorf("on: %s", on)
 	}
 }
+
+// A violation shows in the figures, by its operation, as does what was denied; operations without any have no line.
+func TestFiguresOfTheRules(t *testing.T) {
+	text := FormatFigures(Figures{Rules: RuleFigures{
+		Operations:      []RuleCount{{Operation: "take", Denied: 2}, {Operation: "send", Denied: 1, Violations: 3}, {Operation: "retry"}},
+		EndedByShutdown: 4, EndedOverdue: 5, AcceptErrors: 6, LogLinesDropped: 7,
+	}})
+	want := "svc.denied:3|c\nsvc.violations:3|c\nsvc.denied.take:2|c\nsvc.denied.send:1|c\nsvc.violations.send:3|c\n" +
+		"svc.ended_by_shutdown:4|c\nsvc.ended_overdue:5|c\nsvc.accept_errors:6|c\nsvc.log_lines_dropped:7|c\n"
+	if !strings.HasSuffix(text, want) {
+		t.Errorf("%s", text)
+	}
+}
--- a/internal/net/routing/attempt.go
+++ b/internal/net/routing/attempt.go
@@ -62,6 +62,9 @@
 	answers chan<- T,
 ) context.CancelCauseFunc {
 	c := s.core
+	if c.debugEnabled() {
+		c.Log.Debug("attempt started", "request", s.request.ID, "attempt", number, "node", v.Node, "operation", operationOf(number).String())
+	}
 	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	go func() {
 		// The contexts end only after the outcome is submitted: who sees them end may use the request's id again.
--- a/internal/net/routing/request.go
+++ b/internal/net/routing/request.go
@@ -40,12 +40,20 @@
 	if err := s.core.Guard.Allow(lifecycle.Take, s.deadline); err != nil {
 		s.core.counters.countEnding(s.request.Class, Rejected)
 		s.core.Log.Debug("request rejected", "request", s.request.ID, "why", err)
-		return &RejectedError{}
+		return s.core.rejectedNow()
 	}
 	s.request.TimeLeft = scheduler.Micros(s.deadline.Sub(now) / time.Microsecond)
 	return nil
 }
 
+// rejectedNow is the answer to a request that does not fit any more. In a shutdown its client should come back behind the kill.
+func (c *Core) rejectedNow() *RejectedError {
+	if c.Guard.Phase() == lifecycle.Serving {
+		return &RejectedError{}
+	}
+	return &RejectedError{RetryAfter: c.Guard.BeforeKill(c.Guard.Limits().Kill)}
+}
+
 // SubmitWhenReady submits a request once the scheduler would send it without a wait, or at the latest after the time given.
 // Until then it is not taken: nothing is owed for it, its time does not run, and it fails with the cause of ctx where that
 // ends first.
@@ -153,7 +161,7 @@
 	s.core.Log.Info("request given up", "request", s.request.ID, "why", why, "attempts", attempts)
 	if attempts == 0 {
 		s.core.counters.countEnding(s.request.Class, Rejected)
-		return *new(T), &RejectedError{}
+		return *new(T), s.core.rejectedNow()
 	}
 	s.core.counters.countEnding(s.request.Class, Failed) // it may have run
 	return *new(T), ErrFailed
