Keep a client's connection through calls that fail for a moment

What callers saw: no answer, their connection closed, where a read or write on it failed once with ENOBUFS, ENOMEM, EHOSTUNREACH, ENETUNREACH or ETIMEDOUT, as a route or the kernel's memory fails for a moment. Cause: net/http takes any error of a read for the client's end, and any of a write for the end of the answer, on a connection that is as good as before. Both fronts have it, below TLS. The soak also sends files that are cut off in quick succession.

--- a/internal/lab/faults/injector.go
+++ b/internal/lab/faults/injector.go
@@ -211,6 +211,12 @@
 	return err == nil && strings.HasPrefix(name, "/") && !strings.HasPrefix(name, "/dev/")
 }
 
+// AnySocket is a Match for calls whose first argument is a descriptor of a socket.
+func AnySocket(pid uint32, args [6]uint64) bool {
+	name, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", pid, args[0]))
+	return err == nil && strings.HasPrefix(name, "socket:")
+}
+
 // StreamSocket is a Match for socket(2): TCP sockets alone.
 func StreamSocket(_ uint32, args [6]uint64) bool {
 	return args[0] == unix.AF_INET && args[1]&0xf == unix.SOCK_STREAM
--- /dev/null
+++ b/internal/net/steady/steady_test.go
@@ -0,0 +1,81 @@
+package steady
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+)
+
+// script is a connection whose calls fail by a list, and then move what they are given.
+type script struct {
+	net.Conn
+	errs []error
+	text []byte
+}
+
+func (s *script) next() error {
+	if len(s.errs) == 0 {
+		return nil
+	}
+	err := s.errs[0]
+	if len(s.errs) > 1 || err == nil {
+		s.errs = s.errs[1:]
+	}
+	return err
+}
+
+func (s *script) Read(p []byte) (int, error) {
+	if err := s.next(); err != nil {
+		return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", err)}
+	}
+	return copy(p, "data"), nil
+}
+
+func (s *script) Write(p []byte) (int, error) {
+	if err := s.next(); err != nil { // half of it left
+		s.text = append(s.text, p[:len(p)/2]...)
+		return len(p) / 2, &net.OpError{Op: "write", Err: os.NewSyscallError("write", err)}
+	}
+	s.text = append(s.text, p...)
+	return len(p), nil
+}
+
+// Guards against answers that are lost as a system call on their client's connection fails for a moment.
+func TestCallsThatFailForAMomentAreTriedAgain(t *testing.T) {
+	for _, m := range momentary {
+		s := &script{errs: []error{m, m, nil}}
+		p := make([]byte, 8)
+		if n, err := (Conn{s}).Read(p); err != nil || string(p[:n]) != "data" {
+			t.Errorf("read, %v: %q, %v", m, p[:n], err)
+		}
+		s.errs = []error{m, m, nil}
+		if n, err := (Conn{s}).Write([]byte("an answer")); err != nil || n != 9 || string(s.text) != "an answer" {
+			t.Errorf("write, %v: %d, %v, %q", m, n, err, s.text)
+		}
+	}
+}
+
+// What ends a connection, or its time, is told at once; a call that goes on failing ends too.
+func TestEndsAreToldAtOnce(t *testing.T) {
+	for _, end := range []error{syscall.ECONNRESET, syscall.EPIPE, os.ErrDeadlineExceeded, io.EOF} {
+		s := &script{errs: []error{end}}
+		if _, err := (Conn{s}).Write([]byte("x")); !errors.Is(err, end) || len(s.text) > 0 {
+			t.Errorf("%v: %v, %q", end, err, s.text)
+		}
+	}
+	s := &script{errs: []error{syscall.ENOBUFS}}
+	if _, err := (Conn{s}).Read(make([]byte, 1)); !errors.Is(err, syscall.ENOBUFS) {
+		t.Error(err)
+	}
+}
+
+func TestInnermost(t *testing.T) {
+	s := &script{}
+	if Innermost(tls.Server(Conn{s}, nil)) != net.Conn(s) || Innermost(s) != net.Conn(s) {
+		t.Error("another connection")
+	}
+}
--- a/internal/net/transport/handshakes.go
+++ b/internal/net/transport/handshakes.go
@@ -11,6 +11,7 @@
 
 	"otterturn/internal/limits"
 	"otterturn/internal/net/accept"
+	"otterturn/internal/net/steady"
 )
 
 // Handshakes is a listener whose connections have their TLS handshake behind them. It has bounds of its own: a
@@ -67,7 +68,7 @@
 
 func (h *Handshakes) complete(raw net.Conn, at *queue.Element) {
 	limited, end := context.WithTimeout(h.ctx, h.limits.Clients.HandshakeTimeout)
-	conn := tls.Server(raw, h.config)
+	conn := tls.Server(steady.Conn{Conn: raw}, h.config)
 	err := conn.HandshakeContext(limited)
 	end()
 	h.mu.Lock()
--- a/internal/net/transport/kernel.go
+++ b/internal/net/transport/kernel.go
@@ -24,7 +24,7 @@
 	gone := false
 	err = raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = err == nil && n == 0 || err == syscall.ECONNRESET || err == syscall.EPIPE || err == syscall.ETIMEDOUT
+		gone = err == nil && n == 0 || err == syscall.ECONNRESET || err == syscall.EPIPE
 	})
 	return err != nil || gone
 }
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -10,6 +10,7 @@
 
 	"otterturn/internal/lifecycle"
 	"otterturn/internal/net/accept"
+	"otterturn/internal/net/steady"
 )
 
 // listener hands connections to net/http, within the bound on all that are open: those that it accepts, and those that
@@ -75,7 +76,7 @@
 		if raw != nil {
 			l.clients.announce(1)
 			if delay := l.accepting.Delay(); delay > 0 {
-				next.delay = min(delay, sinceLastReceived(raw, delay))
+				next.delay = min(delay, sinceLastReceived(steady.Innermost(raw), delay))
 			}
 		}
 		select {
@@ -142,9 +143,9 @@
 	case <-l.ended:
 		return nil, net.ErrClosed
 	}
-	c := &clientConn{Conn: next.conn, raw: next.conn, clients: l.clients, acceptDelay: next.delay}
-	if secure, ok := next.conn.(*tls.Conn); ok {
-		c.raw = secure.NetConn()
+	c := &clientConn{Conn: next.conn, raw: steady.Innermost(next.conn), clients: l.clients, acceptDelay: next.delay}
+	if _, secure := next.conn.(*tls.Conn); !secure { // TLS has it below
+		c.Conn = steady.Conn{Conn: next.conn}
 	}
 	l.clients.add(c)
 	return c, nil
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"strconv"
@@ -13,6 +14,7 @@
 	"otterturn/internal/net/accept"
 	files "otterturn/internal/net/protocol/sftp"
 	"otterturn/internal/net/routing"
+	"otterturn/internal/net/steady"
 	"otterturn/scheduler"
 )
 
@@ -94,6 +96,9 @@
 		if err != nil {
 			return err
 		}
+		if _, secure := c.(*tls.Conn); !secure { // TLS has it below
+			c = steady.Conn{Conn: c}
+		}
 		if !f.enter(newVisitor(f, c)) {
 			c.Close() // SFTP has no word for 'full' ahead of a session
 		}
--- a/internal/net/transport/sftp/leave.go
+++ b/internal/net/transport/sftp/leave.go
@@ -1,12 +1,13 @@
 package sftp
 
 import (
-	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"otterturn/internal/net/steady"
 )
 
 // watch has what is out for a client lapse once it has left, until ended. What a client sent ahead is not read before its
@@ -29,10 +30,7 @@
 
 // hungUp tells whether the other end of a connection has ended its sending, or reset it.
 func hungUp(c net.Conn) bool {
-	if secure, ok := c.(*tls.Conn); ok {
-		c = secure.NetConn()
-	}
-	s, ok := c.(syscall.Conn)
+	s, ok := steady.Innermost(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/internal/soak/front.go
+++ b/internal/soak/front.go
@@ -89,8 +89,11 @@
 	defer log.Close()
 	cmd.Stdout, cmd.Stderr = nil, log
 	calls := numbers(socketFailures)
-	if f.appliance {
+	switch {
+	case f.appliance:
 		calls = numbers(socketFailures, fileFailures)
+	case f.number%3 == 1:
+		calls = numbers(socketFailures, streamFailures)
 	}
 	process := f.run.record.AddProcess(audit.Process{Front: f.number, Name: fmt.Sprintf("%s.%d", f.name, f.runs)})
 	injector, err := faults.Start(cmd, f.run.self, calls...)
@@ -206,6 +209,11 @@
 	f.mu.Unlock()
 	time.Sleep(f.longest / 4) // what was asked before has less left by then
 	text := f.run.scenario.platformConfig(f.addr, f.control, f.agent.Addr, f.run.discovery.Whole(), longest)
+	for f.draw(3) > 0 { // some that are cut off come ahead of it
+		os.WriteFile(f.config, text[:f.draw(len(text))], 0o600)
+		f.signal(syscall.SIGHUP)
+		time.Sleep(reloadPause)
+	}
 	if err := os.WriteFile(f.config, text, 0o600); err != nil {
 		return err
 	}
@@ -217,6 +225,9 @@
 	return nil
 }
 
+// reloadPause is between two files in quick succession.
+const reloadPause = 100 * time.Millisecond
+
 // reloadTime is when new settings hold at the latest.
 const reloadTime = 1200 * time.Millisecond
 
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -94,6 +94,14 @@
 	}},
 }
 
+// streamFailures are those of read(2) and write(2) on a TCP connection that lives on.
+var streamFailures = []failure{
+	{call: unix.SYS_READ, errs: streamErrors, match: faults.AnySocket},
+	{call: unix.SYS_WRITE, errs: streamErrors, match: faults.AnySocket},
+}
+
+var streamErrors = []unix.Errno{unix.EINTR, unix.ENOBUFS, unix.ENOMEM, unix.EHOSTUNREACH, unix.ENETUNREACH, unix.ETIMEDOUT}
+
 // fileFailures are those of writes and syncs of a folder.
 var fileFailures = []failure{
 	{call: unix.SYS_WRITE, errs: []unix.Errno{unix.EIO, unix.ENOSPC, unix.EDQUOT}, match: faults.RegularFile},
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -99,8 +99,11 @@
 	injector := f.injector
 	f.mu.Unlock()
 	from := socketFailures
-	if files {
+	switch {
+	case files:
 		from = fileFailures
+	case f.number%3 == 1 && f.draw(2) == 0:
+		from = streamFailures
 	}
 	chosen := from[f.draw(len(from))]
 	if chosen.call == unix.SYS_ACCEPT4 {
@@ -111,7 +114,7 @@
 	rule := faults.Rule{
 		Call: chosen.call, Err: chosen.errs[f.draw(len(chosen.errs))], Match: chosen.match, Until: time.Now().Add(span),
 	}
-	if rule.Err == unix.EINTR || rule.Err == unix.ECONNABORTED {
+	if rule.Err == unix.EINTR || rule.Err == unix.ECONNABORTED || chosen.call == unix.SYS_READ || chosen.call == unix.SYS_WRITE {
 		rule.Times = onePerCause
 	}
 	injector.Inject(rule)
