Split the operator's file, the certificates' manager and the orders by what they do

Functions are moved as they were; the sorted lines of code are the same apart from the files' heads.

--- /dev/null
+++ b/internal/certs/order/outcome.go
@@ -0,0 +1,120 @@
+package order
+
+import (
+	"context"
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"golang.org/x/crypto/acme"
+
+	"otterturn/internal/certs/plan"
+	"otterturn/internal/certs/vault"
+)
+
+// This file tells how a try ended.
+
+// failure is an error with what the plan makes of it.
+type failure struct {
+	kind plan.Kind
+	err  error
+}
+
+func (f *failure) Error() string { return f.err.Error() }
+
+func (f *failure) Unwrap() error { return f.err }
+
+func fail(kind plan.Kind, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &failure{kind, err}
+}
+
+// Check tells whether a chain fits a key, the names and the time.
+func Check(chain [][]byte, key crypto.Signer, names []string, now time.Time) (*tls.Certificate, error) {
+	var certs []*x509.Certificate
+	for _, der := range chain {
+		c, err := x509.ParseCertificate(der)
+		if err != nil {
+			return nil, fmt.Errorf("a certificate of the chain: %w", err)
+		}
+		certs = append(certs, c)
+	}
+	if len(certs) == 0 {
+		return nil, errors.New("an empty chain")
+	}
+	leaf := certs[0]
+	pub, ok := key.Public().(*ecdsa.PublicKey)
+	if !ok || !pub.Equal(leaf.PublicKey) {
+		return nil, errors.New("the certificate is for another key")
+	}
+	for _, n := range names {
+		if err := leaf.VerifyHostname(n); err != nil {
+			return nil, fmt.Errorf("the certificate is for other names: %w", err)
+		}
+	}
+	if now.After(leaf.NotAfter) || now.Add(time.Minute).Before(leaf.NotBefore) {
+		return nil, fmt.Errorf("the certificate is valid from %s to %s, it is %s", leaf.NotBefore.UTC(), leaf.NotAfter.UTC(), now.UTC())
+	}
+	for i := range certs[:len(certs)-1] {
+		if err := certs[i].CheckSignatureFrom(certs[i+1]); err != nil {
+			return nil, fmt.Errorf("the chain is broken behind its certificate %d: %w", i+1, err)
+		}
+	}
+	return &tls.Certificate{Certificate: chain, PrivateKey: key, Leaf: leaf}, nil
+}
+
+// Outcome tells what the plan makes of how a try ended.
+func Outcome(err error) plan.Outcome {
+	if err == nil {
+		return plan.Outcome{Kind: plan.Obtained}
+	}
+	o := plan.Outcome{Kind: plan.Stalled, Detail: err.Error()}
+	var own *failure
+	var said *acme.Error
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &own):
+		o.Kind = own.kind
+	case errors.Is(err, vault.ErrBusy):
+		o.Kind = plan.Busy
+	case errors.As(err, &said):
+		o.RetryAfter, _ = acme.RateLimit(said)
+		o.Kind = problem(said)
+	case errors.As(err, &syntax), errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, context.DeadlineExceeded):
+		o.Kind = plan.Nonsense
+	}
+	return o
+}
+
+// problem maps the problems of RFC 8555, section 6.7.
+func problem(e *acme.Error) plan.Kind {
+	const ns = "urn:ietf:params:acme:error:"
+	switch e.ProblemType {
+	case ns + "badNonce":
+		return plan.BadNonce
+	case ns + "rateLimited":
+		return plan.RateLimited
+	case ns + "accountDoesNotExist":
+		return plan.NoAccount
+	case ns + "connection", ns + "dns", ns + "tls", ns + "incorrectResponse":
+		return plan.Unreachable
+	case ns + "orderNotReady":
+		return plan.Invalid
+	}
+	switch {
+	case e.StatusCode == http.StatusTooManyRequests:
+		return plan.RateLimited
+	case e.StatusCode >= 500:
+		return plan.ServerError
+	}
+	return plan.Rejected
+}
--- /dev/null
+++ b/internal/program/operator_settings.go
@@ -0,0 +1,103 @@
+package program
+
+import (
+	"time"
+
+	"otterturn/internal/limits"
+	"otterturn/internal/net/protocol"
+	files "otterturn/internal/net/protocol/sftp"
+	"otterturn/internal/net/transport/sftp"
+	"otterturn/scheduler"
+)
+
+// This file turns an operator's file into what the parts are told.
+
+func (o *Operator) plan(name string) int {
+	for i, p := range o.Plans {
+		if p.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// limits fills the limits of the appliance.
+func (o *Operator) limits() limits.Limits {
+	longest := time.Duration(0)
+	for _, c := range o.Classes {
+		longest = max(longest, c.Wait)
+	}
+	return limits.For(limits.Site{
+		MemoryMB: o.Limits.MemoryMB, Sockets: o.Limits.Sockets, Open: o.Limits.Open,
+		ConnIdle: o.Limits.NodeIdle, Connect: o.Limits.Connect, Deadline: longest,
+	})
+}
+
+// Settings are the figures of the scheduler and of the HTTP front.
+func (o *Operator) Settings() protocol.Settings {
+	out := protocol.Settings{
+		Classes: classNames, MaxOpen: o.Limits.Open, ConnIdle: o.Limits.NodeIdle,
+		Connect: o.Limits.Connect, Retry: o.Limits.RetryAfter, Scheduler: scheduler.Settings{
+			Fronts: 1, Tick: 2000, MeanUnits: 2, MaxUnits: mostUnits, MaxAttempts: o.Limits.Tries, HealthChecks: true, ServeLate: true,
+			RetryAfter: true, MaxRetryAfter: scheduler.Micros(o.Limits.RetryAfter / time.Microsecond),
+		},
+	}
+	if k := o.Learned; k.Folder != "" {
+		out.Scheduler.Lease = scheduler.Micros(k.Lease / time.Microsecond)
+		out.Scheduler.RecordLifetime = scheduler.Micros(recordLasts * k.Interval / time.Microsecond)
+	}
+	write := scheduler.IdempotentByKey
+	if o.Classes["write"].Repeat == "never" {
+		write = scheduler.NotIdempotent
+	}
+	for role, repeat := range files.Repeats(write) {
+		c := o.Classes[classNames[min(role, int(files.RoleWrite))]]
+		out.LongestWait = max(out.LongestWait, c.Wait)
+		out.Scheduler.Classes = append(out.Scheduler.Classes, scheduler.Class{
+			LatencyObjective: scheduler.Micros(c.Within / time.Microsecond),
+			Idempotency:      repeat, DedupScope: scheduler.SameShard, DedupWindow: scheduler.Micros(c.Window / time.Microsecond), Priority: c.Worth,
+		})
+	}
+	for _, n := range o.Nodes {
+		out.Shards = max(out.Shards, n.Shard+1)
+	}
+	for _, p := range o.Plans {
+		out.Plans = append(out.Plans, p.Name)
+		out.Scheduler.Plans = append(out.Scheduler.Plans, scheduler.Plan{
+			Reservation: p.Reservation, Weight: p.Weight,
+			Limit: p.Limit, Burst: p.Burst,
+		})
+	}
+	return out
+}
+
+// site is what the SFTP front is told.
+func (o *Operator) site() sftp.Site {
+	out := sftp.Site{
+		Retry: o.Limits.RetryAfter,
+		Sizes: files.Sizes{UnitBytes: o.SFTP.UnitBytes, BulkBytes: o.SFTP.BulkBytes, MostUnits: mostUnits},
+	}
+	for role := range out.Classes {
+		out.Classes[role] = role
+		out.Wait[role] = o.Classes[classNames[min(role, int(files.RoleWrite))]].Wait
+	}
+	for _, p := range o.Projects {
+		out.Projects = append(out.Projects, files.Project{
+			Name: p.Name, Prefix: p.Prefix, Plan: o.plan(p.Plan),
+			Shard: p.Shard,
+		})
+	}
+	return out
+}
+
+// list is the node list with the addresses of one front.
+func (o *Operator) list(dial func(sftp, http string) string) protocol.List {
+	out := protocol.List{Whole: true}
+	for _, n := range o.Nodes {
+		out.Hosts = append(out.Hosts, protocol.Host{
+			Dial:     dial(n.SFTP, n.HTTP),
+			Endpoint: scheduler.Endpoint{Node: n.Name, Shard: n.Shard},
+		})
+	}
+	return out
+}
