Reckon a hold-up of the front into the grace of a drain, and leave writes a moment at the end

The parts of a watch's wait are those of the grace less a hold-up now: 87 ms in the place of 125 at 0.5 s. A wait that begins where SIGKILL is due but does not come has 50 ms: with none, an appliance that nobody kills could not write its last answers.

--- a/internal/lifecycle/guard.go
+++ b/internal/lifecycle/guard.go
@@ -120,13 +120,16 @@
 	return g.state.Load().deadline(g.clock(), left)
 }
 
-// BeforeKill bounds a wait that begins now, so that it is over ahead of SIGKILL.
+// minWait is what a wait has at the least: a shutdown that nobody kills still writes its answers.
+const minWait = 50 * time.Millisecond
+
+// BeforeKill bounds a wait that begins now, so that it is over ahead of SIGKILL where there is time for it.
 func (g *Guard) BeforeKill(wait time.Duration) time.Duration {
 	s := g.state.Load()
 	if !s.stopping() {
 		return wait
 	}
-	return max(0, min(wait, s.began.Add(s.limits.Kill-s.limits.HoldUp).Sub(g.clock())))
+	return max(minWait, min(wait, s.began.Add(s.limits.Kill-s.limits.HoldUp).Sub(g.clock())))
 }
 
 // Allow tells whether an operation may be carried out now; the error is a *DeniedError. by is the time that the operation has
--- a/internal/limits/operation.go
+++ b/internal/limits/operation.go
@@ -4,10 +4,10 @@
 
 // A front's own agent answers at once and at no cost, or not at all while discovery is down, and what it has counts as
 // told: so a call that is not answered is given up, and the next one made, within the time in which a drain has to be
-// heeded. Three of these parts of it are gone then at the latest, and an eighth.
+// heeded, less a hold-up of the front. Three of these parts of it are gone then at the latest, and an eighth.
 const (
 	agentParts    = 4
-	minDrainGrace = 200 * time.Millisecond // the grace is reckoned within these bounds
+	minDrainGrace = 250 * time.Millisecond // the grace is reckoned within these bounds
 	maxDrainGrace = 2 * time.Second
 )
 
@@ -29,7 +29,7 @@
 )
 
 func discoveryLimits(site Site, got shares) DiscoveryLimits {
-	part := min(max(site.DrainGrace, minDrainGrace), maxDrainGrace) / agentParts
+	part := (min(max(site.DrainGrace, minDrainGrace), maxDrainGrace) - holdUp) / agentParts
 	out := DiscoveryLimits{
 		ListBytes:     max(minListBytes, got.memory/memoryFraction),
 		WatchHold:     part,
@@ -52,8 +52,8 @@
 const (
 	stopMaxDeadline     = 3 * time.Second
 	stopExtra           = 700 * time.Millisecond
-	stopHoldUp          = 150 * time.Millisecond           // a process may stand still so long between its clock and a write
-	stopAnswerMargin    = 2*stopHoldUp + stopWriteTime     // before the kill all requests are answered
+	holdUp              = 150 * time.Millisecond           // a process may stand still so long between its clock and a write
+	stopAnswerMargin    = 2*holdUp + stopWriteTime         // before the kill all requests are answered
 	stopWriteTime       = 50 * time.Millisecond            // for writing the answers that are due together
 	stopServeMargin     = stopAnswerMargin + stopCloseTime // before the kill connections bring no requests any more
 	stopCloseTime       = 150 * time.Millisecond           // for ending idle connections, and for what crosses that
@@ -75,7 +75,7 @@
 		Kill:            kill,
 		AtMost:          longest + stopAtMostExtra,
 		MinTime:         stopMinTime,
-		HoldUp:          stopHoldUp,
+		HoldUp:          holdUp,
 		ConnsPerRequest: stopConnsPerRequest,
 		CheckInterval:   stopCheckInterval,
 		HandoverTimeout: handoverTimeout,
--- a/internal/limits/traffic.go
+++ b/internal/limits/traffic.go
@@ -5,7 +5,7 @@
 const (
 	inboxPerClient = 4                      // events that may be queued for each client connection
 	minPastIDs     = 1024                   // ids that are remembered at the least
-	answerGrace    = 350 * time.Millisecond // with stopHoldUp, the half second within which a late answer is not lost
+	answerGrace    = 350 * time.Millisecond // with holdUp, the half second within which a late answer is not lost
 )
 
 func requestLimits(site Site, got shares) RequestLimits {
