--- /dev/null
+++ b/internal/soak/frontlog.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterturn/internal/soak/audit"
+)
+
+// This file is what a front's processes say of themselves: their logs, and the violations that they count.
+
+// openLog opens what a process writes its log to: a file of the run, or a pipe that nobody reads.
+func (f *front) openLog() (*os.File, error) {
+	if !f.blocked {
+		return os.Create(filepath.Join(f.run.folder, fmt.Sprintf("%s.%d.log", f.name, f.runs)))
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	if f.unread != nil {
+		f.unread.Close()
+	}
+	f.unread = r
+	return w, nil
+}
+
+// fillPipe fills a pipe by its read end's name, which opens it for writing as well.
+func fillPipe(pipe *os.File) {
+	fd, err := unix.Open(fmt.Sprintf("/proc/self/fd/%d", pipe.Fd()), unix.O_WRONLY|unix.O_NONBLOCK, 0)
+	if err != nil {
+		return
+	}
+	defer unix.Close(fd)
+	for _, piece := range [][]byte{make([]byte, 4096), make([]byte, 1)} {
+		for {
+			if _, err := unix.Write(fd, piece); err != nil {
+				break
+			}
+		}
+	}
+}
+
+var violationsLine = regexp.MustCompile(`(?m)^svc\.violations:(\d+)\|c$`)
+
+// noteViolations asks the process for what it counted itself; one that does not answer has counted nothing that can be known.
+func (f *front) noteViolations() {
+	if f.control == "" {
+		return
+	}
+	client := http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + f.control + "/stats")
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if found := violationsLine.FindSubmatch(text); found != nil {
+		n, _ := strconv.ParseInt(string(found[1]), 10, 64)
+		f.run.record.Change(f.process, func(p *audit.Process) { p.Counted = max(p.Counted, n) })
+	}
+}
--- a/internal/soak/peers/client.go
+++ b/internal/soak/peers/client.go
@@ -97,7 +97,7 @@
 
 // stop sends half a request and stays.
 func (c *Client) stop(conn net.Conn, in *bufio.Reader, t Target, first bool) {
-	text, _ := c.request(t, c.Classes[0], time.Second, 0)
+	text, _ := c.request(c.Classes[0], time.Second, 0)
 	part := 1 + c.Random.IntN(len(text)-4)
 	bad := audit.BadClient{Process: t.Process, Began: c.Clock(), Bytes: part, First: first}
 	if _, err := io.WriteString(conn, text[:part]); err != nil {
@@ -111,7 +111,7 @@
 }
 
 // request is the text of a request's head, and its id.
-func (c *Client) request(t Target, class Class, wait time.Duration, body int) (head, id string) {
+func (c *Client) request(class Class, wait time.Duration, body int) (head, id string) {
 	id = fmt.Sprintf("r%08x", requests.Add(1))
 	method := "GET"
 	if class.Write {
@@ -142,7 +142,7 @@
 			body = 150 << 10
 		}
 	}
-	head, id := c.request(t, class, wait, body)
+	head, id := c.request(class, wait, body)
 	x := audit.Request{ID: id, Class: class.Effect, Process: t.Process, Wait: wait, Long: body > 64<<10}
 	text := head + strings.Repeat("b", body)
 	if body > 0 && c.percent(slowBodies) {
