End no program where a request announces its id behind the end of a successor

Found by reading the change once more: handOver closed the queue of ids as the successor went, while a request that had loaded the announcing function before could still send to it, and a send on a closed channel ends the program. The queue is never closed now; its goroutine ends by a channel of its own. The pause behind a failed accept is the limits', where a second constant of 20 ms stood.

--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -119,7 +119,7 @@
 
 func (p *platform) handOverToSuccessors(ctx context.Context, path string, l *net.UnixListener) {
 	for ctx.Err() == nil {
-		c, err := awaitSuccessor(ctx, l)
+		c, err := awaitSuccessor(ctx, l, p.limits.AcceptRetry)
 		if err == nil {
 			cause := p.handOver(c)
 			p.log.Warn("upgrade rejected, predecessor continues serving", "error", cause)
@@ -135,14 +135,11 @@
 	}
 }
 
-// acceptRetry is the pause behind a successor that could not be accepted.
-const acceptRetry = 20 * time.Millisecond
-
 // awaitSuccessor takes the one successor that asks next.
-func awaitSuccessor(ctx context.Context, l *net.UnixListener) (*handover.Channel, error) {
+func awaitSuccessor(ctx context.Context, l *net.UnixListener, retry time.Duration) (*handover.Channel, error) {
 	defer l.Close()
 	defer context.AfterFunc(ctx, func() { l.Close() })()
-	c, err := accept.New(l, acceptRetry, nil).Accept()
+	c, err := accept.New(l, retry, nil).Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -152,6 +149,29 @@
 // queuedIDs is how many ids of requests may wait to be announced to the successor.
 const queuedIDs = 4096
 
+// announcer returns a function that tells the successor of a request's id, until ended. No request waits for it. It may be called
+// behind the end: a request may still hold it then.
+func (p *platform) announcer(c *handover.Channel, ended <-chan struct{}) func(id string) {
+	ids := make(chan string, queuedIDs)
+	go func() {
+		for {
+			select {
+			case id := <-ids:
+				c.Send(handover.KindRequestID, []byte(id), nil)
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return func(id string) {
+		select {
+		case ids <- id:
+		default: // the successor stands still
+			p.log.Warn("request id not announced to successor", "request", id)
+		}
+	}
+}
+
 // handOver is the predecessor's part, from the successor's question to its end. It returns while this process serves,
 // with the cause, never nil: where the successor did take over, this process ends meanwhile.
 func (p *platform) handOver(c *handover.Channel) error {
@@ -170,20 +190,9 @@
 		return err
 	}
 	p.otherProcess.Store(c)
-	announced := make(chan string, queuedIDs)
-	defer close(announced)
-	go func() {
-		for id := range announced {
-			c.Send(handover.KindRequestID, []byte(id), nil)
-		}
-	}()
-	p.core.AnnounceIDs(func(id string) {
-		select {
-		case announced <- id:
-		default: // the successor stands still: no request waits for it
-			p.log.Warn("request id not announced to successor", "request", id)
-		}
-	})
+	ended := make(chan struct{})
+	defer close(ended)
+	p.core.AnnounceIDs(p.announcer(c, ended))
 	p.front.Yield(func(conn net.Conn) error {
 		socket, ok := conn.(syscall.Conn)
 		if !ok {
