--- a/internal/net/transport/stop.go
+++ b/internal/net/transport/stop.go
@@ -24,10 +24,11 @@
 		if room != nil && left > 0 && !yielded {
 			room(max(1, left/f.limits.Stop.ConnsPerRequest))
 		}
-		closing := f.guard.Permits(lifecycle.EndIdle)
 		accepted := false // all that the kernel had
-		if closing {
+		if !f.guard.Permits(lifecycle.Accept) {
 			accepted = f.drainListener()
+		}
+		if f.guard.Permits(lifecycle.EndIdle) {
 			left = f.clients.endIdle(time.Now().Add(-f.limits.Stop.CheckInterval))
 		}
 		if f.guard.Permits(lifecycle.EndIncomplete) {
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -11,7 +11,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"otterturn/internal/admission"
@@ -174,23 +173,6 @@
 	return a.serve("console.socket", a.operator.Console.Socket, newConsole(a).serve, func(l net.Listener) { l.Close() })
 }
 
-// listen opens an address with a port, or a socket in the file system that the operator's user alone may use.
-func listen(addr string) (net.Listener, error) {
-	if address(addr) {
-		return retryStart(func() (net.Listener, error) { return net.Listen("tcp", addr) })
-	}
-	if c, err := net.Dial("unix", addr); err == nil {
-		c.Close()
-		return nil, fmt.Errorf("%s: another program serves it", addr)
-	}
-	if err := os.Remove(addr); err != nil && !errors.Is(err, os.ErrNotExist) { // left by one that was killed
-		return nil, err
-	}
-	old := syscall.Umask(0o177)
-	defer syscall.Umask(old)
-	return net.Listen("unix", addr)
-}
-
 func noAddress(_, _ string) string { return "" }
 
 // drain tells the scheduler that a node gets nothing new, or takes that back.
--- a/internal/program/listener.go
+++ b/internal/program/listener.go
@@ -69,3 +69,20 @@
 	}
 	return l, nil
 }
+
+// listen opens an address with a port, or a socket in the file system that the operator's user alone may use.
+func listen(addr string) (net.Listener, error) {
+	if address(addr) {
+		return retryStart(func() (net.Listener, error) { return net.Listen("tcp", addr) })
+	}
+	if c, err := net.Dial("unix", addr); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("%s: another program serves it", addr)
+	}
+	if err := os.Remove(addr); err != nil && !errors.Is(err, os.ErrNotExist) { // left by one that was killed
+		return nil, err
+	}
+	old := syscall.Umask(0o177)
+	defer syscall.Umask(old)
+	return net.Listen("unix", addr)
+}
