--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -37,8 +37,9 @@
 	err   error
 }
 
-// drainTime is for how long connections are accepted yet that the kernel has as the listener closes.
-const drainTime = 2 * time.Millisecond
+// drainTime is for how long connections are accepted yet that the kernel has as the listener closes. On a busy machine the next
+// accept behind a failure comes some 10 ms later than its pause.
+const drainTime = 50 * time.Millisecond
 
 func newListener(l net.Listener, c *clientConns, passed chan net.Conn, retry time.Duration, onError func(error)) *listener {
 	out := &listener{
