review: bring back the endless answer to a probe as the third case

The SFTP case (a repeated write undoes a later one) leaves its place: it starts an appliance, whose command is not one of the deploy file's.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,232 +1,176 @@
-// Command case3 resets a connection to a node under a write of a file command that has begun.
+// Command case3 plays a day on which some answers of chunk servers never end, answers to probes among them.
 package main
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
-	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
-	"github.com/pkg/sftp"
-
 	"otterturn/review/kit"
 )
 
 const (
-	usual      = 60 * time.Millisecond   // a write's usual work
-	costly     = 1200 * time.Millisecond // work of the first attempt of one write, 20 times the usual
-	others     = 48                      // writes to other places in the file: 2% of all writes are costly
-	resetAfter = 200 * time.Millisecond  // the connection is reset so long after the write has begun
-	file       = "/riverside/index.segment"
-	first      = "content of the first write "
-	second     = "content of the second write"
+	work      = 400 * time.Millisecond // of a node for a request of class bulk-read, which is wanted within 2 s
+	memoryMB  = 192                    // limit of the front
+	endlessIn = 11                     // one answer in so many never ends; odd, as probes and requests take turns
+	pause     = 2500 * time.Millisecond
+	playFor   = 45 * time.Second
+	shards    = 4
+	class     = "bulk-read"
+	patience  = 6 * time.Second
 )
 
 func main() {
 	c := kit.New()
-	n := &node{Case: c, files: map[string][]byte{}}
-	nodeAddr := n.listen()
-	relay := &relay{Case: c, to: nodeAddr}
-	n.begun = relay.reset
-	other := &node{Case: c, files: map[string][]byte{}}
+	answers := new(atomic.Int64)
+	var hosts []kit.Host
+	for shard := range shards {
+		n := c.NewNode(fmt.Sprintf("s-%d", shard), shard, func(n *kit.Node, conn net.Conn, in *bufio.Reader) { serve(c, n, conn, in, answers) })
+		hosts = append(hosts, n.Host())
+	}
+	agent := c.NewAgent(hosts)
 	listen := c.FreeAddr()
-	config := c.Appliance(listen, filepath.Join(c.Temp, "console"), "127.0.0.1:3022", relay.listen(), "127.0.0.1:3023", other.listen(),
-		`level = "info" `, `level = "debug"`)
-	front := c.StartAppliance("files-1", config)
-	conn, err := net.Dial("tcp", listen)
-	c.Must(err, "client")
-	client, err := sftp.NewClientPipe(conn, conn)
-	c.Must(err, "client")
-	f, err := client.OpenFile(file, os.O_RDWR|os.O_CREATE)
-	c.Must(err, "open")
+	front := c.StartPlatform("n1", kit.Platform{
+		Listen: listen, Discovery: agent.Addr, MemoryMB: memoryMB, Sockets: 1024, Known: agent.List(), Settings: kit.Settings(kit.Classes, shards),
+	})
+	c.AwaitReady(front, listen)
+	var served, other atomic.Int64
+	over := make(chan int, 1)
+	go watchMemory(c, front, over)
 	var wait sync.WaitGroup
-	for i := range others {
-		wait.Go(func() {
-			c.Must(write(c, f, "content of another place", int64(i+1)*100), "write to another place")
-		})
+	for i := range shards {
+		wait.Go(func() { client(c, listen, i, &served, &other) })
 	}
-	wait.Wait()
-	firstErr := write(c, f, first, 0)
-	secondErr := write(c, f, second, 0)
-	if firstErr != nil || secondErr != nil || front.Ended() {
-		c.Finish(kit.NotRun, "a write was not accepted: %v; %v", firstErr, secondErr)
+	ended := make(chan struct{})
+	go func() {
+		wait.Wait()
+		close(ended)
+	}()
+	summary := func() string {
+		return fmt.Sprintf("%d answers of chunk servers, %d requests served whole, %d not", answers.Load(), served.Load(), other.Load())
 	}
-	before := read(c, f)
-	time.Sleep(costly + time.Second)
-	after := read(c, f)
-	c.Must(f.Close(), "close")
-	summary := fmt.Sprintf("both writes were answered with OK in their order; the file read %q right after, and %q later; the node applied %d writes",
-		before, after, n.applied())
-	if before != second || after != second {
-		c.Finish(kit.Broken, "%s", summary)
+	select {
+	case mb := <-over:
+		c.Finish(kit.Broken, "the front took %d MB, its limit is %d MB, and the platform killed it; %s", mb, memoryMB, summary())
+	case <-ended:
 	}
-	c.Finish(kit.Held, "%s", summary)
-}
-
-// write writes to the file, and waits for the answer.
-func write(c *kit.Case, f *sftp.File, text string, offset int64) error {
-	c.Logf("client writes %q at %d", text, offset)
-	_, err := f.WriteAt([]byte(text), offset)
-	c.Logf("client's write of %q at %d is answered: %v", text, offset, err)
-	return err
-}
-
-func read(c *kit.Case, f *sftp.File) string {
-	data := make([]byte, len(second))
-	n, err := f.ReadAt(data, 0)
-	if err != nil && !errors.Is(err, io.EOF) {
-		c.Finish(kit.NotRun, "read: %v", err)
+	if front.Ended() || served.Load() < shards {
+		c.Finish(kit.NotRun, "%s", summary())
 	}
-	c.Logf("client reads %q", data[:n])
-	return string(data[:n])
+	c.Finish(kit.Held, "%s; at its highest the front took %d MB", summary(), memory(front, "VmHWM:"))
 }
 
-// node is a storage node that speaks SFTP. It works on commands of several connections at once, and ends work that it has begun,
-// whatever becomes of the connection.
-type node struct {
-	*kit.Case
-	begun func() // called as a costly write has begun
-
-	mu      sync.Mutex
-	files   map[string][]byte
-	seen    bool // the costly write was begun before
-	changes int
-}
-
-func (n *node) listen() string {
-	l := n.Listen()
-	n.OnFinish(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				sftp.NewRequestServer(conn, sftp.Handlers{FileGet: n, FilePut: n, FileCmd: n, FileList: n}).Serve()
-			}()
+// watchMemory is the platform's memory limit: a front over it is killed.
+func watchMemory(c *kit.Case, front *kit.Front, over chan<- int) {
+	last := 0
+	for ; ; time.Sleep(10 * time.Millisecond) {
+		mb := memory(front, "VmRSS:")
+		if mb > last+10 || mb < last-10 {
+			c.Logf("the front takes %d MB", mb)
+			last = mb
 		}
-	}()
-	return l.Addr().String()
-}
-
-func (n *node) applied() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.changes
-}
-
-// Fileread opens a file for reading.
-func (n *node) Fileread(r *sftp.Request) (io.ReaderAt, error) { return openFile{n, r.Filepath}, nil }
-
-// Filewrite opens a file for writing.
-func (n *node) Filewrite(r *sftp.Request) (io.WriterAt, error) { return openFile{n, r.Filepath}, nil }
-
-// Filecmd accepts a change of attributes.
-func (n *node) Filecmd(*sftp.Request) error { return nil }
-
-// Filelist has no folders.
-func (n *node) Filelist(*sftp.Request) (sftp.ListerAt, error) { return nil, os.ErrNotExist }
-
-type openFile struct {
-	*node
-	path string
+		if mb > memoryMB {
+			c.Logf("BROKEN: the front takes %d MB of %d MB, and is killed", mb, memoryMB)
+			front.Signal(syscall.SIGKILL)
+			over <- mb
+			return
+		}
+	}
 }
 
-// ReadAt reads what the file has now.
-func (f openFile) ReadAt(p []byte, offset int64) (int, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	data := f.files[f.path]
-	if offset >= int64(len(data)) {
-		return 0, io.EOF
+// memory returns a figure of the process in /proc, in MB.
+func memory(front *kit.Front, field string) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", front.Cmd.Process.Pid))
+	if err != nil {
+		return 0
 	}
-	n := copy(p, data[offset:])
-	if n < len(p) {
-		return n, io.EOF
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, field); ok {
+			kb, _ := strconv.Atoi(strings.Fields(value)[0])
+			return kb / 1024
+		}
 	}
-	return n, nil
+	return 0
 }
 
-// WriteAt does the work of a write and then applies it.
-func (f openFile) WriteAt(p []byte, offset int64) (int, error) {
-	text, work := string(p), usual
-	if text == first {
-		f.mu.Lock()
-		wasSeen := f.seen
-		f.seen = true
-		f.mu.Unlock()
-		if !wasSeen {
-			work = costly
+// serve answers requests and probes. With trouble one answer in endlessIn never ends.
+func serve(c *kit.Case, n *kit.Node, conn net.Conn, in *bufio.Reader, answers *atomic.Int64) {
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
 		}
-		if !wasSeen && f.Trouble {
-			time.AfterFunc(resetAfter, f.begun)
+		io.Copy(io.Discard, r.Body)
+		what, body := "a probe", "TEXT backlog=0, outstanding=1"
+		if id := r.Header.Get("X-Correlation-Id"); id != "" {
+			what, body = id, "the answer made for "+id
+			time.Sleep(work)
 		}
+		if number := answers.Add(1); c.Trouble && number%endlessIn == 0 {
+			c.Logf("%s answers %s with a body that never ends", n.Name, what)
+			endless(conn)
+			return
+		}
+		c.Logf("%s answers %s", n.Name, what)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	}
-	f.Logf("node begins a write of %q, work of %v", text, work)
-	time.Sleep(work)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	data := f.files[f.path]
-	if end := int(offset) + len(text); len(data) < end {
-		data = append(data, make([]byte, end-len(data))...)
-	}
-	copy(data[offset:], text)
-	f.files[f.path] = data
-	f.changes++
-	f.Logf("node has applied the write of %q", text)
-	return len(p), nil
 }
 
-// relay is a proxy before the node, which can reset its connections.
-type relay struct {
-	*kit.Case
-	to    string
-	mu    sync.Mutex
-	conns []*net.TCPConn
+// endless writes chunks, 64 MB a second at most, as long as the front takes them.
+func endless(conn net.Conn) {
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("noise 1 ", 8<<10))
+	for ; ; time.Sleep(time.Millisecond) {
+		if _, err := io.WriteString(conn, chunk); err != nil {
+			return
+		}
+	}
 }
 
-func (r *relay) listen() string {
-	l := r.Listen()
-	r.OnFinish(func() { l.Close() })
-	go func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", r.to)
-			if err != nil {
-				in.Close()
-				continue
-			}
-			r.mu.Lock()
-			r.conns = append(r.conns, in.(*net.TCPConn), out.(*net.TCPConn))
-			r.mu.Unlock()
-			for _, way := range [][2]net.Conn{{in, out}, {out, in}} {
-				go func() {
-					io.Copy(way[0], way[1])
-					way[0].Close()
-				}()
-			}
+// client asks one request after the other of one shard, each on a new connection, and leaves when its time is over.
+func client(c *kit.Case, addr string, shard int, served, other *atomic.Int64) {
+	for i, start := 0, time.Now(); time.Since(start) < playFor; i++ {
+		id := fmt.Sprintf("%08x%08x", shard+1, i)
+		if err := ask(c, addr, id, shard); err != nil {
+			c.Logf("client: %s: %v", id, err)
+			other.Add(1)
+		} else {
+			served.Add(1)
 		}
-	}()
-	return l.Addr().String()
+		time.Sleep(pause)
+	}
 }
 
-// reset resets the connections that are open now.
-func (r *relay) reset() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Logf("proxy resets the connections to the node")
-	for _, c := range r.conns {
-		c.SetLinger(0)
-		c.Close()
+func ask(c *kit.Case, addr, id string, shard int) error {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	c.Logf("client asks %s", id)
+	io.WriteString(conn, kit.Request(class, id, shard, 1, patience))
+	conn.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err != nil {
+		return fmt.Errorf("answer %d, given up after %d bytes: %w", resp.StatusCode, n, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
 	}
-	r.conns = nil
+	c.Logf("client: %s is served", id)
+	return nil
 }
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -453,10 +453,3 @@
 	}
 	return h
 }
-
-// Console has the appliance carry out a command of its console.
-func (c *Case) Console(config string, command ...string) (answer string, err error) {
-	cmd := exec.Command(filepath.Join(c.Root, "bin", "otterturn"), append([]string{"console", "--config", config}, command...)...)
-	out, err := cmd.CombinedOutput()
-	return string(out), err
-}
