Keep hedged connecting out of the test of a reloaded idle timeout

Cause: the test counts attempts to connect, and the pool of these tests begins a parallel attempt after 1 ms. Where the machine pauses for 1 ms, the test counts one too many in either of its rounds. The front is not at fault.

What it checks is unchanged: one connection with a long idle timeout, a second one after a reload to 0.

--- a/internal/net/transport/nodes/dial_test.go
+++ b/internal/net/transport/nodes/dial_test.go
@@ -201,7 +201,10 @@
 // must also apply to connections that are already idle.
 func TestReloadedIdleTimeoutAppliesToIdleConnections(t *testing.T) {
 	d := &fakeNetwork{outcome: func(_ context.Context, _ int64, open func() (net.Conn, error)) (net.Conn, error) { return open() }}
-	pool, _ := newPool(t, d, func(l *limits.Limits) { l.Nodes.ReuseDelay = 0 })
+	pool, _ := newPool(t, d, func(l *limits.Limits) {
+		l.Nodes.ReuseDelay = 0
+		l.Nodes.HedgeDelay = time.Hour // a parallel attempt would count as a connection that was opened
+	})
 	for i, idle := range []time.Duration{time.Hour, 0} {
 		pool.Reconfigure(limits.NodeLimits{IdleTimeout: idle})
 		c, err := pool.Acquire(t.Context(), "a", Running)
