Bound the answer to a health check in size and time

A slow endless body blocked the check for good, and with it every later one of that node; a report that took longer than 250 ms leaked its connection.

Cause: Nodes.exchange may return a body that still arrives, whose reader has to close it and which the context no longer bounds. Check read it by io.ReadAll, up to 256 MiB, and never closed it. The log said nothing of it.

Why this works: an exchange now states whether its answer may be streamed. For a health check it may not: what exceeds 64 KiB, the protocol's largest body, is malformed as soon as that is known; the check's timeout bounds all its tries to the last byte; exchange closes the connection. As after any malformed answer another try on another connection shows whether the node is healthy. 'health check answer malformed' in the log names the node and the reason, once for a series.

--- a/internal/net/transport/answer.go
+++ b/internal/net/transport/answer.go
@@ -18,21 +18,22 @@
 
 // readResponse reads an answer. A broken connection may mean that the node has died; a malformed or truncated answer means
 // that the node is alive. A short answer is buffered, because only its last byte shows that it is complete. A long one is
-// passed on as it arrives: its body is a streamedResponse.
-func (s *Nodes) readResponse(ctx context.Context, c *nodes.Conn[*stream], r *http.Request) (resp *http.Response, body []byte, err error) {
-	resp, err = s.readHead(ctx, c, r)
+// passed on as it arrives, if the request allows it: its body is a streamedResponse.
+func (s *Nodes) readResponse(ctx context.Context, c *nodes.Conn[*stream], r outboundRequest) (resp *http.Response, body []byte, err error) {
+	resp, err = s.readHead(ctx, c, r.Request)
 	if err != nil {
 		return nil, nil, err
 	}
 	bounds, length := s.limits.Requests, resp.ContentLength
+	mayStream := r.mayStream && resp.StatusCode == http.StatusOK
 	switch {
-	case length > bounds.StreamedBytes || length > bounds.BufferedBytes && resp.StatusCode != http.StatusOK:
+	case length > bounds.StreamedBytes || length > bounds.BufferedBytes && !mayStream:
 		return nil, nil, fmt.Errorf("%w: %w", errMalformedResponse, errBodyTooLong)
 	case length > bounds.BufferedBytes:
 		resp.Body = newStreamedResponse(resp, c, s.limits, nil)
 		return resp, nil, nil
 	}
-	body, err = s.readBody(ctx, c, resp)
+	body, err = s.readBody(ctx, c, resp, mayStream)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -73,10 +74,10 @@
 // bodyReadBytes is the number of bytes of a body that are read at a time.
 const bodyReadBytes = 8 << 10
 
-// readBody reads a body to its end. A body of unknown length that is long or slow becomes a streamedResponse.
-func (s *Nodes) readBody(ctx context.Context, c *nodes.Conn[*stream], resp *http.Response) ([]byte, error) {
+// readBody reads a body to its end. If mayStream, a body of unknown length that is long or slow becomes a streamedResponse.
+func (s *Nodes) readBody(ctx context.Context, c *nodes.Conn[*stream], resp *http.Response, mayStream bool) ([]byte, error) {
 	session := c.Session
-	mayStream := resp.ContentLength < 0 && resp.StatusCode == http.StatusOK
+	mayStream = mayStream && resp.ContentLength < 0
 	var buffered bytes.Buffer
 	part := make([]byte, bodyReadBytes)
 	for {
--- a/internal/net/transport/exchange.go
+++ b/internal/net/transport/exchange.go
@@ -152,7 +152,9 @@
 	ctx context.Context, a routing.Attempt, c *nodes.Conn[*stream], r *http.Request, message []byte,
 ) (resp *http.Response, result scheduler.AttemptEnded, written bool) {
 	startedAt := time.Now()
-	resp, firstByte, written, err := s.exchange(ctx, c, r, message, a.MarkWritten)
+	resp, firstByte, written, err := s.exchange(ctx, c, outboundRequest{
+		Request: r, message: message, onWritten: a.MarkWritten, mayStream: true,
+	})
 	if written {
 		s.attemptsWritten.Add(1)
 	}
@@ -174,11 +176,21 @@
 	return resp, result, true
 }
 
+// outboundRequest is a request as it is written to a node.
+type outboundRequest struct {
+	*http.Request
+	message   []byte // the encoded request
+	onWritten func() // called when the last byte is sent
+	// mayStream allows a long answer to be passed on while it arrives. Its reader must then close the body, and ctx no longer
+	// bounds it. Otherwise a long answer is malformed.
+	mayStream bool
+}
+
 // exchange writes a request and reads the answer to its last byte, since only then is it known to be complete. written
 // reports whether the request's last byte was sent. The connection is released, or closed if ctx ended or anything was
-// unexpected. onWritten is called when the last byte is sent.
+// unexpected.
 func (s *Nodes) exchange(
-	ctx context.Context, c *nodes.Conn[*stream], r *http.Request, message []byte, onWritten func(),
+	ctx context.Context, c *nodes.Conn[*stream], r outboundRequest,
 ) (resp *http.Response, firstByte time.Time, written bool, err error) {
 	reusable, streamed := false, false
 	stopInterrupt := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
@@ -190,10 +202,10 @@
 			resp, err = nil, ctx.Err()
 		}
 	}()
-	if _, err := c.Write(message); err != nil {
+	if _, err := c.Write(r.message); err != nil {
 		return nil, firstByte, false, fmt.Errorf("write: %w", err)
 	}
-	onWritten()
+	r.onWritten()
 	resp, body, err := s.readResponse(ctx, c, r)
 	firstByte = c.Session.firstByteAt // before another exchange on this connection changes it
 	if err != nil {
--- a/internal/net/transport/healthcheck.go
+++ b/internal/net/transport/healthcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -12,11 +13,13 @@
 	"otterturn/scheduler"
 )
 
-// HealthChecker checks the health of nodes and reads their load reports.
+// HealthChecker checks the health of nodes and reads their load reports. The answer to a check is buffered completely, within
+// the limits of a short answer and within NodeLimits.ProbeTimeout; a longer one is malformed.
 type HealthChecker struct {
 	nodes            *Nodes
 	path             string
 	queueField       string      // field of the load report with the queue length, "" for none
+	answerMalformed  atomic.Bool // the last check failed because of a malformed answer, and that was logged
 	reportUnreadable atomic.Bool // the last report could not be parsed, and that was logged
 	log              *slog.Logger
 }
@@ -40,27 +43,42 @@
 	for tries := 1; mayRetry && tries < p.nodes.limits.Nodes.ProbeTries; tries++ {
 		resp, mayRetry, err = p.checkOnce(ctx, node)
 	}
+	if isFirstOfSeries(&p.answerMalformed, errors.Is(err, errMalformedResponse)) {
+		p.log.Warn("health check answer malformed", "node", node, "error", err)
+	}
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return result
 	}
 	result.OK = true
-	if p.queueField == "" {
-		return result
+	if p.queueField != "" {
+		result.Queue = p.readReport(node, resp)
 	}
-	report, err := io.ReadAll(resp.Body)
+	return result
+}
+
+// readReport returns the queue length from a load report, -1 if it can't be read.
+func (p *HealthChecker) readReport(node string, resp *http.Response) (queue float64) {
+	report, err := io.ReadAll(resp.Body) // checkOnce has buffered it
 	if err == nil {
-		result.Queue, err = protocol.ParseLoad(string(report), p.queueField)
-	}
-	if err != nil {
-		result.Queue = -1
+		queue, err = protocol.ParseLoad(string(report), p.queueField)
 	}
-	if wasUnreadable := p.reportUnreadable.Swap(err != nil); err != nil && !wasUnreadable { // a line for each report would flood the log
+	if isFirstOfSeries(&p.reportUnreadable, err != nil) {
 		p.log.Warn("load report unreadable", "node", node, "error", err)
 	}
-	return result
+	if err != nil {
+		return -1
+	}
+	return queue
+}
+
+// isFirstOfSeries records whether an event has failed, and reports whether it is the first failure after a success: a log line
+// for each failure would flood the log.
+func isFirstOfSeries(lastFailed *atomic.Bool, failed bool) bool {
+	return !lastFailed.Swap(failed) && failed
 }
 
-// checkOnce sends one health check. mayRetry reports whether another try may succeed.
+// checkOnce sends one health check. The body of the answer is buffered and needs no Close. mayRetry reports whether another try
+// may succeed.
 func (p *HealthChecker) checkOnce(ctx context.Context, node string) (resp *http.Response, mayRetry bool, err error) {
 	c, err := p.nodes.Acquire(ctx, node, nodes.AnyState)
 	if err != nil {
@@ -76,6 +94,6 @@
 		p.nodes.Release(c, false)
 		return nil, false, err
 	}
-	resp, _, _, err = p.nodes.exchange(ctx, c, r, message, func() {})
+	resp, _, _, err = p.nodes.exchange(ctx, c, outboundRequest{Request: r, message: message, onWritten: func() {}})
 	return resp, err != nil && ctx.Err() == nil, err
 }
