Bound the values of a log line

What operators would see: a front whose log stands still while another process sends text that can't be read could exceed its memory limit. Errors quote that text: a load report of 64 KiB, a list of megabytes, an error page of a certificate authority. Up to 512 lines may wait.

Cause: nothing limited the length of a value. Found by following malformed answers to where they are reported.

Each text in a line is now cut off at 1 KiB and ends with '...'.

--- a/internal/logs/logger.go
+++ b/internal/logs/logger.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"strings"
 	"sync"
 
 	"github.com/lmittmann/tint"
@@ -31,9 +32,27 @@
 		to = queued.to
 	}
 	if f, ok := to.(*os.File); ok && isatty.IsTerminal(f.Fd()) {
-		return tint.NewTextHandler(w, &tint.Options{Level: level})
+		return tint.NewTextHandler(w, &tint.Options{Level: level, ReplaceAttr: shortenValue})
 	}
-	return slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+	return slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: shortenValue})
+}
+
+// maxValueBytes is the maximum length of a text in a line. Errors may quote what another process has sent, which may be megabytes.
+const maxValueBytes = 1 << 10
+
+// shortenValue returns an attribute with at most maxValueBytes of its text.
+func shortenValue(_ []string, a slog.Attr) slog.Attr {
+	var text string
+	switch value := a.Value.Any().(type) {
+	case string:
+		text = value
+	case error:
+		text = value.Error()
+	}
+	if len(text) <= maxValueBytes {
+		return a
+	}
+	return slog.String(a.Key, strings.ToValidUTF8(text[:maxValueBytes], "")+"...")
 }
 
 // Discard returns a logger that discards everything, for tests and for components whose log is not needed.
