Bound the answers of certificate authorities

What operators would see: an authority whose answer never ends takes an appliance over its memory limit within the 30 s of a try, the same failure as that of health checks. An error answer of any size also went to the log, the console and the plan's memory.

Cause: the ACME library reads JSON values with a decoder and error answers with io.ReadAll, without a limit (acme/http.go, responseError). Only certificate chains and the directory for renewal information had one.

The transport now limits the body of every answer to 1 MiB and its head to 64 KiB; the library's read fails and the connection is closed. A body that is too long counts as a malformed answer, so the plan goes on as after one. Texts that are kept are cut off at 1 KiB.

Without the limit TestEndlessAnswerOfAuthorityEndsTry fails: all 64 MiB were read, with status 200 and with 500. With it, it passes, and so do the tests of package certs with -race.

--- a/internal/certs/order/order.go
+++ b/internal/certs/order/order.go
@@ -55,7 +55,6 @@
 	maxNonceTries   = 4                     // attempts of a request whose nonce is rejected
 	minPollInterval = 20 * time.Millisecond // first interval between two polls of an order or authorization; it doubles each time
 	maxPollInterval = 2 * time.Second       // longest interval
-	maxInfoBytes    = 1 << 16               // maximum size in bytes of a directory or of renewal information
 )
 
 // Client sends requests to one authority.
@@ -67,7 +66,7 @@
 
 // New returns a client for an authority that stores its account keys, orders and certificates in v.
 func New(a Authority, store *certstore.Store) *Client {
-	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: a.Roots}, MaxIdleConns: 2, IdleConnTimeout: 30 * time.Second}
+	transport := newTransport(&tls.Config{RootCAs: a.Roots})
 	return &Client{authority: a, store: store, acme: &acme.Client{
 		DirectoryURL: a.Directory, UserAgent: "otterturn",
 		HTTPClient: &http.Client{Transport: transport},
--- a/internal/certs/order/outcome.go
+++ b/internal/certs/order/outcome.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"golang.org/x/crypto/acme"
@@ -76,10 +77,11 @@
 	if err == nil {
 		return plan.Outcome{Kind: plan.Obtained}
 	}
-	outcome := plan.Outcome{Kind: plan.Stalled, Detail: err.Error()}
+	outcome := plan.Outcome{Kind: plan.Stalled, Detail: shorten(err.Error())}
 	var kindErr *kindError
 	var acmeErr *acme.Error
 	var syntaxErr *json.SyntaxError
+	var tooLongErr *http.MaxBytesError
 	switch {
 	case errors.As(err, &kindErr):
 		outcome.Kind = kindErr.kind
@@ -88,12 +90,21 @@
 	case errors.As(err, &acmeErr):
 		outcome.RetryAfter, _ = acme.RateLimit(acmeErr)
 		outcome.Kind = problemKind(acmeErr)
-	case errors.As(err, &syntaxErr), errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, context.DeadlineExceeded):
+	case errors.As(err, &syntaxErr), errors.As(err, &tooLongErr),
+		errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, context.DeadlineExceeded):
 		outcome.Kind = plan.MalformedAnswer
 	}
 	return outcome
 }
 
+// shorten returns the beginning of an error text, which may contain a whole answer of the authority.
+func shorten(text string) string {
+	if len(text) <= maxDetailBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxDetailBytes], "") + "..."
+}
+
 // problemKind returns the Kind of a problem document (RFC 8555, section 6.7).
 func problemKind(e *acme.Error) plan.Kind {
 	const ns = "urn:ietf:params:acme:error:"
