Bound the head of discovery's answer and the memory of its list

What callers would see: discovery that sends a head without an end made the front buffer 10 MiB of it, net/http's own limit; a list of empty entries, within the limit on its bytes, took more than twenty times its text, which is more than the front's memory at every size.

Cause: the limits counted the bytes of the body alone. Entries were decoded all at once, 80 bytes for each '{}', before the first was checked.

The head now has the limit of all other heads (16 KiB). Entries are read one by one, and the first that can't be parsed ends it. What is valid, invalid or rejected stays the same; the error of an entry's type now begins with its position.

--- a/internal/net/protocol/list.go
+++ b/internal/net/protocol/list.go
@@ -1,7 +1,9 @@
 package protocol
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"net/netip"
@@ -40,12 +42,9 @@
 	var in struct {
 		Seq   *int64
 		Whole bool
-		Hosts []struct {
-			Host, Dial, Site, Health string
-			Block                    int
-			BornMs                   int64 `json:"born_ms"`
-		}
+		Hosts entryReader
 	}
+	in.Hosts = entryReader{zones: zones, now: now}
 	if err := json.Unmarshal(text, &in); err != nil {
 		return List{}, err
 	}
@@ -55,26 +54,67 @@
 	if *in.Seq < 0 {
 		return List{}, fmt.Errorf("seq: %d is below 0", *in.Seq)
 	}
-	out := List{Seq: *in.Seq, Full: in.Whole}
-	for i, h := range in.Hosts {
-		state, ok := nodeStates[h.Health]
-		_, err := netip.ParseAddrPort(h.Dial)
-		switch {
-		case h.Host == "":
-			return List{}, fmt.Errorf("hosts[%d].host: missing", i)
-		case !ok:
-			return List{}, fmt.Errorf("hosts[%d].health: %q is unknown", i, h.Health)
-		case err != nil && state != scheduler.Removed:
-			return List{}, fmt.Errorf("hosts[%d].dial: %w", i, err)
+	return List{Seq: *in.Seq, Full: in.Whole, Hosts: in.Hosts.hosts, Invalid: in.Hosts.invalid}, nil
+}
+
+// listEntry is an entry of the list, as discovery writes it.
+type listEntry struct {
+	Host, Dial, Site, Health string
+	Block                    int
+	BornMs                   int64 `json:"born_ms"`
+}
+
+// entryReader reads the entries of a list one by one, and stops at the first that can't be parsed. Decoded together, a list of empty
+// entries would take more than twenty times the memory of its text.
+type entryReader struct {
+	zones   []string
+	now     scheduler.Micros // 0 if any start time is accepted
+	hosts   []Host
+	invalid []string // nodes with an invalid entry
+}
+
+// UnmarshalJSON reads a JSON array of entries.
+func (r *entryReader) UnmarshalJSON(text []byte) error {
+	r.hosts, r.invalid = nil, nil
+	entries := json.NewDecoder(bytes.NewReader(text))
+	start, err := entries.Token()
+	if err != nil || start == nil { // null is an empty list
+		return err
+	}
+	if start != json.Delim('[') {
+		return errors.New("hosts: not a list")
+	}
+	for i := 0; entries.More(); i++ {
+		var entry listEntry
+		if err := entries.Decode(&entry); err != nil {
+			return fmt.Errorf("hosts[%d]: %w", i, err)
 		}
-		if h.Block < 0 || h.BornMs < 0 || now > 0 && h.BornMs > int64(now/1000) {
-			out.Invalid = append(out.Invalid, h.Host)
-			continue
+		if err := r.add(entry); err != nil {
+			return fmt.Errorf("hosts[%d].%w", i, err)
 		}
-		out.Hosts = append(out.Hosts, Host{Dial: h.Dial, Endpoint: scheduler.Endpoint{
-			Node: h.Host,
-			Zone: zoneIndex(zones, h.Site), Shard: h.Block, State: state, StartedAt: scheduler.Micros(h.BornMs * 1000),
-		}})
 	}
-	return out, nil
+	return nil
+}
+
+// add adds an entry. Its error begins with the name of the field that can't be parsed.
+func (r *entryReader) add(entry listEntry) error {
+	state, ok := nodeStates[entry.Health]
+	_, err := netip.ParseAddrPort(entry.Dial)
+	switch {
+	case entry.Host == "":
+		return errors.New("host: missing")
+	case !ok:
+		return fmt.Errorf("health: %q is unknown", entry.Health)
+	case err != nil && state != scheduler.Removed:
+		return fmt.Errorf("dial: %w", err)
+	}
+	if entry.Block < 0 || entry.BornMs < 0 || r.now > 0 && entry.BornMs > int64(r.now/1000) {
+		r.invalid = append(r.invalid, entry.Host)
+		return nil
+	}
+	r.hosts = append(r.hosts, Host{Dial: entry.Dial, Endpoint: scheduler.Endpoint{
+		Node: entry.Host,
+		Zone: zoneIndex(r.zones, entry.Site), Shard: entry.Block, State: state, StartedAt: scheduler.Micros(entry.BornMs * 1000),
+	}})
+	return nil
 }
--- a/internal/net/transport/discovery.go
+++ b/internal/net/transport/discovery.go
@@ -32,7 +32,7 @@
 	now func() scheduler.Micros, apply func(protocol.List), log *slog.Logger,
 ) {
 	client := &http.Client{Transport: &http.Transport{
-		DisableCompression: true, MaxIdleConns: 1,
+		DisableCompression: true, MaxIdleConns: 1, MaxResponseHeaderBytes: int64(l.Requests.HeaderBytes),
 		DialContext: (&net.Dialer{Timeout: l.Nodes.ConnectTimeout}).DialContext,
 	}}
 	defer client.CloseIdleConnections()
--- a/internal/net/transport/discovery_test.go
+++ b/internal/net/transport/discovery_test.go
@@ -138,3 +138,30 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Guards against a front that exceeds its memory limit because an answer of discovery does not end, in its head or in its list.
+func TestEndlessAnswerOfDiscoveryIsRejected(t *testing.T) {
+	l := testsupport.Limits()
+	l.Discovery.AnswerTimeout = testsupport.WaitTimeout
+	const chunk = 32 << 10
+	for _, c := range []struct {
+		name, head, piece string
+		limit             int64 // named in the log
+	}{
+		{"head", "HTTP/1.1 200 OK\r\n", "X-Pad: " + strings.Repeat("y", 100) + "\r\n", int64(l.Requests.HeaderBytes)},
+		{"list", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat(" ", chunk)), l.Discovery.ListBytes},
+	} {
+		closed, logged := make(chan bool, 1024), make(chan string, 1024)
+		addr, _ := startNode(t, func(_ int64, conn net.Conn, _ *http.Request) {
+			io.WriteString(conn, c.head)
+			closed <- sendUntilClosed(conn, c.piece, 0)
+		})
+		go Watch(t.Context(), addr, FullList, nil, l, 1, systemTime, func(protocol.List) {}, testsupport.Log(func(line string) { logged <- line }))
+		if line := testsupport.Await(t, "a log line", logged); !strings.Contains(line, fmt.Sprint(c.limit)) {
+			t.Errorf("%s: logged %s, want the limit of %d bytes", c.name, line, c.limit)
+		}
+		if !testsupport.Await(t, "the end of the answer", closed) {
+			t.Errorf("%s: the front read %d bytes and did not close the connection", c.name, maxTestBytes)
+		}
+	}
+}
