Bound open SFTP listings, and count the answers to health checks one by one

What callers would see: (1) clients that leave listings open take an appliance over its memory limit: 32 clients may have 256 handles each, and a listing is kept whole, up to 2 MiB of the node's answer. (2) A healthy SFTP node is taken for a silent one once in some tens of thousands of health checks.

Cause: (1) handles were bounded by number alone. (2) The limit on an answer's size, 2 MiB, counted from the last command on a connection, so that the answers to all health checks since then counted together.

(1) Listings of all clients together may take a quarter of the memory, at least four times the largest answer; beyond it Opendir is rejected like a handle too many, with a time to come back. (2) Each exchange, a health check too, restarts the count.

Without the changes TestOpenListingsAreBoundedInMemory and TestHealthChecksOnOneConnectionAreCountedSeparately fail; with them they pass with -race. The two share a file of tests and stand in one commit for that.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -108,6 +108,7 @@
 	PacketBytes   int   // largest packet from a client
 	ReadBytes     int   // largest answer to a read
 	ResponseBytes int64 // largest answer of a node to a command
+	ListingBytes  int64 // memory of the listings that all clients have open
 
 	AdmitTimeout      time.Duration // time for which a read or write waits for capacity before it is submitted anyway
 	IdleTimeout       time.Duration // time for which a client may be silent, between packets and within one
--- a/internal/limits/traffic.go
+++ b/internal/limits/traffic.go
@@ -98,6 +98,8 @@
 	filesPacketBytes    = 64<<10 + 1024 // the longest write and the other fields of its packet
 	filesReadBytes      = 32 << 10
 	filesResponseBytes  = 2 << 20
+	filesListingShare   = 4                      // open listings may take 1/filesListingShare of the memory
+	filesMinListing     = 4 * filesResponseBytes // an entry takes some four times the memory of its text
 	filesAdmitTimeout   = 30 * time.Second
 	filesIdleTimeout    = 5 * time.Minute
 	filesLeaveInterval  = 50 * time.Millisecond
@@ -112,6 +114,7 @@
 		PacketBytes:       filesPacketBytes,
 		ReadBytes:         filesReadBytes,
 		ResponseBytes:     filesResponseBytes,
+		ListingBytes:      max(filesMinListing, available.memory/filesListingShare),
 		AdmitTimeout:      filesAdmitTimeout,
 		IdleTimeout:       filesIdleTimeout,
 		LeaveInterval:     filesLeaveInterval,
--- a/internal/net/transport/sftp/client.go
+++ b/internal/net/transport/sftp/client.go
@@ -49,6 +49,13 @@
 	onFirstByte func() // called after the first byte of the current exchange was written
 }
 
+// beginExchange restarts the counts. onFirstByte is called after the first byte was written.
+func (c *countingConn) beginExchange(onFirstByte func()) {
+	c.onFirstByte = onFirstByte
+	c.written.Store(0)
+	c.read.Store(0)
+}
+
 func (c *countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	if n > 0 && c.written.Add(int64(n)) == int64(n) {
@@ -104,9 +111,7 @@
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.Unreachable}
 	}
 	wire := conn.Session.countingConn
-	wire.onFirstByte = a.MarkWritten
-	wire.written.Store(0)
-	wire.read.Store(0)
+	wire.beginExchange(a.MarkWritten)
 	stopClose := context.AfterFunc(ctx, func() { conn.Close() }) // SFTP has no way to cancel a command
 	reply, err := execute(conn.Session.Client, cmd)
 	nodeErr, broken := files.ClassifyNodeError(err)
@@ -233,6 +238,7 @@
 		if err != nil {
 			return out
 		}
+		conn.Session.countingConn.beginExchange(func() {})
 		stopClose := context.AfterFunc(ctx, func() { conn.Close() })
 		_, err = conn.Session.RealPath("/")
 		_, broken := files.ClassifyNodeError(err)
--- a/internal/net/transport/sftp/commands.go
+++ b/internal/net/transport/sftp/commands.go
@@ -126,8 +126,11 @@
 		return files.Failure("no open file under this handle")
 	}
 	delete(c.handles, id)
-	if f, ok := h.(*file); ok {
-		return f.checkWrites()
+	switch h := h.(type) {
+	case *file:
+		return h.checkWrites()
+	case *folder:
+		c.front.listings.release(h.memory)
 	}
 	return nil
 }
@@ -160,7 +163,11 @@
 	if err != nil {
 		return status(r.ID, err)
 	}
-	return packet.EncodeHandle(r.ID, c.addHandle(&folder{path: name, infos: infos}))
+	opened := &folder{path: name, infos: infos, memory: sizeOfListing(infos)}
+	if !c.front.listings.reserve(opened.memory) {
+		return status(r.ID, &routing.RejectedError{RetryAfter: c.front.site.RetryAfter})
+	}
+	return packet.EncodeHandle(r.ID, c.addHandle(opened))
 }
 
 func (c *clientConn) readdir(r packet.Request) []byte {
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -38,6 +38,7 @@
 	attempt   Attempter
 	byProject map[string]*counters // by project
 	slots     chan struct{}        // holds one element per command that is submitted to the scheduler
+	listings  listingMemory        // of the listings that clients have open
 	ids       atomic.Int64
 	mu        sync.Mutex
 	conns     map[*clientConn]struct{}
@@ -49,7 +50,7 @@
 func NewFront(site Site, l limits.Limits, core *routing.Core, attempt Attempter) *Front {
 	f := &Front{
 		site: site, limits: l, core: core, attempt: attempt, conns: map[*clientConn]struct{}{},
-		byProject: map[string]*counters{}, slots: make(chan struct{}, l.Requests.Open),
+		byProject: map[string]*counters{}, slots: make(chan struct{}, l.Requests.Open), listings: listingMemory{max: l.Files.ListingBytes},
 	}
 	for _, p := range site.Projects {
 		f.byProject[p.Name] = &counters{}
--- a/internal/net/transport/sftp/transfer.go
+++ b/internal/net/transport/sftp/transfer.go
@@ -31,9 +31,10 @@
 
 // folder is an open listing. next is the index of the first entry that was not yet sent to the client.
 type folder struct {
-	path  string
-	infos []os.FileInfo
-	next  int
+	path   string
+	infos  []os.FileInfo
+	next   int
+	memory int64 // reserved for infos, in bytes
 }
 
 func (f *file) filePath() string   { return f.path }
