Bound a handover's time, the ids in it and its descriptors

What callers would see: an upgrade whose new process reads slowly kept the old one from accepting clients for as long as it took: each part of the state had 250 ms of its own, and the 2 s for the whole handover were lost with the first part. Ids of up to 32 KiB each were kept by number, and the descriptors of a message with more than one socket stayed open.

Cause: Channel.Send set a deadline of its own over that of SetTimeout. Ids were checked where clients send them, not where the other process does. parseSocket returned its error without closing what it had received.

Send now keeps to the earlier of both deadlines; an id has to be valid as a client's is; surplus descriptors are closed.

--- a/internal/handover/channel.go
+++ b/internal/handover/channel.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -37,7 +38,10 @@
 const sendTimeout = 250 * time.Millisecond
 
 // Channel is one end of the socket between predecessor and successor.
-type Channel struct{ conn *net.UnixConn }
+type Channel struct {
+	conn     *net.UnixConn
+	deadline atomic.Pointer[time.Time] // of all messages, nil for none
+}
 
 // Listen opens the socket to which a successor connects. A socket file that an earlier process left at the path is removed.
 func Listen(path string) (*net.UnixListener, error) {
@@ -58,18 +62,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Channel{c}, nil
+	return NewChannel(c), nil
 }
 
 // NewChannel returns the channel on an accepted connection.
-func NewChannel(c *net.UnixConn) *Channel { return &Channel{c} }
+func NewChannel(c *net.UnixConn) *Channel { return &Channel{conn: c} }
 
 // Close closes the channel.
 func (c *Channel) Close() error { return c.conn.Close() }
 
+// sendDeadline returns the time by which the other process must have read a message that is sent now.
+func (c *Channel) sendDeadline() time.Time {
+	out := time.Now().Add(sendTimeout)
+	if end := c.deadline.Load(); end != nil && end.Before(out) {
+		return *end
+	}
+	return out
+}
+
 // Send sends a message, with a copy of a socket unless that is nil.
 func (c *Channel) Send(kind Kind, text []byte, socket syscall.Conn) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+	if err := c.conn.SetWriteDeadline(c.sendDeadline()); err != nil {
 		return err
 	}
 	packet := append([]byte{byte(kind)}, text...)
@@ -127,6 +140,9 @@
 	}
 	fds, err := syscall.ParseUnixRights(&messages[0])
 	if err != nil || len(fds) != 1 {
+		for _, fd := range fds {
+			syscall.Close(fd)
+		}
 		return nil, errors.Join(errors.New("handover: control message does not carry exactly one socket"), err)
 	}
 	syscall.CloseOnExec(fds[0])
@@ -136,9 +152,12 @@
 // SetTimeout sets the deadline of all further messages to the present time plus d; 0 removes it.
 func (c *Channel) SetTimeout(d time.Duration) error {
 	if d == 0 {
+		c.deadline.Store(nil)
 		return c.conn.SetDeadline(time.Time{})
 	}
-	return c.conn.SetDeadline(time.Now().Add(d))
+	end := time.Now().Add(d)
+	c.deadline.Store(&end)
+	return c.conn.SetDeadline(end)
 }
 
 // RequestState asks the predecessor for its state, and returns it with the socket that it carries, nil for none.
--- a/internal/net/protocol/request.go
+++ b/internal/net/protocol/request.go
@@ -56,8 +56,8 @@
 	return len(text) == 16 && err == nil
 }
 
-// isValidID reports whether a text is a valid id: one without characters that another parser might treat differently.
-func isValidID(text string) bool {
+// IsValidID reports whether a text is a valid id of a request: one without characters that another parser might treat differently.
+func IsValidID(text string) bool {
 	return text != "" && len(text) <= maxIDBytes && !strings.ContainsFunc(text, func(c rune) bool {
 		return c <= ' ' || c > '~' || c == ',' || c == '"'
 	})
@@ -96,9 +96,9 @@
 		return Request{}, fmt.Errorf("a read with a body")
 	case class < len(set.Writes) && set.Writes[class] != (r.Method == http.MethodPut):
 		return Request{}, fmt.Errorf("method %q is not the class's", r.Method)
-	case !isValidID(out.ID):
+	case !IsValidID(out.ID):
 		return Request{}, fmt.Errorf("%s: not 1 to %d plain characters", headerID, maxIDBytes)
-	case key != "" && !isValidID(key) || keyRequired && key == "":
+	case key != "" && !IsValidID(key) || keyRequired && key == "":
 		return Request{}, fmt.Errorf("%s: missing, or not up to %d plain characters", headerIdempotencyKey, maxIDBytes)
 	case r.Header.Get(headerClass) != parts[0]:
 		return Request{}, fmt.Errorf("%s: not the path's class", headerClass)
--- a/internal/program/handover_test.go
+++ b/internal/program/handover_test.go
@@ -2,12 +2,20 @@
 
 import (
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"otterturn/internal/handover"
 	"otterturn/internal/logs"
 )
 
+// Guards against a growing memory: ids are kept by number, so the text of each must be bounded, whoever sends it.
+func TestOverlongIDOfOtherProcessIsRejected(t *testing.T) {
+	if err := new(platform).handleFromOther(handover.KindRequestID, strings.Repeat("x", 10_000), nil); err == nil {
+		t.Error("an id of 10,000 bytes was taken")
+	}
+}
+
 // Guards against a crash when a request announces its id after the successor has ended: a request may hold the announcing
 // function longer than that.
 func TestAnnouncingAnIDAfterTheSuccessorEnded(t *testing.T) {
--- a/internal/program/other_process.go
+++ b/internal/program/other_process.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"otterturn/internal/handover"
+	"otterturn/internal/net/protocol"
 )
 
 // receiveFromOther handles the messages of the front's other process until that process ends.
@@ -35,14 +36,14 @@
 			return err
 		}
 		p.front.Adopt(conn)
-	case k == handover.KindRequestID:
+	case k == handover.KindRequestID && protocol.IsValidID(text): // ids are kept, so their length must be bounded
 		p.core.MarkIDUsed(text)
 	case k == handover.KindBan:
 		p.changeBan("node banned by other process", node, by, p.roster.Ban)
 	case k == handover.KindUnban:
 		p.changeBan("node unbanned by other process", node, by, p.roster.Unban)
 	default:
-		return fmt.Errorf("unexpected message of kind %d", k)
+		return fmt.Errorf("unexpected or invalid message of kind %d", k)
 	}
 	return nil
 }
