Play endless answers to health checks in the soak, and check its processes' memory

The soak could not find that one answer to a health check takes a front over its memory: its nodes answered every check well, its fronts had load reports off, and its auditor had no rule on memory.

Now each third health check at a node gets an answer that does not end, fronts that probe ask for load reports, and a process above its memory limit is killed, as the platform does, and reported under the rule 'memory'.

--- a/internal/soak/audit/check.go
+++ b/internal/soak/audit/check.go
@@ -28,6 +28,7 @@
 	ExcessTimeLeft         = "announced too much time"
 	SentToDraining         = "drain"
 	Crash                  = "crash"
+	Memory                 = "memory"
 	IncompleteRequest      = "incomplete request kept open"
 	CountedByFront         = "violations counted by the front"
 )
@@ -179,6 +180,9 @@
 		if p.NotReady {
 			c.add(Crash, p.Name, p.ExitedAt, "not ready in time")
 		}
+		if p.PeakMemory > c.MemoryLimit {
+			c.add(Memory, p.Name, p.ExitedAt, "used %d bytes, its limit is %d", p.PeakMemory, c.MemoryLimit)
+		}
 		if p.CountedViolations > 0 {
 			c.add(CountedByFront, p.Name, p.ExitedAt, "%d", p.CountedViolations)
 		}
--- a/internal/soak/audit/check_test.go
+++ b/internal/soak/audit/check_test.go
@@ -10,7 +10,7 @@
 
 // validRecord returns a run without a violation: a request, its attempt, SIGTERM and SIGKILL.
 func validRecord() *Record {
-	r := &Record{Window: time.Second}
+	r := &Record{Window: time.Second, MemoryLimit: 192 << 20}
 	r.AddProcess(Process{Name: "n0", TermAt: 2000 * ms, KillDue: 3700 * ms, KilledAt: 3700 * ms})
 	r.AddRequest(Request{ID: "a", Idempotency: Once, Sent: 2900 * ms, Wait: 500 * ms, Ending: Answered, Ended: 3000 * ms, Status: 200})
 	r.AddAttempt(Attempt{ID: "a", Node: "s", FirstByte: 2910 * ms, LastByte: 2915 * ms, Ended: 2990 * ms, TimeLeft: 400 * ms})
@@ -74,6 +74,8 @@
 		{"announced too much time", func(r *Record) { r.Attempts[0].TimeLeft = 700 * ms }, []string{ExcessTimeLeft}},
 		{"sent to a draining node", func(r *Record) { r.AddDrain(Drain{Node: "s", AnnouncedAt: 2300 * ms}) }, []string{SentToDraining}},
 		{"sent within the drain grace", func(r *Record) { r.AddDrain(Drain{Node: "s", AnnouncedAt: 2400 * ms}) }, nil},
+		{"memory at the limit", func(r *Record) { r.Processes[0].PeakMemory = 192 << 20 }, nil},
+		{"memory above the limit", func(r *Record) { r.Processes[0].PeakMemory = 192<<20 + 1 }, []string{Memory}},
 		{"crash", func(r *Record) { r.Processes[0].Crashed = true }, []string{Crash}},
 		{"violation counted by the front", func(r *Record) { r.Processes[0].CountedViolations = 1 }, []string{CountedByFront}},
 		{"incomplete request kept open", func(r *Record) {
--- a/internal/soak/audit/record.go
+++ b/internal/soak/audit/record.go
@@ -67,6 +67,7 @@
 	CountedViolations int64         // violations that the process counted itself
 	Stalls            []Span        // times in which it was stopped
 	ReadyAt           time.Duration // it became ready
+	PeakMemory        int64         // highest resident memory in bytes
 }
 
 // Span is a time span of a run.
@@ -98,6 +99,8 @@
 	Drains     []Drain
 	BadClients []BadClient
 	Window     time.Duration // nodes drop repeated requests within this time
+
+	MemoryLimit int64 // resident memory that a process may use, in bytes
 }
 
 // AddRequest adds a request that has ended.
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -36,9 +36,13 @@
 		}
 		return out
 	}
+	report := object{"how": "off"}
+	if s.Probing {
+		report = object{"how": "on_probe", "fields": []string{"backlog", "outstanding"}}
+	}
 	text, err := json.Marshal(object{
 		"name": "n", "listen": addr, "control": control, "discovery": discovery, "seed": fmt.Sprintf("%016x", s.Seed),
-		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "peers": []string{}, "known": list,
+		"limits": object{"cores": 1.0, "memory_mb": memoryLimitMB, "sockets": 1024}, "peers": []string{}, "known": list,
 		"settings": object{
 			"balancers": 1, "tickUs": 2000, "zones": []string{"a"},
 			"ceilings": object{
@@ -52,7 +56,7 @@
 			},
 			"contracts":  []object{{"name": "gold", "shares": 1}},
 			"familyInfo": object{"meanUnits": 2, "mostUnits": 6, "shards": shardCount, "classWrites": []bool{false, true, true}},
-			"report":     object{"how": "off"},
+			"report":     report,
 			"safety":     object{"drainGraceUs": 500000},
 		},
 	})
@@ -66,8 +70,8 @@
 func (s Scenario) applianceConfig(http, sftp, folder, console string, nodes []*peers.Node, files *peers.FileServer) []byte {
 	var out strings.Builder
 	fmt.Fprintf(
-		&out, "[limits]\nmemory_mb = 192\nsockets = 1024\nopen = 256\ntries = 4\nconnect = %q\nnode_idle = %q\nretry_after = \"500ms\"\n",
-		s.Connect, s.ConnIdle,
+		&out, "[limits]\nmemory_mb = %d\nsockets = 1024\nopen = 256\ntries = 4\nconnect = %q\nnode_idle = %q\nretry_after = \"500ms\"\n",
+		memoryLimitMB, s.Connect, s.ConnIdle,
 	)
 	fmt.Fprintf(&out, "[sftp]\nlisten = %q\nunit_bytes = 16384\nbulk_bytes = 32768\n[http]\nlisten = %q\n[console]\nsocket = %q\n", sftp, http, console)
 	fmt.Fprintf(&out, "[learned]\nfolder = %q\nfront = \"files-1\"\ninterval = \"500ms\"\nlease = \"500ms\"\n", folder)
--- a/internal/soak/front.go
+++ b/internal/soak/front.go
@@ -96,6 +96,7 @@
 	}
 	ended := make(chan struct{})
 	go f.wait(cmd, process, ended)
+	go f.watchMemory(cmd.Process, process, ended)
 	f.mu.Lock()
 	f.cmd, f.ended, f.process, f.injector = cmd, ended, process, injector
 	f.target = peers.Target{Addr: f.addr, Process: process, Longest: f.longest}
--- a/internal/soak/peers/node.go
+++ b/internal/soak/peers/node.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"otterturn/internal/soak/audit"
@@ -52,6 +53,8 @@
 	mu       sync.Mutex
 	behavior Behavior
 	conns    map[net.Conn]struct{}
+
+	healthChecks atomic.Int64 // number of health checks received
 }
 
 // NewNode starts a node.
@@ -137,7 +140,9 @@
 		}
 		a.LastByte = n.clock()
 		if a.ID == "" {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			if !n.answerHealthCheck(c) {
+				return
+			}
 			continue
 		}
 		if !n.answer(c, in, &a, r.ContentLength) {
@@ -146,6 +151,30 @@
 	}
 }
 
+// endlessCheckInterval is the number of health checks at a node of which one gets an answer that never ends.
+const endlessCheckInterval = 3
+
+// answerHealthCheck answers a health check. It reports whether the connection is still usable.
+func (n *Node) answerHealthCheck(c net.Conn) bool {
+	if n.healthChecks.Add(1)%endlessCheckInterval == 0 {
+		sendEndlessAnswer(c)
+		return false
+	}
+	const report = "TEXT backlog=0, outstanding=0"
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+	return err == nil
+}
+
+// sendEndlessAnswer sends parts of an answer until the connection is closed.
+func sendEndlessAnswer(c net.Conn) {
+	const partBytes = 16 << 10
+	part := fmt.Sprintf("%x\r\n%s\r\n", partBytes, strings.Repeat("x", partBytes))
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for err == nil {
+		_, err = io.WriteString(c, part)
+	}
+}
+
 // answer treats a request according to the node's present behavior and records the attempt. It reports whether the connection is still
 // usable.
 func (n *Node) answer(c net.Conn, in *bufio.Reader, a *audit.Attempt, length int64) bool {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -52,7 +52,9 @@
 	if err != nil {
 		return Result{}, err
 	}
-	r := &Run{scenario: s, binary: binary, wrapper: wrapper, folder: folder, startedAt: time.Now(), record: &audit.Record{Window: s.Window}}
+	r := &Run{scenario: s, binary: binary, wrapper: wrapper, folder: folder, startedAt: time.Now(), record: &audit.Record{
+		Window: s.Window, MemoryLimit: memoryLimitMB << 20,
+	}}
 	defer r.close()
 	if err := r.setUp(); err != nil {
 		return Result{}, err
