--- a/internal/limits/traffic.go
+++ b/internal/limits/traffic.go
@@ -99,7 +99,7 @@
 	filesReadBytes      = 32 << 10
 	filesResponseBytes  = 2 << 20
 	filesListingShare   = 4                      // open listings may take 1/filesListingShare of the memory
-	filesMinListing     = 4 * filesResponseBytes // an entry takes some four times the memory of its text
+	filesMinListing     = 4 * filesResponseBytes // one listing of the largest answer, where its names are long
 	filesAdmitTimeout   = 30 * time.Second
 	filesIdleTimeout    = 5 * time.Minute
 	filesLeaveInterval  = 50 * time.Millisecond
