Review case 10: spread the operator's calls over the time an upgrade takes

The calls no longer depend on how fast a process starts: they are spread over the time from start to yes of the upgrade before. The stand-ins end with a signal too, and keep the handover socket's path short.

--- a/review/kit-2/ban.go
+++ b/review/kit-2/ban.go
@@ -51,6 +51,7 @@
 		readers.Go(func() { p.readAnywhere(f.listen, servers, &stop, &served) })
 	}
 	time.Sleep(15 * time.Second)
+	yesAfter := 25 * time.Millisecond // time from the start of a process to its yes, as of the last upgrade
 	for round := range rounds {
 		control, next, began := f.control, old, time.Now()
 		if p.trouble {
@@ -59,8 +60,20 @@
 			}
 		}
 		saidYes := make([]time.Time, servers)
-		for i, n := range nodes { // one call each millisecond or so, to the process that serves
-			time.Sleep(time.Until(began.Add(time.Duration(3+i)*time.Millisecond + time.Duration(round)*80*time.Microsecond)))
+		ready := make(chan error, 1)
+		if p.trouble {
+			go func() {
+				err := awaitYes(f.control, "/healthcheck", 6*time.Second)
+				p.say("the new process says yes, %v after its start", time.Since(began))
+				if err == nil {
+					yesAfter = time.Since(began)
+				}
+				ready <- err
+			}()
+		}
+		span := yesAfter
+		for i, n := range nodes { // one call after the other to the process that serves, over the time that an upgrade takes
+			time.Sleep(time.Until(began.Add(span * time.Duration(i*rounds+round) / (servers * rounds))))
 			status, _ := call("POST", control, "/chunk-servers/"+n.Host+"/maint")
 			if status != 200 {
 				return cannotRun("maint of %s: %d", n.Host, status)
@@ -69,10 +82,9 @@
 			p.say("operator: %s out: yes", n.Host)
 		}
 		if p.trouble {
-			if err := awaitYes(f.control, "/healthcheck", 6*time.Second); err != nil {
+			if err := <-ready; err != nil {
 				return err
 			}
-			p.say("process %d says yes", f.count)
 			old.signal(syscall.SIGTERM)
 			if !old.wait(3700 * time.Millisecond) { // the longest deadline, which counts as 3 s here, and 0.7 s
 				old.signal(syscall.SIGKILL)
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -4,12 +4,18 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"runtime"
+	"syscall"
 	"time"
 )
 
 var cases = map[string]func(*play) error{}
 
+// The processes of a run end with the thread that started them, so the steps of a case stay on the main thread.
+func init() { runtime.LockOSThread() }
+
 // main plays a case: cases NAME FOLDER. It exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -33,15 +39,24 @@
 		return fail(err)
 	}
 	defer record.Close()
-	dir, err := os.MkdirTemp("", "review-")
+	base := os.TempDir()
+	if len(base) > 40 { // the path of a Unix socket has to fit
+		base = "/tmp"
+	}
+	dir, err := os.MkdirTemp(base, "review-")
 	if err != nil {
 		return fail(err)
 	}
 	defer os.RemoveAll(dir)
 	p := &play{root: filepath.Join(folder, "..", ".."), dir: dir, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() { // no run takes longer than this
-		time.Sleep(110 * time.Second)
-		p.say("the run took too long")
+		select {
+		case <-stop:
+		case <-time.After(110 * time.Second):
+		}
+		p.say("the run took too long, or was ended")
 		p.endAll()
 		os.RemoveAll(dir)
 		os.Exit(2)
