--- a/review/kit-2/kit.go
+++ b/review/kit-2/kit.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"cmp"
 	"encoding/json"
@@ -478,3 +479,38 @@
 	env = append(env, "RELAY_CONTROL="+f.control)
 	return f.play.start(fmt.Sprintf("front process %d", f.count), command, env, f.accept)
 }
+
+// readers sends reads of a shard over a few connections until stop is set. A connection that ends is opened anew.
+func (p *play) readers(addr string, shard int, stop *atomic.Bool, all *sync.WaitGroup, served *atomic.Int64) {
+	for range 4 {
+		all.Go(func() {
+			for !stop.Load() {
+				c, err := net.DialTimeout("tcp", addr, time.Second)
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				in := bufio.NewReader(c)
+				for !stop.Load() {
+					r := request{
+						id: p.newID(), class: "read", volume: "00000003b4d60021", key: "7f3a9c21e0b4d655", plan: "business", units: 1, shard: shard, left: 2 * time.Second,
+					}
+					c.SetDeadline(time.Now().Add(4 * time.Second))
+					if _, err := io.WriteString(c, r.text()); err != nil {
+						break
+					}
+					resp, err := http.ReadResponse(in, nil)
+					if err != nil {
+						break
+					}
+					io.Copy(io.Discard, resp.Body)
+					if resp.StatusCode == 200 {
+						served.Add(1)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				c.Close()
+			}
+		})
+	}
+}
