--- a/review/kit-2/sftp.go
+++ b/review/kit-2/sftp.go
@@ -43,6 +43,7 @@
 func (p *packet) next32() (v uint32)   { v = binary.BigEndian.Uint32(p.b); p.b = p.b[4:]; return v }
 func (p *packet) next64() (v uint64)   { v = binary.BigEndian.Uint64(p.b); p.b = p.b[8:]; return v }
 func (p *packet) nextStr() (s string)  { n := p.next32(); s = string(p.b[:n]); p.b = p.b[n:]; return s }
+
 func (p *packet) send(w io.Writer) error {
 	_, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(p.b))), p.b...))
 	return err
