Review case 8: one spoilt answer to LSTAT ends an appliance

It takes the place of the case of one id taken by both processes of an upgrade, which is less grave. The cases 8 and 9 are now 9 and 10.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../kit-2/bin/cases ] || { echo "build the stand-ins first: review/build-2.sh" >&2; exit 2; }
-exec ../kit-2/bin/cases upgrade-memory .
+exec ../kit-2/bin/cases sftp-write .
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -1,4 +1,4 @@
-// Command cases plays the cases 6 and 10 of the second review. Its arguments are the name of a case and the folder in which it writes
+// Command cases plays the cases 6 and 8 of the second review. Its arguments are the name of a case and the folder in which it writes
 // record.txt; it runs in the project's root. It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 package main
 
@@ -22,8 +22,8 @@
 
 // cases holds the cases by name. A case returns errBroken if the rule was broken, and any other error if it could not run.
 var cases = map[string]func(r *run) error{
-	"pipeline":   playPipeline,
-	"upgrade-id": playUpgradeID,
+	"pipeline":     playPipeline,
+	"spoilt-lstat": playSpoiltLstat,
 }
 
 // errBroken marks the result of a case whose rule was broken.
