Never repeat a change over SFTP that may have run

Cause: Command.Role called writes at an offset, creates that keep content and changes of mode or times idempotent (RoleWrite), and repeat = "keyed" had them sent again after a reset. That setting rests on nodes that drop a repeat by its key; SFTP has none. The first attempt can run behind the answers to its repeat and to a later write.

The change: every command that may change something has a class that is never repeated. A create without flags that create or truncate only looks whether the file exists, and counts as a read.

TestInterruptedCommandIsRetriedOnlyIfItsClassAllows asked for the repeat of a write and is replaced by TestInterruptedChangeIsNotRepeated, which asks for exactly one run of seven kinds of change. On the old code it fails for create, change of mode and write (2 runs each).

--- a/cmd/otterturn/main.go
+++ b/cmd/otterturn/main.go
@@ -59,11 +59,15 @@
 type checkCommand struct{}
 
 func (checkCommand) Run(c *commands) error {
-	_, err := program.LoadOperator(c.Config)
-	if err == nil {
-		fmt.Println(c.Config, "is in order")
+	operator, err := program.LoadOperator(c.Config)
+	if err != nil {
+		return err
 	}
-	return err
+	for _, warning := range operator.Warnings() {
+		fmt.Println("warning:", warning)
+	}
+	fmt.Println(c.Config, "is in order")
+	return nil
 }
 
 type consoleCommand struct {
--- a/internal/net/protocol/sftp/command.go
+++ b/internal/net/protocol/sftp/command.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"otterturn/internal/net/protocol/sftp/packet"
-	"otterturn/scheduler"
 )
 
 // Op is the operation of a command at a node.
@@ -56,12 +55,12 @@
 // Role is the kind of a command. Each role has a class of the scheduler.
 type Role int
 
-// The roles. RoleWriteOnce is a write that must not run twice: SFTP has no idempotency key by which a node could detect a retry.
+// The roles. RoleWrite is any command that changes something. SFTP has no idempotency key by which a node could detect a retry, so a
+// change that may have run is never sent again: the first attempt could be carried out after later changes were acknowledged.
 const (
 	RoleRead Role = iota
 	RoleBulkRead
 	RoleWrite
-	RoleWriteOnce
 	Roles
 )
 
@@ -72,32 +71,27 @@
 	MaxUnits  float64 // maximum size of a request
 }
 
-// Role returns the role of a command. A write at an offset, a create that keeps existing content and a change of attributes other
-// than the size are idempotent. Other changes must not run twice: a second remove could delete what another client has created in
-// between, and a late truncation could delete what was written after the retry of the first attempt.
+// Role returns the role of a command.
 func (c Command) Role(s Sizes) Role {
-	switch c.Op {
-	case Stat, Lstat, Readlink:
-		return RoleRead
-	case List:
-		return RoleBulkRead
-	case Read:
-		if c.Length >= s.BulkBytes {
-			return RoleBulkRead
-		}
-		return RoleRead
-	case Write:
+	switch {
+	case c.Changes():
 		return RoleWrite
+	case c.Op == List, c.Op == Read && c.Length >= s.BulkBytes:
+		return RoleBulkRead
+	}
+	return RoleRead
+}
+
+// Changes reports whether a node may change something when it carries out the command. A Create without flags that create or truncate
+// only checks that the file exists.
+func (c Command) Changes() bool {
+	switch c.Op {
+	case Stat, Lstat, Readlink, List, Read:
+		return false
 	case Create:
-		if c.Flags&(os.O_TRUNC|os.O_EXCL) == 0 {
-			return RoleWrite
-		}
-	case SetAttr:
-		if c.Attrs.Has&packet.HasSize == 0 {
-			return RoleWrite
-		}
+		return c.Flags&(os.O_CREATE|os.O_TRUNC) != 0
 	}
-	return RoleWriteOnce
+	return true
 }
 
 // Units returns the size of a command in units.
@@ -149,11 +143,3 @@
 
 // Clean makes a path absolute and removes its redundant elements.
 func Clean(name string) string { return path.Clean("/" + name) }
-
-// Idempotencies returns the idempotency of the classes of the four roles, given the operator's setting for writes.
-func Idempotencies(write scheduler.Idempotency) [Roles]scheduler.Idempotency {
-	return [Roles]scheduler.Idempotency{
-		RoleRead: scheduler.Idempotent, RoleBulkRead: scheduler.Idempotent, RoleWrite: write,
-		RoleWriteOnce: scheduler.NotIdempotent,
-	}
-}
--- a/internal/net/protocol/sftp/command_test.go
+++ b/internal/net/protocol/sftp/command_test.go
@@ -8,8 +8,8 @@
 	"otterturn/internal/net/protocol/sftp/packet"
 )
 
-// Guards against the retry of a command that is not idempotent: of the commands that change something, only those with RoleWrite
-// may be retried after they may have run.
+// Guards against the retry of a change that may have run, which no node can recognize over SFTP: every command that may change
+// something, and no other, has the role whose class is never repeated.
 func TestRolesAndUnits(t *testing.T) {
 	sizes := Sizes{UnitBytes: 100, BulkBytes: 1000, MaxUnits: 4}
 	for _, c := range []struct {
@@ -22,13 +22,15 @@
 		{Command{Op: Read, Length: 1000}, RoleBulkRead, 4},
 		{Command{Op: List}, RoleBulkRead, 2},
 		{Command{Op: Write, Data: make([]byte, 100)}, RoleWrite, 2},
+		{Command{Op: Create, Flags: os.O_WRONLY}, RoleRead, 1},
+		{Command{Op: Create, Flags: os.O_WRONLY | os.O_TRUNC}, RoleWrite, 1},
 		{Command{Op: Create, Flags: os.O_WRONLY | os.O_CREATE}, RoleWrite, 1},
-		{Command{Op: Create, Flags: os.O_WRONLY | os.O_CREATE | os.O_TRUNC}, RoleWriteOnce, 1},
-		{Command{Op: Create, Flags: os.O_WRONLY | os.O_CREATE | os.O_EXCL}, RoleWriteOnce, 1},
+		{Command{Op: Create, Flags: os.O_WRONLY | os.O_CREATE | os.O_TRUNC}, RoleWrite, 1},
+		{Command{Op: Create, Flags: os.O_WRONLY | os.O_CREATE | os.O_EXCL}, RoleWrite, 1},
 		{Command{Op: SetAttr, Attrs: packet.Attrs{Has: packet.HasMode}}, RoleWrite, 1},
-		{Command{Op: SetAttr, Attrs: packet.Attrs{Has: packet.HasSize}}, RoleWriteOnce, 1},
-		{Command{Op: Remove}, RoleWriteOnce, 1},
-		{Command{Op: PosixRename}, RoleWriteOnce, 1},
+		{Command{Op: SetAttr, Attrs: packet.Attrs{Has: packet.HasSize}}, RoleWrite, 1},
+		{Command{Op: Remove}, RoleWrite, 1},
+		{Command{Op: PosixRename}, RoleWrite, 1},
 	} {
 		if role, units := c.cmd.Role(sizes), c.cmd.Units(sizes); role != c.role || units != c.units {
 			t.Errorf("%+v: role %v, %v units; want %v, %v", c.cmd, role, units, c.role, c.units)
--- a/internal/net/transport/sftp/nodes_test.go
+++ b/internal/net/transport/sftp/nodes_test.go
@@ -17,9 +17,9 @@
 	"otterturn/scheduler"
 )
 
-// Guards against the retry of a command that is not idempotent. A node closes the connection after it has executed a command, so the
-// front can't know whether the command ran. It may retry only what the class allows, and the client gets one answer.
-func TestInterruptedCommandIsRetriedOnlyIfItsClassAllows(t *testing.T) {
+// Guards against the retry of a change that may have run, a write at an offset included: the node closes the connection after it has
+// executed the command, and over SFTP it can't recognize a repeat. The client is told once that the change may have been carried out.
+func TestInterruptedChangeIsNotRepeated(t *testing.T) {
 	node := testsupport.NewFileServer(t)
 	var armed atomic.Value
 	armed.Store("")
@@ -29,35 +29,39 @@
 	if err := c.Mkdir("/a"); err != nil {
 		t.Fatal(err)
 	}
-	f, err := c.Create("/a/upload")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := f.Write([]byte("first half, ")); err != nil {
-		t.Fatal(err)
-	}
-	armed.Store("Write")
-	if _, err := f.Write([]byte("second half")); err != nil {
-		t.Errorf("a write at an offset was not retried: %v", err)
-	}
-	if n := node.Count("Write", "/a/upload"); n != 3 {
-		t.Errorf("%d writes reached the node, want 2 and one retry", n)
+	for _, name := range []string{"upload", "moved", "changed", "removed"} {
+		f, err := c.Create("/a/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Close()
 	}
-	for _, once := range []struct {
+	for _, change := range []struct {
 		op, path string
 		do       func() error
 	}{
 		{"Mkdir", "/a/new", func() error { return c.Mkdir("/a/new") }},
-		{"Remove", "/a/upload", func() error { return c.Remove("/a/upload") }},
 		{"Create", "/a/trunc", func() error { _, err := c.Create("/a/trunc"); return err }},
+		{"Create", "/a/kept", func() error { _, err := c.OpenFile("/a/kept", os.O_WRONLY|os.O_CREATE); return err }},
+		{"Setstat", "/a/changed", func() error { return c.Chmod("/a/changed", 0o600) }},
+		{"Rename", "/a/moved", func() error { return c.Rename("/a/moved", "/a/target") }},
+		{"Write", "/a/upload", func() error {
+			f, err := c.OpenFile("/a/upload", os.O_WRONLY)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = f.WriteAt([]byte("record"), 0)
+			return err
+		}},
+		{"Remove", "/a/removed", func() error { return c.Remove("/a/removed") }},
 	} {
-		armed.Store(once.op)
-		err := once.do()
-		if err == nil || once.op != "Remove" && !strings.Contains(err.Error(), "may or may not") {
-			t.Errorf("%s: %v", once.op, err) // the client library tries Rmdir after a failed Remove
+		armed.Store(change.op)
+		err := change.do()
+		if err == nil || change.op != "Remove" && !strings.Contains(err.Error(), "may or may not") {
+			t.Errorf("%s: %v", change.op, err) // the client library tries Rmdir after a failed Remove
 		}
-		if n := node.Count(once.op, once.path); n != 1 {
-			t.Errorf("%s reached the node %d times, want 1", once.op, n)
+		if n := node.Count(change.op, change.path); n != 1 {
+			t.Errorf("%s of %s reached the node %d times, want 1", change.op, change.path, n)
 		}
 	}
 }
--- a/internal/net/transport/sftp/testbed_test.go
+++ b/internal/net/transport/sftp/testbed_test.go
@@ -46,8 +46,8 @@
 	b.front = NewFront(Site{
 		Projects:   []files.Project{{Name: "a", Prefix: "/a", Shard: 0}, {Name: "b", Prefix: "/b", Shard: 1}},
 		Sizes:      files.Sizes{UnitBytes: 16384, BulkBytes: 32768, MaxUnits: 8},
-		Classes:    [files.Roles]int{files.RoleWrite: 1, files.RoleWriteOnce: 2},
-		TimeLimits: [files.Roles]time.Duration{wait, wait, wait, wait},
+		Classes:    [files.Roles]int{files.RoleWrite: 2},
+		TimeLimits: [files.Roles]time.Duration{wait, wait, wait},
 		RetryAfter: time.Second,
 	}, l, b.core, b.client.Attempt, memory.NewBudget(l.Memory.Shared))
 	listener := testsupport.Listen(t)
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -62,6 +62,9 @@
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	defer a.lines.Flush(flushTimeout)
+	for _, warning := range operator.Warnings() {
+		a.log.Warn("setting without effect", "setting", warning)
+	}
 	guard := a.core.Guard
 	go func() { guard.BeginShutdown(<-shutdown) }()
 	setRuntimeLimits(a.limits)
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -133,7 +133,7 @@
 // maxUnits is the maximum number of units of a file command.
 const maxUnits = 8
 
-// classNames lists the operator's classes by role. A write that must not be repeated has the settings of class write.
+// classNames lists the operator's classes by role.
 var classNames = []string{files.RoleRead: "read", files.RoleBulkRead: "bulk-read", files.RoleWrite: "write"}
 
 // LoadOperator reads and validates the operator's file. Its errors name the field and match ErrConfiguration.
--- a/internal/program/operator_check.go
+++ b/internal/program/operator_check.go
@@ -82,6 +82,15 @@
 	return nil
 }
 
+// Warnings lists the settings that are valid but have no effect.
+func (o *Operator) Warnings() []string {
+	var out []string
+	if o.HTTP.Listen == "" && o.Classes["write"].Repeat == "keyed" {
+		out = append(out, `classes.write.repeat: "keyed" has no effect without http.listen: a change over SFTP is never sent again once it may have run`)
+	}
+	return out
+}
+
 // namePattern matches names that are safe as part of a file name.
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]*$`)
 
--- a/internal/program/operator_settings.go
+++ b/internal/program/operator_settings.go
@@ -50,14 +50,12 @@
 	if o.Classes["write"].Repeat == "never" {
 		writeIdempotency = scheduler.NotIdempotent
 	}
-	for role, idempotency := range files.Idempotencies(writeIdempotency) {
-		c := o.Classes[classNames[min(role, int(files.RoleWrite))]]
+	out.Scheduler.Classes = []scheduler.Class{
+		o.schedulerClass("read", scheduler.Idempotent), o.schedulerClass("bulk-read", scheduler.Idempotent),
+		o.schedulerClass("write", writeIdempotency), fileChangeClass: o.schedulerClass("write", scheduler.NotIdempotent),
+	}
+	for _, c := range o.Classes {
 		out.MaxDeadline = max(out.MaxDeadline, c.Wait)
-		out.Scheduler.Classes = append(out.Scheduler.Classes, scheduler.Class{
-			LatencyObjective: scheduler.Micros(c.Within / time.Microsecond),
-			Idempotency:      idempotency, DedupScope: scheduler.SameShard,
-			DedupWindow: scheduler.Micros(c.Window / time.Microsecond), Priority: c.Worth,
-		})
 	}
 	for _, n := range o.Nodes {
 		out.Shards = max(out.Shards, n.Shard+1)
@@ -72,16 +70,30 @@
 	return out
 }
 
+// fileChangeClass is the scheduler's class of the SFTP front's changes. It has the settings of class write, but is never repeated: the
+// operator's setting for repeats needs an idempotency key, which only HTTP has.
+const fileChangeClass = 3
+
+// schedulerClass returns the settings of one of the operator's classes.
+func (o *Operator) schedulerClass(name string, idempotency scheduler.Idempotency) scheduler.Class {
+	c := o.Classes[name]
+	return scheduler.Class{
+		LatencyObjective: scheduler.Micros(c.Within / time.Microsecond),
+		Idempotency:      idempotency, DedupScope: scheduler.SameShard,
+		DedupWindow: scheduler.Micros(c.Window / time.Microsecond), Priority: c.Worth,
+	}
+}
+
 // sftpSite returns the settings of the SFTP front.
 func (o *Operator) sftpSite() sftp.Site {
 	out := sftp.Site{
 		RetryAfter: o.Limits.RetryAfter,
 		Sizes:      files.Sizes{UnitBytes: o.SFTP.UnitBytes, BulkBytes: o.SFTP.BulkBytes, MaxUnits: maxUnits},
 	}
-	for role := range out.Classes {
-		out.Classes[role] = role
-		out.TimeLimits[role] = o.Classes[classNames[min(role, int(files.RoleWrite))]].Wait
+	for role, name := range classNames {
+		out.Classes[role], out.TimeLimits[role] = role, o.Classes[name].Wait
 	}
+	out.Classes[files.RoleWrite] = fileChangeClass
 	for _, p := range o.Projects {
 		out.Projects = append(out.Projects, files.Project{
 			Name: p.Name, Prefix: p.Prefix, Plan: o.planIndex(p.Plan),
