Refuse a change while an earlier one of the same file may still run

A client that was told that a write failed could write the file anew by another handle or connection, be told OK, and find the earlier write's bytes there later. The same held for creates, truncations, changes of mode, removes and renames, after a reset, a time-out or a client's end.

Cause: file.begin ordered the writes of one handle, and only until their answer. What a node has begun goes on, and nothing bounds that.

The change: internal/changes, a pure ledger of the changes of all clients of the front. A change waits for conflicting ones in progress, in turn, and is refused while one is unsettled. A change over its time keeps its connection; the late answer settles it. A reset leaves it unsettled. Whether a change was sent is known step by step: a write that broke at its OPEN is retried. Memory: changes in progress and the data of late ones take an eighth each of the memory for open files, in the account.

TestLateAnswerSettlesChange hangs when the late answer is not awaited; TestWriteIsRepeatedOnlyIfItWasNotSent fails without the retry at the OPEN.

The next process knows nothing of unsettled changes yet.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -125,6 +125,8 @@
 	ReadBytes     int   // largest answer to a read
 	ResponseBytes int64 // largest answer of a node to a command
 	PathBytes     int   // longest path
+	Unsettled     int   // changes of a project that a node may still carry out; above that the project's changes are refused
+	LateAnswers   int   // connections to nodes that are kept for the late answers to changes
 
 	MemoryWait        time.Duration // time for which a listing waits for memory before it is rejected
 	AdmitTimeout      time.Duration // time for which a read or write waits for capacity before it is submitted anyway
--- a/internal/limits/memory.go
+++ b/internal/limits/memory.go
@@ -6,6 +6,8 @@
 	Runtime int64 // soft limit of the Go runtime
 	Shared  int64 // for bodies, answers, large heads and other things without a fixed size, all together
 	Handles int64 // for the files and listings that SFTP clients have open
+	Changes int64 // for the changes over SFTP that are in progress or may still be carried out by a node
+	Late    int64 // for the data of changes over SFTP that a node has not answered in time
 	Free    int64 // bytes of a body, a head or an answer that are part of its connection's fixed memory
 }
 
@@ -36,6 +38,10 @@
 // handleShare is the share of the memory without a fixed size, as 1/handleShare, that open files and listings may take.
 const handleShare = 2
 
+// changeShare is the share of the memory for open files and listings, as 1/changeShare, that changes in progress take from it, and late
+// changes once more.
+const changeShare = 8
+
 // Item is one line of the memory account.
 type Item struct {
 	Name  string
@@ -64,7 +70,8 @@
 	}
 	if l.Files.Enabled {
 		items = append(items, Item{"connections of SFTP clients", fileClientBytes, int64(l.Files.Conns)},
-			Item{"open files and listings of SFTP clients", l.Memory.Handles, 1})
+			Item{"open files and listings of SFTP clients", l.Memory.Handles, 1},
+			Item{"changes over SFTP in progress", l.Memory.Changes, 1}, Item{"data of late changes over SFTP", l.Memory.Late, 1})
 	}
 	return append(items, Item{"bodies, answers, large heads, data of files", l.Memory.Shared, 1})
 }
@@ -81,6 +88,8 @@
 	fileClients int
 	shared      int64
 	handles     int64
+	changes     int64
+	late        int64
 }
 
 func divideResources(site Site) resources {
@@ -113,6 +122,8 @@
 	if site.Files {
 		out.handles = out.shared / handleShare
 		out.shared -= out.handles
+		out.changes, out.late = out.handles/changeShare, out.handles/changeShare
+		out.handles -= out.changes + out.late
 	}
 	return out
 }
--- a/internal/limits/site.go
+++ b/internal/limits/site.go
@@ -28,7 +28,8 @@
 		Control:   controlLimits(),
 		Files:     fileLimits(site, available),
 		Memory: MemoryLimits{
-			Process: available.process, Runtime: available.runtime, Shared: available.shared, Handles: available.handles, Free: freeBytes,
+			Process: available.process, Runtime: available.runtime, Shared: available.shared, Handles: available.handles,
+			Changes: available.changes, Late: available.late, Free: freeBytes,
 		},
 		TLS:         site.TLS,
 		AcceptRetry: acceptRetry,
--- a/internal/limits/traffic.go
+++ b/internal/limits/traffic.go
@@ -121,6 +121,8 @@
 	filesReadBytes      = 32 << 10
 	filesResponseBytes  = 2 << 20
 	filesPathBytes      = 4096
+	filesUnsettled      = 1024
+	filesLateAnswers    = 4         // 1/filesLateAnswers of the connections to nodes
 	filesResponseShare  = 8         // a listing takes four times its bytes on the wire
 	filesShare          = 4         // connections of SFTP clients may take 1/filesShare of the live objects
 	filesMinResponse    = 256 << 10 // the longest packet
@@ -141,6 +143,8 @@
 		ReadBytes:         filesReadBytes,
 		ResponseBytes:     min(filesResponseBytes, max(filesMinResponse, available.handles/filesResponseShare)),
 		PathBytes:         filesPathBytes,
+		Unsettled:         filesUnsettled,
+		LateAnswers:       max(1, available.nodes/filesLateAnswers),
 		MemoryWait:        filesMemoryWait,
 		AdmitTimeout:      filesAdmitTimeout,
 		IdleTimeout:       filesIdleTimeout,
--- a/internal/net/protocol/sftp/command.go
+++ b/internal/net/protocol/sftp/command.go
@@ -7,6 +7,7 @@
 	"path"
 	"strings"
 
+	"otterturn/internal/changes"
 	"otterturn/internal/net/protocol/sftp/packet"
 )
 
@@ -94,6 +95,21 @@
 	return true
 }
 
+// Change returns what the command may change, and for a read what must not change meanwhile. No data counts as one byte, because a node
+// may extend the file for an empty write.
+func (c Command) Change() changes.Change {
+	switch c.Op {
+	case Read, Write:
+		from := uint64(c.Offset)
+		return changes.Change{Paths: []string{c.Path}, Content: true, From: from, To: from + uint64(max(1, c.Length, len(c.Data)))}
+	case Rmdir:
+		return changes.Change{Paths: []string{c.Path}, Subtree: true}
+	case Rename, PosixRename:
+		return changes.Change{Paths: []string{c.Path, c.Target}, Subtree: true}
+	}
+	return changes.Change{Paths: []string{c.Path}}
+}
+
 // Units returns the size of a command in units.
 func (c Command) Units(s Sizes) float64 {
 	bytes := max(c.Length, len(c.Data))
--- a/internal/net/protocol/sftp/status.go
+++ b/internal/net/protocol/sftp/status.go
@@ -20,10 +20,21 @@
 
 func (s *Status) Error() string { return s.Text }
 
+// ChangeRefusedError reports that a change was not sent to a node because of an earlier one.
+type ChangeRefusedError struct{ Cause error }
+
+func (e *ChangeRefusedError) Error() string {
+	return "refused, nothing was changed: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ChangeRefusedError) Unwrap() error { return e.Cause }
+
 // StatusOf maps the final answer of the scheduler, or an error of a node, to a status. The text of a rejection says when to retry.
 func StatusOf(err error) *Status {
 	var status *Status
 	var rejected *routing.RejectedError
+	var refused *ChangeRefusedError
 	switch {
 	case err == nil:
 		return &Status{packet.OK, ""}
@@ -32,6 +43,8 @@
 	case errors.As(err, &rejected):
 		return &Status{packet.Failure, fmt.Sprintf("refused, nothing was changed: try again in %.3f s",
 			rejected.RetryAfter.Seconds())}
+	case errors.As(err, &refused):
+		return &Status{packet.Failure, refused.Error()}
 	case errors.Is(err, io.EOF):
 		return &Status{packet.EOF, "end of file"}
 	case errors.Is(err, routing.ErrStopped):
--- a/internal/net/transport/sftp/client_conn.go
+++ b/internal/net/transport/sftp/client_conn.go
@@ -16,6 +16,7 @@
 	files "otterturn/internal/net/protocol/sftp"
 	"otterturn/internal/net/protocol/sftp/packet"
 	"otterturn/internal/net/routing"
+	"otterturn/scheduler"
 )
 
 // errClientGone reports that a client's connection has ended. Its text can be part of SFTP status texts (WriteFailed).
@@ -199,6 +200,14 @@
 	if err != nil {
 		return files.Reply{}, err
 	}
+	var change *pendingChange
+	if cmd.Changes() {
+		if change, err = c.beginChange(cmd, &request); err != nil {
+			counts.add(err)
+			return files.Reply{}, err
+		}
+		defer change.complete()
+	}
 	select {
 	case f.slots <- struct{}{}:
 		defer func() { <-f.slots }()
@@ -207,10 +216,21 @@
 		counts.add(rejected)
 		return files.Reply{}, rejected
 	}
-	reply, err := routing.Do(c.ctx, f.core, request, c.attemptFunc(cmd))
+	reply, err := routing.Do(c.ctx, f.core, request, c.attemptFunc(cmd, change))
 	counts.add(err)
 	if err == nil {
 		err = reply.Err
 	}
 	return reply, err
 }
+
+// beginChange waits until a change may be sent, for half of its time left at most, and reduces its time left by the wait.
+func (c *clientConn) beginChange(cmd files.Command, request *scheduler.Request) (*pendingChange, error) {
+	start := time.Now()
+	timeLeft := time.Duration(request.TimeLeft) * time.Microsecond
+	ctx, cancel := context.WithTimeoutCause(c.ctx, timeLeft/2, &routing.RejectedError{RetryAfter: c.front.site.RetryAfter})
+	defer cancel()
+	change, err := c.front.changes.begin(ctx, cmd.Change(), request.Volume)
+	request.TimeLeft -= scheduler.Micros(time.Since(start) / time.Microsecond)
+	return change, err
+}
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -1,7 +1,6 @@
 package sftp
 
 import (
-	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -19,9 +18,6 @@
 	"otterturn/scheduler"
 )
 
-// Attempter sends a command to a node once.
-type Attempter func(ctx context.Context, a routing.Attempt, cmd files.Command) (files.Reply, scheduler.AttemptEnded)
-
 // Site is the operator's configuration of the front.
 type Site struct {
 	Projects   []files.Project
@@ -37,6 +33,7 @@
 	limits    limits.Limits
 	core      *routing.Core
 	attempt   Attempter
+	changes   *changeOrder
 	byProject map[string]*counters // by project
 	slots     chan struct{}        // holds one element per command that is submitted to the scheduler
 	memory    *memory.Budget       // of transfers, shared with the HTTP front
@@ -51,7 +48,7 @@
 // NewFront returns a front, which takes memory from a budget.
 func NewFront(site Site, l limits.Limits, core *routing.Core, attempt Attempter, budget *memory.Budget) *Front {
 	f := &Front{
-		site: site, limits: l, core: core, attempt: attempt, conns: map[*clientConn]struct{}{},
+		site: site, limits: l, core: core, attempt: attempt, changes: newChangeOrder(l.Files.Unsettled, memory.NewBudget(l.Memory.Changes), core.Log), conns: map[*clientConn]struct{}{},
 		byProject: map[string]*counters{}, slots: make(chan struct{}, l.Requests.Open), memory: budget, handles: memory.NewBudget(l.Memory.Handles),
 	}
 	for _, p := range site.Projects {
@@ -61,10 +58,11 @@
 }
 
 // counters counts a project's commands by result.
-type counters struct{ served, refused, failed atomic.Int64 }
+type counters struct{ served, refused, failed, blocked atomic.Int64 }
 
-// Count is a snapshot of a project's counters.
-type Count struct{ Served, Refused, Failed int64 }
+// Count is a snapshot of a project's counters. Blocked counts changes that were refused, because a node may still carry out an earlier
+// one.
+type Count struct{ Served, Refused, Failed, Blocked int64 }
 
 // Count returns how many of a project's commands ended with each result.
 func (f *Front) Count(project string) Count {
@@ -72,14 +70,17 @@
 	if counts == nil {
 		return Count{}
 	}
-	return Count{counts.served.Load(), counts.refused.Load(), counts.failed.Load()}
+	return Count{counts.served.Load(), counts.refused.Load(), counts.failed.Load(), counts.blocked.Load()}
 }
 
 func (c *counters) add(err error) {
 	var refused *routing.RejectedError
+	var blocked *files.ChangeRefusedError
 	switch {
 	case err == nil:
 		c.served.Add(1)
+	case errors.As(err, &blocked):
+		c.blocked.Add(1)
 	case errors.As(err, &refused):
 		c.refused.Add(1)
 	case errors.Is(err, errClientGone): // no client received a failure
--- a/internal/net/transport/sftp/transfer.go
+++ b/internal/net/transport/sftp/transfer.go
@@ -25,15 +25,10 @@
 	path   string
 	memory *memory.Reservation
 
-	mu         sync.Mutex
-	writeErr   error         // error of the first write that failed; it is never cleared
-	writes     []span        // writes in progress
-	writeEnded chan struct{} // closed and replaced when a write ends
+	mu       sync.Mutex
+	writeErr error // error of the first write that failed; it is never cleared
 }
 
-// span is a range of bytes in a file; to is not included.
-type span struct{ from, to uint64 }
-
 // folder is an open listing. next is the index of the first entry that was not yet sent to the client.
 type folder struct {
 	path   string
@@ -47,42 +42,13 @@
 func (f *file) release()           { f.memory.Release() }
 func (f *folder) release()         { f.memory.Release() }
 
-func newFile(path string, held *memory.Reservation) *file {
-	return &file{path: path, memory: held, writeEnded: make(chan struct{})}
-}
-
-// begin waits until no write to an overlapping range of the file is in progress. Nodes execute commands of several connections in
-// any order, while the draft guarantees clients the order in which they send them (section 6).
-func (f *file) begin(ctx context.Context, s span, write bool) error {
-	for {
-		f.mu.Lock()
-		overlaps := slices.ContainsFunc(f.writes, func(u span) bool { return u.from < s.to && s.from < u.to })
-		if !overlaps && write {
-			f.writes = append(f.writes, s)
-		}
-		writeEnded := f.writeEnded
-		f.mu.Unlock()
-		if !overlaps {
-			return nil
-		}
-		select {
-		case <-writeEnded:
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
-}
+func newFile(path string, held *memory.Reservation) *file { return &file{path: path, memory: held} }
 
 // end records the result of a write and returns the error that its client gets. After a write has failed, every later answer on
 // this file is a failure too, in whichever order the commands were sent.
-func (f *file) end(s span, err error) error {
+func (f *file) end(err error) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if i := slices.Index(f.writes, s); i >= 0 {
-		f.writes = slices.Delete(f.writes, i, i+1)
-	}
-	close(f.writeEnded)
-	f.writeEnded = make(chan struct{})
 	switch {
 	case f.writeErr != nil:
 		return files.WriteFailed(f.writeErr)
@@ -123,18 +89,25 @@
 		cmd.Path, cmd.Data = h.path, r.Data
 		request, counts, err = c.front.request(cmd)
 	}
+	var change *pendingChange
+	if err == nil {
+		if change, err = c.order(cmd, request); c.accepting.Err() != nil {
+			return context.Cause(c.accepting)
+		}
+		if err != nil {
+			counts.add(err)
+			err = h.end(err)
+		}
+	}
 	if err != nil { // answered by the front itself
 		if broken := c.consume(size); broken != nil {
 			return broken
 		}
 		return c.send(status(r.ID, err))
 	}
-	touched := span{r.Offset, r.Offset + uint64(max(cmd.Length, len(cmd.Data)))}
-	if err := h.begin(c.accepting, touched, write); err != nil {
-		return err
-	}
 	release, err := c.reserveTransfer(transferCopies * int64(max(cmd.Length, len(cmd.Data))))
 	if err != nil {
+		change.complete()
 		return err
 	}
 	cmd.Data = slices.Clone(cmd.Data) // the buffer of the packet is reused
@@ -143,18 +116,20 @@
 		_, err = c.in.Discard(lengthBytes + size) // the scheduler has accepted it, even if the connection ends now
 	}
 	if err != nil {
+		change.complete()
 		release()
 		return err
 	}
 	c.inProgress.Go(func() {
 		defer release()
-		reply, err := routing.Complete(c.ctx, submission, c.attemptFunc(cmd))
+		reply, err := routing.Complete(c.ctx, submission, c.attemptFunc(cmd, change))
+		change.complete()
 		counts.add(err)
 		if err == nil {
 			err = reply.Err
 		}
 		if write {
-			c.send(status(r.ID, h.end(touched, err)))
+			c.send(status(r.ID, h.end(err)))
 			return
 		}
 		if err == nil && len(reply.Data) == 0 && reply.EOF {
@@ -169,6 +144,15 @@
 	return nil
 }
 
+// order waits until a read or a write may be sent. Nodes execute commands of several connections in any order, while the draft
+// guarantees clients the order in which they send them (section 6). For a write it returns the change.
+func (c *clientConn) order(cmd files.Command, request scheduler.Request) (*pendingChange, error) {
+	if !cmd.Changes() {
+		return nil, c.front.changes.awaitInProgress(c.accepting, cmd.Change())
+	}
+	return c.front.changes.begin(c.accepting, cmd.Change(), request.Volume)
+}
+
 // transferCopies is how often the data of a read or a write is in memory at the same time.
 const transferCopies = 3
 
@@ -198,10 +182,14 @@
 }
 
 // attemptFunc returns the attempt function of a command.
-func (c *clientConn) attemptFunc(cmd files.Command) func(context.Context, routing.Attempt) (files.Reply, scheduler.AttemptEnded) {
+func (c *clientConn) attemptFunc(cmd files.Command, change *pendingChange) routing.AttemptFunc[files.Reply] {
 	return func(ctx context.Context, a routing.Attempt) (files.Reply, scheduler.AttemptEnded) {
 		a.ClientGone = func() bool { return peerClosed(c.conn) }
-		return c.front.attempt(ctx, a, cmd)
+		if change != nil {
+			return change.attempt(ctx, a, cmd, c.front.attempt)
+		}
+		reply, ended, _ := c.front.attempt(ctx, a, cmd, func() {})
+		return reply, ended
 	}
 }
 
