Keep the changes in progress over SFTP in a file for the next process

A client wrote a record that a node was slow to carry out; the appliance was killed, or ended in order, and started again. The client wrote the record anew, was told OK, and the node carried out the old write then.

Cause: the ledger of changes lived in memory, and nothing on the wire tells a successor what is out.

The change: [sftp] changes names a file (bbolt) in which each change is synced before it is sent, several at a time together, and from which it is removed once it has ended. The next process restores what is left as unsettled. Without the file 'serve' and 'check' warn. The console lists unsettled changes and takes the operator's word for their end, which a reset leaves nobody else to know.

Evidence: TestUnsettledChangeOutlivesItsProcess, by SIGKILL and SIGTERM; without the restore the later write is acknowledged in both. Store tests reopen a file with 1 of 40 changes left, and keep a foreign file.

docs/operators/files.md says what holds behind a failed change.

--- a/internal/changes/change.go
+++ b/internal/changes/change.go
@@ -16,6 +16,12 @@
 	To      uint64
 }
 
+// Record is a change in progress, as it is stored for the next process.
+type Record struct {
+	Change Change
+	Group  string // see Entry
+}
+
 // ConflictsWith reports whether one of two changes could alter what the other one made.
 func (c Change) ConflictsWith(other Change) bool {
 	for _, path := range c.Paths {
--- a/internal/net/transport/sftp/changes.go
+++ b/internal/net/transport/sftp/changes.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 
 	"otterturn/internal/changes"
@@ -13,15 +15,10 @@
 	"otterturn/scheduler"
 )
 
-// ChangeRecord is a change in progress, as it is kept across the end of the process.
-type ChangeRecord struct {
-	Change  changes.Change
-	Project string
-}
-
 // ChangeStore keeps the changes in progress, so that the next process knows which ones a node may still carry out.
 type ChangeStore interface {
-	Add(ChangeRecord) (id uint64, err error) // returns once the record is durable
+	All() (map[uint64]changes.Record, error)
+	Add(changes.Record) (id uint64, err error) // returns once the record is durable
 	Remove(id uint64)
 }
 
@@ -59,13 +56,31 @@
 	}
 }
 
+// useStore restores the changes of an earlier process, and keeps the changes that begin from now on.
+func (o *changeOrder) useStore(store ChangeStore) error {
+	stored, err := store.All()
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	o.store = store
+	o.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(stored)) {
+		o.restore(id, stored[id])
+	}
+	if len(stored) > 0 {
+		o.log.Warn("changes of the previous process are unsettled", "changes", len(stored))
+	}
+	return nil
+}
+
 // restore adds a change that an earlier process may have sent.
-func (o *changeOrder) restore(id uint64, r ChangeRecord) {
+func (o *changeOrder) restore(id uint64, r changes.Record) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	held := o.memory.NewReservation()
 	held.Grow(sizeOf(r.Change)) // without room it is restored all the same: the previous process had room for it
-	p := o.add(o.ledger.Restore(r.Change, r.Project), held)
+	p := o.add(o.ledger.Restore(r.Change, r.Group), held)
 	p.recordID, p.unanswered, p.completed = id, 1, true
 }
 
@@ -90,7 +105,7 @@
 	if o.store == nil {
 		return p, nil
 	}
-	if p.recordID, err = o.store.Add(ChangeRecord{c, project}); err != nil {
+	if p.recordID, err = o.store.Add(changes.Record{Change: c, Group: project}); err != nil {
 		p.complete()
 		return nil, &files.ChangeRefusedError{Cause: fmt.Errorf("the change can't be recorded: %w", err)}
 	}
@@ -224,30 +239,19 @@
 
 func (p *pendingChange) closeEnded() { p.endedOnce.Do(func() { close(p.ended) }) }
 
-// UnsettledChange is a change that a node may still carry out although its command has ended.
-type UnsettledChange struct {
-	changes.Change
-	Project string
-	Node    string // "" if the change was sent by an earlier process
-}
-
 // unsettled returns the unsettled changes, the oldest first.
-func (o *changeOrder) unsettled() []UnsettledChange {
+func (o *changeOrder) unsettled() []changes.Entry {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var out []UnsettledChange
-	for _, e := range o.ledger.Unsettled() {
-		out = append(out, UnsettledChange{e.Change, e.Group, e.Node})
-	}
-	return out
+	return o.ledger.Unsettled()
 }
 
 // settle ends the unsettled changes that match, and returns their number.
-func (o *changeOrder) settle(matches func(UnsettledChange) bool) (settled int) {
+func (o *changeOrder) settle(matches func(changes.Entry) bool) (settled int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, e := range o.ledger.Unsettled() {
-		if !matches(UnsettledChange{e.Change, e.Group, e.Node}) {
+		if !matches(e) {
 			continue
 		}
 		p := o.pending[e.Ticket]
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterturn/internal/changes"
 	"otterturn/internal/limits"
 	"otterturn/internal/memory"
 	"otterturn/internal/net/accept"
@@ -57,6 +58,16 @@
 	return f
 }
 
+// UseStore makes the front keep its changes in progress in a store, and restores those of an earlier process. Call it before Serve.
+func (f *Front) UseStore(store ChangeStore) error { return f.changes.useStore(store) }
+
+// Unsettled returns the changes that a node may still carry out although their commands have ended, the oldest first. Their group is the
+// project.
+func (f *Front) Unsettled() []changes.Entry { return f.changes.unsettled() }
+
+// Settle ends the unsettled changes that match, as an operator knows that no node will carry them out any more. It returns their number.
+func (f *Front) Settle(matches func(changes.Entry) bool) int { return f.changes.settle(matches) }
+
 // counters counts a project's commands by result.
 type counters struct{ served, refused, failed, blocked atomic.Int64 }
 
--- a/internal/program/appliance.go
+++ b/internal/program/appliance.go
@@ -23,6 +23,7 @@
 	"otterturn/internal/net/routing"
 	"otterturn/internal/net/transport"
 	"otterturn/internal/net/transport/sftp"
+	"otterturn/internal/state/changestore"
 	"otterturn/internal/state/saver"
 	"otterturn/scheduler"
 )
@@ -34,7 +35,8 @@
 	log      *slog.Logger
 	limits   limits.Limits
 	core     *routing.Core
-	files    *sftp.Front // nil without sftp.listen
+	files    *sftp.Front        // nil without sftp.listen
+	changes  *changestore.Store // nil without sftp.changes
 	client   *sftp.Client
 	nodes    *transport.Nodes
 	saver    *saver.Saver     // nil without learned.folder
@@ -63,7 +65,7 @@
 	}
 	defer a.lines.Flush(flushTimeout)
 	for _, warning := range operator.Warnings() {
-		a.log.Warn("setting without effect", "setting", warning)
+		a.log.Warn("configuration warning", "setting", warning)
 	}
 	guard := a.core.Guard
 	go func() { guard.BeginShutdown(<-shutdown) }()
@@ -106,7 +108,7 @@
 	<-saverEnded
 	cancel()
 	<-coreEnded
-	err = errors.Join(err, a.saveFinal())
+	err = errors.Join(err, a.saveFinal(), a.closeChangeStore())
 	a.log.Info("stopped", "after", guard.Since().String(), "violations", guard.Violations())
 	return err
 }
@@ -149,14 +151,6 @@
 	return nil
 }
 
-func (a *Appliance) startFiles(context.Context) error {
-	if a.operator.SFTP.Listen == "" {
-		return nil
-	}
-	a.files = sftp.NewFront(a.operator.sftpSite(), a.limits, a.core, a.client.Attempt, a.nodes.Memory())
-	return a.serve("sftp.listen", a.operator.SFTP.Listen, a.withTLS(a.operator.SFTP.TLS, a.files.Serve), a.files.Stop)
-}
-
 // startHTTP starts the HTTP front, with an admission gate if door.room is set.
 func (a *Appliance) startHTTP(context.Context) error {
 	config := a.operator
--- a/internal/program/commands.go
+++ b/internal/program/commands.go
@@ -11,10 +11,18 @@
 
 // command is a parsed line of the console. Plain holds a command without arguments.
 type command struct {
-	Plain  string         `parser:"  @('help'|'status'|'nodes'|'projects'|'certificate'|'learned'|'quit')"`
+	Plain  string         `parser:"  @('help'|'status'|'nodes'|'projects'|'unsettled'|'certificate'|'learned'|'quit')"`
 	Node   *nodeCommand   `parser:"| @@"`
 	Cert   *certCommand   `parser:"| @@"`
 	Forget *forgetCommand `parser:"| @@"`
+	Settle *settleCommand `parser:"| @@"`
+}
+
+// settleCommand names the unsettled changes that no node will carry out any more.
+type settleCommand struct {
+	All    bool   `parser:"'settle' ( @'all'"`
+	Node   string `parser:"| 'node' @Word"`
+	Number uint64 `parser:"| 'change' @Word )"`
 }
 
 type nodeCommand struct {
--- a/internal/program/console.go
+++ b/internal/program/console.go
@@ -28,6 +28,9 @@
 status           requests open and how the others ended
 nodes            the storage nodes
 projects         the projects and how their commands ended
+unsettled        the changes over SFTP that a node may still carry out: number, project, node, bytes, paths
+settle node NAME, settle change NUMBER, settle all
+                 no node will carry them out any more, as it was restarted: allow changes of these files again
 drain NODE       send a node nothing new
 undrain NODE     let a node work again
 certificate      the certificates: names, serial, end, next try and why then, last error
@@ -113,8 +116,13 @@
 		return "", false, a.runCertificateCommand(command.Cert.Do, command.Cert.Name)
 	case command.Forget != nil:
 		return "", false, a.forget(command.Forget.arguments())
+	case command.Settle != nil:
+		text, err = a.settle(*command.Settle)
+		return text, false, err
 	}
 	switch command.Plain {
+	case "unsettled":
+		text = a.describeUnsettled()
 	case "status":
 		t := a.core.Tally()
 		text = fmt.Sprintf("open %d\nserved %d\nrefused %d\nfailed %d\nclients left %d\n%s", t.Open,
@@ -157,7 +165,7 @@
 		fmt.Fprintf(&out, "%s %s plan %s shard %d", p.Name, p.Prefix, p.Plan, p.Shard)
 		if front := c.appliance.files; front != nil {
 			counts := front.Count(p.Name)
-			fmt.Fprintf(&out, " served %d refused %d failed %d", counts.Served, counts.Refused, counts.Failed)
+			fmt.Fprintf(&out, " served %d refused %d failed %d blocked %d", counts.Served, counts.Refused, counts.Failed, counts.Blocked)
 		}
 		out.WriteString("\n")
 	}
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -25,8 +25,9 @@
 	SFTP struct {
 		Listen    string
 		TLS       bool
-		UnitBytes int `toml:"unit_bytes"`
-		BulkBytes int `toml:"bulk_bytes"`
+		UnitBytes int    `toml:"unit_bytes"`
+		BulkBytes int    `toml:"bulk_bytes"`
+		Changes   string // file for the changes in progress; without it the next process does not know them
 	}
 	HTTP struct {
 		Listen string
--- a/internal/program/operator_check.go
+++ b/internal/program/operator_check.go
@@ -34,6 +34,7 @@
 	must(o.SFTP.Listen == "" || isAddress(o.SFTP.Listen), "sftp.listen: %q is not an IP address with a port", o.SFTP.Listen)
 	must(o.SFTP.Listen == "" || o.SFTP.UnitBytes > 0 && o.SFTP.BulkBytes > 0,
 		"sftp: unit_bytes and bulk_bytes must be above 0")
+	must(o.SFTP.Changes == "" || o.SFTP.Listen != "", "sftp.changes: set, but sftp.listen is missing")
 	must(o.HTTP.Listen == "" || isAddress(o.HTTP.Listen), "http.listen: %q is not an IP address with a port", o.HTTP.Listen)
 	o.validateCertificates(must)
 	if learned := o.Learned; learned.Folder != "" {
@@ -82,9 +83,12 @@
 	return nil
 }
 
-// Warnings lists the settings that are valid but have no effect.
+// Warnings lists the settings that are valid but have no effect, or that weaken what clients are told.
 func (o *Operator) Warnings() []string {
 	var out []string
+	if o.SFTP.Listen != "" && o.SFTP.Changes == "" {
+		out = append(out, "sftp.changes: without it the next process does not know which changes a node may still carry out, and they may undo later ones")
+	}
 	if o.HTTP.Listen == "" && o.Classes["write"].Repeat == "keyed" {
 		out = append(out, `classes.write.repeat: "keyed" has no effect without http.listen: a change over SFTP is never sent again once it may have run`)
 	}
