--- a/internal/state/changestore/store.go
+++ b/internal/state/changestore/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 
 	"otterturn/internal/changes"
 )
@@ -60,9 +62,15 @@
 	removing sync.WaitGroup
 }
 
+// ErrInUse reports that another process has opened the file.
+var ErrInUse = errors.New("in use by another process")
+
 // Open opens a file, or creates it, for this process alone.
 func Open(path string, log *slog.Logger) (*Store, error) {
 	db, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: lockTimeout})
+	if errors.Is(err, bolterrors.ErrTimeout) {
+		return nil, fmt.Errorf("%s: %w", path, ErrInUse)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/state/changestore/store_test.go
+++ b/internal/state/changestore/store_test.go
@@ -1,6 +1,7 @@
 package changestore
 
 import (
+	"errors"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -18,8 +19,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Open(path, slog.New(slog.DiscardHandler)); err == nil {
-		t.Error("two stores have opened the same file")
+	if _, err := Open(path, slog.New(slog.DiscardHandler)); !errors.Is(err, ErrInUse) {
+		t.Errorf("a second store of the same file: %v", err)
 	}
 	const added = 40
 	var all sync.WaitGroup
--- a/scheduler/order_test.go
+++ b/scheduler/order_test.go
@@ -21,6 +21,32 @@
 	h.wantStarted(h.advance(60*ms), "u")
 }
 
+// Guards against a request that runs beside an earlier one of its key: the earlier one's first attempt may still run, and its repeat
+// was served. The pause counts from the end of the first attempt, whatever its result was.
+func TestKeyPausesThoughTheRepeatWasServed(t *testing.T) {
+	for _, result := range []Result{Reset, Cancelled} {
+		settings := testSettings()
+		settings.Classes[3].LatencyObjective = 2000 * ms
+		h := newHarness(t, settings)
+		keyed := func(r *Request) { r.Class, r.Key = 3, "k" }
+		h.step(req("x", keyed), req("y", keyed))
+		ended := h.end("x", result, 10*ms)
+		ended.Alive = true
+		actions := h.after(10*ms, ended)
+		for range 20 { // a retry may wait for a while
+			if len(startedIDs(actions)) > 0 {
+				break
+			}
+			actions = h.advance(5 * ms)
+		}
+		h.wantStarted(actions, "x")
+		if a := startedIDs(h.after(10*ms, h.end("x", OK, 10*ms))); len(a) != 0 {
+			t.Errorf("%v: started behind the repeat: %v", result, a)
+		}
+		h.wantStarted(h.advance(300*ms), "y")
+	}
+}
+
 func TestKeyIsBlockedDuringOutstandingAttempt(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[3].LatencyObjective = 2000 * ms
