Store a change as its attempt begins, with its node, and leave no ticket behind

- A write whose connection stopped accepting in the moment in which it could begin kept its place in the ledger for good, and later changes of the file would have waited for it.
It is given back.
- A client's writes were stored one after the other, each synced, as the goroutine that reads its packets stored them.
Attempts store them now, so that writes in progress are written together.
- After a restart the list did not know the nodes of changes.
The record names the node, and 'settle node NAME' needs no guess by the shard.

--- a/cmd/otterturn/changes_test.go
+++ b/cmd/otterturn/changes_test.go
@@ -63,7 +63,7 @@
 		if err := write("new"); err == nil || !strings.Contains(err.Error(), "may still carry out") {
 			t.Errorf("%v: a later write: %v", signal, err)
 		}
-		if list := console("unsettled"); !strings.Contains(list, `project riverside bytes 0 to 3 "/riverside/record"`) {
+		if list := console("unsettled"); !strings.Contains(list, `project riverside node node-a bytes 0 to 3 "/riverside/record"`) {
 			t.Errorf("%v: unsettled: %q", signal, list)
 		}
 		close(release)
--- a/internal/changes/change.go
+++ b/internal/changes/change.go
@@ -20,6 +20,7 @@
 type Record struct {
 	Change Change
 	Group  string // see Entry
+	Node   string // node to which the change was sent
 }
 
 // ConflictsWith reports whether one of two changes could alter what the other one made.
--- a/internal/changes/ledger.go
+++ b/internal/changes/ledger.go
@@ -42,7 +42,7 @@
 	Ticket Ticket
 	Change Change
 	Group  string // of changes that are counted together, such as a project
-	Node   string // node that may still carry out the change, "" if unknown
+	Node   string // node that may still carry out the change
 	State  State
 }
 
@@ -79,9 +79,10 @@
 }
 
 // Restore adds an unsettled change of an earlier process.
-func (l *Ledger) Restore(c Change, group string) Ticket {
-	e := l.add(c, group, Unsettled)
-	l.unsettled[group]++
+func (l *Ledger) Restore(r Record) Ticket {
+	e := l.add(r.Change, r.Group, Unsettled)
+	e.Node = r.Node
+	l.unsettled[r.Group]++
 	return e.Ticket
 }
 
--- a/internal/net/transport/sftp/changes.go
+++ b/internal/net/transport/sftp/changes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"sync"
 
@@ -29,7 +28,8 @@
 	order      *changeOrder
 	ticket     changes.Ticket
 	memory     *memory.Reservation
-	recordID   uint64
+	record     changes.Record
+	recordID   uint64        // of the record in the store, 0 if there is none
 	decided    chan error    // receives the decision on a change that waits; nil if it may run
 	ended      chan struct{} // closed when the change is neither waiting nor running any more
 	endedOnce  sync.Once
@@ -65,13 +65,6 @@
 	if err != nil { // it has left the ledger
 		return nil, &files.ChangeRefusedError{Cause: err}
 	}
-	if o.store == nil {
-		return p, nil
-	}
-	if p.recordID, err = o.store.Add(changes.Record{Change: c, Group: project}); err != nil {
-		p.complete()
-		return nil, &files.ChangeRefusedError{Cause: fmt.Errorf("the change can't be recorded: %w", err)}
-	}
 	return p, nil
 }
 
@@ -88,7 +81,7 @@
 		held.Release()
 		return nil, state, err
 	}
-	return o.add(ticket, held), state, nil
+	return o.add(ticket, changes.Record{Change: c, Group: project}, held), state, nil
 }
 
 func sizeOf(c changes.Change) int64 {
@@ -100,8 +93,10 @@
 }
 
 // add returns the pending change of a ticket. The caller holds the lock.
-func (o *changeOrder) add(t changes.Ticket, held *memory.Reservation) *pendingChange {
-	p := &pendingChange{order: o, ticket: t, memory: held, decided: make(chan error, 1), ended: make(chan struct{})}
+func (o *changeOrder) add(t changes.Ticket, r changes.Record, held *memory.Reservation) *pendingChange {
+	p := &pendingChange{
+		order: o, ticket: t, record: r, memory: held, decided: make(chan error, 1), ended: make(chan struct{}),
+	}
 	o.pending[t] = p
 	return p
 }
@@ -137,15 +132,53 @@
 
 // attempt carries out an attempt of the change.
 func (p *pendingChange) attempt(ctx context.Context, a routing.Attempt, cmd files.Command, send Attempter) (files.Reply, scheduler.AttemptEnded) {
-	o := p.order
-	o.mu.Lock()
-	if p.completed { // the attempt was started just before the final answer
-		o.mu.Unlock()
+	if !p.beginAttempt() {
+		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.NotStarted}
+	}
+	if err := p.store(a.Node); err != nil {
+		p.order.log.Error("change not sent, as it can't be stored", "error", err)
+		p.endAttempt(a.Node, false)
 		return files.Reply{}, scheduler.AttemptEnded{Result: scheduler.NotStarted}
 	}
-	p.attempts++
-	o.mu.Unlock()
 	reply, ended, mayStillRun := send(ctx, a, cmd, p.answered)
+	p.endAttempt(a.Node, mayStillRun)
+	return reply, ended
+}
+
+// beginAttempt reports whether an attempt may begin. None may after the command's final answer.
+func (p *pendingChange) beginAttempt() bool {
+	p.order.mu.Lock()
+	defer p.order.mu.Unlock()
+	if p.completed {
+		return false
+	}
+	p.attempts++
+	return true
+}
+
+// store makes sure that the next process knows about an attempt at a node.
+func (p *pendingChange) store(node string) error {
+	o := p.order
+	if o.store == nil || p.recordID != 0 && p.record.Node == node {
+		return nil
+	}
+	record := p.record
+	record.Node = node
+	id, err := o.store.Add(record)
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p.recordID != 0 { // an earlier attempt, at another node, never ran
+		o.store.Remove(p.recordID)
+	}
+	p.record, p.recordID = record, id
+	return nil
+}
+
+func (p *pendingChange) endAttempt(node string, mayStillRun bool) {
+	o := p.order
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	p.attempts--
@@ -153,12 +186,11 @@
 		p.unanswered++
 	}
 	if p.unanswered > 0 {
-		o.log.Info("change unsettled", "path", cmd.Path, "node", a.Node, "result", ended.Result.String())
+		o.log.Info("change unsettled", "path", p.record.Change.Paths[0], "node", node)
 		p.closeEnded()
-		o.apply(o.ledger.MarkUnsettled(p.ticket, a.Node))
+		o.apply(o.ledger.MarkUnsettled(p.ticket, node))
 	}
 	p.endIfSettled()
-	return reply, ended
 }
 
 // answered records that a node has answered an attempt after its end, so that it won't carry it out any more.
--- a/internal/net/transport/sftp/front.go
+++ b/internal/net/transport/sftp/front.go
@@ -49,7 +49,8 @@
 // NewFront returns a front, which takes memory from a budget.
 func NewFront(site Site, l limits.Limits, core *routing.Core, attempt Attempter, budget *memory.Budget) *Front {
 	f := &Front{
-		site: site, limits: l, core: core, attempt: attempt, changes: newChangeOrder(l.Files.Unsettled, memory.NewBudget(l.Memory.Changes), core.Log), conns: map[*clientConn]struct{}{},
+		site: site, limits: l, core: core, attempt: attempt, conns: map[*clientConn]struct{}{},
+		changes:   newChangeOrder(l.Files.Unsettled, memory.NewBudget(l.Memory.Changes), core.Log),
 		byProject: map[string]*counters{}, slots: make(chan struct{}, l.Requests.Open), memory: budget, handles: memory.NewBudget(l.Memory.Handles),
 	}
 	for _, p := range site.Projects {
--- a/internal/net/transport/sftp/transfer.go
+++ b/internal/net/transport/sftp/transfer.go
@@ -92,6 +92,7 @@
 	var change *pendingChange
 	if err == nil {
 		if change, err = c.order(cmd, request); c.accepting.Err() != nil {
+			change.complete()
 			return context.Cause(c.accepting)
 		}
 		if err != nil {
--- a/internal/net/transport/sftp/unsettled.go
+++ b/internal/net/transport/sftp/unsettled.go
@@ -38,7 +38,7 @@
 	defer o.mu.Unlock()
 	held := o.memory.NewReservation()
 	held.Grow(sizeOf(r.Change)) // without room it is restored all the same: the previous process had room for it
-	p := o.add(o.ledger.Restore(r.Change, r.Group), held)
+	p := o.add(o.ledger.Restore(r), r, held)
 	p.recordID, p.unanswered, p.completed = id, 1, true
 }
 
--- a/internal/program/files.go
+++ b/internal/program/files.go
@@ -44,10 +44,7 @@
 	}
 	var out strings.Builder
 	for _, e := range a.files.Unsettled() {
-		fmt.Fprintf(&out, "%d project %s", e.Ticket, e.Group)
-		if e.Node != "" {
-			fmt.Fprintf(&out, " node %s", e.Node)
-		}
+		fmt.Fprintf(&out, "%d project %s node %s", e.Ticket, e.Group, e.Node)
 		if e.Change.Content {
 			fmt.Fprintf(&out, " bytes %d to %d", e.Change.From, e.Change.To)
 		}
@@ -70,7 +67,7 @@
 	settled := a.files.Settle(func(e changes.Entry) bool {
 		switch {
 		case c.Node != "":
-			return e.Node == c.Node || e.Node == "" && a.isOnlyNodeOf(c.Node, e.Group)
+			return e.Node == c.Node
 		case c.All:
 			return true
 		}
@@ -82,24 +79,3 @@
 	a.log.Info("changes settled by an operator", "changes", settled)
 	return fmt.Sprintf("settled %d", settled), nil
 }
-
-// isOnlyNodeOf reports whether a node is the only one that holds the shard of a project.
-func (a *Appliance) isOnlyNodeOf(node, project string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	shard := -1
-	for _, p := range a.operator.Projects {
-		if p.Name == project {
-			shard = p.Shard
-		}
-	}
-	holders := 0
-	holds := false
-	for _, n := range a.lastRead.Nodes {
-		if n.Shard == shard {
-			holders++
-			holds = holds || n.Name == node
-		}
-	}
-	return holds && holders == 1
-}
--- a/internal/state/changestore/store.go
+++ b/internal/state/changestore/store.go
@@ -33,10 +33,11 @@
 	From    uint64
 	To      uint64
 	Group   string
+	Node    string
 }
 
 func encode(r changes.Record) ([]byte, error) {
-	out := record{Subtree: r.Change.Subtree, Content: r.Change.Content, From: r.Change.From, To: r.Change.To, Group: r.Group}
+	out := record{Subtree: r.Change.Subtree, Content: r.Change.Content, From: r.Change.From, To: r.Change.To, Group: r.Group, Node: r.Node}
 	for _, path := range r.Change.Paths {
 		out.Paths = append(out.Paths, []byte(path))
 	}
@@ -48,7 +49,7 @@
 	if err := cbor.Unmarshal(value, &in); err != nil {
 		return changes.Record{}, err
 	}
-	out := changes.Record{Group: in.Group, Change: changes.Change{Subtree: in.Subtree, Content: in.Content, From: in.From, To: in.To}}
+	out := changes.Record{Group: in.Group, Node: in.Node, Change: changes.Change{Subtree: in.Subtree, Content: in.Content, From: in.From, To: in.To}}
 	for _, path := range in.Paths {
 		out.Change.Paths = append(out.Change.Paths, string(path))
 	}
