--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -73,7 +74,9 @@
 		&out, "[limits]\nmemory_mb = %d\nsockets = 1024\nopen = 256\ntries = 4\nconnect = %q\nnode_idle = %q\nretry_after = \"500ms\"\n",
 		s.MemoryMB, s.Connect, s.ConnIdle,
 	)
-	fmt.Fprintf(&out, "[sftp]\nlisten = %q\nunit_bytes = 16384\nbulk_bytes = 32768\n[http]\nlisten = %q\n[console]\nsocket = %q\n", sftp, http, console)
+	changes := filepath.Join(filepath.Dir(folder), "changes.db")
+	fmt.Fprintf(&out, "[sftp]\nlisten = %q\nchanges = %q\nunit_bytes = 16384\nbulk_bytes = 32768\n", sftp, changes)
+	fmt.Fprintf(&out, "[http]\nlisten = %q\n[console]\nsocket = %q\n", http, console)
 	fmt.Fprintf(&out, "[learned]\nfolder = %q\nfront = \"files-1\"\ninterval = \"500ms\"\nlease = \"500ms\"\n", folder)
 	within := min(s.Longest/2, 300*time.Millisecond)
 	for _, class := range applianceClasses {
