--- a/internal/state/changestore/store_test.go
+++ b/internal/state/changestore/store_test.go
@@ -26,7 +26,9 @@
 	var all sync.WaitGroup
 	ids := make([]uint64, added)
 	record := func(i int) changes.Record {
-		return changes.Record{Group: "a", Node: "node-a", Change: changes.Change{Paths: []string{"/a/f", "/a/\xff"}, Subtree: true, Content: true, From: uint64(i), To: 1 << 63}}
+		return changes.Record{Group: "a", Node: "node-a", Change: changes.Change{
+			Paths: []string{"/a/f", "/a/\xff"}, Subtree: true, Content: true, From: uint64(i), To: 1 << 63,
+		}}
 	}
 	for i := range ids {
 		all.Go(func() { ids[i], _ = store.Add(record(i)) })
